--- /dev/null
+++ b/thornhollow/net/caller_server.cc
@@ -0,0 +1,593 @@
+#include "thornhollow/net/caller_server.h"
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <set>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <netinet/tcp.h>
+
+#include "thornhollow/net/address.h"
+#include "thornhollow/net/internal/awaitable.h"
+
+namespace thornhollow {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using net_internal::Into;
+
+using request_parser = http::request_parser<http::string_body>;
+
+constexpr unsigned kHttp11 = 11;
+// Data that the peer's end doesn't acknowledge for this long ends the
+// connection. Something between the ends can lose track of a connection; then
+// nothing is ever answered on it, and without this limit a stream's tokens
+// would be computed for nobody.
+constexpr int kUnacknowledgedMs = 10'000;
+// A connection without traffic is probed, so that one that went silent while
+// its request waits is found too: 5 s + 3 probes 2 s apart.
+constexpr int kProbeAfterSeconds = 5;
+constexpr int kProbeIntervalSeconds = 2;
+constexpr int kProbeCount = 3;
+
+void
+DetectSilence(tcp::socket& aSocket)
+{
+  const int handle = aSocket.native_handle();
+  const auto set = [handle](int aLevel, int aName, int aValue) {
+    ::setsockopt(handle, aLevel, aName, &aValue, sizeof(aValue));
+  };
+  set(IPPROTO_TCP, TCP_NODELAY, 1);
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs);
+}
+
+std::string
+PathOf(std::string_view aTarget)
+{
+  return std::string(aTarget.substr(0, aTarget.find('?')));
+}
+
+caller_request
+ToRequest(request_parser& aParser)
+{
+  auto& message = aParser.get();
+  caller_request request;
+  request.mMethod = std::string(message.method_string());
+  request.mPath = PathOf({ message.target().data(), message.target().size() });
+  for (const auto& field : message) {
+    request.mHeaders.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.mBody = std::move(message.body());
+  return request;
+}
+
+std::size_t
+BytesOf(const reply_part& aPart)
+{
+  if (const auto* whole = std::get_if<whole_reply>(&aPart)) {
+    return whole->mBody.size();
+  }
+  if (const auto* text = std::get_if<stream_text>(&aPart)) {
+    return text->mText.size();
+  }
+  return 0;
+}
+
+bool
+IsLast(const reply_part& aPart)
+{
+  return std::holds_alternative<whole_reply>(aPart) ||
+         std::holds_alternative<stream_end>(aPart);
+}
+
+class session;
+
+// The session's side of an exchange: parts wait here until they are written.
+class exchange final : public caller_exchange
+{
+public:
+  exchange(asio::any_io_executor aExecutor,
+           caller_request aRequest,
+           std::size_t aMaxUnsentBytes)
+    : mRequest(std::move(aRequest))
+    , mArrival(std::chrono::steady_clock::now())
+    , mMaxUnsentBytes(aMaxUnsentBytes)
+    , mSignal(std::move(aExecutor), asio::steady_timer::time_point::max())
+  {
+  }
+
+  const caller_request& Request() const override { return mRequest; }
+  time_point Arrival() const override { return mArrival; }
+
+  void Send(reply_part aPart) override
+  {
+    if (mGone || mLastQueued) {
+      return;
+    }
+    mUnsentBytes += BytesOf(aPart);
+    mLastQueued = IsLast(aPart);
+    mParts.push_back(std::move(aPart));
+    // A caller that reads more slowly than its answer comes would let the
+    // answer pile up here without bound.
+    if (mUnsentBytes > mMaxUnsentBytes) {
+      Leave();
+    }
+    mSignal.cancel();
+  }
+
+  void OnLeft(std::function<void()> aListener) override
+  {
+    mOnLeft = std::move(aListener);
+  }
+
+  // The caller is gone; tells the listener unless the answer is complete.
+  void Leave()
+  {
+    if (std::exchange(mGone, true)) {
+      return;
+    }
+    mSignal.cancel();
+    const auto listener = std::exchange(mOnLeft, nullptr);
+    if (listener && !mLastQueued) {
+      listener();
+    }
+  }
+
+  bool Gone() const { return mGone; }
+
+  // The next part to write; nothing when the caller is gone.
+  asio::awaitable<std::optional<reply_part>> Next()
+  {
+    while (mParts.empty() && !mGone) {
+      error_code ignored;
+      co_await mSignal.async_wait(Into(ignored));
+    }
+    if (mGone) {
+      co_return std::nullopt;
+    }
+    reply_part part = std::move(mParts.front());
+    mParts.pop_front();
+    mUnsentBytes -= BytesOf(part);
+    co_return part;
+  }
+
+private:
+  caller_request mRequest;
+  time_point mArrival;
+  std::size_t mMaxUnsentBytes;
+  std::size_t mUnsentBytes = 0;
+  std::deque<reply_part> mParts;
+  std::function<void()> mOnLeft;
+  bool mGone = false;
+  bool mLastQueued = false;
+  asio::steady_timer mSignal;
+};
+
+} // namespace
+
+// What the server and its sessions share.
+class caller_server::shared
+{
+public:
+  shared(asio::io_context& aIo,
+         const caller_limits& aLimits,
+         exchange_handler aOnRequest,
+         refusal_handler aOnUnreadable)
+    : mIo(aIo)
+    , mLimits(aLimits)
+    , mOnRequest(std::move(aOnRequest))
+    , mOnUnreadable(std::move(aOnUnreadable))
+    , mAcceptor(aIo)
+  {
+  }
+
+  asio::io_context& mIo;
+  caller_limits mLimits;
+  exchange_handler mOnRequest;
+  refusal_handler mOnUnreadable;
+  tcp::acceptor mAcceptor;
+  std::set<session*> mSessions;
+  std::size_t mInProgress = 0;
+  bool mDraining = false;
+};
+
+namespace {
+
+using shared_state = caller_server::shared;
+
+// One caller's connection.
+class session
+  : public boost::intrusive_ref_counter<session, boost::thread_unsafe_counter>
+{
+public:
+  session(tcp::socket aSocket, std::shared_ptr<shared_state> aShared)
+    : mStream(std::move(aSocket))
+    , mShared(std::move(aShared))
+  {
+    mShared->mSessions.insert(this);
+    DetectSilence(mStream.socket());
+  }
+  session(const session&) = delete;
+  session& operator=(const session&) = delete;
+  ~session() { mShared->mSessions.erase(this); }
+
+  asio::awaitable<void> Run()
+  {
+    if (mShared->mSessions.size() > mShared->mLimits.mMaxConnections) {
+      co_await Refuse(error_kind::kTooManyConnections);
+      co_return;
+    }
+    bool again = true;
+    while (again) {
+      again = co_await ServeOne();
+    }
+    error_code ignored;
+    mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  void CloseIfIdle()
+  {
+    if (mIdle) {
+      error_code ignored;
+      mStream.socket().close(ignored);
+    }
+  }
+
+private:
+  // Reads one request and writes its answer; false ends the connection.
+  asio::awaitable<bool> ServeOne()
+  {
+    if (!co_await WaitForFirstByte()) {
+      co_return false;
+    }
+    request_parser parser;
+    parser.header_limit(mShared->mLimits.mMaxHeaderBytes);
+    parser.body_limit(mShared->mLimits.mMaxBodyBytes);
+    if (const auto wrong = co_await ReadRequest(parser)) {
+      co_await Refuse(*wrong);
+      co_return false;
+    }
+    const bool keepAlive = parser.get().keep_alive();
+    mVersion = parser.get().version();
+    const auto one = boost::intrusive_ptr<exchange>(
+      new exchange(mStream.get_executor(),
+                   ToRequest(parser),
+                   mShared->mLimits.mMaxUnsentBytes));
+    ++mShared->mInProgress;
+    Watch(one);
+    mShared->mOnRequest(one);
+    const bool written = co_await WriteAnswer(*one, keepAlive);
+    one->Leave();
+    --mShared->mInProgress;
+    // Wakes the watcher, which holds the exchange.
+    mStream.socket().cancel();
+    co_return written&& keepAlive&& mVersion == kHttp11 && !mShared->mDraining;
+  }
+
+  asio::awaitable<bool> WaitForFirstByte()
+  {
+    if (mBuffer.size() > 0) {
+      co_return true;
+    }
+    mIdle = true;
+    mStream.expires_after(mShared->mLimits.mIdleTimeout);
+    error_code wrong;
+    const std::size_t bytes = co_await mStream.async_read_some(
+      mBuffer.prepare(kFirstRead), Into(wrong));
+    mBuffer.commit(bytes);
+    mIdle = false;
+    co_return !wrong;
+  }
+
+  // Nothing when the request is whole; else why it is not.
+  asio::awaitable<std::optional<error_kind>> ReadRequest(
+    request_parser& aParser)
+  {
+    mStream.expires_after(mShared->mLimits.mSendTimeout);
+    error_code wrong;
+    co_await http::async_read_header(mStream, mBuffer, aParser, Into(wrong));
+    if (!wrong &&
+        beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
+      http::response<http::empty_body> proceed(http::status::continue_,
+                                               kHttp11);
+      co_await http::async_write(mStream, proceed, Into(wrong));
+    }
+    if (!wrong) {
+      co_await http::async_read(mStream, mBuffer, aParser, Into(wrong));
+    }
+    mStream.expires_never();
+    if (!wrong) {
+      co_return std::nullopt;
+    }
+    if (wrong == http::error::header_limit ||
+        wrong == http::error::buffer_overflow) {
+      co_return error_kind::kHeaderTooLarge;
+    }
+    if (wrong == http::error::body_limit) {
+      co_return error_kind::kBodyTooLarge;
+    }
+    if (wrong == beast::error::timeout) {
+      co_return error_kind::kSlowSender;
+    }
+    co_return error_kind::kMalformedRequest;
+  }
+
+  // Notices that the caller closes while its request is in progress. A caller
+  // that only closed its sending side counts as gone as well; it can still
+  // read that its request was given up.
+  void Watch(const boost::intrusive_ptr<exchange>& aExchange)
+  {
+    mStream.socket().async_wait(
+      tcp::socket::wait_read,
+      [self = boost::intrusive_ptr<session>(this),
+       aExchange](const error_code& aWrong) {
+        if (aWrong || aExchange->Gone()) {
+          return;
+        }
+        char peeked = 0;
+        error_code wrong;
+        self->mStream.socket().non_blocking(true, wrong);
+        self->mStream.socket().receive(
+          asio::buffer(&peeked, 1), tcp::socket::message_peek, wrong);
+        // Bytes of a next request stay unread until their turn.
+        if (wrong && wrong != asio::error::would_block) {
+          aExchange->Leave();
+        }
+      });
+  }
+
+  asio::awaitable<bool> WriteAnswer(exchange& aExchange, bool aKeepAlive)
+  {
+    while (const auto part = co_await aExchange.Next()) {
+      mStream.expires_after(mShared->mLimits.mWriteTimeout);
+      const bool written = co_await WritePart(*part, aKeepAlive);
+      mStream.expires_never();
+      if (!written) {
+        co_return false;
+      }
+      if (IsLast(*part)) {
+        co_return true;
+      }
+    }
+    co_await Refuse(error_kind::kCallerLeft);
+    co_return false;
+  }
+
+  asio::awaitable<bool> WritePart(const reply_part& aPart, bool aKeepAlive)
+  {
+    if (const auto* whole = std::get_if<whole_reply>(&aPart)) {
+      co_return co_await WriteWhole(*whole, aKeepAlive);
+    }
+    if (const auto* head = std::get_if<stream_head>(&aPart)) {
+      co_return co_await WriteHead(*head, aKeepAlive);
+    }
+    if (const auto* text = std::get_if<stream_text>(&aPart)) {
+      co_return co_await WriteText(text->mText);
+    }
+    co_return co_await WriteEnd();
+  }
+
+  bool StaysOpen(bool aKeepAlive) const
+  {
+    return aKeepAlive && mVersion == kHttp11 && !mShared->mDraining;
+  }
+
+  asio::awaitable<bool> WriteWhole(const whole_reply& aReply, bool aKeepAlive)
+  {
+    http::response<http::string_body> response;
+    response.version(mVersion);
+    response.result(aReply.mHttpStatus);
+    for (const auto& [name, value] : aReply.mHeaders) {
+      response.set(name, value);
+    }
+    if (!aReply.mContentType.empty()) {
+      response.set(http::field::content_type, aReply.mContentType);
+    }
+    response.keep_alive(StaysOpen(aKeepAlive));
+    response.body() = aReply.mBody;
+    response.prepare_payload();
+    error_code wrong;
+    co_await http::async_write(mStream, response, Into(wrong));
+    co_return !wrong;
+  }
+
+  asio::awaitable<bool> WriteHead(const stream_head& aHead, bool aKeepAlive)
+  {
+    http::response<http::empty_body> response(http::status::ok, mVersion);
+    for (const auto& [name, value] : aHead.mHeaders) {
+      response.set(name, value);
+    }
+    response.set(http::field::content_type, "text/event-stream");
+    response.set(http::field::cache_control, "no-store");
+    response.keep_alive(StaysOpen(aKeepAlive));
+    response.chunked(mVersion == kHttp11);
+    http::response_serializer<http::empty_body> serializer(response);
+    error_code wrong;
+    co_await http::async_write_header(mStream, serializer, Into(wrong));
+    co_return !wrong;
+  }
+
+  asio::awaitable<bool> WriteText(const std::string& aText)
+  {
+    error_code wrong;
+    if (mVersion == kHttp11) {
+      co_await asio::async_write(
+        mStream, http::make_chunk(asio::buffer(aText)), Into(wrong));
+    } else {
+      co_await asio::async_write(mStream, asio::buffer(aText), Into(wrong));
+    }
+    co_return !wrong;
+  }
+
+  asio::awaitable<bool> WriteEnd()
+  {
+    error_code wrong;
+    if (mVersion == kHttp11) {
+      co_await asio::async_write(mStream, http::make_chunk_last(), Into(wrong));
+    }
+    co_return !wrong;
+  }
+
+  // The connection's state is unknown after this: it is closed.
+  asio::awaitable<void> Refuse(error_kind aKind)
+  {
+    if (!mStream.socket().is_open()) {
+      co_return;
+    }
+    mStream.expires_after(kRefusalTimeout);
+    mVersion = kHttp11;
+    const whole_reply reply = mShared->mOnUnreadable(aKind);
+    co_await WriteWhole(reply, false);
+  }
+
+  static constexpr std::size_t kFirstRead = 4096;
+  static constexpr duration kRefusalTimeout = Seconds(1);
+
+  beast::tcp_stream mStream;
+  std::shared_ptr<shared_state> mShared;
+  beast::flat_buffer mBuffer;
+  unsigned mVersion = kHttp11;
+  bool mIdle = false;
+};
+
+asio::awaitable<void>
+RunSession(boost::intrusive_ptr<session> aSession)
+{
+  co_await aSession->Run();
+}
+
+asio::awaitable<void>
+Accept(std::shared_ptr<shared_state> aShared)
+{
+  while (aShared->mAcceptor.is_open()) {
+    tcp::socket socket(aShared->mIo);
+    error_code wrong;
+    co_await aShared->mAcceptor.async_accept(socket, Into(wrong));
+    if (wrong == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (wrong) {
+      // Out of descriptors, most likely; trying again at once would spin.
+      asio::steady_timer pause(aShared->mIo, Milliseconds(50));
+      co_await pause.async_wait(Into(wrong));
+      continue;
+    }
+    auto one =
+      boost::intrusive_ptr<session>(new session(std::move(socket), aShared));
+    asio::co_spawn(aShared->mIo, RunSession(std::move(one)), asio::detached);
+  }
+}
+
+} // namespace
+
+std::string_view
+caller_request::Header(std::string_view aName) const
+{
+  const auto found =
+    std::ranges::find_if(mHeaders, [aName](const header_field& aField) {
+      return beast::iequals(aField.mName, aName);
+    });
+  return found == mHeaders.end() ? std::string_view() : found->mValue;
+}
+
+caller_server::caller_server(asio::io_context& aIo,
+                             const caller_limits& aLimits,
+                             exchange_handler aOnRequest,
+                             refusal_handler aOnUnreadable)
+  : mShared(std::make_shared<shared>(aIo,
+                                     aLimits,
+                                     std::move(aOnRequest),
+                                     std::move(aOnUnreadable)))
+{
+}
+
+caller_server::~caller_server()
+{
+  StopListening();
+}
+
+result<std::string>
+caller_server::Listen(std::string_view aAddress)
+{
+  BOOST_LEAF_AUTO(address, ParseAddress(aAddress));
+  const tcp::endpoint where(asio::ip::make_address(address.mHost),
+                            address.mPort);
+  auto& acceptor = mShared->mAcceptor;
+  error_code wrong;
+  acceptor.open(where.protocol(), wrong);
+  if (!wrong) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), wrong);
+    acceptor.bind(where, wrong);
+  }
+  if (!wrong) {
+    acceptor.listen(asio::socket_base::max_listen_connections, wrong);
+  }
+  if (wrong) {
+    return Fail(error_kind::kInternal,
+                "cannot listen on " + std::string(aAddress) + ": " +
+                  wrong.message());
+  }
+  asio::co_spawn(mShared->mIo, Accept(mShared), asio::detached);
+  const std::string host =
+    where.address().is_v6() ? "[" + address.mHost + "]" : address.mHost;
+  return host + ":" + std::to_string(acceptor.local_endpoint().port());
+}
+
+void
+caller_server::BeginDrain()
+{
+  mShared->mDraining = true;
+  const std::vector<session*> sessions(mShared->mSessions.begin(),
+                                       mShared->mSessions.end());
+  for (session* each : sessions) {
+    each->CloseIfIdle();
+  }
+}
+
+void
+caller_server::StopListening()
+{
+  error_code ignored;
+  mShared->mAcceptor.close(ignored);
+}
+
+std::size_t
+caller_server::InProgress() const
+{
+  return mShared->mInProgress;
+}
+
+std::size_t
+caller_server::Connections() const
+{
+  return mShared->mSessions.size();
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/net/caller_server.h
@@ -0,0 +1,165 @@
+// Takes callers' HTTP connections, reads requests within bounds, and writes the
+// answers that a handler gives.
+//
+//   caller_server server(io, limits, [&](caller_exchange_ptr aExchange) {
+//     aExchange->Send(whole_reply{ 200, {}, "text/plain", "hello" });
+//   });
+//   server.Listen("127.0.0.1:8080");
+//
+// The same class serves the operators' page: its handler differs.
+#ifndef THORNHOLLOW_NET_CALLER_SERVER_H_
+#define THORNHOLLOW_NET_CALLER_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "thornhollow/base/error.h"
+#include "thornhollow/base/result.h"
+#include "thornhollow/base/time.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace thornhollow {
+
+struct caller_limits
+{
+  std::uint32_t mMaxHeaderBytes = std::uint32_t{ 16 } << 10U;
+  std::size_t mMaxBodyBytes = std::size_t{ 8 } << 20U;
+  std::size_t mMaxConnections = 4096;
+  // From a request's first byte to its last. A sender slower than this would
+  // hold memory and a connection for as long as it likes.
+  duration mSendTimeout = Seconds(10);
+  // A connection without a request for this long is closed.
+  duration mIdleTimeout = Seconds(60);
+  // A write that makes no progress for this long: the caller is gone, or its
+  // connection silent.
+  duration mWriteTimeout = Seconds(10);
+  // Bytes of an answer that wait because the caller reads slowly; beyond it
+  // the caller counts as gone.
+  std::size_t mMaxUnsentBytes = std::size_t{ 16 } << 20U;
+
+  friend bool operator==(const caller_limits&, const caller_limits&) = default;
+};
+
+struct header_field
+{
+  std::string mName;
+  std::string mValue;
+
+  friend bool operator==(const header_field&, const header_field&) = default;
+};
+
+// A request as it arrived, whole.
+struct caller_request
+{
+  std::string mMethod;
+  // Without the query part.
+  std::string mPath;
+  std::vector<header_field> mHeaders;
+  std::string mBody;
+
+  // The first value of this header, case ignored; empty where absent.
+  std::string_view Header(std::string_view aName) const;
+};
+
+// An answer in one piece.
+struct whole_reply
+{
+  unsigned mHttpStatus = 200;
+  std::vector<header_field> mHeaders;
+  std::string mContentType;
+  std::string mBody;
+};
+// Begins a stream of server-sent events.
+struct stream_head
+{
+  std::vector<header_field> mHeaders;
+};
+// Text of one or more events, each with its blank line.
+struct stream_text
+{
+  std::string mText;
+};
+struct stream_end
+{};
+using reply_part =
+  std::variant<whole_reply, stream_head, stream_text, stream_end>;
+
+// One request and its answer. The handler keeps a pointer for as long as it has
+// something to send.
+class caller_exchange
+  : public boost::intrusive_ref_counter<caller_exchange,
+                                        boost::thread_unsafe_counter>
+{
+public:
+  caller_exchange() = default;
+  caller_exchange(const caller_exchange&) = delete;
+  caller_exchange& operator=(const caller_exchange&) = delete;
+  virtual ~caller_exchange() = default;
+
+  virtual const caller_request& Request() const = 0;
+  virtual time_point Arrival() const = 0;
+
+  // Queues a part of the answer. A `whole_reply` or `stream_end` is the last.
+  // Does nothing once the caller is gone.
+  virtual void Send(reply_part aPart) = 0;
+
+  // `aListener` is called once if the caller leaves before the answer's last
+  // part was sent; never after that part.
+  virtual void OnLeft(std::function<void()> aListener) = 0;
+};
+using caller_exchange_ptr = boost::intrusive_ptr<caller_exchange>;
+
+using exchange_handler = std::function<void(caller_exchange_ptr)>;
+// Answers a request that could not be read; also counts it.
+using refusal_handler = std::function<whole_reply(error_kind)>;
+
+class caller_server
+{
+public:
+  caller_server(boost::asio::io_context& aIo,
+                const caller_limits& aLimits,
+                exchange_handler aOnRequest,
+                refusal_handler aOnUnreadable);
+  caller_server(const caller_server&) = delete;
+  caller_server& operator=(const caller_server&) = delete;
+  ~caller_server();
+
+  // Listens; fails when the address can't be had. Returns the address with the
+  // port in use, which differs where port 0 was asked for.
+  result<std::string> Listen(std::string_view aAddress);
+
+  // From now on each answer asks its caller to close the connection, and idle
+  // connections are closed.
+  void BeginDrain();
+
+  // Takes no further connection.
+  void StopListening();
+
+  // Requests whose answer is not yet written out.
+  std::size_t InProgress() const;
+  std::size_t Connections() const;
+
+  // Sessions outlive the server object until their connections end, so what
+  // they share is kept apart.
+  class shared;
+
+private:
+  std::shared_ptr<shared> mShared;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_NET_CALLER_SERVER_H_
--- /dev/null
+++ b/thornhollow/net/http_fetch.cc
@@ -0,0 +1,105 @@
+#include "thornhollow/net/http_fetch.h"
+
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "thornhollow/net/address.h"
+#include "thornhollow/net/internal/awaitable.h"
+
+namespace thornhollow {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using net_internal::Into;
+
+std::optional<std::uint64_t>
+ReadVersion(std::string_view aText)
+{
+  std::uint64_t version = 0;
+  const char* last = aText.data() + aText.size();
+  const auto [end, wrong] = std::from_chars(aText.data(), last, version);
+  if (wrong != std::errc() || end != last || aText.empty()) {
+    return std::nullopt;
+  }
+  return version;
+}
+
+asio::awaitable<fetch_outcome>
+Exchange(asio::io_context& aIo, const fetch_call& aCall)
+{
+  const auto address = ParseAddress(aCall.mAddress);
+  if (!address) {
+    co_return std::nullopt;
+  }
+  beast::tcp_stream stream(aIo);
+  stream.expires_after(aCall.mTimeout);
+  error_code wrong;
+  const tcp::endpoint where(asio::ip::make_address(address->mHost),
+                            address->mPort);
+  co_await stream.async_connect(where, Into(wrong));
+  if (wrong) {
+    co_return std::nullopt;
+  }
+  http::request<http::empty_body> request(http::verb::get, aCall.mTarget, 11);
+  request.set(http::field::host, aCall.mAddress);
+  request.keep_alive(false);
+  co_await http::async_write(stream, request, Into(wrong));
+  if (wrong) {
+    co_return std::nullopt;
+  }
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(aCall.mMaxBytes);
+  co_await http::async_read(stream, buffer, parser, Into(wrong));
+  if (wrong) {
+    co_return std::nullopt;
+  }
+  fetch_answer answer;
+  answer.mHttpStatus = parser.get().result_int();
+  const auto version = parser.get()["X-Version"];
+  answer.mVersion = ReadVersion({ version.data(), version.size() });
+  answer.mBody = std::move(parser.get().body());
+  co_return answer;
+}
+
+asio::awaitable<void>
+RunFetch(asio::io_context& aIo,
+         fetch_call aCall,
+         std::function<void(fetch_outcome)> aDone)
+{
+  co_await asio::post(aIo, asio::use_awaitable);
+  fetch_outcome outcome = co_await Exchange(aIo, aCall);
+  aDone(std::move(outcome));
+}
+
+} // namespace
+
+void
+Fetch(asio::io_context& aIo,
+      fetch_call aCall,
+      std::function<void(fetch_outcome)> aDone)
+{
+  asio::co_spawn(
+    aIo, RunFetch(aIo, std::move(aCall), std::move(aDone)), asio::detached);
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/net/http_fetch.h
@@ -0,0 +1,54 @@
+// One HTTP call with a time limit, for the platform and for load reports.
+//
+//   Fetch(io, { .mAddress = "127.0.0.1:9000", .mTarget = "/v1/load" },
+//         [](fetch_outcome aOutcome) { ... });
+//
+#ifndef THORNHOLLOW_NET_HTTP_FETCH_H_
+#define THORNHOLLOW_NET_HTTP_FETCH_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "thornhollow/base/time.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace thornhollow {
+
+struct fetch_call
+{
+  // IP number and port.
+  std::string mAddress;
+  std::string mTarget;
+  // Over the whole exchange, connecting included. A peer that accepts and then
+  // says nothing costs at most this.
+  duration mTimeout = Seconds(2);
+  // Bytes of the answer's body at most.
+  std::size_t mMaxBytes = std::size_t{ 2 } << 20U;
+};
+
+struct fetch_answer
+{
+  unsigned mHttpStatus = 0;
+  // The `X-Version` header, where there is one.
+  std::optional<std::uint64_t> mVersion;
+  std::string mBody;
+};
+
+// Nothing when no whole answer came in time.
+using fetch_outcome = std::optional<fetch_answer>;
+
+// GETs; `aDone` is called exactly once, from the io_context's thread.
+void
+Fetch(boost::asio::io_context& aIo,
+      fetch_call aCall,
+      std::function<void(fetch_outcome)> aDone);
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_NET_HTTP_FETCH_H_
