Settings of a daemon process, read from YAML and flags

Cause: a process learns its addresses, failure domain and limits from settings. The readers' file type moved to source_file.h (was declaration_file).

--- a/thornhollow/config/internal/field_reader.cc
+++ b/thornhollow/config/internal/field_reader.cc
@@ -9,9 +9,6 @@
 namespace {
 
 constexpr std::size_t kMaxNameBytes = 64;
-constexpr std::string_view kNameForm =
-  "a name of 1 to 64 letters, digits, '-', '_' or '.', "
-  "a letter or digit first";
 
 constexpr bool
 IsLetterOrDigit(char aChar)
--- a/thornhollow/config/internal/field_reader.h
+++ b/thornhollow/config/internal/field_reader.h
@@ -22,6 +22,10 @@
 
 namespace thornhollow::internal {
 
+inline constexpr std::string_view kNameForm =
+  "a name of 1 to 64 letters, digits, '-', '_' or '.', "
+  "a letter or digit first";
+
 // Bounds of a number, both included. A field without default must be present.
 struct number_bounds
 {
--- /dev/null
+++ b/thornhollow/config/settings.cc
@@ -0,0 +1,354 @@
+#include "thornhollow/config/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "thornhollow/config/internal/field_reader.h"
+#include "thornhollow/config/internal/ip_address.h"
+
+namespace thornhollow {
+namespace {
+
+using internal::field_reader;
+using internal::yaml_kind;
+using internal::yaml_node;
+
+constexpr std::size_t kMaxSeeds = 64;
+constexpr std::size_t kMaxSettingsBytes = std::size_t{ 64 } << 10U;
+constexpr std::size_t kMaxPeerKeyBytes = 128;
+constexpr int kHexBase = 16;
+constexpr std::array<std::string_view, 4> kLogLevels = { "error",
+                                                         "warning",
+                                                         "info",
+                                                         "debug" };
+
+std::string
+PeerKeyForm()
+{
+  return fmt::format(
+    "{} to {} bytes in hex digits", kMinPeerKeyBytes, kMaxPeerKeyBytes);
+}
+
+// The bytes that `aHex` stands for, where it has the length of a peer key.
+std::optional<std::string>
+ParsePeerKey(std::string_view aHex)
+{
+  if (aHex.size() % 2 != 0 || aHex.size() < 2 * kMinPeerKeyBytes ||
+      aHex.size() > 2 * kMaxPeerKeyBytes) {
+    return std::nullopt;
+  }
+  std::string bytes;
+  bytes.reserve(aHex.size() / 2);
+  for (std::size_t at = 0; at < aHex.size(); at += 2) {
+    std::uint8_t byte = 0;
+    const char* from = aHex.data() + at;
+    if (const auto [end, error] =
+          std::from_chars(from, from + 2, byte, kHexBase);
+        error != std::errc() || end != from + 2) {
+      return std::nullopt;
+    }
+    bytes.push_back(static_cast<char>(byte));
+  }
+  return bytes;
+}
+
+duration
+ReadMilliseconds(field_reader& aFields,
+                 std::string_view aField,
+                 std::int64_t aLeast,
+                 std::int64_t aMost,
+                 duration aDefault)
+{
+  return Milliseconds(aFields.Whole(aField,
+                                    { .mLeast = aLeast,
+                                      .mMost = aMost,
+                                      .mDefault = ToMilliseconds(aDefault) }));
+}
+
+std::uint32_t
+ReadCount(field_reader& aFields,
+          std::string_view aField,
+          std::int64_t aLeast,
+          std::int64_t aMost,
+          std::uint32_t aDefault)
+{
+  return static_cast<std::uint32_t>(aFields.Whole(
+    aField, { .mLeast = aLeast, .mMost = aMost, .mDefault = aDefault }));
+}
+
+class settings_reader
+{
+public:
+  settings_reader(const source_file& aFile,
+                  const settings_overrides& aOverrides)
+    : mFile(aFile)
+    , mOverrides(aOverrides)
+  {
+  }
+
+  settings_verdict Run() &&;
+
+private:
+  void ReadIdentity(field_reader& aFields);
+  void ReadAddresses(field_reader& aFields);
+  void ReadPeerKeyFields(field_reader& aFields);
+  void ReadLimits(field_reader& aFields);
+  void ReadTimeouts(field_reader& aFields);
+  void ReadLogLevel(field_reader& aFields);
+  void CheckAddressesDiffer();
+
+  std::string Named(field_reader& aFields,
+                    std::string_view aField,
+                    const std::string& aOverride);
+  std::string Address(field_reader& aFields,
+                      std::string_view aField,
+                      const std::string& aOverride);
+
+  const source_file& mFile;
+  const settings_overrides& mOverrides;
+  daemon_settings mRead;
+  faults mFaults;
+};
+
+settings_verdict
+settings_reader::Run() &&
+{
+  if (mFile.mText.size() > kMaxSettingsBytes) {
+    return faults{ { mFile.mName,
+                     0,
+                     "",
+                     fmt::format("{} bytes", mFile.mText.size()),
+                     fmt::format("at most {} bytes", kMaxSettingsBytes) } };
+  }
+  const auto tree = internal::ParseYaml(mFile.mName, mFile.mText, mFaults);
+  if (!tree) {
+    return std::move(mFaults);
+  }
+  field_reader fields(*tree, mFile.mName, "", mFaults);
+  if (tree->mKind != yaml_kind::kMapping) {
+    return std::move(mFaults);
+  }
+  ReadIdentity(fields);
+  ReadAddresses(fields);
+  ReadPeerKeyFields(fields);
+  ReadLimits(fields);
+  ReadTimeouts(fields);
+  mRead.mDrainGrace = ReadMilliseconds(
+    fields, "drain_grace_ms", 1'000, 86'400'000, mRead.mDrainGrace);
+  ReadLogLevel(fields);
+  fields.RefuseUnknown();
+  CheckAddressesDiffer();
+  if (mFaults.empty()) {
+    return std::move(mRead);
+  }
+  return std::move(mFaults);
+}
+
+std::string
+settings_reader::Named(field_reader& aFields,
+                       std::string_view aField,
+                       const std::string& aOverride)
+{
+  if (aOverride.empty()) {
+    return aFields.Name(aField);
+  }
+  aFields.Node(aField);
+  if (!internal::IsName(aOverride)) {
+    mFaults.push_back({ fmt::format("--{}", aField),
+                        0,
+                        "",
+                        internal::Quote(aOverride),
+                        std::string(internal::kNameForm) });
+  }
+  return aOverride;
+}
+
+std::string
+settings_reader::Address(field_reader& aFields,
+                         std::string_view aField,
+                         const std::string& aOverride)
+{
+  if (!aOverride.empty()) {
+    aFields.Node(aField);
+    if (!internal::IsAddressWithPort(aOverride)) {
+      mFaults.push_back({ fmt::format("--{}", aField),
+                          0,
+                          "",
+                          internal::Quote(aOverride),
+                          std::string(internal::kAddressForm) });
+    }
+    return aOverride;
+  }
+  std::string address = aFields.Text(aField);
+  if (!address.empty() && !internal::IsAddressWithPort(address)) {
+    aFields.Refuse(
+      aField, internal::Quote(address), std::string(internal::kAddressForm));
+  }
+  return address;
+}
+
+void
+settings_reader::ReadIdentity(field_reader& aFields)
+{
+  mRead.mName = instance_name(Named(aFields, "name", mOverrides.mName));
+  mRead.mDomain = domain_name(Named(aFields, "domain", mOverrides.mDomain));
+}
+
+void
+settings_reader::ReadAddresses(field_reader& aFields)
+{
+  mRead.mCallerAddress =
+    Address(aFields, "caller_address", mOverrides.mCallerAddress);
+  mRead.mOperatorAddress =
+    Address(aFields, "operator_address", mOverrides.mOperatorAddress);
+  mRead.mPeerAddress =
+    Address(aFields, "peer_address", mOverrides.mPeerAddress);
+  mRead.mPlatformAddress =
+    Address(aFields, "platform_address", mOverrides.mPlatformAddress);
+  mRead.mPeerSeeds = aFields.Texts("peer_seeds", { 0, kMaxSeeds });
+  for (const std::string& seed : mRead.mPeerSeeds) {
+    if (!internal::IsAddressWithPort(seed) || internal::IsAnyAddress(seed)) {
+      aFields.Refuse("peer_seeds",
+                     internal::Quote(seed),
+                     std::string(internal::kAddressForm));
+    }
+  }
+}
+
+// Exactly one of the two fields: with both, nobody could say which key is in
+// use; with none, anybody on the network could speak as an instance.
+void
+settings_reader::ReadPeerKeyFields(field_reader& aFields)
+{
+  const std::string hex = aFields.Text("peer_key", "");
+  mRead.mPeerKeyFile = aFields.Text("peer_key_file", "");
+  if (hex.empty() == mRead.mPeerKeyFile.empty()) {
+    aFields.Refuse("peer_key",
+                   hex.empty() ? "neither peer_key nor peer_key_file"
+                               : "both peer_key and peer_key_file",
+                   "exactly one of the two");
+    return;
+  }
+  if (hex.empty()) {
+    return;
+  }
+  if (auto key = ParsePeerKey(hex)) {
+    mRead.mPeerKey = std::move(*key);
+  } else {
+    aFields.Refuse("peer_key", "something else", PeerKeyForm());
+  }
+}
+
+void
+settings_reader::ReadLimits(field_reader& aFields)
+{
+  const yaml_node* node = aFields.Node("limits");
+  if (node == nullptr) {
+    return;
+  }
+  field_reader fields(*node, mFile.mName, "limits", mFaults);
+  caller_limits& read = mRead.mLimits;
+  read.mMaxHeaderBytes = ReadCount(
+    fields, "max_header_bytes", 1'024, 1'048'576, read.mMaxHeaderBytes);
+  read.mMaxBodyBytes =
+    ReadCount(fields, "max_body_bytes", 1'024, 67'108'864, read.mMaxBodyBytes);
+  read.mMaxConnections =
+    ReadCount(fields, "max_connections", 1, 65'535, read.mMaxConnections);
+  read.mSendTimeout = ReadMilliseconds(
+    fields, "caller_send_timeout_ms", 100, 600'000, read.mSendTimeout);
+  fields.RefuseUnknown();
+}
+
+void
+settings_reader::ReadTimeouts(field_reader& aFields)
+{
+  const yaml_node* node = aFields.Node("timeouts");
+  if (node == nullptr) {
+    return;
+  }
+  field_reader fields(*node, mFile.mName, "timeouts", mFaults);
+  stage_timeouts& read = mRead.mTimeouts;
+  read.mConnect =
+    ReadMilliseconds(fields, "connect_ms", 1, 60'000, read.mConnect);
+  read.mFirstByte =
+    ReadMilliseconds(fields, "first_byte_ms", 10, 600'000, read.mFirstByte);
+  read.mBetweenTokens = ReadMilliseconds(
+    fields, "between_tokens_ms", 10, 600'000, read.mBetweenTokens);
+  read.mIdleConnection = ReadMilliseconds(
+    fields, "idle_connection_ms", 10, 600'000, read.mIdleConnection);
+  fields.RefuseUnknown();
+}
+
+void
+settings_reader::ReadLogLevel(field_reader& aFields)
+{
+  const std::string text =
+    aFields.Text("log_level", std::string(Name(mRead.mLogLevel)));
+  const auto found = std::ranges::find(kLogLevels, text);
+  if (found == kLogLevels.end()) {
+    aFields.Refuse("log_level",
+                   internal::Quote(text),
+                   fmt::format("{}", fmt::join(kLogLevels, ", ")));
+    return;
+  }
+  mRead.mLogLevel = static_cast<log_level>(found - kLogLevels.begin());
+}
+
+// Two listeners on one address would fail only when the second one is opened.
+void
+settings_reader::CheckAddressesDiffer()
+{
+  const std::array<std::pair<std::string_view, const std::string*>, 3> own = {
+    { { "caller_address", &mRead.mCallerAddress },
+      { "operator_address", &mRead.mOperatorAddress },
+      { "peer_address", &mRead.mPeerAddress } }
+  };
+  for (std::size_t first = 0; first < own.size(); ++first) {
+    for (std::size_t second = first + 1; second < own.size(); ++second) {
+      if (!own[first].second->empty() &&
+          *own[first].second == *own[second].second) {
+        mFaults.push_back({ mFile.mName,
+                            0,
+                            std::string(own[second].first),
+                            fmt::format("\"{}\", the same as {}",
+                                        *own[second].second,
+                                        own[first].first),
+                            "an address of its own" });
+      }
+    }
+  }
+}
+
+} // namespace
+
+std::string_view
+Name(log_level aLevel)
+{
+  return kLogLevels[static_cast<std::size_t>(aLevel)];
+}
+
+settings_verdict
+ReadSettings(const source_file& aFile, const settings_overrides& aOverrides)
+{
+  return settings_reader(aFile, aOverrides).Run();
+}
+
+std::variant<std::string, fault>
+ReadPeerKey(const source_file& aFile)
+{
+  constexpr std::string_view kSpace = " \t\r\n";
+  std::string_view text = aFile.mText;
+  text.remove_prefix(std::min(text.find_first_not_of(kSpace), text.size()));
+  text = text.substr(0, text.find_last_not_of(kSpace) + 1);
+  if (auto key = ParsePeerKey(text)) {
+    return std::move(*key);
+  }
+  return fault{ aFile.mName, 0, "", "something else", PeerKeyForm() };
+}
+
+} // namespace thornhollow
--- a/thornhollow/config/yaml_reader.cc
+++ b/thornhollow/config/yaml_reader.cc
@@ -172,13 +172,13 @@
 class set_reader
 {
 public:
-  void Add(const declaration_file& aFile);
+  void Add(const source_file& aFile);
   read_verdict Finish() &&;
 
 private:
   template<class item>
   void ReadList(field_reader& aRoot,
-                const declaration_file& aFile,
+                const source_file& aFile,
                 std::string_view aList,
                 item (*aRead)(field_reader&),
                 std::vector<item>& aItems,
@@ -196,7 +196,7 @@
 template<class item>
 void
 set_reader::ReadList(field_reader& aRoot,
-                     const declaration_file& aFile,
+                     const source_file& aFile,
                      std::string_view aList,
                      item (*aRead)(field_reader&),
                      std::vector<item>& aItems,
@@ -227,7 +227,7 @@
 }
 
 void
-set_reader::Add(const declaration_file& aFile)
+set_reader::Add(const source_file& aFile)
 {
   const auto tree = internal::ParseYaml(aFile.mName, aFile.mText, mFaults);
   if (!tree) {
@@ -295,11 +295,11 @@
 // Refuses by size alone, before any parsing, so that a huge file costs neither
 // memory nor time.
 faults
-CheckSizes(std::span<const declaration_file> aFiles)
+CheckSizes(std::span<const source_file> aFiles)
 {
   faults found;
   std::size_t sum = 0;
-  for (const declaration_file& file : aFiles) {
+  for (const source_file& file : aFiles) {
     sum += file.mText.size();
     if (file.mText.size() > kMaxFileBytes) {
       found.push_back({ file.mName,
@@ -322,13 +322,13 @@
 } // namespace
 
 read_verdict
-ReadDeclarations(std::span<const declaration_file> aFiles)
+ReadDeclarations(std::span<const source_file> aFiles)
 {
   if (faults oversized = CheckSizes(aFiles); !oversized.empty()) {
     return oversized;
   }
   set_reader reader;
-  for (const declaration_file& file : aFiles) {
+  for (const source_file& file : aFiles) {
     reader.Add(file);
   }
   return std::move(reader).Finish();
--- a/thornhollow/config/yaml_reader.h
+++ b/thornhollow/config/yaml_reader.h
@@ -12,24 +12,14 @@
 
 #include <cstddef>
 #include <span>
-#include <string>
 #include <variant>
 
 #include "thornhollow/config/declarations.h"
 #include "thornhollow/config/fault.h"
+#include "thornhollow/config/source_file.h"
 
 namespace thornhollow {
 
-struct declaration_file
-{
-  // Used in faults only.
-  std::string mName;
-  std::string mText;
-
-  friend bool operator==(const declaration_file&,
-                         const declaration_file&) = default;
-};
-
 // Bytes of one file, and of all files of a set. 11,000 teams take about 2.5 MB
 // in the longest form that operators write.
 inline constexpr std::size_t kMaxFileBytes = std::size_t{ 4 } << 20U;
@@ -41,7 +31,7 @@
 using read_verdict = std::variant<declarations, faults>;
 
 read_verdict
-ReadDeclarations(std::span<const declaration_file> aFiles);
+ReadDeclarations(std::span<const source_file> aFiles);
 
 } // namespace thornhollow
 
--- a/thornhollow/config/yaml_reader_test.cc
+++ b/thornhollow/config/yaml_reader_test.cc
@@ -37,7 +37,7 @@
   read_verdict Read(const std::string& aMore = "") const
   {
     return ReadDeclarations(
-      std::vector<declaration_file>{ { "all.yaml", mText + aMore } });
+      std::vector<source_file>{ { "all.yaml", mText + aMore } });
   }
 
   faults FaultsOf(const std::string& aMore = "") const
@@ -54,9 +54,9 @@
     mText.replace(at, aFrom.size(), aTo);
   }
 
-  static std::vector<declaration_file> ReadFolder(const std::string& aFolder)
+  static std::vector<source_file> ReadFolder(const std::string& aFolder)
   {
-    std::vector<declaration_file> files;
+    std::vector<source_file> files;
     for (const auto& entry : std::filesystem::directory_iterator(aFolder)) {
       if (entry.path().extension() == ".yaml") {
         std::ostringstream text;
