Stand-ins for engine, plain service and platform

Cause: a whole path in separate processes needs something to answer it. Change: programs fake-engine, fake-service, fake-platform over one small HTTP server; faults by POST /test/mode, counts by GET /test/runs and /test/calls; a control listener stays open while the main one refuses. No automatic test of the stand-ins yet. Conclusion: usable for a whole path.

--- /dev/null
+++ b/thornhollow/testing/fake_engine.h
@@ -0,0 +1,73 @@
+// The engine stand-in's HTTP side: the protocol towards a model engine of
+// docs/design/external_protocols.md, and the control paths under /test/.
+//
+//   fake_engine engine(loop, settings);
+//   http_server server(loop, engine.Handler());
+#ifndef THORNHOLLOW_TESTING_FAKE_ENGINE_H_
+#define THORNHOLLOW_TESTING_FAKE_ENGINE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "thornhollow/testing/engine_core.h"
+#include "thornhollow/testing/http_server.h"
+#include "thornhollow/testing/misbehaviour.h"
+
+namespace thornhollow::testing {
+
+class fake_engine
+{
+public:
+  // Declines requests beyond `aMaxWaiting` in its queue; 0 means no bound.
+  fake_engine(event_loop& aLoop,
+              engine_settings aSettings,
+              std::uint32_t aMaxWaiting);
+
+  http_handler Handler();
+  // Called when the mode `refuse` is switched, with its new value.
+  void OnRefuse(std::function<void(bool)> aCallback);
+
+private:
+  struct stream
+  {
+    exchange_ptr mExchange;
+    std::string mId;
+    misbehaviour mFaults;
+    bool mResumed = false;
+    bool mBegun = false;
+    std::uint32_t mSent = 0;
+  };
+
+  void Handle(const http_request& aRequest, const exchange_ptr& aExchange);
+  void Complete(const http_request& aRequest, const exchange_ptr& aExchange);
+  // True when a fault decided about the request before it was run.
+  bool FailsBeforeRun(const misbehaviour& aFaults,
+                      const exchange_ptr& aExchange);
+  void Decline(const exchange_ptr& aExchange, bool aLeaving);
+  void Cancel(const http_request& aRequest, const exchange_ptr& aExchange);
+  void SetMode(const http_request& aRequest, const exchange_ptr& aExchange);
+  std::string LoadJson() const;
+  std::string RunsJson() const;
+  void ScheduleStep();
+  void Step();
+  // False when the stream ended.
+  bool Deliver(stream& aStream, const emitted_token& aToken);
+  void Begin(stream& aStream);
+  // True when a fault ended the stream.
+  bool BreakStream(stream& aStream);
+
+  event_loop& mLoop;
+  engine_core mCore;
+  std::uint32_t mMaxWaiting;
+  misbehaviour mMode;
+  std::map<run_number, stream> mStreams;
+  std::function<void(bool)> mOnRefuse;
+  bool mStepScheduled = false;
+  std::uint64_t mDeclined = 0;
+};
+
+} // namespace thornhollow::testing
+
+#endif // THORNHOLLOW_TESTING_FAKE_ENGINE_H_
--- /dev/null
+++ b/thornhollow/testing/stand_in.h
@@ -0,0 +1,44 @@
+// What the stand-ins' programs have in common: a listener for requests that a
+// fault may close, and a listener for control that stays open.
+#ifndef THORNHOLLOW_TESTING_STAND_IN_H_
+#define THORNHOLLOW_TESTING_STAND_IN_H_
+
+#include <functional>
+#include <string>
+
+#include "thornhollow/testing/http_server.h"
+
+namespace thornhollow::testing {
+
+// Serves `aHandler` on both addresses until the process ends; prints the ready
+// line first. `aBind` receives the function that closes (true) or reopens
+// (false) the listener for requests. Returns an exit code when an address
+// can't be had.
+int
+ServeStandIn(event_loop& aLoop,
+             const http_handler& aHandler,
+             const std::function<void(std::function<void(bool)>)>& aBind,
+             const std::string& aListen,
+             const std::string& aControl);
+
+// The same for a stand-in with `Handler()` and `OnRefuse(callback)`.
+template<class stand_in>
+int
+RunStandIn(event_loop& aLoop,
+           stand_in& aStandIn,
+           const std::string& aListen,
+           const std::string& aControl)
+{
+  return ServeStandIn(
+    aLoop,
+    aStandIn.Handler(),
+    [&aStandIn](std::function<void(bool)> aSwitch) {
+      aStandIn.OnRefuse(std::move(aSwitch));
+    },
+    aListen,
+    aControl);
+}
+
+} // namespace thornhollow::testing
+
+#endif // THORNHOLLOW_TESTING_STAND_IN_H_
