--- /dev/null
+++ b/thornhollow/daemon/intake.cc
@@ -0,0 +1,228 @@
+#include "thornhollow/daemon/intake.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string_view>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <fmt/format.h>
+
+#include "thornhollow/base/hash.h"
+#include "thornhollow/config/token.h"
+
+namespace thornhollow {
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+// Leading bytes of a prompt that stand for its shareable prefix. Prompts of one
+// workload share a system text far longer than this.
+constexpr std::size_t kPrefixBytes = 256;
+// Usual length of a token in text; only relative cost depends on it.
+constexpr std::size_t kBytesPerToken = 4;
+
+const team*
+FindCaller(const caller_request& aRequest, const catalog& aCatalog)
+{
+  std::string_view credential = aRequest.Header("Authorization");
+  if (!credential.starts_with(kBearer)) {
+    return nullptr;
+  }
+  credential.remove_prefix(kBearer.size());
+  return aCatalog.TeamByTokenDigest(TokenDigest(credential));
+}
+
+// The class's deadline, shortened where the caller asks for it; nothing when
+// the header is no positive number.
+std::optional<duration>
+ReadDeadline(const caller_request& aRequest, duration aDeclared)
+{
+  const std::string_view text = aRequest.Header("X-Deadline-Ms");
+  if (text.empty()) {
+    return aDeclared;
+  }
+  std::int64_t milliseconds = 0;
+  const char* last = text.data() + text.size();
+  const auto [end, wrong] = std::from_chars(text.data(), last, milliseconds);
+  if (wrong != std::errc() || end != last || milliseconds <= 0 ||
+      milliseconds > ToMilliseconds(aDeclared)) {
+    const bool longer = wrong == std::errc() && end == last && milliseconds > 0;
+    return longer ? std::optional(aDeclared) : std::nullopt;
+  }
+  return Milliseconds(milliseconds);
+}
+
+// The prompt's text, of all messages in a row.
+std::string
+PromptText(const boost::json::object& aBody)
+{
+  std::string text;
+  const boost::json::value* messages = aBody.if_contains("messages");
+  if (messages == nullptr || !messages->is_array()) {
+    return text;
+  }
+  for (const boost::json::value& message : messages->get_array()) {
+    const auto* object = message.if_object();
+    const auto* content =
+      object == nullptr ? nullptr : object->if_contains("content");
+    if (content == nullptr) {
+      continue;
+    }
+    if (content->is_string()) {
+      text += std::string_view(content->get_string());
+    } else {
+      text += boost::json::serialize(*content);
+    }
+  }
+  return text;
+}
+
+std::uint32_t
+PositiveField(const boost::json::object& aBody, std::string_view aName)
+{
+  const boost::json::value* found = aBody.if_contains(aName);
+  if (found == nullptr) {
+    return 0;
+  }
+  boost::system::error_code wrong;
+  const auto number = found->to_number<std::uint32_t>(wrong);
+  return wrong ? 0 : number;
+}
+
+// Fills in what only a completion has; nothing when all is well.
+std::optional<error_kind>
+ReadCompletion(const caller_request& aRequest,
+               const request_class& aClass,
+               intake& aInto)
+{
+  boost::system::error_code wrong;
+  boost::json::value parsed = boost::json::parse(aRequest.mBody, wrong);
+  boost::json::object* body = parsed.if_object();
+  if (wrong || body == nullptr) {
+    return error_kind::kMalformedRequest;
+  }
+  const boost::json::value* messages = body->if_contains("messages");
+  const boost::json::value* model = body->if_contains("model");
+  if (model == nullptr || !model->is_string() || messages == nullptr ||
+      !messages->is_array()) {
+    return error_kind::kMalformedRequest;
+  }
+  const std::string modelText(model->get_string());
+  if (!catalog::Offers(aClass, modelText)) {
+    return error_kind::kUnknownModel;
+  }
+  const boost::json::value* stream = body->if_contains("stream");
+  aInto.mStream = stream != nullptr && stream->is_bool() && stream->get_bool();
+  const std::string prompt = PromptText(*body);
+  aInto.mEngine = true;
+  aInto.mPool = PoolOf(model_name(modelText));
+  aInto.mPrefix = Hash64(std::string_view(prompt).substr(0, kPrefixBytes));
+  aInto.mPromptTokens =
+    static_cast<std::uint32_t>(prompt.size() / kBytesPerToken) + 1;
+  aInto.mMaxOutputTokens = PositiveField(*body, "max_tokens");
+  // A caller can't claim a priority or an offset; the router sets both.
+  for (const char* name : { "stream", "priority", "resume_from" }) {
+    body->erase(name);
+  }
+  aInto.mContentType = "application/json";
+  aInto.mBody = boost::json::serialize(*body);
+  aInto.mBody.pop_back();
+  return std::nullopt;
+}
+
+std::optional<error_kind>
+ApplyTerms(const caller_request& aRequest,
+           const class_terms& aTerms,
+           intake& aInto)
+{
+  const auto deadline = ReadDeadline(aRequest, aTerms.mLevel->mDeadline);
+  if (!deadline) {
+    return error_kind::kMalformedRequest;
+  }
+  aInto.mClass = aTerms.mClass->mName;
+  aInto.mTier = aTerms.mLevel->mTier;
+  aInto.mFirstTokenTarget = aTerms.mLevel->mFirstTokenTarget;
+  aInto.mDeadline = *deadline;
+  aInto.mIdempotent = aTerms.mClass->mIdempotent;
+  return std::nullopt;
+}
+
+intake_verdict
+ReadServiceCall(const caller_request& aRequest,
+                const catalog& aCatalog,
+                const plain_service& aService,
+                intake aInto)
+{
+  if (std::ranges::find(aService.mMethods, aRequest.mMethod) ==
+      aService.mMethods.end()) {
+    return error_kind::kMethodNotAllowed;
+  }
+  const team* caller = aCatalog.TeamByName(aInto.mTeam.Text());
+  const class_terms terms =
+    aCatalog.ClassForTeam(*caller, aService.mClass.Text());
+  if (terms.mClass == nullptr) {
+    return error_kind::kClassNotAllowed;
+  }
+  if (const auto wrong = ApplyTerms(aRequest, terms, aInto)) {
+    return *wrong;
+  }
+  aInto.mIdempotent = aInto.mIdempotent && aService.mIdempotent;
+  aInto.mPool = PoolOf(aService.mName);
+  aInto.mContentType = std::string(aRequest.Header("Content-Type"));
+  aInto.mBody = aRequest.mBody;
+  return aInto;
+}
+
+} // namespace
+
+intake_verdict
+ReadIntake(const caller_request& aRequest, const catalog& aCatalog)
+{
+  const plain_service* service = aCatalog.ServiceByPath(aRequest.mPath);
+  if (service == nullptr && aRequest.mPath != kCompletionsPath) {
+    return error_kind::kUnknownPath;
+  }
+  const team* caller = FindCaller(aRequest, aCatalog);
+  if (caller == nullptr) {
+    return error_kind::kUnauthenticated;
+  }
+  intake read;
+  read.mTeam = caller->mName;
+  read.mIdempotencyKey = std::string(aRequest.Header("Idempotency-Key"));
+  read.mMethod = aRequest.mMethod;
+  read.mPath = aRequest.mPath;
+  if (service != nullptr) {
+    return ReadServiceCall(aRequest, aCatalog, *service, std::move(read));
+  }
+  if (aRequest.mMethod != "POST") {
+    return error_kind::kMethodNotAllowed;
+  }
+  const std::string_view asked = aRequest.Header("X-Request-Class");
+  if (!asked.empty() && aCatalog.Class(asked).mClass == nullptr) {
+    return error_kind::kUnknownClass;
+  }
+  const class_terms terms = aCatalog.ClassForTeam(*caller, asked);
+  if (terms.mClass == nullptr) {
+    return error_kind::kClassNotAllowed;
+  }
+  if (const auto wrong = ApplyTerms(aRequest, terms, read)) {
+    return *wrong;
+  }
+  if (const auto wrong = ReadCompletion(aRequest, *terms.mClass, read)) {
+    return *wrong;
+  }
+  return read;
+}
+
+std::string
+EngineBody(const intake& aIntake, std::uint64_t aResumeFrom)
+{
+  return fmt::format(R"({},"stream":true,"priority":{},"resume_from":{}}})",
+                     aIntake.mBody,
+                     aIntake.mTier,
+                     aResumeFrom);
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/metrics.cc
@@ -0,0 +1,224 @@
+#include "thornhollow/daemon/metrics.h"
+
+#include <array>
+#include <unordered_map>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace thornhollow {
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+using kind_counters = std::array<Counter*, kErrorKindCount>;
+
+// Round the targets that letter 1 names: 0.97 s to the first token, 49 ms
+// between two.
+const Histogram::BucketBoundaries kFirstTokenSeconds = {
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 0.97, 1.5, 3, 6, 15, 60
+};
+const Histogram::BucketBoundaries kGapSeconds = { 0.001, 0.0025, 0.005, 0.01,
+                                                  0.02,  0.03,   0.049, 0.08,
+                                                  0.15,  0.3,    1,     5 };
+
+kind_counters
+OneForEachKind(Family<Counter>& aFamily)
+{
+  kind_counters counters{};
+  for (const error_kind kind : AllErrorKinds()) {
+    counters[static_cast<std::size_t>(kind)] =
+      &aFamily.Add({ { "kind", std::string(Name(kind)) } });
+  }
+  return counters;
+}
+
+} // namespace
+
+struct metrics::families
+{
+  struct class_metrics
+  {
+    Counter* mRequests;
+    Counter* mCompleted;
+    Counter* mTokens;
+    Histogram* mFirstToken;
+    Histogram* mGap;
+  };
+
+  class_metrics& Of(const class_name& aClass)
+  {
+    const auto found = mClasses.find(aClass);
+    if (found != mClasses.end()) {
+      return found->second;
+    }
+    const prometheus::Labels labels{ { "class", aClass.Text() } };
+    return mClasses
+      .emplace(aClass,
+               class_metrics{ &mRequests.Add(labels),
+                              &mCompleted.Add(labels),
+                              &mTokens.Add(labels),
+                              &mFirstToken.Add(labels, kFirstTokenSeconds),
+                              &mGap.Add(labels, kGapSeconds) })
+      .first->second;
+  }
+
+  prometheus::Registry mRegistry;
+  Family<Counter>& mRequests = BuildCounter()
+                                 .Name("thornhollow_requests_total")
+                                 .Help("Requests taken, by class")
+                                 .Register(mRegistry);
+  Family<Counter>& mCompleted = BuildCounter()
+                                  .Name("thornhollow_completed_total")
+                                  .Help("Requests answered whole, by class")
+                                  .Register(mRegistry);
+  Family<Counter>& mTokens = BuildCounter()
+                               .Name("thornhollow_tokens_total")
+                               .Help("Tokens of whole answers, by class")
+                               .Register(mRegistry);
+  Family<Counter>& mRefusedFamily = BuildCounter()
+                                      .Name("thornhollow_refused_total")
+                                      .Help("Requests ended by an error")
+                                      .Register(mRegistry);
+  Family<Counter>& mRetriesFamily =
+    BuildCounter()
+      .Name("thornhollow_retries_total")
+      .Help("Further attempts, by why the last one ended")
+      .Register(mRegistry);
+  Family<Counter>& mEventsFamily = BuildCounter()
+                                     .Name("thornhollow_events_total")
+                                     .Help("Other events, by name")
+                                     .Register(mRegistry);
+  Family<Histogram>& mFirstToken =
+    BuildHistogram()
+      .Name("thornhollow_first_token_seconds")
+      .Help("Arrival to the first token, by class")
+      .Register(mRegistry);
+  Family<Histogram>& mGap = BuildHistogram()
+                              .Name("thornhollow_between_tokens_seconds")
+                              .Help("Between two tokens, by class")
+                              .Register(mRegistry);
+  Counter& mWasted = BuildCounter()
+                       .Name("thornhollow_wasted_tokens_total")
+                       .Help("Tokens of answers that nobody received whole")
+                       .Register(mRegistry)
+                       .Add({});
+  Family<Gauge>& mGauges = BuildGauge()
+                             .Name("thornhollow_requests")
+                             .Help("Requests held now, by state")
+                             .Register(mRegistry);
+  Gauge& mInFlight = mGauges.Add({ { "state", "in_flight" } });
+  Gauge& mWaiting = mGauges.Add({ { "state", "waiting" } });
+  Gauge& mVersion = BuildGauge()
+                      .Name("thornhollow_configuration_version")
+                      .Help("Platform version of the manifest in force")
+                      .Register(mRegistry)
+                      .Add({});
+  Counter& mConfigurationRefused =
+    BuildCounter()
+      .Name("thornhollow_configuration_refused_total")
+      .Help("Configurations refused")
+      .Register(mRegistry)
+      .Add({});
+  kind_counters mRefused = OneForEachKind(mRefusedFamily);
+  kind_counters mRetries = OneForEachKind(mRetriesFamily);
+  std::unordered_map<class_name, class_metrics> mClasses;
+};
+
+metrics::metrics()
+  : mFamilies(std::make_unique<families>())
+{
+}
+
+metrics::~metrics() = default;
+
+void
+metrics::OnRequest(const class_name& aClass)
+{
+  mFamilies->Of(aClass).mRequests->Increment();
+}
+
+void
+metrics::OnCompleted(const class_name& aClass, std::uint64_t aTokens)
+{
+  auto& one = mFamilies->Of(aClass);
+  one.mCompleted->Increment();
+  one.mTokens->Increment(static_cast<double>(aTokens));
+}
+
+void
+metrics::OnRefused(error_kind aKind)
+{
+  mFamilies->mRefused[static_cast<std::size_t>(aKind)]->Increment();
+}
+
+void
+metrics::OnRetry(error_kind aReason)
+{
+  mFamilies->mRetries[static_cast<std::size_t>(aReason)]->Increment();
+}
+
+void
+metrics::OnFirstToken(const class_name& aClass, duration aSinceArrival)
+{
+  mFamilies->Of(aClass).mFirstToken->Observe(ToSeconds(aSinceArrival));
+}
+
+void
+metrics::OnTokenGap(const class_name& aClass, duration aSinceLast)
+{
+  mFamilies->Of(aClass).mGap->Observe(ToSeconds(aSinceLast));
+}
+
+void
+metrics::OnWastedTokens(std::uint64_t aTokens)
+{
+  mFamilies->mWasted.Increment(static_cast<double>(aTokens));
+}
+
+void
+metrics::OnConfiguration(std::uint64_t aVersion)
+{
+  mFamilies->mVersion.Set(static_cast<double>(aVersion));
+}
+
+void
+metrics::OnConfigurationRefused()
+{
+  mFamilies->mConfigurationRefused.Increment();
+}
+
+void
+metrics::OnEvent(std::string_view aEvent)
+{
+  mFamilies->mEventsFamily.Add({ { "event", std::string(aEvent) } })
+    .Increment();
+}
+
+void
+metrics::SetInFlight(std::size_t aRequests)
+{
+  mFamilies->mInFlight.Set(static_cast<double>(aRequests));
+}
+
+void
+metrics::SetWaiting(std::size_t aRequests)
+{
+  mFamilies->mWaiting.Set(static_cast<double>(aRequests));
+}
+
+std::string
+metrics::Page() const
+{
+  return prometheus::TextSerializer().Serialize(mFamilies->mRegistry.Collect());
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/metrics.h
@@ -0,0 +1,59 @@
+// What one instance counts, as Prometheus metrics. Every refusal kind and every
+// reason for another attempt has its counter from the start, at zero.
+//
+//   metrics counted;
+//   counted.OnRefused(error_kind::kQueueFull);
+//   const std::string page = counted.Page();
+//
+#ifndef THORNHOLLOW_DAEMON_METRICS_H_
+#define THORNHOLLOW_DAEMON_METRICS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "thornhollow/base/error.h"
+#include "thornhollow/base/ids.h"
+#include "thornhollow/base/time.h"
+
+namespace thornhollow {
+
+class metrics
+{
+public:
+  metrics();
+  metrics(const metrics&) = delete;
+  metrics& operator=(const metrics&) = delete;
+  ~metrics();
+
+  void OnRequest(const class_name& aClass);
+  void OnCompleted(const class_name& aClass, std::uint64_t aTokens);
+  // The request ended with this error as its answer.
+  void OnRefused(error_kind aKind);
+  // Another attempt is made because the last one ended so.
+  void OnRetry(error_kind aReason);
+  void OnFirstToken(const class_name& aClass, duration aSinceArrival);
+  void OnTokenGap(const class_name& aClass, duration aSinceLast);
+  // Tokens computed for an answer that nobody received whole.
+  void OnWastedTokens(std::uint64_t aTokens);
+  void OnConfiguration(std::uint64_t aVersion);
+  void OnConfigurationRefused();
+  // Any other event worth a count, such as "peer_datagram_refused". Names are
+  // constants of the program, so the set is bounded.
+  void OnEvent(std::string_view aEvent);
+
+  void SetInFlight(std::size_t aRequests);
+  void SetWaiting(std::size_t aRequests);
+
+  // Prometheus' text format.
+  std::string Page() const;
+
+private:
+  struct families;
+  std::unique_ptr<families> mFamilies;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_DAEMON_METRICS_H_
--- /dev/null
+++ b/thornhollow/daemon/metrics_test.cc
@@ -0,0 +1,34 @@
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "thornhollow/daemon/metrics.h"
+
+namespace thornhollow {
+namespace {
+
+struct fresh_metrics
+{
+  metrics mMetrics;
+};
+
+TEST_CASE_FIXTURE(fresh_metrics, "metrics/every_error_kind/has_its_counters")
+{
+  const std::string page = mMetrics.Page();
+  for (const error_kind kind : AllErrorKinds()) {
+    const std::string label = "{kind=\"" + std::string(Name(kind)) + "\"} 0";
+    CHECK(page.find("thornhollow_refused_total" + label) != std::string::npos);
+    CHECK(page.find("thornhollow_retries_total" + label) != std::string::npos);
+  }
+}
+
+TEST_CASE_FIXTURE(fresh_metrics, "metrics/refusal/is_counted_under_its_kind")
+{
+  mMetrics.OnRefused(error_kind::kQueueFull);
+  CHECK(
+    mMetrics.Page().find("thornhollow_refused_total{kind=\"queue_full\"} 1") !=
+    std::string::npos);
+}
+
+} // namespace
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/operators_page.cc
@@ -0,0 +1,60 @@
+#include "thornhollow/daemon/operators_page.h"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <boost/json/value_from.hpp>
+
+namespace thornhollow {
+namespace {
+
+constexpr std::string_view kMetricsType = "text/plain; version=0.0.4";
+
+boost::json::value
+OrNull(const std::optional<std::uint64_t>& aNumber)
+{
+  return aNumber ? boost::json::value(*aNumber) : boost::json::value();
+}
+
+} // namespace
+
+std::string
+StatusJson(const instance_status& aStatus)
+{
+  boost::json::object status;
+  status["name"] = aStatus.mName.Text();
+  status["domain"] = aStatus.mDomain.Text();
+  status["ready"] = aStatus.mReady;
+  status["draining"] = aStatus.mDraining;
+  status["revision"] = OrNull(aStatus.mRevision);
+  status["refused_revision"] = OrNull(aStatus.mRefusedRevision);
+  status["refused_faults"] = boost::json::value_from(aStatus.mRefusedFaults);
+  status["in_progress"] = aStatus.mInProgress;
+  status["peers_alive"] = aStatus.mPeersAlive;
+  return boost::json::serialize(status) + "\n";
+}
+
+whole_reply
+OperatorsPage(const caller_request& aRequest,
+              const instance_status& aStatus,
+              const metrics& aMetrics)
+{
+  whole_reply reply;
+  if (aRequest.mPath == "/metrics") {
+    reply.mContentType = kMetricsType;
+    reply.mBody = aMetrics.Page();
+  } else if (aRequest.mPath == "/status") {
+    reply.mContentType = "application/json";
+    reply.mBody = StatusJson(aStatus);
+  } else if (aRequest.mPath == "/ready") {
+    reply.mHttpStatus = aStatus.mReady ? 200 : 503;
+    reply.mContentType = "text/plain";
+    reply.mBody = aStatus.mReady ? "ready\n" : "not ready\n";
+  } else {
+    reply.mHttpStatus = 404;
+    reply.mContentType = "text/plain";
+    reply.mBody = "pages: /metrics /status /ready\n";
+  }
+  return reply;
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/router.cc
@@ -0,0 +1,504 @@
+#include "thornhollow/daemon/router.h"
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+
+#include "thornhollow/daemon/caller_reply.h"
+#include "thornhollow/daemon/intake.h"
+#include "thornhollow/daemon/live_request.h"
+
+namespace thornhollow {
+namespace {
+
+using boost::system::error_code;
+
+// Where a failure has no computed wait, callers come back after this, spread
+// over half as much to either side so that they don't return together.
+constexpr duration kComeBackAfter = Seconds(1);
+
+// The first token's time limit follows the promise: an engine that is this many
+// targets late has stopped, not slowed down.
+constexpr int kSilentAfterTargets = 8;
+constexpr duration kLeastFirstByteLimit = Seconds(2);
+
+time_point
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+class router::core
+{
+public:
+  core(boost::asio::io_context& aIo,
+       const router_settings& aSettings,
+       json_log& aLog,
+       metrics& aMetrics)
+    : mIo(aIo)
+    , mSettings(aSettings)
+    , mLog(aLog)
+    , mMetrics(aMetrics)
+    , mRandom(std::random_device()())
+    , mScheduler(aSettings.mScheduler, mRandom())
+    , mSchedulerTimer(aIo)
+  {
+  }
+
+  void PutInForce(catalog_ptr aCatalog)
+  {
+    mCatalog = std::move(aCatalog);
+    Apply(
+      mScheduler.Configure(mCatalog->Declared(), mSettings.mOwnDomain, Now()));
+  }
+
+  void Serve(caller_exchange_ptr aExchange)
+  {
+    if (mDraining || mCatalog == nullptr) {
+      RefuseEarly(*aExchange,
+                  mDraining ? error_kind::kDraining : error_kind::kNotReady);
+      return;
+    }
+    intake_verdict read = ReadIntake(aExchange->Request(), *mCatalog);
+    if (const auto* wrong = std::get_if<error_kind>(&read)) {
+      RefuseEarly(*aExchange, *wrong);
+      return;
+    }
+    Admit(std::move(aExchange), std::get<intake>(std::move(read)));
+  }
+
+  void OnLoadReport(const endpoint_name& aEndpoint, const load_report& aReport)
+  {
+    Apply(mScheduler.OnLoadReport(aEndpoint, aReport, Now()));
+  }
+
+  void OnEndpointState(const endpoint_name& aEndpoint, endpoint_state aState)
+  {
+    Apply(mScheduler.OnEndpointState(aEndpoint, aState, Now()));
+  }
+
+  void BeginDrain() { mDraining = true; }
+
+  std::size_t InProgress() const { return mLive.size(); }
+
+  whole_reply AnswerUnreadable(error_kind aKind)
+  {
+    return Refusal(aKind, duration{}, request_id());
+  }
+
+private:
+  void Admit(caller_exchange_ptr aExchange, intake aIntake)
+  {
+    const time_point arrival = aExchange->Arrival();
+    request_facts facts;
+    facts.mId = request_id(to_string(mMakeId()));
+    facts.mIdempotent = aIntake.mIdempotent;
+    facts.mStream = aIntake.mStream;
+    facts.mDeadline = arrival + aIntake.mDeadline;
+    facts.mLimits = LimitsFor(aIntake);
+    const ticket number = ++mLastTicket;
+    auto live = live_request_ptr(new live_request(mIo,
+                                                  number,
+                                                  std::move(facts),
+                                                  std::move(aIntake),
+                                                  std::move(aExchange),
+                                                  mCatalog));
+    mLive.emplace(number, live);
+    mMetrics.OnRequest(live->mIntake.mClass);
+    live->mExchange->OnLeft([this, number] { Later(number, caller_left{}); });
+    Apply(mScheduler.Submit(ItemFor(*live), Now()));
+  }
+
+  stage_limits LimitsFor(const intake& aIntake) const
+  {
+    stage_limits limits;
+    limits.mConnect = mSettings.mTimeouts.mConnect;
+    limits.mBetweenTokens = mSettings.mTimeouts.mBetweenTokens;
+    limits.mFirstByte =
+      std::min(mSettings.mTimeouts.mFirstByte,
+               std::max(kLeastFirstByteLimit,
+                        kSilentAfterTargets * aIntake.mFirstTokenTarget));
+    return limits;
+  }
+
+  static work_item ItemFor(const live_request& aLive)
+  {
+    const intake& read = aLive.mIntake;
+    work_item item;
+    item.mTicket = aLive.mTicket;
+    item.mTeam = read.mTeam;
+    item.mClass = read.mClass;
+    item.mPool = read.mPool;
+    item.mTier = read.mTier;
+    item.mPrefix = read.mPrefix;
+    item.mPromptTokens = read.mPromptTokens;
+    item.mMaxOutputTokens = read.mMaxOutputTokens;
+    item.mArrival = aLive.mExchange->Arrival();
+    item.mDeadline = item.mArrival + read.mDeadline;
+    item.mIdempotent = read.mIdempotent;
+    return item;
+  }
+
+  // Decisions lead to actions, and those to further decisions. They are worked
+  // off one after another by the outermost call, so that no request's state
+  // changes while its own actions are being carried out.
+  template<class step>
+  void Run(const step& aStep)
+  {
+    if (std::exchange(mRunning, true)) {
+      aStep();
+      return;
+    }
+    aStep();
+    while (!mPending.empty()) {
+      const decision next = std::move(mPending.front());
+      mPending.pop_front();
+      std::visit([this](const auto& aOne) { Carry(aOne); }, next);
+    }
+    mRunning = false;
+    ArmSchedulerTimer();
+    mMetrics.SetInFlight(mLive.size());
+    mMetrics.SetWaiting(mScheduler.Waiting());
+  }
+
+  void Apply(decisions aDecisions)
+  {
+    Run([&] { std::ranges::move(aDecisions, std::back_inserter(mPending)); });
+  }
+
+  void Carry(const start& aStart)
+  {
+    FeedTicket(aStart.mTicket, attempt_granted{ aStart.mEndpoint });
+  }
+
+  void Carry(const refuse& aRefuse)
+  {
+    FeedTicket(aRefuse.mTicket,
+               schedule_refused{ aRefuse.mKind, aRefuse.mRetryAfter });
+  }
+
+  void FeedTicket(ticket aTicket, const request_event& aEvent)
+  {
+    Run([&] { Feed(aTicket, aEvent); });
+  }
+
+  void Feed(ticket aTicket, const request_event& aEvent)
+  {
+    const auto found = mLive.find(aTicket);
+    if (found == mLive.end()) {
+      return;
+    }
+    const live_request_ptr live = found->second;
+    const request_actions actions = live->mMachine.Handle(aEvent, Now());
+    for (const request_action& each : actions) {
+      std::visit([&](const auto& aOne) { Carry(*live, aOne); }, each);
+    }
+    if (live->mMachine.Ended()) {
+      End(*live);
+    } else {
+      ArmTimer(live);
+    }
+  }
+
+  void End(live_request& aLive)
+  {
+    const ticket number = aLive.mTicket;
+    aLive.mTimer.cancel();
+    aLive.mExchange->OnLeft(nullptr);
+    mLive.erase(number);
+    Apply(mScheduler.Forget(number, Now()));
+  }
+
+  void ArmTimer(const live_request_ptr& aLive)
+  {
+    const auto due = aLive->mMachine.NextDue();
+    // A token moves the due time further on; the running timer is left to fire
+    // early and looks again then, which is cheaper than setting it anew for
+    // each token.
+    if (!due || (aLive->mTimerDue && *aLive->mTimerDue <= *due)) {
+      return;
+    }
+    aLive->mTimerDue = due;
+    aLive->mTimer.expires_at(*due);
+    aLive->mTimer.async_wait(
+      [this, number = aLive->mTicket](const error_code& aWrong) {
+        if (!aWrong) {
+          OnTimer(number);
+        }
+      });
+  }
+
+  void OnTimer(ticket aTicket)
+  {
+    if (const auto found = mLive.find(aTicket); found != mLive.end()) {
+      found->second->mTimerDue.reset();
+      FeedTicket(aTicket, time_passed{});
+    }
+  }
+
+  void ArmSchedulerTimer()
+  {
+    const auto due = mScheduler.NextDue();
+    if (due == mSchedulerDue) {
+      return;
+    }
+    mSchedulerDue = due;
+    mSchedulerTimer.cancel();
+    if (!due) {
+      return;
+    }
+    mSchedulerTimer.expires_at(*due);
+    mSchedulerTimer.async_wait([this](const error_code& aWrong) {
+      if (!aWrong) {
+        mSchedulerDue.reset();
+        Apply(mScheduler.Advance(Now()));
+      }
+    });
+  }
+
+  // ---- actions of the request's state machine
+
+  void Carry(live_request& aLive, const open_attempt& aAction)
+  {
+    const endpoint* where = mCatalog->EndpointByName(aAction.mEndpoint.Text());
+    if (where == nullptr) {
+      // Withdrawn between the choice and now: nothing was sent.
+      Later(aLive.mTicket, connect_failed{ aAction.mAttempt });
+      return;
+    }
+    endpoint_call call;
+    call.mAttempt = aAction.mAttempt;
+    call.mId = aLive.mId;
+    call.mAddress = where->mAddress;
+    call.mMethod = aLive.mIntake.mMethod;
+    call.mPath = aLive.mIntake.mPath;
+    call.mContentType = aLive.mIntake.mContentType;
+    call.mEngine = aLive.mIntake.mEngine;
+    call.mBody = call.mEngine ? EngineBody(aLive.mIntake, aAction.mResumeFrom)
+                              : aLive.mIntake.mBody;
+    aLive.mAttempt =
+      StartAttempt(mIo,
+                   std::move(call),
+                   [this, number = aLive.mTicket](request_event aEvent) {
+                     FeedTicket(number, aEvent);
+                   });
+  }
+
+  void Carry(live_request& aLive, const close_attempt& /*aAction*/)
+  {
+    if (aLive.mAttempt != nullptr) {
+      aLive.mAttempt->Close();
+      aLive.mAttempt = nullptr;
+    }
+  }
+
+  void Carry(live_request& aLive, const report_first_token& /*aAction*/)
+  {
+    mScheduler.OnFirstToken(aLive.mTicket, Now());
+  }
+
+  void Carry(live_request& aLive, const report_attempt_ended& aAction)
+  {
+    Apply(mScheduler.OnAttemptEnded(
+      aLive.mTicket, aAction.mHow, aAction.mTokens, Now()));
+  }
+
+  void Carry(live_request& aLive, const ask_again& aAction)
+  {
+    mMetrics.OnRetry(aAction.mReason);
+    mLog.Write(log_level::kWarning,
+               "retry",
+               { { "reason", std::string(Name(aAction.mReason)) },
+                 { "class", aLive.mIntake.mClass.Text() },
+                 { "request_id", aLive.mId.Text() } });
+    Apply(mScheduler.Resubmit(aLive.mTicket, Now()));
+  }
+
+  void Carry(live_request& aLive, const deliver_token& aAction)
+  {
+    const time_point now = Now();
+    const class_name& name = aLive.mIntake.mClass;
+    if (aAction.mIndex == 0) {
+      mMetrics.OnFirstToken(name, now - aLive.mExchange->Arrival());
+    } else {
+      mMetrics.OnTokenGap(name, now - aLive.mLastToken);
+    }
+    aLive.mLastToken = now;
+    if (!aLive.mIntake.mStream) {
+      aLive.mText += aAction.mText;
+      return;
+    }
+    SendHeadOnce(aLive);
+    aLive.mExchange->Send(stream_text{
+      TokenEvent(aLive.mId, ModelOf(aLive), aAction.mIndex, aAction.mText) });
+  }
+
+  void Carry(live_request& aLive, const deliver_end& aAction)
+  {
+    const std::uint64_t tokens = aLive.mMachine.DeliveredTokens();
+    mMetrics.OnCompleted(aLive.mIntake.mClass, tokens);
+    if (!aLive.mIntake.mStream) {
+      aLive.mExchange->Send(CompletionReply(aLive.mId,
+                                            ModelOf(aLive),
+                                            aLive.mText,
+                                            aAction.mFinishReason,
+                                            aLive.mIntake.mPromptTokens,
+                                            tokens));
+      return;
+    }
+    SendHeadOnce(aLive);
+    aLive.mExchange->Send(stream_text{
+      EndEvents(aLive.mId, ModelOf(aLive), aAction.mFinishReason) });
+    aLive.mExchange->Send(stream_end{});
+  }
+
+  void Carry(live_request& aLive, const deliver_answer& aAction)
+  {
+    mMetrics.OnCompleted(aLive.mIntake.mClass, 0);
+    aLive.mExchange->Send(whole_reply{ aAction.mHttpStatus,
+                                       { { "X-Request-Id", aLive.mId.Text() } },
+                                       aAction.mContentType,
+                                       aAction.mBody });
+  }
+
+  void Carry(live_request& aLive, const deliver_error& aAction)
+  {
+    mMetrics.OnWastedTokens(aLive.mMachine.DeliveredTokens());
+    const whole_reply reply =
+      Refusal(aAction.mKind, aAction.mRetryAfter, aLive.mId);
+    if (!aLive.mHeadSent) {
+      aLive.mExchange->Send(reply);
+      return;
+    }
+    aLive.mExchange->Send(
+      stream_text{ ErrorEvent(aAction.mKind, kComeBackAfter, aLive.mId) });
+    aLive.mExchange->Send(stream_end{});
+  }
+
+  void SendHeadOnce(live_request& aLive)
+  {
+    if (!std::exchange(aLive.mHeadSent, true)) {
+      aLive.mExchange->Send(
+        stream_head{ { { "X-Request-Id", aLive.mId.Text() } } });
+    }
+  }
+
+  static std::string_view ModelOf(const live_request& aLive)
+  {
+    return aLive.mIntake.mPool.Text();
+  }
+
+  // Hands an event in after the present one has been worked off.
+  void Later(ticket aTicket, request_event aEvent)
+  {
+    boost::asio::post(mIo, [this, aTicket, event = std::move(aEvent)] {
+      FeedTicket(aTicket, event);
+    });
+  }
+
+  void RefuseEarly(caller_exchange& aExchange, error_kind aKind)
+  {
+    aExchange.Send(Refusal(aKind, duration{}, request_id()));
+  }
+
+  whole_reply Refusal(error_kind aKind,
+                      duration aRetryAfter,
+                      const request_id& aId)
+  {
+    mMetrics.OnRefused(aKind);
+    mLog.Write(log_level::kInfo,
+               "refused",
+               { { "kind", std::string(Name(aKind)) },
+                 { "ran", std::string(Name(AnswerFor(aKind).mRan)) },
+                 { "request_id", aId.Text() } });
+    return ErrorReply(
+      aKind, aRetryAfter > duration{} ? aRetryAfter : SpreadDelay(), aId);
+  }
+
+  duration SpreadDelay()
+  {
+    std::uniform_real_distribution<double> factor(0.5, 1.5);
+    return FromSeconds(ToSeconds(kComeBackAfter) * factor(mRandom));
+  }
+
+  boost::asio::io_context& mIo;
+  router_settings mSettings;
+  json_log& mLog;
+  metrics& mMetrics;
+  std::mt19937_64 mRandom;
+  boost::uuids::random_generator mMakeId;
+  scheduler mScheduler;
+  boost::asio::steady_timer mSchedulerTimer;
+  std::optional<time_point> mSchedulerDue;
+  catalog_ptr mCatalog;
+  std::unordered_map<ticket, live_request_ptr> mLive;
+  ticket mLastTicket = 0;
+  std::deque<decision> mPending;
+  bool mRunning = false;
+  bool mDraining = false;
+};
+
+router::router(boost::asio::io_context& aIo,
+               const router_settings& aSettings,
+               json_log& aLog,
+               metrics& aMetrics)
+  : mCore(std::make_unique<core>(aIo, aSettings, aLog, aMetrics))
+{
+}
+
+router::~router() = default;
+
+void
+router::PutInForce(catalog_ptr aCatalog)
+{
+  mCore->PutInForce(std::move(aCatalog));
+}
+
+void
+router::Serve(caller_exchange_ptr aExchange)
+{
+  mCore->Serve(std::move(aExchange));
+}
+
+void
+router::OnLoadReport(const endpoint_name& aEndpoint, const load_report& aReport)
+{
+  mCore->OnLoadReport(aEndpoint, aReport);
+}
+
+void
+router::OnEndpointState(const endpoint_name& aEndpoint, endpoint_state aState)
+{
+  mCore->OnEndpointState(aEndpoint, aState);
+}
+
+void
+router::BeginDrain()
+{
+  mCore->BeginDrain();
+}
+
+std::size_t
+router::InProgress() const
+{
+  return mCore->InProgress();
+}
+
+whole_reply
+router::AnswerUnreadable(error_kind aKind)
+{
+  return mCore->AnswerUnreadable(aKind);
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/router.h
@@ -0,0 +1,73 @@
+// Carries callers' requests through the scheduler and the request state machine
+// to endpoints and back. Single-threaded: everything runs on one io_context.
+//
+//   router route(io, settings, log, counted);
+//   route.PutInForce(catalog, version);
+//   route.Serve(exchange);
+//
+#ifndef THORNHOLLOW_DAEMON_ROUTER_H_
+#define THORNHOLLOW_DAEMON_ROUTER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "thornhollow/base/ids.h"
+#include "thornhollow/config/catalog.h"
+#include "thornhollow/config/settings.h"
+#include "thornhollow/daemon/json_log.h"
+#include "thornhollow/daemon/metrics.h"
+#include "thornhollow/net/caller_server.h"
+#include "thornhollow/policy/scheduler.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace thornhollow {
+
+struct router_settings
+{
+  domain_name mOwnDomain;
+  stage_timeouts mTimeouts;
+  scheduler_settings mScheduler;
+};
+
+class router
+{
+public:
+  // `aLog` and `aMetrics` outlive the router.
+  router(boost::asio::io_context& aIo,
+         const router_settings& aSettings,
+         json_log& aLog,
+         metrics& aMetrics);
+  router(const router&) = delete;
+  router& operator=(const router&) = delete;
+  ~router();
+
+  // New requests follow this catalog; those in progress keep their terms.
+  void PutInForce(catalog_ptr aCatalog);
+
+  // Answers the exchange, now or later, exactly once.
+  void Serve(caller_exchange_ptr aExchange);
+
+  void OnLoadReport(const endpoint_name& aEndpoint, const load_report& aReport);
+  void OnEndpointState(const endpoint_name& aEndpoint, endpoint_state aState);
+
+  // From now on each new request is refused as `kDraining`.
+  void BeginDrain();
+
+  std::size_t InProgress() const;
+
+  // The answer to a request that could not be read; counts it.
+  whole_reply AnswerUnreadable(error_kind aKind);
+
+private:
+  class core;
+  std::unique_ptr<core> mCore;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_DAEMON_ROUTER_H_
--- a/thornhollow/net/caller_server.cc
+++ b/thornhollow/net/caller_server.cc
@@ -197,7 +197,7 @@
 {
 public:
   shared(asio::io_context& aIo,
-         const caller_limits& aLimits,
+         const server_limits& aLimits,
          exchange_handler aOnRequest,
          refusal_handler aOnUnreadable)
     : mIo(aIo)
@@ -209,7 +209,7 @@
   }
 
   asio::io_context& mIo;
-  caller_limits mLimits;
+  server_limits mLimits;
   exchange_handler mOnRequest;
   refusal_handler mOnUnreadable;
   tcp::acceptor mAcceptor;
@@ -518,7 +518,7 @@
 }
 
 caller_server::caller_server(asio::io_context& aIo,
-                             const caller_limits& aLimits,
+                             const server_limits& aLimits,
                              exchange_handler aOnRequest,
                              refusal_handler aOnUnreadable)
   : mShared(std::make_shared<shared>(aIo,
--- a/thornhollow/net/caller_server.h
+++ b/thornhollow/net/caller_server.h
@@ -33,7 +33,7 @@
 
 namespace thornhollow {
 
-struct caller_limits
+struct server_limits
 {
   std::uint32_t mMaxHeaderBytes = std::uint32_t{ 16 } << 10U;
   std::size_t mMaxBodyBytes = std::size_t{ 8 } << 20U;
@@ -50,7 +50,7 @@
   // the caller counts as gone.
   std::size_t mMaxUnsentBytes = std::size_t{ 16 } << 20U;
 
-  friend bool operator==(const caller_limits&, const caller_limits&) = default;
+  friend bool operator==(const server_limits&, const server_limits&) = default;
 };
 
 struct header_field
@@ -130,7 +130,7 @@
 {
 public:
   caller_server(boost::asio::io_context& aIo,
-                const caller_limits& aLimits,
+                const server_limits& aLimits,
                 exchange_handler aOnRequest,
                 refusal_handler aOnUnreadable);
   caller_server(const caller_server&) = delete;
--- /dev/null
+++ b/thornhollow/platform/platform_watch.cc
@@ -0,0 +1,134 @@
+#include "thornhollow/platform/platform_watch.h"
+
+#include <random>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+
+#include "thornhollow/net/http_fetch.h"
+
+namespace thornhollow {
+namespace {
+
+// A waiting watch counts as one call: the longer it waits the fewer calls.
+constexpr duration kWait = Seconds(10);
+// Beyond the wait, an answer is due within this; a watch whose connection went
+// silent is given up then and asked anew on a new connection.
+constexpr duration kGrace = Seconds(2);
+// After a failure, so that a service that is down isn't asked in a tight loop
+// by every reader; spread so that readers don't come back together.
+constexpr double kRetrySeconds = 0.5;
+
+} // namespace
+
+class platform_watch::loop : public std::enable_shared_from_this<loop>
+{
+public:
+  loop(boost::asio::io_context& aIo,
+       std::string aAddress,
+       std::string aPath,
+       std::function<void(platform_value)> aOnValue,
+       std::function<void()> aOnFailure)
+    : mIo(aIo)
+    , mAddress(std::move(aAddress))
+    , mPath(std::move(aPath))
+    , mOnValue(std::move(aOnValue))
+    , mOnFailure(std::move(aOnFailure))
+    , mTimer(aIo)
+    , mRandom(std::random_device()())
+  {
+  }
+
+  void Ask()
+  {
+    fetch_call call;
+    call.mAddress = mAddress;
+    call.mTarget = fmt::format(
+      "{}?after={}&wait_ms={}", mPath, mVersion, ToMilliseconds(kWait));
+    call.mTimeout = kWait + kGrace;
+    Fetch(mIo, call, [self = shared_from_this()](fetch_outcome aOutcome) {
+      self->OnOutcome(std::move(aOutcome));
+    });
+  }
+
+  void Stop()
+  {
+    mStopped = true;
+    mTimer.cancel();
+  }
+
+private:
+  static constexpr unsigned kOk = 200;
+  static constexpr unsigned kNotModified = 304;
+
+  void OnOutcome(fetch_outcome aOutcome)
+  {
+    if (mStopped) {
+      return;
+    }
+    if (aOutcome && aOutcome->mHttpStatus == kNotModified) {
+      Ask();
+      return;
+    }
+    const bool isNewer = aOutcome && aOutcome->mHttpStatus == kOk &&
+                         aOutcome->mVersion && *aOutcome->mVersion > mVersion;
+    if (isNewer) {
+      mVersion = *aOutcome->mVersion;
+      mOnValue(platform_value{ mVersion, std::move(aOutcome->mBody) });
+      Ask();
+      return;
+    }
+    mOnFailure();
+    AskLater();
+  }
+
+  void AskLater()
+  {
+    std::uniform_real_distribution<double> factor(0.5, 1.5);
+    mTimer.expires_after(FromSeconds(kRetrySeconds * factor(mRandom)));
+    mTimer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& aWrong) {
+        if (!aWrong && !self->mStopped) {
+          self->Ask();
+        }
+      });
+  }
+
+  boost::asio::io_context& mIo;
+  std::string mAddress;
+  std::string mPath;
+  std::function<void(platform_value)> mOnValue;
+  std::function<void()> mOnFailure;
+  boost::asio::steady_timer mTimer;
+  std::mt19937 mRandom;
+  std::uint64_t mVersion = 0;
+  bool mStopped = false;
+};
+
+platform_watch::platform_watch(boost::asio::io_context& aIo,
+                               std::string aAddress,
+                               std::string aPath,
+                               std::function<void(platform_value)> aOnValue,
+                               std::function<void()> aOnFailure)
+  : mLoop(std::make_shared<loop>(aIo,
+                                 std::move(aAddress),
+                                 std::move(aPath),
+                                 std::move(aOnValue),
+                                 std::move(aOnFailure)))
+{
+}
+
+platform_watch::~platform_watch()
+{
+  mLoop->Stop();
+}
+
+void
+platform_watch::Start()
+{
+  mLoop->Ask();
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/platform/platform_watch.h
@@ -0,0 +1,50 @@
+// Watches one path of the platform by long polls and hands on each new version.
+//
+//   platform_watch watch(io, address, "/v1/instances", [&](auto aValue) {...});
+//   watch.Start();
+//
+// Never hands on a version below one it handed on before: the service has
+// replicas that lag.
+#ifndef THORNHOLLOW_PLATFORM_PLATFORM_WATCH_H_
+#define THORNHOLLOW_PLATFORM_PLATFORM_WATCH_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace thornhollow {
+
+struct platform_value
+{
+  std::uint64_t mVersion = 0;
+  std::string mBytes;
+};
+
+class platform_watch
+{
+public:
+  // `aOnFailure` is called for each call that brought no answer.
+  platform_watch(boost::asio::io_context& aIo,
+                 std::string aAddress,
+                 std::string aPath,
+                 std::function<void(platform_value)> aOnValue,
+                 std::function<void()> aOnFailure);
+  platform_watch(const platform_watch&) = delete;
+  platform_watch& operator=(const platform_watch&) = delete;
+  ~platform_watch();
+
+  void Start();
+
+private:
+  class loop;
+  std::shared_ptr<loop> mLoop;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_PLATFORM_PLATFORM_WATCH_H_
