--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 
 PACKAGES=(
-  g++ cmake ninja-build ccache clang clang-format clang-tidy git python3
+  g++ cmake ninja-build ccache clang clang-format clang-tidy git python3 curl
   libclang-rt-14-dev
   libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev
   libthrift-dev prometheus-cpp-dev libgflags-dev libfmt-dev doctest-dev
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -164,7 +164,7 @@
     while (!mPending.empty()) {
       const decision next = std::move(mPending.front());
       mPending.pop_front();
-      std::visit([this](const auto& aOne) { Carry(aOne); }, next);
+      std::visit([this](const auto& aOne) { this->Carry(aOne); }, next);
     }
     mRunning = false;
     ArmSchedulerTimer();
@@ -290,7 +290,7 @@
     aLive.mAttempt =
       StartAttempt(mIo,
                    std::move(call),
-                   [this, number = aLive.mTicket](request_event aEvent) {
+                   [this, number = aLive.mTicket](const request_event& aEvent) {
                      FeedTicket(number, aEvent);
                    });
   }
--- a/thornhollow/net/caller_server.cc
+++ b/thornhollow/net/caller_server.cc
@@ -113,13 +113,13 @@
 class exchange final : public caller_exchange
 {
 public:
-  exchange(asio::any_io_executor aExecutor,
+  exchange(const asio::any_io_executor& aExecutor,
            caller_request aRequest,
            std::size_t aMaxUnsentBytes)
     : mRequest(std::move(aRequest))
     , mArrival(std::chrono::steady_clock::now())
     , mMaxUnsentBytes(aMaxUnsentBytes)
-    , mSignal(std::move(aExecutor), asio::steady_timer::time_point::max())
+    , mSignal(aExecutor, asio::steady_timer::time_point::max())
   {
   }
 
--- a/thornhollow/net/endpoint_attempt.cc
+++ b/thornhollow/net/endpoint_attempt.cc
@@ -222,15 +222,19 @@
     auto event = ReadEngineEvent(aData);
     if (!event) {
       Emit(answer_unreadable{ mCall.mAttempt });
-    } else if (event->mToken) {
+      return;
+    }
+    // An engine may put the reason into its last token's event.
+    if (!event->mFinishReason.empty()) {
+      aFinishReason = event->mFinishReason;
+    }
+    if (event->mToken) {
       Emit(token_received{ mCall.mAttempt,
                            std::move(event->mId),
                            event->mIndex,
                            *std::move(event->mToken) });
     } else if (event->mId != mCall.mId) {
       Emit(answer_crossed{ mCall.mAttempt });
-    } else {
-      aFinishReason = event->mFinishReason;
     }
   }
 
