--- a/thornhollow/config/check.cc
+++ b/thornhollow/config/check.cc
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "thornhollow/config/internal/yaml_tree.h"
+
 namespace thornhollow {
 namespace {
 
@@ -59,26 +61,30 @@
     for (const auto& [field, fieldLine] : aAt.mFieldLines) {
       line = field == aField ? fieldLine : line;
     }
-    mFaults.push_back({ std::string(aAt.mFile),
-                        line,
-                        fmt::format("{}.{}", aAt.mPath, aField),
-                        std::move(aFound),
-                        std::move(aAllowed) });
+    AddFault(mFaults,
+             { std::string(aAt.mFile),
+               line,
+               fmt::format("{}.{}", aAt.mPath, aField),
+               std::move(aFound),
+               std::move(aAllowed) });
   }
 
-  // Remembers that `aText` stands at `aAt`; a fault where it stood before.
+  // Remembers that `aText` stands at `aAt`; a fault where it stood before. The
+  // fault doesn't repeat a secret one: it may be a token put in a digest's
+  // place by mistake.
   using first_places = std::unordered_map<std::string_view, const item_source*>;
   void CheckOnce(first_places& aSeen,
                  std::string_view aText,
                  const item_source& aAt,
-                 std::string_view aField)
+                 std::string_view aField,
+                 bool aSecret = false)
   {
     const auto [first, added] = aSeen.emplace(aText, &aAt);
     if (!added && !aText.empty()) {
       Add(aAt,
           aField,
-          fmt::format("\"{}\", which stands at {}:{} already",
-                      aText,
+          fmt::format("{}, which stands at {}:{} already",
+                      aSecret ? "a text" : internal::Quote(aText),
                       first->second->mFile,
                       first->second->mLine),
           "each once");
@@ -104,7 +110,7 @@
     if (!aName.empty() && !aDeclaredNames.contains(aName)) {
       Add(aAt,
           aField,
-          fmt::format("\"{}\"", aName),
+          internal::Quote(aName),
           fmt::format("the name of a declared {}", aWhat));
     }
   }
@@ -194,7 +200,7 @@
       CheckReference(mClasses, named.Text(), at, "classes", "class");
     }
     for (const std::string& digest : checked.mTokenDigests) {
-      CheckOnce(digests, digest, at, "token_digests");
+      CheckOnce(digests, digest, at, "token_digests", true);
     }
   }
 }
--- a/thornhollow/config/fault.cc
+++ b/thornhollow/config/fault.cc
@@ -1,7 +1,19 @@
 #include "thornhollow/config/fault.h"
 
+#include <utility>
+
 namespace thornhollow {
 
+void
+AddFault(faults& aTo, fault aFault)
+{
+  if (aTo.size() < kMaxFaults) {
+    aTo.push_back(std::move(aFault));
+  } else if (aTo.size() == kMaxFaults) {
+    aTo.push_back({ "(all files)", 0, "", "more faults", "none" });
+  }
+}
+
 std::string
 Text(const fault& aFault)
 {
--- a/thornhollow/config/fault.h
+++ b/thornhollow/config/fault.h
@@ -7,6 +7,7 @@
 #ifndef THORNHOLLOW_CONFIG_FAULT_H_
 #define THORNHOLLOW_CONFIG_FAULT_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,14 @@
 
 using faults = std::vector<fault>;
 
+// Faults that one verdict lists; one more entry says that there are others.
+inline constexpr std::size_t kMaxFaults = 1000;
+
+// Adds `aFault`, or nothing where `aTo` is full: a hostile file with a fault in
+// each byte must not fill the memory with their descriptions.
+void
+AddFault(faults& aTo, fault aFault);
+
 // One line for people, without its end.
 std::string
 Text(const fault& aFault);
--- a/thornhollow/config/internal/field_reader.cc
+++ b/thornhollow/config/internal/field_reader.cc
@@ -58,11 +58,12 @@
   , mFaults(aFaults)
 {
   if (mNode.mKind != yaml_kind::kMapping) {
-    mFaults.push_back({ mFile,
-                        mNode.mLine,
-                        mPath,
-                        Describe(mNode),
-                        "a mapping of fields to values" });
+    AddFault(mFaults,
+             { mFile,
+               mNode.mLine,
+               mPath,
+               Describe(mNode),
+               "a mapping of fields to values" });
   }
 }
 
@@ -102,7 +103,8 @@
     path += '.';
   }
   path += aField;
-  mFaults.push_back(
+  AddFault(
+    mFaults,
     { mFile, aLine, std::move(path), std::move(aFound), std::move(aAllowed) });
 }
 
@@ -202,7 +204,10 @@
       Add(item.mLine, path, Describe(item), "text");
     }
     if (std::ranges::find(items, item.mScalar) != items.end()) {
-      Add(item.mLine, path, Describe(item) + " again", "each item once");
+      Add(item.mLine,
+          path,
+          (aBounds.mSecret ? "a text" : Describe(item)) + " again",
+          "each item once");
     }
     items.push_back(item.mScalar);
   }
--- a/thornhollow/config/internal/field_reader.h
+++ b/thornhollow/config/internal/field_reader.h
@@ -46,6 +46,8 @@
 {
   std::size_t mLeast = 0;
   std::size_t mMost = 0;
+  // Whether faults must not repeat the items.
+  bool mSecret = false;
 };
 
 using field_line = std::pair<std::string_view, int>;
--- a/thornhollow/config/internal/yaml_tree.cc
+++ b/thornhollow/config/internal/yaml_tree.cc
@@ -25,9 +25,11 @@
   return aMark.line + 1;
 }
 
-// Builds the tree. yaml-cpp recurses for each level of nesting, so a document
-// nested deep enough would overflow the stack and end the process; the throw
-// at `kMaxYamlDepth` happens before it recurses further.
+// Builds the tree. yaml-cpp recurses for each level of nesting and so do the
+// destructors of a tree; a document nested deep enough would overflow the
+// stack and end the process. Release 0.7.0 stops itself after some hundred
+// levels, earlier ones don't. The throw at `kMaxYamlDepth` comes before either
+// recursion goes on.
 class tree_builder : public YAML::EventHandler
 {
 public:
@@ -87,6 +89,14 @@
     if (!aTag.empty() && aTag != "?" && aTag != "!") {
       throw refused_yaml{ line, "a tag", "values without tags" };
     }
+    // Two bytes of text can make a node of eighty: without a bound, a file of
+    // commas would cost forty times its size.
+    if (++mCount > kMaxYamlNodes) {
+      throw refused_yaml{ line,
+                          "more values",
+                          "at most " + std::to_string(kMaxYamlNodes) +
+                            " values a file" };
+    }
     yaml_node& place =
       mOpen.empty() ? mRoot : mOpen.back()->mItems.emplace_back();
     place.mKind = aKind;
@@ -111,6 +121,7 @@
   }
 
   yaml_node mRoot;
+  std::size_t mCount = 0;
   std::vector<yaml_node*> mOpen;
 };
 
@@ -137,8 +148,8 @@
 ParseYaml(const std::string& aFile, const std::string& aText, faults& aFaults)
 {
   const auto refuse = [&](int aLine, std::string aFound, std::string aAllowed) {
-    aFaults.push_back(
-      { aFile, aLine, "", std::move(aFound), std::move(aAllowed) });
+    AddFault(aFaults,
+             { aFile, aLine, "", std::move(aFound), std::move(aAllowed) });
     return std::nullopt;
   };
   if (const int line = LineOfControlCharacter(aText); line != 0) {
--- a/thornhollow/config/internal/yaml_tree.h
+++ b/thornhollow/config/internal/yaml_tree.h
@@ -17,6 +17,8 @@
 
 // Levels of nesting in a document. Declarations need five.
 inline constexpr std::size_t kMaxYamlDepth = 16;
+// Nodes in a document: 11,000 teams in one file take about 160,000.
+inline constexpr std::size_t kMaxYamlNodes = 300'000;
 // Bytes of one scalar in a fault's text.
 inline constexpr std::size_t kMaxQuotedBytes = 80;
 
--- a/thornhollow/config/settings.cc
+++ b/thornhollow/config/settings.cc
@@ -159,11 +159,12 @@
   }
   aFields.Node(aField);
   if (!internal::IsName(aOverride)) {
-    mFaults.push_back({ fmt::format("--{}", aField),
-                        0,
-                        "",
-                        internal::Quote(aOverride),
-                        std::string(internal::kNameForm) });
+    AddFault(mFaults,
+             { fmt::format("--{}", aField),
+               0,
+               "",
+               internal::Quote(aOverride),
+               std::string(internal::kNameForm) });
   }
   return aOverride;
 }
@@ -176,11 +177,12 @@
   if (!aOverride.empty()) {
     aFields.Node(aField);
     if (!internal::IsAddressWithPort(aOverride)) {
-      mFaults.push_back({ fmt::format("--{}", aField),
-                          0,
-                          "",
-                          internal::Quote(aOverride),
-                          std::string(internal::kAddressForm) });
+      AddFault(mFaults,
+               { fmt::format("--{}", aField),
+                 0,
+                 "",
+                 internal::Quote(aOverride),
+                 std::string(internal::kAddressForm) });
     }
     return aOverride;
   }
@@ -312,13 +314,14 @@
     for (std::size_t second = first + 1; second < own.size(); ++second) {
       if (!own[first].second->empty() &&
           *own[first].second == *own[second].second) {
-        mFaults.push_back({ mFile.mName,
-                            0,
-                            std::string(own[second].first),
-                            fmt::format("\"{}\", the same as {}",
-                                        *own[second].second,
-                                        own[first].first),
-                            "an address of its own" });
+        AddFault(mFaults,
+                 { mFile.mName,
+                   0,
+                   std::string(own[second].first),
+                   fmt::format("\"{}\", the same as {}",
+                               *own[second].second,
+                               own[first].first),
+                   "an address of its own" });
       }
     }
   }
--- a/thornhollow/config/yaml_reader.cc
+++ b/thornhollow/config/yaml_reader.cc
@@ -79,7 +79,8 @@
 {
   team read;
   read.mName = team_name(aFields.Name("name"));
-  read.mTokenDigests = aFields.Texts("token_digests", { 1, kMaxTokensOfTeam });
+  read.mTokenDigests =
+    aFields.Texts("token_digests", { 1, kMaxTokensOfTeam, true });
   for (std::size_t each = 0; each < read.mTokenDigests.size(); ++each) {
     // The text itself is not repeated: it may be a token put there by mistake.
     if (!IsSha256Hex(read.mTokenDigests[each])) {
@@ -258,11 +259,12 @@
 {
   const auto need = [&](bool aEmpty, std::string_view aList) {
     if (aEmpty) {
-      mFaults.push_back({ "(all files)",
-                          0,
-                          std::string(aList),
-                          "none",
-                          "at least one over all files" });
+      AddFault(mFaults,
+               { "(all files)",
+                 0,
+                 std::string(aList),
+                 "none",
+                 "at least one over all files" });
     }
   };
   need(mDeclared.mLevels.empty(), "levels");
@@ -277,18 +279,13 @@
   if (mWhole) {
     CheckNotEmpty();
     faults found = CheckDeclarations(mDeclared, mSources);
-    std::ranges::move(found, std::back_inserter(mFaults));
+    for (fault& each : found) {
+      AddFault(mFaults, std::move(each));
+    }
   }
   if (mFaults.empty()) {
     return std::move(mDeclared);
   }
-  if (mFaults.size() > kMaxFaults) {
-    const std::size_t more = mFaults.size() - kMaxFaults + 1;
-    mFaults.resize(kMaxFaults);
-    mFaults.back() = {
-      "(all files)", 0, "", fmt::format("{} more faults", more), "none"
-    };
-  }
   return std::move(mFaults);
 }
 
--- a/thornhollow/config/yaml_reader.h
+++ b/thornhollow/config/yaml_reader.h
@@ -24,8 +24,6 @@
 // in the longest form that operators write.
 inline constexpr std::size_t kMaxFileBytes = std::size_t{ 4 } << 20U;
 inline constexpr std::size_t kMaxSetBytes = std::size_t{ 8 } << 20U;
-// Faults that one verdict lists; the last one says when there are more.
-inline constexpr std::size_t kMaxFaults = 1000;
 
 // Declarations, or at least one fault.
 using read_verdict = std::variant<declarations, faults>;
