Operators' command: check, bundle, diff, explain, status

Cause: operators steer the system by files alone and need to see beforehand what a daemon will say. Change: the command over a library part of pure functions; check and bundle run the daemon's own reader over the bundle they made; exit codes 0 to 3.

--- /dev/null
+++ b/thornhollow/tools/operator_command.cc
@@ -0,0 +1,285 @@
+#include "thornhollow/tools/operator_command.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <variant>
+
+#include <fmt/format.h>
+
+#include "thornhollow/config/catalog.h"
+#include "thornhollow/config/difference.h"
+
+namespace thornhollow {
+namespace {
+
+command_result
+Refused(const faults& aFaults)
+{
+  command_result refused{ kExitRefused, "", "" };
+  for (const fault& each : aFaults) {
+    refused.mErr += Text(each) + '\n';
+  }
+  refused.mErr += fmt::format("refused: {} fault(s)\n", aFaults.size());
+  return refused;
+}
+
+command_result
+NotDeclared(std::string aSentence)
+{
+  return { kExitRefused, "", std::move(aSentence) + '\n' };
+}
+
+struct accepted_set
+{
+  declarations mDeclared;
+  bundle mBundle;
+};
+
+// What a daemon would have in force after `aFiles` were published.
+std::variant<accepted_set, faults>
+Accept(std::span<const source_file> aFiles)
+{
+  read_verdict written = ReadDeclarations(aFiles);
+  if (auto* found = std::get_if<faults>(&written)) {
+    return std::move(*found);
+  }
+  bundle made = MakeBundle(std::get<declarations>(written));
+  read_verdict read = ReadBundle(made);
+  if (auto* found = std::get_if<faults>(&read)) {
+    return std::move(*found);
+  }
+  return accepted_set{ std::get<declarations>(std::move(read)),
+                       std::move(made) };
+}
+
+std::string
+Summary(const declarations& aDeclared)
+{
+  return fmt::format("{} levels, {} classes, {} models, {} services, "
+                     "{} teams, {} endpoints",
+                     aDeclared.mLevels.size(),
+                     aDeclared.mClasses.size(),
+                     aDeclared.mModels.size(),
+                     aDeclared.mServices.size(),
+                     aDeclared.mTeams.size(),
+                     aDeclared.mEndpoints.size());
+}
+
+// The endpoints of a pool, a line a failure domain.
+std::string
+Candidates(const declarations& aDeclared, const pool_name& aPool)
+{
+  // Both levels in the order of their names.
+  std::map<std::string, std::map<std::string, const endpoint*>> byDomain;
+  std::uint64_t slots = 0;
+  for (const endpoint& each : aDeclared.mEndpoints) {
+    if (std::ranges::find(each.mPools, aPool) != each.mPools.end()) {
+      slots += each.mSlots;
+      byDomain[each.mDomain.Text()].emplace(each.mName.Text(), &each);
+    }
+  }
+  std::string text = fmt::format("    {} slots in all\n", slots);
+  for (const auto& [domain, endpoints] : byDomain) {
+    text += fmt::format("    {}:\n", domain);
+    for (const auto& [name, each] : endpoints) {
+      text += fmt::format(
+        "      {} at {}, {} slots\n", name, each->mAddress, each->mSlots);
+    }
+  }
+  return text;
+}
+
+// The part of a class's capacity that a team gets while all teams that may use
+// the class have requests waiting.
+double
+ShareOfTeam(const declarations& aDeclared,
+            const team& aTeam,
+            const class_name& aClass)
+{
+  double sum = 0;
+  for (const team& each : aDeclared.mTeams) {
+    if (std::ranges::find(each.mClasses, aClass) != each.mClasses.end()) {
+      sum += each.mWeight;
+    }
+  }
+  return aTeam.mWeight / sum;
+}
+
+std::string
+ExplainTerms(const declarations& aDeclared,
+             const team& aTeam,
+             const class_terms& aTerms)
+{
+  const request_class& named = *aTerms.mClass;
+  const service_level& level = *aTerms.mLevel;
+  const auto line = [](std::string_view aWhat, const std::string& aValue) {
+    return fmt::format("{:<34}{}\n", aWhat, aValue);
+  };
+  const auto time = [](duration aLength) {
+    return aLength == duration::zero()
+             ? std::string("no target")
+             : fmt::format("{} ms", ToMilliseconds(aLength));
+  };
+  return line("team", aTeam.mName.Text()) + line("class", named.mName.Text()) +
+         line("level", level.mName.Text()) +
+         line("tier (1 goes first, 4 last)", fmt::format("{}", level.mTier)) +
+         line("target for the first token", time(level.mFirstTokenTarget)) +
+         line("target between tokens", time(level.mBetweenTokensTarget)) +
+         line("deadline for the whole answer", time(level.mDeadline)) +
+         line("minimum share of the class",
+              fmt::format("{:.0f}% of each pool", 100 * named.mMinimumShare)) +
+         line("team's part of the class, if full",
+              fmt::format("{:.0f}% (weight {})",
+                          100 * ShareOfTeam(aDeclared, aTeam, named.mName),
+                          aTeam.mWeight)) +
+         line("in progress on one instance",
+              fmt::format("at most {}", aTeam.mMaxInFlight)) +
+         line("may be run again after a failure",
+              named.mIdempotent ? "yes" : "no, runs at most once");
+}
+
+std::string
+StatusRow(const asked_instance& aAsked)
+{
+  const auto& [address, status] = aAsked;
+  if (!status) {
+    return fmt::format("{:<22} no answer\n", address);
+  }
+  const auto version = [](const std::optional<std::uint64_t>& aVersion) {
+    return aVersion ? fmt::format("{}", *aVersion) : std::string("-");
+  };
+  std::string row =
+    fmt::format("{:<22} {:<20} {:<18} {:>8} {:>8} {:<6} {:<8}\n",
+                address,
+                status->mName.Text(),
+                status->mDomain.Text(),
+                version(status->mVersionInForce),
+                status->mRefused ? version(status->mRefused->mVersion) : "-",
+                status->mReady ? "yes" : "no",
+                status->mDraining ? "yes" : "no");
+  if (status->mRefused) {
+    for (const std::string& each : status->mRefused->mFaults) {
+      row += "    refused: " + each + '\n';
+    }
+  }
+  return row;
+}
+
+} // namespace
+
+command_result
+RunCheck(std::span<const source_file> aFiles)
+{
+  const auto verdict = Accept(aFiles);
+  if (const auto* found = std::get_if<faults>(&verdict)) {
+    return Refused(*found);
+  }
+  return { kExitOk,
+           "accepted: " + Summary(std::get<accepted_set>(verdict).mDeclared) +
+             '\n',
+           "" };
+}
+
+std::pair<command_result, std::optional<bundle>>
+RunBundle(std::span<const source_file> aFiles)
+{
+  auto verdict = Accept(aFiles);
+  if (const auto* found = std::get_if<faults>(&verdict)) {
+    return { Refused(*found), std::nullopt };
+  }
+  auto& accepted = std::get<accepted_set>(verdict);
+  std::size_t bytes = accepted.mBundle.mManifest.size();
+  for (const bundle_part& part : accepted.mBundle.mParts) {
+    bytes += part.mText.size();
+  }
+  command_result done{ kExitOk, "", "" };
+  done.mOut = fmt::format("accepted: {}\n{} parts and the manifest, {} bytes\n"
+                          "publish the parts first, the manifest last\n",
+                          Summary(accepted.mDeclared),
+                          accepted.mBundle.mParts.size(),
+                          bytes);
+  return { std::move(done), std::move(accepted.mBundle) };
+}
+
+command_result
+RunDiff(std::span<const source_file> aOld, std::span<const source_file> aNew)
+{
+  const auto before = Accept(aOld);
+  if (const auto* found = std::get_if<faults>(&before)) {
+    return Refused(*found);
+  }
+  const auto after = Accept(aNew);
+  if (const auto* found = std::get_if<faults>(&after)) {
+    return Refused(*found);
+  }
+  const auto lines = DescribeChanges(std::get<accepted_set>(before).mDeclared,
+                                     std::get<accepted_set>(after).mDeclared);
+  if (lines.empty()) {
+    return { kExitOk, "Nothing changes for callers.\n", "" };
+  }
+  return { kExitOk, fmt::format("{}\n", fmt::join(lines, "\n")), "" };
+}
+
+command_result
+RunExplain(std::span<const source_file> aFiles,
+           const std::string& aTeam,
+           const std::string& aClass)
+{
+  auto verdict = Accept(aFiles);
+  if (const auto* found = std::get_if<faults>(&verdict)) {
+    return Refused(*found);
+  }
+  const auto known =
+    MakeCatalog(std::get<accepted_set>(std::move(verdict)).mDeclared);
+  const team* caller = known->TeamByName(aTeam);
+  if (caller == nullptr) {
+    return NotDeclared(fmt::format("no team \"{}\" is declared", aTeam));
+  }
+  const class_terms terms = known->ClassForTeam(*caller, aClass);
+  if (terms.mClass == nullptr) {
+    return NotDeclared(
+      fmt::format("team \"{}\" may not use class \"{}\"", aTeam, aClass));
+  }
+  const declarations& declared = known->Declared();
+  command_result done{ kExitOk, ExplainTerms(declared, *caller, terms), "" };
+  for (const model_name& each : terms.mClass->mModels) {
+    done.mOut += fmt::format("\n  model {}\n", each.Text()) +
+                 Candidates(declared, PoolOf(each));
+  }
+  for (const plain_service& each : declared.mServices) {
+    if (each.mClass == terms.mClass->mName) {
+      done.mOut += fmt::format("\n  service {} ({} {}){}\n",
+                               each.mName.Text(),
+                               fmt::join(each.mMethods, ","),
+                               each.mPath,
+                               each.mIdempotent ? "" : ", runs at most once") +
+                   Candidates(declared, PoolOf(each.mName));
+    }
+  }
+  return done;
+}
+
+command_result
+RunStatus(std::span<const asked_instance> aAsked)
+{
+  command_result done{ kExitOk, "", "" };
+  done.mOut = fmt::format("{:<22} {:<20} {:<18} {:>8} {:>8} {:<6} {:<8}\n",
+                          "ADDRESS",
+                          "INSTANCE",
+                          "DOMAIN",
+                          "IN-FORCE",
+                          "REFUSED",
+                          "READY",
+                          "DRAINING");
+  for (const asked_instance& each : aAsked) {
+    done.mOut += StatusRow(each);
+    if (!each.second) {
+      done.mExit = kExitUnreachable;
+      done.mErr += each.first + " did not answer\n";
+    }
+  }
+  return done;
+}
+
+} // namespace thornhollow
