--- a/thornhollow/testing/http_server.cc
+++ b/thornhollow/testing/http_server.cc
@@ -21,6 +21,7 @@
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 
+#include "thornhollow/testing/event_loop_state.h"
 #include "thornhollow/testing/socket_address.h"
 
 namespace thornhollow::testing {
@@ -294,11 +295,6 @@
   }
 }
 
-struct event_loop::state
-{
-  asio::io_context mContext{ 1 };
-};
-
 event_loop::event_loop()
   : mState(std::make_unique<state>())
 {
@@ -380,20 +376,7 @@
 {
   BOOST_LEAF_AUTO(endpoint, ParseSocketAddress(aAddress));
   auto& acceptor = mState->mAcceptor;
-  error_code error;
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    error_code ignored;
-    acceptor.close(ignored);
+  if (const error_code error = OpenAcceptor(acceptor, endpoint)) {
     return Fail(error_kind::kInternal, aAddress + ": " + error.message());
   }
   mState->mAddress = FormatSocketAddress(acceptor.local_endpoint());
--- a/thornhollow/testing/socket_address.cc
+++ b/thornhollow/testing/socket_address.cc
@@ -39,4 +39,25 @@
   return text.str();
 }
 
+boost::system::error_code
+OpenAcceptor(tcp::acceptor& aAcceptor, const tcp::endpoint& aEndpoint)
+{
+  boost::system::error_code error;
+  aAcceptor.open(aEndpoint.protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(aEndpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    boost::system::error_code ignored;
+    aAcceptor.close(ignored);
+  }
+  return error;
+}
+
 } // namespace thornhollow::testing
--- a/thornhollow/testing/socket_address.h
+++ b/thornhollow/testing/socket_address.h
@@ -1,5 +1,5 @@
-// Reads and prints "ip:port" for the stand-ins' sockets. Includes Asio: for
-// source files that use sockets only.
+// Addresses and listening sockets of the stand-ins. Includes Asio: for source
+// files that use sockets only.
 #ifndef THORNHOLLOW_TESTING_SOCKET_ADDRESS_H_
 #define THORNHOLLOW_TESTING_SOCKET_ADDRESS_H_
 
@@ -18,6 +18,11 @@
 std::string
 FormatSocketAddress(const boost::asio::ip::tcp::endpoint& aEndpoint);
 
+// Opens `aAcceptor` and listens on `aEndpoint`; leaves it closed on an error.
+boost::system::error_code
+OpenAcceptor(boost::asio::ip::tcp::acceptor& aAcceptor,
+             const boost::asio::ip::tcp::endpoint& aEndpoint);
+
 } // namespace thornhollow::testing
 
 #endif // THORNHOLLOW_TESTING_SOCKET_ADDRESS_H_
