--- a/thornhollow/testing/fault_proxy.cc
+++ b/thornhollow/testing/fault_proxy.cc
@@ -9,13 +9,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "thornhollow/net/internal/awaitable.h"
 #include "thornhollow/testing/event_loop_state.h"
 #include "thornhollow/testing/json_fields.h"
 #include "thornhollow/testing/socket_address.h"
@@ -25,17 +24,12 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using boost::system::error_code;
+using net_internal::Into;
 
 namespace {
 
 constexpr std::size_t kBufferBytes = 16384;
 
-auto
-Into(error_code& aError)
-{
-  return asio::redirect_error(asio::use_awaitable, aError);
-}
-
 std::size_t
 Index(proxy_direction aDirection)
 {
--- a/thornhollow/testing/http_server.cc
+++ b/thornhollow/testing/http_server.cc
@@ -9,9 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
@@ -21,6 +19,7 @@
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 
+#include "thornhollow/net/internal/awaitable.h"
 #include "thornhollow/testing/event_loop_state.h"
 #include "thornhollow/testing/socket_address.h"
 
@@ -31,17 +30,12 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
+using net_internal::Into;
 
 namespace {
 
 constexpr std::uint64_t kBodyLimit = 64ULL << 20;
 
-auto
-Into(error_code& aError)
-{
-  return asio::redirect_error(asio::use_awaitable, aError);
-}
-
 http_request
 Convert(const http::request<http::string_body>& aMessage)
 {
