fleet: idempotency keys across daemons by claims

Cause: an order sent twice with one key may reach two daemons, and no store exists that both could ask. Change: key_holder asks the key's witnesses (top three by rendezvous hash in the key's home domain) and runs only with every grant and one witness that vouches; key_witness remembers keys for a lifetime, bounded, and vouches only when it can't have forgotten one. base/error.h gets kKeyOfOtherRequest (422). Conclusion: to be searched with random faults next.

--- a/thornhollow/base/error.cc
+++ b/thornhollow/base/error.cc
@@ -146,6 +146,13 @@
     come_back::kNever,
     "A submission with this idempotency key ended before; this one was not "
     "run." },
+  { kKeyOfOtherRequest,
+    "key_of_other_request",
+    422,
+    ran::kNo,
+    come_back::kNever,
+    "The idempotency key belongs to a request with another content; this one "
+    "was not run." },
   { kKeyWitnessUnreachable,
     "key_witness_unreachable",
     503,
--- a/thornhollow/base/error.h
+++ b/thornhollow/base/error.h
@@ -73,6 +73,7 @@
   // The same idempotency key elsewhere.
   kKeyHeldElsewhere,
   kKeyAlreadyUsed,
+  kKeyOfOtherRequest,
   kKeyWitnessUnreachable,
 
   // An attempt failed.
--- /dev/null
+++ b/thornhollow/fleet/key_claims_test.cc
@@ -0,0 +1,264 @@
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "thornhollow/fleet/testing/fake_key_fleet.h"
+
+namespace thornhollow {
+namespace {
+
+constexpr claim_key kKey = 0x5eed;
+
+struct key_fleet
+{
+  fake_key_fleet mFleet{ link_quality{}, 11 };
+
+  key_fleet() { mFleet.Start(5); }
+
+  std::optional<error_kind> Refused(std::size_t aSubmission) const
+  {
+    return mFleet.At(aSubmission).mRefused;
+  }
+
+  std::size_t NotAWitness() const
+  {
+    const auto witnesses = mFleet.WitnessNodes(kKey);
+    std::size_t node = 0;
+    while (std::ranges::find(witnesses, node) != witnesses.end()) {
+      ++node;
+    }
+    return node;
+  }
+};
+
+TEST_CASE_FIXTURE(key_fleet, "key/one_submission/runs_once")
+{
+  mFleet.Submit(0, kKey);
+  mFleet.RunFor(Seconds(3));
+  CHECK(mFleet.Runs(kKey) == 1);
+}
+
+TEST_CASE_FIXTURE(key_fleet, "key/both_submissions_at_once/exactly_one_runs")
+{
+  // A caller's connection breaks at once and it sends the order again; the
+  // balancer gives the second to another daemon while the first is on its way.
+  for (claim_key key = 0; key < 200; ++key) {
+    mFleet.Submit(0, key);
+    mFleet.Submit(1, key);
+    mFleet.RunFor(Milliseconds(50));
+  }
+  mFleet.RunFor(Seconds(3));
+  for (claim_key key = 0; key < 200; ++key) {
+    CHECK(mFleet.Runs(key) == 1);
+  }
+}
+
+TEST_CASE_FIXTURE(key_fleet, "key/same_daemon_twice/second_is_held")
+{
+  mFleet.Submit(0, kKey);
+  const auto second = mFleet.Submit(0, kKey);
+  mFleet.RunFor(Seconds(3));
+  CHECK(Refused(second) == error_kind::kKeyHeldElsewhere);
+  CHECK(mFleet.Runs(kKey) == 1);
+}
+
+TEST_CASE_FIXTURE(key_fleet, "key/sent_again_after_its_end/is_already_used")
+{
+  mFleet.Submit(0, kKey);
+  mFleet.RunFor(Seconds(3));
+  const auto same = mFleet.Submit(0, kKey);
+  const auto other = mFleet.Submit(3, kKey);
+  mFleet.RunFor(Seconds(3));
+  CHECK(Refused(same) == error_kind::kKeyAlreadyUsed);
+  CHECK(Refused(other) == error_kind::kKeyAlreadyUsed);
+}
+
+TEST_CASE_FIXTURE(key_fleet, "key/another_body/is_refused")
+{
+  mFleet.Submit(0, kKey, 1);
+  const auto here = mFleet.Submit(0, kKey, 2);
+  mFleet.RunFor(Seconds(3));
+  const auto later = mFleet.Submit(3, kKey, 2);
+  mFleet.RunFor(Seconds(3));
+  CHECK(Refused(here) == error_kind::kKeyOfOtherRequest);
+  CHECK(Refused(later) == error_kind::kKeyOfOtherRequest);
+}
+
+TEST_CASE_FIXTURE(key_fleet, "key/holder_killed/later_ones_are_held")
+{
+  // The daemon that runs the order dies; nobody can tell whether it ran. The
+  // caller sends it again and must not get a second run.
+  mFleet.Submit(0, kKey);
+  mFleet.RunFor(Milliseconds(600));
+  REQUIRE(mFleet.Runs(kKey) == 1);
+  mFleet.Restart(0);
+  mFleet.RunFor(Seconds(10));
+  const auto same = mFleet.Submit(0, kKey);
+  const auto other = mFleet.Submit(2, kKey);
+  mFleet.RunFor(Seconds(3));
+  CHECK(Refused(same) == error_kind::kKeyHeldElsewhere);
+  CHECK(Refused(other) == error_kind::kKeyHeldElsewhere);
+  CHECK(mFleet.Runs(kKey) == 1);
+}
+
+TEST_CASE_FIXTURE(key_fleet, "key/holder_wakes_late/claims_again_or_refuses")
+{
+  // A daemon gets its grants and is paused before it sends. It wakes after the
+  // witnesses forgot the key and another daemon ran the order.
+  mFleet.mLongestWait = Milliseconds(0);
+  const auto first = mFleet.Submit(0, kKey);
+  mFleet.RunFor(Milliseconds(2));
+  mFleet.Pause(0, Seconds(90));
+  mFleet.RunFor(Seconds(61));
+  mFleet.Submit(1, kKey);
+  mFleet.RunFor(Seconds(60));
+  CHECK(mFleet.Runs(kKey) == 1);
+  CHECK_FALSE(mFleet.At(first).mRan);
+}
+
+TEST_CASE_FIXTURE(key_fleet, "key/cut_off_from_witnesses/says_not_run")
+{
+  const std::size_t outside = NotAWitness();
+  mFleet.CutOff(outside, Seconds(20));
+  const auto first = mFleet.Submit(outside, kKey);
+  mFleet.RunFor(Seconds(1));
+  CHECK(Refused(first) == error_kind::kKeyWitnessUnreachable);
+  CHECK(AnswerFor(*Refused(first)).mRan == ran::kNo);
+  const auto second = mFleet.Submit(mFleet.WitnessNodes(kKey)[0], kKey);
+  mFleet.RunFor(Seconds(2));
+  CHECK(mFleet.At(second).mRan);
+}
+
+TEST_CASE_FIXTURE(key_fleet, "key/refused_by_a_lost_witness/is_free_again")
+{
+  // One of three witnesses doesn't answer: refused, "not run". The grants of
+  // the other two must not block the caller's next try for a whole lifetime.
+  const auto witnesses = mFleet.WitnessNodes(kKey);
+  mFleet.CutOff(witnesses[2], Seconds(5));
+  const auto first = mFleet.Submit(NotAWitness(), kKey);
+  mFleet.RunFor(Seconds(6));
+  CHECK(Refused(first) == error_kind::kKeyWitnessUnreachable);
+  const auto second = mFleet.Submit(witnesses[0], kKey);
+  mFleet.RunFor(Seconds(2));
+  CHECK(mFleet.At(second).mRan);
+}
+
+TEST_CASE_FIXTURE(key_fleet, "key/fewer_than_all_witnesses_replaced/runs_once")
+{
+  const auto witnesses = mFleet.WitnessNodes(kKey);
+  mFleet.Submit(NotAWitness(), kKey);
+  mFleet.RunFor(Seconds(2));
+  mFleet.Restart(witnesses[0]);
+  mFleet.Restart(witnesses[1]);
+  mFleet.RunFor(Seconds(10));
+  const auto again = mFleet.Submit(NotAWitness(), kKey);
+  mFleet.RunFor(Seconds(2));
+  CHECK(Refused(again) == error_kind::kKeyAlreadyUsed);
+}
+
+TEST_CASE_FIXTURE(key_fleet,
+                  "key/all_witnesses_replaced/refused_till_old_enough")
+{
+  // All three witnesses restart within a key's lifetime. None remembers that
+  // the order ran; all would grant it. They refuse until no key from before can
+  // be live.
+  const auto witnesses = mFleet.WitnessNodes(kKey);
+  mFleet.Submit(NotAWitness(), kKey);
+  // Past the last repetition of the end, which would tell the new ones.
+  mFleet.RunFor(Seconds(35));
+  for (const std::size_t each : witnesses) {
+    mFleet.Restart(each);
+  }
+  mFleet.RunFor(Seconds(6));
+  const auto again = mFleet.Submit(NotAWitness(), kKey);
+  mFleet.RunFor(Seconds(2));
+  CHECK(Refused(again) == error_kind::kKeyWitnessUnreachable);
+  CHECK(mFleet.Runs(kKey) == 1);
+  mFleet.RunFor(Seconds(90));
+  const auto other = mFleet.Submit(NotAWitness(), kKey + 1);
+  mFleet.RunFor(Seconds(2));
+  CHECK(mFleet.At(other).mRan);
+}
+
+TEST_CASE_FIXTURE(key_fleet, "key/views_differ/is_refused")
+{
+  // The list lags: the holder has the new one, the witness the old one, and
+  // they disagree about who the witnesses are.
+  const key_claim_settings settings;
+  const auto view = [](std::uint64_t aVersion, int aFirst) {
+    claim_view out{ { domain_name("hall") }, { aVersion, {} } };
+    for (int number = aFirst; number < aFirst + 3; ++number) {
+      out.mList.mInstances.push_back({ instance_name(std::to_string(number)),
+                                       domain_name("hall"),
+                                       "",
+                                       false });
+    }
+    return out;
+  };
+  key_witness witness(settings, instance_name("3"), time_point{});
+  witness.OnView(view(1, 1), time_point{});
+  claim_request request{
+    claim_kind::kClaim, kKey, 1, {}, 1, WitnessesOf(kKey, view(2, 2), 3)
+  };
+  CHECK(witness.OnRequest(request, time_point{}).mVerdict ==
+        claim_verdict::kViewDiffers);
+  request.mWitnesses = WitnessesOf(kKey, view(1, 1), 3);
+  CHECK(witness.OnRequest(request, time_point{}).mVerdict ==
+        claim_verdict::kGranted);
+}
+
+TEST_CASE("key_witness/full/refuses_and_forgets_only_what_expired")
+{
+  key_claim_settings settings;
+  settings.mMaxKeys = 100;
+  const claim_view view{
+    { domain_name("hall") },
+    { 1, { { instance_name("a"), domain_name("hall"), "", false } } }
+  };
+  time_point now{};
+  key_witness witness(settings, instance_name("a"), now);
+  witness.OnView(view, now);
+  const auto ask = [&](claim_key aKey) {
+    const claim_request request{ claim_kind::kClaim,    aKey, 1, {}, aKey,
+                                 { instance_name("a") } };
+    return witness.OnRequest(request, now).mVerdict;
+  };
+  for (claim_key key = 1; key <= 100; ++key) {
+    CHECK(ask(key) == claim_verdict::kGranted);
+  }
+  CHECK(ask(101) == claim_verdict::kNoRoom);
+  CHECK(witness.size() == 100);
+  for (int second = 0; second < 600; ++second) {
+    now += Seconds(1);
+    witness.Tick(now);
+  }
+  CHECK(witness.size() == 0);
+  CHECK(ask(101) == claim_verdict::kGranted);
+}
+
+TEST_CASE("key_witness/claim_after_its_own_release/is_not_granted")
+{
+  // The question overtakes nothing: it waits in a paused witness's socket while
+  // its release, sent after the holder gave up, arrives first. Granted then, it
+  // would hold the key for a lifetime with nobody working on it.
+  const claim_view view{
+    { domain_name("hall") },
+    { 1, { { instance_name("a"), domain_name("hall"), "", false } } }
+  };
+  key_witness witness({}, instance_name("a"), time_point{});
+  witness.OnView(view, time_point{});
+  claim_request request{
+    claim_kind::kRelease,      kKey, 1,
+    { instance_name("b"), 1 }, 5,    { instance_name("a") }
+  };
+  witness.OnRequest(request, time_point{});
+  request.mKind = claim_kind::kClaim;
+  CHECK(witness.OnRequest(request, time_point{}).mVerdict ==
+        claim_verdict::kHeld);
+  request.mHolder.mName = instance_name("c");
+  CHECK(witness.OnRequest(request, time_point{}).mVerdict ==
+        claim_verdict::kGranted);
+}
+
+} // namespace
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/fleet/key_holder.h
@@ -0,0 +1,177 @@
+// The daemon that got a submission with an idempotency key: it claims the key
+// from the key's witnesses before anything is sent to an endpoint.
+//
+//   key_holder holder(key_claim_settings{}, { self, epoch });
+//   Apply(holder.Submit(ticket, key, fingerprint, now));  // run_key,
+//   refuse_key
+//   ...                                                   // or later
+//   Apply(holder.BeforeSend(ticket, now));                // before each
+//   attempt Apply(holder.OnEnded(ticket, ran::kYes, now));
+//
+// Of two submissions at once at most one runs: the witness of the highest rank
+// is asked alone first, so that one of the two gets all grants and the other is
+// denied at once, instead of each being denied by the other's witness.
+//
+// Guards against a holder that was paused: it wakes, still believing that it
+// holds the key, and sends the order, after the witnesses forgot it and another
+// daemon ran it. It shows as a gap between two calls, or as a claim older than
+// half a key's lifetime; `BeforeSend` then claims again before it says run. The
+// other half is the margin for the time between that and the bytes leaving.
+// After a pause the view of the instances is too old as well: submissions are
+// refused until `OnView` brings one. A submission older than a lifetime is not
+// run at all.
+#ifndef THORNHOLLOW_FLEET_KEY_HOLDER_H_
+#define THORNHOLLOW_FLEET_KEY_HOLDER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "thornhollow/base/error.h"
+#include "thornhollow/fleet/key_claims.h"
+
+namespace thornhollow {
+
+// Names a submission within one process.
+using submission = std::uint64_t;
+
+// Send this to the witness (possibly this daemon itself) and hand its answer to
+// `OnAnswer`, or the lack of one to `OnUnreachable`.
+struct ask_witness
+{
+  instance_name mTo;
+  claim_request mRequest;
+
+  friend bool operator==(const ask_witness&, const ask_witness&) = default;
+};
+
+// Send this to the witness; its answer is of no interest.
+struct tell_witness
+{
+  instance_name mTo;
+  claim_request mRequest;
+
+  friend bool operator==(const tell_witness&, const tell_witness&) = default;
+};
+
+// The submission holds its key: send it now.
+struct run_key
+{
+  submission mSubmission = 0;
+
+  friend bool operator==(const run_key&, const run_key&) = default;
+};
+
+// The submission must not run. It has not been sent by a `run_key` that
+// followed from the refused call; it is forgotten.
+struct refuse_key
+{
+  submission mSubmission = 0;
+  error_kind mKind = error_kind::kKeyWitnessUnreachable;
+
+  friend bool operator==(const refuse_key&, const refuse_key&) = default;
+};
+
+using key_action = std::variant<ask_witness, tell_witness, run_key, refuse_key>;
+using key_actions = std::vector<key_action>;
+
+class key_holder
+{
+public:
+  key_holder(const key_claim_settings& aSettings, claim_holder aSelf);
+
+  // Takes the declared domains and the platform's list. A list of a lower
+  // version than the last is ignored.
+  void OnView(const claim_view& aView, time_point aNow);
+
+  // A new submission. `aFingerprint` is a hash of the request.
+  key_actions Submit(submission aSubmission,
+                     claim_key aKey,
+                     std::uint64_t aFingerprint,
+                     time_point aNow);
+
+  // Must be called before the submission is sent to an endpoint, each time, and
+  // only while nothing has been run yet. Comes back with `run_key` at once
+  // while the claim is sure, else when it has been claimed again.
+  key_actions BeforeSend(submission aSubmission, time_point aNow);
+
+  key_actions OnAnswer(const claim_answer& aAnswer, time_point aNow);
+
+  // The witness could not be asked, or did not answer in time.
+  key_actions OnUnreachable(const instance_name& aWitness,
+                            claim_key aKey,
+                            std::uint64_t aClaim,
+                            time_point aNow);
+
+  // The submission got its final answer. After `ran::kNo` its key is free
+  // again; else it is used up.
+  key_actions OnEnded(submission aSubmission, ran aRan, time_point aNow);
+
+  // Renews claims, repeats messages, ends what waited too long. To be called
+  // every 100 ms.
+  key_actions Tick(time_point aNow);
+
+  // Submissions in progress.
+  std::size_t size() const { return mClaims.size(); }
+
+private:
+  struct claim
+  {
+    submission mSubmission = 0;
+    claim_request mRequest;
+    std::vector<instance_name> mAwaited;
+    std::vector<instance_name> mGranted;
+    // Everyone who was ever asked; all of them are told the end.
+    std::vector<instance_name> mAsked;
+    bool mVouched = false;
+    bool mHeld = false;
+    time_point mSubmitted{};
+    // When the present round of questions began.
+    time_point mRoundStarted{};
+    time_point mNextRenewal{};
+  };
+
+  // Told once more, as a lost message would keep the key held for a lifetime.
+  struct repetition
+  {
+    claim_request mRequest;
+    std::vector<instance_name> mTo;
+    std::size_t mRound = 0;
+    time_point mDue{};
+  };
+
+  void Observe(time_point aNow);
+  claim* FindBySubmission(submission aSubmission);
+  // Starts asking; the claim's number is a new one.
+  void StartRound(claim& aClaim, time_point aNow, key_actions& aOut);
+  void Ask(claim& aClaim, const instance_name& aWitness, key_actions& aOut);
+  void TakeGrant(claim& aClaim, const claim_answer& aAnswer, key_actions& aOut);
+  void Refuse(const claim& aClaim,
+              error_kind aKind,
+              time_point aNow,
+              key_actions& aOut);
+  // Tells all witnesses and forgets the claim.
+  void End(const claim& aClaim,
+           claim_kind aKind,
+           time_point aNow,
+           key_actions& aOut);
+  void Renew(claim& aClaim, time_point aNow, key_actions& aOut);
+  void Repeat(time_point aNow, key_actions& aOut);
+
+  key_claim_settings mSettings;
+  claim_holder mSelf;
+  claim_view mView;
+  std::uint64_t mLastListVersion = 0;
+  std::uint64_t mLastClaim = 0;
+  std::optional<time_point> mLastCall;
+  std::unordered_map<claim_key, claim> mClaims;
+  std::unordered_map<submission, claim_key> mKeys;
+  std::vector<repetition> mRepetitions;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_FLEET_KEY_HOLDER_H_
