policy: own and other routers' requests at an endpoint

Cause: several routers see an endpoint only through reports that lag. Change: endpoint_load subtracts the own count at the report's time and lets the rest fade with the report's age. Result: its tests pass: a report two seconds old with six requests, one of them own, leaves five others beside three own. Not wired yet. Conclusion: to be taken up by the endpoint table.

--- /dev/null
+++ b/thornhollow/policy/endpoint_load_test.cc
@@ -0,0 +1,59 @@
+#include <doctest/doctest.h>
+
+#include "thornhollow/policy/endpoint_load.h"
+
+namespace thornhollow {
+namespace {
+
+constexpr time_point kStart{ Seconds(100) };
+
+struct shared_endpoint
+{
+  static load_report Report(std::uint32_t aRunning,
+                            std::uint32_t aWaiting,
+                            time_point aTaken)
+  {
+    load_report report;
+    report.mRunning = aRunning;
+    report.mWaiting = aWaiting;
+    report.mTakenAt = aTaken;
+    return report;
+  }
+
+  endpoint_load mLoad{ endpoint_load_settings{} };
+};
+
+// Two routers share an endpoint whose report is two seconds old. The report
+// counts one request of this router, which has sent two more since; taken at
+// face value it would hide those two or count the first one twice.
+TEST_CASE_FIXTURE(shared_endpoint,
+                  "endpoint_load/late_report/own_requests_counted_once")
+{
+  mLoad.OnSent(kStart);
+  mLoad.OnSent(kStart + Seconds(2));
+  mLoad.OnSent(kStart + Seconds(2));
+  mLoad.OnReport(Report(4, 2, kStart + Seconds(1)), kStart + Seconds(2));
+  CHECK(mLoad.InFlight() == 3);
+  CHECK(mLoad.Others(kStart + Seconds(2)) == 5);
+}
+
+TEST_CASE_FIXTURE(shared_endpoint, "endpoint_load/report_ages/fades_to_nothing")
+{
+  mLoad.OnReport(Report(7, 0, kStart), kStart);
+  CHECK(mLoad.Others(kStart + Seconds(1)) == 7);
+  CHECK(mLoad.Others(kStart + Milliseconds(4500)) == doctest::Approx(3.5));
+  CHECK(mLoad.Others(kStart + Seconds(8)) == 0);
+}
+
+TEST_CASE_FIXTURE(shared_endpoint,
+                  "endpoint_load/older_report_comes_later/ignored")
+{
+  mLoad.OnReport(Report(7, 0, kStart + Seconds(1)), kStart + Seconds(1));
+  mLoad.OnReport(Report(2, 0, kStart), kStart + Seconds(1));
+  CHECK(mLoad.Others(kStart + Seconds(1)) == 7);
+  mLoad.ForgetReport();
+  CHECK(mLoad.Others(kStart + Seconds(1)) == 0);
+}
+
+} // namespace
+} // namespace thornhollow
