policy: subset of a large pool for each entry instance

Cause: at 420 daemons and 850 endpoints state would grow with their product. Change: endpoint_subset; in the own domain each endpoint picks its routers by rendezvous hash, others fill up; pools of up to 16 are taken whole.

--- /dev/null
+++ b/thornhollow/policy/endpoint_subset.cc
@@ -0,0 +1,120 @@
+#include "thornhollow/policy/endpoint_subset.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <numeric>
+#include <string_view>
+#include <utility>
+
+#include "thornhollow/base/hash.h"
+
+namespace thornhollow {
+namespace {
+
+using weighted = std::pair<std::uint64_t, std::size_t>;
+
+std::uint64_t
+Weight(std::uint64_t aRouter, std::uint64_t aEndpoint)
+{
+  return CombineHash(aRouter, aEndpoint);
+}
+
+std::vector<std::uint64_t>
+HashesOf(const std::vector<instance_name>& aRouters, const instance_name& aOwn)
+{
+  std::vector<std::uint64_t> hashes{ Hash64(aOwn.Text()) };
+  for (const instance_name& each : aRouters) {
+    if (each != aOwn) {
+      hashes.push_back(Hash64(each.Text()));
+    }
+  }
+  return hashes;
+}
+
+// How many routers weigh more for `aEndpoint` than the own one.
+std::size_t
+RoutersAhead(const std::vector<std::uint64_t>& aRouters,
+             std::uint64_t aOwn,
+             std::uint64_t aEndpoint)
+{
+  const std::uint64_t own = Weight(aOwn, aEndpoint);
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aRouters, [own, aEndpoint](std::uint64_t aRouter) {
+      return Weight(aRouter, aEndpoint) > own;
+    }));
+}
+
+// Moves the heaviest of `aFrom` to `aChosen` until that holds `aWanted`.
+void
+FillUp(std::vector<weighted> aFrom,
+       std::size_t aWanted,
+       std::vector<std::size_t>& aChosen)
+{
+  std::ranges::sort(aFrom, std::greater<>());
+  for (const auto& [weight, index] : aFrom) {
+    if (aChosen.size() >= aWanted) {
+      return;
+    }
+    aChosen.push_back(index);
+  }
+}
+
+// The own domain's part of a pool that is larger than the bound.
+std::vector<std::size_t>
+ChooseOfOwnDomain(std::span<const subset_candidate> aPool,
+                  const std::vector<std::size_t>& aOwnDomain,
+                  const subset_view& aView,
+                  const endpoint_subset_settings& aSettings)
+{
+  const std::vector<std::uint64_t> routers =
+    HashesOf(aView.mRouters, aView.mOwn);
+  const std::uint64_t own = routers.front();
+  const std::size_t wanted = aSettings.mMeanPerPool * routers.size();
+  const std::size_t pickedRouters =
+    (wanted + aOwnDomain.size() - 1) / aOwnDomain.size();
+  std::vector<weighted> picking;
+  std::vector<weighted> others;
+  for (const std::size_t index : aOwnDomain) {
+    const std::uint64_t endpoint = Hash64(aPool[index].mName.Text());
+    auto& into =
+      RoutersAhead(routers, own, endpoint) < pickedRouters ? picking : others;
+    into.emplace_back(Weight(own, endpoint), index);
+  }
+  std::vector<std::size_t> chosen;
+  FillUp(std::move(picking), aSettings.mMostPerPool, chosen);
+  FillUp(std::move(others), aSettings.mLeastPerPool, chosen);
+  return chosen;
+}
+
+} // namespace
+
+std::vector<std::size_t>
+ChooseSubset(std::span<const subset_candidate> aPool,
+             const subset_view& aView,
+             const endpoint_subset_settings& aSettings)
+{
+  std::vector<std::size_t> chosen(aPool.size());
+  std::iota(chosen.begin(), chosen.end(), 0);
+  if (aPool.size() <= aSettings.mMostPerPool) {
+    return chosen;
+  }
+  const auto elsewhere =
+    std::stable_partition(chosen.begin(), chosen.end(), [&](std::size_t aEach) {
+      return aPool[aEach].mDomain == aView.mDomain;
+    });
+  std::vector<weighted> others;
+  const std::uint64_t own = Hash64(aView.mOwn.Text());
+  for (auto each = elsewhere; each != chosen.end(); ++each) {
+    others.emplace_back(Weight(own, Hash64(aPool[*each].mName.Text())), *each);
+  }
+  chosen.erase(elsewhere, chosen.end());
+  if (chosen.size() > aSettings.mMostPerPool) {
+    chosen = ChooseOfOwnDomain(aPool, chosen, aView, aSettings);
+  } else {
+    FillUp(std::move(others), aSettings.mMostPerPool, chosen);
+  }
+  std::ranges::sort(chosen);
+  return chosen;
+}
+
+} // namespace thornhollow
