policy: failing, silent and slow endpoints leave and return

Cause: a crashed endpoint looks idle, a silent one holds every request. Change: endpoint_health tells failure, silence and slowness apart; probes with doubling distance; a share that grows with each answer. Conclusion: to be taken up by the endpoint table.

--- /dev/null
+++ b/thornhollow/policy/endpoint_health_test.cc
@@ -0,0 +1,135 @@
+#include <doctest/doctest.h>
+
+#include "thornhollow/policy/endpoint_health.h"
+
+namespace thornhollow {
+namespace {
+
+struct one_endpoint
+{
+  void End(attempt_end aHow, duration aLength = Milliseconds(100))
+  {
+    mHealth.OnSent(mNow);
+    mNow += aLength;
+    mHealth.OnEnded(aHow, aLength, true, mNow);
+  }
+
+  std::uint32_t Allowance() const { return mHealth.Allowance(16, 0, mNow); }
+
+  time_point mNow{ Seconds(100) };
+  endpoint_health mHealth{ endpoint_health_settings{} };
+};
+
+// A crashed endpoint refuses connections within a millisecond. It always looks
+// idle, so every new request goes there and fails.
+TEST_CASE_FIXTURE(one_endpoint,
+                  "endpoint_health/three_failures_in_row/only_probes")
+{
+  End(attempt_end::kFailed);
+  End(attempt_end::kFailed);
+  CHECK(Allowance() == 16);
+  End(attempt_end::kFailed);
+  CHECK(mHealth.Kind() == health_kind::kFailing);
+  CHECK(Allowance() == 0);
+  mNow += Seconds(1);
+  CHECK(Allowance() == 1);
+  End(attempt_end::kFailed);
+  CHECK(mHealth.NextProbe() == mNow + Seconds(2) - Milliseconds(100));
+}
+
+TEST_CASE_FIXTURE(one_endpoint,
+                  "endpoint_health/probe_answered/share_grows_slowly")
+{
+  for (int i = 0; i < 3; ++i) {
+    End(attempt_end::kFailed);
+  }
+  mNow += Seconds(1);
+  End(attempt_end::kCompleted);
+  CHECK(mHealth.Kind() == health_kind::kReturning);
+  CHECK(Allowance() == 2);
+  for (int i = 0; i < 16; ++i) {
+    End(attempt_end::kCompleted);
+  }
+  CHECK(mHealth.Share() < 1);
+  End(attempt_end::kCompleted);
+  CHECK(mHealth.Kind() == health_kind::kServing);
+}
+
+TEST_CASE_FIXTURE(one_endpoint,
+                  "endpoint_health/every_second_attempt_fails/leaves")
+{
+  for (int i = 0; i < 40 && mHealth.Share() == 1; ++i) {
+    End(i % 3 == 0 ? attempt_end::kCompleted : attempt_end::kFailed);
+  }
+  CHECK(mHealth.Kind() == health_kind::kFailing);
+}
+
+// An endpoint hangs: connections stay open, nothing comes. Each request sent
+// there holds its caller until the request's own time limit.
+TEST_CASE_FIXTURE(one_endpoint,
+                  "endpoint_health/no_sign_of_life/no_new_work_after_bound")
+{
+  mHealth.OnSent(mNow);
+  mHealth.Update(mNow + Milliseconds(2999));
+  CHECK(mHealth.Share() == 1);
+  mHealth.Update(mNow + Seconds(3));
+  CHECK(mHealth.Kind() == health_kind::kSilent);
+  mHealth.OnFirstToken(Seconds(4), mNow + Seconds(4));
+  CHECK(mHealth.Kind() == health_kind::kReturning);
+}
+
+TEST_CASE_FIXTURE(one_endpoint,
+                  "endpoint_health/silence_explained/stays_in_service")
+{
+  mHealth.OnSent(mNow);
+  mHealth.OnQueueReported(mNow + Seconds(2));
+  mHealth.Update(mNow + Seconds(4));
+  CHECK(mHealth.Share() == 1);
+  mHealth.OnClockGap(mNow + Seconds(60));
+  mHealth.Update(mNow + Seconds(62));
+  CHECK(mHealth.Share() == 1);
+  mHealth.OnEnded(attempt_end::kCancelled, Seconds(62), true, mNow);
+  mHealth.Update(mNow + Seconds(70));
+  CHECK(mHealth.Share() == 1);
+}
+
+// A device between router and endpoint lost track of one connection. The
+// request on it is never answered while others to the same endpoint are.
+TEST_CASE_FIXTURE(one_endpoint,
+                  "endpoint_health/one_dead_connection/stays_in_service")
+{
+  mHealth.OnSent(mNow);
+  mHealth.OnSent(mNow);
+  mHealth.OnFirstToken(Milliseconds(50), mNow + Milliseconds(50));
+  mHealth.OnEnded(attempt_end::kSilent, Seconds(2), true, mNow + Seconds(2));
+  CHECK(mHealth.Share() == 1);
+  mHealth.OnSent(mNow + Seconds(2));
+  mHealth.OnEnded(attempt_end::kSilent, Seconds(1), true, mNow + Seconds(3));
+  CHECK(mHealth.Kind() == health_kind::kSilent);
+}
+
+TEST_CASE_FIXTURE(one_endpoint,
+                  "endpoint_health/straggler/share_halves_each_second")
+{
+  for (const std::uint32_t expected : { 8U, 4U, 2U, 2U, 2U }) {
+    mHealth.OnPace(4, true, mNow);
+    mHealth.OnPace(4, true, mNow);
+    CHECK(Allowance() == expected);
+    mNow += Seconds(1);
+  }
+  mHealth.OnPace(1, true, mNow);
+  CHECK(mHealth.Kind() == health_kind::kReturning);
+}
+
+TEST_CASE_FIXTURE(one_endpoint,
+                  "endpoint_health/pool_cant_spare_it/keeps_its_share")
+{
+  for (int i = 0; i < 9; ++i) {
+    mHealth.OnEnded(attempt_end::kFailed, Milliseconds(1), false, mNow);
+    mHealth.OnPace(9, false, mNow);
+  }
+  CHECK(mHealth.Share() == 1);
+}
+
+} // namespace
+} // namespace thornhollow
