policy: endpoint table joins limits, health, choice, prefixes, lengths

Cause: the table took the endpoint with the fewest own requests, whatever its speed, reports, failures or cache. Change: endpoint_table keeps per pool the list of endpoints with a free place, looks at the prefix's holders and three random ones, and takes the cheapest by endpoint_choice. Additive: SetRouters, OnClockGap, Advance, NextDue, ExpectedTokens, IsLong, Status. Endpoints already tried are taken only when no other one serves, as the header always said. Conclusion: the scheduler has to call Advance, NextDue and OnClockGap.

--- a/thornhollow/policy/endpoint_table.cc
+++ b/thornhollow/policy/endpoint_table.cc
@@ -1,97 +1,381 @@
 #include "thornhollow/policy/endpoint_table.h"
 
 #include <algorithm>
+#include <string>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace thornhollow {
+namespace {
 
-endpoint_table::endpoint_table(const endpoint_table_settings& /*aSettings*/,
-                               std::uint64_t /*aSeed*/)
+using internal::endpoint_record;
+using internal::member_state;
+using internal::pool_index;
+
+// How often a place that other routers' work keeps taken is looked at again
+// while their report fades.
+constexpr duration kRecheckEvery = Milliseconds(250);
+
+} // namespace
+
+endpoint_table::endpoint_table(const endpoint_table_settings& aSettings,
+                               std::uint64_t aSeed)
+  : mSettings(aSettings)
+  , mRandom(aSeed)
+  , mAffinity(aSettings.mPrefix)
+  , mLengths(aSettings.mLength)
 {
+  // Until it is told who it is, an instance has a subset of its own.
+  mView.mOwn = instance_name(std::to_string(aSeed));
+}
+
+void
+endpoint_table::SetRouters(const instance_name& aOwn,
+                           const std::vector<instance_name>& aRouters)
+{
+  mView.mOwn = aOwn;
+  mView.mRouters = aRouters;
 }
 
 void
 endpoint_table::Configure(const declarations& aDeclared,
-                          const domain_name& /*aOwnDomain*/,
-                          time_point /*aNow*/)
-{
-  std::unordered_map<endpoint_name, entry> kept;
-  mByPool.clear();
-  for (const endpoint& declared : aDeclared.mEndpoints) {
-    entry next{ declared };
-    if (const auto old = mEntries.find(declared.mName); old != mEntries.end()) {
-      next.mState = old->second.mState;
-      next.mInFlight = old->second.mInFlight;
+                          const domain_name& aOwnDomain,
+                          time_point aNow)
+{
+  for (std::optional<entry>& each : mEntries) {
+    if (each) {
+      each->mRecord.Undeclare();
+      each->mPools.clear();
+    }
+  }
+  mView.mDomain = aOwnDomain;
+  AddToPools(aDeclared);
+  mLengths.Configure(aDeclared);
+  DropUnused();
+  for (std::optional<entry>& each : mEntries) {
+    if (each) {
+      Refresh(*each, aNow);
     }
-    kept.emplace(declared.mName, std::move(next));
-    for (const pool_name& pool : declared.mPools) {
-      mByPool[pool].push_back(declared.mName);
+  }
+}
+
+void
+endpoint_table::AddToPools(const declarations& aDeclared)
+{
+  std::unordered_map<pool_name, std::vector<const endpoint*>> serving;
+  std::unordered_set<endpoint_name> names;
+  for (const endpoint& each : aDeclared.mEndpoints) {
+    names.insert(each.mName);
+    for (const pool_name& pool : each.mPools) {
+      serving[pool].push_back(&each);
+    }
+  }
+  std::erase_if(mNotLive, [&names](const auto& aEach) {
+    return !names.contains(aEach.first);
+  });
+  std::erase_if(mPools, [&serving](const auto& aEach) {
+    return !serving.contains(aEach.first);
+  });
+  for (auto& [name, pool] : mPools) {
+    pool.mIndex.Clear();
+  }
+  for (const auto& [name, endpoints] : serving) {
+    AddToPool(name, endpoints);
+  }
+}
+
+void
+endpoint_table::AddToPool(const pool_name& aPool,
+                          const std::vector<const endpoint*>& aServing)
+{
+  std::vector<subset_candidate> candidates;
+  candidates.reserve(aServing.size());
+  for (const endpoint* each : aServing) {
+    candidates.push_back({ each->mName, each->mDomain });
+  }
+  pool_index& index = mPools[aPool].mIndex;
+  for (const std::size_t each :
+       ChooseSubset(candidates, mView, mSettings.mSubset)) {
+    const endpoint& declared = *aServing[each];
+    const endpoint_number number = NumberFor(declared);
+    const bool isOwn = declared.mDomain == mView.mDomain;
+    const std::uint32_t member = index.Add(
+      number, isOwn ? pool_index::kOwnDomain : pool_index::kOtherDomain);
+    mEntries[number]->mPools.push_back({ &index, member });
+  }
+}
+
+endpoint_table::endpoint_number
+endpoint_table::NumberFor(const endpoint& aDeclared)
+{
+  if (const auto known = mNumbers.find(aDeclared.mName);
+      known != mNumbers.end()) {
+    mEntries[known->second]->mRecord.Declare(aDeclared);
+    return known->second;
+  }
+  if (mUnused.empty()) {
+    mUnused.push_back(static_cast<endpoint_number>(mEntries.size()));
+    mEntries.emplace_back();
+  }
+  const endpoint_number number = mUnused.back();
+  mUnused.pop_back();
+  mEntries[number].emplace(
+    entry{ endpoint_record(mSettings.mRecord, aDeclared), {}, {} });
+  if (const auto state = mNotLive.find(aDeclared.mName);
+      state != mNotLive.end()) {
+    mEntries[number]->mRecord.SetState(state->second, time_point{});
+  }
+  mNumbers.emplace(aDeclared.mName, number);
+  return number;
+}
+
+void
+endpoint_table::DropUnused()
+{
+  for (endpoint_number number = 0; number < mEntries.size(); ++number) {
+    std::optional<entry>& each = mEntries[number];
+    // One with requests in flight stays until they ended and counts them.
+    if (each && !each->mRecord.IsDeclared() && each->mRecord.InFlight() == 0) {
+      mNumbers.erase(each->mRecord.Declared().mName);
+      mAffinity.Forget(number);
+      each.reset();
+      mUnused.push_back(number);
     }
   }
-  mEntries = std::move(kept);
 }
 
 std::optional<endpoint_name>
 endpoint_table::Choose(const work_item& aItem,
                        std::span<const endpoint_name> aTried,
-                       time_point /*aNow*/)
+                       time_point aNow)
 {
-  const auto pool = mByPool.find(aItem.mPool);
-  if (pool == mByPool.end()) {
+  Advance(aNow);
+  const auto pool = mPools.find(aItem.mPool);
+  if (pool == mPools.end()) {
     return std::nullopt;
   }
-  const entry* best = nullptr;
-  bool bestWasTried = true;
-  for (const endpoint_name& name : pool->second) {
-    const entry& candidate = mEntries.at(name);
-    if (candidate.mState != endpoint_state::kLive ||
-        candidate.mInFlight >= candidate.mDeclared.mSlots) {
+  search look = Begin(aItem, aTried, pool->second, aNow);
+  for (const pool_index::rank rank :
+       { pool_index::kOwnDomain, pool_index::kOtherDomain }) {
+    Sample(rank, look);
+    if (!look.mBest) {
+      Walk(rank, look);
+    }
+    if (look.mBest) {
+      return mEntries[*look.mBest]->mRecord.Declared().mName;
+    }
+  }
+  return std::nullopt;
+}
+
+endpoint_table::search
+endpoint_table::Begin(const work_item& aItem,
+                      std::span<const endpoint_name> aTried,
+                      pool_state& aPool,
+                      time_point aNow)
+{
+  search look{ aItem, aTried, aPool, {}, {}, false, false, aNow, {}, 0 };
+  look.mSize.mPromptTokens = aItem.mPromptTokens;
+  look.mSize.mOutputTokens = mLengths.Expected(aItem);
+  look.mHolders = mAffinity.Holders(aItem.mPrefix, aNow);
+  look.mAvoidTried = !aTried.empty() && !EveryServingOneTried(aPool, aTried);
+  if (!mLengths.IsLong(aItem)) {
+    aPool.mShortSeen = aNow;
+  } else if (mSettings.mBoundLongWork && aPool.mShortSeen) {
+    look.mBoundLong = aNow - *aPool.mShortSeen < mSettings.mShortSeenWithin;
+  }
+  return look;
+}
+
+bool
+endpoint_table::EveryServingOneTried(const pool_state& aPool,
+                                     std::span<const endpoint_name> aTried)
+{
+  std::uint32_t tried = 0;
+  for (auto each = aTried.begin(); each != aTried.end(); ++each) {
+    // An endpoint may have been tried more than once.
+    if (std::find(aTried.begin(), each, *each) != each) {
+      continue;
+    }
+    const entry* found = Find(*each);
+    const bool serves = found != nullptr &&
+                        MemberOf(*found, aPool).has_value() &&
+                        found->mRecord.Health().Share() > 0;
+    tried += serves ? 1 : 0;
+  }
+  return tried >= aPool.mIndex.Serving();
+}
+
+// The endpoints that hold the prefix and a few random ones.
+void
+endpoint_table::Sample(pool_index::rank aRank, search& aSearch)
+{
+  for (const endpoint_number each : aSearch.mHolders) {
+    if (each == prefix_affinity::kNobody || !mEntries[each]) {
       continue;
     }
-    const bool wasTried =
-      std::ranges::find(aTried, name) != std::ranges::end(aTried);
-    if (best == nullptr || std::pair(wasTried, candidate.mInFlight) <
-                             std::pair(bestWasTried, best->mInFlight)) {
-      best = &candidate;
-      bestWasTried = wasTried;
+    if (const auto member = MemberOf(*mEntries[each], aSearch.mPool);
+        member && aSearch.mPool.mIndex.RankOf(*member) == aRank) {
+      LookAt(each, aSearch);
+    }
+  }
+  for (std::size_t i = 0; i < mSettings.mChoice.mSample; ++i) {
+    const auto& withPlace = aSearch.mPool.mIndex.WithPlace(aRank);
+    if (withPlace.empty()) {
+      return;
     }
+    LookAt(withPlace[Random(withPlace.size())], aSearch);
+  }
+}
+
+// From a random one on, the first that fits.
+void
+endpoint_table::Walk(pool_index::rank aRank, search& aSearch)
+{
+  const auto& withPlace = aSearch.mPool.mIndex.WithPlace(aRank);
+  if (withPlace.empty()) {
+    return;
+  }
+  std::size_t at = Random(withPlace.size());
+  for (std::size_t i = 0; i < mSettings.mLongestWalk; ++i) {
+    const std::size_t listed = withPlace.size();
+    LookAt(withPlace[at % listed], aSearch);
+    if (aSearch.mBest || withPlace.empty() || i >= listed) {
+      return;
+    }
+    // One that turned out to be full left the list, and another took its place
+    // there: look at the same position again.
+    at += withPlace.size() == listed ? 1 : 0;
+  }
+}
+
+void
+endpoint_table::LookAt(endpoint_number aNumber, search& aSearch)
+{
+  entry& candidate = *mEntries[aNumber];
+  Refresh(candidate, aSearch.mNow);
+  if (!candidate.mRecord.HasPlace(aSearch.mNow) || !Fits(candidate, aSearch)) {
+    return;
+  }
+  const double cost = Cost(aNumber, aSearch);
+  if (!aSearch.mBest || cost < aSearch.mBestCost) {
+    aSearch.mBest = aNumber;
+    aSearch.mBestCost = cost;
+  }
+}
+
+bool
+endpoint_table::Fits(const entry& aEntry, const search& aSearch) const
+{
+  const endpoint_record& record = aEntry.mRecord;
+  const bool wasTried =
+    std::ranges::find(aSearch.mTried, record.Declared().mName) !=
+    aSearch.mTried.end();
+  if (wasTried && aSearch.mAvoidTried) {
+    return false;
+  }
+  if (record.Health().Share() == 0) {
+    return FitsAsProbe(aEntry, aSearch);
+  }
+  return !aSearch.mBoundLong || record.HasPlaceForLong(aSearch.mNow);
+}
+
+// A probe may get no answer. So it is a request that may be repeated, and not
+// of the highest tier, unless none came for long or nothing else serves.
+bool
+endpoint_table::FitsAsProbe(const entry& aEntry, const search& aSearch) const
+{
+  const work_item& item = aSearch.mItem;
+  const std::optional<time_point> due = aEntry.mRecord.Health().NextProbe();
+  const bool waitedLong = due && aSearch.mNow - *due >= mSettings.mProbeWaits;
+  return (item.mIdempotent && item.mTier > kHighestTier) || waitedLong ||
+         aSearch.mPool.mIndex.Serving() == 0;
+}
+
+double
+endpoint_table::Cost(endpoint_number aNumber, const search& aSearch) const
+{
+  const endpoint_record& record = mEntries[aNumber]->mRecord;
+  const pool_index& pool = aSearch.mPool.mIndex;
+  if (record.Health().Share() == 0) {
+    // A probe that is due goes first: it is the only way back.
+    return 0;
   }
-  return best == nullptr ? std::nullopt : std::optional(best->mDeclared.mName);
+  const duration half = mSettings.mChoice.mForgetHalf;
+  endpoint_figures figures;
+  figures.mLoad = record.LoadShare(aSearch.mNow);
+  figures.mFirstToken =
+    record.FirstToken().Value(pool.mFirstToken.Value(), half, aSearch.mNow);
+  figures.mPerToken =
+    record.PerToken().Value(pool.mPerToken.Value(), half, aSearch.mNow);
+  figures.mFailureShare = record.Health().FailureShare();
+  figures.mHasPrefix =
+    std::ranges::find(aSearch.mHolders, aNumber) != aSearch.mHolders.end();
+  return CostOf(figures, aSearch.mSize, mSettings.mChoice);
+}
+
+std::size_t
+endpoint_table::Random(std::size_t aBelow)
+{
+  return std::uniform_int_distribution<std::size_t>(0, aBelow - 1)(mRandom);
 }
 
 void
 endpoint_table::OnSent(const endpoint_name& aEndpoint,
-                       const work_item& /*aItem*/,
-                       time_point /*aNow*/)
+                       const work_item& aItem,
+                       time_point aNow)
 {
-  if (const auto found = mEntries.find(aEndpoint); found != mEntries.end()) {
-    ++found->second.mInFlight;
+  if (entry* found = Find(aEndpoint)) {
+    found->mRecord.OnSent(aItem.mTicket, mLengths.IsLong(aItem), aNow);
+    mAffinity.Remember(aItem.mPrefix, mNumbers.at(aEndpoint), aNow);
+    Refresh(*found, aNow);
   }
 }
 
 void
-endpoint_table::OnFirstToken(const endpoint_name& /*aEndpoint*/,
-                             const work_item& /*aItem*/,
-                             duration /*aWait*/,
-                             time_point /*aNow*/)
+endpoint_table::OnFirstToken(const endpoint_name& aEndpoint,
+                             const work_item& aItem,
+                             duration aWait,
+                             time_point aNow)
 {
+  entry* found = Find(aEndpoint);
+  if (found == nullptr) {
+    return;
+  }
+  if (const auto pool = mPools.find(aItem.mPool);
+      pool != mPools.end() && !found->mRecord.SpansGap(aWait, aNow)) {
+    pool->second.mIndex.mFirstToken.Add(ToSeconds(aWait));
+  }
+  found->mRecord.OnFirstToken(aItem.mTicket, aWait, aNow);
+  Refresh(*found, aNow);
 }
 
 void
 endpoint_table::OnEnded(const endpoint_name& aEndpoint,
-                        const work_item& /*aItem*/,
+                        const work_item& aItem,
                         attempt_end aHow,
-                        std::uint32_t /*aTokens*/,
-                        duration /*aLength*/,
+                        std::uint32_t aTokens,
+                        duration aLength,
                         time_point aNow)
 {
-  if (const auto found = mEntries.find(aEndpoint);
-      found != mEntries.end() && found->second.mInFlight > 0) {
-    --found->second.mInFlight;
+  if (aHow == attempt_end::kCompleted && aTokens > 0) {
+    mLengths.Learn(aItem.mClass, aItem.mPool, aTokens);
+  }
+  entry* found = Find(aEndpoint);
+  if (found == nullptr) {
+    return;
   }
-  if (aHow == attempt_end::kDeclinedLeaving) {
-    SetState(aEndpoint, endpoint_state::kLeaving, aNow);
+  const bool mayLeave = MayLose(*found);
+  const std::optional<double> pace = found->mRecord.OnEnded(
+    aItem.mTicket, aHow, aTokens, aLength, mayLeave, aNow);
+  if (const auto pool = mPools.find(aItem.mPool);
+      pace && pool != mPools.end()) {
+    internal::typical_value& typical = pool->second.mIndex.mPerToken;
+    typical.Add(*pace);
+    found->mRecord.OnPace(*pace, typical.Value(), mayLeave, aNow);
   }
+  Refresh(*found, aNow);
 }
 
 void
@@ -99,39 +383,167 @@
                              const load_report& aReport,
                              time_point aNow)
 {
-  if (aReport.mLeaving) {
-    SetState(aEndpoint, endpoint_state::kLeaving, aNow);
+  if (entry* found = Find(aEndpoint)) {
+    found->mRecord.OnReport(aReport, aNow);
+    Refresh(*found, aNow);
   }
 }
 
 void
 endpoint_table::SetState(const endpoint_name& aEndpoint,
                          endpoint_state aState,
-                         time_point /*aNow*/)
+                         time_point aNow)
 {
-  if (const auto found = mEntries.find(aEndpoint); found != mEntries.end()) {
-    found->second.mState = aState;
+  if (aState == endpoint_state::kLive) {
+    mNotLive.erase(aEndpoint);
+  } else {
+    mNotLive[aEndpoint] = aState;
+  }
+  if (entry* found = Find(aEndpoint)) {
+    found->mRecord.SetState(aState, aNow);
+    Refresh(*found, aNow);
+  }
+}
+
+void
+endpoint_table::OnClockGap(time_point aNow)
+{
+  for (std::optional<entry>& each : mEntries) {
+    if (each) {
+      each->mRecord.OnClockGap(aNow);
+      Refresh(*each, aNow);
+    }
   }
 }
 
+void
+endpoint_table::Advance(time_point aNow)
+{
+  while (!mRechecks.empty() && mRechecks.top().mAt <= aNow) {
+    const recheck due = mRechecks.top();
+    mRechecks.pop();
+    std::optional<entry>& each = mEntries[due.mEndpoint];
+    if (each && each->mRecheck == due.mAt) {
+      each->mRecheck.reset();
+      Refresh(*each, aNow);
+    }
+  }
+}
+
+std::optional<time_point>
+endpoint_table::NextDue() const
+{
+  return mRechecks.empty() ? std::nullopt : std::optional(mRechecks.top().mAt);
+}
+
 bool
 endpoint_table::Serves(const pool_name& aPool) const
 {
-  return Places(aPool) > 0;
+  const auto found = mPools.find(aPool);
+  return found != mPools.end() && found->second.mIndex.Live() > 0;
 }
 
 std::uint32_t
 endpoint_table::Places(const pool_name& aPool) const
 {
-  std::uint32_t places = 0;
-  if (const auto pool = mByPool.find(aPool); pool != mByPool.end()) {
-    for (const endpoint_name& name : pool->second) {
-      const entry& each = mEntries.at(name);
-      places +=
-        each.mState == endpoint_state::kLive ? each.mDeclared.mSlots : 0;
+  const auto found = mPools.find(aPool);
+  return found == mPools.end() ? 0 : found->second.mIndex.Places();
+}
+
+double
+endpoint_table::ExpectedTokens(const work_item& aItem) const
+{
+  return mLengths.Expected(aItem);
+}
+
+bool
+endpoint_table::IsLong(const work_item& aItem) const
+{
+  return mLengths.IsLong(aItem);
+}
+
+std::vector<endpoint_status>
+endpoint_table::Status(time_point aNow) const
+{
+  std::vector<endpoint_status> all;
+  for (const std::optional<entry>& each : mEntries) {
+    if (each) {
+      const endpoint_record& record = each->mRecord;
+      all.push_back({ record.Declared().mName,
+                      record.State(),
+                      record.Health().Kind(),
+                      record.Health().Share(),
+                      record.Limit().Limit(),
+                      record.InFlight(),
+                      record.Others(aNow) });
     }
   }
-  return places;
+  std::ranges::sort(all, {}, [](const endpoint_status& aEach) {
+    return std::string_view(aEach.mName.Text());
+  });
+  return all;
+}
+
+endpoint_table::entry*
+endpoint_table::Find(const endpoint_name& aEndpoint)
+{
+  const auto found = mNumbers.find(aEndpoint);
+  return found == mNumbers.end() ? nullptr : &*mEntries[found->second];
+}
+
+bool
+endpoint_table::MayLose(const entry& aEntry)
+{
+  return std::ranges::all_of(aEntry.mPools, [](const membership& aEach) {
+    return aEach.mPool->MayLose(aEach.mMember);
+  });
+}
+
+std::optional<std::uint32_t>
+endpoint_table::MemberOf(const entry& aEntry, const pool_state& aPool)
+{
+  const auto found =
+    std::ranges::find(aEntry.mPools, &aPool.mIndex, &membership::mPool);
+  return found == aEntry.mPools.end() ? std::nullopt
+                                      : std::optional(found->mMember);
+}
+
+void
+endpoint_table::Refresh(entry& aEntry, time_point aNow)
+{
+  endpoint_record& record = aEntry.mRecord;
+  record.Update(aNow);
+  const double share = record.Health().Share();
+  member_state state;
+  state.mLive = record.MayTakeWork(aNow);
+  state.mServing = state.mLive && share > 0;
+  state.mHasPlace = record.HasPlace(aNow);
+  state.mPlaces = state.mServing ? record.Capacity(aNow) : 0;
+  state.mLost = state.mLive ? 1 - share : 0;
+  for (const membership& each : aEntry.mPools) {
+    each.mPool->Update(each.mMember, state);
+  }
+  if (!state.mHasPlace) {
+    ScheduleRecheck(aEntry, aNow);
+  }
+}
+
+void
+endpoint_table::ScheduleRecheck(entry& aEntry, time_point aNow)
+{
+  const endpoint_record& record = aEntry.mRecord;
+  std::optional<time_point> at = record.OwnWordEnds(aNow);
+  if (!at && record.MayTakeWork(aNow)) {
+    at = record.Health().NextProbe();
+  }
+  if (!at && record.MayTakeWork(aNow) && record.Others(aNow) > 0) {
+    at = aNow + kRecheckEvery;
+  }
+  if (!at || *at <= aNow || (aEntry.mRecheck && *aEntry.mRecheck <= *at)) {
+    return;
+  }
+  aEntry.mRecheck = at;
+  mRechecks.push({ *at, mNumbers.at(record.Declared().mName) });
 }
 
 } // namespace thornhollow
--- a/thornhollow/policy/endpoint_table.h
+++ b/thornhollow/policy/endpoint_table.h
@@ -5,30 +5,84 @@
 //   table.Configure(declared, ownDomain, now);
 //   if (const auto chosen = table.Choose(item, tried, now)) { ... }
 //
+// It joins the modules of the endpoint side; each states its own load pattern:
+// concurrency_limit.h, endpoint_load.h, endpoint_health.h, endpoint_choice.h,
+// prefix_affinity.h, length_estimate.h, endpoint_subset.h.
+//
+// The cost of a decision doesn't grow with the endpoints: each pool keeps the
+// list of those with a free place, a decision looks at a few random ones of it.
+// What changes by time alone (a report that fades, a probe that falls due) is
+// looked at again when it falls due, see `NextDue`.
 #ifndef THORNHOLLOW_POLICY_ENDPOINT_TABLE_H_
 #define THORNHOLLOW_POLICY_ENDPOINT_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <queue>
+#include <random>
 #include <span>
 #include <unordered_map>
 #include <vector>
 
+#include "thornhollow/policy/endpoint_choice.h"
+#include "thornhollow/policy/endpoint_subset.h"
+#include "thornhollow/policy/internal/endpoint_record.h"
+#include "thornhollow/policy/internal/pool_index.h"
+#include "thornhollow/policy/length_estimate.h"
+#include "thornhollow/policy/prefix_affinity.h"
 #include "thornhollow/policy/work.h"
 
 namespace thornhollow {
 
 struct endpoint_table_settings
 {
+  internal::endpoint_record_settings mRecord;
+  endpoint_choice_settings mChoice;
+  prefix_affinity_settings mPrefix;
+  length_estimate_settings mLength;
+  endpoint_subset_settings mSubset;
+  // False: long work may take every place.
+  bool mBoundLongWork = true;
+  // Long work is bounded only while short work came to the pool within this
+  // time: places kept for nobody are lost.
+  duration mShortSeenWithin = Seconds(10);
+  // Endpoints looked at in turn where the sample holds no fit one; as many as a
+  // pool has in a subset, so that a free place there is always found.
+  std::size_t mLongestWalk = 32;
+  // A probe that found no fit request for this long takes any.
+  duration mProbeWaits = Seconds(10);
+
   friend bool operator==(const endpoint_table_settings&,
                          const endpoint_table_settings&) = default;
 };
 
+// One endpoint as operators see it.
+struct endpoint_status
+{
+  endpoint_name mName;
+  endpoint_state mState = endpoint_state::kLive;
+  health_kind mHealth = health_kind::kServing;
+  double mShare = 1;
+  std::uint32_t mLimit = 0;
+  std::uint32_t mInFlight = 0;
+  double mOthers = 0;
+
+  friend bool operator==(const endpoint_status&,
+                         const endpoint_status&) = default;
+};
+
 class endpoint_table
 {
 public:
   endpoint_table(const endpoint_table_settings& aSettings, std::uint64_t aSeed);
 
+  // Who this instance is and which entry instances its domain has, for the
+  // subset. Takes effect with the next `Configure`.
+  void SetRouters(const instance_name& aOwn,
+                  const std::vector<instance_name>& aRouters);
+
   // Takes the declared endpoints. What was learnt about one that stays is kept.
   void Configure(const declarations& aDeclared,
                  const domain_name& aOwnDomain,
@@ -65,22 +119,116 @@
                 endpoint_state aState,
                 time_point aNow);
 
+  // This process stood still (clock_gap.h). Until something new is heard of an
+  // endpoint it gets one request more at most; old reports count for nothing,
+  // and answers that span the pause teach nothing.
+  void OnClockGap(time_point aNow);
+
+  // Looks again at what changes by time alone.
+  void Advance(time_point aNow);
+  // When `Advance` may free a place next; nothing where no time is set.
+  std::optional<time_point> NextDue() const;
+
   // Whether any endpoint that may take new work serves `aPool`.
   bool Serves(const pool_name& aPool) const;
 
   // Places of `aPool` over all endpoints in service, taken or free.
   std::uint32_t Places(const pool_name& aPool) const;
 
+  // Tokens to expect of the answer to `aItem`.
+  double ExpectedTokens(const work_item& aItem) const;
+  // Whether `aItem` counts as long work: it may find no place where a request
+  // behind it does.
+  bool IsLong(const work_item& aItem) const;
+
+  // Every endpoint that this instance works with, by name.
+  std::vector<endpoint_status> Status(time_point aNow) const;
+
 private:
+  using endpoint_number = std::uint32_t;
+
+  struct membership
+  {
+    // Nodes of the map of pools stay where they are.
+    internal::pool_index* mPool = nullptr;
+    std::uint32_t mMember = 0;
+  };
   struct entry
   {
-    endpoint mDeclared;
-    endpoint_state mState = endpoint_state::kLive;
-    std::uint32_t mInFlight = 0;
+    internal::endpoint_record mRecord;
+    std::vector<membership> mPools;
+    std::optional<time_point> mRecheck;
+  };
+  struct recheck
+  {
+    time_point mAt{};
+    endpoint_number mEndpoint = 0;
+    friend bool operator>(const recheck& aLeft, const recheck& aRight)
+    {
+      return aLeft.mAt > aRight.mAt;
+    }
+  };
+  struct pool_state
+  {
+    internal::pool_index mIndex;
+    std::optional<time_point> mShortSeen;
   };
+  // One decision while it is made.
+  struct search
+  {
+    const work_item& mItem;
+    std::span<const endpoint_name> mTried;
+    pool_state& mPool;
+    request_size mSize;
+    prefix_affinity::holders mHolders{};
+    bool mAvoidTried = false;
+    bool mBoundLong = false;
+    time_point mNow{};
+    std::optional<endpoint_number> mBest;
+    double mBestCost = 0;
+  };
+
+  entry* Find(const endpoint_name& aEndpoint);
+  endpoint_number NumberFor(const endpoint& aDeclared);
+  void AddToPools(const declarations& aDeclared);
+  void AddToPool(const pool_name& aPool,
+                 const std::vector<const endpoint*>& aServing);
+  void DropUnused();
+  // Brings the pools up to date with what changed about an endpoint.
+  void Refresh(entry& aEntry, time_point aNow);
+  void ScheduleRecheck(entry& aEntry, time_point aNow);
+  static bool MayLose(const entry& aEntry);
+  // The member number of `aEntry` in `aPool`, where it is one.
+  static std::optional<std::uint32_t> MemberOf(const entry& aEntry,
+                                               const pool_state& aPool);
+
+  search Begin(const work_item& aItem,
+               std::span<const endpoint_name> aTried,
+               pool_state& aPool,
+               time_point aNow);
+  bool EveryServingOneTried(const pool_state& aPool,
+                            std::span<const endpoint_name> aTried);
+  void LookAt(endpoint_number aNumber, search& aSearch);
+  void Sample(internal::pool_index::rank aRank, search& aSearch);
+  void Walk(internal::pool_index::rank aRank, search& aSearch);
+  bool Fits(const entry& aEntry, const search& aSearch) const;
+  bool FitsAsProbe(const entry& aEntry, const search& aSearch) const;
+  double Cost(endpoint_number aNumber, const search& aSearch) const;
+  std::size_t Random(std::size_t aBelow);
 
-  std::unordered_map<endpoint_name, entry> mEntries;
-  std::unordered_map<pool_name, std::vector<endpoint_name>> mByPool;
+  endpoint_table_settings mSettings;
+  std::mt19937_64 mRandom;
+  subset_view mView;
+  prefix_affinity mAffinity;
+  length_estimate mLengths;
+  std::unordered_map<endpoint_name, endpoint_number> mNumbers;
+  // Numbers of endpoints that are gone are used again.
+  std::vector<std::optional<entry>> mEntries;
+  std::vector<endpoint_number> mUnused;
+  std::unordered_map<pool_name, pool_state> mPools;
+  // States other than live, also of endpoints outside the subset.
+  std::unordered_map<endpoint_name, endpoint_state> mNotLive;
+  std::priority_queue<recheck, std::vector<recheck>, std::greater<>> mRechecks;
 };
 
 } // namespace thornhollow
--- /dev/null
+++ b/thornhollow/policy/endpoint_table_test.cc
@@ -0,0 +1,254 @@
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "thornhollow/policy/endpoint_table.h"
+
+namespace thornhollow {
+namespace {
+
+struct table_fixture
+{
+  static endpoint_name Name(int aNumber)
+  {
+    return endpoint_name("e" + std::to_string(aNumber));
+  }
+
+  void Declare(int aCount, std::uint32_t aSlots, int aDomains = 1)
+  {
+    declarations declared;
+    for (int i = 0; i < aCount; ++i) {
+      declared.mEndpoints.push_back(
+        { Name(i),
+          domain_name("d" + std::to_string(i % aDomains)),
+          "127.0.0.1:1",
+          { pool_name("m") },
+          aSlots });
+    }
+    mTable.Configure(declared, domain_name("d0"), mNow);
+  }
+
+  work_item Item(std::uint64_t aPrefix = 0)
+  {
+    work_item item;
+    item.mTicket = ++mLast;
+    item.mPool = pool_name("m");
+    item.mClass = class_name("c");
+    item.mTier = 2;
+    item.mPrefix = aPrefix;
+    item.mPromptTokens = 2000;
+    item.mIdempotent = true;
+    return item;
+  }
+
+  // Chooses and sends; nothing where no place is free.
+  std::optional<endpoint_name> Send(const work_item& aItem)
+  {
+    auto chosen = mTable.Choose(aItem, {}, mNow);
+    if (chosen) {
+      mTable.OnSent(*chosen, aItem, mNow);
+    }
+    return chosen;
+  }
+
+  void End(const endpoint_name& aEndpoint,
+           const work_item& aItem,
+           attempt_end aHow)
+  {
+    mTable.OnEnded(aEndpoint, aItem, aHow, 100, Seconds(1), mNow);
+  }
+
+  static load_report Report(std::uint32_t aRunning, time_point aTaken)
+  {
+    load_report report;
+    report.mRunning = aRunning;
+    report.mTakenAt = aTaken;
+    return report;
+  }
+
+  time_point mNow{ Seconds(100) };
+  ticket mLast = 0;
+  endpoint_table mTable{ endpoint_table_settings{}, 1 };
+};
+
+TEST_CASE_FIXTURE(table_fixture,
+                  "endpoint_table/burst/fills_every_place_and_no_more")
+{
+  Declare(5, 4);
+  std::unordered_map<endpoint_name, int> sent;
+  for (int i = 0; i < 20; ++i) {
+    const auto chosen = Send(Item());
+    REQUIRE(chosen);
+    ++sent[*chosen];
+  }
+  CHECK(sent.size() == 5);
+  CHECK_FALSE(Send(Item()));
+  CHECK(mTable.Places(pool_name("m")) == 20);
+}
+
+// Eight routers get the same report, which says that one endpoint is idle and
+// nine are half full. Were each to take the least loaded one, the next eight
+// requests would all go there.
+TEST_CASE_FIXTURE(table_fixture,
+                  "endpoint_table/one_reported_idle/eight_routers_spread")
+{
+  std::unordered_map<endpoint_name, int> sent;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    mTable = endpoint_table(endpoint_table_settings{}, seed);
+    Declare(10, 16);
+    for (int i = 1; i < 10; ++i) {
+      mTable.OnLoadReport(Name(i), Report(8, mNow), mNow);
+    }
+    ++sent[*Send(Item())];
+  }
+  CHECK(sent[Name(0)] <= 4);
+}
+
+TEST_CASE_FIXTURE(table_fixture,
+                  "endpoint_table/own_domain_full/others_take_the_rest")
+{
+  Declare(4, 2, 2);
+  for (int i = 0; i < 4; ++i) {
+    const endpoint_name chosen = *Send(Item());
+    CHECK((chosen == Name(0) || chosen == Name(2)));
+  }
+  const endpoint_name chosen = *Send(Item());
+  CHECK((chosen == Name(1) || chosen == Name(3)));
+}
+
+TEST_CASE_FIXTURE(table_fixture, "endpoint_table/hot_prefix/stays_then_spreads")
+{
+  Declare(8, 16);
+  // The pool's pace is learnt first: 10 ms a token.
+  const work_item first = Item(7);
+  const endpoint_name holder = *Send(first);
+  mTable.OnFirstToken(holder, first, Milliseconds(10), mNow);
+  End(holder, first, attempt_end::kCompleted);
+  std::unordered_map<endpoint_name, int> sent;
+  for (int i = 0; i < 60; ++i) {
+    const endpoint_name chosen = *Send(Item(7));
+    CHECK((i > 0 || chosen == holder));
+    ++sent[chosen];
+  }
+  CHECK(sent[holder] < 16);
+  CHECK(sent.size() >= 5);
+}
+
+// The platform's list lags: it says that an endpoint is live which has told
+// this router, by declining a request, that it leaves.
+TEST_CASE_FIXTURE(table_fixture,
+                  "endpoint_table/says_leaving_list_says_live/no_new_work")
+{
+  Declare(1, 4);
+  const work_item item = Item();
+  Send(item);
+  End(Name(0), item, attempt_end::kDeclinedLeaving);
+  mTable.SetState(Name(0), endpoint_state::kLive, mNow);
+  CHECK_FALSE(mTable.Serves(pool_name("m")));
+  CHECK_FALSE(Send(Item()));
+  mTable.SetState(Name(0), endpoint_state::kGone, mNow);
+  mTable.SetState(Name(0), endpoint_state::kLive, mNow);
+  CHECK(Send(Item()));
+}
+
+TEST_CASE_FIXTURE(table_fixture,
+                  "endpoint_table/endpoint_falls_silent/no_new_work_after_3_s")
+{
+  Declare(2, 100);
+  mTable.OnSent(Name(0), Item(), mNow);
+  mNow += Seconds(3);
+  for (int i = 0; i < 50; ++i) {
+    CHECK(Send(Item()) == Name(1));
+  }
+  // The probe, one second later, and only it.
+  CHECK(mTable.NextDue() == mNow + Seconds(1));
+  mNow += Seconds(1);
+  int probes = 0;
+  for (int i = 0; i < 20; ++i) {
+    probes += Send(Item()) == Name(0) ? 1 : 0;
+  }
+  CHECK(probes == 1);
+}
+
+// The process was paused for a minute. Its reports are old, and an endpoint
+// that it takes for live may have left meanwhile.
+TEST_CASE_FIXTURE(table_fixture,
+                  "endpoint_table/process_paused/one_request_until_refreshed")
+{
+  Declare(1, 16);
+  Send(Item());
+  mNow += Seconds(60);
+  mTable.OnClockGap(mNow);
+  CHECK(Send(Item()));
+  CHECK_FALSE(Send(Item()));
+  mTable.OnLoadReport(Name(0), Report(2, mNow - Seconds(30)), mNow);
+  CHECK_FALSE(Send(Item()));
+  mTable.OnLoadReport(Name(0), Report(2, mNow), mNow);
+  CHECK(Send(Item()));
+}
+
+TEST_CASE_FIXTURE(table_fixture,
+                  "endpoint_table/tried_one_left/waits_for_another")
+{
+  Declare(2, 1);
+  const std::vector<endpoint_name> tried{ Name(0) };
+  mTable.OnSent(Name(1), Item(), mNow);
+  CHECK_FALSE(mTable.Choose(Item(), tried, mNow));
+  mTable.SetState(Name(1), endpoint_state::kGone, mNow);
+  CHECK(mTable.Choose(Item(), tried, mNow) == Name(0));
+}
+
+TEST_CASE_FIXTURE(table_fixture,
+                  "endpoint_table/redeclared_in_flight/places_kept")
+{
+  Declare(2, 1);
+  const work_item first = Item();
+  const work_item second = Item();
+  Send(first);
+  Send(second);
+  Declare(0, 1);
+  CHECK_FALSE(mTable.Serves(pool_name("m")));
+  Declare(2, 1);
+  CHECK_FALSE(Send(Item()));
+  for (const endpoint_status& each : mTable.Status(mNow)) {
+    CHECK(each.mInFlight == 1);
+  }
+}
+
+// Long answers arrive first and would take every place for a minute, while
+// short ones behind them miss their first token's target.
+TEST_CASE_FIXTURE(table_fixture,
+                  "endpoint_table/long_among_short/quarter_kept_for_short")
+{
+  Declare(2, 8);
+  work_item item = Item();
+  for (int i = 0; i < 64; ++i) {
+    const bool isLong = i % 4 == 0;
+    item.mClass = class_name(isLong ? "plans" : "notes");
+    mTable.OnEnded(Name(0),
+                   item,
+                   attempt_end::kCompleted,
+                   isLong ? 2000 : 40,
+                   Seconds(1),
+                   mNow);
+  }
+  item.mClass = class_name("notes");
+  CHECK(mTable.Choose(item, {}, mNow));
+  int sent = 0;
+  work_item plan = Item();
+  plan.mClass = class_name("plans");
+  while (const auto chosen = Send(plan)) {
+    mTable.OnFirstToken(*chosen, plan, Milliseconds(50), mNow);
+    plan.mTicket = ++mLast;
+    ++sent;
+  }
+  CHECK(sent == 12);
+  mNow += Seconds(10);
+  CHECK(Send(plan));
+}
+
+} // namespace
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/policy/internal/endpoint_record.h
@@ -0,0 +1,129 @@
+// All that one router knows of one endpoint.
+#ifndef THORNHOLLOW_POLICY_INTERNAL_ENDPOINT_RECORD_H_
+#define THORNHOLLOW_POLICY_INTERNAL_ENDPOINT_RECORD_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "thornhollow/policy/concurrency_limit.h"
+#include "thornhollow/policy/endpoint_health.h"
+#include "thornhollow/policy/endpoint_load.h"
+#include "thornhollow/policy/work.h"
+
+namespace thornhollow::internal {
+
+struct endpoint_record_settings
+{
+  endpoint_load_settings mLoad;
+  concurrency_limit_settings mLimit;
+  endpoint_health_settings mHealth;
+  // Routers that may share an endpoint; see `Capacity`.
+  std::uint32_t mRouters = 8;
+  // How long an endpoint's own word that it leaves outweighs a list that says
+  // it is live.
+  duration mOwnWordLife = Seconds(30);
+  // Part of an endpoint's places that long work may take.
+  double mLongShare = 0.75;
+
+  friend bool operator==(const endpoint_record_settings&,
+                         const endpoint_record_settings&) = default;
+};
+
+// An average in which a new value counts a fifth.
+class moving_average
+{
+public:
+  void Add(double aValue, time_point aNow);
+  // Drifts to `aTypical`, by half in each `aHalf`; that where nothing is known.
+  double Value(double aTypical, duration aHalf, time_point aNow) const;
+
+private:
+  double mValue = 0;
+  time_point mAdded{};
+};
+
+class endpoint_record
+{
+public:
+  endpoint_record(const endpoint_record_settings& aSettings,
+                  const endpoint& aDeclared);
+
+  void Declare(const endpoint& aDeclared);
+  void Undeclare() { mIsDeclared = false; }
+  const endpoint& Declared() const { return mDeclared; }
+  bool IsDeclared() const { return mIsDeclared; }
+
+  void OnSent(ticket aTicket, bool aLong, time_point aNow);
+  void OnFirstToken(ticket aTicket, duration aWait, time_point aNow);
+  // The seconds for each token of this attempt, where it tells.
+  std::optional<double> OnEnded(ticket aTicket,
+                                attempt_end aHow,
+                                std::uint32_t aTokens,
+                                duration aLength,
+                                bool aMayLeave,
+                                time_point aNow);
+  // Takes one observation of the time for each token.
+  void OnPace(double aSeconds,
+              double aTypical,
+              bool aMayLeave,
+              time_point aNow);
+  void OnReport(const load_report& aReport, time_point aNow);
+  void SetState(endpoint_state aState, time_point aNow);
+  void OnClockGap(time_point aNow);
+  void Update(time_point aNow) { mHealth.Update(aNow); }
+
+  bool MayTakeWork(time_point aNow) const;
+  // Until when the endpoint's own word that it leaves counts; nothing where it
+  // gave none.
+  std::optional<time_point> OwnWordEnds(time_point aNow) const;
+  // Own requests that may be in flight there now.
+  std::uint32_t Capacity(time_point aNow) const;
+  bool HasPlace(time_point aNow) const;
+  // Whether one more long request fits beside those there.
+  bool HasPlaceForLong(time_point aNow) const;
+  // Requests in flight there over all routers, as a share of the limit.
+  double LoadShare(time_point aNow) const;
+
+  std::uint32_t InFlight() const { return mLoad.InFlight(); }
+  double Others(time_point aNow) const { return mLoad.Others(aNow); }
+  const endpoint_health& Health() const { return mHealth; }
+  const concurrency_limit& Limit() const { return mLimit; }
+  endpoint_state State() const { return mState; }
+  const moving_average& FirstToken() const { return mFirstToken; }
+  const moving_average& PerToken() const { return mPerToken; }
+  // Whether an answer that took `aLength` up to now was sent before a pause of
+  // this process: then its times say nothing.
+  bool SpansGap(duration aLength, time_point aNow) const;
+
+private:
+  struct attempt
+  {
+    ticket mTicket = 0;
+    bool mLong = false;
+    duration mFirstToken{};
+  };
+
+  void Confirm() { mUnconfirmed.reset(); }
+
+  endpoint_record_settings mSettings;
+  endpoint mDeclared;
+  bool mIsDeclared = true;
+  endpoint_state mState = endpoint_state::kLive;
+  std::optional<time_point> mSaidLeaving;
+  // Set after a pause, until something new is heard: the requests in flight
+  // then.
+  std::optional<std::uint32_t> mUnconfirmed;
+  std::optional<time_point> mGap;
+  std::vector<attempt> mAttempts;
+  std::uint32_t mLong = 0;
+  endpoint_load mLoad;
+  concurrency_limit mLimit;
+  endpoint_health mHealth;
+  moving_average mFirstToken;
+  moving_average mPerToken;
+};
+
+} // namespace thornhollow::internal
+
+#endif // THORNHOLLOW_POLICY_INTERNAL_ENDPOINT_RECORD_H_
--- /dev/null
+++ b/thornhollow/policy/internal/pool_index.cc
@@ -0,0 +1,109 @@
+#include "thornhollow/policy/internal/pool_index.h"
+
+#include <algorithm>
+
+namespace thornhollow::internal {
+namespace {
+
+constexpr double kMedianStep = 0.02;
+// Share of a pool's live endpoints that may be out as outliers.
+constexpr double kMostLost = 1.0 / 3;
+
+} // namespace
+
+void
+typical_value::Add(double aValue)
+{
+  if (mValue == 0) {
+    mValue = aValue;
+    return;
+  }
+  if (aValue > mValue) {
+    mValue = std::min(aValue, mValue * (1 + kMedianStep));
+  } else {
+    mValue = std::max(aValue, mValue * (1 - kMedianStep));
+  }
+}
+
+void
+pool_index::Clear()
+{
+  mMembers.clear();
+  for (std::size_t each = 0; each < kRanks; ++each) {
+    mWithPlace[each].clear();
+    mMemberAt[each].clear();
+  }
+  mPlaces = 0;
+  mLive = 0;
+  mServing = 0;
+  mLost = 0;
+}
+
+std::uint32_t
+pool_index::Add(std::uint32_t aEndpoint, rank aRank)
+{
+  mMembers.push_back({ aEndpoint, aRank, kNowhere, {} });
+  return static_cast<std::uint32_t>(mMembers.size() - 1);
+}
+
+void
+pool_index::Update(std::uint32_t aMember, const member_state& aState)
+{
+  member& changed = mMembers[aMember];
+  if (changed.mState == aState) {
+    return;
+  }
+  const member_state before = changed.mState;
+  changed.mState = aState;
+  mPlaces += aState.mPlaces - before.mPlaces;
+  mLive += static_cast<std::uint32_t>(aState.mLive) -
+           static_cast<std::uint32_t>(before.mLive);
+  mServing += static_cast<std::uint32_t>(aState.mServing) -
+              static_cast<std::uint32_t>(before.mServing);
+  mLost = std::max(0.0, mLost + aState.mLost - before.mLost);
+  if (aState.mHasPlace && !before.mHasPlace) {
+    Insert(aMember);
+  } else if (!aState.mHasPlace && before.mHasPlace) {
+    Erase(aMember);
+  }
+}
+
+bool
+pool_index::MayLose(std::uint32_t aMember) const
+{
+  if (mLive < 2) {
+    return false;
+  }
+  const double most = std::max(1.0, mLive * kMostLost);
+  const double others = mLost - mMembers[aMember].mState.mLost;
+  // Sums of shares are compared with some room for rounding.
+  return others + 1 <= most + 1e-6;
+}
+
+void
+pool_index::Insert(std::uint32_t aMember)
+{
+  member& added = mMembers[aMember];
+  auto& endpoints = mWithPlace[added.mRank];
+  added.mPosition = static_cast<std::uint32_t>(endpoints.size());
+  endpoints.push_back(added.mEndpoint);
+  mMemberAt[added.mRank].push_back(aMember);
+}
+
+void
+pool_index::Erase(std::uint32_t aMember)
+{
+  member& erased = mMembers[aMember];
+  auto& endpoints = mWithPlace[erased.mRank];
+  auto& members = mMemberAt[erased.mRank];
+  // The last one takes the place of the erased one.
+  const std::uint32_t position = erased.mPosition;
+  endpoints[position] = endpoints.back();
+  members[position] = members.back();
+  mMembers[members[position]].mPosition = position;
+  endpoints.pop_back();
+  members.pop_back();
+  erased.mPosition = kNowhere;
+}
+
+} // namespace thornhollow::internal
--- /dev/null
+++ b/thornhollow/policy/internal/pool_index.h
@@ -0,0 +1,102 @@
+// The endpoints that serve one pool, and which of them have a free place, kept
+// up to date so that a decision looks at a few only.
+#ifndef THORNHOLLOW_POLICY_INTERNAL_POOL_INDEX_H_
+#define THORNHOLLOW_POLICY_INTERNAL_POOL_INDEX_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace thornhollow::internal {
+
+// What a pool needs to know of a member.
+struct member_state
+{
+  // May take new work by its state, if only probes.
+  bool mLive = false;
+  // Gets more than probes.
+  bool mServing = false;
+  bool mHasPlace = false;
+  // Places that this router may use there, taken or free.
+  std::uint32_t mPlaces = 0;
+  // Part of its share that it lost as an outlier, 0 to 1.
+  double mLost = 0;
+
+  friend bool operator==(const member_state&, const member_state&) = default;
+};
+
+// A running median of values that arrive one at a time, in constant memory:
+// each value moves it by a fiftieth towards itself. Robust against stragglers.
+class typical_value
+{
+public:
+  void Add(double aValue);
+  // Zero where nothing was added.
+  double Value() const { return mValue; }
+
+private:
+  double mValue = 0;
+};
+
+class pool_index
+{
+public:
+  // Domains by preference.
+  enum rank : std::uint8_t
+  {
+    kOwnDomain,
+    kOtherDomain,
+  };
+  static constexpr std::size_t kRanks = 2;
+
+  // Forgets the members, keeps what was learnt about the pool.
+  void Clear();
+  // Adds an endpoint; returns its member number here.
+  std::uint32_t Add(std::uint32_t aEndpoint, rank aRank);
+  // Constant time.
+  void Update(std::uint32_t aMember, const member_state& aState);
+
+  // Endpoint numbers of members with a free place, in no order.
+  const std::vector<std::uint32_t>& WithPlace(rank aRank) const
+  {
+    return mWithPlace[aRank];
+  }
+  rank RankOf(std::uint32_t aMember) const { return mMembers[aMember].mRank; }
+  std::uint32_t Places() const { return mPlaces; }
+  std::uint32_t Live() const { return mLive; }
+  std::uint32_t Serving() const { return mServing; }
+  // Whether one more member may lose its share: a third of the live ones at
+  // most, one where that is less, and never the only one.
+  bool MayLose(std::uint32_t aMember) const;
+
+  typical_value mFirstToken;
+  typical_value mPerToken;
+
+private:
+  static constexpr std::uint32_t kNowhere = UINT32_MAX;
+
+  struct member
+  {
+    std::uint32_t mEndpoint = 0;
+    rank mRank = kOwnDomain;
+    std::uint32_t mPosition = kNowhere;
+    member_state mState;
+  };
+
+  void Insert(std::uint32_t aMember);
+  void Erase(std::uint32_t aMember);
+
+  std::vector<member> mMembers;
+  std::array<std::vector<std::uint32_t>, kRanks> mWithPlace;
+  // Member numbers, in step with `mWithPlace`.
+  std::array<std::vector<std::uint32_t>, kRanks> mMemberAt;
+  std::uint32_t mPlaces = 0;
+  std::uint32_t mLive = 0;
+  std::uint32_t mServing = 0;
+  double mLost = 0;
+};
+
+} // namespace thornhollow::internal
+
+#endif // THORNHOLLOW_POLICY_INTERNAL_POOL_INDEX_H_
