Load reports: polled at a bounded rate

Cause: the endpoint table knows other routers' load only from reports, and polling each endpoint at an interval would cost daemons x endpoints. Conclusion: a daemon's polling cost is constant.

--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -1,7 +1,9 @@
 #include "thornhollow/daemon/daemon.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -10,6 +12,7 @@
 
 #include "thornhollow/config/catalog.h"
 #include "thornhollow/config/yaml_reader.h"
+#include "thornhollow/daemon/load_poller.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/daemon/operators_page.h"
 #include "thornhollow/daemon/router.h"
@@ -53,6 +56,25 @@
   return limits;
 }
 
+// Endpoints of models; plain services publish no load.
+std::vector<endpoint>
+ModelEngines(const declarations& aDeclared)
+{
+  std::set<pool_name> models;
+  for (const model& each : aDeclared.mModels) {
+    models.insert(PoolOf(each.mName));
+  }
+  std::vector<endpoint> engines;
+  for (const endpoint& each : aDeclared.mEndpoints) {
+    if (std::ranges::any_of(each.mPools, [&](const pool_name& aPool) {
+          return models.contains(aPool);
+        })) {
+      engines.push_back(each);
+    }
+  }
+  return engines;
+}
+
 router_settings
 RouterSettings(const daemon_settings& aSettings)
 {
@@ -98,6 +120,11 @@
         std::string(kInstancesPath),
         [this](const platform_value& aValue) { OnInstances(aValue); },
         [this] { mMetrics.OnEvent("platform_instances_unanswered"); })
+    , mLoadPoller(
+        aIo,
+        [this](const endpoint_name& aName, const load_report& aReport) {
+          mRouter.OnLoadReport(aName, aReport);
+        })
     , mDrainTimer(aIo)
   {
   }
@@ -108,6 +135,7 @@
     BOOST_LEAF_AUTO(operators, mOperators.Listen(mSettings.mOperatorAddress));
     mManifest.Start();
     mInstances.Start();
+    mLoadPoller.Start();
     mLog.Write(log_level::kInfo,
                "started",
                { { "name", mSettings.mName.Text() },
@@ -142,7 +170,9 @@
       return;
     }
     mRevision = aValue.mVersion;
-    mRouter.PutInForce(MakeCatalog(std::get<declarations>(std::move(verdict))));
+    auto declared = std::get<declarations>(std::move(verdict));
+    mLoadPoller.SetEndpoints(ModelEngines(declared));
+    mRouter.PutInForce(MakeCatalog(std::move(declared)));
     mMetrics.OnConfiguration(aValue.mVersion);
     mLog.Write(log_level::kInfo,
                "configuration_in_force",
@@ -227,6 +257,7 @@
   caller_server mOperators;
   platform_watch mManifest;
   platform_watch mInstances;
+  load_poller mLoadPoller;
   boost::asio::steady_timer mDrainTimer;
   std::optional<std::uint64_t> mRevision;
   std::optional<std::uint64_t> mRefusedRevision;
--- /dev/null
+++ b/thornhollow/daemon/load_poller.cc
@@ -0,0 +1,166 @@
+#include "thornhollow/daemon/load_poller.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include "thornhollow/net/http_fetch.h"
+
+namespace thornhollow {
+namespace {
+
+constexpr duration kInterval = Seconds(1) / kLoadPollsPerSecond;
+// A report that takes longer is too old to be of use.
+constexpr duration kPollTimeout = Seconds(1);
+constexpr std::size_t kMaxReportBytes = 4096;
+constexpr std::string_view kLoadPath = "/v1/load";
+constexpr unsigned kOk = 200;
+// A report claiming a greater age than this is told apart from nonsense.
+constexpr std::int64_t kOldestReportMs = 3'600'000;
+
+double
+NumberField(const boost::json::object& aObject, std::string_view aName)
+{
+  const boost::json::value* found = aObject.if_contains(aName);
+  if (found == nullptr || !found->is_number()) {
+    return 0;
+  }
+  return found->to_number<double>();
+}
+
+std::uint32_t
+CountField(const boost::json::object& aObject, std::string_view aName)
+{
+  constexpr double kMost = 1e6;
+  return static_cast<std::uint32_t>(
+    std::clamp(NumberField(aObject, aName), 0.0, kMost));
+}
+
+} // namespace
+
+class load_poller::loop : public std::enable_shared_from_this<loop>
+{
+public:
+  loop(boost::asio::io_context& aIo, listener aOnReport)
+    : mIo(aIo)
+    , mOnReport(std::move(aOnReport))
+    , mTimer(aIo)
+  {
+  }
+
+  void SetEndpoints(std::vector<endpoint> aEndpoints)
+  {
+    mEndpoints = std::move(aEndpoints);
+    mNext = 0;
+  }
+
+  void Next()
+  {
+    if (!mEndpoints.empty()) {
+      mNext = (mNext + 1) % mEndpoints.size();
+      Poll(mEndpoints[mNext]);
+    }
+    mTimer.expires_after(kInterval);
+    mTimer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& aWrong) {
+        if (!aWrong) {
+          self->Next();
+        }
+      });
+  }
+
+  void Stop()
+  {
+    mOnReport = nullptr;
+    mTimer.cancel();
+  }
+
+private:
+  void Poll(const endpoint& aEndpoint)
+  {
+    fetch_call call;
+    call.mAddress = aEndpoint.mAddress;
+    call.mTarget = kLoadPath;
+    call.mTimeout = kPollTimeout;
+    call.mMaxBytes = kMaxReportBytes;
+    Fetch(mIo,
+          call,
+          [self = shared_from_this(),
+           name = aEndpoint.mName](const fetch_outcome& aOutcome) {
+            self->OnOutcome(name, aOutcome);
+          });
+  }
+
+  void OnOutcome(const endpoint_name& aName, const fetch_outcome& aOutcome)
+  {
+    if (!mOnReport || !aOutcome || aOutcome->mHttpStatus != kOk) {
+      return;
+    }
+    if (const auto report =
+          ReadLoadReport(aOutcome->mBody, std::chrono::steady_clock::now())) {
+      mOnReport(aName, *report);
+    }
+  }
+
+  boost::asio::io_context& mIo;
+  listener mOnReport;
+  boost::asio::steady_timer mTimer;
+  std::vector<endpoint> mEndpoints;
+  std::size_t mNext = 0;
+};
+
+load_poller::load_poller(boost::asio::io_context& aIo, listener aOnReport)
+  : mLoop(std::make_shared<loop>(aIo, std::move(aOnReport)))
+{
+}
+
+load_poller::~load_poller()
+{
+  mLoop->Stop();
+}
+
+void
+load_poller::SetEndpoints(std::vector<endpoint> aEndpoints)
+{
+  mLoop->SetEndpoints(std::move(aEndpoints));
+}
+
+void
+load_poller::Start()
+{
+  mLoop->Next();
+}
+
+std::optional<load_report>
+ReadLoadReport(std::string_view aJson, time_point aArrival)
+{
+  boost::system::error_code wrong;
+  const boost::json::value parsed = boost::json::parse(aJson, wrong);
+  const boost::json::object* object = parsed.if_object();
+  if (wrong || object == nullptr || !object->contains("running")) {
+    return std::nullopt;
+  }
+  load_report report;
+  report.mRunning = CountField(*object, "running");
+  report.mWaiting = CountField(*object, "waiting");
+  report.mSlots = CountField(*object, "slots");
+  report.mCacheUsed = std::clamp(NumberField(*object, "kv_used"), 0.0, 1.0);
+  report.mStep = FromSeconds(
+    std::clamp(NumberField(*object, "step_ms"), 0.0, 60'000.0) / 1000);
+  const boost::json::value* leaving = object->if_contains("leaving");
+  report.mLeaving =
+    leaving != nullptr && leaving->is_bool() && leaving->get_bool();
+  const auto age =
+    std::clamp(static_cast<std::int64_t>(NumberField(*object, "age_ms")),
+               std::int64_t{ 0 },
+               kOldestReportMs);
+  report.mTakenAt = aArrival - Milliseconds(age);
+  return report;
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/load_poller_test.cc
@@ -0,0 +1,44 @@
+#include <doctest/doctest.h>
+
+#include "thornhollow/daemon/load_poller.h"
+
+namespace thornhollow {
+namespace {
+
+constexpr time_point kArrival{ Seconds(100) };
+
+TEST_CASE("load_report/as_published/dates_from_its_stated_age")
+{
+  const auto report = ReadLoadReport(
+    R"({"running":3,"waiting":2,"slots":16,"kv_used":0.5,"step_ms":4,)"
+    R"("leaving":false,"age_ms":700,"tokens_per_second":100.5})",
+    kArrival);
+  REQUIRE(report);
+  CHECK(report->mRunning == 3);
+  CHECK(report->mWaiting == 2);
+  CHECK(report->mStep == Milliseconds(4));
+  CHECK(report->mTakenAt == kArrival - Milliseconds(700));
+}
+
+TEST_CASE("load_report/other_text/is_none")
+{
+  for (const char* text : { "", "[]", "{}", "not found" }) {
+    CHECK_FALSE(ReadLoadReport(text, kArrival));
+  }
+}
+
+TEST_CASE("load_report/absurd_figures/are_clamped")
+{
+  // An endpoint that publishes a negative count or an age from the future must
+  // not make the router believe in endless room there.
+  const auto report = ReadLoadReport(
+    R"({"running":-5,"waiting":1e30,"age_ms":-1e9,"step_ms":-1})", kArrival);
+  REQUIRE(report);
+  CHECK(report->mRunning == 0);
+  CHECK(report->mWaiting == 1'000'000);
+  CHECK(report->mTakenAt == kArrival);
+  CHECK(report->mStep == duration{});
+}
+
+} // namespace
+} // namespace thornhollow
