--- a/thornhollow/tools/load_check.cc
+++ b/thornhollow/tools/load_check.cc
@@ -111,7 +111,10 @@
 answer_check::Body(std::string_view aBytes, time_point aNow)
 {
   if (mForm != answer_form::kStream || mStatus >= kFirstErrorStatus) {
-    mResult.mFirstToken = mResult.mFirstToken.value_or(aNow);
+    // A whole completion has no first token that a caller could see.
+    if (mForm != answer_form::kCompletion) {
+      mResult.mFirstToken = mResult.mFirstToken.value_or(aNow);
+    }
     mBody += aBytes;
     return;
   }
--- a/thornhollow/tools/load_report.cc
+++ b/thornhollow/tools/load_report.cc
@@ -125,7 +125,7 @@
 }
 
 // A request attains its targets when its first token, the mean time between its
-// tokens and its end are all in time; one without an answer attains nothing.
+// tokens and its end are all in time, as far as its form of answer has them.
 bool
 load_report::Attains(const load_class& aClass,
                      time_point aPlanned,
@@ -140,8 +140,8 @@
                                             aResult.mGaps.end(),
                                             duration::zero()) /
                               static_cast<std::int64_t>(aResult.mGaps.size());
-  return aResult.mFirstToken &&
-         within(*aResult.mFirstToken - aPlanned, aClass.mFirstTokenTarget) &&
+  const time_point first = aResult.mFirstToken.value_or(aPlanned);
+  return within(first - aPlanned, aClass.mFirstTokenTarget) &&
          within(between, aClass.mBetweenTokensTarget) &&
          within(aResult.mEnd - aPlanned, aClass.mDeadline);
 }
