--- a/thornhollow/base/error_test.cc
+++ b/thornhollow/base/error_test.cc
@@ -1,4 +1,7 @@
+#include <fstream>
+#include <iterator>
 #include <set>
+#include <string>
 #include <string_view>
 
 #include <doctest/doctest.h>
@@ -48,5 +51,19 @@
   }
 }
 
+TEST_CASE_FIXTURE(answer_table, "answer_table/every_row/stands_in_the_api_page")
+{
+  std::ifstream page("docs/API.md");
+  REQUIRE(page);
+  const std::string text(std::istreambuf_iterator<char>(page), {});
+  for (const error_kind kind : mKinds) {
+    const answer& row = AnswerFor(kind);
+    const std::string expected = "| `" + std::string(row.mName) + "` | " +
+                                 std::to_string(row.mHttpStatus) + " | " +
+                                 std::string(Name(row.mRan)) + " | ";
+    CHECK_MESSAGE(text.find(expected) != std::string::npos, expected);
+  }
+}
+
 } // namespace
 } // namespace thornhollow
