--- a/thornhollow/testing/process/harness.py
+++ b/thornhollow/testing/process/harness.py
@@ -11,9 +11,11 @@
 
 import hashlib
 import http.client
+import itertools
 import json
 import os
 import pathlib
+import signal
 import socket
 import subprocess
 import tempfile
@@ -347,10 +349,19 @@
     return answer
 
 
+_prompts = itertools.count()
+
+
+def chat_body(tokens, stream=True):
+    # Each prompt begins differently, so that no engine is preferred for having
+    # the prefix in its cache.
+    return {"model": "m", "max_tokens": tokens, "stream": stream,
+            "messages": [{"role": "user",
+                          "content": f"{next(_prompts)} a b c"}]}
+
+
 def chat(address, request_class="notes", tokens=8, stream=True):
-    return ask(address, "/v1/chat/completions",
-               {"model": "m", "max_tokens": tokens, "stream": stream,
-                "messages": [{"role": "user", "content": "a b c"}]},
+    return ask(address, "/v1/chat/completions", chat_body(tokens, stream),
                request_class)
 
 
--- a/thornhollow/tools/load_run.cc
+++ b/thornhollow/tools/load_run.cc
@@ -34,6 +34,8 @@
 
 constexpr std::size_t kReadBytes = 16384;
 constexpr unsigned kHttp11 = 11;
+// Beyond a class's deadline, for the daemon's own answer to its passing.
+constexpr duration kDeadlineGrace = Seconds(5);
 
 using request_message = http::request<http::string_body>;
 
@@ -103,10 +105,11 @@
   {
     const load_class& sent = mWorkload.mClasses[aArrival.mClass];
     const request_message message = Message(sent, aArrival);
+    const std::size_t first = mNextTarget++;
     load_result result;
     std::uint32_t submissions = 0;
     for (bool again = true; again;) {
-      result = co_await Submit(sent, message);
+      result = co_await Submit(sent, message, first + submissions);
       ++submissions;
       again = submissions < sent.mTries && result.mRan == "no" &&
               result.mRetryAfter.has_value();
@@ -145,10 +148,11 @@
   }
 
   asio::awaitable<load_result> Submit(const load_class& aClass,
-                                      const request_message& aMessage)
+                                      const request_message& aMessage,
+                                      std::size_t aFirstTarget)
   {
     beast::tcp_stream stream(mIo);
-    if (!co_await Connect(stream)) {
+    if (!co_await Connect(stream, aFirstTarget)) {
       load_result result;
       result.mOutcome = load_outcome::kNoDaemon;
       co_return result;
@@ -158,7 +162,9 @@
     stream.expires_after(mOptions.mSilenceLimit);
     co_await http::async_write(stream, aMessage, Into(error));
     // An answer may have come although the request couldn't be sent whole.
-    const bool orderly = co_await Read(stream, check, error);
+    const duration headLimit =
+      std::max(mOptions.mSilenceLimit, aClass.mDeadline + kDeadlineGrace);
+    const bool orderly = co_await Read(stream, check, headLimit, error);
     load_result result =
       check.Finish(orderly, std::chrono::steady_clock::now());
     if (error == beast::error::timeout) {
@@ -167,13 +173,12 @@
     co_return result;
   }
 
-  // Tries each daemon once, beginning with the next in turn.
-  asio::awaitable<bool> Connect(beast::tcp_stream& aStream)
+  // Tries each daemon once, beginning with `aFirst` in their circle.
+  asio::awaitable<bool> Connect(beast::tcp_stream& aStream, std::size_t aFirst)
   {
-    const std::size_t first = mNextTarget++;
     for (std::size_t at = 0; at < mOptions.mTargets.size(); ++at) {
       const auto& target =
-        mOptions.mTargets[(first + at) % mOptions.mTargets.size()];
+        mOptions.mTargets[(aFirst + at) % mOptions.mTargets.size()];
       error_code error;
       aStream.expires_after(mOptions.mConnectLimit);
       co_await aStream.async_connect(Endpoint(target), Into(error));
@@ -190,12 +195,13 @@
   // True when the whole answer was read.
   asio::awaitable<bool> Read(beast::tcp_stream& aStream,
                              answer_check& aCheck,
+                             duration aHeadLimit,
                              error_code& aError)
   {
     beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
-    aStream.expires_after(mOptions.mSilenceLimit);
+    aStream.expires_after(aHeadLimit);
     co_await http::async_read_header(aStream, buffer, parser, Into(aError));
     if (aError) {
       co_return false;
--- a/thornhollow/tools/load_run.h
+++ b/thornhollow/tools/load_run.h
@@ -20,14 +20,16 @@
 struct load_options
 {
   // Daemons; each request begins with the next one in turn and goes on to the
-  // one after it when a connection can't be made, as a balancer does.
+  // one after it when a connection can't be made, as a balancer does. A further
+  // submission begins with the daemon after the last one's.
   std::vector<socket_address> mTargets;
   // Engines whose counts of computed tokens are compared.
   std::vector<std::string> mEngines;
   double mRateFactor = 1;
   bool mVerifyText = true;
   duration mConnectLimit = Seconds(2);
-  // A request without any progress for so long counts as unanswered.
+  // A stream without a token for so long counts as unanswered; before the
+  // first one, and for whole answers, the class's deadline is waited out.
   duration mSilenceLimit = Seconds(60);
 };
 
