Idempotency keys on the request path; one type for listed instances

Cause: the holder's and witness's state machines were not called by anything, and two modules each had a type for the platform's list. Change: daemon/key_gate carries out their actions; the router claims a key before it schedules a request and confirms the claim before each sending; the machine tells whether a request was run, so that a key is freed only when it was not. Without peers' transport a request with a key is still refused as not run. Conclusion: waits for the transport.

--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -17,7 +17,7 @@
 #include "thornhollow/daemon/operators_page.h"
 #include "thornhollow/daemon/router.h"
 #include "thornhollow/net/caller_server.h"
-#include "thornhollow/platform/instance_list.h"
+#include "thornhollow/platform/platform_list.h"
 #include "thornhollow/platform/platform_watch.h"
 
 namespace thornhollow {
@@ -196,17 +196,15 @@
 
   void OnInstances(const platform_value& aValue)
   {
-    const auto list = ReadInstanceList(aValue.mBytes);
+    const auto list = ReadPlatformList(aValue.mBytes, aValue.mVersion);
     if (!list) {
       mMetrics.OnEvent("platform_instances_unreadable");
       return;
     }
-    for (const listed_instance& each : *list) {
-      if (each.mRole == listed_role::kEndpoint) {
-        mRouter.OnEndpointState(endpoint_name(each.mName),
-                                each.mLeaving ? endpoint_state::kLeaving
-                                              : endpoint_state::kLive);
-      }
+    for (const listed_endpoint& each : list->mEndpoints) {
+      mRouter.OnEndpointState(each.mName,
+                              each.mLeaving ? endpoint_state::kLeaving
+                                            : endpoint_state::kLive);
     }
   }
 
--- a/thornhollow/daemon/intake.cc
+++ b/thornhollow/daemon/intake.cc
@@ -20,6 +20,8 @@
 // Leading bytes of a prompt that stand for its shareable prefix. Prompts of one
 // workload share a system text far longer than this.
 constexpr std::size_t kPrefixBytes = 256;
+// A key of any length would let a caller fill the witnesses' memory.
+constexpr std::size_t kMaxKeyBytes = 128;
 // Usual length of a token in text; only relative cost depends on it.
 constexpr std::size_t kBytesPerToken = 4;
 
@@ -191,6 +193,9 @@
   intake read;
   read.mTeam = caller->mName;
   read.mIdempotencyKey = std::string(aRequest.Header("Idempotency-Key"));
+  if (read.mIdempotencyKey.size() > kMaxKeyBytes) {
+    return error_kind::kMalformedRequest;
+  }
   read.mMethod = aRequest.mMethod;
   read.mPath = aRequest.mPath;
   if (service != nullptr) {
--- /dev/null
+++ b/thornhollow/daemon/key_gate.cc
@@ -0,0 +1,161 @@
+#include "thornhollow/daemon/key_gate.h"
+
+#include <chrono>
+#include <utility>
+#include <variant>
+
+namespace thornhollow {
+namespace {
+
+time_point
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+class key_gate::core : public std::enable_shared_from_this<core>
+{
+public:
+  core(const key_claim_settings& aSettings,
+       const claim_holder& aSelf,
+       ask_claim aAsk,
+       key_listener aListener)
+    : mSelf(aSelf.mName)
+    , mAsk(std::move(aAsk))
+    , mListener(std::move(aListener))
+    , mHolder(aSettings, aSelf)
+    , mWitness(aSettings, aSelf.mName, Now())
+  {
+  }
+
+  void Apply(const key_actions& aActions)
+  {
+    for (const key_action& each : aActions) {
+      std::visit([this](const auto& aOne) { this->Carry(aOne); }, each);
+    }
+  }
+
+  key_holder& Holder() { return mHolder; }
+  key_witness& Witness() { return mWitness; }
+
+  void Stop() { mStopped = true; }
+
+private:
+  void Carry(const ask_witness& aAction)
+  {
+    if (aAction.mTo == mSelf) {
+      Apply(
+        mHolder.OnAnswer(mWitness.OnRequest(aAction.mRequest, Now()), Now()));
+      return;
+    }
+    mAsk(aAction.mTo,
+         aAction.mRequest,
+         [weak = weak_from_this(),
+          witness = aAction.mTo,
+          key = aAction.mRequest.mKey,
+          claim = aAction.mRequest.mClaim](
+           const std::optional<claim_answer>& aAnswer) {
+           if (const auto self = weak.lock(); self && !self->mStopped) {
+             self->OnOutcome(witness, key, claim, aAnswer);
+           }
+         });
+  }
+
+  void OnOutcome(const instance_name& aWitness,
+                 claim_key aKey,
+                 std::uint64_t aClaim,
+                 const std::optional<claim_answer>& aAnswer)
+  {
+    // An answer in another witness's name would let one vouch for all.
+    if (aAnswer && aAnswer->mWitness == aWitness) {
+      Apply(mHolder.OnAnswer(*aAnswer, Now()));
+    } else {
+      Apply(mHolder.OnUnreachable(aWitness, aKey, aClaim, Now()));
+    }
+  }
+
+  void Carry(const tell_witness& aAction)
+  {
+    if (aAction.mTo == mSelf) {
+      mWitness.OnRequest(aAction.mRequest, Now());
+    } else {
+      mAsk(aAction.mTo, aAction.mRequest, [](const auto&) {});
+    }
+  }
+
+  void Carry(const run_key& aAction) { mListener.mRun(aAction.mSubmission); }
+
+  void Carry(const refuse_key& aAction)
+  {
+    mListener.mRefused(aAction.mSubmission, aAction.mKind);
+  }
+
+  instance_name mSelf;
+  ask_claim mAsk;
+  key_listener mListener;
+  key_holder mHolder;
+  key_witness mWitness;
+  bool mStopped = false;
+};
+
+key_gate::key_gate(const key_claim_settings& aSettings,
+                   const claim_holder& aSelf,
+                   ask_claim aAsk,
+                   key_listener aListener)
+  : mCore(std::make_shared<core>(aSettings,
+                                 aSelf,
+                                 std::move(aAsk),
+                                 std::move(aListener)))
+{
+}
+
+key_gate::~key_gate()
+{
+  mCore->Stop();
+}
+
+void
+key_gate::OnView(const claim_view& aView)
+{
+  mCore->Holder().OnView(aView, Now());
+  mCore->Witness().OnView(aView, Now());
+}
+
+void
+key_gate::Submit(submission aSubmission,
+                 const team_name& aTeam,
+                 std::string_view aIdempotencyKey,
+                 std::uint64_t aFingerprint)
+{
+  mCore->Apply(mCore->Holder().Submit(
+    aSubmission, ClaimKeyOf(aTeam, aIdempotencyKey), aFingerprint, Now()));
+}
+
+void
+key_gate::BeforeSend(submission aSubmission)
+{
+  mCore->Apply(mCore->Holder().BeforeSend(aSubmission, Now()));
+}
+
+void
+key_gate::OnEnded(submission aSubmission, ran aRan)
+{
+  mCore->Apply(mCore->Holder().OnEnded(aSubmission, aRan, Now()));
+}
+
+claim_answer
+key_gate::OnPeerClaim(const claim_request& aRequest)
+{
+  return mCore->Witness().OnRequest(aRequest, Now());
+}
+
+void
+key_gate::Tick()
+{
+  mCore->Apply(mCore->Holder().Tick(Now()));
+  mCore->Witness().Tick(Now());
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/key_gate.h
@@ -0,0 +1,75 @@
+// Idempotency keys of one instance: the holder's side for its own submissions,
+// the witness's side for others', and the messages between them.
+//
+//   key_gate gate(settings, self, ask, listener);
+//   gate.Submit(ticket, team, key, fingerprint);   // listener: run or refuse
+//   gate.BeforeSend(ticket);                       // before each attempt
+//   gate.OnEnded(ticket, ran::kYes);
+//
+// The decisions are fleet/key_holder.h's and fleet/key_witness.h's.
+#ifndef THORNHOLLOW_DAEMON_KEY_GATE_H_
+#define THORNHOLLOW_DAEMON_KEY_GATE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "thornhollow/base/error.h"
+#include "thornhollow/fleet/key_claims.h"
+#include "thornhollow/fleet/key_holder.h"
+#include "thornhollow/fleet/key_witness.h"
+
+namespace thornhollow {
+
+// Sends a claim to a witness other than this instance; the callback gets its
+// answer, or nothing when it can't be reached. Called exactly once, later.
+using ask_claim =
+  std::function<void(const instance_name&,
+                     const claim_request&,
+                     std::function<void(std::optional<claim_answer>)>)>;
+
+struct key_listener
+{
+  // The submission may be sent now. Called from within `Submit` and
+  // `BeforeSend`, or later.
+  std::function<void(submission)> mRun;
+  std::function<void(submission, error_kind)> mRefused;
+};
+
+class key_gate
+{
+public:
+  key_gate(const key_claim_settings& aSettings,
+           const claim_holder& aSelf,
+           ask_claim aAsk,
+           key_listener aListener);
+  key_gate(const key_gate&) = delete;
+  key_gate& operator=(const key_gate&) = delete;
+  ~key_gate();
+
+  // The declared domains and the platform's list of instances.
+  void OnView(const claim_view& aView);
+
+  void Submit(submission aSubmission,
+              const team_name& aTeam,
+              std::string_view aIdempotencyKey,
+              std::uint64_t aFingerprint);
+  void BeforeSend(submission aSubmission);
+  void OnEnded(submission aSubmission, ran aRan);
+
+  // A peer's claim.
+  claim_answer OnPeerClaim(const claim_request& aRequest);
+
+  // To be called every 100 ms.
+  void Tick();
+
+private:
+  class core;
+  std::shared_ptr<core> mCore;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_DAEMON_KEY_GATE_H_
--- a/thornhollow/daemon/live_request.h
+++ b/thornhollow/daemon/live_request.h
@@ -2,6 +2,7 @@
 #ifndef THORNHOLLOW_DAEMON_LIVE_REQUEST_H_
 #define THORNHOLLOW_DAEMON_LIVE_REQUEST_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -18,6 +19,18 @@
 
 namespace thornhollow {
 
+// How far a request with an idempotency key has come.
+enum class key_stage : std::uint8_t
+{
+  // It has no key.
+  kNone,
+  // Its key is being claimed; the scheduler doesn't know it yet.
+  kClaiming,
+  kHeld,
+  // The claim is looked at once more before an attempt.
+  kConfirming,
+};
+
 struct live_request
   : public boost::intrusive_ref_counter<live_request,
                                         boost::thread_unsafe_counter>
@@ -52,6 +65,9 @@
   // The answer's text so far, where the caller wants it whole.
   std::string mText;
   bool mHeadSent = false;
+  key_stage mKeyStage = key_stage::kNone;
+  // Where the attempt goes whose claim is being confirmed.
+  endpoint_name mConfirmedFor;
   time_point mLastToken{};
 };
 
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -13,6 +13,7 @@
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
 
+#include "thornhollow/base/hash.h"
 #include "thornhollow/daemon/caller_reply.h"
 #include "thornhollow/daemon/intake.h"
 #include "thornhollow/daemon/live_request.h"
@@ -88,6 +89,36 @@
     Apply(mScheduler.OnEndpointState(aEndpoint, aState, Now()));
   }
 
+  void SetKeyGate(key_gate* aGate) { mKeys = aGate; }
+
+  void OnKeyRun(ticket aTicket)
+  {
+    const auto found = mLive.find(aTicket);
+    if (found == mLive.end()) {
+      return;
+    }
+    live_request& live = *found->second;
+    const key_stage before = std::exchange(live.mKeyStage, key_stage::kHeld);
+    if (before == key_stage::kClaiming) {
+      Apply(mScheduler.Submit(ItemFor(live), Now()));
+    } else if (before == key_stage::kConfirming) {
+      FeedTicket(aTicket, attempt_granted{ live.mConfirmedFor });
+    }
+  }
+
+  void OnKeyRefused(ticket aTicket, error_kind aKind)
+  {
+    const auto found = mLive.find(aTicket);
+    if (found == mLive.end()) {
+      return;
+    }
+    if (found->second->mKeyStage == key_stage::kConfirming) {
+      Apply(
+        mScheduler.OnAttemptEnded(aTicket, attempt_end::kCancelled, 0, Now()));
+    }
+    FeedTicket(aTicket, schedule_refused{ aKind, duration{} });
+  }
+
   void BeginDrain() { mDraining = true; }
 
   std::size_t InProgress() const { return mLive.size(); }
@@ -117,7 +148,25 @@
     mLive.emplace(number, live);
     mMetrics.OnRequest(live->mIntake.mClass);
     live->mExchange->OnLeft([this, number] { Later(number, caller_left{}); });
-    Apply(mScheduler.Submit(ItemFor(*live), Now()));
+    if (live->mIntake.mIdempotencyKey.empty()) {
+      Apply(mScheduler.Submit(ItemFor(*live), Now()));
+    } else {
+      ClaimKey(*live);
+    }
+  }
+
+  void ClaimKey(live_request& aLive)
+  {
+    const intake& read = aLive.mIntake;
+    if (mKeys == nullptr) {
+      FeedTicket(aLive.mTicket,
+                 schedule_refused{ error_kind::kKeyWitnessUnreachable, {} });
+      return;
+    }
+    aLive.mKeyStage = key_stage::kClaiming;
+    const std::uint64_t fingerprint =
+      CombineHash(Hash64(read.mPath), Hash64(read.mBody));
+    mKeys->Submit(aLive.mTicket, read.mTeam, read.mIdempotencyKey, fingerprint);
   }
 
   stage_limits LimitsFor(const intake& aIntake) const
@@ -179,6 +228,19 @@
 
   void Carry(const start& aStart)
   {
+    const auto found = mLive.find(aStart.mTicket);
+    if (found == mLive.end()) {
+      return;
+    }
+    live_request& live = *found->second;
+    // A claim may have lapsed while the request waited or this process stood
+    // still; until something was run, it is confirmed before each sending.
+    if (live.mKeyStage != key_stage::kNone && live.mMachine.Ran() == ran::kNo) {
+      live.mKeyStage = key_stage::kConfirming;
+      live.mConfirmedFor = aStart.mEndpoint;
+      mKeys->BeforeSend(aStart.mTicket);
+      return;
+    }
     FeedTicket(aStart.mTicket, attempt_granted{ aStart.mEndpoint });
   }
 
@@ -217,6 +279,9 @@
     aLive.mTimer.cancel();
     aLive.mExchange->OnLeft(nullptr);
     mLive.erase(number);
+    if (aLive.mKeyStage != key_stage::kNone) {
+      mKeys->OnEnded(number, aLive.mMachine.Ran());
+    }
     Apply(mScheduler.Forget(number, Now()));
   }
 
@@ -441,6 +506,7 @@
   scheduler mScheduler;
   boost::asio::steady_timer mSchedulerTimer;
   std::optional<time_point> mSchedulerDue;
+  key_gate* mKeys = nullptr;
   catalog_ptr mCatalog;
   std::unordered_map<ticket, live_request_ptr> mLive;
   ticket mLastTicket = 0;
@@ -459,6 +525,24 @@
 
 router::~router() = default;
 
+void
+router::SetKeyGate(key_gate* aGate)
+{
+  mCore->SetKeyGate(aGate);
+}
+
+void
+router::OnKeyRun(ticket aTicket)
+{
+  mCore->OnKeyRun(aTicket);
+}
+
+void
+router::OnKeyRefused(ticket aTicket, error_kind aKind)
+{
+  mCore->OnKeyRefused(aTicket, aKind);
+}
+
 void
 router::PutInForce(catalog_ptr aCatalog)
 {
--- a/thornhollow/daemon/router.h
+++ b/thornhollow/daemon/router.h
@@ -17,6 +17,7 @@
 #include "thornhollow/config/catalog.h"
 #include "thornhollow/config/settings.h"
 #include "thornhollow/daemon/json_log.h"
+#include "thornhollow/daemon/key_gate.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/policy/scheduler.h"
@@ -46,6 +47,12 @@
   router& operator=(const router&) = delete;
   ~router();
 
+  // Requests with an idempotency key go through `aGate`, which outlives the
+  // router and reports to `OnKeyRun` and `OnKeyRefused`.
+  void SetKeyGate(key_gate* aGate);
+  void OnKeyRun(ticket aTicket);
+  void OnKeyRefused(ticket aTicket, error_kind aKind);
+
   // New requests follow this catalog; those in progress keep their terms.
   void PutInForce(catalog_ptr aCatalog);
 
--- a/thornhollow/platform/instance_list.cc
+++ b/thornhollow/platform/platform_list.cc
@@ -1,6 +1,6 @@
-#include "thornhollow/platform/instance_list.h"
+#include "thornhollow/platform/platform_list.h"
 
-#include <utility>
+#include <string>
 
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
@@ -17,27 +17,33 @@
            : std::string();
 }
 
-std::optional<listed_instance>
-ReadInstance(const boost::json::object& aObject)
+void
+ReadInstance(const boost::json::object& aObject, platform_list& aInto)
 {
-  listed_instance one;
-  one.mName = StringField(aObject, "name");
+  const std::string name = StringField(aObject, "name");
   const std::string role = StringField(aObject, "role");
-  if (one.mName.empty() || (role != "router" && role != "endpoint")) {
-    return std::nullopt;
+  const bool leaving = StringField(aObject, "state") == "leaving";
+  if (name.empty()) {
+    return;
+  }
+  if (role == "endpoint") {
+    aInto.mEndpoints.push_back({ endpoint_name(name), leaving });
+    return;
+  }
+  const std::string address = StringField(aObject, "peer_address");
+  if (role == "router" && !address.empty()) {
+    aInto.mRouters.mInstances.push_back(
+      { instance_name(name),
+        domain_name(StringField(aObject, "domain")),
+        address,
+        leaving });
   }
-  one.mRole = role == "router" ? listed_role::kRouter : listed_role::kEndpoint;
-  one.mDomain = domain_name(StringField(aObject, "domain"));
-  one.mAddress = StringField(aObject, "address");
-  one.mPeerAddress = StringField(aObject, "peer_address");
-  one.mLeaving = StringField(aObject, "state") == "leaving";
-  return one;
 }
 
 } // namespace
 
-std::optional<instance_list>
-ReadInstanceList(std::string_view aJson)
+std::optional<platform_list>
+ReadPlatformList(std::string_view aJson, std::uint64_t aVersion)
 {
   boost::system::error_code wrong;
   const boost::json::value parsed = boost::json::parse(aJson, wrong);
@@ -47,15 +53,14 @@
   if (wrong || listed == nullptr || !listed->is_array()) {
     return std::nullopt;
   }
-  instance_list list;
+  platform_list list;
+  list.mRouters.mVersion = aVersion;
   for (const boost::json::value& each : listed->get_array()) {
     const boost::json::object* entry = each.if_object();
     if (entry == nullptr) {
       return std::nullopt;
     }
-    if (auto one = ReadInstance(*entry)) {
-      list.push_back(*std::move(one));
-    }
+    ReadInstance(*entry, list);
   }
   return list;
 }
--- /dev/null
+++ b/thornhollow/platform/platform_list.h
@@ -0,0 +1,43 @@
+// Reads the platform's list of live and leaving instances.
+//
+//   const auto list = ReadPlatformList(body, version);
+//
+#ifndef THORNHOLLOW_PLATFORM_PLATFORM_LIST_H_
+#define THORNHOLLOW_PLATFORM_PLATFORM_LIST_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "thornhollow/base/ids.h"
+#include "thornhollow/fleet/instance_list.h"
+
+namespace thornhollow {
+
+struct listed_endpoint
+{
+  endpoint_name mName;
+  bool mLeaving = false;
+
+  friend bool operator==(const listed_endpoint&,
+                         const listed_endpoint&) = default;
+};
+
+struct platform_list
+{
+  // Entry instances that state a peer address.
+  instance_list mRouters;
+  std::vector<listed_endpoint> mEndpoints;
+
+  friend bool operator==(const platform_list&, const platform_list&) = default;
+};
+
+// Nothing when the text is no list of the protocol; entries with an unknown
+// role are left out.
+std::optional<platform_list>
+ReadPlatformList(std::string_view aJson, std::uint64_t aVersion);
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_PLATFORM_PLATFORM_LIST_H_
--- a/thornhollow/request/request_machine.cc
+++ b/thornhollow/request/request_machine.cc
@@ -30,6 +30,16 @@
   return std::min(mStageDue, mFacts.mDeadline);
 }
 
+ran
+request_machine::Ran() const
+{
+  if (mCompleted || mDelivered > 0) {
+    return ran::kYes;
+  }
+  const bool underWay = mStage == stage::kSent || mStage == stage::kStreaming;
+  return underWay || mMayHaveRun ? ran::kMaybe : ran::kNo;
+}
+
 void
 request_machine::On(const attempt_granted& aEvent)
 {
@@ -111,6 +121,7 @@
   }
   CloseAttempt(attempt_end::kCompleted);
   mStage = stage::kEnded;
+  mCompleted = true;
   mOut.emplace_back(deliver_end{ aEvent.mFinishReason });
 }
 
@@ -132,6 +143,7 @@
   }
   CloseAttempt(attempt_end::kCompleted);
   mStage = stage::kEnded;
+  mCompleted = true;
   mOut.emplace_back(
     deliver_answer{ aEvent.mHttpStatus, aEvent.mContentType, aEvent.mBody });
 }
@@ -193,6 +205,9 @@
 request_machine::On(const caller_left& /*aEvent*/)
 {
   if (AttemptIsOpen()) {
+    if (mStage != stage::kConnecting) {
+      mMayHaveRun = error_kind::kCallerLeft;
+    }
     CloseAttempt(attempt_end::kCancelled);
   }
   EndWithError(error_kind::kCallerLeft, duration{});
--- a/thornhollow/request/request_machine.h
+++ b/thornhollow/request/request_machine.h
@@ -244,9 +244,12 @@
   // The caller got its final answer or left.
   bool Ended() const { return mStage == stage::kEnded; }
 
-  // Whether any attempt may have been run so far.
+  // Whether an attempt that ended may have been run.
   bool MayHaveRun() const { return mMayHaveRun.has_value(); }
 
+  // Whether the request was run, as far as can be known now.
+  ran Ran() const;
+
   // Tokens handed to the caller.
   std::uint64_t DeliveredTokens() const { return mDelivered; }
 
@@ -291,6 +294,7 @@
   std::uint32_t mAttemptTokens = 0;
   // The failure of the last attempt that may have run, if there was one.
   std::optional<error_kind> mMayHaveRun;
+  bool mCompleted = false;
   // When the present stage counts as silent.
   time_point mStageDue{};
   // Of the call being handled.
--- a/thornhollow/request/request_machine_test.cc
+++ b/thornhollow/request/request_machine_test.cc
@@ -190,6 +190,26 @@
   CHECK(mMachine.Ended());
 }
 
+TEST_CASE_FIXTURE(dispatch_order, "dispatch_order/caller_left/tells_what_ran")
+{
+  // The key of an order is freed only when nothing was run: a caller that left
+  // while its order was at the endpoint must not get it run a second time.
+  mMachine.Handle(attempt_granted{ kFirst }, kStart);
+  CHECK(mMachine.Ran() == ran::kNo);
+  mMachine.Handle(sending_begun{ 1 }, kStart);
+  CHECK(mMachine.Ran() == ran::kMaybe);
+  mMachine.Handle(caller_left{}, kStart);
+  CHECK(mMachine.Ran() == ran::kMaybe);
+}
+
+TEST_CASE_FIXTURE(dispatch_order, "dispatch_order/all_declined/was_not_run")
+{
+  Send();
+  mMachine.Handle(endpoint_declined{ 1, false }, kStart);
+  mMachine.Handle(schedule_refused{ error_kind::kNoEndpoint, {} }, kStart);
+  CHECK(mMachine.Ran() == ran::kNo);
+}
+
 TEST_CASE_FIXTURE(route_note, "route_note/stream_not_resumable/says_broken")
 {
   Send();
