Stand-ins: a crossed answer carries the other request's text

Cause: without the daemon's check of identifiers the process tests still passed: the stand-in sent its own request's tokens under another identifier. Change: the crossed answer is the other request's; the two cases also demand that the caller gets its own whole answer from the other engine.

--- a/thornhollow/testing/fake_engine.cc
+++ b/thornhollow/testing/fake_engine.cc
@@ -10,6 +10,8 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
 
+#include "thornhollow/testing/token_text.h"
+
 namespace thornhollow::testing {
 
 namespace json = boost::json;
@@ -18,6 +20,9 @@
 
 const http_header kJson{ "Content-Type", "application/json" };
 
+// Makes the identifier of the request that a crossed answer belongs to.
+constexpr const char* kOtherSuffix = "-other";
+
 template<class number>
 number
 NumberOr(const json::object& aObject, std::string_view aName, number aElse)
@@ -316,9 +321,13 @@
   }
   const std::uint32_t index =
     aToken.mIndex + (aStream.mResumed ? faults.mResumeOffset : 0);
-  const std::string id =
-    faults.mWrongIdEvents ? aStream.mId + "-other" : aStream.mId;
-  aStream.mExchange->Send(EventFor(id, index, aToken));
+  const std::string other = aStream.mId + kOtherSuffix;
+  emitted_token sent = aToken;
+  if ((faults.mWrongIdEvents || faults.mWrongIdHeader) && !sent.mText.empty()) {
+    sent.mText = TokenText(other, aToken.mIndex);
+  }
+  aStream.mExchange->Send(
+    EventFor(faults.mWrongIdEvents ? other : aStream.mId, index, sent));
   ++aStream.mSent;
   if (BreakStream(aStream)) {
     return false;
@@ -338,7 +347,7 @@
     return;
   }
   const std::string id =
-    aStream.mFaults.mWrongIdHeader ? aStream.mId + "-other" : aStream.mId;
+    aStream.mFaults.mWrongIdHeader ? aStream.mId + kOtherSuffix : aStream.mId;
   aStream.mExchange->BeginStream(
     200, { { "Content-Type", "text/event-stream" }, { "X-Request-Id", id } });
 }
--- a/thornhollow/testing/fake_service.cc
+++ b/thornhollow/testing/fake_service.cc
@@ -85,7 +85,7 @@
     return;
   }
   const std::string echoed = faults.mWrongIdHeader ? id + "-other" : id;
-  const std::string body = BodyFor(aRequest, id);
+  const std::string body = BodyFor(aRequest, echoed);
   mLoop.After(
     mWork + Milliseconds(faults.mDelayMs), [faults, aExchange, echoed, body] {
       if (faults.mCutAfterTokens) {
--- a/thornhollow/testing/misbehaviour.h
+++ b/thornhollow/testing/misbehaviour.h
@@ -34,7 +34,8 @@
   std::optional<std::uint32_t> mCrashAfterTokens;
   std::optional<std::uint32_t> mCutAfterTokens;
   std::optional<std::uint32_t> mFreezeAfterTokens;
-  // Another request's identifier in the answer's header, in its events.
+  // Another request's answer, which only the identifier in the header, or only
+  // the one in the events, gives away.
   bool mWrongIdHeader = false;
   bool mWrongIdEvents = false;
   // Added to the index of a resumed stream's tokens.
--- a/thornhollow/testing/process/whole_answer_test.py
+++ b/thornhollow/testing/process/whole_answer_test.py
@@ -74,10 +74,10 @@
         self.all_done(self.run_fault(freeze_after_tokens=4))
 
     def test_another_identifier_in_the_head_never_reaches_the_caller(self):
-        self.run_fault(wrong_id_header=True)
+        self.all_done(self.run_fault(wrong_id_header=True))
 
     def test_another_identifier_in_events_never_reaches_the_caller(self):
-        self.run_fault(wrong_id_events=True)
+        self.all_done(self.run_fault(wrong_id_events=True))
 
     def test_resumed_wrongly_no_token_missing_unnoticed(self):
         """The engine that goes on with the stream skips a token. Passed on, the
