--- a/thornhollow/testing/http_server.cc
+++ b/thornhollow/testing/http_server.cc
@@ -9,9 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
@@ -21,6 +19,8 @@
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 
+#include "thornhollow/net/internal/awaitable.h"
+#include "thornhollow/testing/event_loop_state.h"
 #include "thornhollow/testing/socket_address.h"
 
 namespace thornhollow::testing {
@@ -30,17 +30,12 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
+using net_internal::Into;
 
 namespace {
 
 constexpr std::uint64_t kBodyLimit = 64ULL << 20;
 
-auto
-Into(error_code& aError)
-{
-  return asio::redirect_error(asio::use_awaitable, aError);
-}
-
 http_request
 Convert(const http::request<http::string_body>& aMessage)
 {
@@ -294,11 +289,6 @@
   }
 }
 
-struct event_loop::state
-{
-  asio::io_context mContext{ 1 };
-};
-
 event_loop::event_loop()
   : mState(std::make_unique<state>())
 {
@@ -380,20 +370,7 @@
 {
   BOOST_LEAF_AUTO(endpoint, ParseSocketAddress(aAddress));
   auto& acceptor = mState->mAcceptor;
-  error_code error;
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    error_code ignored;
-    acceptor.close(ignored);
+  if (const error_code error = OpenAcceptor(acceptor, endpoint)) {
     return Fail(error_kind::kInternal, aAddress + ": " + error.message());
   }
   mState->mAddress = FormatSocketAddress(acceptor.local_endpoint());
