Configuration word on every gossip datagram and as a peer exchange

Cause: the follower needs what peers hold (in force, newest, how fresh); gossip carried a bare version and the TCP exchange a whole manifest. Change: config/config_word.h; the word replaces the version request in Thrift messages (numbers 5 and 6 stay unused); digests travel as 32 bytes. daemon/configuration_keeper carries out the follower's actions and judges bundles on a thread of its own; not yet wired. Measured: codec, fleet and config cases pass, sizes within the stated bounds. Conclusion: the peer link can be wired.

--- a/thornhollow/config/config_follower.h
+++ b/thornhollow/config/config_follower.h
@@ -43,6 +43,7 @@
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
 #include "thornhollow/config/bundle.h"
+#include "thornhollow/config/config_word.h"
 #include "thornhollow/config/fault.h"
 #include "thornhollow/config/part_store.h"
 #include "thornhollow/config/revision.h"
@@ -94,22 +95,6 @@
                          const follower_member&) = default;
 };
 
-// The age that an instance gives before it had any word of the platform's.
-inline constexpr duration kUnknownAge = std::chrono::hours(24 * 365);
-
-// What an instance says to others about its configuration; small enough to
-// ride on every gossip message.
-struct config_word
-{
-  std::optional<revision> mInForce;
-  // The highest revision that it holds whole, in force or refused.
-  std::optional<revision> mNewest;
-  // Since the platform last confirmed that there is nothing higher.
-  duration mPlatformAge{};
-
-  friend bool operator==(const config_word&, const config_word&) = default;
-};
-
 // Names a call that the owner carries out. Its outcome is reported with the
 // same number; an outcome that comes after the follower gave up is ignored.
 using call_id = std::uint64_t;
--- /dev/null
+++ b/thornhollow/daemon/configuration_keeper.cc
@@ -0,0 +1,321 @@
+#include "thornhollow/daemon/configuration_keeper.h"
+
+#include <chrono>
+#include <random>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <fmt/format.h>
+
+#include "thornhollow/config/bundle.h"
+#include "thornhollow/net/http_fetch.h"
+
+namespace thornhollow {
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotModified = 304;
+
+time_point
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+manifest_answer
+ToManifestAnswer(fetch_outcome aOutcome)
+{
+  if (!aOutcome) {
+    return read_failed{};
+  }
+  if (aOutcome->mHttpStatus == kNotModified) {
+    return manifest_unchanged{ aOutcome->mVersion };
+  }
+  if (aOutcome->mHttpStatus != kOk || !aOutcome->mVersion) {
+    return read_failed{};
+  }
+  return manifest_text{ *aOutcome->mVersion, std::move(aOutcome->mBody) };
+}
+
+// A bundle's verdict with what the request path needs of it.
+struct judged
+{
+  catalog_ptr mCatalog;
+  faults mFaults;
+};
+
+judged
+Judge(const judge_bundle& aBundle)
+{
+  std::unordered_map<std::string_view, bytes_ptr> parts;
+  for (std::size_t index = 0; index < aBundle.mParts.size(); ++index) {
+    parts.emplace(aBundle.mManifest.mParts[index], aBundle.mParts[index]);
+  }
+  const part_lookup lookUp =
+    [&](std::string_view aDigest) -> const std::string* {
+    const auto found = parts.find(aDigest);
+    return found == parts.end() ? nullptr : &found->second->mText;
+  };
+  read_verdict verdict = ReadBundle(aBundle.mManifest, lookUp);
+  if (auto* wrong = std::get_if<faults>(&verdict)) {
+    return { nullptr, std::move(*wrong) };
+  }
+  return { MakeCatalog(std::get<declarations>(std::move(verdict))), {} };
+}
+
+} // namespace
+
+class configuration_keeper::core : public std::enable_shared_from_this<core>
+{
+public:
+  core(boost::asio::io_context& aIo,
+       keeper_settings aSettings,
+       keeper_peers aPeers,
+       keeper_listener aListener)
+    : mIo(aIo)
+    , mSettings(std::move(aSettings))
+    , mPeers(std::move(aPeers))
+    , mListener(std::move(aListener))
+    , mFollower(mSettings.mFollower,
+                mSettings.mName,
+                mSettings.mDomain,
+                std::random_device()())
+    , mTimer(aIo)
+    , mJudges(1)
+  {
+  }
+
+  void Apply(follower_actions aActions)
+  {
+    for (follower_action& each : aActions) {
+      std::visit([this](auto& aOne) { this->Carry(aOne); }, each);
+    }
+    ArmTimer();
+  }
+
+  // No callback reaches the follower any more.
+  void Stop()
+  {
+    mStopped = true;
+    mTimer.cancel();
+    mJudges.join();
+  }
+
+  config_follower& Follower() { return mFollower; }
+
+private:
+  // Runs `aStep`, which calls the follower, unless the keeper is gone.
+  template<class step>
+  auto Guarded(step aStep)
+  {
+    return [weak = weak_from_this(), aStep](auto&&... aArguments) {
+      if (const auto self = weak.lock(); self && !self->mStopped) {
+        self->Apply(aStep(self->mFollower,
+                          std::forward<decltype(aArguments)>(aArguments)...));
+      }
+    };
+  }
+
+  void Carry(const read_manifest& aAction)
+  {
+    fetch_call call;
+    call.mAddress = mSettings.mPlatformAddress;
+    call.mTarget = fmt::format("/v1/values/{}?after={}&wait_ms={}",
+                               kManifestKey,
+                               aAction.mAfter,
+                               ToMilliseconds(aAction.mWait));
+    call.mTimeout = mSettings.mFollower.mReadTimeout;
+    Fetch(mIo,
+          call,
+          Guarded([number = aAction.mCall](config_follower& aFollower,
+                                           fetch_outcome aOutcome) {
+            return aFollower.OnManifestRead(
+              number, ToManifestAnswer(std::move(aOutcome)), Now());
+          }));
+  }
+
+  void Carry(const fetch_bytes& aAction)
+  {
+    if (aAction.mPeer) {
+      mPeers.mFetch(
+        *aAction.mPeer,
+        aAction.mDigest,
+        Guarded([number = aAction.mCall](config_follower& aFollower,
+                                         std::optional<std::string> aBytes) {
+          return aFollower.OnFetched(number, std::move(aBytes), Now());
+        }));
+      return;
+    }
+    fetch_call call;
+    call.mAddress = mSettings.mPlatformAddress;
+    call.mTarget = "/v1/values/" + PartKey(aAction.mDigest);
+    call.mTimeout = mSettings.mFollower.mFetchTimeout;
+    Fetch(mIo,
+          call,
+          Guarded([number = aAction.mCall](config_follower& aFollower,
+                                           fetch_outcome aOutcome) {
+            std::optional<std::string> bytes;
+            if (aOutcome && aOutcome->mHttpStatus == kOk) {
+              bytes = std::move(aOutcome->mBody);
+            }
+            return aFollower.OnFetched(number, std::move(bytes), Now());
+          }));
+  }
+
+  void Carry(const ask_peer& aAction)
+  {
+    mPeers.mAsk(aAction.mPeer,
+                Guarded([number = aAction.mCall](
+                          config_follower& aFollower,
+                          const std::optional<config_word>& aWord) {
+                  return aFollower.OnPeerAnswered(number, aWord, Now());
+                }));
+  }
+
+  void Carry(const tell_peer& aAction)
+  {
+    mPeers.mTell(aAction.mPeer, aAction.mWord);
+  }
+
+  void Carry(judge_bundle& aAction)
+  {
+    boost::asio::post(
+      mJudges,
+      [weak = weak_from_this(), &io = mIo, bundle = std::move(aAction)] {
+        judged verdict = Judge(bundle);
+        boost::asio::post(io,
+                          [weak,
+                           which = bundle.mRevision,
+                           verdict = std::move(verdict)]() mutable {
+                            const auto self = weak.lock();
+                            if (self && !self->mStopped) {
+                              self->OnJudged(which, std::move(verdict));
+                            }
+                          });
+      });
+  }
+
+  void OnJudged(const revision& aRevision, judged aVerdict)
+  {
+    mJudgedCatalog = std::move(aVerdict.mCatalog);
+    Apply(mFollower.OnVerdict(aRevision, aVerdict.mFaults, Now()));
+    mJudgedCatalog = nullptr;
+  }
+
+  void Carry(const put_in_force& aAction)
+  {
+    if (mJudgedCatalog != nullptr) {
+      mListener.mInForce(mJudgedCatalog, aAction.mRevision);
+    }
+  }
+
+  void Carry(const report_refused& aAction)
+  {
+    mListener.mRefused(aAction.mRevision, aAction.mFaults);
+  }
+
+  void Carry(const report_lower& aAction)
+  {
+    mListener.mLower(aAction.mVersion, aAction.mInForce);
+  }
+
+  void ArmTimer()
+  {
+    const auto due = mFollower.NextDue();
+    if (!due || mStopped) {
+      mTimer.cancel();
+      return;
+    }
+    mTimer.expires_at(*due);
+    mTimer.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& aWrong) {
+        const auto self = weak.lock();
+        if (!aWrong && self && !self->mStopped) {
+          self->Apply(self->mFollower.Advance(Now()));
+        }
+      });
+  }
+
+  boost::asio::io_context& mIo;
+  keeper_settings mSettings;
+  keeper_peers mPeers;
+  keeper_listener mListener;
+  config_follower mFollower;
+  boost::asio::steady_timer mTimer;
+  boost::asio::thread_pool mJudges;
+  // Of the verdict being handed in: what `put_in_force` refers to.
+  catalog_ptr mJudgedCatalog;
+  bool mStopped = false;
+};
+
+configuration_keeper::configuration_keeper(boost::asio::io_context& aIo,
+                                           keeper_settings aSettings,
+                                           keeper_peers aPeers,
+                                           keeper_listener aListener)
+  : mCore(std::make_shared<core>(aIo,
+                                 std::move(aSettings),
+                                 std::move(aPeers),
+                                 std::move(aListener)))
+{
+}
+
+configuration_keeper::~configuration_keeper()
+{
+  mCore->Stop();
+}
+
+void
+configuration_keeper::Start(const std::vector<instance_name>& aPeers)
+{
+  mCore->Apply(mCore->Follower().Start(aPeers, Now()));
+}
+
+void
+configuration_keeper::SetMembers(std::vector<follower_member> aMembers)
+{
+  mCore->Apply(mCore->Follower().SetMembers(std::move(aMembers), Now()));
+}
+
+void
+configuration_keeper::OnPeerSaid(const instance_name& aPeer,
+                                 const config_word& aWord)
+{
+  mCore->Apply(mCore->Follower().OnPeerSaid(aPeer, aWord, Now()));
+}
+
+config_word
+configuration_keeper::Word() const
+{
+  return mCore->Follower().Word(Now());
+}
+
+bytes_ptr
+configuration_keeper::Held(std::string_view aDigest) const
+{
+  return mCore->Follower().Held(aDigest);
+}
+
+std::optional<revision>
+configuration_keeper::InForce() const
+{
+  return mCore->Follower().InForce();
+}
+
+const std::optional<refused_state>&
+configuration_keeper::Refused() const
+{
+  return mCore->Follower().Refused();
+}
+
+const follower_counts&
+configuration_keeper::Counts() const
+{
+  return mCore->Follower().Counts();
+}
+
+} // namespace thornhollow
--- a/thornhollow/daemon/key_gate.cc
+++ b/thornhollow/daemon/key_gate.cc
@@ -55,10 +55,11 @@
          [weak = weak_from_this(),
           witness = aAction.mTo,
           key = aAction.mRequest.mKey,
-          claim = aAction.mRequest.mClaim](
+          claim = aAction.mRequest.mClaim,
+          round = aAction.mRequest.mRound](
            const std::optional<claim_answer>& aAnswer) {
            if (const auto self = weak.lock(); self && !self->mStopped) {
-             self->OnOutcome(witness, key, claim, aAnswer);
+             self->OnOutcome(witness, key, claim, round, aAnswer);
            }
          });
   }
@@ -66,13 +67,14 @@
   void OnOutcome(const instance_name& aWitness,
                  claim_key aKey,
                  std::uint64_t aClaim,
+                 std::uint32_t aRound,
                  const std::optional<claim_answer>& aAnswer)
   {
     // An answer in another witness's name would let one vouch for all.
     if (aAnswer && aAnswer->mWitness == aWitness) {
       Apply(mHolder.OnAnswer(*aAnswer, Now()));
     } else {
-      Apply(mHolder.OnUnreachable(aWitness, aKey, aClaim, Now()));
+      Apply(mHolder.OnUnreachable(aWitness, aKey, aClaim, aRound, Now()));
     }
   }
 
--- a/thornhollow/fleet/gossip_size.h
+++ b/thornhollow/fleet/gossip_size.h
@@ -37,6 +37,9 @@
   return aLeaving.mEndpoint.Text().size() + 3 + 11 + 6 + 1;
 }
 
+// Two revisions, each a number and a digest of 32 bytes, and an age.
+inline constexpr std::size_t kConfigWordBound = 2 * (11 + 34 + 3) + 11 + 3;
+
 // The sealed datagram with its lists empty.
 inline std::size_t
 HeadBound(const gossip_message& aMessage)
@@ -46,7 +49,8 @@
     aMessage.mDomain.Text().size() + aMessage.mTarget.Text().size() + 6;
   const std::size_t numbers = 2 + 11 + 11;
   const std::size_t lists = 9;
-  return seal + names + numbers + lists + 2 + EntryBound(aMessage.mSender);
+  return seal + names + numbers + lists + 2 + kConfigWordBound +
+         EntryBound(aMessage.mSender);
 }
 
 } // namespace thornhollow
--- a/thornhollow/fleet/peer_messages.h
+++ b/thornhollow/fleet/peer_messages.h
@@ -17,6 +17,7 @@
 
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
+#include "thornhollow/config/config_word.h"
 #include "thornhollow/config/declarations.h"
 
 namespace thornhollow {
@@ -120,6 +121,8 @@
   std::uint64_t mConfigurationVersion = 0;
   std::vector<pool_pressure> mPressures;
   std::vector<leaving_endpoint> mLeaving;
+  // What the sender says of its configuration.
+  config_word mConfiguration;
 
   friend bool operator==(const gossip_message&,
                          const gossip_message&) = default;
@@ -195,7 +198,7 @@
   friend bool operator==(const claim_answer&, const claim_answer&) = default;
 };
 
-// Asks for a configuration part by the hex SHA-256 of its bytes.
+// Asks for a configuration part or a manifest by the hex SHA-256 of its bytes.
 struct part_request
 {
   std::string mDigest;
@@ -212,21 +215,12 @@
   friend bool operator==(const part_answer&, const part_answer&) = default;
 };
 
-// Asks for the configuration version in force and its manifest.
-struct version_request
+// What the sender says of its configuration; answered by the same of the other.
+struct word_exchange
 {
-  friend bool operator==(const version_request&,
-                         const version_request&) = default;
-};
-
-struct version_answer
-{
-  // 0 where none is in force.
-  std::uint64_t mVersion = 0;
-  std::string mManifest;
+  config_word mWord;
 
-  friend bool operator==(const version_answer&,
-                         const version_answer&) = default;
+  friend bool operator==(const word_exchange&, const word_exchange&) = default;
 };
 
 // One frame on the peers' TCP port.
@@ -234,8 +228,7 @@
                                     claim_answer,
                                     part_request,
                                     part_answer,
-                                    version_request,
-                                    version_answer>;
+                                    word_exchange>;
 
 } // namespace thornhollow
 
--- a/thornhollow/wire/codec.cc
+++ b/thornhollow/wire/codec.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include <boost/algorithm/hex.hpp>
 #include <thornhollow_types.h>
 
 #include "thornhollow/wire/internal/compact.h"
@@ -151,6 +152,58 @@
   }
 }
 
+constexpr std::size_t kDigestBytes = 32;
+
+wire::revision
+ToWire(const revision& aRevision)
+{
+  wire::revision out;
+  out.__set_version(Signed(aRevision.mVersion));
+  out.__set_digest(boost::algorithm::unhex(aRevision.mDigest));
+  return out;
+}
+
+wire::config_word
+ToWire(const config_word& aWord)
+{
+  wire::config_word out;
+  if (aWord.mInForce) {
+    out.__set_in_force(ToWire(*aWord.mInForce));
+  }
+  if (aWord.mNewest) {
+    out.__set_newest(ToWire(*aWord.mNewest));
+  }
+  out.__set_platform_age_ms(ToMilliseconds(aWord.mPlatformAge));
+  return out;
+}
+
+std::optional<revision>
+FromWire(const wire::revision& aWire)
+{
+  if (aWire.digest.size() != kDigestBytes) {
+    return std::nullopt;
+  }
+  return revision{ Unsigned(aWire.version),
+                   boost::algorithm::hex_lower(aWire.digest) };
+}
+
+// Nothing where a revision is there but none that can be read.
+std::optional<config_word>
+FromWire(const wire::config_word& aWire)
+{
+  config_word out;
+  if (aWire.__isset.in_force && !(out.mInForce = FromWire(aWire.in_force))) {
+    return std::nullopt;
+  }
+  if (aWire.__isset.newest && !(out.mNewest = FromWire(aWire.newest))) {
+    return std::nullopt;
+  }
+  // An age from the future would make a peer's word count as fresh for ever.
+  out.mPlatformAge = Milliseconds(std::clamp(
+    aWire.platform_age_ms, std::int64_t{ 0 }, ToMilliseconds(kUnknownAge)));
+  return out;
+}
+
 struct stream_writer
 {
   wire::stream_message mOut;
@@ -200,17 +253,9 @@
     mOut.__set_answer_part(out);
   }
 
-  void operator()(const version_request&)
-  {
-    mOut.__set_ask_version(wire::version_request());
-  }
-
-  void operator()(const version_answer& aAnswer)
+  void operator()(const word_exchange& aExchange)
   {
-    wire::version_answer out;
-    out.__set_version(Signed(aAnswer.mVersion));
-    out.__set_manifest(aAnswer.mManifest);
-    mOut.__set_answer_version(out);
+    mOut.__set_word(ToWire(aExchange.mWord));
   }
 };
 
@@ -271,15 +316,6 @@
   return part_answer{ aWire.digest, aWire.found, aWire.bytes };
 }
 
-std::optional<stream_message>
-FromWire(const wire::version_answer& aWire)
-{
-  if (aWire.manifest.size() > kMaxPartBytes) {
-    return std::nullopt;
-  }
-  return version_answer{ Unsigned(aWire.version), aWire.manifest };
-}
-
 std::optional<stream_message>
 FromWire(const wire::stream_message& aWire)
 {
@@ -295,11 +331,10 @@
   if (aWire.__isset.answer_part) {
     return FromWire(aWire.answer_part);
   }
-  if (aWire.__isset.ask_version) {
-    return version_request{};
-  }
-  if (aWire.__isset.answer_version) {
-    return FromWire(aWire.answer_version);
+  if (aWire.__isset.word) {
+    const auto word = FromWire(aWire.word);
+    return word ? std::optional<stream_message>(word_exchange{ *word })
+                : std::nullopt;
   }
   return std::nullopt;
 }
@@ -317,6 +352,7 @@
   out.__set_target(aMessage.mTarget.Text());
   AppendTo(out.members, aMessage.mMembers);
   out.__set_configuration_version(Signed(aMessage.mConfigurationVersion));
+  out.__set_configuration(ToWire(aMessage.mConfiguration));
   AppendTo(out.pressures, aMessage.mPressures);
   AppendTo(out.leaving, aMessage.mLeaving);
   return Write(out);
@@ -346,6 +382,13 @@
   out.mTarget = instance_name(read->target);
   AppendKnown(out.mMembers, read->members);
   out.mConfigurationVersion = Unsigned(read->configuration_version);
+  if (read->__isset.configuration) {
+    const auto word = FromWire(read->configuration);
+    if (!word) {
+      return Fail(error_kind::kMalformedRequest, "gossip: no revision");
+    }
+    out.mConfiguration = *word;
+  }
   AppendKnown(out.mPressures, read->pressures);
   AppendKnown(out.mLeaving, read->leaving);
   return out;
--- a/thornhollow/wire/codec_test.cc
+++ b/thornhollow/wire/codec_test.cc
@@ -28,7 +28,8 @@
     { mMember },
     77,
     { { pool_name("dispatch"), 2, Milliseconds(40), Milliseconds(900) } },
-    { { endpoint_name("engine-1"), 4, Seconds(20) } }
+    { { endpoint_name("engine-1"), 4, Seconds(20) } },
+    { revision{ 7, std::string(64, 'b') }, std::nullopt, Seconds(2) }
   };
 
   static bool Reads(const std::string& aBytes)
@@ -55,8 +56,10 @@
     claim_answer{ 1, 2, 3, instance_name("a"), claim_verdict::kNoRoom, true },
     part_request{ std::string(64, 'a') },
     part_answer{ std::string(64, 'a'), true, std::string(4096, '\0') },
-    version_request{},
-    version_answer{ 12, "manifest" }
+    word_exchange{ { revision{ 12, std::string(64, 'a') },
+                     revision{ 13, std::string(64, '0') },
+                     Seconds(3) } },
+    word_exchange{}
   };
   for (const stream_message& each : all) {
     CHECK(DecodeStream(EncodeStream(each)).value() == each);
@@ -152,7 +155,10 @@
                        {},
                        kLargest,
                        {},
-                       {} };
+                       {},
+                       { revision{ kLargest, std::string(64, 'f') },
+                         revision{ kLargest, std::string(64, 'f') },
+                         kUnknownAge } };
   const auto size = [&] { return EncodeGossip(head).size(); };
   // HeadBound counts three bytes for each list; an empty one takes two.
   const std::size_t empty = size() + 1;
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -30,6 +30,18 @@
   3: i64 remaining_ms
 }
 
+// A manifest by the platform's version and the 32 bytes of its SHA-256.
+struct revision {
+  1: i64 version
+  2: binary digest
+}
+
+struct config_word {
+  1: optional revision in_force
+  2: optional revision newest
+  3: i64 platform_age_ms
+}
+
 struct gossip_message {
   1: i32 kind
   2: i64 exchange
@@ -40,6 +52,7 @@
   7: i64 configuration_version
   8: list<pool_pressure> pressures
   9: list<leaving_endpoint> leaving
+  10: optional config_word configuration
 }
 
 struct claim_request {
@@ -72,22 +85,14 @@
   3: binary bytes
 }
 
-struct version_request {
-}
-
-struct version_answer {
-  1: i64 version
-  2: binary manifest
-}
-
 // Exactly one field is set.
 struct stream_message {
   1: optional claim_request ask_claim
   2: optional claim_answer answer_claim
   3: optional part_request ask_part
   4: optional part_answer answer_part
-  5: optional version_request ask_version
-  6: optional version_answer answer_version
+  // 5 and 6 were another form of the word.
+  7: optional config_word word
 }
 
 // What the message authentication code covers.
