--- a/thornhollow/daemon/key_gate.cc
+++ b/thornhollow/daemon/key_gate.cc
@@ -53,26 +53,21 @@
     mAsk(aAction.mTo,
          aAction.mRequest,
          [weak = weak_from_this(),
-          witness = aAction.mTo,
-          key = aAction.mRequest.mKey,
-          claim = aAction.mRequest.mClaim](
-           const std::optional<claim_answer>& aAnswer) {
+          asked = aAction](const std::optional<claim_answer>& aAnswer) {
            if (const auto self = weak.lock(); self && !self->mStopped) {
-             self->OnOutcome(witness, key, claim, aAnswer);
+             self->OnOutcome(asked, aAnswer);
            }
          });
   }
 
-  void OnOutcome(const instance_name& aWitness,
-                 claim_key aKey,
-                 std::uint64_t aClaim,
+  void OnOutcome(const ask_witness& aAsked,
                  const std::optional<claim_answer>& aAnswer)
   {
     // An answer in another witness's name would let one vouch for all.
-    if (aAnswer && aAnswer->mWitness == aWitness) {
+    if (aAnswer && aAnswer->mWitness == aAsked.mTo) {
       Apply(mHolder.OnAnswer(*aAnswer, Now()));
     } else {
-      Apply(mHolder.OnUnreachable(aWitness, aKey, aClaim, Now()));
+      Apply(mHolder.OnUnreachable(aAsked.mTo, aAsked.mRequest, Now()));
     }
   }
 
--- a/thornhollow/fleet/key_holder.cc
+++ b/thornhollow/fleet/key_holder.cc
@@ -136,16 +136,15 @@
 
 key_actions
 key_holder::OnUnreachable(const instance_name& aWitness,
-                          claim_key aKey,
-                          std::uint64_t aClaim,
-                          std::uint32_t aRound,
+                          const claim_request& aAsked,
                           time_point aNow)
 {
   key_actions out;
   Observe(aNow);
-  const auto found = mClaims.find(aKey);
-  if (found != mClaims.end() && found->second.mRequest.mClaim == aClaim &&
-      found->second.mRequest.mRound == aRound &&
+  const auto found = mClaims.find(aAsked.mKey);
+  if (found != mClaims.end() &&
+      found->second.mRequest.mClaim == aAsked.mClaim &&
+      found->second.mRequest.mRound == aAsked.mRound &&
       Contains(found->second.mAwaited, aWitness)) {
     Refuse(found->second, error_kind::kKeyWitnessUnreachable, aNow, out);
   }
--- a/thornhollow/fleet/key_holder.h
+++ b/thornhollow/fleet/key_holder.h
@@ -100,11 +100,9 @@
 
   key_actions OnAnswer(const claim_answer& aAnswer, time_point aNow);
 
-  // The witness could not be asked, or did not answer in time.
+  // The witness could not be asked `aAsked`, or did not answer in time.
   key_actions OnUnreachable(const instance_name& aWitness,
-                            claim_key aKey,
-                            std::uint64_t aClaim,
-                            std::uint32_t aRound,
+                            const claim_request& aAsked,
                             time_point aNow);
 
   // The submission got its final answer. After `ran::kNo` its key is free
--- /dev/null
+++ b/thornhollow/net/peer_transport_test.cc
@@ -0,0 +1,171 @@
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include "thornhollow/net/peer_transport.h"
+
+namespace thornhollow {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Long enough that only a fault reaches it.
+constexpr duration kAmple = Seconds(60);
+
+struct two_daemons
+{
+  asio::io_context mIo;
+  peer_transport_settings mSettings{ .mAddress = "127.0.0.1:0" };
+  std::string mLastDatagram;
+  std::unique_ptr<peer_transport> mLeft = Make();
+  std::unique_ptr<peer_transport> mRight = Make();
+
+  std::unique_ptr<peer_transport> Make()
+  {
+    peer_handlers handlers;
+    handlers.mOnDatagram = [this](std::string_view aBytes) {
+      mLastDatagram = aBytes;
+      return aBytes != "garbage";
+    };
+    handlers.mOnRequest =
+      [](std::string_view aBytes) -> std::optional<std::string> {
+      if (aBytes == "garbage") {
+        return std::nullopt;
+      }
+      return "answer to " + std::string(aBytes);
+    };
+    auto made = std::make_unique<peer_transport>(mIo, mSettings, handlers);
+    REQUIRE(made->Open());
+    return made;
+  }
+
+  template<class predicate>
+  void RunTill(predicate aDone)
+  {
+    while (!aDone()) {
+      mIo.run_one();
+    }
+  }
+
+  std::optional<std::string> Ask(const std::string& aTo,
+                                 const std::string& aRequest,
+                                 duration aTimeout = kAmple)
+  {
+    std::optional<std::optional<std::string>> outcome;
+    mLeft->Exchange(aTo, aRequest, aTimeout, [&](auto aAnswer) {
+      outcome = std::move(aAnswer);
+    });
+    RunTill([&] { return outcome.has_value(); });
+    return *outcome;
+  }
+
+  tcp::endpoint RightEndpoint() const
+  {
+    const std::string address = mRight->LocalAddress();
+    const auto port = std::stoi(address.substr(address.rfind(':') + 1));
+    return { asio::ip::make_address("127.0.0.1"),
+             static_cast<std::uint16_t>(port) };
+  }
+};
+
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/datagram/arrives")
+{
+  mLeft->SendDatagram(mRight->LocalAddress(), "news");
+  RunTill([&] { return mRight->Counters().mDatagramsIn == 1; });
+  CHECK(mLastDatagram == "news");
+  CHECK(mRight->Counters().mGarbage == 0);
+}
+
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/garbage_datagrams/are_counted")
+{
+  mLeft->SendDatagram(mRight->LocalAddress(), "garbage");
+  mLeft->SendDatagram(mRight->LocalAddress(), std::string(1201, 'x'));
+  mLeft->SendDatagram(mRight->LocalAddress(), std::string(1200, 'x'));
+  RunTill([&] { return mRight->Counters().mDatagramsIn == 3; });
+  CHECK(mRight->Counters().mGarbage == 2);
+  mLeft->SendDatagram("no address", "news");
+  CHECK(mLeft->Counters().mDatagramsUnsent == 1);
+}
+
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/exchanges/share_a_connection")
+{
+  const std::string right = mRight->LocalAddress();
+  CHECK(Ask(right, "one") == "answer to one");
+  CHECK(Ask(right, "two") == "answer to two");
+  CHECK(Ask(right, std::string(4096, 'x')).has_value());
+  CHECK(mRight->Counters().mConnectionsAccepted == 1);
+}
+
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/long_unused/is_not_used_again")
+{
+  mSettings.mReuseWithin = duration::zero();
+  mLeft = Make();
+  CHECK(Ask(mRight->LocalAddress(), "one").has_value());
+  CHECK(Ask(mRight->LocalAddress(), "two").has_value());
+  CHECK(mRight->Counters().mConnectionsAccepted == 2);
+}
+
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/peer_restarted/is_asked_anew")
+{
+  // The peer is replaced at its address; the connection kept to the old process
+  // breaks at the next request. That must not look like an unreachable witness.
+  const std::string right = mRight->LocalAddress();
+  CHECK(Ask(right, "one").has_value());
+  mRight.reset();
+  mSettings.mAddress = right;
+  mRight = Make();
+  CHECK(Ask(right, "two") == "answer to two");
+}
+
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/silent_peer/ends_in_time")
+{
+  // Connections to a peer are accepted and swallowed. Without a limit on the
+  // exchange, a submission would wait for its witness for good.
+  tcp::acceptor silent(mIo, { asio::ip::make_address("127.0.0.1"), 0 });
+  const std::string where =
+    "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+  CHECK_FALSE(Ask(where, "one", Milliseconds(20)).has_value());
+  CHECK(mLeft->Counters().mExchangesFailed == 1);
+}
+
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/nobody_listens/fails")
+{
+  const std::string right = mRight->LocalAddress();
+  mRight.reset();
+  CHECK_FALSE(Ask(right, "one").has_value());
+  CHECK_FALSE(Ask("no address", "one").has_value());
+}
+
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/forged_length/ends_connection")
+{
+  // Someone sends a length of four gigabytes; memory for it must not be taken.
+  tcp::socket raw(mIo);
+  raw.connect(RightEndpoint());
+  asio::write(raw, asio::buffer(std::string("\xff\xff\xff\xff", 4)));
+  RunTill([&] { return mRight->Counters().mGarbage == 1; });
+  CHECK_FALSE(Ask(mRight->LocalAddress(), "garbage").has_value());
+  // Asked on a new connection a second time: none was kept, so only once here.
+  CHECK(mRight->Counters().mGarbage == 2);
+  CHECK(Ask(mRight->LocalAddress(), "one").has_value());
+}
+
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/too_many_peers/are_refused")
+{
+  mSettings.mMaxConnections = 1;
+  mRight = Make();
+  tcp::socket first(mIo);
+  first.connect(RightEndpoint());
+  RunTill([&] { return mRight->Counters().mConnectionsAccepted == 1; });
+  CHECK_FALSE(Ask(mRight->LocalAddress(), "one").has_value());
+  CHECK(mRight->Counters().mConnectionsRefused == 1);
+}
+
+} // namespace
+} // namespace thornhollow
