--- /dev/null
+++ b/thornhollow/daemon/peer_link.cc
@@ -0,0 +1,458 @@
+#include "thornhollow/daemon/peer_link.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <random>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "thornhollow/net/peer_transport.h"
+#include "thornhollow/wire/codec.h"
+#include "thornhollow/wire/seal.h"
+
+namespace thornhollow {
+namespace {
+
+// The state machines ask for a call this often.
+constexpr duration kTick = Milliseconds(100);
+// While nobody is known, the seeds are asked this often.
+constexpr duration kSeedInterval = Milliseconds(500);
+// A leaving endpoint is told for this long; by then the platform's list has it.
+constexpr duration kLeavingFor = Seconds(60);
+
+time_point
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+// The value of a result, or nothing; the error's detail is of no interest.
+template<class value>
+std::optional<value>
+OrNothing(result<value> aResult)
+{
+  return boost::leaf::try_handle_all(
+    [&]() -> result<std::optional<value>> {
+      BOOST_LEAF_AUTO(found, std::move(aResult));
+      return std::optional<value>(std::move(found));
+    },
+    [] { return std::optional<value>(); });
+}
+
+} // namespace
+
+class peer_link::core : public std::enable_shared_from_this<core>
+{
+public:
+  core(boost::asio::io_context& aIo,
+       const peer_link_settings& aSettings,
+       peer_listener aListener,
+       json_log& aLog,
+       metrics& aMetrics)
+    : mSettings(aSettings)
+    , mListener(std::move(aListener))
+    , mLog(aLog)
+    , mMetrics(aMetrics)
+    , mMembers(
+        membership_settings{},
+        { aSettings.mName, aSettings.mDomain, aSettings.mAddress, false },
+        aSettings.mEpoch,
+        std::random_device()())
+    , mSealer(aSettings.mKey, aSettings.mName, aSettings.mEpoch)
+    , mOpener(aSettings.mKey, aSettings.mName)
+    , mSeedOpener(aSettings.mKey, instance_name())
+    , mTransport(
+        aIo,
+        TransportSettings(aSettings),
+        { [this](std::string_view aBytes) { return OnDatagram(aBytes); },
+          [this](std::string_view aBytes) { return OnRequest(aBytes); } })
+    , mTimer(aIo)
+  {
+  }
+
+  result<void> Open()
+  {
+    BOOST_LEAF_CHECK(mTransport.Open());
+    Tick();
+    return {};
+  }
+
+  void Stop()
+  {
+    mStopped = true;
+    mTimer.cancel();
+  }
+
+  void OnInstances(const instance_list& aList)
+  {
+    if (aList.mVersion >= mList.mVersion) {
+      mList = aList;
+    }
+    Apply(mMembers.OnInstances(aList, Now()));
+    mListener.mOnMembers();
+  }
+
+  void Ask(const instance_name& aPeer,
+           const stream_message& aRequest,
+           duration aLimit,
+           answer_handler aDone)
+  {
+    const auto address = AddressOf(aPeer);
+    mTransport.Exchange(
+      address.value_or(std::string()),
+      mSealer.Seal(aPeer, EncodeStream(aRequest)),
+      aLimit,
+      [weak = weak_from_this(), aPeer, done = std::move(aDone)](
+        const std::optional<std::string>& aBytes) {
+        const auto self = weak.lock();
+        if (self && !self->mStopped) {
+          done(aBytes ? self->ReadAnswer(aPeer, *aBytes) : std::nullopt);
+        }
+      });
+  }
+
+  void TellLeaving(const endpoint_name& aEndpoint)
+  {
+    Apply(mMembers.OnEndpointLeaving(aEndpoint, kLeavingFor, Now()));
+  }
+
+  void Drain() { Apply(mMembers.Drain(Now())); }
+  void Leave() { Apply(mMembers.Leave(Now())); }
+
+  std::vector<member_digest> Alive() const { return mMembers.Alive(); }
+
+  std::vector<listed_instance> Known() const
+  {
+    std::vector<listed_instance> known = mList.mInstances;
+    for (const member_digest& each : mMembers.Alive()) {
+      if (std::ranges::find(known, each.mName, &listed_instance::mName) ==
+          known.end()) {
+        known.push_back(
+          { each.mName, mSettings.mDomain, each.mAddress, each.mDraining });
+      }
+    }
+    return known;
+  }
+
+private:
+  static peer_transport_settings TransportSettings(
+    const peer_link_settings& aSettings)
+  {
+    peer_transport_settings settings;
+    settings.mAddress = aSettings.mAddress;
+    settings.mMaxDatagramBytes = kMaxDatagramBytes;
+    return settings;
+  }
+
+  void Tick()
+  {
+    if (mStopped) {
+      return;
+    }
+    Apply(mMembers.Tick(Now()));
+    AskSeeds();
+    mTimer.expires_after(kTick);
+    mTimer.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& aWrong) {
+        const auto self = weak.lock();
+        if (!aWrong && self) {
+          self->Tick();
+        }
+      });
+  }
+
+  // A seed's name isn't known, so the message is sealed for whoever gets it.
+  void AskSeeds()
+  {
+    const time_point now = Now();
+    if (now < mNextSeeds || !mMembers.Alive().empty()) {
+      return;
+    }
+    mNextSeeds = now + kSeedInterval;
+    gossip_message ping;
+    ping.mKind = gossip_kind::kPing;
+    ping.mDomain = mSettings.mDomain;
+    ping.mSender = mMembers.Self();
+    for (const std::string& seed : mSettings.mSeeds) {
+      SendGossip(instance_name(), seed, ping);
+    }
+  }
+
+  void SendGossip(const instance_name& aTo,
+                  const std::string& aAddress,
+                  gossip_message aMessage)
+  {
+    aMessage.mConfiguration = mListener.mOwnWord();
+    mTransport.SendDatagram(aAddress,
+                            mSealer.Seal(aTo, EncodeGossip(aMessage)));
+  }
+
+  std::optional<std::string> AddressOf(const instance_name& aPeer) const
+  {
+    if (const auto member = mMembers.Find(aPeer)) {
+      return member->mAddress;
+    }
+    const auto listed =
+      std::ranges::find(mList.mInstances, aPeer, &listed_instance::mName);
+    return listed == mList.mInstances.end() ? std::nullopt
+                                            : std::optional(listed->mAddress);
+  }
+
+  std::optional<opened_message> OpenDatagram(std::string_view aBytes)
+  {
+    if (auto opened = OrNothing(mOpener.Open(aBytes))) {
+      return opened;
+    }
+    return OrNothing(mSeedOpener.Open(aBytes));
+  }
+
+  bool OnDatagram(std::string_view aBytes)
+  {
+    const auto opened = OpenDatagram(aBytes);
+    const auto message =
+      opened ? OrNothing(DecodeGossip(opened->mPayload)) : std::nullopt;
+    // A member may speak for others only inside its own, sealed message.
+    if (!message || message->mSender.mName != opened->mSender) {
+      mMetrics.OnEvent("peer_datagram_refused");
+      return false;
+    }
+    Apply(mMembers.OnMessage(*message, Now()));
+    mListener.mOnWord(opened->mSender, message->mConfiguration);
+    return true;
+  }
+
+  std::optional<std::string> OnRequest(std::string_view aBytes)
+  {
+    const auto opened = OrNothing(mOpener.Open(aBytes));
+    const auto request =
+      opened ? OrNothing(DecodeStream(opened->mPayload)) : std::nullopt;
+    auto answer =
+      request
+        ? std::visit(
+            [&](const auto& aOne) { return Answer(opened->mSender, aOne); },
+            *request)
+        : std::nullopt;
+    if (!answer) {
+      mMetrics.OnEvent("peer_request_refused");
+      return std::nullopt;
+    }
+    return mSealer.Seal(opened->mSender, EncodeStream(*answer));
+  }
+
+  std::optional<stream_message> ReadAnswer(const instance_name& aPeer,
+                                           const std::string& aBytes)
+  {
+    const auto opened = OrNothing(mOpener.Open(aBytes));
+    if (!opened || opened->mSender != aPeer) {
+      mMetrics.OnEvent("peer_answer_refused");
+      return std::nullopt;
+    }
+    return OrNothing(DecodeStream(opened->mPayload));
+  }
+
+  std::optional<stream_message> Answer(const instance_name& aSender,
+                                       const claim_request& aRequest)
+  {
+    // Nobody may claim, use up or release a key in another's name.
+    if (aRequest.mHolder.mName != aSender) {
+      return std::nullopt;
+    }
+    return mListener.mOnClaim(aRequest);
+  }
+
+  std::optional<stream_message> Answer(const instance_name& /*aSender*/,
+                                       const part_request& aRequest)
+  {
+    auto bytes = mListener.mOnPart(aRequest.mDigest);
+    const bool found = bytes.has_value();
+    return part_answer{ aRequest.mDigest,
+                        found,
+                        std::move(bytes).value_or(std::string()) };
+  }
+
+  std::optional<stream_message> Answer(const instance_name& aSender,
+                                       const word_exchange& aRequest)
+  {
+    mListener.mOnWord(aSender, aRequest.mWord);
+    return word_exchange{ mListener.mOwnWord() };
+  }
+
+  // Answers aren't requests.
+  static std::optional<stream_message> Answer(const instance_name&,
+                                              const claim_answer&)
+  {
+    return std::nullopt;
+  }
+  static std::optional<stream_message> Answer(const instance_name&,
+                                              const part_answer&)
+  {
+    return std::nullopt;
+  }
+
+  void Apply(membership_actions aActions)
+  {
+    for (membership_action& each : aActions) {
+      std::visit([this](auto& aOne) { this->Carry(aOne); }, each);
+    }
+  }
+
+  void Carry(send_datagram& aAction)
+  {
+    SendGossip(aAction.mTo, aAction.mAddress, std::move(aAction.mMessage));
+  }
+
+  void Carry(const member_changed& aAction)
+  {
+    mLog.Write(log_level::kInfo,
+               "member",
+               { { "change", std::string(NameOf(aAction.mChange)) },
+                 { "name", aAction.mName.Text() } });
+    mMetrics.OnEvent(std::string("member_") +
+                     std::string(NameOf(aAction.mChange)));
+    mListener.mOnMembers();
+  }
+
+  // The word on each datagram tells more.
+  void Carry(const newer_configuration&) {}
+
+  void Carry(const endpoint_leaves& aAction)
+  {
+    mListener.mOnEndpointLeaves(aAction.mEndpoint, aAction.mUntil);
+  }
+
+  void Carry(const was_paused& aAction)
+  {
+    mLog.Write(log_level::kWarning,
+               "paused",
+               { { "length_ms", ToMilliseconds(aAction.mLength) } });
+    mMetrics.OnEvent("paused");
+    mListener.mOnPaused(aAction.mLength);
+  }
+
+  void Carry(const refreshed& aAction)
+  {
+    mLog.Write(
+      log_level::kInfo,
+      "refreshed",
+      { { "heard_a_peer", std::string(aAction.mHeard ? "yes" : "no") } });
+  }
+
+  void Carry(const superseded&)
+  {
+    mLog.Write(log_level::kError, "superseded");
+    mMetrics.OnEvent("superseded");
+    mListener.mOnSuperseded();
+  }
+
+  static std::string_view NameOf(member_change aChange)
+  {
+    switch (aChange) {
+      case member_change::kJoined:
+        return "joined";
+      case member_change::kSuspected:
+        return "suspected";
+      case member_change::kRecovered:
+        return "recovered";
+      case member_change::kRemoved:
+        return "removed";
+      case member_change::kReturned:
+        return "returned";
+      case member_change::kRestarted:
+        return "restarted";
+      case member_change::kDraining:
+        break;
+    }
+    return "draining";
+  }
+
+  peer_link_settings mSettings;
+  peer_listener mListener;
+  json_log& mLog;
+  metrics& mMetrics;
+  membership mMembers;
+  sealer mSealer;
+  opener mOpener;
+  // For datagrams of instances that don't know this one's name yet.
+  opener mSeedOpener;
+  instance_list mList;
+  peer_transport mTransport;
+  boost::asio::steady_timer mTimer;
+  time_point mNextSeeds{};
+  bool mStopped = false;
+};
+
+peer_link::peer_link(boost::asio::io_context& aIo,
+                     const peer_link_settings& aSettings,
+                     peer_listener aListener,
+                     json_log& aLog,
+                     metrics& aMetrics)
+  : mCore(std::make_shared<core>(aIo,
+                                 aSettings,
+                                 std::move(aListener),
+                                 aLog,
+                                 aMetrics))
+{
+}
+
+peer_link::~peer_link()
+{
+  mCore->Stop();
+}
+
+result<void>
+peer_link::Open()
+{
+  return mCore->Open();
+}
+
+void
+peer_link::OnInstances(const instance_list& aList)
+{
+  mCore->OnInstances(aList);
+}
+
+void
+peer_link::Ask(const instance_name& aPeer,
+               const stream_message& aRequest,
+               duration aLimit,
+               answer_handler aDone)
+{
+  mCore->Ask(aPeer, aRequest, aLimit, std::move(aDone));
+}
+
+void
+peer_link::TellLeaving(const endpoint_name& aEndpoint)
+{
+  mCore->TellLeaving(aEndpoint);
+}
+
+void
+peer_link::Drain()
+{
+  mCore->Drain();
+}
+
+void
+peer_link::Leave()
+{
+  mCore->Leave();
+}
+
+std::vector<member_digest>
+peer_link::Alive() const
+{
+  return mCore->Alive();
+}
+
+std::vector<listed_instance>
+peer_link::Known() const
+{
+  return mCore->Known();
+}
+
+} // namespace thornhollow
--- a/thornhollow/fleet/key_holder.cc
+++ b/thornhollow/fleet/key_holder.cc
@@ -80,6 +80,7 @@
   added.mRequest.mKey = aKey;
   added.mRequest.mFingerprint = aFingerprint;
   added.mRequest.mHolder = mSelf;
+  added.mRequest.mClaim = ++mLastClaim;
   StartRound(added, aNow, out);
   return out;
 }
@@ -117,6 +118,7 @@
   // one, say nothing about the present.
   if (found == mClaims.end() ||
       found->second.mRequest.mClaim != aAnswer.mClaim ||
+      found->second.mRequest.mRound != aAnswer.mRound ||
       !Contains(found->second.mAwaited, aAnswer.mWitness)) {
     return out;
   }
@@ -134,14 +136,15 @@
 
 key_actions
 key_holder::OnUnreachable(const instance_name& aWitness,
-                          claim_key aKey,
-                          std::uint64_t aClaim,
+                          const claim_request& aAsked,
                           time_point aNow)
 {
   key_actions out;
   Observe(aNow);
-  const auto found = mClaims.find(aKey);
-  if (found != mClaims.end() && found->second.mRequest.mClaim == aClaim &&
+  const auto found = mClaims.find(aAsked.mKey);
+  if (found != mClaims.end() &&
+      found->second.mRequest.mClaim == aAsked.mClaim &&
+      found->second.mRequest.mRound == aAsked.mRound &&
       Contains(found->second.mAwaited, aWitness)) {
     Refuse(found->second, error_kind::kKeyWitnessUnreachable, aNow, out);
   }
@@ -206,7 +209,7 @@
 key_holder::StartRound(claim& aClaim, time_point aNow, key_actions& aOut)
 {
   aClaim.mRequest.mKind = claim_kind::kClaim;
-  aClaim.mRequest.mClaim = ++mLastClaim;
+  ++aClaim.mRequest.mRound;
   aClaim.mRequest.mWitnesses =
     WitnessesOf(aClaim.mRequest.mKey, mView, mSettings.mWitnesses);
   aClaim.mAwaited.clear();
--- a/thornhollow/fleet/key_holder.h
+++ b/thornhollow/fleet/key_holder.h
@@ -100,10 +100,9 @@
 
   key_actions OnAnswer(const claim_answer& aAnswer, time_point aNow);
 
-  // The witness could not be asked, or did not answer in time.
+  // The witness could not be asked `aAsked`, or did not answer in time.
   key_actions OnUnreachable(const instance_name& aWitness,
-                            claim_key aKey,
-                            std::uint64_t aClaim,
+                            const claim_request& aAsked,
                             time_point aNow);
 
   // The submission got its final answer. After `ran::kNo` its key is free
@@ -145,7 +144,7 @@
 
   void Observe(time_point aNow);
   claim* FindBySubmission(submission aSubmission);
-  // Starts asking; the claim's number is a new one.
+  // Starts asking, from the first witness on.
   void StartRound(claim& aClaim, time_point aNow, key_actions& aOut);
   void Ask(claim& aClaim, const instance_name& aWitness, key_actions& aOut);
   void TakeGrant(claim& aClaim, const claim_answer& aAnswer, key_actions& aOut);
