Control plane: peers, bundles, keys and leaving endpoints in the daemon

Cause: two process cases failed: a daemon that starts while the platform is down was not ready within 60 s, and one that starts while it is stale put version 1 in force where its peers held 2. Configurations were read from the platform only. Change: daemon/control_plane joins peer_link, configuration_keeper, key_gate and the platform's list; policy/endpoint_states keeps an endpoint leaving while any of its sources says so; a starting daemon asks peers (listed, or seeds) before it reads the platform.

--- /dev/null
+++ b/thornhollow/daemon/control_plane.cc
@@ -0,0 +1,434 @@
+#include "thornhollow/daemon/control_plane.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "thornhollow/daemon/configuration_keeper.h"
+#include "thornhollow/daemon/peer_link.h"
+#include "thornhollow/platform/platform_list.h"
+#include "thornhollow/platform/platform_watch.h"
+
+namespace thornhollow {
+namespace {
+
+constexpr std::string_view kInstancesPath = "/v1/instances";
+constexpr duration kTick = Milliseconds(100);
+// A starting instance waits this long for a first peer to ask before it reads
+// the platform: a stale replica there could otherwise give it a configuration
+// that its peers have left behind.
+constexpr duration kFirstPeerWithin = Milliseconds(500);
+constexpr duration kWordLimit = Milliseconds(500);
+// What an endpoint said of itself holds for this long unless it is said again.
+constexpr duration kToldFor = Seconds(60);
+
+time_point
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+// Higher at each start, as long as the clock isn't set back between two.
+std::uint64_t
+NewEpoch()
+{
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+}
+
+peer_link_settings
+LinkSettings(const daemon_settings& aSettings, std::uint64_t aEpoch)
+{
+  return { aSettings.mName,    aSettings.mDomain,    aSettings.mPeerAddress,
+           aSettings.mPeerKey, aSettings.mPeerSeeds, aEpoch };
+}
+
+std::vector<domain_name>
+DomainsOf(const declarations& aDeclared)
+{
+  std::set<domain_name> domains;
+  for (const endpoint& each : aDeclared.mEndpoints) {
+    domains.insert(each.mDomain);
+  }
+  return { domains.begin(), domains.end() };
+}
+
+} // namespace
+
+class control_plane::core
+{
+public:
+  core(boost::asio::io_context& aIo,
+       const daemon_settings& aSettings,
+       control_listener aListener,
+       json_log& aLog,
+       metrics& aMetrics)
+    : mSettings(aSettings)
+    , mListener(std::move(aListener))
+    , mLog(aLog)
+    , mMetrics(aMetrics)
+    , mEpoch(NewEpoch())
+    , mLink(aIo,
+            LinkSettings(aSettings, mEpoch),
+            PeerListener(),
+            aLog,
+            aMetrics)
+    , mKeeper(aIo,
+              { aSettings.mName,
+                aSettings.mDomain,
+                aSettings.mPlatformAddress,
+                follower_settings{} },
+              KeeperPeers(),
+              KeeperListener())
+    , mKeys(
+        key_claim_settings{},
+        { aSettings.mName, mEpoch },
+        [this](const instance_name& aPeer,
+               const claim_request& aRequest,
+               std::function<void(std::optional<claim_answer>)> aDone) {
+          AskClaim(aPeer, aRequest, std::move(aDone));
+        },
+        mListener.mKeys)
+    , mInstances(aIo,
+                 aSettings.mPlatformAddress,
+                 std::string(kInstancesPath),
+                 { [this](const platform_value& aValue) { OnList(aValue); },
+                   [this] { TellView(); },
+                   [this] { mMetrics.OnEvent("platform_list_unanswered"); } })
+    , mTimer(aIo)
+  {
+  }
+
+  result<void> Open()
+  {
+    BOOST_LEAF_CHECK(mLink.Open());
+    mInstances.Start();
+    mOpened = Now();
+    Tick();
+    return {};
+  }
+
+  key_gate& Keys() { return mKeys; }
+
+  void OnEndpointLeaving(const endpoint_name& aEndpoint)
+  {
+    const state_changes changes = mStates.OnTold(aEndpoint, Now() + kToldFor);
+    if (!changes.empty()) {
+      mLink.TellLeaving(aEndpoint);
+    }
+    Apply(changes);
+  }
+
+  void Drain() { mLink.Drain(); }
+  void Leave() { mLink.Leave(); }
+
+  std::optional<revision> InForce() const { return mKeeper.InForce(); }
+  const std::optional<refused_state>& Refused() const
+  {
+    return mKeeper.Refused();
+  }
+  std::size_t PeersAlive() const { return mLink.Alive().size(); }
+
+private:
+  peer_listener PeerListener()
+  {
+    peer_listener listener;
+    listener.mOwnWord = [this] { return mKeeper.Word(); };
+    listener.mOnWord = [this](const instance_name& aPeer,
+                              const config_word& aWord) {
+      mKeeper.OnPeerSaid(aPeer, aWord);
+    };
+    listener.mOnClaim = [this](const claim_request& aRequest) {
+      return mKeys.OnPeerClaim(aRequest);
+    };
+    listener.mOnPart =
+      [this](const std::string& aDigest) -> std::optional<std::string> {
+      const bytes_ptr held = mKeeper.Held(aDigest);
+      return held == nullptr ? std::nullopt : std::optional(held->mText);
+    };
+    listener.mOnMembers = [this] { OnMembers(); };
+    listener.mOnEndpointLeaves = [this](const endpoint_name& aEndpoint,
+                                        time_point aUntil) {
+      Apply(mStates.OnTold(aEndpoint, aUntil));
+    };
+    listener.mOnPaused = [this](duration) { mListener.mPaused(); };
+    listener.mOnSuperseded = [this] { mListener.mSuperseded(); };
+    return listener;
+  }
+
+  keeper_peers KeeperPeers()
+  {
+    keeper_peers peers;
+    peers.mAsk = [this](const instance_name& aPeer,
+                        std::function<void(std::optional<config_word>)> aDone) {
+      AskWord(aPeer, std::move(aDone));
+    };
+    peers.mFetch =
+      [this](const instance_name& aPeer,
+             const std::string& aDigest,
+             std::function<void(std::optional<std::string>)> aDone) {
+        AskPart(aPeer, aDigest, std::move(aDone));
+      };
+    peers.mTell = [this](const instance_name& aPeer, const config_word&) {
+      AskWord(aPeer, [](const auto&) {});
+    };
+    return peers;
+  }
+
+  keeper_listener KeeperListener()
+  {
+    keeper_listener listener;
+    listener.mInForce = [this](const catalog_ptr& aCatalog,
+                               const revision& aRevision) {
+      OnInForce(aCatalog, aRevision);
+    };
+    listener.mRefused = [this](const revision& aRevision,
+                               const faults& aFaults) {
+      mMetrics.OnConfigurationRefused();
+      mLog.Write(
+        log_level::kError,
+        "configuration_refused",
+        { { "first_fault", aFaults.empty() ? "" : Text(aFaults.front()) },
+          { "revision", static_cast<std::int64_t>(aRevision.mVersion) },
+          { "faults", static_cast<std::int64_t>(aFaults.size()) } });
+    };
+    listener.mLower = [this](std::uint64_t aVersion, const revision& aInForce) {
+      mMetrics.OnEvent("configuration_lower_version_ignored");
+      mLog.Write(
+        log_level::kWarning,
+        "configuration_lower_version_ignored",
+        { { "version", static_cast<std::int64_t>(aVersion) },
+          { "in_force", static_cast<std::int64_t>(aInForce.mVersion) } });
+    };
+    return listener;
+  }
+
+  void OnInForce(const catalog_ptr& aCatalog, const revision& aRevision)
+  {
+    mDomains = DomainsOf(aCatalog->Declared());
+    mMetrics.OnConfiguration(aRevision.mVersion);
+    mLog.Write(
+      log_level::kInfo,
+      "configuration_in_force",
+      { { "digest", aRevision.mDigest },
+        { "revision", static_cast<std::int64_t>(aRevision.mVersion) } });
+    mListener.mInForce(aCatalog);
+    TellView();
+  }
+
+  void AskWord(const instance_name& aPeer,
+               std::function<void(std::optional<config_word>)> aDone)
+  {
+    mLink.Ask(
+      aPeer,
+      word_exchange{ mKeeper.Word() },
+      kWordLimit,
+      [done = std::move(aDone)](const std::optional<stream_message>& aAnswer) {
+        const auto* word =
+          aAnswer ? std::get_if<word_exchange>(&*aAnswer) : nullptr;
+        done(word == nullptr ? std::nullopt : std::optional(word->mWord));
+      });
+  }
+
+  void AskPart(const instance_name& aPeer,
+               const std::string& aDigest,
+               std::function<void(std::optional<std::string>)> aDone)
+  {
+    mLink.Ask(
+      aPeer,
+      part_request{ aDigest },
+      follower_settings{}.mFetchTimeout,
+      [done = std::move(aDone)](const std::optional<stream_message>& aAnswer) {
+        const auto* part =
+          aAnswer ? std::get_if<part_answer>(&*aAnswer) : nullptr;
+        done(part == nullptr || !part->mFound ? std::nullopt
+                                              : std::optional(part->mBytes));
+      });
+  }
+
+  void AskClaim(const instance_name& aPeer,
+                const claim_request& aRequest,
+                std::function<void(std::optional<claim_answer>)> aDone)
+  {
+    mLink.Ask(
+      aPeer,
+      aRequest,
+      key_claim_settings{}.mAskTimeout,
+      [done = std::move(aDone)](const std::optional<stream_message>& aAnswer) {
+        const auto* claim =
+          aAnswer ? std::get_if<claim_answer>(&*aAnswer) : nullptr;
+        done(claim == nullptr ? std::nullopt : std::optional(*claim));
+      });
+  }
+
+  void OnList(const platform_value& aValue)
+  {
+    auto list = ReadPlatformList(aValue.mBytes, aValue.mVersion);
+    if (!list) {
+      mMetrics.OnEvent("platform_list_unreadable");
+      return;
+    }
+    std::set<endpoint_name> leaving;
+    for (const listed_endpoint& each : list->mEndpoints) {
+      if (each.mLeaving) {
+        leaving.insert(each.mName);
+      }
+    }
+    Apply(mStates.OnList(std::move(leaving)));
+    mList = std::move(list->mRouters);
+    mLink.OnInstances(*mList);
+    TellView();
+  }
+
+  // Also when the platform confirms an unchanged list: holders refuse
+  // submissions after a pause until their view is known to be fresh.
+  void TellView()
+  {
+    if (mList && !mDomains.empty()) {
+      mKeys.OnView({ mDomains, *mList });
+    }
+  }
+
+  void OnMembers()
+  {
+    std::vector<follower_member> members;
+    std::vector<instance_name> routers{ mSettings.mName };
+    for (const listed_instance& each : mLink.Known()) {
+      if (each.mLeaving) {
+        continue;
+      }
+      members.push_back({ each.mName, each.mDomain });
+      if (each.mDomain == mSettings.mDomain && each.mName != mSettings.mName) {
+        routers.push_back(each.mName);
+      }
+    }
+    mKeeper.SetMembers(std::move(members));
+    mListener.mRouters(routers);
+  }
+
+  void Tick()
+  {
+    StartKeeperWhenDue();
+    mKeys.Tick();
+    Apply(mStates.Advance(Now()));
+    mTimer.expires_after(kTick);
+    mTimer.async_wait([this](const boost::system::error_code& aWrong) {
+      if (!aWrong) {
+        Tick();
+      }
+    });
+  }
+
+  void StartKeeperWhenDue()
+  {
+    if (mKeeperStarted) {
+      return;
+    }
+    std::vector<instance_name> peers;
+    for (const listed_instance& each : mLink.Known()) {
+      if (each.mName != mSettings.mName && !each.mLeaving) {
+        peers.push_back(each.mName);
+      }
+    }
+    if (peers.empty() && Now() < mOpened + kFirstPeerWithin) {
+      return;
+    }
+    mKeeperStarted = true;
+    OnMembers();
+    mKeeper.Start(peers);
+  }
+
+  void Apply(const state_changes& aChanges)
+  {
+    for (const state_change& each : aChanges) {
+      mListener.mEndpointState(each);
+    }
+  }
+
+  daemon_settings mSettings;
+  control_listener mListener;
+  json_log& mLog;
+  metrics& mMetrics;
+  std::uint64_t mEpoch;
+  endpoint_states mStates;
+  std::optional<instance_list> mList;
+  std::vector<domain_name> mDomains;
+  peer_link mLink;
+  configuration_keeper mKeeper;
+  key_gate mKeys;
+  platform_watch mInstances;
+  boost::asio::steady_timer mTimer;
+  time_point mOpened{};
+  bool mKeeperStarted = false;
+};
+
+control_plane::control_plane(boost::asio::io_context& aIo,
+                             const daemon_settings& aSettings,
+                             control_listener aListener,
+                             json_log& aLog,
+                             metrics& aMetrics)
+  : mCore(std::make_unique<core>(aIo,
+                                 aSettings,
+                                 std::move(aListener),
+                                 aLog,
+                                 aMetrics))
+{
+}
+
+control_plane::~control_plane() = default;
+
+result<void>
+control_plane::Open()
+{
+  return mCore->Open();
+}
+
+key_gate&
+control_plane::Keys()
+{
+  return mCore->Keys();
+}
+
+void
+control_plane::OnEndpointLeaving(const endpoint_name& aEndpoint)
+{
+  mCore->OnEndpointLeaving(aEndpoint);
+}
+
+void
+control_plane::Drain()
+{
+  mCore->Drain();
+}
+
+void
+control_plane::Leave()
+{
+  mCore->Leave();
+}
+
+std::optional<revision>
+control_plane::InForce() const
+{
+  return mCore->InForce();
+}
+
+const std::optional<refused_state>&
+control_plane::Refused() const
+{
+  return mCore->Refused();
+}
+
+std::size_t
+control_plane::PeersAlive() const
+{
+  return mCore->PeersAlive();
+}
+
+} // namespace thornhollow
--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -11,23 +11,18 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "thornhollow/config/catalog.h"
-#include "thornhollow/config/yaml_reader.h"
+#include "thornhollow/daemon/control_plane.h"
 #include "thornhollow/daemon/load_poller.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/daemon/operators_page.h"
 #include "thornhollow/daemon/router.h"
 #include "thornhollow/net/caller_server.h"
-#include "thornhollow/platform/platform_list.h"
-#include "thornhollow/platform/platform_watch.h"
 
 namespace thornhollow {
 namespace {
 
 using boost::system::error_code;
 
-constexpr std::string_view kManifestPath = "/v1/values/thornhollow/manifest";
-constexpr std::string_view kInstancesPath = "/v1/instances";
-
 // After readiness goes off, the balancer still sends requests for about as long
 // as it takes to notice; they are answered with "not run" instead of meeting a
 // closed port.
@@ -108,18 +103,7 @@
           aOne->Send(OperatorsPage(aOne->Request(), Status(), mMetrics));
         },
         [this](error_kind aKind) { return mRouter.AnswerUnreadable(aKind); })
-    , mManifest(
-        aIo,
-        aSettings.mPlatformAddress,
-        std::string(kManifestPath),
-        [this](const platform_value& aValue) { OnManifest(aValue); },
-        [this] { mMetrics.OnEvent("platform_manifest_unanswered"); })
-    , mInstances(
-        aIo,
-        aSettings.mPlatformAddress,
-        std::string(kInstancesPath),
-        [this](const platform_value& aValue) { OnInstances(aValue); },
-        [this] { mMetrics.OnEvent("platform_instances_unanswered"); })
+    , mControl(aIo, aSettings, ControlListener(), aLog, mMetrics)
     , mLoadPoller(
         aIo,
         [this](const endpoint_name& aName, const load_report& aReport) {
@@ -127,14 +111,17 @@
         })
     , mDrainTimer(aIo)
   {
+    mRouter.SetKeyGate(&mControl.Keys());
+    mRouter.OnEndpointLeaving([this](const endpoint_name& aEndpoint) {
+      mControl.OnEndpointLeaving(aEndpoint);
+    });
   }
 
   result<listening_addresses> Start()
   {
     BOOST_LEAF_AUTO(caller, mCallers.Listen(mSettings.mCallerAddress));
     BOOST_LEAF_AUTO(operators, mOperators.Listen(mSettings.mOperatorAddress));
-    mManifest.Start();
-    mInstances.Start();
+    BOOST_LEAF_CHECK(mControl.Open());
     mLoadPoller.Start();
     mLog.Write(log_level::kInfo,
                "started",
@@ -155,57 +142,30 @@
       "drain_begun",
       { { "in_progress", static_cast<std::int64_t>(mRouter.InProgress()) } });
     mRouter.BeginDrain();
+    mControl.Drain();
     mDrainBegun = std::chrono::steady_clock::now();
     CheckDrained();
   }
 
 private:
-  void OnManifest(const platform_value& aValue)
-  {
-    const std::array<source_file, 1> files{ source_file{ "manifest",
-                                                         aValue.mBytes } };
-    read_verdict verdict = ReadDeclarations(files);
-    if (const auto* wrong = std::get_if<faults>(&verdict)) {
-      Refuse(aValue.mVersion, *wrong);
-      return;
-    }
-    mRevision = aValue.mVersion;
-    auto declared = std::get<declarations>(std::move(verdict));
-    mLoadPoller.SetEndpoints(ModelEngines(declared));
-    mRouter.PutInForce(MakeCatalog(std::move(declared)));
-    mMetrics.OnConfiguration(aValue.mVersion);
-    mLog.Write(log_level::kInfo,
-               "configuration_in_force",
-               { { "revision", static_cast<std::int64_t>(aValue.mVersion) } });
-  }
-
-  void Refuse(std::uint64_t aVersion, const faults& aFaults)
+  control_listener ControlListener()
   {
-    mRefusedRevision = aVersion;
-    mRefusedFaults.clear();
-    for (const fault& each : aFaults) {
-      mRefusedFaults.push_back(Text(each));
-    }
-    mMetrics.OnConfigurationRefused();
-    mLog.Write(log_level::kError,
-               "configuration_refused",
-               { { "first_fault", mRefusedFaults.front() },
-                 { "revision", static_cast<std::int64_t>(aVersion) },
-                 { "faults", static_cast<std::int64_t>(aFaults.size()) } });
-  }
-
-  void OnInstances(const platform_value& aValue)
-  {
-    const auto list = ReadPlatformList(aValue.mBytes, aValue.mVersion);
-    if (!list) {
-      mMetrics.OnEvent("platform_instances_unreadable");
-      return;
-    }
-    for (const listed_endpoint& each : list->mEndpoints) {
-      mRouter.OnEndpointState(each.mName,
-                              each.mLeaving ? endpoint_state::kLeaving
-                                            : endpoint_state::kLive);
-    }
+    control_listener listener;
+    listener.mInForce = [this](const catalog_ptr& aCatalog) {
+      mLoadPoller.SetEndpoints(ModelEngines(aCatalog->Declared()));
+      mRouter.PutInForce(aCatalog);
+    };
+    listener.mEndpointState = [this](const state_change& aChange) {
+      mRouter.OnEndpointState(aChange.mEndpoint, aChange.mState);
+    };
+    listener.mKeys.mRun = [this](submission aOne) { mRouter.OnKeyRun(aOne); };
+    listener.mKeys.mRefused = [this](submission aOne, error_kind aKind) {
+      mRouter.OnKeyRefused(aOne, aKind);
+    };
+    listener.mRouters = [](const std::vector<instance_name>&) {};
+    listener.mPaused = [] {};
+    listener.mSuperseded = [this] { BeginStop(); };
+    return listener;
   }
 
   instance_status Status() const
@@ -213,11 +173,19 @@
     instance_status status;
     status.mName = mSettings.mName;
     status.mDomain = mSettings.mDomain;
-    status.mReady = mRevision.has_value() && !mDraining;
+    const auto inForce = mControl.InForce();
+    status.mReady = inForce.has_value() && !mDraining;
     status.mDraining = mDraining;
-    status.mRevision = mRevision;
-    status.mRefusedRevision = mRefusedRevision;
-    status.mRefusedFaults = mRefusedFaults;
+    if (inForce) {
+      status.mRevision = inForce->mVersion;
+    }
+    if (const auto& refused = mControl.Refused()) {
+      status.mRefusedRevision = refused->mRevision.mVersion;
+      for (const fault& each : refused->mFaults) {
+        status.mRefusedFaults.push_back(Text(each));
+      }
+    }
+    status.mPeersAlive = mControl.PeersAlive();
     status.mInProgress = mRouter.InProgress();
     return status;
   }
@@ -235,6 +203,7 @@
                  { { "left_in_progress",
                      static_cast<std::int64_t>(mRouter.InProgress()) } });
       mCallers.StopListening();
+      mControl.Leave();
       mIo.stop();
       return;
     }
@@ -253,13 +222,9 @@
   router mRouter;
   caller_server mCallers;
   caller_server mOperators;
-  platform_watch mManifest;
-  platform_watch mInstances;
+  control_plane mControl;
   load_poller mLoadPoller;
   boost::asio::steady_timer mDrainTimer;
-  std::optional<std::uint64_t> mRevision;
-  std::optional<std::uint64_t> mRefusedRevision;
-  std::vector<std::string> mRefusedFaults;
   bool mDraining = false;
   time_point mDrainBegun{};
 };
--- a/thornhollow/daemon/live_request.h
+++ b/thornhollow/daemon/live_request.h
@@ -59,6 +59,8 @@
   // The terms under which the request was taken.
   catalog_ptr mTerms;
   boost::intrusive_ptr<endpoint_attempt> mAttempt;
+  // Where the present or last attempt went.
+  endpoint_name mEndpoint;
   boost::asio::steady_timer mTimer;
   // What the timer is set to; nothing while it is not running.
   std::optional<time_point> mTimerDue;
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -79,8 +79,16 @@
     Admit(std::move(aExchange), std::get<intake>(std::move(read)));
   }
 
+  void OnEndpointLeaving(std::function<void(const endpoint_name&)> aListener)
+  {
+    mOnLeaving = std::move(aListener);
+  }
+
   void OnLoadReport(const endpoint_name& aEndpoint, const load_report& aReport)
   {
+    if (aReport.mLeaving && mOnLeaving) {
+      mOnLeaving(aEndpoint);
+    }
     Apply(mScheduler.OnLoadReport(aEndpoint, aReport, Now()));
   }
 
@@ -342,6 +350,7 @@
       Later(aLive.mTicket, connect_failed{ aAction.mAttempt });
       return;
     }
+    aLive.mEndpoint = aAction.mEndpoint;
     endpoint_call call;
     call.mAttempt = aAction.mAttempt;
     call.mId = aLive.mId;
@@ -375,6 +384,9 @@
 
   void Carry(live_request& aLive, const report_attempt_ended& aAction)
   {
+    if (aAction.mHow == attempt_end::kDeclinedLeaving && mOnLeaving) {
+      mOnLeaving(aLive.mEndpoint);
+    }
     Apply(mScheduler.OnAttemptEnded(
       aLive.mTicket, aAction.mHow, aAction.mTokens, Now()));
   }
@@ -507,6 +519,7 @@
   boost::asio::steady_timer mSchedulerTimer;
   std::optional<time_point> mSchedulerDue;
   key_gate* mKeys = nullptr;
+  std::function<void(const endpoint_name&)> mOnLeaving;
   catalog_ptr mCatalog;
   std::unordered_map<ticket, live_request_ptr> mLive;
   ticket mLastTicket = 0;
@@ -543,6 +556,12 @@
   mCore->OnKeyRefused(aTicket, aKind);
 }
 
+void
+router::OnEndpointLeaving(std::function<void(const endpoint_name&)> aListener)
+{
+  mCore->OnEndpointLeaving(std::move(aListener));
+}
+
 void
 router::PutInForce(catalog_ptr aCatalog)
 {
--- a/thornhollow/daemon/router.h
+++ b/thornhollow/daemon/router.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -53,6 +54,9 @@
   void OnKeyRun(ticket aTicket);
   void OnKeyRefused(ticket aTicket, error_kind aKind);
 
+  // `aListener` hears of each endpoint that said itself that it leaves.
+  void OnEndpointLeaving(std::function<void(const endpoint_name&)> aListener);
+
   // New requests follow this catalog; those in progress keep their terms.
   void PutInForce(catalog_ptr aCatalog);
 
--- a/thornhollow/fleet/peer_messages.h
+++ b/thornhollow/fleet/peer_messages.h
@@ -30,7 +30,7 @@
 inline constexpr std::size_t kMaxNameBytes = 128;
 // Bytes of a configuration part or a manifest: the platform holds values up to
 // a megabyte.
-inline constexpr std::size_t kMaxPartBytes = std::size_t{ 1 } << 20;
+inline constexpr std::size_t kMaxCarriedBytes = std::size_t{ 1 } << 20;
 
 // Orders what is known of one member. The epoch tells processes of the same
 // name apart (taken from the clock when the process starts); the revision is
--- a/thornhollow/platform/platform_watch.cc
+++ b/thornhollow/platform/platform_watch.cc
@@ -12,11 +12,11 @@
 namespace thornhollow {
 namespace {
 
-// A waiting watch counts as one call: the longer it waits the fewer calls. But a
-// watch whose connection went silent hides a change for the wait and the grace,
-// and an endpoint that leaves must get no new work after a few seconds. With
-// these two, that takes 3 s, and 420 instances make 210 calls a second of the
-// 2,000 that all readers have.
+// A waiting watch counts as one call: the longer it waits the fewer calls. But
+// a watch whose connection went silent hides a change for the wait and the
+// grace, and an endpoint that leaves must get no new work after a few seconds.
+// With these two, that takes 3 s, and 420 instances make 210 calls a second of
+// the 2,000 that all readers have.
 constexpr duration kWait = Seconds(2);
 // Beyond the wait, an answer is due within this; else the watch is given up and
 // asked anew on a new connection.
@@ -33,13 +33,11 @@
   loop(boost::asio::io_context& aIo,
        std::string aAddress,
        std::string aPath,
-       std::function<void(platform_value)> aOnValue,
-       std::function<void()> aOnFailure)
+       watch_listener aListener)
     : mIo(aIo)
     , mAddress(std::move(aAddress))
     , mPath(std::move(aPath))
-    , mOnValue(std::move(aOnValue))
-    , mOnFailure(std::move(aOnFailure))
+    , mListener(std::move(aListener))
     , mTimer(aIo)
     , mRandom(std::random_device()())
   {
@@ -73,6 +71,7 @@
       return;
     }
     if (aOutcome && aOutcome->mHttpStatus == kNotModified) {
+      mListener.mOnUnchanged();
       Ask();
       return;
     }
@@ -80,11 +79,12 @@
                          aOutcome->mVersion && *aOutcome->mVersion > mVersion;
     if (isNewer) {
       mVersion = *aOutcome->mVersion;
-      mOnValue(platform_value{ mVersion, std::move(aOutcome->mBody) });
+      mListener.mOnValue(
+        platform_value{ mVersion, std::move(aOutcome->mBody) });
       Ask();
       return;
     }
-    mOnFailure();
+    mListener.mOnFailure();
     AskLater();
   }
 
@@ -103,8 +103,7 @@
   boost::asio::io_context& mIo;
   std::string mAddress;
   std::string mPath;
-  std::function<void(platform_value)> mOnValue;
-  std::function<void()> mOnFailure;
+  watch_listener mListener;
   boost::asio::steady_timer mTimer;
   std::mt19937 mRandom;
   std::uint64_t mVersion = 0;
@@ -114,13 +113,11 @@
 platform_watch::platform_watch(boost::asio::io_context& aIo,
                                std::string aAddress,
                                std::string aPath,
-                               std::function<void(platform_value)> aOnValue,
-                               std::function<void()> aOnFailure)
+                               watch_listener aListener)
   : mLoop(std::make_shared<loop>(aIo,
                                  std::move(aAddress),
                                  std::move(aPath),
-                                 std::move(aOnValue),
-                                 std::move(aOnFailure)))
+                                 std::move(aListener)))
 {
 }
 
--- a/thornhollow/platform/platform_watch.h
+++ b/thornhollow/platform/platform_watch.h
@@ -25,15 +25,22 @@
   std::string mBytes;
 };
 
+struct watch_listener
+{
+  std::function<void(const platform_value&)> mOnValue;
+  // The platform confirmed that the last value is still the present one.
+  std::function<void()> mOnUnchanged;
+  // A call brought no answer, or an older value.
+  std::function<void()> mOnFailure;
+};
+
 class platform_watch
 {
 public:
-  // `aOnFailure` is called for each call that brought no answer.
   platform_watch(boost::asio::io_context& aIo,
                  std::string aAddress,
                  std::string aPath,
-                 std::function<void(platform_value)> aOnValue,
-                 std::function<void()> aOnFailure);
+                 watch_listener aListener);
   platform_watch(const platform_watch&) = delete;
   platform_watch& operator=(const platform_watch&) = delete;
   ~platform_watch();
--- a/thornhollow/testing/process/harness.py
+++ b/thornhollow/testing/process/harness.py
@@ -427,10 +427,17 @@
         return "\n".join(lines) + "\n"
 
     def publish(self, declarations=None):
-        """Publishes declarations; returns the manifest's version."""
+        """Publishes declarations as a bundle of one part, the part first;
+        returns the manifest's version."""
+        part = declarations or self.declarations()
+        digest = hashlib.sha256(part.encode()).hexdigest()
+        self.put(f"thornhollow/parts/{digest}", part)
+        return self.put("thornhollow/manifest",
+                        f'format: 1\nparts:\n- "{digest}"\n')
+
+    def put(self, key, value):
         _, headers, _ = call(
-            self.platform.control, "PUT", "/test/values/thornhollow/manifest",
-            declarations or self.declarations())
+            self.platform.control, "PUT", f"/test/values/{key}", value)
         return int(headers["x-version"])
 
     def publish_instances(self, leaving=()):
--- a/thornhollow/wire/codec.cc
+++ b/thornhollow/wire/codec.cc
@@ -310,7 +310,7 @@
 std::optional<stream_message>
 FromWire(const wire::part_answer& aWire)
 {
-  if (!IsName(aWire.digest) || aWire.bytes.size() > kMaxPartBytes) {
+  if (!IsName(aWire.digest) || aWire.bytes.size() > kMaxCarriedBytes) {
     return std::nullopt;
   }
   return part_answer{ aWire.digest, aWire.found, aWire.bytes };
@@ -405,7 +405,7 @@
 result<stream_message>
 DecodeStream(std::string_view aBytes)
 {
-  if (aBytes.size() > kMaxPartBytes + kMaxDatagramBytes) {
+  if (aBytes.size() > kMaxCarriedBytes + kMaxDatagramBytes) {
     return Fail(error_kind::kMalformedRequest, "stream: too long");
   }
   const auto read = Read<wire::stream_message>(aBytes, kMaxMessageEntries);
