--- a/thornhollow/daemon/key_gate.cc
+++ b/thornhollow/daemon/key_gate.cc
@@ -75,9 +75,19 @@
   {
     if (aAction.mTo == mSelf) {
       mWitness.OnRequest(aAction.mRequest, Now());
-    } else {
-      mAsk(aAction.mTo, aAction.mRequest, [](const auto&) {});
+      mHolder.OnTold(mSelf, aAction.mRequest);
+      return;
     }
+    mAsk(aAction.mTo,
+         aAction.mRequest,
+         [weak = weak_from_this(),
+          told = aAction](const std::optional<claim_answer>& aAnswer) {
+           const auto self = weak.lock();
+           if (self && !self->mStopped && aAnswer &&
+               aAnswer->mWitness == told.mTo) {
+             self->mHolder.OnTold(told.mTo, told.mRequest);
+           }
+         });
   }
 
   void Carry(const run_key& aAction) { mListener.mRun(aAction.mSubmission); }
--- a/thornhollow/fleet/key_claims_test.cc
+++ b/thornhollow/fleet/key_claims_test.cc
@@ -34,8 +34,11 @@
 TEST_CASE_FIXTURE(key_fleet, "key/one_submission/runs_once")
 {
   mFleet.Submit(0, kKey);
-  mFleet.RunFor(Seconds(3));
+  mFleet.RunFor(Seconds(40));
   CHECK(mFleet.Runs(kKey) == 1);
+  // Each of three witnesses is asked and told the end; no more than that, or
+  // the claims of a busy fleet's peak would exceed the budget for control.
+  CHECK(mFleet.Exchanges() == 6);
 }
 
 TEST_CASE_FIXTURE(key_fleet, "key/both_submissions_at_once/exactly_one_runs")
--- a/thornhollow/fleet/key_holder.cc
+++ b/thornhollow/fleet/key_holder.cc
@@ -151,6 +151,18 @@
   return out;
 }
 
+void
+key_holder::OnTold(const instance_name& aWitness, const claim_request& aTold)
+{
+  const auto told = std::ranges::find_if(mRepetitions, [&](const auto& aEach) {
+    return aEach.mRequest.mClaim == aTold.mClaim &&
+           aEach.mRequest.mKind == aTold.mKind;
+  });
+  if (told != mRepetitions.end()) {
+    std::erase(told->mTo, aWitness);
+  }
+}
+
 key_actions
 key_holder::OnEnded(submission aSubmission, ran aRan, time_point aNow)
 {
@@ -321,7 +333,7 @@
     }
   }
   std::erase_if(mRepetitions, [](const repetition& aEach) {
-    return aEach.mRound >= kRepeatAfter.size();
+    return aEach.mTo.empty() || aEach.mRound >= kRepeatAfter.size();
   });
 }
 
--- a/thornhollow/fleet/key_holder.h
+++ b/thornhollow/fleet/key_holder.h
@@ -48,7 +48,7 @@
   friend bool operator==(const ask_witness&, const ask_witness&) = default;
 };
 
-// Send this to the witness; its answer is of no interest.
+// Send this to the witness and report any answer to `OnTold`.
 struct tell_witness
 {
   instance_name mTo;
@@ -105,6 +105,9 @@
                             const claim_request& aAsked,
                             time_point aNow);
 
+  // The witness answered what it was told; it need not be told again.
+  void OnTold(const instance_name& aWitness, const claim_request& aTold);
+
   // The submission got its final answer. After `ran::kNo` its key is free
   // again; else it is used up.
   key_actions OnEnded(submission aSubmission, ran aRan, time_point aNow);
@@ -133,7 +136,8 @@
     time_point mNextRenewal{};
   };
 
-  // Told once more, as a lost message would keep the key held for a lifetime.
+  // Told once more to those that didn't answer, as a lost message would keep
+  // the key held for a lifetime.
   struct repetition
   {
     claim_request mRequest;
--- a/thornhollow/fleet/testing/fake_key_fleet.h
+++ b/thornhollow/fleet/testing/fake_key_fleet.h
@@ -145,14 +145,8 @@
     return found == mRuns.end() ? 0 : found->second;
   }
 
-  int MostRuns() const
-  {
-    int most = 0;
-    for (const auto& [key, runs] : mRuns) {
-      most = std::max(most, runs);
-    }
-    return most;
-  }
+  // Messages sent to witnesses.
+  std::uint64_t Exchanges() const { return mExchanges; }
 
   // The shortest time between two runs of one key, if any key ran twice.
   std::optional<duration> ClosestRuns() const { return mClosestRuns; }
@@ -375,6 +369,7 @@
              const instance_name& aTo,
              const claim_request& aRequest)
   {
+    ++mExchanges;
     const auto to = IndexOf(aTo);
     if (!to) {
       return;
@@ -382,8 +377,12 @@
     Transfer(aFrom, *to, [this, aFrom, to = *to, aRequest] {
       claim_answer answer = mNodes[to].mWitness->OnRequest(aRequest, mNow);
       answer.mVouches = answer.mVouches || !mGuard.mVouching;
-      Transfer(to, aFrom, [this, aFrom, answer] {
-        Apply(aFrom, mNodes[aFrom].mHolder->OnAnswer(answer, mNow));
+      Transfer(to, aFrom, [this, aFrom, answer, aRequest] {
+        if (aRequest.mKind == claim_kind::kClaim) {
+          Apply(aFrom, mNodes[aFrom].mHolder->OnAnswer(answer, mNow));
+        } else {
+          mNodes[aFrom].mHolder->OnTold(answer.mWitness, aRequest);
+        }
       });
     });
   }
@@ -393,6 +392,7 @@
   time_point mNow{ Seconds(1000) };
   std::uint64_t mOrder = 0;
   int mReplaced = 0;
+  std::uint64_t mExchanges = 0;
   claim_view mView;
   std::vector<node> mNodes;
   std::vector<outcome> mOutcomes;
