--- a/thornhollow/wire/gossip_cost_main.cc
+++ b/thornhollow/wire/gossip_cost_main.cc
@@ -46,8 +46,9 @@
     auto& seal = mSealers.try_emplace(aFrom, kKey, aFrom, 1).first->second;
     auto& open =
       mOpeners.try_emplace(aDatagram.mTo, kKey, aDatagram.mTo).first->second;
-    const std::string bytes =
-      seal.Seal(aDatagram.mTo, EncodeGossip(aDatagram.mMessage));
+    gossip_message message = aDatagram.mMessage;
+    message.mConfiguration = mWord;
+    const std::string bytes = seal.Seal(aDatagram.mTo, EncodeGossip(message));
     ++mDatagrams;
     mBytes += bytes.size();
     mLargest = std::max(mLargest, bytes.size());
@@ -64,6 +65,10 @@
   std::size_t mLargest = 0;
 
 private:
+  // What each daemon says of its configuration, at its usual size.
+  config_word mWord{ revision{ 100'000, std::string(64, 'a') },
+                     revision{ 100'000, std::string(64, 'a') },
+                     Seconds(1) };
   std::map<instance_name, sealer> mSealers;
   std::map<instance_name, opener> mOpeners;
 };
