--- a/thornhollow/fleet/key_holder.h
+++ b/thornhollow/fleet/key_holder.h
@@ -48,7 +48,7 @@
   friend bool operator==(const ask_witness&, const ask_witness&) = default;
 };
 
-// Send this to the witness; its answer is of no interest.
+// Send this to the witness and report any answer to `OnTold`.
 struct tell_witness
 {
   instance_name mTo;
@@ -83,8 +83,10 @@
 public:
   key_holder(const key_claim_settings& aSettings, claim_holder aSelf);
 
-  // Takes the declared domains and the platform's list. A list of a lower
-  // version than the last is ignored.
+  // Takes the declared domains and the platform's list as it was read, without
+  // members known by gossip only. A list of a lower version than the last is
+  // ignored. To be called again after a pause, when the list has been read anew,
+  // even if it didn't change: until then no key is granted.
   void OnView(const claim_view& aView, time_point aNow);
 
   // A new submission. `aFingerprint` is a hash of the request.
@@ -105,6 +107,9 @@
                             const claim_request& aAsked,
                             time_point aNow);
 
+  // The witness answered what it was told; it need not be told again.
+  void OnTold(const instance_name& aWitness, const claim_request& aTold);
+
   // The submission got its final answer. After `ran::kNo` its key is free
   // again; else it is used up.
   key_actions OnEnded(submission aSubmission, ran aRan, time_point aNow);
@@ -133,7 +138,8 @@
     time_point mNextRenewal{};
   };
 
-  // Told once more, as a lost message would keep the key held for a lifetime.
+  // Told once more to those that didn't answer, as a lost message would keep
+  // the key held for a lifetime.
   struct repetition
   {
     claim_request mRequest;
