--- a/thornhollow/policy/concurrency_limit.h
+++ b/thornhollow/policy/concurrency_limit.h
@@ -47,7 +47,7 @@
   // A window's mean above this multiple of the floor is a queue.
   double mTolerance = 2;
   // Added to the first token's bound: jitter of the network and of one step.
-  duration mSlack = Milliseconds(20);
+  duration mSlack = Milliseconds(500);
   // Smallest factor that one window applies.
   double mLargestCut = 0.7;
   std::uint32_t mWindowAnswers = 8;
--- a/thornhollow/policy/endpoint_choice.h
+++ b/thornhollow/policy/endpoint_choice.h
@@ -10,16 +10,23 @@
 // because it is slow to show its load.
 //
 // The endpoint table compares the cost over a small random sample of endpoints
-// with a free place, never over all: eight routers with the same lagging view
-// that each took the best of all would all take the same one.
+// with a free place, so that a decision costs the same however many there are.
 //
-// Grounds for the figures: three random choices of which the best is taken
-// bound the spread of load nearly as well as a look at all, and two already
-// break the herd. A prompt token costs about 0.1 ms of an engine (10,000 tokens
-// a second); a cached prompt of 2,000 tokens is then worth 0.2 s, as much as a
-// fifth of the load on an answer of 200 tokens at 5 ms: so a hot prefix stays
-// while its endpoint has room and spreads as it fills. A failed attempt costs
-// about the attempt again and its wait, hence the weight of the failure share.
+// The load that counts here is this router's own work at each endpoint. Load
+// reports are left out: they lag, and they tell all routers the same, so that
+// each of them would turn to the same endpoint (docs/design/endpoint_choice.md
+// has the figures). They bound what an endpoint gets, see endpoint_load.h.
+//
+// Grounds for the figures: eight random ones of each domain, of which the best
+// is taken, are nearly all of a subset of 16; own work differs from router to
+// router, so that a look at more of it makes no herd. A prompt token costs
+// about 0.03 ms: a step of 8 ms computes 256 of them. A cached prompt of 2,000
+// tokens is then worth 60 ms, as much as a place of eight on an answer of 100
+// tokens at 5 ms: so a hot prefix stays while its endpoint has room and spreads
+// as it fills. Another domain is 1.5 ms away at most; it costs 20 ms here, so
+// that it is taken when its endpoints are clearly freer, and a partition
+// between domains touches little. A failed attempt costs about the attempt
+// again and its wait, hence the weight of the failure share.
 #ifndef THORNHOLLOW_POLICY_ENDPOINT_CHOICE_H_
 #define THORNHOLLOW_POLICY_ENDPOINT_CHOICE_H_
 
@@ -31,11 +38,14 @@
 
 struct endpoint_choice_settings
 {
-  // Endpoints compared for one request, besides those that hold its prefix.
-  std::size_t mSample = 3;
+  // Endpoints compared for one request, of the own domain and of the others
+  // each, besides those that hold its prefix.
+  std::size_t mSample = 8;
   // Engine time for a prompt token that isn't cached; zero: prefixes ignored.
-  duration mPerPromptToken = std::chrono::microseconds(100);
+  duration mPerPromptToken = std::chrono::microseconds(30);
   double mFailureWeight = 4;
+  // Added for an endpoint of another failure domain.
+  duration mOtherDomain = Milliseconds(20);
   // A learnt latency loses half of its difference to the pool's in this time,
   // so that an endpoint that got no work is tried again.
   duration mForgetHalf = Seconds(10);
@@ -49,11 +59,13 @@
 {
   // Requests in flight there as a share of what it may hold.
   double mLoad = 0;
-  // Seconds to the first token and for each token.
+  // Seconds to the first token, which counts only where answers have no more.
   double mFirstToken = 0;
+  // Seconds for each token; zero where answers have none.
   double mPerToken = 0;
   double mFailureShare = 0;
   bool mHasPrefix = false;
+  bool mOtherDomain = false;
 
   friend bool operator==(const endpoint_figures&,
                          const endpoint_figures&) = default;
--- a/thornhollow/policy/endpoint_load.cc
+++ b/thornhollow/policy/endpoint_load.cc
@@ -1,6 +1,7 @@
 #include "thornhollow/policy/endpoint_load.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace thornhollow {
 
@@ -33,8 +34,15 @@
     return;
   }
   const double total = static_cast<double>(aReport.mRunning) + aReport.mWaiting;
+  const double seen = std::max(0.0, total - InFlightAt(taken));
+  if (!mReportTaken) {
+    mOthers = seen;
+  } else {
+    const double passed = ToSeconds(taken - *mReportTaken);
+    const double kept = std::exp(-passed / ToSeconds(mSettings.mSmoothing));
+    mOthers = seen + (mOthers - seen) * kept;
+  }
   mReportTaken = taken;
-  mOthers = std::max(0.0, total - InFlightAt(taken));
 }
 
 void
--- a/thornhollow/policy/endpoint_load.h
+++ b/thornhollow/policy/endpoint_load.h
@@ -16,12 +16,18 @@
 // What this router sent since is in its own present count, so nothing is
 // counted twice, however late the report.
 //
-// Grounds for the figures: reports lag by 0.1 to 5 s. A report up to 1 s old
-// counts in full: a request runs for about as long, so most of what it saw is
-// still there. From there it fades to nothing at 8 s, which covers the longest
-// lag and an interval; then the endpoint's latency alone decides. 32 changes
-// of the own count cover the lag at the rate of one endpoint (a few a second);
-// beyond them the oldest known count stands in.
+// What is left is smoothed. All routers see the same report at the same moment:
+// were each to fill at once the places that it shows free, all would fill the
+// same ones. The smoothed figure moves slowly enough that each sees the others'
+// new work before it has taken the whole room.
+//
+// Grounds for the figures: the smoothing takes 2 s, a few reports at their
+// usual lag. Reports lag by 0.1 to 5 s. A report up to 1 s old counts in full:
+// a request runs for about as long, so most of what it saw is still there. From
+// there it fades to nothing at 8 s, which covers the longest lag and an
+// interval; then the endpoint's latency alone decides. 32 changes of the own
+// count cover the lag at the rate of one endpoint (a few a second); beyond them
+// the oldest known count stands in.
 #ifndef THORNHOLLOW_POLICY_ENDPOINT_LOAD_H_
 #define THORNHOLLOW_POLICY_ENDPOINT_LOAD_H_
 
@@ -39,6 +45,8 @@
 {
   // False: reports are ignored, only own requests count.
   bool mUseReports = true;
+  // Time in which a change of the others' requests counts by two thirds.
+  duration mSmoothing = Seconds(2);
   // A report counts in full up to this age,
   duration mFullUntil = Seconds(1);
   // and for nothing from this age.
--- a/thornhollow/policy/endpoint_load_test.cc
+++ b/thornhollow/policy/endpoint_load_test.cc
@@ -45,6 +45,17 @@
   CHECK(mLoad.Others(kStart + Seconds(8)) == 0);
 }
 
+// Eight routers get the same report of an endpoint that just became idle. Each
+// that believed it at once would fill all of its places.
+TEST_CASE_FIXTURE(shared_endpoint,
+                  "endpoint_load/others_leave_suddenly/seen_over_two_seconds")
+{
+  mLoad.OnReport(Report(8, 0, kStart), kStart);
+  mLoad.OnReport(Report(0, 0, kStart + Seconds(2)), kStart + Seconds(2));
+  CHECK(mLoad.Others(kStart + Seconds(2)) ==
+        doctest::Approx(8 / 2.718).epsilon(0.001));
+}
+
 TEST_CASE_FIXTURE(shared_endpoint,
                   "endpoint_load/older_report_comes_later/ignored")
 {
--- a/thornhollow/policy/endpoint_table.cc
+++ b/thornhollow/policy/endpoint_table.cc
@@ -1,6 +1,7 @@
 #include "thornhollow/policy/endpoint_table.h"
 
 #include <algorithm>
+#include <array>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -17,6 +18,9 @@
 // while their report fades.
 constexpr duration kRecheckEvery = Milliseconds(250);
 
+constexpr std::array<pool_index::rank, 2> kRanks{ pool_index::kOwnDomain,
+                                                  pool_index::kOtherDomain };
+
 } // namespace
 
 endpoint_table::endpoint_table(const endpoint_table_settings& aSettings,
@@ -81,13 +85,18 @@
     pool.mIndex.Clear();
   }
   for (const auto& [name, endpoints] : serving) {
-    AddToPool(name, endpoints);
+    const bool isService = std::ranges::any_of(
+      aDeclared.mServices, [&pool = name](const plain_service& aEach) {
+        return PoolOf(aEach.mName) == pool;
+      });
+    AddToPool(name, endpoints, !isService);
   }
 }
 
 void
 endpoint_table::AddToPool(const pool_name& aPool,
-                          const std::vector<const endpoint*>& aServing)
+                          const std::vector<const endpoint*>& aServing,
+                          bool aHonoursTiers)
 {
   std::vector<subset_candidate> candidates;
   candidates.reserve(aServing.size());
@@ -98,7 +107,7 @@
   for (const std::size_t each :
        ChooseSubset(candidates, mView, mSettings.mSubset)) {
     const endpoint& declared = *aServing[each];
-    const endpoint_number number = NumberFor(declared);
+    const endpoint_number number = NumberFor(declared, aHonoursTiers);
     const bool isOwn = declared.mDomain == mView.mDomain;
     const std::uint32_t member = index.Add(
       number, isOwn ? pool_index::kOwnDomain : pool_index::kOtherDomain);
@@ -107,11 +116,11 @@
 }
 
 endpoint_table::endpoint_number
-endpoint_table::NumberFor(const endpoint& aDeclared)
+endpoint_table::NumberFor(const endpoint& aDeclared, bool aHonoursTiers)
 {
   if (const auto known = mNumbers.find(aDeclared.mName);
       known != mNumbers.end()) {
-    mEntries[known->second]->mRecord.Declare(aDeclared);
+    mEntries[known->second]->mRecord.Declare(aDeclared, aHonoursTiers);
     return known->second;
   }
   if (mUnused.empty()) {
@@ -120,8 +129,8 @@
   }
   const endpoint_number number = mUnused.back();
   mUnused.pop_back();
-  mEntries[number].emplace(
-    entry{ endpoint_record(mSettings.mRecord, aDeclared), {}, {} });
+  mEntries[number].emplace(entry{
+    endpoint_record(mSettings.mRecord, aDeclared, aHonoursTiers), {}, {} });
   if (const auto state = mNotLive.find(aDeclared.mName);
       state != mNotLive.end()) {
     mEntries[number]->mRecord.SetState(state->second, time_point{});
@@ -156,17 +165,18 @@
     return std::nullopt;
   }
   search look = Begin(aItem, aTried, pool->second, aNow);
-  for (const pool_index::rank rank :
-       { pool_index::kOwnDomain, pool_index::kOtherDomain }) {
+  SampleHolders(look);
+  for (const pool_index::rank rank : kRanks) {
     Sample(rank, look);
+  }
+  for (const pool_index::rank rank : kRanks) {
     if (!look.mBest) {
       Walk(rank, look);
     }
-    if (look.mBest) {
-      return mEntries[*look.mBest]->mRecord.Declared().mName;
-    }
   }
-  return std::nullopt;
+  return look.mBest
+           ? std::optional(mEntries[*look.mBest]->mRecord.Declared().mName)
+           : std::nullopt;
 }
 
 endpoint_table::search
@@ -207,21 +217,24 @@
   return tried >= aPool.mIndex.Serving();
 }
 
-// The endpoints that hold the prefix and a few random ones.
+// The endpoints that hold the request's prefix.
 void
-endpoint_table::Sample(pool_index::rank aRank, search& aSearch)
+endpoint_table::SampleHolders(search& aSearch)
 {
   for (const endpoint_number each : aSearch.mHolders) {
-    if (each == prefix_affinity::kNobody || !mEntries[each]) {
-      continue;
-    }
-    if (const auto member = MemberOf(*mEntries[each], aSearch.mPool);
-        member && aSearch.mPool.mIndex.RankOf(*member) == aRank) {
+    if (each != prefix_affinity::kNobody && mEntries[each] &&
+        MemberOf(*mEntries[each], aSearch.mPool)) {
       LookAt(each, aSearch);
     }
   }
+}
+
+void
+endpoint_table::Sample(pool_index::rank aRank, search& aSearch)
+{
   for (std::size_t i = 0; i < mSettings.mChoice.mSample; ++i) {
-    const auto& withPlace = aSearch.mPool.mIndex.WithPlace(aRank);
+    const auto& withPlace =
+      aSearch.mPool.mIndex.WithPlace(aRank, aSearch.mItem.mTier);
     if (withPlace.empty()) {
       return;
     }
@@ -233,7 +246,8 @@
 void
 endpoint_table::Walk(pool_index::rank aRank, search& aSearch)
 {
-  const auto& withPlace = aSearch.mPool.mIndex.WithPlace(aRank);
+  const auto& withPlace =
+    aSearch.mPool.mIndex.WithPlace(aRank, aSearch.mItem.mTier);
   if (withPlace.empty()) {
     return;
   }
@@ -255,7 +269,9 @@
 {
   entry& candidate = *mEntries[aNumber];
   Refresh(candidate, aSearch.mNow);
-  if (!candidate.mRecord.HasPlace(aSearch.mNow) || !Fits(candidate, aSearch)) {
+  const int tier = std::clamp(aSearch.mItem.mTier, kHighestTier, kLowestTier);
+  if (candidate.mRecord.LowestTierWithPlace(aSearch.mNow) < tier ||
+      !Fits(candidate, aSearch)) {
     return;
   }
   const double cost = Cost(aNumber, aSearch);
@@ -304,7 +320,7 @@
   }
   const duration half = mSettings.mChoice.mForgetHalf;
   endpoint_figures figures;
-  figures.mLoad = record.LoadShare(aSearch.mNow);
+  figures.mLoad = record.LoadShare();
   figures.mFirstToken =
     record.FirstToken().Value(pool.mFirstToken.Value(), half, aSearch.mNow);
   figures.mPerToken =
@@ -312,6 +328,9 @@
   figures.mFailureShare = record.Health().FailureShare();
   figures.mHasPrefix =
     std::ranges::find(aSearch.mHolders, aNumber) != aSearch.mHolders.end();
+  const auto member = MemberOf(*mEntries[aNumber], aSearch.mPool);
+  figures.mOtherDomain =
+    member && pool.RankOf(*member) == pool_index::kOtherDomain;
   return CostOf(figures, aSearch.mSize, mSettings.mChoice);
 }
 
@@ -517,13 +536,13 @@
   member_state state;
   state.mLive = record.MayTakeWork(aNow);
   state.mServing = state.mLive && share > 0;
-  state.mHasPlace = record.HasPlace(aNow);
-  state.mPlaces = state.mServing ? record.Capacity(aNow) : 0;
+  state.mLowestTier = record.LowestTierWithPlace(aNow);
+  state.mPlaces = state.mServing ? record.Capacity(kLowestTier, aNow) : 0;
   state.mLost = state.mLive ? 1 - share : 0;
   for (const membership& each : aEntry.mPools) {
     each.mPool->Update(each.mMember, state);
   }
-  if (!state.mHasPlace) {
+  if (state.mLowestTier < kLowestTier) {
     ScheduleRecheck(aEntry, aNow);
   }
 }
--- a/thornhollow/policy/endpoint_table.h
+++ b/thornhollow/policy/endpoint_table.h
@@ -189,10 +189,11 @@
   };
 
   entry* Find(const endpoint_name& aEndpoint);
-  endpoint_number NumberFor(const endpoint& aDeclared);
+  endpoint_number NumberFor(const endpoint& aDeclared, bool aHonoursTiers);
   void AddToPools(const declarations& aDeclared);
   void AddToPool(const pool_name& aPool,
-                 const std::vector<const endpoint*>& aServing);
+                 const std::vector<const endpoint*>& aServing,
+                 bool aHonoursTiers);
   void DropUnused();
   // Brings the pools up to date with what changed about an endpoint.
   void Refresh(entry& aEntry, time_point aNow);
@@ -209,6 +210,7 @@
   bool EveryServingOneTried(const pool_state& aPool,
                             std::span<const endpoint_name> aTried);
   void LookAt(endpoint_number aNumber, search& aSearch);
+  void SampleHolders(search& aSearch);
   void Sample(internal::pool_index::rank aRank, search& aSearch);
   void Walk(internal::pool_index::rank aRank, search& aSearch);
   bool Fits(const entry& aEntry, const search& aSearch) const;
--- a/thornhollow/policy/internal/endpoint_record.cc
+++ b/thornhollow/policy/internal/endpoint_record.cc
@@ -30,9 +30,11 @@
 }
 
 endpoint_record::endpoint_record(const endpoint_record_settings& aSettings,
-                                 const endpoint& aDeclared)
+                                 const endpoint& aDeclared,
+                                 bool aHonoursTiers)
   : mSettings(aSettings)
   , mDeclared(aDeclared)
+  , mHonoursTiers(aHonoursTiers)
   , mLoad(aSettings.mLoad)
   , mLimit(aSettings.mLimit, aDeclared.mSlots)
   , mHealth(aSettings.mHealth)
@@ -40,19 +42,21 @@
 }
 
 void
-endpoint_record::Declare(const endpoint& aDeclared)
+endpoint_record::Declare(const endpoint& aDeclared, bool aHonoursTiers)
 {
   if (aDeclared.mSlots != mDeclared.mSlots) {
     mLimit.SetSlots(aDeclared.mSlots);
   }
   mDeclared = aDeclared;
+  mHonoursTiers = aHonoursTiers;
   mIsDeclared = true;
 }
 
 void
 endpoint_record::OnSent(ticket aTicket, bool aLong, time_point aNow)
 {
-  mAttempts.push_back({ aTicket, aLong, {} });
+  const bool isWithin = mLoad.InFlight() + mLoad.Others(aNow) < mLimit.Limit();
+  mAttempts.push_back({ aTicket, aLong, isWithin, {} });
   mLong += aLong ? 1 : 0;
   mLoad.OnSent(aNow);
   mHealth.OnSent(aNow);
@@ -66,12 +70,15 @@
     return;
   }
   const auto found = std::ranges::find(mAttempts, aTicket, &attempt::mTicket);
-  if (found != mAttempts.end()) {
-    found->mFirstToken = aWait;
+  if (found == mAttempts.end()) {
+    return;
   }
+  found->mFirstToken = aWait;
   mHealth.OnFirstToken(aWait, aNow);
   mFirstToken.Add(ToSeconds(aWait), aNow);
-  mLimit.OnFirstToken(aWait, mLoad.InFlight() + mLoad.Others(aNow), aNow);
+  if (found->mWithinLimit) {
+    mLimit.OnFirstToken(aWait, mLoad.InFlight() + mLoad.Others(aNow), aNow);
+  }
 }
 
 std::optional<double>
@@ -176,20 +183,36 @@
 }
 
 // The limit holds for all routers together: what the others hold is taken off.
+//
 // A router that comes late must still get in, though the others replace each
 // request of theirs at once: it may always hold its even part of the limit. The
 // engine then has a little more than its limit, the others see that in the next
 // report and hold back until each has its part.
+//
+// The engine's queue is the only one that all routers share, and it honours
+// tiers. So a high tier may go beyond the limit: it gets the next free place
+// there, before what another router would send of a lower tier, while lower
+// tiers find the engine full and wait in the routers, where they can still be
+// refused, reordered or sent elsewhere. Without it a router that gets all of
+// the highest tier waits while the others keep the engines full of lower ones.
+//
+// Grounds for the headroom: three times the slots hold what a burst of tier 1
+// brings in the second that reports need to tell the others; tier 2 gets less,
+// so that it can't fill what tier 1 needs; the lowest gets none.
 std::uint32_t
-endpoint_record::Capacity(time_point aNow) const
+endpoint_record::Capacity(int aTier, time_point aNow) const
 {
   const std::uint32_t limit = mLimit.Limit();
+  const auto tier = static_cast<std::size_t>(
+    std::clamp(aTier, kHighestTier, kLowestTier) - kHighestTier);
   const double others = mLoad.Others(aNow);
-  double places = limit;
+  const double headroom =
+    mHonoursTiers ? mDeclared.mSlots * mSettings.mHeadroom[tier] : 0;
+  double places = std::round(limit + headroom);
   if (others > 0) {
-    const double even = std::max(
-      1.0, std::floor(static_cast<double>(limit) / mSettings.mRouters));
-    places = std::max(even, std::round(limit - others));
+    const double even =
+      std::floor(static_cast<double>(limit) / mSettings.mRouters);
+    places = std::max({ 1.0, even, std::round(places - others) });
   }
   std::uint32_t capacity = mHealth.Allowance(
     static_cast<std::uint32_t>(places), mLoad.InFlight(), aNow);
@@ -199,23 +222,31 @@
   return capacity;
 }
 
-bool
-endpoint_record::HasPlace(time_point aNow) const
+int
+endpoint_record::LowestTierWithPlace(time_point aNow) const
 {
-  return MayTakeWork(aNow) && mLoad.InFlight() < Capacity(aNow);
+  if (!MayTakeWork(aNow)) {
+    return 0;
+  }
+  int tier = kLowestTier;
+  while (tier >= kHighestTier && mLoad.InFlight() >= Capacity(tier, aNow)) {
+    --tier;
+  }
+  return tier;
 }
 
 bool
 endpoint_record::HasPlaceForLong(time_point aNow) const
 {
-  const double most = std::floor(Capacity(aNow) * mSettings.mLongShare);
+  const double most =
+    std::floor(Capacity(kLowestTier, aNow) * mSettings.mLongShare);
   return mLong < std::max(1.0, most);
 }
 
 double
-endpoint_record::LoadShare(time_point aNow) const
+endpoint_record::LoadShare() const
 {
-  return (mLoad.InFlight() + mLoad.Others(aNow)) / mLimit.Limit();
+  return static_cast<double>(mLoad.InFlight()) / mLimit.Limit();
 }
 
 bool
--- a/thornhollow/policy/internal/endpoint_record.h
+++ b/thornhollow/policy/internal/endpoint_record.h
@@ -2,6 +2,7 @@
 #ifndef THORNHOLLOW_POLICY_INTERNAL_ENDPOINT_RECORD_H_
 #define THORNHOLLOW_POLICY_INTERNAL_ENDPOINT_RECORD_H_
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -20,6 +21,9 @@
   endpoint_health_settings mHealth;
   // Routers that may share an endpoint; see `Capacity`.
   std::uint32_t mRouters = 8;
+  // What each tier, from the highest, may take beyond the limit, as a part of
+  // the declared slots; see `Capacity`.
+  std::array<double, 4> mHeadroom{ 3, 2, 0.5, 0 };
   // How long an endpoint's own word that it leaves outweighs a list that says
   // it is live.
   duration mOwnWordLife = Seconds(30);
@@ -46,10 +50,13 @@
 class endpoint_record
 {
 public:
+  // `aHonoursTiers`: its queue serves a higher tier first, as engines do and
+  // plain services don't.
   endpoint_record(const endpoint_record_settings& aSettings,
-                  const endpoint& aDeclared);
+                  const endpoint& aDeclared,
+                  bool aHonoursTiers);
 
-  void Declare(const endpoint& aDeclared);
+  void Declare(const endpoint& aDeclared, bool aHonoursTiers);
   void Undeclare() { mIsDeclared = false; }
   const endpoint& Declared() const { return mDeclared; }
   bool IsDeclared() const { return mIsDeclared; }
@@ -77,13 +84,14 @@
   // Until when the endpoint's own word that it leaves counts; nothing where it
   // gave none.
   std::optional<time_point> OwnWordEnds(time_point aNow) const;
-  // Own requests that may be in flight there now.
-  std::uint32_t Capacity(time_point aNow) const;
-  bool HasPlace(time_point aNow) const;
+  // Own requests that may be in flight there for one of `aTier` to be added.
+  std::uint32_t Capacity(int aTier, time_point aNow) const;
+  // The lowest tier that finds a place there; zero where none does.
+  int LowestTierWithPlace(time_point aNow) const;
   // Whether one more long request fits beside those there.
   bool HasPlaceForLong(time_point aNow) const;
-  // Requests in flight there over all routers, as a share of the limit.
-  double LoadShare(time_point aNow) const;
+  // Own requests in flight there as a share of the limit.
+  double LoadShare() const;
 
   std::uint32_t InFlight() const { return mLoad.InFlight(); }
   double Others(time_point aNow) const { return mLoad.Others(aNow); }
@@ -101,6 +109,9 @@
   {
     ticket mTicket = 0;
     bool mLong = false;
+    // Sent while the endpoint was thought to have a free place. Of one that was
+    // sent to queue there, the wait says nothing about the limit.
+    bool mWithinLimit = true;
     duration mFirstToken{};
   };
 
@@ -108,6 +119,7 @@
 
   endpoint_record_settings mSettings;
   endpoint mDeclared;
+  bool mHonoursTiers;
   bool mIsDeclared = true;
   endpoint_state mState = endpoint_state::kLive;
   std::optional<time_point> mSaidLeaving;
--- a/thornhollow/policy/internal/pool_index.cc
+++ b/thornhollow/policy/internal/pool_index.cc
@@ -29,10 +29,7 @@
 pool_index::Clear()
 {
   mMembers.clear();
-  for (std::size_t each = 0; each < kRanks; ++each) {
-    mWithPlace[each].clear();
-    mMemberAt[each].clear();
-  }
+  mLists = {};
   mPlaces = 0;
   mLive = 0;
   mServing = 0;
@@ -42,7 +39,7 @@
 std::uint32_t
 pool_index::Add(std::uint32_t aEndpoint, rank aRank)
 {
-  mMembers.push_back({ aEndpoint, aRank, kNowhere, {} });
+  mMembers.push_back({ aEndpoint, aRank, {}, {} });
   return static_cast<std::uint32_t>(mMembers.size() - 1);
 }
 
@@ -61,10 +58,11 @@
   mServing += static_cast<std::uint32_t>(aState.mServing) -
               static_cast<std::uint32_t>(before.mServing);
   mLost = std::max(0.0, mLost + aState.mLost - before.mLost);
-  if (aState.mHasPlace && !before.mHasPlace) {
-    Insert(aMember);
-  } else if (!aState.mHasPlace && before.mHasPlace) {
-    Erase(aMember);
+  for (int tier = before.mLowestTier + 1; tier <= aState.mLowestTier; ++tier) {
+    Insert(aMember, tier);
+  }
+  for (int tier = before.mLowestTier; tier > aState.mLowestTier; --tier) {
+    Erase(aMember, tier);
   }
 }
 
@@ -81,29 +79,28 @@
 }
 
 void
-pool_index::Insert(std::uint32_t aMember)
+pool_index::Insert(std::uint32_t aMember, int aTier)
 {
   member& added = mMembers[aMember];
-  auto& endpoints = mWithPlace[added.mRank];
-  added.mPosition = static_cast<std::uint32_t>(endpoints.size());
-  endpoints.push_back(added.mEndpoint);
-  mMemberAt[added.mRank].push_back(aMember);
+  list& into = mLists[added.mRank][ListOf(aTier)];
+  added.mPosition[ListOf(aTier)] =
+    static_cast<std::uint32_t>(into.mEndpoints.size());
+  into.mEndpoints.push_back(added.mEndpoint);
+  into.mMembers.push_back(aMember);
 }
 
 void
-pool_index::Erase(std::uint32_t aMember)
+pool_index::Erase(std::uint32_t aMember, int aTier)
 {
-  member& erased = mMembers[aMember];
-  auto& endpoints = mWithPlace[erased.mRank];
-  auto& members = mMemberAt[erased.mRank];
+  const member& erased = mMembers[aMember];
+  list& from = mLists[erased.mRank][ListOf(aTier)];
   // The last one takes the place of the erased one.
-  const std::uint32_t position = erased.mPosition;
-  endpoints[position] = endpoints.back();
-  members[position] = members.back();
-  mMembers[members[position]].mPosition = position;
-  endpoints.pop_back();
-  members.pop_back();
-  erased.mPosition = kNowhere;
+  const std::uint32_t position = erased.mPosition[ListOf(aTier)];
+  from.mEndpoints[position] = from.mEndpoints.back();
+  from.mMembers[position] = from.mMembers.back();
+  mMembers[from.mMembers[position]].mPosition[ListOf(aTier)] = position;
+  from.mEndpoints.pop_back();
+  from.mMembers.pop_back();
 }
 
 } // namespace thornhollow::internal
--- a/thornhollow/policy/internal/pool_index.h
+++ b/thornhollow/policy/internal/pool_index.h
@@ -3,11 +3,14 @@
 #ifndef THORNHOLLOW_POLICY_INTERNAL_POOL_INDEX_H_
 #define THORNHOLLOW_POLICY_INTERNAL_POOL_INDEX_H_
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
 
+#include "thornhollow/config/declarations.h"
+
 namespace thornhollow::internal {
 
 // What a pool needs to know of a member.
@@ -17,7 +20,9 @@
   bool mLive = false;
   // Gets more than probes.
   bool mServing = false;
-  bool mHasPlace = false;
+  // The lowest tier that finds a place there, and with it all higher ones; zero
+  // where none does.
+  int mLowestTier = 0;
   // Places that this router may use there, taken or free.
   std::uint32_t mPlaces = 0;
   // Part of its share that it lost as an outlier, 0 to 1.
@@ -57,10 +62,10 @@
   // Constant time.
   void Update(std::uint32_t aMember, const member_state& aState);
 
-  // Endpoint numbers of members with a free place, in no order.
-  const std::vector<std::uint32_t>& WithPlace(rank aRank) const
+  // Endpoint numbers of members with a free place for `aTier`, in no order.
+  const std::vector<std::uint32_t>& WithPlace(rank aRank, int aTier) const
   {
-    return mWithPlace[aRank];
+    return mLists[aRank][ListOf(aTier)].mEndpoints;
   }
   rank RankOf(std::uint32_t aMember) const { return mMembers[aMember].mRank; }
   std::uint32_t Places() const { return mPlaces; }
@@ -74,23 +79,35 @@
   typical_value mPerToken;
 
 private:
-  static constexpr std::uint32_t kNowhere = UINT32_MAX;
+  static constexpr std::size_t kTiers = kLowestTier - kHighestTier + 1;
+
+  // Tiers outside the declared range count as the nearest one in it.
+  static std::size_t ListOf(int aTier)
+  {
+    return static_cast<std::size_t>(
+      std::clamp(aTier, kHighestTier, kLowestTier) - kHighestTier);
+  }
 
   struct member
   {
     std::uint32_t mEndpoint = 0;
     rank mRank = kOwnDomain;
-    std::uint32_t mPosition = kNowhere;
+    // Where it stands in the list of each tier that finds a place there.
+    std::array<std::uint32_t, kTiers> mPosition{};
     member_state mState;
   };
+  struct list
+  {
+    std::vector<std::uint32_t> mEndpoints;
+    // Member numbers, in step with `mEndpoints`.
+    std::vector<std::uint32_t> mMembers;
+  };
 
-  void Insert(std::uint32_t aMember);
-  void Erase(std::uint32_t aMember);
+  void Insert(std::uint32_t aMember, int aTier);
+  void Erase(std::uint32_t aMember, int aTier);
 
   std::vector<member> mMembers;
-  std::array<std::vector<std::uint32_t>, kRanks> mWithPlace;
-  // Member numbers, in step with `mWithPlace`.
-  std::array<std::vector<std::uint32_t>, kRanks> mMemberAt;
+  std::array<std::array<list, kTiers>, kRanks> mLists;
   std::uint32_t mPlaces = 0;
   std::uint32_t mLive = 0;
   std::uint32_t mServing = 0;
