policy: no probe beside requests that wait at a silent endpoint

Change: while requests wait at a silent endpoint they are its probe; another goes only after the longest probe distance.

--- a/thornhollow/policy/endpoint_health.cc
+++ b/thornhollow/policy/endpoint_health.cc
@@ -125,16 +125,23 @@
                            time_point aNow) const
 {
   if (mShare == 0) {
-    return aNow >= mProbeAt ? aInFlight + 1 : 0;
+    return aNow >= *NextProbe(aInFlight) ? aInFlight + 1 : 0;
   }
   const double places = std::round(aLimit * mShare);
   return std::max(1U, static_cast<std::uint32_t>(places));
 }
 
 std::optional<time_point>
-endpoint_health::NextProbe() const
+endpoint_health::NextProbe(std::uint32_t aInFlight) const
 {
-  return mShare == 0 ? std::optional(mProbeAt) : std::nullopt;
+  if (mShare > 0) {
+    return std::nullopt;
+  }
+  // What still waits there is a probe as well: any answer to it is a sign of
+  // life, and one request more would only wait beside it. Should its connection
+  // be dead, a probe goes in the end.
+  const bool isWaitingThere = mKind == health_kind::kSilent && aInFlight > 0;
+  return isWaitingThere ? mProbeAt + mSettings.mLastProbeAfter : mProbeAt;
 }
 
 void
--- a/thornhollow/policy/endpoint_health.h
+++ b/thornhollow/policy/endpoint_health.h
@@ -111,8 +111,9 @@
   std::uint32_t Allowance(std::uint32_t aLimit,
                           std::uint32_t aInFlight,
                           time_point aNow) const;
-  // When the next probe may go; nothing unless it gets only probes.
-  std::optional<time_point> NextProbe() const;
+  // When the next probe may go, given what is in flight there; nothing unless
+  // it gets only probes.
+  std::optional<time_point> NextProbe(std::uint32_t aInFlight) const;
 
 private:
   void Leave(health_kind aWhy, time_point aNow);
--- a/thornhollow/policy/endpoint_table.cc
+++ b/thornhollow/policy/endpoint_table.cc
@@ -303,7 +303,8 @@
 endpoint_table::FitsAsProbe(const entry& aEntry, const search& aSearch) const
 {
   const work_item& item = aSearch.mItem;
-  const std::optional<time_point> due = aEntry.mRecord.Health().NextProbe();
+  const std::optional<time_point> due =
+    aEntry.mRecord.Health().NextProbe(aEntry.mRecord.InFlight());
   const bool waitedLong = due && aSearch.mNow - *due >= mSettings.mProbeWaits;
   return (item.mIdempotent && item.mTier > kHighestTier) || waitedLong ||
          aSearch.mPool.mIndex.Serving() == 0;
@@ -553,7 +554,7 @@
   const endpoint_record& record = aEntry.mRecord;
   std::optional<time_point> at = record.OwnWordEnds(aNow);
   if (!at && record.MayTakeWork(aNow)) {
-    at = record.Health().NextProbe();
+    at = record.Health().NextProbe(record.InFlight());
   }
   if (!at && record.MayTakeWork(aNow) && record.Others(aNow) > 0) {
     at = aNow + kRecheckEvery;
