Control bytes counted by what they are for

Cause: docs/CAPACITY.md needs bytes a second for each role, and operators need to see where the control budget goes. Change: thornhollow_control_bytes_total{path=platform|peers|load}; payload bytes. Conclusion: slopes can be measured.

--- a/thornhollow/daemon/configuration_keeper.cc
+++ b/thornhollow/daemon/configuration_keeper.cc
@@ -121,6 +121,17 @@
     };
   }
 
+  template<class step>
+  void FetchCounted(const fetch_call& aCall, step aDone)
+  {
+    Fetch(mIo, aCall, [weak = weak_from_this(), aDone](fetch_outcome aOutcome) {
+      if (const auto self = weak.lock(); self && aOutcome) {
+        self->mListener.mPlatformBytes(aOutcome->mExchangedBytes);
+      }
+      aDone(std::move(aOutcome));
+    });
+  }
+
   void Carry(const read_manifest& aAction)
   {
     fetch_call call;
@@ -130,13 +141,12 @@
                                aAction.mAfter,
                                ToMilliseconds(aAction.mWait));
     call.mTimeout = mSettings.mFollower.mReadTimeout;
-    Fetch(mIo,
-          call,
-          Guarded([number = aAction.mCall](config_follower& aFollower,
-                                           fetch_outcome aOutcome) {
-            return aFollower.OnManifestRead(
-              number, ToManifestAnswer(std::move(aOutcome)), Now());
-          }));
+    FetchCounted(call,
+                 Guarded([number = aAction.mCall](config_follower& aFollower,
+                                                  fetch_outcome aOutcome) {
+                   return aFollower.OnManifestRead(
+                     number, ToManifestAnswer(std::move(aOutcome)), Now());
+                 }));
   }
 
   void Carry(const fetch_bytes& aAction)
@@ -155,16 +165,15 @@
     call.mAddress = mSettings.mPlatformAddress;
     call.mTarget = "/v1/values/" + PartKey(aAction.mDigest);
     call.mTimeout = mSettings.mFollower.mFetchTimeout;
-    Fetch(mIo,
-          call,
-          Guarded([number = aAction.mCall](config_follower& aFollower,
-                                           fetch_outcome aOutcome) {
-            std::optional<std::string> bytes;
-            if (aOutcome && aOutcome->mHttpStatus == kOk) {
-              bytes = std::move(aOutcome->mBody);
-            }
-            return aFollower.OnFetched(number, std::move(bytes), Now());
-          }));
+    FetchCounted(call,
+                 Guarded([number = aAction.mCall](config_follower& aFollower,
+                                                  fetch_outcome aOutcome) {
+                   std::optional<std::string> bytes;
+                   if (aOutcome && aOutcome->mHttpStatus == kOk) {
+                     bytes = std::move(aOutcome->mBody);
+                   }
+                   return aFollower.OnFetched(number, std::move(bytes), Now());
+                 }));
   }
 
   void Carry(const ask_peer& aAction)
--- a/thornhollow/daemon/configuration_keeper.h
+++ b/thornhollow/daemon/configuration_keeper.h
@@ -9,6 +9,7 @@
 #ifndef THORNHOLLOW_DAEMON_CONFIGURATION_KEEPER_H_
 #define THORNHOLLOW_DAEMON_CONFIGURATION_KEEPER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -54,6 +55,8 @@
   std::function<void(const revision&, const faults&)> mRefused;
   // The platform answered a version below the one in force.
   std::function<void(std::uint64_t aVersion, const revision& aInForce)> mLower;
+  // Bytes of each answer of the platform, request included.
+  std::function<void(std::size_t)> mPlatformBytes;
 };
 
 class configuration_keeper
--- a/thornhollow/daemon/control_plane.cc
+++ b/thornhollow/daemon/control_plane.cc
@@ -100,7 +100,10 @@
                  std::string(kInstancesPath),
                  { [this](const platform_value& aValue) { OnList(aValue); },
                    [this] { TellView(); },
-                   [this] { mMetrics.OnEvent("platform_list_unanswered"); } })
+                   [this] { mMetrics.OnEvent("platform_list_unanswered"); },
+                   [this](std::size_t aBytes) {
+                     mMetrics.OnControlBytes("platform", aBytes);
+                   } })
     , mTimer(aIo)
   {
   }
@@ -206,6 +209,9 @@
         { { "version", static_cast<std::int64_t>(aVersion) },
           { "in_force", static_cast<std::int64_t>(aInForce.mVersion) } });
     };
+    listener.mPlatformBytes = [this](std::size_t aBytes) {
+      mMetrics.OnControlBytes("platform", aBytes);
+    };
     return listener;
   }
 
--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -108,7 +108,8 @@
         aIo,
         [this](const endpoint_name& aName, const load_report& aReport) {
           mRouter.OnLoadReport(aName, aReport);
-        })
+        },
+        [this](std::size_t aBytes) { mMetrics.OnControlBytes("load", aBytes); })
     , mDrainTimer(aIo)
   {
     mRouter.SetKeyGate(&mControl.Keys());
--- a/thornhollow/daemon/load_poller.cc
+++ b/thornhollow/daemon/load_poller.cc
@@ -46,9 +46,12 @@
 class load_poller::loop : public std::enable_shared_from_this<loop>
 {
 public:
-  loop(boost::asio::io_context& aIo, listener aOnReport)
+  loop(boost::asio::io_context& aIo,
+       listener aOnReport,
+       std::function<void(std::size_t)> aOnBytes)
     : mIo(aIo)
     , mOnReport(std::move(aOnReport))
+    , mOnBytes(std::move(aOnBytes))
     , mTimer(aIo)
   {
   }
@@ -98,7 +101,11 @@
 
   void OnOutcome(const endpoint_name& aName, const fetch_outcome& aOutcome)
   {
-    if (!mOnReport || !aOutcome || aOutcome->mHttpStatus != kOk) {
+    if (!mOnReport || !aOutcome) {
+      return;
+    }
+    mOnBytes(aOutcome->mExchangedBytes);
+    if (aOutcome->mHttpStatus != kOk) {
       return;
     }
     if (const auto report =
@@ -109,13 +116,17 @@
 
   boost::asio::io_context& mIo;
   listener mOnReport;
+  std::function<void(std::size_t)> mOnBytes;
   boost::asio::steady_timer mTimer;
   std::vector<endpoint> mEndpoints;
   std::size_t mNext = 0;
 };
 
-load_poller::load_poller(boost::asio::io_context& aIo, listener aOnReport)
-  : mLoop(std::make_shared<loop>(aIo, std::move(aOnReport)))
+load_poller::load_poller(boost::asio::io_context& aIo,
+                         listener aOnReport,
+                         std::function<void(std::size_t)> aOnBytes)
+  : mLoop(
+      std::make_shared<loop>(aIo, std::move(aOnReport), std::move(aOnBytes)))
 {
 }
 
--- a/thornhollow/daemon/load_poller.h
+++ b/thornhollow/daemon/load_poller.h
@@ -13,6 +13,7 @@
 #ifndef THORNHOLLOW_DAEMON_LOAD_POLLER_H_
 #define THORNHOLLOW_DAEMON_LOAD_POLLER_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -38,7 +39,10 @@
   using listener =
     std::function<void(const endpoint_name&, const load_report&)>;
 
-  load_poller(boost::asio::io_context& aIo, listener aOnReport);
+  // `aOnBytes` gets the bytes of each exchange.
+  load_poller(boost::asio::io_context& aIo,
+              listener aOnReport,
+              std::function<void(std::size_t)> aOnBytes);
   load_poller(const load_poller&) = delete;
   load_poller& operator=(const load_poller&) = delete;
   ~load_poller();
--- a/thornhollow/daemon/metrics.cc
+++ b/thornhollow/daemon/metrics.cc
@@ -97,6 +97,11 @@
                                      .Name("thornhollow_events_total")
                                      .Help("Other events, by name")
                                      .Register(mRegistry);
+  Family<Counter>& mControlBytes =
+    BuildCounter()
+      .Name("thornhollow_control_bytes_total")
+      .Help("Bytes exchanged for control, by what for")
+      .Register(mRegistry);
   Family<Histogram>& mFirstToken =
     BuildHistogram()
       .Name("thornhollow_first_token_seconds")
@@ -203,6 +208,13 @@
     .Increment();
 }
 
+void
+metrics::OnControlBytes(std::string_view aPath, std::size_t aBytes)
+{
+  mFamilies->mControlBytes.Add({ { "path", std::string(aPath) } })
+    .Increment(static_cast<double>(aBytes));
+}
+
 void
 metrics::SetInFlight(std::size_t aRequests)
 {
--- a/thornhollow/daemon/metrics.h
+++ b/thornhollow/daemon/metrics.h
@@ -8,6 +8,7 @@
 #ifndef THORNHOLLOW_DAEMON_METRICS_H_
 #define THORNHOLLOW_DAEMON_METRICS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -43,6 +44,10 @@
   // constants of the program, so the set is bounded.
   void OnEvent(std::string_view aEvent);
 
+  // Bytes that this instance exchanged for control, by what for: "platform",
+  // "peers" or "load". Payload, without the transport's own bytes.
+  void OnControlBytes(std::string_view aPath, std::size_t aBytes);
+
   void SetInFlight(std::size_t aRequests);
   void SetWaiting(std::size_t aRequests);
 
--- a/thornhollow/daemon/peer_link.cc
+++ b/thornhollow/daemon/peer_link.cc
@@ -156,6 +156,7 @@
     }
     Apply(mMembers.Tick(Now()));
     AskSeeds();
+    CountBytes();
     mTimer.expires_after(kTick);
     mTimer.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& aWrong) {
@@ -166,6 +167,14 @@
       });
   }
 
+  void CountBytes()
+  {
+    const peer_counters& counted = mTransport.Counters();
+    const std::uint64_t total = counted.mBytesIn + counted.mBytesOut;
+    mMetrics.OnControlBytes("peers",
+                            total - std::exchange(mCountedBytes, total));
+  }
+
   // A seed's name isn't known, so the message is sealed for whoever gets it.
   void AskSeeds()
   {
@@ -383,6 +392,7 @@
   peer_transport mTransport;
   boost::asio::steady_timer mTimer;
   time_point mNextSeeds{};
+  std::uint64_t mCountedBytes = 0;
   bool mStopped = false;
 };
 
--- a/thornhollow/net/http_fetch.cc
+++ b/thornhollow/net/http_fetch.cc
@@ -62,14 +62,14 @@
   http::request<http::empty_body> request(http::verb::get, aCall.mTarget, 11);
   request.set(http::field::host, aCall.mAddress);
   request.keep_alive(false);
-  co_await http::async_write(stream, request, Into(wrong));
+  std::size_t bytes = co_await http::async_write(stream, request, Into(wrong));
   if (wrong) {
     co_return std::nullopt;
   }
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(aCall.mMaxBytes);
-  co_await http::async_read(stream, buffer, parser, Into(wrong));
+  bytes += co_await http::async_read(stream, buffer, parser, Into(wrong));
   if (wrong) {
     co_return std::nullopt;
   }
@@ -78,6 +78,7 @@
   const auto version = parser.get()["X-Version"];
   answer.mVersion = ReadVersion({ version.data(), version.size() });
   answer.mBody = std::move(parser.get().body());
+  answer.mExchangedBytes = bytes;
   co_return answer;
 }
 
--- a/thornhollow/net/http_fetch.h
+++ b/thornhollow/net/http_fetch.h
@@ -38,6 +38,8 @@
   // The `X-Version` header, where there is one.
   std::optional<std::uint64_t> mVersion;
   std::string mBody;
+  // Bytes of the request and the answer, without the transport's own.
+  std::size_t mExchangedBytes = 0;
 };
 
 // Nothing when no whole answer came in time.
--- a/thornhollow/platform/platform_watch.cc
+++ b/thornhollow/platform/platform_watch.cc
@@ -70,6 +70,9 @@
     if (mStopped) {
       return;
     }
+    if (aOutcome) {
+      mListener.mOnBytes(aOutcome->mExchangedBytes);
+    }
     if (aOutcome && aOutcome->mHttpStatus == kNotModified) {
       mListener.mOnUnchanged();
       Ask();
--- a/thornhollow/platform/platform_watch.h
+++ b/thornhollow/platform/platform_watch.h
@@ -8,6 +8,7 @@
 #ifndef THORNHOLLOW_PLATFORM_PLATFORM_WATCH_H_
 #define THORNHOLLOW_PLATFORM_PLATFORM_WATCH_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -32,6 +33,8 @@
   std::function<void()> mOnUnchanged;
   // A call brought no answer, or an older value.
   std::function<void()> mOnFailure;
+  // Each answer's bytes, request included.
+  std::function<void(std::size_t)> mOnBytes;
 };
 
 class platform_watch
