Config follower: gossip carries 8 bytes and an age, peers answer in full

Cause: membership's datagrams have room for a version, not for digests; its own push already tells peers; and the daemon writes the status that the operators' command reads. Change: hints (version, age of the platform's word) in place of words; a peer that hints at something higher is asked; a refusal makes the follower ask too. announce_version instead of telling peers itself.

--- a/thornhollow/config/config_follower.cc
+++ b/thornhollow/config/config_follower.cc
@@ -37,12 +37,7 @@
   mNextRead = aNow;
   mNextStaleRead = aNow;
   for (const instance_name& peer : aPeers) {
-    if (peer != mName &&
-        Pending<pending_question>() < mSettings.mAskedAtStart) {
-      const call_id call =
-        Call(pending_question{ peer }, aNow + mSettings.mStartPatience);
-      mOut.emplace_back(ask_peer{ call, peer });
-    }
+    Ask(peer, aNow);
   }
   return Finish(aNow);
 }
@@ -132,11 +127,19 @@
 }
 
 follower_actions
-config_follower::OnPeerSaid(const instance_name& aPeer,
-                            const config_word& aWord,
-                            time_point aNow)
+config_follower::OnHint(const instance_name& aPeer,
+                        const config_hint& aHint,
+                        time_point aNow)
 {
-  Heard(aPeer, aWord, aNow);
+  if (!mStarted) {
+    return {};
+  }
+  if (aHint.mNewest > 0 && aHint.mPlatformAge) {
+    Fresh(aHint.mNewest, aNow - *aHint.mPlatformAge);
+  }
+  if (aHint.mNewest > HeldWholeVersion()) {
+    Ask(aPeer, aNow);
+  }
   return Finish(aNow);
 }
 
@@ -152,6 +155,9 @@
   mJudging.reset();
   if (!aFaults.empty()) {
     Refuse(judged.mRevision, judged.mManifest, aFaults);
+    // Peers may have one in force that was skipped here: gossip tells only of
+    // the highest.
+    AskSomePeers(aNow);
   } else if (!mInForce || judged.mRevision > mInForce->mRevision) {
     mInForce = judged;
     ++mCounts.mPutInForce;
@@ -192,6 +198,20 @@
   return word;
 }
 
+config_hint
+config_follower::Hint(time_point aNow) const
+{
+  return { HeldWholeVersion(),
+           mFreshAt ? std::optional(aNow - *mFreshAt) : std::nullopt };
+}
+
+std::uint64_t
+config_follower::HeldWholeVersion() const
+{
+  const config_word word = Word(*mStarted);
+  return word.mNewest ? word.mNewest->mVersion : 0;
+}
+
 bytes_ptr
 config_follower::Held(std::string_view aDigest) const
 {
@@ -231,10 +251,48 @@
   if (aWord.mNewest) {
     AddPeer(*aWord.mNewest, aPeer);
   }
-  // A peer that knows less than this instance may have it from a stale replica
-  // of the platform: its word proves nothing fresh.
-  if (aWord.mNewest && aWord.mNewest->mVersion >= NewestKnownVersion()) {
-    mFreshAt = std::max(mFreshAt, std::optional(aNow - aWord.mPlatformAge));
+  if (aWord.mNewest) {
+    Fresh(aWord.mNewest->mVersion, aNow - aWord.mPlatformAge);
+  }
+}
+
+// Somebody knew at `aWhen` that the platform had nothing above `aVersion`. From
+// one that knows less than this instance it proves nothing: it may have asked a
+// stale replica.
+void
+config_follower::Fresh(std::uint64_t aVersion, time_point aWhen)
+{
+  if (aVersion >= NewestKnownVersion()) {
+    mFreshAt = std::max(mFreshAt, std::optional(aWhen));
+  }
+}
+
+void
+config_follower::Ask(const instance_name& aPeer, time_point aNow)
+{
+  const bool asked = std::ranges::any_of(mCalls, [&](const auto& aEntry) {
+    const auto* other = std::get_if<pending_question>(&aEntry.second.mKind);
+    return other != nullptr && other->mPeer == aPeer;
+  });
+  if (aPeer == mName || asked ||
+      Pending<pending_question>() >= mSettings.mAskedPeers) {
+    return;
+  }
+  const call_id call =
+    Call(pending_question{ aPeer }, aNow + mSettings.mStartPatience);
+  mOut.emplace_back(ask_peer{ call, aPeer });
+}
+
+void
+config_follower::AskSomePeers(time_point aNow)
+{
+  std::vector<instance_name> peers;
+  for (const follower_member& each : mMembers) {
+    peers.push_back(each.mName);
+  }
+  std::ranges::shuffle(peers, mRandom);
+  for (const instance_name& peer : peers) {
+    Ask(peer, aNow);
   }
 }
 
@@ -463,9 +521,7 @@
       mOut.emplace_back(report_lower{ aVersion, mInForce->mRevision });
     }
   }
-  if (aVersion >= NewestKnownVersion()) {
-    mFreshAt = aNow;
-  }
+  Fresh(aVersion, aNow);
 }
 
 // -- what to do next -------------------------------------------------------
@@ -550,7 +606,7 @@
     }
   }
   if (whole) {
-    Judge(aRevision, aCandidate, aNow);
+    Judge(aRevision, aCandidate);
   }
 }
 
@@ -612,9 +668,7 @@
 }
 
 void
-config_follower::Judge(const revision& aRevision,
-                       candidate& aCandidate,
-                       time_point aNow)
+config_follower::Judge(const revision& aRevision, candidate& aCandidate)
 {
   if (mJudging) {
     return;
@@ -626,32 +680,11 @@
   mJudging = held_revision{ aRevision, *aCandidate.mManifest };
   mOut.emplace_back(std::move(judge));
   // Peers needn't wait for the verdict here: they come to the same one.
-  if (!std::exchange(aCandidate.mTold, true)) {
-    TellPeers(aNow);
+  if (!std::exchange(aCandidate.mAnnounced, true)) {
+    mOut.emplace_back(announce_version{ aRevision.mVersion });
   }
 }
 
-void
-config_follower::TellPeers(time_point aNow)
-{
-  std::vector<instance_name> inside;
-  std::vector<instance_name> outside;
-  for (const follower_member& each : mMembers) {
-    if (each.mName != mName) {
-      (each.mDomain == mDomain ? inside : outside).push_back(each.mName);
-    }
-  }
-  const auto tell = [&](std::vector<instance_name>& aFrom, std::size_t aCount) {
-    std::ranges::shuffle(aFrom, mRandom);
-    aFrom.resize(std::min(aFrom.size(), aCount));
-    for (const instance_name& peer : aFrom) {
-      mOut.emplace_back(tell_peer{ peer, Word(aNow) });
-    }
-  };
-  tell(inside, mSettings.mToldInDomain);
-  tell(outside, 1);
-}
-
 std::optional<time_point>
 config_follower::NextDue() const
 {
--- a/thornhollow/config/config_follower.h
+++ b/thornhollow/config/config_follower.h
@@ -63,16 +63,17 @@
   // Until a reader reads again after a failure, and up to as long again.
   duration mReadRetry = Milliseconds(500);
   // Without a fresh word of the platform's for this long, an instance that is
-  // no reader reads for itself...
-  duration mStaleAfter = Seconds(5);
+  // no reader reads for itself... Gossip at one interval a second takes about
+  // five intervals through 38 members; at half of this, a few of 32 read at
+  // any time though all was well.
+  duration mStaleAfter = Seconds(10);
   // ...and again after this and up to as long again: 420 instances that are all
   // cut off make 28 to 42 calls a second together.
   duration mStaleRetry = Seconds(10);
   // How long a starting instance waits for the peers that it asked.
   duration mStartPatience = Seconds(1);
-  std::size_t mAskedAtStart = 4;
-  // Peers of the own domain that are told of a new revision at once.
-  std::size_t mToldInDomain = 3;
+  // Peers that are asked at a time, at start and later.
+  std::size_t mAskedPeers = 4;
   // A revision that no source could give is tried again after this.
   duration mRetryRevision = Seconds(1);
   std::size_t mParallelFetches = 8;
@@ -97,15 +98,26 @@
 // The age that an instance gives before it had any word of the platform's.
 inline constexpr duration kUnknownAge = std::chrono::hours(24 * 365);
 
-// What an instance says to others about its configuration; small enough to
-// ride on every gossip message.
+// What an instance lets all others know; rides on every gossip message.
+struct config_hint
+{
+  // Version of the highest revision that it holds whole; 0 before the first.
+  std::uint64_t mNewest = 0;
+  // Since the platform last confirmed that there is nothing higher; nothing
+  // where the message doesn't say. Without it, every instance has to read the
+  // platform now and then for itself.
+  std::optional<duration> mPlatformAge;
+
+  friend bool operator==(const config_hint&, const config_hint&) = default;
+};
+
+// What an instance answers when it is asked.
 struct config_word
 {
   std::optional<revision> mInForce;
   // The highest revision that it holds whole, in force or refused.
   std::optional<revision> mNewest;
-  // Since the platform last confirmed that there is nothing higher.
-  duration mPlatformAge{};
+  duration mPlatformAge = kUnknownAge;
 
   friend bool operator==(const config_word&, const config_word&) = default;
 };
@@ -146,13 +158,13 @@
   friend bool operator==(const ask_peer&, const ask_peer&) = default;
 };
 
-// Hand `mWord` to a peer now; no answer is needed.
-struct tell_peer
+// Let peers know at once that this version is held whole here, by gossip.
+struct announce_version
 {
-  instance_name mPeer;
-  config_word mWord;
+  std::uint64_t mVersion = 0;
 
-  friend bool operator==(const tell_peer&, const tell_peer&) = default;
+  friend bool operator==(const announce_version&,
+                         const announce_version&) = default;
 };
 
 // Run `ReadBundle` on these bytes, off the data path. Answer by `OnVerdict`.
@@ -197,7 +209,7 @@
 using follower_action = std::variant<read_manifest,
                                      fetch_bytes,
                                      ask_peer,
-                                     tell_peer,
+                                     announce_version,
                                      judge_bundle,
                                      put_in_force,
                                      report_refused,
@@ -254,7 +266,7 @@
                   domain_name aDomain,
                   std::uint64_t aSeed);
 
-  // Begins. `aPeers` are asked first, up to `mAskedAtStart` of them.
+  // Begins. `aPeers` are asked first, up to `mAskedPeers` of them.
   follower_actions Start(std::span<const instance_name> aPeers,
                          time_point aNow);
 
@@ -272,10 +284,10 @@
   follower_actions OnPeerAnswered(call_id aCall,
                                   const std::optional<config_word>& aWord,
                                   time_point aNow);
-  // A word that came by gossip or by a peer's `tell_peer`.
-  follower_actions OnPeerSaid(const instance_name& aPeer,
-                              const config_word& aWord,
-                              time_point aNow);
+  // What a peer's gossip says.
+  follower_actions OnHint(const instance_name& aPeer,
+                          const config_hint& aHint,
+                          time_point aNow);
   // Nothing in `aFaults` means accepted.
   follower_actions OnVerdict(const revision& aRevision,
                              const faults& aFaults,
@@ -291,6 +303,8 @@
   // The newest refused revision above the one in force.
   const std::optional<refused_state>& Refused() const { return mRefused; }
   // What gossip carries.
+  config_hint Hint(time_point aNow) const;
+  // The answer to a peer that asks.
   config_word Word(time_point aNow) const;
   // Bytes for a peer that asks, or null.
   bytes_ptr Held(std::string_view aDigest) const;
@@ -309,7 +323,7 @@
     // Failed calls by digest; decides which source is next.
     std::unordered_map<std::string, std::size_t> mTries;
     time_point mNotBefore{};
-    bool mTold = false;
+    bool mAnnounced = false;
   };
   struct held_revision
   {
@@ -370,10 +384,13 @@
                          candidate& aCandidate,
                          const std::string& aDigest,
                          time_point aNow);
-  void Judge(const revision& aRevision, candidate& aCandidate, time_point aNow);
-  void TellPeers(time_point aNow);
+  void Judge(const revision& aRevision, candidate& aCandidate);
+  void Ask(const instance_name& aPeer, time_point aNow);
+  void AskSomePeers(time_point aNow);
+  void Fresh(std::uint64_t aVersion, time_point aWhen);
   bool IsFetching(const std::string& aDigest) const;
   std::uint64_t NewestKnownVersion() const;
+  std::uint64_t HeldWholeVersion() const;
   bool InOwnDomain(const instance_name& aPeer) const;
   time_point StaleAt() const;
   void ScheduleReads(time_point aNow);
--- a/thornhollow/config/config_follower_test.cc
+++ b/thornhollow/config/config_follower_test.cc
@@ -301,6 +301,16 @@
       aActions = std::move(next);
     }
   }
+  // The peer's gossip says that it has `aInForce`, and so does its answer.
+  follower_actions Hear(const revision& aInForce)
+  {
+    follower_actions all =
+      mFollower.OnHint(mPeer, { aInForce.mVersion, {} }, mNow);
+    for (const auto& ask : Of<ask_peer>(all)) {
+      Append(all, mFollower.OnPeerAnswered(ask.mCall, Word(aInForce), mNow));
+    }
+    return all;
+  }
   static void Append(follower_actions& aTo, follower_actions aMore)
   {
     aTo.insert(aTo.end(), aMore.begin(), aMore.end());
@@ -340,7 +350,7 @@
   const manifest_text good{ 2, mSecond.mManifest };
   Serve(mFollower.OnManifestRead(read.at(0).mCall, good, mNow), mSecond);
   REQUIRE(mFollower.Ready());
-  const auto heard = mFollower.OnPeerSaid(mPeer, Word(Name(1, mFirst)), mNow);
+  const auto heard = Hear(Name(1, mFirst));
   CHECK(Of<fetch_bytes>(heard).empty());
 
   mNow += Seconds(2);
@@ -362,7 +372,7 @@
 TEST_CASE_FIXTURE(lone_follower_fixture, "bytes/not those asked for/not taken")
 {
   mFollower.Start({}, mNow);
-  const auto heard = mFollower.OnPeerSaid(mPeer, Word(Name(2, mSecond)), mNow);
+  const auto heard = Hear(Name(2, mSecond));
   const auto fetch = Of<fetch_bytes>(heard);
   REQUIRE(fetch.size() == 1);
   CHECK(fetch[0].mPeer == mPeer);
--- a/thornhollow/config/internal/follower_simulation.h
+++ b/thornhollow/config/internal/follower_simulation.h
@@ -20,6 +20,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -72,6 +73,11 @@
   std::set<std::string> mCutFromPlatform;
   std::set<std::pair<std::string, std::string>> mCutDomains;
 
+  // Whether gossip carries the age of the platform's word, and whether news is
+  // pushed at once.
+  bool mAges = true;
+  bool mPushes = true;
+
   time_point Now() const { return mNow; }
 
   // Instances DOMAIN-0 and up; started together.
@@ -81,6 +87,8 @@
       auto added = std::make_unique<instance>();
       added->mName = instance_name(aDomain + '-' + std::to_string(each));
       added->mDomain = domain_name(aDomain);
+      mByName.emplace(added->mName, added.get());
+      mByDomain[added->mDomain].push_back(added.get());
       mInstances.push_back(std::move(added));
     }
     for (auto& each : mInstances) {
@@ -153,7 +161,7 @@
       if (mNow - start >= aMost) {
         return std::nullopt;
       }
-      RunFor(Milliseconds(1));
+      RunFor(Milliseconds(5));
     }
     return mNow - start;
   }
@@ -228,7 +236,9 @@
 
   static constexpr duration kPeerDelay = Milliseconds(2);
   static constexpr duration kVerdictDelay = Milliseconds(50);
-  static constexpr duration kGossipPeriod = Milliseconds(500);
+  static constexpr duration kGossipPeriod = Milliseconds(1000);
+  static constexpr int kPushed = 4;
+  static constexpr std::uint64_t kLinkHolders = 2;
 
   static std::int64_t SecondOf(time_point aWhen)
   {
@@ -265,6 +275,15 @@
     });
   }
 
+  config_hint HintOf(const instance& aFrom) const
+  {
+    config_hint hint = aFrom.mFollower->Hint(mNow);
+    if (!mAges) {
+      hint.mPlatformAge.reset();
+    }
+    return hint;
+  }
+
   std::vector<follower_member> Members() const
   {
     std::vector<follower_member> members;
@@ -276,9 +295,8 @@
 
   instance* Find(const instance_name& aName)
   {
-    const auto found = std::ranges::find_if(
-      mInstances, [&](const auto& aEach) { return aEach->mName == aName; });
-    return found == mInstances.end() ? nullptr : found->get();
+    const auto found = mByName.find(aName);
+    return found == mByName.end() ? nullptr : found->second;
   }
 
   bool Linked(const instance& aFrom, const instance& aTo) const
@@ -306,7 +324,9 @@
     Gossip(aEach);
   }
 
-  // Each period an instance tells one other of its domain and one of all.
+  // As membership does: each period an instance pings one other of its domain,
+  // and two of each domain ping one instance of each other domain. The hint
+  // rides on the ping and on its answer.
   void Gossip(instance& aEach)
   {
     const duration wait =
@@ -316,31 +336,51 @@
         return;
       }
       if (mNow >= aEach.mPausedUntil) {
-        const auto& any = mInstances[mRandom() % mInstances.size()];
-        Tell(aEach, any->mName);
-        for (int tries = 0; tries < 8; ++tries) {
-          const auto& near = mInstances[mRandom() % mInstances.size()];
-          if (near->mDomain == aEach.mDomain && near.get() != &aEach) {
-            Tell(aEach, near->mName);
-            break;
-          }
-        }
+        Ping(aEach, AnyOf(aEach.mDomain));
+        PingOtherDomains(aEach);
       }
       Gossip(aEach);
     });
   }
 
-  void Tell(instance& aFrom, const instance_name& aTo)
+  instance& AnyOf(const domain_name& aDomain)
+  {
+    const auto& all = mByDomain.at(aDomain);
+    return *all[mRandom() % all.size()];
+  }
+
+  void PingOtherDomains(instance& aEach)
+  {
+    if (mRandom() % mByDomain.at(aEach.mDomain).size() >= kLinkHolders) {
+      return;
+    }
+    for (const auto& [domain, all] : mByDomain) {
+      if (domain != aEach.mDomain) {
+        Ping(aEach, AnyOf(domain));
+      }
+    }
+  }
+
+  void Ping(instance& aFrom, instance& aTo)
   {
-    instance* to = Find(aTo);
-    if (to == nullptr || to == &aFrom || !Linked(aFrom, *to)) {
+    if (&aFrom == &aTo || !Linked(aFrom, aTo)) {
       return;
     }
-    Deliver(*to,
+    Tell(aFrom, aTo);
+    At(mNow + kPeerDelay, [this, from = &aFrom, to = &aTo] {
+      if (mNow >= to->mPausedUntil) {
+        Tell(*to, *from);
+      }
+    });
+  }
+
+  void Tell(instance& aFrom, instance& aTo)
+  {
+    Deliver(aTo,
             kPeerDelay,
-            [this, from = aFrom.mName, word = aFrom.mFollower->Word(mNow)](
+            [this, from = aFrom.mName, hint = HintOf(aFrom)](
               config_follower& aFollower) {
-              return aFollower.OnPeerSaid(from, word, mNow);
+              return aFollower.OnHint(from, hint, mNow);
             });
   }
 
@@ -473,7 +513,16 @@
             });
   }
 
-  void Do(instance& aEach, const tell_peer& aTell) { Tell(aEach, aTell.mPeer); }
+  // Membership pushes news to a few members at once.
+  void Do(instance& aEach, const announce_version& /*aAnnounce*/)
+  {
+    for (int each = 0; mPushes && each < kPushed; ++each) {
+      Ping(aEach, AnyOf(aEach.mDomain));
+    }
+    if (mPushes) {
+      PingOtherDomains(aEach);
+    }
+  }
 
   void Do(instance& aEach, const judge_bundle& aJudge)
   {
@@ -519,6 +568,8 @@
   std::uint64_t mOrder = 0;
   std::priority_queue<event> mEvents;
   std::vector<std::unique_ptr<instance>> mInstances;
+  std::unordered_map<instance_name, instance*> mByName;
+  std::map<domain_name, std::vector<instance*>> mByDomain;
   std::vector<watch> mWatches;
 };
 
--- a/thornhollow/tools/operator_command.cc
+++ b/thornhollow/tools/operator_command.cc
@@ -13,6 +13,10 @@
 namespace thornhollow {
 namespace {
 
+// One line of the table of instances.
+constexpr std::string_view kStatusRow =
+  "{:<22} {:<20} {:<18} {:>8} {:>8} {:<6} {:<8} {:>8} {:>6}\n";
+
 command_result
 Refused(const faults& aFaults)
 {
@@ -149,19 +153,18 @@
   const auto version = [](const std::optional<std::uint64_t>& aVersion) {
     return aVersion ? fmt::format("{}", *aVersion) : std::string("-");
   };
-  std::string row =
-    fmt::format("{:<22} {:<20} {:<18} {:>8} {:>8} {:<6} {:<8}\n",
-                address,
-                status->mName.Text(),
-                status->mDomain.Text(),
-                version(status->mVersionInForce),
-                status->mRefused ? version(status->mRefused->mVersion) : "-",
-                status->mReady ? "yes" : "no",
-                status->mDraining ? "yes" : "no");
-  if (status->mRefused) {
-    for (const std::string& each : status->mRefused->mFaults) {
-      row += "    refused: " + each + '\n';
-    }
+  std::string row = fmt::format(kStatusRow,
+                                address,
+                                status->mName.Text(),
+                                status->mDomain.Text(),
+                                version(status->mRevision),
+                                version(status->mRefusedRevision),
+                                status->mReady ? "yes" : "no",
+                                status->mDraining ? "yes" : "no",
+                                status->mInProgress,
+                                status->mPeersAlive);
+  for (const std::string& each : status->mRefusedFaults) {
+    row += "    refused: " + each + '\n';
   }
   return row;
 }
@@ -264,14 +267,16 @@
 RunStatus(std::span<const asked_instance> aAsked)
 {
   command_result done{ kExitOk, "", "" };
-  done.mOut = fmt::format("{:<22} {:<20} {:<18} {:>8} {:>8} {:<6} {:<8}\n",
+  done.mOut = fmt::format(kStatusRow,
                           "ADDRESS",
                           "INSTANCE",
                           "DOMAIN",
                           "IN-FORCE",
                           "REFUSED",
                           "READY",
-                          "DRAINING");
+                          "DRAINING",
+                          "RUNNING",
+                          "PEERS");
   for (const asked_instance& each : aAsked) {
     done.mOut += StatusRow(each);
     if (!each.second) {
--- a/thornhollow/tools/operator_command.h
+++ b/thornhollow/tools/operator_command.h
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "thornhollow/config/bundle.h"
-#include "thornhollow/config/instance_status.h"
 #include "thornhollow/config/source_file.h"
+#include "thornhollow/tools/instance_report.h"
 
 namespace thornhollow {
 
@@ -60,7 +60,7 @@
            const std::string& aClass);
 
 // An instance's operator address and its answer, or nothing where none came.
-using asked_instance = std::pair<std::string, std::optional<instance_status>>;
+using asked_instance = std::pair<std::string, std::optional<instance_report>>;
 
 // A table of what the instances answered.
 command_result
--- a/thornhollow/tools/operator_command_test.cc
+++ b/thornhollow/tools/operator_command_test.cc
@@ -84,13 +84,12 @@
 
 TEST_CASE_FIXTURE(operator_command_fixture, "status/one silent/exit code three")
 {
-  const instance_status answered{ .mName = instance_name("entry-1"),
-                                  .mDomain = domain_name("hall"),
-                                  .mReady = true,
-                                  .mDraining = false,
-                                  .mVersionInForce = 41,
-                                  .mRefused =
-                                    refused_revision{ 42, { "a.yaml: x" } } };
+  instance_report answered;
+  answered.mName = instance_name("entry-1");
+  answered.mDomain = domain_name("hall");
+  answered.mRevision = 41;
+  answered.mRefusedRevision = 42;
+  answered.mRefusedFaults = { "a.yaml: x" };
   const std::vector<asked_instance> asked = { { "127.0.0.1:1", answered },
                                               { "127.0.0.1:2", std::nullopt } };
   const auto done = RunStatus(asked);
--- a/thornhollow/tools/thornhollow_main.cc
+++ b/thornhollow/tools/thornhollow_main.cc
@@ -168,7 +168,7 @@
     call.mTimeout = Milliseconds(FLAGS_timeout_ms);
     Fetch(io, call, [&each](const fetch_outcome& aOutcome) {
       if (aOutcome && aOutcome->mHttpStatus == 200) {
-        each.second = ParseStatusJson(aOutcome->mBody);
+        each.second = ParseInstanceReport(aOutcome->mBody);
       }
     });
   }
