--- a/thornhollow/daemon/configuration_keeper.h
+++ b/thornhollow/daemon/configuration_keeper.h
@@ -36,7 +36,7 @@
   follower_settings mFollower;
 };
 
-// How peers are reached. Each callback is called exactly once.
+// How peers are reached. Each handed-in callback is called exactly once.
 struct keeper_peers
 {
   std::function<void(const instance_name&,
@@ -46,7 +46,8 @@
                      const std::string& aDigest,
                      std::function<void(std::optional<std::string>)>)>
     mFetch;
-  std::function<void(const instance_name&, const config_word&)> mTell;
+  // Lets all peers know this version at once.
+  std::function<void(std::uint64_t aVersion)> mAnnounce;
 };
 
 struct keeper_listener
@@ -72,9 +73,10 @@
 
   void Start(const std::vector<instance_name>& aPeers);
   void SetMembers(std::vector<follower_member> aMembers);
-  void OnPeerSaid(const instance_name& aPeer, const config_word& aWord);
+  void OnHint(const instance_name& aPeer, const config_hint& aHint);
 
-  // What this instance tells peers.
+  // What this instance tells all peers, and one that asks.
+  config_hint Hint() const;
   config_word Word() const;
   // Bytes for a peer that asks, or null.
   bytes_ptr Held(std::string_view aDigest) const;
--- a/thornhollow/daemon/peer_link.cc
+++ b/thornhollow/daemon/peer_link.cc
@@ -116,6 +116,11 @@
       });
   }
 
+  void Announce(std::uint64_t aVersion)
+  {
+    Apply(mMembers.OnConfiguration(aVersion, Now()));
+  }
+
   void TellLeaving(const endpoint_name& aEndpoint)
   {
     Apply(mMembers.OnEndpointLeaving(aEndpoint, kLeavingFor, Now()));
@@ -196,7 +201,7 @@
                   const std::string& aAddress,
                   gossip_message aMessage)
   {
-    aMessage.mConfiguration = mListener.mOwnWord();
+    aMessage.mPlatformAge = mListener.mOwnHint().mPlatformAge;
     mTransport.SendDatagram(aAddress,
                             mSealer.Seal(aTo, EncodeGossip(aMessage)));
   }
@@ -231,7 +236,9 @@
       return false;
     }
     Apply(mMembers.OnMessage(*message, Now()));
-    mListener.mOnWord(opened->mSender, message->mConfiguration);
+    mListener.mOnHint(
+      opened->mSender,
+      { message->mConfigurationVersion, message->mPlatformAge });
     return true;
   }
 
@@ -284,10 +291,9 @@
                         std::move(bytes).value_or(std::string()) };
   }
 
-  std::optional<stream_message> Answer(const instance_name& aSender,
-                                       const word_exchange& aRequest)
+  std::optional<stream_message> Answer(const instance_name& /*aSender*/,
+                                       const word_exchange& /*aRequest*/)
   {
-    mListener.mOnWord(aSender, aRequest.mWord);
     return word_exchange{ mListener.mOwnWord() };
   }
 
@@ -326,7 +332,7 @@
     mListener.mOnMembers();
   }
 
-  // The word on each datagram tells more.
+  // The hint on each datagram tells the same.
   void Carry(const newer_configuration&) {}
 
   void Carry(const endpoint_leaves& aAction)
@@ -435,6 +441,12 @@
   mCore->Ask(aPeer, aRequest, aLimit, std::move(aDone));
 }
 
+void
+peer_link::Announce(std::uint64_t aVersion)
+{
+  mCore->Announce(aVersion);
+}
+
 void
 peer_link::TellLeaving(const endpoint_name& aEndpoint)
 {
--- a/thornhollow/wire/gossip_cost_main.cc
+++ b/thornhollow/wire/gossip_cost_main.cc
@@ -47,7 +47,7 @@
     auto& open =
       mOpeners.try_emplace(aDatagram.mTo, kKey, aDatagram.mTo).first->second;
     gossip_message message = aDatagram.mMessage;
-    message.mConfiguration = mWord;
+    message.mPlatformAge = Milliseconds(500);
     const std::string bytes = seal.Seal(aDatagram.mTo, EncodeGossip(message));
     ++mDatagrams;
     mBytes += bytes.size();
@@ -65,10 +65,6 @@
   std::size_t mLargest = 0;
 
 private:
-  // What each daemon says of its configuration, at its usual size.
-  config_word mWord{ revision{ 100'000, std::string(64, 'a') },
-                     revision{ 100'000, std::string(64, 'a') },
-                     Seconds(1) };
   std::map<instance_name, sealer> mSealers;
   std::map<instance_name, opener> mOpeners;
 };
