net, wire, fleet: a used connection that goes silent, bounds on gossip's cost

Cause: an exchange over a used connection that had gone silent failed as a whole, and a submission was refused for it; gossip's cost had figures but no bound.

--- a/thornhollow/fleet/key_holder.h
+++ b/thornhollow/fleet/key_holder.h
@@ -85,8 +85,8 @@
 
   // Takes the declared domains and the platform's list as it was read, without
   // members known by gossip only. A list of a lower version than the last is
-  // ignored. To be called again after a pause, when the list has been read anew,
-  // even if it didn't change: until then no key is granted.
+  // ignored. To be called again after a pause, when the list has been read
+  // anew, even if it didn't change: until then no key is granted.
   void OnView(const claim_view& aView, time_point aNow);
 
   // A new submission. `aFingerprint` is a hash of the request.
--- a/thornhollow/fleet/membership_test.cc
+++ b/thornhollow/fleet/membership_test.cc
@@ -224,6 +224,29 @@
   }
 }
 
+TEST_CASE_FIXTURE(one_domain, "membership/flood_of_names/memory_is_bounded")
+{
+  // A faulty peer makes up members, pools and endpoints without end. Each would
+  // be kept and spread to all.
+  gossip_message flood;
+  flood.mKind = gossip_kind::kPush;
+  flood.mDomain = domain_name("hall");
+  flood.mSender = mNetwork.Core("n1").Self();
+  auto& victim = mNetwork.Core("n0");
+  for (int round = 0; round < 2'000; ++round) {
+    const std::string name = "made-up-" + std::to_string(round);
+    flood.mMembers = {
+      { instance_name(name), "127.0.0.1:1", { 1, 0 }, {}, {} }
+    };
+    flood.mPressures = { { pool_name(name), 1, Seconds(1), {} } };
+    flood.mLeaving = { { endpoint_name(name), 1, Seconds(50) } };
+    victim.OnMessage(flood, mNetwork.Now());
+  }
+  CHECK(victim.Alive().size() <= mNetwork.mSettings.mMaxMembers);
+  CHECK(victim.Shared().OfPeers(mNetwork.Now()).size() <= 256);
+  CHECK(victim.Shared().Leaving(mNetwork.Now()).size() <= 256);
+}
+
 TEST_CASE("membership/other_domains/hear_news_but_hold_no_members")
 {
   fake_network network(link_quality{}, 3);
--- a/thornhollow/net/peer_transport.cc
+++ b/thornhollow/net/peer_transport.cc
@@ -150,8 +150,10 @@
   asio::awaitable<void> ServeRequests(beast::tcp_stream& aStream);
   asio::awaitable<void> RunExchange(call aCall, answer_handler aDone);
   asio::awaitable<std::optional<std::string>> Ask(const call& aCall);
-  asio::awaitable<std::optional<std::string>> AskOn(beast::tcp_stream& aStream,
-                                                    const call& aCall);
+  asio::awaitable<std::optional<std::string>> AskOn(
+    beast::tcp_stream& aStream,
+    const call& aCall,
+    steady_clock::time_point aDeadline);
   asio::awaitable<stream_pointer> Connect(const call& aCall);
   stream_pointer TakeIdle(const std::string& aAddress);
   void KeepIdle(const std::string& aAddress, stream_pointer aStream);
@@ -373,7 +375,9 @@
 peer_transport::shared::Ask(const call& aCall)
 {
   if (stream_pointer used = TakeIdle(aCall.mAddress)) {
-    auto answer = co_await AskOn(*used, aCall);
+    const auto now = steady_clock::now();
+    auto answer =
+      co_await AskOn(*used, aCall, now + (aCall.mDeadline - now) / 2);
     if (answer) {
       KeepIdle(aCall.mAddress, std::move(used));
       co_return answer;
@@ -383,7 +387,8 @@
       mIdleCount -= siblings->second.size();
       mIdle.erase(siblings);
     }
-    // The peer closed it, as it may: a new one gets what is left of the time.
+    // The peer closed it, as it may, or it went silent: a new one gets what is
+    // left of the time.
     if (mClosed || steady_clock::now() >= aCall.mDeadline) {
       co_return std::nullopt;
     }
@@ -392,7 +397,7 @@
   if (!fresh || mClosed) {
     co_return std::nullopt;
   }
-  auto answer = co_await AskOn(*fresh, aCall);
+  auto answer = co_await AskOn(*fresh, aCall, aCall.mDeadline);
   if (answer) {
     KeepIdle(aCall.mAddress, std::move(fresh));
   }
@@ -400,9 +405,11 @@
 }
 
 asio::awaitable<std::optional<std::string>>
-peer_transport::shared::AskOn(beast::tcp_stream& aStream, const call& aCall)
+peer_transport::shared::AskOn(beast::tcp_stream& aStream,
+                              const call& aCall,
+                              steady_clock::time_point aDeadline)
 {
-  aStream.expires_at(aCall.mDeadline);
+  aStream.expires_at(aDeadline);
   if (!co_await WriteFrame(aStream, aCall.mRequest)) {
     co_return std::nullopt;
   }
--- a/thornhollow/net/peer_transport.h
+++ b/thornhollow/net/peer_transport.h
@@ -11,8 +11,9 @@
 // Guards against silent connections: something between two daemons can lose
 // track of a connection, which then swallows bytes for good while new ones
 // work. It shows as an exchange without an answer. Every exchange has a time
-// limit; a connection is used again only if it answered a moment ago; and when
-// one goes silent, the idle ones to the same peer are closed with it.
+// limit; a connection is used again only if it answered a moment ago, and gets
+// half of the time, the rest is for a new one; and when one goes silent, the
+// idle ones to the same peer are closed with it.
 //
 // Guards against garbage on the ports: memory is bounded by the number of
 // connections and the size of a request; a frame that is too long, and what a
--- a/thornhollow/net/peer_transport_test.cc
+++ b/thornhollow/net/peer_transport_test.cc
@@ -135,6 +135,30 @@
   CHECK(mLeft->Counters().mExchangesFailed == 1);
 }
 
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/used_one_goes_silent/asks_anew")
+{
+  // Something between two daemons loses track of a connection: it accepts bytes
+  // and brings nothing back, while new connections work. A witness behind it
+  // must not look unreachable.
+  tcp::acceptor listener(mIo, { asio::ip::make_address("127.0.0.1"), 0 });
+  const std::string where =
+    "127.0.0.1:" + std::to_string(listener.local_endpoint().port());
+  const std::string frame("\0\0\0\1a", 5);
+  tcp::socket first(mIo);
+  tcp::socket second(mIo);
+  const auto answer = [&frame](tcp::socket& aSocket) {
+    asio::async_write(
+      aSocket, asio::buffer(frame), [](const auto&, std::size_t) {});
+  };
+  listener.async_accept(first, [&](const auto&) {
+    answer(first);
+    listener.async_accept(second, [&](const auto&) { answer(second); });
+  });
+  CHECK(Ask(where, "one") == "a");
+  CHECK(Ask(where, "two", Seconds(3)) == "a");
+  CHECK(second.is_open());
+}
+
 TEST_CASE_FIXTURE(two_daemons, "peer_transport/nobody_listens/fails")
 {
   const std::string right = mRight->LocalAddress();
--- a/thornhollow/wire/gossip_cost_main.cc
+++ b/thornhollow/wire/gossip_cost_main.cc
@@ -11,7 +11,6 @@
 #include <cstdlib>
 #include <ctime>
 #include <map>
-#include <memory>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -24,6 +23,7 @@
 #include "thornhollow/fleet/testing/fake_network.h"
 #include "thornhollow/wire/codec.h"
 #include "thornhollow/wire/seal.h"
+#include "thornhollow/wire/testing/sealed_wire.h"
 
 DEFINE_string(members, "4,16,38,100", "members of the domain, one run each");
 DEFINE_int32(domains, 11, "domains, each with as many members");
@@ -34,45 +34,6 @@
 namespace thornhollow {
 namespace {
 
-const std::string kKey = "a key for measurements only";
-
-// The codec and the seal between the nodes of a fake network; counts bytes.
-class sealed_wire
-{
-public:
-  std::optional<gossip_message> Carry(const instance_name& aFrom,
-                                      const send_datagram& aDatagram)
-  {
-    auto& seal = mSealers.try_emplace(aFrom, kKey, aFrom, 1).first->second;
-    auto& open =
-      mOpeners.try_emplace(aDatagram.mTo, kKey, aDatagram.mTo).first->second;
-    gossip_message message = aDatagram.mMessage;
-    message.mConfiguration = mWord;
-    const std::string bytes = seal.Seal(aDatagram.mTo, EncodeGossip(message));
-    ++mDatagrams;
-    mBytes += bytes.size();
-    mLargest = std::max(mLargest, bytes.size());
-    const auto opened = open.Open(bytes);
-    if (!opened) {
-      return std::nullopt;
-    }
-    const auto read = DecodeGossip(opened->mPayload);
-    return read ? std::optional(*read) : std::nullopt;
-  }
-
-  std::uint64_t mDatagrams = 0;
-  std::uint64_t mBytes = 0;
-  std::size_t mLargest = 0;
-
-private:
-  // What each daemon says of its configuration, at its usual size.
-  config_word mWord{ revision{ 100'000, std::string(64, 'a') },
-                     revision{ 100'000, std::string(64, 'a') },
-                     Seconds(1) };
-  std::map<instance_name, sealer> mSealers;
-  std::map<instance_name, opener> mOpeners;
-};
-
 std::string
 NameOf(int aDomain, int aMember)
 {
@@ -213,7 +174,7 @@
   const instance_name self(NameOf(0, 0));
   const instance_name peer(NameOf(0, 1));
   constexpr std::uint64_t kEpoch = 1'764'710'000'000'000;
-  sealer seal(kKey, self, kEpoch);
+  sealer seal("a key for measurements only", self, kEpoch);
   const claim_request request{
     claim_kind::kClaim,
     0x8000'0000'0000'0001,
