fleet: a running submission is renewed also after a pause; a limit for each round

Cause: after a pause the holder no longer counted its claim as sure and stopped renewing it, also for a submission that was running: the witnesses forgot it after a lifetime and a second submission ran beside it. Both rounds of questions shared 300 ms, which refuses every key whose witnesses are 150 ms away. Change: renewals go on until the end; the limit counts from the last question. Conclusion: a long order stays protected over a pause of its daemon.

--- a/thornhollow/fleet/key_claims.h
+++ b/thornhollow/fleet/key_claims.h
@@ -33,7 +33,8 @@
   duration mLifetime = Seconds(600);
   // Bound on how far a daemon's view of the instances lags behind the list.
   duration mViewLag = Seconds(30);
-  // A witness answers within a few milliseconds or not at all.
+  // For each of the two rounds. A witness answers within a few milliseconds, in
+  // another region within a hundred or two, or not at all.
   duration mAskTimeout = Milliseconds(300);
   // A longer time between two calls is a pause of this process.
   duration mClockGap = Seconds(2);
--- a/thornhollow/fleet/key_claims_test.cc
+++ b/thornhollow/fleet/key_claims_test.cc
@@ -137,6 +137,23 @@
   CHECK_FALSE(mFleet.At(first).mRan);
 }
 
+TEST_CASE_FIXTURE(key_fleet, "key/long_run_with_a_pause/stays_held")
+{
+  // An order runs for longer than a key lives, and its daemon stops for three
+  // seconds meanwhile. Without renewals after that, the witnesses would forget
+  // the key and a second submission would run beside the first.
+  mFleet.mRunLength = Seconds(300);
+  mFleet.Submit(0, kKey);
+  mFleet.RunFor(Seconds(5));
+  REQUIRE(mFleet.Runs(kKey) == 1);
+  mFleet.Pause(0, Seconds(3));
+  mFleet.RunFor(Seconds(150));
+  const auto second = mFleet.Submit(1, kKey);
+  mFleet.RunFor(Seconds(2));
+  CHECK(Refused(second) == error_kind::kKeyHeldElsewhere);
+  CHECK(mFleet.Runs(kKey) == 1);
+}
+
 TEST_CASE_FIXTURE(key_fleet, "key/cut_off_from_witnesses/says_not_run")
 {
   const std::size_t outside = NotAWitness();
--- a/thornhollow/fleet/key_holder.cc
+++ b/thornhollow/fleet/key_holder.cc
@@ -123,11 +123,11 @@
     return out;
   }
   claim& asked = found->second;
-  if (aNow - asked.mRoundStarted >= mSettings.mAskTimeout) {
+  if (aNow - asked.mLastAsked >= mSettings.mAskTimeout) {
     // Read after a pause: the witness may have forgotten the grant by now.
     Refuse(asked, error_kind::kKeyWitnessUnreachable, aNow, out);
   } else if (aAnswer.mVerdict == claim_verdict::kGranted) {
-    TakeGrant(asked, aAnswer, out);
+    TakeGrant(asked, aAnswer, aNow, out);
   } else {
     Refuse(asked, KindOf(aAnswer.mVerdict), aNow, out);
   }
@@ -185,9 +185,9 @@
   std::vector<claim_key> late;
   for (auto& [key, each] : mClaims) {
     if (!each.mAwaited.empty() &&
-        aNow - each.mRoundStarted >= mSettings.mAskTimeout) {
+        aNow - each.mLastAsked >= mSettings.mAskTimeout) {
       late.push_back(key);
-    } else if (each.mHeld && aNow >= each.mNextRenewal) {
+    } else if (each.mNextRenewal && aNow >= *each.mNextRenewal) {
       Renew(each, aNow, out);
     }
   }
@@ -233,12 +233,16 @@
     Refuse(aClaim, error_kind::kKeyWitnessUnreachable, aNow, aOut);
     return;
   }
-  Ask(aClaim, instance_name(aClaim.mRequest.mWitnesses.front()), aOut);
+  Ask(aClaim, aClaim.mRequest.mWitnesses.front(), aNow, aOut);
 }
 
 void
-key_holder::Ask(claim& aClaim, const instance_name& aWitness, key_actions& aOut)
+key_holder::Ask(claim& aClaim,
+                const instance_name& aWitness,
+                time_point aNow,
+                key_actions& aOut)
 {
+  aClaim.mLastAsked = aNow;
   aClaim.mAwaited.push_back(aWitness);
   if (!Contains(aClaim.mAsked, aWitness)) {
     aClaim.mAsked.push_back(aWitness);
@@ -249,6 +253,7 @@
 void
 key_holder::TakeGrant(claim& aClaim,
                       const claim_answer& aAnswer,
+                      time_point aNow,
                       key_actions& aOut)
 {
   std::erase(aClaim.mAwaited, aAnswer.mWitness);
@@ -257,14 +262,14 @@
   const auto& witnesses = aClaim.mRequest.mWitnesses;
   if (aClaim.mGranted.size() == 1) {
     for (std::size_t rank = 1; rank < witnesses.size(); ++rank) {
-      Ask(aClaim, witnesses[rank], aOut);
+      Ask(aClaim, witnesses[rank], aNow, aOut);
     }
   }
   if (aClaim.mGranted.size() < witnesses.size()) {
     return;
   }
   if (!aClaim.mVouched) {
-    Refuse(aClaim, error_kind::kKeyWitnessUnreachable, *mLastCall, aOut);
+    Refuse(aClaim, error_kind::kKeyWitnessUnreachable, aNow, aOut);
     return;
   }
   aClaim.mHeld = true;
--- a/thornhollow/fleet/key_holder.h
+++ b/thornhollow/fleet/key_holder.h
@@ -135,7 +135,11 @@
     time_point mSubmitted{};
     // When the present round of questions began.
     time_point mRoundStarted{};
-    time_point mNextRenewal{};
+    // When the last question of it was asked.
+    time_point mLastAsked{};
+    // Set once the submission may have been sent, also while the claim isn't
+    // sure any more: it may be running.
+    std::optional<time_point> mNextRenewal;
   };
 
   // Told once more to those that didn't answer, as a lost message would keep
@@ -152,8 +156,14 @@
   claim* FindBySubmission(submission aSubmission);
   // Starts asking, from the first witness on.
   void StartRound(claim& aClaim, time_point aNow, key_actions& aOut);
-  void Ask(claim& aClaim, const instance_name& aWitness, key_actions& aOut);
-  void TakeGrant(claim& aClaim, const claim_answer& aAnswer, key_actions& aOut);
+  void Ask(claim& aClaim,
+           const instance_name& aWitness,
+           time_point aNow,
+           key_actions& aOut);
+  void TakeGrant(claim& aClaim,
+                 const claim_answer& aAnswer,
+                 time_point aNow,
+                 key_actions& aOut);
   void Refuse(const claim& aClaim,
               error_kind aKind,
               time_point aNow,
--- a/thornhollow/fleet/key_search_test.cc
+++ b/thornhollow/fleet/key_search_test.cc
@@ -46,6 +46,7 @@
   std::int64_t mLongestPause = 40'000;
   // From the grant to sending, as in a queue.
   duration mLongestWait = Seconds(3);
+  duration mRunLength = Milliseconds(700);
   // Two runs of a key closer than this are a failure.
   duration mClosest = Seconds(1'000'000);
 
@@ -75,6 +76,7 @@
     fake_key_fleet fleet(link_quality{ 0.03, 0.1, 0.05 }, aSeed);
     fleet.mGuard = mGuard;
     fleet.mLongestWait = mLongestWait;
+    fleet.mRunLength = mRunLength;
     fleet.Start(kNodes);
     for (const search_event& each : aEvents) {
       fleet.RunFor(each.mAfter);
@@ -190,6 +192,7 @@
     mLongestGap = 8'000;
     mLongestPause = 100'000;
     mLongestWait = Seconds(20);
+    mRunLength = Seconds(40);
     mClosest = Seconds(30);
   }
 };
--- a/thornhollow/fleet/testing/fake_key_fleet.h
+++ b/thornhollow/fleet/testing/fake_key_fleet.h
@@ -63,6 +63,8 @@
   key_guard mGuard;
   // Between a grant and the moment when the daemon sends.
   duration mLongestWait = Milliseconds(500);
+  // What a run takes.
+  duration mRunLength = Milliseconds(700);
 
   // Starts the daemons of one domain and lets their witnesses grow old enough
   // to vouch.
@@ -336,7 +338,7 @@
     }
     mLastRun[key] = mNow;
     mOutcomes[aSubmission].mRan = true;
-    Later(aNode, Milliseconds(700), [this, aNode, aSubmission] {
+    Later(aNode, mRunLength, [this, aNode, aSubmission] {
       Apply(aNode,
             mNodes[aNode].mHolder->OnEnded(aSubmission, ran::kYes, mNow));
     });
