Harness: a program that ends by itself fails the test

Cause: a crashed daemon looked like one more broken connection. Change: the harness fails when a program ended without being told to.

--- a/thornhollow/testing/process/harness.py
+++ b/thornhollow/testing/process/harness.py
@@ -38,6 +38,7 @@
 
     def __init__(self, name, *arguments, ready=True):
         self.name = name
+        self.end_expected = False
         self.errors = tempfile.TemporaryFile(mode="w+")
         self.process = subprocess.Popen(
             [str(BIN / name), *arguments], stdout=subprocess.PIPE,
@@ -80,15 +81,24 @@
         self.process.send_signal(number)
 
     def wait(self):
+        """Waits for the end that the test brought about."""
+        self.end_expected = True
         return self.process.wait(LIMIT_SECONDS)
 
     def stop(self):
-        """Ends the program if it still runs; never fails."""
+        """Ends the program; fails if it had ended by itself, as after a crash
+        that a test would else see as one more broken connection."""
+        alone = not self.running() and not self.end_expected
         if self.running():
             self.process.kill()
         self.process.wait()
         self.process.stdout.close()
+        log = self.log()
         self.errors.close()
+        if alone:
+            raise AssertionError(
+                f"{self.name} ended by itself with "
+                f"{self.process.returncode}: {log[-3000:]}")
 
     def mode(self, **fields):
         """Switches faults on; without fields switches all off."""
--- a/thornhollow/testing/process/silent_connection_test.py
+++ b/thornhollow/testing/process/silent_connection_test.py
@@ -99,7 +99,7 @@
                                   tokens=10000000)
         harness.wait_until(lambda: engine.runs()["totals"]["cancelled"] == 1,
                            "the run of the silent caller is cancelled")
-        proxy.stop()
+        proxy.mode(fault="cut")
         call.result()
 
 
