--- a/thornhollow/daemon/control_plane.cc
+++ b/thornhollow/daemon/control_plane.cc
@@ -100,7 +100,10 @@
                  std::string(kInstancesPath),
                  { [this](const platform_value& aValue) { OnList(aValue); },
                    [this] { TellView(); },
-                   [this] { mMetrics.OnEvent("platform_list_unanswered"); } })
+                   [this] { mMetrics.OnEvent("platform_list_unanswered"); },
+                   [this](std::size_t aBytes) {
+                     mMetrics.OnControlBytes("platform", aBytes);
+                   } })
     , mTimer(aIo)
   {
   }
@@ -140,9 +143,10 @@
   {
     peer_listener listener;
     listener.mOwnWord = [this] { return mKeeper.Word(); };
-    listener.mOnWord = [this](const instance_name& aPeer,
-                              const config_word& aWord) {
-      mKeeper.OnPeerSaid(aPeer, aWord);
+    listener.mOwnHint = [this] { return mKeeper.Hint(); };
+    listener.mOnHint = [this](const instance_name& aPeer,
+                              const config_hint& aHint) {
+      mKeeper.OnHint(aPeer, aHint);
     };
     listener.mOnClaim = [this](const claim_request& aRequest) {
       return mKeys.OnPeerClaim(aRequest);
@@ -175,8 +179,8 @@
              std::function<void(std::optional<std::string>)> aDone) {
         AskPart(aPeer, aDigest, std::move(aDone));
       };
-    peers.mTell = [this](const instance_name& aPeer, const config_word&) {
-      AskWord(aPeer, [](const auto&) {});
+    peers.mAnnounce = [this](std::uint64_t aVersion) {
+      mLink.Announce(aVersion);
     };
     return peers;
   }
@@ -206,6 +210,9 @@
         { { "version", static_cast<std::int64_t>(aVersion) },
           { "in_force", static_cast<std::int64_t>(aInForce.mVersion) } });
     };
+    listener.mPlatformBytes = [this](std::size_t aBytes) {
+      mMetrics.OnControlBytes("platform", aBytes);
+    };
     return listener;
   }
 
--- a/thornhollow/fleet/peer_messages.h
+++ b/thornhollow/fleet/peer_messages.h
@@ -11,6 +11,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -121,8 +122,8 @@
   std::uint64_t mConfigurationVersion = 0;
   std::vector<pool_pressure> mPressures;
   std::vector<leaving_endpoint> mLeaving;
-  // What the sender says of its configuration.
-  config_word mConfiguration;
+  // With the configuration version: see config_hint.
+  std::optional<duration> mPlatformAge;
 
   friend bool operator==(const gossip_message&,
                          const gossip_message&) = default;
