--- a/thornhollow/config/settings.cc
+++ b/thornhollow/config/settings.cc
@@ -99,6 +99,7 @@
   void ReadPeerKeyFields(field_reader& aFields);
   void ReadLimits(field_reader& aFields);
   void ReadTimeouts(field_reader& aFields);
+  void ReadKeyTimes(field_reader& aFields);
   void ReadLogLevel(field_reader& aFields);
   void CheckAddressesDiffer();
 
@@ -138,6 +139,7 @@
   ReadPeerKeyFields(fields);
   ReadLimits(fields);
   ReadTimeouts(fields);
+  ReadKeyTimes(fields);
   mRead.mDrainGrace = ReadMilliseconds(
     fields, "drain_grace_ms", 1'000, 86'400'000, mRead.mDrainGrace);
   ReadLogLevel(fields);
@@ -286,6 +288,22 @@
   fields.RefuseUnknown();
 }
 
+void
+settings_reader::ReadKeyTimes(field_reader& aFields)
+{
+  const yaml_node* node = aFields.Node("idempotency_keys");
+  if (node == nullptr) {
+    return;
+  }
+  field_reader fields(*node, mFile.mName, "idempotency_keys", mFaults);
+  key_times& read = mRead.mKeys;
+  read.mLifetime =
+    ReadMilliseconds(fields, "lifetime_ms", 1'000, 86'400'000, read.mLifetime);
+  read.mViewLag =
+    ReadMilliseconds(fields, "view_lag_ms", 100, 600'000, read.mViewLag);
+  fields.RefuseUnknown();
+}
+
 void
 settings_reader::ReadLogLevel(field_reader& aFields)
 {
--- a/thornhollow/config/settings.h
+++ b/thornhollow/config/settings.h
@@ -56,6 +56,20 @@
                          const stage_timeouts&) = default;
 };
 
+// Times of idempotency keys. Every instance must have the same: a witness that
+// forgets earlier than the holder expects grants a used key.
+struct key_times
+{
+  // After this a key may be used again. Longer than the longest deadline of a
+  // class that is not idempotent. For as long, and twice the lag more, keys are
+  // refused after all instances of a domain started at once.
+  duration mLifetime = Seconds(600);
+  // Bound on how far an instance's view of the list lags behind the platform.
+  duration mViewLag = Seconds(30);
+
+  friend bool operator==(const key_times&, const key_times&) = default;
+};
+
 enum class log_level : std::uint8_t
 {
   kError,
@@ -88,6 +102,7 @@
   std::vector<std::string> mPeerSeeds;
   caller_limits mLimits;
   stage_timeouts mTimeouts;
+  key_times mKeys;
   // After SIGTERM, requests in progress are cut only when this has passed.
   // Longer than the longest deadline of any level, a stop cuts none.
   duration mDrainGrace = Seconds(900);
--- a/thornhollow/config/settings_test.cc
+++ b/thornhollow/config/settings_test.cc
@@ -58,6 +58,19 @@
   CHECK(found[0].mFound == "\"localhost:1\"");
 }
 
+TEST_CASE_FIXTURE(settings_fixture, "settings/times of keys/read and bounded")
+{
+  const auto verdict = Read("peer_key: " + mKey + "\n" +
+                            "idempotency_keys: {lifetime_ms: 6000}\n");
+  REQUIRE(std::holds_alternative<daemon_settings>(verdict));
+  CHECK(std::get<daemon_settings>(verdict).mKeys ==
+        key_times{ .mLifetime = Seconds(6) });
+  const faults found = FaultsOf("peer_key: " + mKey + "\n" +
+                                "idempotency_keys: {view_lag_ms: 1}\n");
+  REQUIRE(found.size() == 1);
+  CHECK(found[0].mField == "idempotency_keys.view_lag_ms");
+}
+
 TEST_CASE_FIXTURE(settings_fixture, "settings/many faults/all named at once")
 {
   const faults found = FaultsOf("limits: {max_body_bytes: 12}\n"
--- a/thornhollow/daemon/control_plane.cc
+++ b/thornhollow/daemon/control_plane.cc
@@ -59,6 +59,15 @@
   return { domains.begin(), domains.end() };
 }
 
+key_claim_settings
+KeySettings(const daemon_settings& aSettings)
+{
+  key_claim_settings settings;
+  settings.mLifetime = aSettings.mKeys.mLifetime;
+  settings.mViewLag = aSettings.mKeys.mViewLag;
+  return settings;
+}
+
 } // namespace
 
 class control_plane::core
@@ -87,7 +96,7 @@
               KeeperPeers(),
               KeeperListener())
     , mKeys(
-        key_claim_settings{},
+        KeySettings(aSettings),
         { aSettings.mName, mEpoch },
         [this](const instance_name& aPeer,
                const claim_request& aRequest,
--- a/thornhollow/testing/process/harness.py
+++ b/thornhollow/testing/process/harness.py
@@ -261,6 +261,9 @@
   connect_ms: 300
   first_byte_ms: {first_byte_ms}
   between_tokens_ms: 500
+idempotency_keys:
+  lifetime_ms: {key_lifetime_ms}
+  view_lag_ms: 1000
 log_level: info
 """
 
@@ -401,6 +404,7 @@
     """A platform, endpoints and daemons that know of each other."""
 
     FIRST_BYTE_MS = 1000
+    KEY_LIFETIME_MS = 600000
 
     def setUp(self):
         self.endpoints = []
@@ -468,6 +472,7 @@
                 "peers": address_on_loopback(),
                 "platform": platform or self.platform.address,
                 "key": "ab" * 32, "first_byte_ms": self.FIRST_BYTE_MS,
+                "key_lifetime_ms": self.KEY_LIFETIME_MS,
                 "seeds": ", ".join(d.settings["peers"] for d in self.daemons)}
 
     def daemon(self, name="d1", platform=None, settings=None, ready=True):
