--- a/thornhollow/daemon/configuration_keeper.cc
+++ b/thornhollow/daemon/configuration_keeper.cc
@@ -186,9 +186,9 @@
                 }));
   }
 
-  void Carry(const tell_peer& aAction)
+  void Carry(const announce_version& aAction)
   {
-    mPeers.mTell(aAction.mPeer, aAction.mWord);
+    mPeers.mAnnounce(aAction.mVersion);
   }
 
   void Carry(judge_bundle& aAction)
@@ -291,10 +291,16 @@
 }
 
 void
-configuration_keeper::OnPeerSaid(const instance_name& aPeer,
-                                 const config_word& aWord)
+configuration_keeper::OnHint(const instance_name& aPeer,
+                             const config_hint& aHint)
 {
-  mCore->Apply(mCore->Follower().OnPeerSaid(aPeer, aWord, Now()));
+  mCore->Apply(mCore->Follower().OnHint(aPeer, aHint, Now()));
+}
+
+config_hint
+configuration_keeper::Hint() const
+{
+  return mCore->Follower().Hint(Now());
 }
 
 config_word
--- a/thornhollow/daemon/control_plane.cc
+++ b/thornhollow/daemon/control_plane.cc
@@ -152,9 +152,10 @@
   {
     peer_listener listener;
     listener.mOwnWord = [this] { return mKeeper.Word(); };
-    listener.mOnWord = [this](const instance_name& aPeer,
-                              const config_word& aWord) {
-      mKeeper.OnPeerSaid(aPeer, aWord);
+    listener.mOwnHint = [this] { return mKeeper.Hint(); };
+    listener.mOnHint = [this](const instance_name& aPeer,
+                              const config_hint& aHint) {
+      mKeeper.OnHint(aPeer, aHint);
     };
     listener.mOnClaim = [this](const claim_request& aRequest) {
       return mKeys.OnPeerClaim(aRequest);
@@ -187,8 +188,8 @@
              std::function<void(std::optional<std::string>)> aDone) {
         AskPart(aPeer, aDigest, std::move(aDone));
       };
-    peers.mTell = [this](const instance_name& aPeer, const config_word&) {
-      AskWord(aPeer, [](const auto&) {});
+    peers.mAnnounce = [this](std::uint64_t aVersion) {
+      mLink.Announce(aVersion);
     };
     return peers;
   }
--- a/thornhollow/daemon/peer_link.h
+++ b/thornhollow/daemon/peer_link.h
@@ -10,6 +10,7 @@
 #ifndef THORNHOLLOW_DAEMON_PEER_LINK_H_
 #define THORNHOLLOW_DAEMON_PEER_LINK_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -45,9 +46,11 @@
 
 struct peer_listener
 {
-  // What this instance says of its configuration.
+  // What this instance says of its configuration: on each datagram, and to one
+  // that asks.
+  std::function<config_hint()> mOwnHint;
   std::function<config_word()> mOwnWord;
-  std::function<void(const instance_name&, const config_word&)> mOnWord;
+  std::function<void(const instance_name&, const config_hint&)> mOnHint;
   std::function<claim_answer(const claim_request&)> mOnClaim;
   // Bytes of a part or manifest held here.
   std::function<std::optional<std::string>(const std::string& aDigest)> mOnPart;
@@ -87,6 +90,8 @@
            duration aLimit,
            answer_handler aDone);
 
+  // Tells peers that this configuration version is held here.
+  void Announce(std::uint64_t aVersion);
   // Tells peers that this endpoint leaves.
   void TellLeaving(const endpoint_name& aEndpoint);
 
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -52,7 +52,8 @@
   7: i64 configuration_version
   8: list<pool_pressure> pressures
   9: list<leaving_endpoint> leaving
-  10: optional config_word configuration
+  // 10 was a word on each datagram.
+  11: optional i64 platform_age_ms
 }
 
 struct claim_request {
