--- /dev/null
+++ b/thornhollow/policy/fair_queue.cc
@@ -0,0 +1,151 @@
+#include "thornhollow/policy/fair_queue.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace thornhollow {
+
+const team_name&
+fair_queue::Account(const team_name& aTeam) const
+{
+  return mByTeam ? aTeam : mEverybody;
+}
+
+double
+fair_queue::StartTag(const team_name& aTeam) const
+{
+  const auto found = mTeams.find(Account(aTeam));
+  return found == mTeams.end()
+           ? mVirtualTime
+           : std::max(mVirtualTime, found->second.mFinishTag);
+}
+
+fair_queue::position
+fair_queue::Push(const waiting_request& aRequest, double aWeight)
+{
+  const double start = StartTag(aRequest.mItem.mTeam);
+  const double finish = start + aRequest.mWork.mCost / aWeight;
+  mTeams[Account(aRequest.mItem.mTeam)].mFinishTag = finish;
+  return Insert(start, { aRequest, finish, aWeight });
+}
+
+fair_queue::position
+fair_queue::PushFront(const waiting_request& aRequest)
+{
+  const double start =
+    mWaiting.empty()
+      ? mVirtualTime
+      : std::min(mVirtualTime, mWaiting.begin()->first.mStartTag);
+  return Insert(start, { aRequest, start, 1 });
+}
+
+fair_queue::position
+fair_queue::Insert(double aStartTag, entry aEntry)
+{
+  const position at{ aStartTag, mSequence++ };
+  mTotalCost += aEntry.mRequest.mWork.mCost;
+  if (team_state& owner = mTeams[Account(aEntry.mRequest.mItem.mTeam)];
+      owner.mWaiting++ == 0) {
+    owner.mWeight = aEntry.mWeight;
+    mActiveWeight += owner.mWeight;
+    ++mActiveTeams;
+  }
+  mWaiting.emplace(at, std::move(aEntry));
+  return at;
+}
+
+const waiting_request*
+fair_queue::Front() const
+{
+  return mWaiting.empty() ? nullptr : &mWaiting.begin()->second.mRequest;
+}
+
+const waiting_request*
+fair_queue::Back() const
+{
+  return mWaiting.empty() ? nullptr
+                          : &std::prev(mWaiting.end())->second.mRequest;
+}
+
+const waiting_request*
+fair_queue::Find(const position& aPosition) const
+{
+  const auto found = mWaiting.find(aPosition);
+  return found == mWaiting.end() ? nullptr : &found->second.mRequest;
+}
+
+void
+fair_queue::Take(const position& aPosition)
+{
+  if (const auto found = mWaiting.find(aPosition); found != mWaiting.end()) {
+    mVirtualTime = std::max(mVirtualTime, found->first.mStartTag);
+    Drop(found);
+  }
+}
+
+bool
+fair_queue::Erase(const position& aPosition)
+{
+  const auto found = mWaiting.find(aPosition);
+  if (found == mWaiting.end()) {
+    return false;
+  }
+  team_state& owner = mTeams.at(Account(found->second.mRequest.mItem.mTeam));
+  if (owner.mFinishTag == found->second.mFinishTag) {
+    owner.mFinishTag = found->first.mStartTag;
+  }
+  Drop(found);
+  return true;
+}
+
+void
+fair_queue::EraseBack()
+{
+  Erase(std::prev(mWaiting.end())->first);
+}
+
+void
+fair_queue::Drop(entries::iterator aEntry)
+{
+  const auto owner = mTeams.find(Account(aEntry->second.mRequest.mItem.mTeam));
+  mTotalCost -= aEntry->second.mRequest.mWork.mCost;
+  if (--owner->second.mWaiting == 0) {
+    mActiveWeight -= owner->second.mWeight;
+    --mActiveTeams;
+    if (owner->second.mFinishTag <= mVirtualTime) {
+      mTeams.erase(owner);
+    }
+  }
+  mWaiting.erase(aEntry);
+  if (mWaiting.empty()) {
+    // Nobody is owed anything in an empty queue; this also bounds rounding.
+    mTeams.clear();
+    mVirtualTime = 0;
+    mTotalCost = 0;
+    mActiveWeight = 0;
+  }
+}
+
+double
+fair_queue::CostAhead(const team_name& aTeam) const
+{
+  if (mWaiting.empty()) {
+    return 0;
+  }
+  // Until virtual time reaches the tag, every active team is served its weight;
+  // and each may have one more request that starts before the tag.
+  const double mean = mTotalCost / static_cast<double>(mWaiting.size());
+  const double ahead = (StartTag(aTeam) - mVirtualTime) * mActiveWeight +
+                       mean * static_cast<double>(mActiveTeams);
+  return std::min(mTotalCost, ahead);
+}
+
+bool
+fair_queue::GoesBeforeBack(const team_name& aTeam) const
+{
+  return !mWaiting.empty() &&
+         StartTag(aTeam) < std::prev(mWaiting.end())->first.mStartTag;
+}
+
+} // namespace thornhollow
--- a/thornhollow/policy/request_queue.cc
+++ b/thornhollow/policy/request_queue.cc
@@ -1,88 +1,170 @@
 #include "thornhollow/policy/request_queue.h"
 
-#include <iterator>
-#include <utility>
+#include <algorithm>
 
 namespace thornhollow {
-namespace {
 
-constexpr duration kComeBackAfter = Seconds(1);
-
-} // namespace
-
-request_queue::request_queue(const request_queue_settings& aSettings)
+request_queue::request_queue(const request_queue_settings& aSettings,
+                             std::uint64_t aSeed)
   : mSettings(aSettings)
+  , mRandom(aSeed)
+  , mPeers(aSettings.mPeers)
 {
 }
 
 void
-request_queue::Configure(const declarations& /*aDeclared*/, time_point /*aNow*/)
+request_queue::Configure(const declarations& aDeclared, time_point /*aNow*/)
 {
+  std::unordered_map<class_name, class_terms> terms;
+  for (const request_class& each : aDeclared.mClasses) {
+    const service_level* level = FindLevel(aDeclared, each.mLevel);
+    terms[each.mName] = { each.mMinimumShare,
+                          level == nullptr ? duration::zero()
+                                           : level->mFirstTokenTarget };
+  }
+  for (auto& [name, pool] : mPools) {
+    for (const auto& [gone, old] : mTerms) {
+      if (!terms.contains(gone)) {
+        pool.SetTerms(gone, {});
+      }
+    }
+    for (const auto& [each, next] : terms) {
+      pool.SetTerms(each, next);
+    }
+  }
+  mTerms = std::move(terms);
+  mWeights.clear();
+  for (const team& each : aDeclared.mTeams) {
+    if (each.mWeight > 0 && each.mWeight != 1) {
+      mWeights.emplace(each.mName, each.mWeight);
+    }
+  }
 }
 
-std::vector<refuse>
-request_queue::Push(const work_item& aItem, time_point /*aNow*/)
+pool_queue&
+request_queue::PoolOf(const pool_name& aPool)
 {
-  std::vector<refuse> refused;
-  auto& waiting = mPools[aItem.mPool];
-  if (waiting.size() >= mSettings.mMaxWaiting) {
-    const auto last = std::prev(waiting.end());
-    if (last->second.mTier <= aItem.mTier) {
-      refused.push_back(
-        { aItem.mTicket, error_kind::kQueueFull, kComeBackAfter });
-      return refused;
+  const auto [found, isNew] = mPools.try_emplace(aPool, mSettings.mPool);
+  if (isNew) {
+    for (const auto& [name, terms] : mTerms) {
+      found->second.SetTerms(name, terms);
     }
-    refused.push_back(
-      { last->second.mTicket, error_kind::kShedForHigherTier, kComeBackAfter });
-    mWhere.erase(last->second.mTicket);
-    waiting.erase(last);
-  }
-  const rank order{ aItem.mTier, mNextOrder++ };
-  waiting.emplace(order, aItem);
-  mWhere.emplace(aItem.mTicket, place{ aItem.mPool, order });
-  return refused;
+  }
+  return found->second;
+}
+
+double
+request_queue::WeightOf(const team_name& aTeam) const
+{
+  const auto found = mWeights.find(aTeam);
+  return found == mWeights.end() ? 1 : found->second;
+}
+
+std::vector<refuse>
+request_queue::Push(const work_item& aItem,
+                    const work_estimate& aWork,
+                    time_point aNow)
+{
+  const waiting_request request{ aItem, aWork, aNow };
+  const pool_queue::arrival came =
+    PoolOf(aItem.mPool).Push(request, WeightOf(aItem.mTeam), mRandom, aNow);
+  for (const refuse& each : came.mRefused) {
+    Take(each.mTicket);
+  }
+  if (came.mPlace) {
+    Add(request, *came.mPlace);
+  }
+  return came.mRefused;
+}
+
+std::vector<refuse>
+request_queue::PushAgain(const work_item& aItem,
+                         const work_estimate& aWork,
+                         time_point aNow)
+{
+  const waiting_request request{ aItem, aWork, aNow };
+  pool_queue& pool = PoolOf(aItem.mPool);
+  if (request.LatestStart() <= aNow) {
+    return { pool.Refuse(
+      request, error_kind::kDeadlineUnmeetable, mRandom, aNow) };
+  }
+  Add(request, pool.PushAgain(request, aNow));
+  return {};
+}
+
+void
+request_queue::Add(const waiting_request& aRequest,
+                   const pool_queue::place& aPlace)
+{
+  const ticket id = aRequest.mItem.mTicket;
+  const time_point latest = aRequest.LatestStart();
+  mWhere.emplace(id, location{ aRequest.mItem.mPool, aPlace, latest });
+  mLatestStarts.emplace(latest, id);
+}
+
+std::optional<request_queue::location>
+request_queue::Take(ticket aTicket)
+{
+  const auto found = mWhere.find(aTicket);
+  if (found == mWhere.end()) {
+    return std::nullopt;
+  }
+  location taken = std::move(found->second);
+  mLatestStarts.erase({ taken.mLatestStart, aTicket });
+  mWhere.erase(found);
+  return taken;
 }
 
 const work_item*
-request_queue::Next(const pool_name& aPool, time_point /*aNow*/)
+request_queue::Next(const pool_name& aPool,
+                    std::span<const class_name> aPassedOver,
+                    time_point aNow)
 {
   const auto found = mPools.find(aPool);
-  if (found == mPools.end() || found->second.empty()) {
+  if (found == mPools.end()) {
     return nullptr;
   }
-  return &found->second.begin()->second;
+  const waiting_request* next =
+    found->second.Next(mPeers, aPool, aPassedOver, aNow);
+  return next == nullptr ? nullptr : &next->mItem;
 }
 
 void
-request_queue::Remove(ticket aTicket)
+request_queue::Start(ticket aTicket, time_point aNow)
 {
-  const auto found = mWhere.find(aTicket);
-  if (found == mWhere.end()) {
-    return;
+  if (const auto taken = Take(aTicket)) {
+    mPools.at(taken->mPool).Start(taken->mPlace, aNow);
   }
-  const auto pool = mPools.find(found->second.mPool);
-  pool->second.erase(found->second.mRank);
-  if (pool->second.empty()) {
-    mPools.erase(pool);
+}
+
+void
+request_queue::Remove(ticket aTicket, time_point aNow)
+{
+  if (const auto taken = Take(aTicket)) {
+    mPools.at(taken->mPool).Remove(taken->mPlace, aNow);
   }
-  mWhere.erase(found);
+}
+
+refuse
+request_queue::Refuse(const work_item& aItem, error_kind aKind, time_point aNow)
+{
+  return PoolOf(aItem.mPool).Refuse({ aItem, {}, aNow }, aKind, mRandom, aNow);
 }
 
 std::vector<refuse>
 request_queue::Expire(time_point aNow)
 {
+  mPeers.Expire(aNow);
   std::vector<refuse> refused;
-  for (const auto& [pool, waiting] : mPools) {
-    for (const auto& [order, item] : waiting) {
-      if (item.mDeadline <= aNow) {
-        refused.push_back({ item.mTicket,
-                            error_kind::kDeadlineExpiredWaiting,
-                            kComeBackAfter });
-      }
-    }
-  }
-  for (const refuse& each : refused) {
-    Remove(each.mTicket);
+  while (!mLatestStarts.empty() && mLatestStarts.begin()->first <= aNow) {
+    const location taken = *Take(mLatestStarts.begin()->second);
+    pool_queue& pool = mPools.at(taken.mPool);
+    const waiting_request late = pool.At(taken.mPlace);
+    pool.Remove(taken.mPlace, aNow);
+    const error_kind kind = late.mItem.mDeadline <= aNow
+                              ? error_kind::kDeadlineExpiredWaiting
+                              : error_kind::kDeadlineUnmeetable;
+    refused.push_back(pool.Refuse(late, kind, mRandom, aNow));
   }
   return refused;
 }
@@ -91,24 +173,64 @@
 request_queue::WaitingPools() const
 {
   std::vector<pool_name> pools;
-  for (const auto& [pool, waiting] : mPools) {
-    pools.push_back(pool);
+  for (const auto& [name, pool] : mPools) {
+    if (!pool.empty()) {
+      pools.push_back(name);
+    }
   }
   return pools;
 }
 
 std::optional<time_point>
-request_queue::NextDeadline() const
+request_queue::NextDue(time_point aNow) const
 {
-  std::optional<time_point> first;
-  for (const auto& [pool, waiting] : mPools) {
-    for (const auto& [order, item] : waiting) {
-      if (!first || item.mDeadline < *first) {
-        first = item.mDeadline;
+  std::optional<time_point> due;
+  const auto take = [&due](std::optional<time_point> aNext) {
+    if (aNext && (!due || *aNext < *due)) {
+      due = aNext;
+    }
+  };
+  if (!mLatestStarts.empty()) {
+    take(mLatestStarts.begin()->first);
+  }
+  for (const auto& [name, pool] : mPools) {
+    if (!pool.empty()) {
+      if (const auto until = mPeers.HeldUntil(name); until && *until > aNow) {
+        take(until);
+        take(pool.NextOwed(aNow));
       }
     }
   }
-  return first;
+  return due;
+}
+
+duration
+request_queue::PredictedWait(const work_item& aItem, time_point aNow) const
+{
+  const auto found = mPools.find(aItem.mPool);
+  return found == mPools.end() ? duration::zero()
+                               : found->second.PredictedWait(aItem, aNow);
+}
+
+std::vector<pool_pressure>
+request_queue::Pressure(time_point aNow) const
+{
+  std::vector<pool_pressure> out;
+  for (const auto& [name, pool] : mPools) {
+    pool_pressure next = pool.Pressure(name, aNow);
+    if (next != pool_pressure{ name, kLowestTier, {} }) {
+      out.push_back(std::move(next));
+    }
+  }
+  return out;
+}
+
+void
+request_queue::OnPeerPressure(const instance_name& aFrom,
+                              const pool_pressure& aPressure,
+                              time_point aNow)
+{
+  mPeers.OnReport(aFrom, aPressure, aNow);
 }
 
 } // namespace thornhollow
--- a/thornhollow/policy/request_queue.h
+++ b/thornhollow/policy/request_queue.h
@@ -1,28 +1,38 @@
-// The requests of one entry instance that wait for a place at an endpoint, and
-// the order in which they get one.
+// The requests of one entry instance that wait for a place at an endpoint, over
+// all pools, and the order in which they get one.
 //
-//   request_queue queue(request_queue_settings{});
-//   queue.Push(item, now);
-//   if (const work_item* next = queue.Next(pool, now)) { ... queue.Remove(...);
+//   request_queue queue(request_queue_settings{}, 1);
+//   queue.Push(item, work, now);
+//   if (const work_item* next = queue.Next(pool, {}, now)) {
+//     queue.Start(next->mTicket, now);
 //   }
 //
+// What waits for one pool is ordered and bounded by `pool_queue`; here are the
+// pools, the deadlines and the pressure told by other instances.
 #ifndef THORNHOLLOW_POLICY_REQUEST_QUEUE_H_
 #define THORNHOLLOW_POLICY_REQUEST_QUEUE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
+#include <set>
+#include <span>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "thornhollow/policy/pool_queue.h"
+#include "thornhollow/policy/tier_pressure.h"
 #include "thornhollow/policy/work.h"
 
 namespace thornhollow {
 
 struct request_queue_settings
 {
-  // Requests that wait for one pool at a time; one more displaces another.
-  std::size_t mMaxWaiting = 1024;
+  pool_queue_settings mPool;
+  tier_pressure_settings mPeers;
 
   friend bool operator==(const request_queue_settings&,
                          const request_queue_settings&) = default;
@@ -31,51 +41,87 @@
 class request_queue
 {
 public:
-  explicit request_queue(const request_queue_settings& aSettings);
+  // `aSeed` drives the jitter of when to come back.
+  request_queue(const request_queue_settings& aSettings, std::uint64_t aSeed);
 
-  // Takes the declared classes, shares and teams.
+  // Takes the declared classes, shares and teams. Requests that wait stay.
   void Configure(const declarations& aDeclared, time_point aNow);
 
   // Queues `aItem`. Returns the refusals that this causes: of `aItem` itself,
   // or of a request of a lower tier whose place it takes.
-  std::vector<refuse> Push(const work_item& aItem, time_point aNow);
+  std::vector<refuse> Push(const work_item& aItem,
+                           const work_estimate& aWork,
+                           time_point aNow);
+
+  // Queues a request that ran before without its answer, ahead of its class;
+  // refused only where it can't finish any more.
+  std::vector<refuse> PushAgain(const work_item& aItem,
+                                const work_estimate& aWork,
+                                time_point aNow);
 
   // The request of `aPool` that gets the next place, or null. Stays queued.
-  const work_item* Next(const pool_name& aPool, time_point aNow);
+  // Requests of the classes `aPassedOver` are left out.
+  const work_item* Next(const pool_name& aPool,
+                        std::span<const class_name> aPassedOver,
+                        time_point aNow);
+
+  // Whether the request waits here.
+  bool Holds(ticket aTicket) const { return mWhere.contains(aTicket); }
+
+  // The request got a place. Unknown tickets are ignored.
+  void Start(ticket aTicket, time_point aNow);
 
-  // The request got a place, or its caller left. Unknown tickets are ignored.
-  void Remove(ticket aTicket);
+  // The request's caller left. Unknown tickets are ignored.
+  void Remove(ticket aTicket, time_point aNow);
 
-  // Refuses what waits beyond its deadline.
+  // A refusal of a request that waits here or not, with when to come back.
+  refuse Refuse(const work_item& aItem, error_kind aKind, time_point aNow);
+
+  // Refuses what can't finish before its deadline any more.
   std::vector<refuse> Expire(time_point aNow);
 
   // Pools for which something waits.
   std::vector<pool_name> WaitingPools() const;
 
-  // The first deadline of a waiting request.
-  std::optional<time_point> NextDeadline() const;
+  // When `Expire` or `Next` may have something to do without another event.
+  std::optional<time_point> NextDue(time_point aNow) const;
+
+  // How long a new request would wait, by what was measured.
+  duration PredictedWait(const work_item& aItem, time_point aNow) const;
+
+  // What other instances should know; one entry for each pool under load.
+  std::vector<pool_pressure> Pressure(time_point aNow) const;
+  void OnPeerPressure(const instance_name& aFrom,
+                      const pool_pressure& aPressure,
+                      time_point aNow);
 
   std::size_t size() const { return mWhere.size(); }
 
 private:
-  struct rank
-  {
-    int mTier = kLowestTier;
-    std::uint64_t mOrder = 0;
-    // clang-tidy 14 takes the 0 in the generated code for a null pointer.
-    // NOLINTNEXTLINE(modernize-use-nullptr)
-    friend std::strong_ordering operator<=>(const rank&, const rank&) = default;
-  };
-  struct place
+  struct location
   {
     pool_name mPool;
-    rank mRank;
+    pool_queue::place mPlace;
+    time_point mLatestStart{};
   };
+  using latest_starts = std::set<std::pair<time_point, ticket>>;
+
+  pool_queue& PoolOf(const pool_name& aPool);
+  double WeightOf(const team_name& aTeam) const;
+  void Add(const waiting_request& aRequest, const pool_queue::place& aPlace);
+  // Forgets where a ticket waits; nothing where it doesn't.
+  std::optional<location> Take(ticket aTicket);
 
   request_queue_settings mSettings;
-  std::uint64_t mNextOrder = 0;
-  std::unordered_map<pool_name, std::map<rank, work_item>> mPools;
-  std::unordered_map<ticket, place> mWhere;
+  std::mt19937_64 mRandom;
+  std::unordered_map<class_name, class_terms> mTerms;
+  // Only weights other than 1: most of 11,000 teams have none.
+  std::unordered_map<team_name, double> mWeights;
+  // Ordered, so that two runs visit pools in the same order.
+  std::map<pool_name, pool_queue> mPools;
+  std::unordered_map<ticket, location> mWhere;
+  latest_starts mLatestStarts;
+  peer_pressure mPeers;
 };
 
 } // namespace thornhollow
--- a/thornhollow/policy/scenario/baselines.h
+++ b/thornhollow/policy/scenario/baselines.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "thornhollow/policy/tier_pressure.h"
 #include "thornhollow/policy/work.h"
 
 namespace thornhollow::scenario {
@@ -53,7 +54,14 @@
   {
     return {};
   }
+  decisions OnPeerPressure(const instance_name& /*aFrom*/,
+                           const pool_pressure& /*aPressure*/,
+                           time_point /*aNow*/)
+  {
+    return {};
+  }
   decisions Advance(time_point /*aNow*/) { return {}; }
+  decisions Tick(time_point /*aNow*/) { return {}; }
   std::optional<time_point> NextDue() const { return std::nullopt; }
 
 private:
--- a/thornhollow/policy/scenario/catalog.cc
+++ b/thornhollow/policy/scenario/catalog.cc
@@ -244,11 +244,23 @@
 std::vector<named_policy>
 AllPolicies()
 {
-  return {
+  scheduler_settings plain;
+  pool_queue_settings& pool = plain.mQueue.mPool;
+  pool.mTierOrder = false;
+  pool.mMinimumShares = false;
+  pool.mFairTeams = false;
+  pool.mDeadlineCheck = false;
+  pool.mStanding.mEnabled = false;
+  pool.mReturns.mSpread = false;
+  plain.mQueue.mPeers.mEnabled = false;
+  plain.mRunTimes.mQuantile = 0;
+  std::vector<named_policy> all = {
     { "thornhollow", scheduler_settings{} },
+    { "waiting_off", plain },
     { "round_robin", round_robin{} },
     { "least_outstanding", least_outstanding{} },
   };
+  return all;
 }
 
 } // namespace thornhollow::scenario
--- a/thornhollow/policy/scenario/catalog.h
+++ b/thornhollow/policy/scenario/catalog.h
@@ -26,7 +26,8 @@
   policy_choice mPolicy;
 };
 
-// The project's scheduler and the two baselines.
+// The project's scheduler, the same with its waiting side off (first in first
+// out behind the learnt limits), and the two baselines.
 std::vector<named_policy>
 AllPolicies();
 
--- a/thornhollow/policy/scenario/simulation.cc
+++ b/thornhollow/policy/scenario/simulation.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
@@ -21,6 +22,9 @@
 constexpr duration kToEngine = Milliseconds(1);
 constexpr duration kConnectTimeout = Seconds(1);
 constexpr duration kReportEvery = Milliseconds(250);
+// Four rounds of gossip a second, each with a datagram's way.
+constexpr duration kPressureEvery = Milliseconds(250);
+constexpr duration kPressureDelay = Milliseconds(5);
 // What a caller waits after a failure that names no time.
 constexpr duration kOwnBackoff = Seconds(1);
 constexpr int kMaxAttempts = 3;
@@ -129,6 +133,10 @@
   bool Reachable(const domain_name& aLeft, const domain_name& aRight) const;
 
   void PlanReports();
+  void PlanTicks();
+  void PlanPressure();
+  void TellPressure(std::size_t aInstance);
+  bool IsOver() const;
   outcome Judge() const;
   double Recovery() const;
 
@@ -216,6 +224,8 @@
     PlanArrival(traffic);
   }
   PlanReports();
+  PlanTicks();
+  PlanPressure();
   duration longest{};
   for (const service_level& each : mDeployment.mDeclared.mLevels) {
     longest = std::max(longest, each.mDeadline);
@@ -712,7 +722,7 @@
     return;
   }
   mLoop.After(kReportEvery, [this] {
-    if (mLoop.Now() > mStart + kWarmUp + mScenario.mLength) {
+    if (IsOver()) {
       return;
     }
     for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
@@ -736,6 +746,67 @@
   });
 }
 
+bool
+simulation::IsOver() const
+{
+  return mLoop.Now() > mStart + kWarmUp + mScenario.mLength && mOpen.empty();
+}
+
+void
+simulation::PlanTicks()
+{
+  mLoop.After(clock_gap::kTickEvery, [this] {
+    if (IsOver()) {
+      return;
+    }
+    for (std::size_t index = 0; index < mInstances.size(); ++index) {
+      OnInstance(index, [](auto& aPolicy, time_point aNow) {
+        return aPolicy.Tick(aNow);
+      });
+    }
+    PlanTicks();
+  });
+}
+
+void
+simulation::PlanPressure()
+{
+  mLoop.After(kPressureEvery, [this] {
+    if (IsOver()) {
+      return;
+    }
+    for (std::size_t index = 0; index < mInstances.size(); ++index) {
+      if (mInstances[index].mPausedUntil <= mLoop.Now()) {
+        TellPressure(index);
+      }
+    }
+    PlanPressure();
+  });
+}
+
+void
+simulation::TellPressure(std::size_t aInstance)
+{
+  const auto* own = std::get_if<scheduler>(&mInstances[aInstance].mPolicy);
+  if (own == nullptr) {
+    return;
+  }
+  const instance_name name("instance-" + std::to_string(aInstance));
+  for (const pool_pressure& each : own->Pressure(mLoop.Now())) {
+    for (std::size_t other = 0; other < mInstances.size(); ++other) {
+      if (other == aInstance || !Reachable(mInstances[other].mDomain,
+                                           mInstances[aInstance].mDomain)) {
+        continue;
+      }
+      mLoop.After(kPressureDelay, [this, other, name, each] {
+        OnInstance(other, [name, each](auto& aPolicy, time_point aNow) {
+          return aPolicy.OnPeerPressure(name, each, aNow);
+        });
+      });
+    }
+  }
+}
+
 double
 simulation::Recovery() const
 {
--- a/thornhollow/policy/scheduler.cc
+++ b/thornhollow/policy/scheduler.cc
@@ -1,17 +1,17 @@
 #include "thornhollow/policy/scheduler.h"
 
+#include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace thornhollow {
-namespace {
-
-constexpr duration kComeBackAfter = Seconds(1);
-
-} // namespace
 
 scheduler::scheduler(const scheduler_settings& aSettings, std::uint64_t aSeed)
   : mEndpoints(aSettings.mEndpoints, aSeed)
-  , mQueue(aSettings.mQueue)
+  , mQueue(aSettings.mQueue, aSeed)
+  , mRetries(aSettings.mRetries)
+  , mRunTimes(aSettings.mRunTimes)
+  , mClock(aSettings.mClockGap)
 {
 }
 
@@ -20,26 +20,78 @@
                      const domain_name& aOwnDomain,
                      time_point aNow)
 {
+  decisions out;
+  Begin(aNow, out);
   mEndpoints.Configure(aDeclared, aOwnDomain, aNow);
   mQueue.Configure(aDeclared, aNow);
-  return Advance(aNow);
+  mRetries.Configure(aDeclared);
+  mRunTimes.Configure(aDeclared);
+  mTeams.Configure(aDeclared);
+  RefuseUndeclared(aDeclared, aNow, out);
+  StartWhatFits(aNow, out);
+  return out;
+}
+
+void
+scheduler::RefuseUndeclared(const declarations& aDeclared,
+                            time_point aNow,
+                            decisions& aOut)
+{
+  std::unordered_set<class_name> classes;
+  for (const request_class& each : aDeclared.mClasses) {
+    classes.insert(each.mName);
+  }
+  std::unordered_set<team_name> teams;
+  for (const team& each : aDeclared.mTeams) {
+    teams.insert(each.mName);
+  }
+  std::vector<refuse> refused;
+  for (const auto& [id, each] : mInProgress) {
+    const work_item& item = each.mItem;
+    if (each.mPlace || !mQueue.Holds(id)) {
+      continue;
+    }
+    if (!item.mClass.empty() && !classes.contains(item.mClass)) {
+      refused.push_back({ id, error_kind::kUnknownClass, {} });
+    } else if (!item.mTeam.empty() && !teams.contains(item.mTeam)) {
+      refused.push_back({ id, error_kind::kUnknownTeam, {} });
+    } else if (!mEndpoints.Serves(item.mPool)) {
+      refused.push_back(mQueue.Refuse(item, error_kind::kNoEndpoint, aNow));
+    }
+  }
+  std::ranges::sort(refused, {}, &refuse::mTicket);
+  for (const refuse& each : refused) {
+    mQueue.Remove(each.mTicket, aNow);
+    Refuse(each, aOut);
+  }
+}
+
+work_estimate
+scheduler::Estimate(const work_item& aItem) const
+{
+  return { mEndpoints.ExpectedTokens(aItem) +
+             kPromptTokenCost * aItem.mPromptTokens,
+           mRunTimes.Shortest(aItem) };
 }
 
 decisions
 scheduler::Submit(const work_item& aItem, time_point aNow)
 {
   decisions out;
+  Begin(aNow, out);
   if (!mEndpoints.Serves(aItem.mPool)) {
-    out.emplace_back(
-      refuse{ aItem.mTicket, error_kind::kNoEndpoint, kComeBackAfter });
+    out.emplace_back(mQueue.Refuse(aItem, error_kind::kNoEndpoint, aNow));
+    return out;
+  }
+  if (!mTeams.Add(aItem.mTeam)) {
+    out.emplace_back(mQueue.Refuse(aItem, error_kind::kTeamOverLimit, aNow));
     return out;
   }
   mInProgress.emplace(aItem.mTicket, progress{ aItem, {}, {}, {} });
-  for (const refuse& each : mQueue.Push(aItem, aNow)) {
-    mInProgress.erase(each.mTicket);
-    out.emplace_back(each);
+  for (const refuse& each : mQueue.Push(aItem, Estimate(aItem), aNow)) {
+    Refuse(each, out);
   }
-  StartWhatFits(aNow, out);
+  StartWhatFits(aItem.mPool, aNow, out);
   return out;
 }
 
@@ -47,22 +99,25 @@
 scheduler::Resubmit(ticket aTicket, time_point aNow)
 {
   decisions out;
+  Begin(aNow, out);
   const auto found = mInProgress.find(aTicket);
   if (found == mInProgress.end()) {
     return out;
   }
   const work_item item = found->second.mItem;
   if (!mEndpoints.Serves(item.mPool)) {
-    mInProgress.erase(found);
-    out.emplace_back(
-      refuse{ aTicket, error_kind::kNoEndpoint, kComeBackAfter });
+    Refuse(mQueue.Refuse(item, error_kind::kNoEndpoint, aNow), out);
     return out;
   }
-  for (const refuse& each : mQueue.Push(item, aNow)) {
-    mInProgress.erase(each.mTicket);
-    out.emplace_back(each);
+  if (!found->second.mTried.empty() &&
+      !mRetries.Spend(item.mClass, found->second.mTried.back(), aNow)) {
+    Refuse(mQueue.Refuse(item, error_kind::kRetryBudgetSpent, aNow), out);
+    return out;
   }
-  StartWhatFits(aNow, out);
+  for (const refuse& each : mQueue.PushAgain(item, Estimate(item), aNow)) {
+    Refuse(each, out);
+  }
+  StartWhatFits(item.mPool, aNow, out);
   return out;
 }
 
@@ -86,6 +141,7 @@
                           time_point aNow)
 {
   decisions out;
+  Begin(aNow, out);
   if (const auto found = mInProgress.find(aTicket);
       found != mInProgress.end()) {
     ReleasePlace(found->second, aHow, aTokens, aNow);
@@ -98,11 +154,12 @@
 scheduler::Forget(ticket aTicket, time_point aNow)
 {
   decisions out;
+  Begin(aNow, out);
   if (const auto found = mInProgress.find(aTicket);
       found != mInProgress.end()) {
     ReleasePlace(found->second, attempt_end::kCancelled, 0, aNow);
-    mQueue.Remove(aTicket);
-    mInProgress.erase(found);
+    mQueue.Remove(aTicket, aNow);
+    Drop(found);
   }
   StartWhatFits(aNow, out);
   return out;
@@ -113,8 +170,11 @@
                         const load_report& aReport,
                         time_point aNow)
 {
+  decisions out;
+  Begin(aNow, out);
   mEndpoints.OnLoadReport(aEndpoint, aReport, aNow);
-  return Advance(aNow);
+  StartWhatFits(aNow, out);
+  return out;
 }
 
 decisions
@@ -122,48 +182,154 @@
                            endpoint_state aState,
                            time_point aNow)
 {
+  decisions out;
+  Begin(aNow, out);
   mEndpoints.SetState(aEndpoint, aState, aNow);
-  return Advance(aNow);
+  StartWhatFits(aNow, out);
+  return out;
+}
+
+std::vector<pool_pressure>
+scheduler::Pressure(time_point aNow) const
+{
+  return mQueue.Pressure(aNow);
+}
+
+decisions
+scheduler::OnPeerPressure(const instance_name& aFrom,
+                          const pool_pressure& aPressure,
+                          time_point aNow)
+{
+  decisions out;
+  Begin(aNow, out);
+  mQueue.OnPeerPressure(aFrom, aPressure, aNow);
+  StartWhatFits(aPressure.mPool, aNow, out);
+  return out;
+}
+
+void
+scheduler::SetRouters(const instance_name& aOwn,
+                      const std::vector<instance_name>& aRouters)
+{
+  mEndpoints.SetRouters(aOwn, aRouters);
+}
+
+duration
+scheduler::PredictedWait(const work_item& aItem, time_point aNow) const
+{
+  return mQueue.PredictedWait(aItem, aNow);
+}
+
+std::vector<endpoint_status>
+scheduler::Endpoints(time_point aNow) const
+{
+  return mEndpoints.Status(aNow);
 }
 
 decisions
 scheduler::Advance(time_point aNow)
 {
   decisions out;
-  for (const refuse& each : mQueue.Expire(aNow)) {
-    mInProgress.erase(each.mTicket);
-    out.emplace_back(each);
-  }
+  Begin(aNow, out);
   StartWhatFits(aNow, out);
   return out;
 }
 
+decisions
+scheduler::Tick(time_point aNow)
+{
+  mTicking = true;
+  return Advance(aNow);
+}
+
 std::optional<time_point>
 scheduler::NextDue() const
 {
-  return mQueue.NextDeadline();
+  std::optional<time_point> due = mQueue.NextDue(mNow);
+  if (const auto next = mEndpoints.NextDue();
+      next && mQueue.size() > 0 && (!due || *next < *due)) {
+    due = next;
+  }
+  return due;
+}
+
+// A process that stood still wakes with requests whose time is over. Whichever
+// event it handles first would start them, at endpoints that it knows nothing
+// of any more: the callers are gone and the work is wasted. So every event
+// first lets the deadlines pass, and tells the endpoint side of the gap.
+void
+scheduler::Begin(time_point aNow, decisions& aOut)
+{
+  mNow = aNow;
+  if (mTicking && mClock.Tick(aNow)) {
+    mEndpoints.OnClockGap(aNow);
+  }
+  for (const refuse& each : mQueue.Expire(aNow)) {
+    Refuse(each, aOut);
+  }
+  mEndpoints.Advance(aNow);
 }
 
 void
 scheduler::StartWhatFits(time_point aNow, decisions& aOut)
 {
   for (const pool_name& pool : mQueue.WaitingPools()) {
-    while (const work_item* next = mQueue.Next(pool, aNow)) {
-      progress& found = mInProgress.at(next->mTicket);
-      const auto chosen = mEndpoints.Choose(found.mItem, found.mTried, aNow);
-      if (!chosen) {
-        break;
-      }
-      mQueue.Remove(found.mItem.mTicket);
-      mEndpoints.OnSent(*chosen, found.mItem, aNow);
-      found.mPlace = *chosen;
-      found.mStarted = aNow;
-      found.mTried.push_back(*chosen);
-      aOut.emplace_back(start{ found.mItem.mTicket, *chosen });
+    StartWhatFits(pool, aNow, aOut);
+  }
+}
+
+void
+scheduler::StartWhatFits(const pool_name& aPool,
+                         time_point aNow,
+                         decisions& aOut)
+{
+  // Classes whose next request is long work for which no endpoint has a place,
+  // while shorter work of other classes may find one.
+  std::vector<class_name> passedOver;
+  while (const work_item* next = mQueue.Next(aPool, passedOver, aNow)) {
+    progress& found = mInProgress.at(next->mTicket);
+    if (const auto chosen =
+          mEndpoints.Choose(found.mItem, found.mTried, aNow)) {
+      Start(found, *chosen, aNow, aOut);
+    } else if (mEndpoints.IsLong(found.mItem)) {
+      passedOver.push_back(found.mItem.mClass);
+    } else {
+      return;
     }
   }
 }
 
+void
+scheduler::Start(progress& aProgress,
+                 const endpoint_name& aEndpoint,
+                 time_point aNow,
+                 decisions& aOut)
+{
+  mQueue.Start(aProgress.mItem.mTicket, aNow);
+  mEndpoints.OnSent(aEndpoint, aProgress.mItem, aNow);
+  aProgress.mPlace = aEndpoint;
+  aProgress.mStarted = aNow;
+  aProgress.mTried.push_back(aEndpoint);
+  aOut.emplace_back(start{ aProgress.mItem.mTicket, aEndpoint });
+}
+
+void
+scheduler::Refuse(const refuse& aRefusal, decisions& aOut)
+{
+  if (const auto found = mInProgress.find(aRefusal.mTicket);
+      found != mInProgress.end()) {
+    Drop(found);
+  }
+  aOut.emplace_back(aRefusal);
+}
+
+void
+scheduler::Drop(in_progress::iterator aProgress)
+{
+  mTeams.Remove(aProgress->second.mItem.mTeam);
+  mInProgress.erase(aProgress);
+}
+
 void
 scheduler::ReleasePlace(progress& aProgress,
                         attempt_end aHow,
@@ -174,8 +340,13 @@
     return;
   }
   const endpoint_name place = *std::exchange(aProgress.mPlace, std::nullopt);
-  mEndpoints.OnEnded(
-    place, aProgress.mItem, aHow, aTokens, aNow - aProgress.mStarted, aNow);
+  const work_item& item = aProgress.mItem;
+  const duration length = aNow - aProgress.mStarted;
+  if (aHow == attempt_end::kCompleted) {
+    mRetries.OnSuccess(item.mClass, place, aNow);
+    mRunTimes.Learn(item, length);
+  }
+  mEndpoints.OnEnded(place, item, aHow, aTokens, length, aNow);
 }
 
 } // namespace thornhollow
--- a/thornhollow/policy/scheduler.h
+++ b/thornhollow/policy/scheduler.h
@@ -13,6 +13,9 @@
 // and `OnAttemptEnded`; to run it once more it calls `Resubmit`, which either
 // starts it elsewhere, lets it wait, or refuses. `Forget` ends a ticket whose
 // caller left while it waited.
+//
+// Instances tell each other about their load: what `Pressure` returns goes to
+// the others, a few times a second, and theirs comes in by `OnPeerPressure`.
 #ifndef THORNHOLLOW_POLICY_SCHEDULER_H_
 #define THORNHOLLOW_POLICY_SCHEDULER_H_
 
@@ -21,8 +24,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "thornhollow/policy/clock_gap.h"
 #include "thornhollow/policy/endpoint_table.h"
 #include "thornhollow/policy/request_queue.h"
+#include "thornhollow/policy/retry_budget.h"
+#include "thornhollow/policy/run_time_estimate.h"
+#include "thornhollow/policy/team_in_flight.h"
 #include "thornhollow/policy/work.h"
 
 namespace thornhollow {
@@ -31,6 +38,9 @@
 {
   endpoint_table_settings mEndpoints;
   request_queue_settings mQueue;
+  retry_budget_settings mRetries;
+  run_time_settings mRunTimes;
+  clock_gap_settings mClockGap;
 
   friend bool operator==(const scheduler_settings&,
                          const scheduler_settings&) = default;
@@ -76,10 +86,33 @@
                             endpoint_state aState,
                             time_point aNow);
 
+  // How each pool under load fares here, for the other instances.
+  std::vector<pool_pressure> Pressure(time_point aNow) const;
+  // The same of another instance, as it came in.
+  decisions OnPeerPressure(const instance_name& aFrom,
+                           const pool_pressure& aPressure,
+                           time_point aNow);
+
+  // Who this instance is and which entry instances its domain has; takes effect
+  // with the next `Configure`.
+  void SetRouters(const instance_name& aOwn,
+                  const std::vector<instance_name>& aRouters);
+
+  // How long a request like this would wait now, by what was measured.
+  duration PredictedWait(const work_item& aItem, time_point aNow) const;
+
+  // The endpoints as this instance sees them, by name.
+  std::vector<endpoint_status> Endpoints(time_point aNow) const;
+
   // Does what falls due: refuses requests whose deadline passed, starts what
   // fits.
   decisions Advance(time_point aNow);
 
+  // The same, called every `clock_gap::kTickEvery`. From the first call on, a
+  // long step between two calls of any kind means that this process stood
+  // still: what was believed before no longer counts.
+  decisions Tick(time_point aNow);
+
   // When `Advance` has something to do next; nothing where it has not.
   std::optional<time_point> NextDue() const;
 
@@ -95,8 +128,23 @@
     std::optional<endpoint_name> mPlace;
     time_point mStarted{};
   };
+  using in_progress = std::unordered_map<ticket, progress>;
 
+  work_estimate Estimate(const work_item& aItem) const;
+  // Every call starts here: notices a gap in the clock, and refuses what can't
+  // finish any more before anything is started.
+  void Begin(time_point aNow, decisions& aOut);
   void StartWhatFits(time_point aNow, decisions& aOut);
+  void StartWhatFits(const pool_name& aPool, time_point aNow, decisions& aOut);
+  void Start(progress& aProgress,
+             const endpoint_name& aEndpoint,
+             time_point aNow,
+             decisions& aOut);
+  void Refuse(const refuse& aRefusal, decisions& aOut);
+  void RefuseUndeclared(const declarations& aDeclared,
+                        time_point aNow,
+                        decisions& aOut);
+  void Drop(in_progress::iterator aProgress);
   void ReleasePlace(progress& aProgress,
                     attempt_end aHow,
                     std::uint32_t aTokens,
@@ -104,7 +152,14 @@
 
   endpoint_table mEndpoints;
   request_queue mQueue;
-  std::unordered_map<ticket, progress> mInProgress;
+  retry_budget mRetries;
+  run_time_estimate mRunTimes;
+  team_in_flight mTeams;
+  clock_gap mClock;
+  // Whether the owner calls `Tick`.
+  bool mTicking = false;
+  time_point mNow{};
+  in_progress mInProgress;
 };
 
 } // namespace thornhollow
--- /dev/null
+++ b/thornhollow/policy/tier_pressure.cc
@@ -0,0 +1,107 @@
+#include "thornhollow/policy/tier_pressure.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace thornhollow {
+
+peer_pressure::peer_pressure(const tier_pressure_settings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+// A wait that halves each half-life counts until it falls below the least one.
+time_point
+peer_pressure::HeldUntil(std::uint16_t aWaitMs, time_point aNow) const
+{
+  const double factor =
+    ToSeconds(Milliseconds(aWaitMs)) / ToSeconds(mSettings.mLeastWait);
+  if (!mSettings.mEnabled || factor <= 1) {
+    return time_point{};
+  }
+  const duration life =
+    FromSeconds(std::log2(factor) * ToSeconds(mSettings.mHalfLife));
+  return aNow + std::min(life, mSettings.mLongestLife);
+}
+
+void
+peer_pressure::OnReport(const instance_name& aFrom,
+                        const pool_pressure& aPressure,
+                        time_point aNow)
+{
+  pool_reports& pool = mPools[aPressure.mPool];
+  held_tiers& held = pool.mFrom[aFrom];
+  for (std::size_t tier = 0; tier < kTiers; ++tier) {
+    held.mUntil[tier] = HeldUntil(aPressure.mWaitMs[tier], aNow);
+  }
+  const auto lowest = static_cast<std::size_t>(aPressure.mLowestAdmitted);
+  if (mSettings.mEnabled && lowest >= kHighestTier && lowest < kLowestTier) {
+    // What it refuses must not be served elsewhere either.
+    time_point& until = held.mUntil[lowest - kHighestTier];
+    until = std::max(until, aNow + mSettings.mHalfLife);
+  }
+  Summarize(pool);
+}
+
+void
+peer_pressure::Summarize(pool_reports& aPool)
+{
+  aPool.mLatest = {};
+  for (const auto& [from, held] : aPool.mFrom) {
+    for (std::size_t tier = 0; tier < kTiers; ++tier) {
+      aPool.mLatest.mUntil[tier] =
+        std::max(aPool.mLatest.mUntil[tier], held.mUntil[tier]);
+    }
+  }
+}
+
+bool
+peer_pressure::HoldsBack(const pool_name& aPool,
+                         int aTier,
+                         time_point aNow) const
+{
+  const auto found = mPools.find(aPool);
+  if (found == mPools.end()) {
+    return false;
+  }
+  const auto higher = std::clamp<std::ptrdiff_t>(
+    aTier - kHighestTier, 0, static_cast<std::ptrdiff_t>(kTiers));
+  const auto& until = found->second.mLatest.mUntil;
+  return std::any_of(until.begin(),
+                     until.begin() + higher,
+                     [aNow](time_point aEach) { return aEach > aNow; });
+}
+
+std::optional<time_point>
+peer_pressure::HeldUntil(const pool_name& aPool) const
+{
+  const auto found = mPools.find(aPool);
+  if (found == mPools.end()) {
+    return std::nullopt;
+  }
+  return std::ranges::max(found->second.mLatest.mUntil);
+}
+
+void
+peer_pressure::Expire(time_point aNow)
+{
+  for (auto& [name, pool] : mPools) {
+    std::erase_if(pool.mFrom, [aNow](const auto& aEach) {
+      return std::ranges::max(aEach.second.mUntil) <= aNow;
+    });
+  }
+  std::erase_if(mPools,
+                [](const auto& aEach) { return aEach.second.mFrom.empty(); });
+}
+
+std::size_t
+peer_pressure::size() const
+{
+  std::size_t reports = 0;
+  for (const auto& [name, pool] : mPools) {
+    reports += pool.mFrom.size();
+  }
+  return reports;
+}
+
+} // namespace thornhollow
