--- a/thornhollow/policy/endpoint_table.cc
+++ b/thornhollow/policy/endpoint_table.cc
@@ -321,6 +321,48 @@
   return std::uniform_int_distribution<std::size_t>(0, aBelow - 1)(mRandom);
 }
 
+std::optional<endpoint_name>
+endpoint_table::ChooseBeyond(const work_item& aItem,
+                             std::span<const endpoint_name> aTried,
+                             std::uint32_t aBeyond,
+                             time_point aNow)
+{
+  const auto pool = mPools.find(aItem.mPool);
+  if (pool == mPools.end() || pool->second.mIndex.size() == 0) {
+    return std::nullopt;
+  }
+  search look = Begin(aItem, aTried, pool->second, aNow);
+  const pool_index& index = pool->second.mIndex;
+  const std::size_t first = Random(index.size());
+  const std::size_t most = std::min(index.size(), mSettings.mLongestWalk);
+  std::uint32_t shortest = 0;
+  for (std::size_t i = 0; i < most; ++i) {
+    const endpoint_number number = index.EndpointOf(
+      static_cast<std::uint32_t>((first + i) % index.size()));
+    const entry& candidate = *mEntries[number];
+    const endpoint_record& record = candidate.mRecord;
+    if (!record.MayTakeWork(aNow) || record.Health().Share() < 1 ||
+        record.InFlight() >= record.Capacity(aNow) + aBeyond ||
+        !Fits(candidate, look)) {
+      continue;
+    }
+    // The shortest queue first: a cached prefix doesn't make up for a queue,
+    // and everybody's would grow at its holder.
+    const std::uint32_t inFlight = record.InFlight();
+    const std::uint32_t capacity = record.Capacity(aNow);
+    const std::uint32_t queued = inFlight > capacity ? inFlight - capacity : 0;
+    const double cost = Cost(number, look);
+    if (!look.mBest || std::pair(queued, cost) < std::pair(shortest, look.mBestCost)) {
+      look.mBest = number;
+      look.mBestCost = cost;
+      shortest = queued;
+    }
+  }
+  return look.mBest
+           ? std::optional(mEntries[*look.mBest]->mRecord.Declared().mName)
+           : std::nullopt;
+}
+
 void
 endpoint_table::OnSent(const endpoint_name& aEndpoint,
                        const work_item& aItem,
--- a/thornhollow/policy/endpoint_table.h
+++ b/thornhollow/policy/endpoint_table.h
@@ -95,6 +95,15 @@
                                       std::span<const endpoint_name> aTried,
                                       time_point aNow);
 
+  // The endpoint at whose own queue `aItem` should wait, where none has a free
+  // place: one where this instance has fewer than `aBeyond` requests more than
+  // it has places. Nothing where there is none; probed endpoints get none.
+  std::optional<endpoint_name> ChooseBeyond(
+    const work_item& aItem,
+    std::span<const endpoint_name> aTried,
+    std::uint32_t aBeyond,
+    time_point aNow);
+
   // An attempt goes to `aEndpoint`: takes one place there.
   void OnSent(const endpoint_name& aEndpoint,
               const work_item& aItem,
--- a/thornhollow/policy/fair_queue.cc
+++ b/thornhollow/policy/fair_queue.cc
@@ -105,6 +105,14 @@
   Erase(std::prev(mWaiting.end())->first);
 }
 
+void
+fair_queue::Settle(const team_name& aTeam, double aMore, double aWeight)
+{
+  if (const auto found = mTeams.find(Account(aTeam)); found != mTeams.end()) {
+    found->second.mFinishTag += aMore / aWeight;
+  }
+}
+
 void
 fair_queue::Drop(entries::iterator aEntry)
 {
--- a/thornhollow/policy/fair_queue.h
+++ b/thornhollow/policy/fair_queue.h
@@ -72,6 +72,11 @@
   // The same with the last in order; something must wait.
   void EraseBack();
 
+  // A request of `aTeam` that was taken cost this much more than expected, or
+  // less: its later requests wait accordingly. Not remembered for a team that
+  // has nothing waiting.
+  void Settle(const team_name& aTeam, double aMore, double aWeight);
+
   // Cost of what would go before a new request of `aTeam`: an upper estimate
   // that assumes that all other teams keep their backlog.
   double CostAhead(const team_name& aTeam) const;
--- a/thornhollow/policy/internal/pool_index.h
+++ b/thornhollow/policy/internal/pool_index.h
@@ -63,6 +63,12 @@
     return mWithPlace[aRank];
   }
   rank RankOf(std::uint32_t aMember) const { return mMembers[aMember].mRank; }
+  // Members, with or without a place.
+  std::size_t size() const { return mMembers.size(); }
+  std::uint32_t EndpointOf(std::uint32_t aMember) const
+  {
+    return mMembers[aMember].mEndpoint;
+  }
   std::uint32_t Places() const { return mPlaces; }
   std::uint32_t Live() const { return mLive; }
   std::uint32_t Serving() const { return mServing; }
--- a/thornhollow/policy/minimum_share.h
+++ b/thornhollow/policy/minimum_share.h
@@ -49,7 +49,16 @@
   }
 
   // A request of the class, of this cost, was served, for whatever reason.
-  void Spend(double aCost) { mCredit = std::max(mCredit - aCost, -aCost); }
+  void Spend(double aCost)
+  {
+    mCredit = std::max(mCredit - aCost, -kMostDebt * aCost);
+  }
+
+  // A request for which `aExpected` was spent cost `aActual`.
+  void Settle(double aExpected, double aActual)
+  {
+    mCredit = std::max(mCredit + aExpected - aActual, -kMostDebt * aActual);
+  }
 
   // Cost that the pool must still serve until the next request is owed.
   double Missing(double aNextCost) const
@@ -60,6 +69,9 @@
   double Share() const { return mShare; }
 
 private:
+  // Requests.
+  static constexpr double kMostDebt = 16;
+
   double mShare;
   double mCredit = 0;
 };
--- a/thornhollow/policy/pool_queue.cc
+++ b/thornhollow/policy/pool_queue.cc
@@ -241,14 +241,15 @@
   return refused;
 }
 
-const waiting_request*
+next_request
 pool_queue::Next(const peer_pressure& aPeers,
                  const pool_name& aPool,
                  std::span<const class_name> aPassedOver,
                  time_point aNow)
 {
   Observe(aNow);
-  mHeld = false;
+  bool held = false;
+  const waiting_request* owed = nullptr;
   const waiting_request* next = nullptr;
   int tier = kLowestTier;
   for (const auto& [key, queue] : mClasses) {
@@ -257,11 +258,11 @@
         std::ranges::find(aPassedOver, key.mClass) != aPassedOver.end()) {
       continue;
     }
-    if (queue.mShare.IsOwed(front->mWork.mCost)) {
-      return front;
+    if (owed == nullptr && queue.mShare.IsOwed(front->mWork.mCost)) {
+      owed = front;
     }
     if (mRate.LastPerSecond() && aPeers.HoldsBack(aPool, key.mTier, aNow)) {
-      mHeld = true;
+      held = true;
       continue;
     }
     const bool isSooner =
@@ -272,8 +273,11 @@
       tier = key.mTier;
     }
   }
-  mHeld = mHeld && next == nullptr;
-  return next;
+  mHeld = held && next == nullptr;
+  if (owed != nullptr) {
+    return { &owed->mItem, true };
+  }
+  return { next == nullptr ? nullptr : &next->mItem, false };
 }
 
 const waiting_request&
@@ -288,10 +292,12 @@
   class_queue& from = mClasses.at(aPlace.mClass);
   const waiting_request& started = At(aPlace);
   const double cost = started.mWork.mCost;
-  mRate.OnServed(cost);
   from.mRate.OnServed(cost);
   from.mStanding.OnStarted(aNow - started.mQueuedAt, aNow);
-  AccrueShares(cost);
+  if (!mHeld) {
+    mRate.OnServed(cost);
+    AccrueShares(cost);
+  }
   from.mShare.Spend(cost);
   from.mWaiting.Take(aPlace.mPosition);
   --mCount;
@@ -300,6 +306,20 @@
   }
 }
 
+void
+pool_queue::Settle(const work_item& aItem,
+                   double aTeamWeight,
+                   double aExpected,
+                   double aActual)
+{
+  const auto found = mClasses.find(KeyOf(aItem));
+  if (found != mClasses.end()) {
+    found->second.mShare.Settle(aExpected, aActual);
+    found->second.mWaiting.Settle(
+      aItem.mTeam, aActual - aExpected, aTeamWeight);
+  }
+}
+
 void
 pool_queue::Remove(const place& aPlace, time_point aNow)
 {
--- a/thornhollow/policy/pool_queue.h
+++ b/thornhollow/policy/pool_queue.h
@@ -4,7 +4,7 @@
 //   pool_queue queue(settings);
 //   if (const auto wait = queue.PredictedWait(request, now)) { ... }
 //   queue.Push(request, weight, now);
-//   if (const waiting_request* next = queue.Next(peers, pool, {}, now)) {
+//   if (queue.Next(peers, pool, {}, now).mItem != nullptr) {
 //     queue.Start(place, now);
 //   }
 //
@@ -52,6 +52,15 @@
                          const pool_queue_settings&) = default;
 };
 
+// The request that gets the next place.
+struct next_request
+{
+  // Null where there is none.
+  const work_item* mItem = nullptr;
+  // It goes before higher tiers, by its class's minimum share.
+  bool mOwed = false;
+};
+
 // What a class is declared to get.
 struct class_terms
 {
@@ -103,13 +112,13 @@
   // class and is refused for nothing but its deadline.
   place PushAgain(const waiting_request& aRequest, time_point aNow);
 
-  // The request that gets the next place, or null where nothing waits or what
+  // The request that gets the next place, or none where nothing waits or what
   // waits is held back for a higher tier elsewhere. Stays queued. Requests of
   // the classes `aPassedOver` are left out.
-  const waiting_request* Next(const peer_pressure& aPeers,
-                              const pool_name& aPool,
-                              std::span<const class_name> aPassedOver,
-                              time_point aNow);
+  next_request Next(const peer_pressure& aPeers,
+                    const pool_name& aPool,
+                    std::span<const class_name> aPassedOver,
+                    time_point aNow);
 
   // The request there; something must wait there.
   const waiting_request& At(const place& aPlace) const;
@@ -117,6 +126,12 @@
   // The request that `Next` returned got a place.
   void Start(const place& aPlace, time_point aNow);
 
+  // A request that had a place cost `aActual` in place of `aExpected`.
+  void Settle(const work_item& aItem,
+              double aTeamWeight,
+              double aExpected,
+              double aActual);
+
   // Leaves without a place. Unknown places are ignored.
   void Remove(const place& aPlace, time_point aNow);
 
--- a/thornhollow/policy/request_queue.cc
+++ b/thornhollow/policy/request_queue.cc
@@ -115,18 +115,16 @@
   return taken;
 }
 
-const work_item*
+next_request
 request_queue::Next(const pool_name& aPool,
                     std::span<const class_name> aPassedOver,
                     time_point aNow)
 {
   const auto found = mPools.find(aPool);
   if (found == mPools.end()) {
-    return nullptr;
+    return {};
   }
-  const waiting_request* next =
-    found->second.Next(mPeers, aPool, aPassedOver, aNow);
-  return next == nullptr ? nullptr : &next->mItem;
+  return found->second.Next(mPeers, aPool, aPassedOver, aNow);
 }
 
 void
@@ -137,6 +135,14 @@
   }
 }
 
+void
+request_queue::Settle(const work_item& aItem, double aExpected, double aActual)
+{
+  if (const auto pool = mPools.find(aItem.mPool); pool != mPools.end()) {
+    pool->second.Settle(aItem, WeightOf(aItem.mTeam), aExpected, aActual);
+  }
+}
+
 void
 request_queue::Remove(ticket aTicket, time_point aNow)
 {
@@ -212,6 +218,14 @@
                                : found->second.PredictedWait(aItem, aNow);
 }
 
+duration
+request_queue::TargetOf(const class_name& aClass) const
+{
+  const auto found = mTerms.find(aClass);
+  return found == mTerms.end() ? duration::zero()
+                               : found->second.mFirstTokenTarget;
+}
+
 std::vector<pool_pressure>
 request_queue::Pressure(time_point aNow) const
 {
--- a/thornhollow/policy/request_queue.h
+++ b/thornhollow/policy/request_queue.h
@@ -3,7 +3,7 @@
 //
 //   request_queue queue(request_queue_settings{}, 1);
 //   queue.Push(item, work, now);
-//   if (const work_item* next = queue.Next(pool, {}, now)) {
+//   if (const work_item* next = queue.Next(pool, {}, now).mItem) {
 //     queue.Start(next->mTicket, now);
 //   }
 //
@@ -59,11 +59,11 @@
                                 const work_estimate& aWork,
                                 time_point aNow);
 
-  // The request of `aPool` that gets the next place, or null. Stays queued.
+  // The request of `aPool` that gets the next place, or none. Stays queued.
   // Requests of the classes `aPassedOver` are left out.
-  const work_item* Next(const pool_name& aPool,
-                        std::span<const class_name> aPassedOver,
-                        time_point aNow);
+  next_request Next(const pool_name& aPool,
+                    std::span<const class_name> aPassedOver,
+                    time_point aNow);
 
   // Whether the request waits here.
   bool Holds(ticket aTicket) const { return mWhere.contains(aTicket); }
@@ -71,6 +71,10 @@
   // The request got a place. Unknown tickets are ignored.
   void Start(ticket aTicket, time_point aNow);
 
+  // A request that got a place cost `aActual` in place of `aExpected`: its
+  // class and its team are charged the difference.
+  void Settle(const work_item& aItem, double aExpected, double aActual);
+
   // The request's caller left. Unknown tickets are ignored.
   void Remove(ticket aTicket, time_point aNow);
 
@@ -89,6 +93,9 @@
   // How long a new request would wait, by what was measured.
   duration PredictedWait(const work_item& aItem, time_point aNow) const;
 
+  // The declared first-token target of a class; zero where it has none.
+  duration TargetOf(const class_name& aClass) const;
+
   // What other instances should know; one entry for each pool under load.
   std::vector<pool_pressure> Pressure(time_point aNow) const;
   void OnPeerPressure(const instance_name& aFrom,
--- a/thornhollow/policy/scenario/catalog.cc
+++ b/thornhollow/policy/scenario/catalog.cc
@@ -244,22 +244,55 @@
 std::vector<named_policy>
 AllPolicies()
 {
-  scheduler_settings plain;
-  pool_queue_settings& pool = plain.mQueue.mPool;
-  pool.mTierOrder = false;
-  pool.mMinimumShares = false;
-  pool.mFairTeams = false;
-  pool.mDeadlineCheck = false;
-  pool.mStanding.mEnabled = false;
-  pool.mReturns.mSpread = false;
-  plain.mQueue.mPeers.mEnabled = false;
-  plain.mRunTimes.mQuantile = 0;
-  std::vector<named_policy> all = {
-    { "thornhollow", scheduler_settings{} },
-    { "waiting_off", plain },
-    { "round_robin", round_robin{} },
-    { "least_outstanding", least_outstanding{} },
+  scheduler_settings off;
+  std::vector<named_policy> all = { { "thornhollow", off } };
+  const auto without = [&all, &off](const std::string& aName, auto aSwitch) {
+    scheduler_settings one;
+    aSwitch(one);
+    aSwitch(off);
+    all.push_back({ "without_" + aName, one });
   };
+  without("tier_order",
+          [](scheduler_settings& aOf) { aOf.mQueue.mPool.mTierOrder = false; });
+  without("shares", [](scheduler_settings& aOf) {
+    aOf.mQueue.mPool.mMinimumShares = false;
+  });
+  without("fair_teams",
+          [](scheduler_settings& aOf) { aOf.mQueue.mPool.mFairTeams = false; });
+  without("deadlines", [](scheduler_settings& aOf) {
+    aOf.mQueue.mPool.mDeadlineCheck = false;
+    aOf.mRunTimes.mQuantile = 0;
+  });
+  without("standing", [](scheduler_settings& aOf) {
+    aOf.mQueue.mPool.mStanding.mEnabled = false;
+  });
+  without("spread", [](scheduler_settings& aOf) {
+    aOf.mQueue.mPool.mReturns.mSpread = false;
+  });
+  without("pressure",
+          [](scheduler_settings& aOf) { aOf.mQueue.mPeers.mEnabled = false; });
+  without("endpoint_queues", [](scheduler_settings& aOf) {
+    aOf.mEndpointQueues.mEnabled = false;
+  });
+  for (int lowest : { 1 })
+    for (double least : { 4., 10., 20. })
+      for (unsigned owed : { 0u, 1u }) 
+      for (unsigned most : { 2u, 8u }) {
+        scheduler_settings t;
+        t.mLowestBeyond = lowest;
+        t.mQueue.mPeers.mEnabled = false;
+        t.mEndpointQueues.mFirst = t.mEndpointQueues.mLeast = least;
+        t.mEndpointQueues.mPartOfTarget = 0.9;
+        t.mMostOwedBeyond = owed;
+        t.mMostBeyond = most;
+        all.push_back({ "trial" + std::to_string(lowest) + "l" +
+                          std::to_string(int(least)) + "o" +
+                          std::to_string(owed)+"m"+std::to_string(most),
+                        t });
+      }
+  all.push_back({ "waiting_off", off });
+  all.push_back({ "round_robin", round_robin{} });
+  all.push_back({ "least_outstanding", least_outstanding{} });
   return all;
 }
 
--- a/thornhollow/policy/scenario/report.cc
+++ b/thornhollow/policy/scenario/report.cc
@@ -33,6 +33,8 @@
     Over(aOutcomes, [&](const auto& aEach) { return of(aEach).Completion(); }),
     Over(aOutcomes,
          [&](const auto& aEach) { return of(aEach).FirstTokenQuantile(0.95); }),
+    Over(aOutcomes,
+         [&](const auto& aEach) { return of(aEach).mTokensPerSecond; }),
   };
 }
 
@@ -62,7 +64,8 @@
       boost::json::object{ { "tier", each.mTier },
                            { "attainment", Json(each.mAttainment) },
                            { "completion", Json(each.mCompletion) },
-                           { "first_token_p95_s", Json(each.mFirstToken95) } };
+                           { "first_token_p95_s", Json(each.mFirstToken95) },
+                           { "tokens_per_s", Json(each.mTokensPerSecond) } };
   }
   boost::json::object errors;
   for (const auto& [kind, count] : aRow.mErrors) {
@@ -162,10 +165,12 @@
     fmt::format_to(out, "  {:<20}", row.mPolicy);
     for (const class_row& each : row.mClasses) {
       fmt::format_to(out,
-                     " | {} {} done {:.0f}",
+                     " | {} {} done {:.0f} p95 {:.1f}s {:.0f}/s",
                      each.mClass.Text(),
                      Percent(each.mAttainment),
-                     100 * each.mCompletion.mMedian);
+                     100 * each.mCompletion.mMedian,
+                     each.mFirstToken95.mMedian,
+                     each.mTokensPerSecond.mMedian);
     }
     fmt::format_to(out,
                    "\n  {:<20} | {:.0f} tok/s ({:.0f}..{:.0f}) {:.1f} req/s | "
--- a/thornhollow/policy/scenario/report.h
+++ b/thornhollow/policy/scenario/report.h
@@ -33,6 +33,7 @@
   spread mAttainment;
   spread mCompletion;
   spread mFirstToken95;
+  spread mTokensPerSecond;
 };
 
 // One scenario of one deployment under one policy.
--- a/thornhollow/policy/scenario/simulation.cc
+++ b/thornhollow/policy/scenario/simulation.cc
@@ -1,6 +1,8 @@
 #include "thornhollow/policy/scenario/simulation.h"
 
 #include <algorithm>
+#include <cstdio>
+#include <cstdlib>
 #include <cmath>
 #include <deque>
 #include <iterator>
@@ -54,7 +56,7 @@
   std::size_t mInstance = 0;
   work_item mItem;
   std::optional<std::size_t> mEngine;
-  int mAttempts = 0;
+  int mAttempts = 0; time_point mDbg{};
   std::uint32_t mReceived = 0;
   std::optional<time_point> mFirstToken;
   double mCost = 0;
@@ -525,31 +527,31 @@
   submission& sent = found->second;
   const std::size_t engine = mEngineIndex.at(aStart.mEndpoint);
   sent.mEngine = engine;
-  ++sent.mAttempts;
+  ++sent.mAttempts; if (std::getenv("DBG")) std::fprintf(stderr,"R %d %.3f %d %s %u %.3f\n", sent.mItem.mTier, ToSeconds(mLoop.Now()-sent.mItem.mArrival), (int)aStart.mOwed, sent.mItem.mPool.Text().c_str(), mIntents[sent.mIntent].mOutput, ToSeconds(mLoop.Now()-mStart)); sent.mDbg = mLoop.Now();
   const domain_name& own = mInstances[aInstance].mDomain;
   const domain_name& there = mDeployment.mDeclared.mEndpoints[engine].mDomain;
   const bool reaches = Reachable(own, there);
   const duration way =
     own == there ? kToEngine : kToEngine + mDeployment.mBetweenDomains;
-  mLoop.After(reaches ? way : kConnectTimeout,
-              [this, id = aStart.mTicket, engine, reaches] {
-                const auto open = mOpen.find(id);
-                if (open == mOpen.end() || open->second.mEngine != engine) {
-                  return;
-                }
-                if (!reaches || !mEngines[engine]->Up()) {
-                  OnLost(id, {}, false);
-                  return;
-                }
-                const submission& now = open->second;
-                const intent& wanted = mIntents[now.mIntent];
-                mEngines[engine]->Add(
-                  { id,
-                    now.mItem.mTier,
-                    wanted.mPrefix,
-                    wanted.mPrompt,
-                    std::max(1U, wanted.mOutput - now.mReceived) });
-              });
+  mLoop.After(
+    reaches ? way : kConnectTimeout,
+    [this, id = aStart.mTicket, owed = aStart.mOwed, engine, reaches] {
+      const auto open = mOpen.find(id);
+      if (open == mOpen.end() || open->second.mEngine != engine) {
+        return;
+      }
+      if (!reaches || !mEngines[engine]->Up()) {
+        OnLost(id, {}, false);
+        return;
+      }
+      const submission& now = open->second;
+      const intent& wanted = mIntents[now.mIntent];
+      mEngines[engine]->Add({ id,
+                              owed ? kHighestTier : now.mItem.mTier,
+                              wanted.mPrefix,
+                              wanted.mPrompt,
+                              std::max(1U, wanted.mOutput - now.mReceived) });
+    });
 }
 
 void
@@ -560,7 +562,7 @@
     return;
   }
   if (!found->second.mFirstToken) {
-    found->second.mFirstToken = mLoop.Now();
+    found->second.mFirstToken = mLoop.Now(); if (std::getenv("DBG")) std::fprintf(stderr,"E %d %.3f\n", found->second.mItem.mTier, ToSeconds(mLoop.Now()-found->second.mDbg));
   }
   OnInstance(found->second.mInstance,
              [aTicket](auto& aPolicy, time_point aNow) {
@@ -609,6 +611,8 @@
   const duration since = mLoop.Now() - mStart;
   if (since >= kWarmUp && since < kWarmUp + mScenario.mLength) {
     mGoodTokens += wanted.mOutput;
+    mOutcome.mClasses[wanted.mClass].mTokensPerSecond +=
+      wanted.mOutput / ToSeconds(mScenario.mLength);
     mGoodRequests += 1;
   }
   OnInstance(
--- a/thornhollow/policy/scenario/simulation.h
+++ b/thornhollow/policy/scenario/simulation.h
@@ -95,6 +95,8 @@
   // the whole answer received.
   std::uint32_t mAttained = 0;
   std::uint32_t mCompleted = 0;
+  // Its part of `outcome::mTokensPerSecond`.
+  double mTokensPerSecond = 0;
   std::vector<double> mFirstTokenSeconds;
 
   double Attainment() const;
--- a/thornhollow/policy/scheduler.cc
+++ b/thornhollow/policy/scheduler.cc
@@ -7,7 +7,8 @@
 namespace thornhollow {
 
 scheduler::scheduler(const scheduler_settings& aSettings, std::uint64_t aSeed)
-  : mEndpoints(aSettings.mEndpoints, aSeed)
+  : mSettings(aSettings)
+  , mEndpoints(aSettings.mEndpoints, aSeed)
   , mQueue(aSettings.mQueue, aSeed)
   , mRetries(aSettings.mRetries)
   , mRunTimes(aSettings.mRunTimes)
@@ -87,7 +88,7 @@
     out.emplace_back(mQueue.Refuse(aItem, error_kind::kTeamOverLimit, aNow));
     return out;
   }
-  mInProgress.emplace(aItem.mTicket, progress{ aItem, {}, {}, {} });
+  mInProgress[aItem.mTicket].mItem = aItem;
   for (const refuse& each : mQueue.Push(aItem, Estimate(aItem), aNow)) {
     Refuse(each, out);
   }
@@ -128,10 +129,13 @@
   if (found == mInProgress.end() || !found->second.mPlace) {
     return;
   }
-  mEndpoints.OnFirstToken(*found->second.mPlace,
-                          found->second.mItem,
-                          aNow - found->second.mStarted,
-                          aNow);
+  progress& started = found->second;
+  const duration wait = aNow - started.mStarted;
+  if (std::exchange(started.mBeyond, false)) {
+    WindowFor(started.mItem, started.mOwed)
+      ->OnFirstToken(wait, mQueue.TargetOf(started.mItem.mClass), aNow);
+  }
+  mEndpoints.OnFirstToken(*started.mPlace, started.mItem, wait, aNow);
 }
 
 decisions
@@ -283,15 +287,18 @@
                          time_point aNow,
                          decisions& aOut)
 {
-  // Classes whose next request is long work for which no endpoint has a place,
-  // while shorter work of other classes may find one.
+  // Classes whose next request finds no place while another class's may: long
+  // work, which is bounded at each endpoint, and what may not wait there.
   std::vector<class_name> passedOver;
-  while (const work_item* next = mQueue.Next(aPool, passedOver, aNow)) {
-    progress& found = mInProgress.at(next->mTicket);
-    if (const auto chosen =
-          mEndpoints.Choose(found.mItem, found.mTried, aNow)) {
-      Start(found, *chosen, aNow, aOut);
-    } else if (mEndpoints.IsLong(found.mItem)) {
+  for (;;) {
+    const next_request next = mQueue.Next(aPool, passedOver, aNow);
+    if (next.mItem == nullptr) {
+      return;
+    }
+    progress& found = mInProgress.at(next.mItem->mTicket);
+    if (const auto chosen = Choose(found, next.mOwed, aNow)) {
+      Start(found, *chosen, next.mOwed, aNow, aOut);
+    } else if (next.mOwed || mEndpoints.IsLong(found.mItem)) {
       passedOver.push_back(found.mItem.mClass);
     } else {
       return;
@@ -299,18 +306,53 @@
   }
 }
 
+endpoint_queue_window*
+scheduler::WindowFor(const work_item& aItem, bool aOwed)
+{
+  if (!aOwed && aItem.mTier > mSettings.mLowestBeyond) {
+    return nullptr;
+  }
+  pool_windows& pool =
+    mWindows.try_emplace(aItem.mPool, mSettings.mEndpointQueues).first->second;
+  return aOwed ? &pool.mOwed : &pool.mUrgent;
+}
+
+std::optional<endpoint_name>
+scheduler::Choose(progress& aProgress, bool aOwed, time_point aNow)
+{
+  const work_item& item = aProgress.mItem;
+  aProgress.mBeyond = false;
+  if (auto free = mEndpoints.Choose(item, aProgress.mTried, aNow)) {
+    return free;
+  }
+  endpoint_queue_window* window = WindowFor(item, aOwed);
+  if (window == nullptr || !window->HasRoom()) {
+    return std::nullopt;
+  }
+  auto queue = mEndpoints.ChooseBeyond(
+    item, aProgress.mTried, aOwed ? mSettings.mMostOwedBeyond : mSettings.mMostBeyond, aNow);
+  aProgress.mBeyond = queue.has_value();
+  return queue;
+}
+
 void
 scheduler::Start(progress& aProgress,
                  const endpoint_name& aEndpoint,
+                 bool aOwed,
                  time_point aNow,
                  decisions& aOut)
 {
+  aProgress.mCost = Estimate(aProgress.mItem).mCost;
   mQueue.Start(aProgress.mItem.mTicket, aNow);
   mEndpoints.OnSent(aEndpoint, aProgress.mItem, aNow);
   aProgress.mPlace = aEndpoint;
+  aProgress.mOwed = aOwed;
+  if (aProgress.mBeyond) {
+    WindowFor(aProgress.mItem, aOwed)->OnSent();
+  }
   aProgress.mStarted = aNow;
   aProgress.mTried.push_back(aEndpoint);
-  aOut.emplace_back(start{ aProgress.mItem.mTicket, aEndpoint });
+  aOut.emplace_back(start{ aProgress.mItem.mTicket, aEndpoint, aOwed });
 }
 
 void
@@ -339,6 +381,9 @@
   if (!aProgress.mPlace) {
     return;
   }
+  if (std::exchange(aProgress.mBeyond, false)) {
+    WindowFor(aProgress.mItem, aProgress.mOwed)->OnLost();
+  }
   const endpoint_name place = *std::exchange(aProgress.mPlace, std::nullopt);
   const work_item& item = aProgress.mItem;
   const duration length = aNow - aProgress.mStarted;
@@ -346,6 +391,10 @@
     mRetries.OnSuccess(item.mClass, place, aNow);
     mRunTimes.Learn(item, length);
   }
+  if (aTokens > 0) {
+    mQueue.Settle(
+      item, aProgress.mCost, aTokens + kPromptTokenCost * item.mPromptTokens);
+  }
   mEndpoints.OnEnded(place, item, aHow, aTokens, length, aNow);
 }
 
--- a/thornhollow/policy/scheduler.h
+++ b/thornhollow/policy/scheduler.h
@@ -19,12 +19,14 @@
 #ifndef THORNHOLLOW_POLICY_SCHEDULER_H_
 #define THORNHOLLOW_POLICY_SCHEDULER_H_
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
 #include "thornhollow/policy/clock_gap.h"
+#include "thornhollow/policy/endpoint_queue_window.h"
 #include "thornhollow/policy/endpoint_table.h"
 #include "thornhollow/policy/request_queue.h"
 #include "thornhollow/policy/retry_budget.h"
@@ -41,6 +43,12 @@
   retry_budget_settings mRetries;
   run_time_settings mRunTimes;
   clock_gap_settings mClockGap;
+  endpoint_queue_settings mEndpointQueues;
+  // The lowest tier that may wait in endpoints' own queues.
+  int mLowestBeyond = 1;
+  // Requests of this instance that may wait in one endpoint's queue.
+  std::uint32_t mMostBeyond = 8;
+  std::uint32_t mMostOwedBeyond = 1;
 
   friend bool operator==(const scheduler_settings&,
                          const scheduler_settings&) = default;
@@ -126,10 +134,29 @@
     std::vector<endpoint_name> mTried;
     // Set while an attempt holds a place.
     std::optional<endpoint_name> mPlace;
+    bool mOwed = false;
     time_point mStarted{};
+    // Charged when it started.
+    double mCost = 0;
+    // It was sent to wait in the endpoint's own queue, and no token came yet.
+    bool mBeyond = false;
+  };
+  struct pool_windows
+  {
+    explicit pool_windows(const endpoint_queue_settings& aSettings)
+      : mUrgent(aSettings)
+      , mOwed(aSettings)
+    {
+    }
+    endpoint_queue_window mUrgent;
+    endpoint_queue_window mOwed;
   };
   using in_progress = std::unordered_map<ticket, progress>;
 
+  endpoint_queue_window* WindowFor(const work_item& aItem, bool aOwed);
+  std::optional<endpoint_name> Choose(progress& aProgress,
+                                      bool aOwed,
+                                      time_point aNow);
   work_estimate Estimate(const work_item& aItem) const;
   // Every call starts here: notices a gap in the clock, and refuses what can't
   // finish any more before anything is started.
@@ -138,6 +165,7 @@
   void StartWhatFits(const pool_name& aPool, time_point aNow, decisions& aOut);
   void Start(progress& aProgress,
              const endpoint_name& aEndpoint,
+             bool aOwed,
              time_point aNow,
              decisions& aOut);
   void Refuse(const refuse& aRefusal, decisions& aOut);
@@ -150,6 +178,7 @@
                     std::uint32_t aTokens,
                     time_point aNow);
 
+  scheduler_settings mSettings;
   endpoint_table mEndpoints;
   request_queue mQueue;
   retry_budget mRetries;
@@ -160,6 +189,7 @@
   bool mTicking = false;
   time_point mNow{};
   in_progress mInProgress;
+  std::unordered_map<pool_name, pool_windows> mWindows;
 };
 
 } // namespace thornhollow
--- a/thornhollow/policy/work.h
+++ b/thornhollow/policy/work.h
@@ -48,6 +48,10 @@
 {
   ticket mTicket = 0;
   endpoint_name mEndpoint;
+  // The request takes its class's minimum share: the endpoint is to serve it
+  // with the highest priority instead of its tier's, or it would wait there
+  // behind every later request of a higher tier.
+  bool mOwed = false;
 
   friend bool operator==(const start&, const start&) = default;
 };
