--- /dev/null
+++ b/thornhollow/daemon/daemon.cc
@@ -0,0 +1,253 @@
+#include "thornhollow/daemon/daemon.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "thornhollow/config/catalog.h"
+#include "thornhollow/daemon/control_plane.h"
+#include "thornhollow/daemon/load_poller.h"
+#include "thornhollow/daemon/metrics.h"
+#include "thornhollow/daemon/operators_page.h"
+#include "thornhollow/daemon/router.h"
+#include "thornhollow/net/caller_server.h"
+
+namespace thornhollow {
+namespace {
+
+using boost::system::error_code;
+
+// After readiness goes off, the balancer still sends requests for about as long
+// as it takes to notice; they are answered with "not run" instead of meeting a
+// closed port.
+constexpr duration kBalancerNotices = Seconds(2);
+// How often a stopping instance looks whether it is done.
+constexpr duration kDrainCheck = Milliseconds(50);
+
+server_limits
+CallerServerLimits(const daemon_settings& aSettings)
+{
+  server_limits limits;
+  limits.mMaxHeaderBytes = aSettings.mLimits.mMaxHeaderBytes;
+  limits.mMaxBodyBytes = aSettings.mLimits.mMaxBodyBytes;
+  limits.mMaxConnections = aSettings.mLimits.mMaxConnections;
+  limits.mSendTimeout = aSettings.mLimits.mSendTimeout;
+  limits.mWriteTimeout = aSettings.mLimits.mSendTimeout;
+  return limits;
+}
+
+server_limits
+OperatorServerLimits()
+{
+  server_limits limits;
+  limits.mMaxBodyBytes = 1024;
+  limits.mMaxConnections = 64;
+  return limits;
+}
+
+// Endpoints of models; plain services publish no load.
+std::vector<endpoint>
+ModelEngines(const declarations& aDeclared)
+{
+  std::set<pool_name> models;
+  for (const model& each : aDeclared.mModels) {
+    models.insert(PoolOf(each.mName));
+  }
+  std::vector<endpoint> engines;
+  for (const endpoint& each : aDeclared.mEndpoints) {
+    if (std::ranges::any_of(each.mPools, [&](const pool_name& aPool) {
+          return models.contains(aPool);
+        })) {
+      engines.push_back(each);
+    }
+  }
+  return engines;
+}
+
+router_settings
+RouterSettings(const daemon_settings& aSettings)
+{
+  router_settings settings;
+  settings.mOwnDomain = aSettings.mDomain;
+  settings.mTimeouts = aSettings.mTimeouts;
+  return settings;
+}
+
+} // namespace
+
+class daemon::core
+{
+public:
+  core(boost::asio::io_context& aIo,
+       const daemon_settings& aSettings,
+       json_log& aLog)
+    : mIo(aIo)
+    , mSettings(aSettings)
+    , mLog(aLog)
+    , mRouter(aIo, RouterSettings(aSettings), aLog, mMetrics)
+    , mCallers(
+        aIo,
+        CallerServerLimits(aSettings),
+        [this](caller_exchange_ptr aOne) { mRouter.Serve(std::move(aOne)); },
+        [this](error_kind aKind) { return mRouter.AnswerUnreadable(aKind); })
+    , mOperators(
+        aIo,
+        OperatorServerLimits(),
+        [this](const caller_exchange_ptr& aOne) {
+          aOne->Send(OperatorsPage(aOne->Request(), Status(), mMetrics));
+        },
+        [this](error_kind aKind) { return mRouter.AnswerUnreadable(aKind); })
+    , mControl(aIo, aSettings, ControlListener(), aLog, mMetrics)
+    , mLoadPoller(
+        aIo,
+        [this](const endpoint_name& aName, const load_report& aReport) {
+          mRouter.OnLoadReport(aName, aReport);
+        })
+    , mDrainTimer(aIo)
+  {
+    mRouter.SetKeyGate(&mControl.Keys());
+    mRouter.OnEndpointLeaving([this](const endpoint_name& aEndpoint) {
+      mControl.OnEndpointLeaving(aEndpoint);
+    });
+  }
+
+  result<listening_addresses> Start()
+  {
+    BOOST_LEAF_AUTO(caller, mCallers.Listen(mSettings.mCallerAddress));
+    BOOST_LEAF_AUTO(operators, mOperators.Listen(mSettings.mOperatorAddress));
+    BOOST_LEAF_CHECK(mControl.Open());
+    mLoadPoller.Start();
+    mLog.Write(log_level::kInfo,
+               "started",
+               { { "name", mSettings.mName.Text() },
+                 { "domain", mSettings.mDomain.Text() },
+                 { "caller_address", caller },
+                 { "operator_address", operators } });
+    return listening_addresses{ caller, operators };
+  }
+
+  void BeginStop()
+  {
+    if (std::exchange(mDraining, true)) {
+      return;
+    }
+    mLog.Write(
+      log_level::kInfo,
+      "drain_begun",
+      { { "in_progress", static_cast<std::int64_t>(mRouter.InProgress()) } });
+    mRouter.BeginDrain();
+    mControl.Drain();
+    mDrainBegun = std::chrono::steady_clock::now();
+    CheckDrained();
+  }
+
+private:
+  control_listener ControlListener()
+  {
+    control_listener listener;
+    listener.mInForce = [this](const catalog_ptr& aCatalog) {
+      mLoadPoller.SetEndpoints(ModelEngines(aCatalog->Declared()));
+      mRouter.PutInForce(aCatalog);
+    };
+    listener.mEndpointState = [this](const state_change& aChange) {
+      mRouter.OnEndpointState(aChange.mEndpoint, aChange.mState);
+    };
+    listener.mKeys.mRun = [this](submission aOne) { mRouter.OnKeyRun(aOne); };
+    listener.mKeys.mRefused = [this](submission aOne, error_kind aKind) {
+      mRouter.OnKeyRefused(aOne, aKind);
+    };
+    listener.mRouters = [](const std::vector<instance_name>&) {};
+    listener.mPaused = [] {};
+    listener.mSuperseded = [this] { BeginStop(); };
+    return listener;
+  }
+
+  instance_status Status() const
+  {
+    instance_status status;
+    status.mName = mSettings.mName;
+    status.mDomain = mSettings.mDomain;
+    const auto inForce = mControl.InForce();
+    status.mReady = inForce.has_value() && !mDraining;
+    status.mDraining = mDraining;
+    if (inForce) {
+      status.mRevision = inForce->mVersion;
+    }
+    if (const auto& refused = mControl.Refused()) {
+      status.mRefusedRevision = refused->mRevision.mVersion;
+      for (const fault& each : refused->mFaults) {
+        status.mRefusedFaults.push_back(Text(each));
+      }
+    }
+    status.mPeersAlive = mControl.PeersAlive();
+    status.mInProgress = mRouter.InProgress();
+    return status;
+  }
+
+  void CheckDrained()
+  {
+    const duration since = std::chrono::steady_clock::now() - mDrainBegun;
+    if (since >= kBalancerNotices) {
+      mCallers.BeginDrain();
+    }
+    const bool idle = mRouter.InProgress() == 0 && mCallers.InProgress() == 0;
+    if ((idle && since >= kBalancerNotices) || since >= mSettings.mDrainGrace) {
+      mLog.Write(log_level::kInfo,
+                 "stopped",
+                 { { "left_in_progress",
+                     static_cast<std::int64_t>(mRouter.InProgress()) } });
+      mCallers.StopListening();
+      mControl.Leave();
+      mIo.stop();
+      return;
+    }
+    mDrainTimer.expires_after(kDrainCheck);
+    mDrainTimer.async_wait([this](const error_code& aWrong) {
+      if (!aWrong) {
+        CheckDrained();
+      }
+    });
+  }
+
+  boost::asio::io_context& mIo;
+  daemon_settings mSettings;
+  json_log& mLog;
+  metrics mMetrics;
+  router mRouter;
+  caller_server mCallers;
+  caller_server mOperators;
+  control_plane mControl;
+  load_poller mLoadPoller;
+  boost::asio::steady_timer mDrainTimer;
+  bool mDraining = false;
+  time_point mDrainBegun{};
+};
+
+daemon::daemon(boost::asio::io_context& aIo,
+               const daemon_settings& aSettings,
+               json_log& aLog)
+  : mCore(std::make_unique<core>(aIo, aSettings, aLog))
+{
+}
+
+daemon::~daemon() = default;
+
+result<listening_addresses>
+daemon::Start()
+{
+  return mCore->Start();
+}
+
+void
+daemon::BeginStop()
+{
+  mCore->BeginStop();
+}
+
+} // namespace thornhollow
