--- a/thornhollow/policy/scheduler.cc
+++ b/thornhollow/policy/scheduler.cc
@@ -306,6 +306,11 @@
   }
 }
 
+scheduler::pool_windows::pool_windows(const endpoint_queue_settings& aSettings)
+  : mWindows(kTiers + 1, endpoint_queue_window(aSettings))
+{
+}
+
 endpoint_queue_window*
 scheduler::WindowFor(const work_item& aItem, bool aOwed)
 {
@@ -314,7 +319,8 @@
   }
   pool_windows& pool =
     mWindows.try_emplace(aItem.mPool, mSettings.mEndpointQueues).first->second;
-  return aOwed ? &pool.mOwed : &pool.mUrgent;
+  const int tier = std::clamp(aItem.mTier, kHighestTier, kLowestTier);
+  return aOwed ? &pool.mWindows.back() : &pool.mWindows[tier - kHighestTier];
 }
 
 std::optional<endpoint_name>
--- a/thornhollow/policy/scheduler.h
+++ b/thornhollow/policy/scheduler.h
@@ -45,7 +45,7 @@
   clock_gap_settings mClockGap;
   endpoint_queue_settings mEndpointQueues;
   // The lowest tier that may wait in endpoints' own queues.
-  int mLowestBeyond = 1;
+  int mLowestBeyond = 2;
   // Requests of this instance that may wait in one endpoint's queue.
   std::uint32_t mMostBeyond = 8;
   std::uint32_t mMostOwedBeyond = 1;
@@ -143,13 +143,10 @@
   };
   struct pool_windows
   {
-    explicit pool_windows(const endpoint_queue_settings& aSettings)
-      : mUrgent(aSettings)
-      , mOwed(aSettings)
-    {
-    }
-    endpoint_queue_window mUrgent;
-    endpoint_queue_window mOwed;
+    explicit pool_windows(const endpoint_queue_settings& aSettings);
+
+    // By tier, highest first; the last is for what takes its minimum share.
+    std::vector<endpoint_queue_window> mWindows;
   };
   using in_progress = std::unordered_map<ticket, progress>;
 
--- a/thornhollow/policy/tier_pressure.h
+++ b/thornhollow/policy/tier_pressure.h
@@ -11,7 +11,7 @@
 // publishes how long each of its tiers waits; the others then start lower tiers
 // only within their classes' minimum shares, until the report ages.
 //
-// Grounds for the figures: a wait below 250 ms is no reason yet: the urgent
+// Grounds for the figures: a wait below 1 s is no reason yet: the urgent
 // part of it passes in the endpoints' own queues (endpoint_queue_window.h), and
 // the scenario table showed no gain from less. A report loses
 // half of its weight each 500 ms, so that one lost message changes little and
@@ -51,7 +51,7 @@
 struct tier_pressure_settings
 {
   bool mEnabled = true;
-  duration mLeastWait = Milliseconds(250);
+  duration mLeastWait = Seconds(1);
   duration mHalfLife = Milliseconds(500);
   // The weight of a report counts no longer than this.
   duration mLongestLife = Seconds(5);
