Endpoint queue window in place of headroom for high tiers

Change: the scheduler runs the endpoint side with its headroom at zero and bounds what waits in endpoints' queues by the window; with_headroom stays a policy of the scenarios. ChooseBeyond keeps away from plain services.

--- a/thornhollow/policy/endpoint_table.cc
+++ b/thornhollow/policy/endpoint_table.cc
@@ -361,16 +361,16 @@
       index.EndpointOf(static_cast<std::uint32_t>((first + i) % index.size()));
     const entry& candidate = *mEntries[number];
     const endpoint_record& record = candidate.mRecord;
-    if (!record.MayTakeWork(aNow) || record.Health().Share() < 1 ||
-        record.Others(aNow) <= 0 ||
-        record.InFlight() >= record.Capacity(aNow) + aBeyond ||
+    if (!record.HonoursTiers() || !record.MayTakeWork(aNow) ||
+        record.Health().Share() < 1 || record.Others(aNow) <= 0 ||
+        record.InFlight() >= record.Capacity(kLowestTier, aNow) + aBeyond ||
         !Fits(candidate, look)) {
       continue;
     }
     // The shortest queue first: a cached prefix doesn't make up for a queue,
     // and everybody's would grow at its holder.
     const std::uint32_t inFlight = record.InFlight();
-    const std::uint32_t capacity = record.Capacity(aNow);
+    const std::uint32_t capacity = record.Capacity(kLowestTier, aNow);
     const std::uint32_t queued = inFlight > capacity ? inFlight - capacity : 0;
     const double cost = Cost(number, look);
     if (!look.mBest ||
--- a/thornhollow/policy/endpoint_table.h
+++ b/thornhollow/policy/endpoint_table.h
@@ -99,7 +99,8 @@
   // place: the one with the shortest, where this instance has fewer than
   // `aBeyond` requests more than it has places. Only where other routers have
   // requests, too: else nobody but this instance can free the next place, and
-  // its own queue is the better one. Nothing where there is none.
+  // its own queue is the better one. Never at a plain service, which honours no
+  // tiers. Nothing where there is none.
   std::optional<endpoint_name> ChooseBeyond(
     const work_item& aItem,
     std::span<const endpoint_name> aTried,
--- a/thornhollow/policy/internal/endpoint_record.h
+++ b/thornhollow/policy/internal/endpoint_record.h
@@ -59,6 +59,8 @@
   void Declare(const endpoint& aDeclared, bool aHonoursTiers);
   void Undeclare() { mIsDeclared = false; }
   const endpoint& Declared() const { return mDeclared; }
+  // Whether its own queue is in order of tiers.
+  bool HonoursTiers() const { return mHonoursTiers; }
   bool IsDeclared() const { return mIsDeclared; }
 
   void OnSent(ticket aTicket, bool aLong, time_point aNow);
--- a/thornhollow/policy/scenario/catalog.cc
+++ b/thornhollow/policy/scenario/catalog.cc
@@ -274,6 +274,10 @@
   without("endpoint_queues", [](scheduler_settings& aOf) {
     aOf.mEndpointQueues.mEnabled = false;
   });
+  scheduler_settings headroom;
+  headroom.mEndpointQueues.mEnabled = false;
+  headroom.mEndpoints = {};
+  all.push_back({ "with_headroom", headroom });
   all.push_back({ "waiting_off", off });
   all.push_back({ "round_robin", round_robin{} });
   all.push_back({ "least_outstanding", least_outstanding{} });
--- a/thornhollow/policy/scheduler.h
+++ b/thornhollow/policy/scheduler.h
@@ -36,18 +36,32 @@
 
 namespace thornhollow {
 
+// The endpoint side without its headroom for high tiers: what waits in the
+// endpoints' queues is bounded by `endpoint_queue_window` here, which leaves
+// classes their minimum shares (docs/design/decisions_under_load.md).
+inline endpoint_table_settings
+WithoutHeadroom()
+{
+  endpoint_table_settings settings;
+  settings.mRecord.mHeadroom = {};
+  return settings;
+}
+
 struct scheduler_settings
 {
-  endpoint_table_settings mEndpoints;
+  endpoint_table_settings mEndpoints = WithoutHeadroom();
   request_queue_settings mQueue;
   retry_budget_settings mRetries;
   run_time_settings mRunTimes;
   clock_gap_settings mClockGap;
   endpoint_queue_settings mEndpointQueues;
-  // The lowest tier that may wait in endpoints' own queues.
+  // The lowest tier whose requests may wait in endpoints' own queues without
+  // being owed their class's share.
   int mLowestBeyond = 2;
-  // Requests of this instance that may wait in one endpoint's queue.
+  // Requests of this instance that may wait in one endpoint's queue: as many as
+  // an ordinary batch, so that its next batch is not wholly decided here.
   std::uint32_t mMostBeyond = 8;
+  // The same of those that take their class's share: long work, mostly.
   std::uint32_t mMostOwedBeyond = 1;
 
   friend bool operator==(const scheduler_settings&,
