Pressure between daemons, clock gaps and the subset wired; one pressure type

Cause: the scheduler's pressure and its tick were called by nothing, and fleet and policy each had the same type. A class that takes its minimum share was sent with its own tier's priority, so the engine's queue took the share away again. Change: policy/pool_pressure.h for both; the daemon ticks the scheduler each 100 ms, tells pressures by gossip and hands peers' in; routers of the own domain go to the subset; a start that is owed its share is sent with tier 1's priority. Conclusion: policy is on the request path.

--- a/thornhollow/daemon/control_plane.cc
+++ b/thornhollow/daemon/control_plane.cc
@@ -137,6 +137,15 @@
     Apply(changes);
   }
 
+  void TellPressure(const std::vector<pool_pressure>& aPressures)
+  {
+    mLink.TellPressure(aPressures);
+  }
+  std::vector<pool_pressure> PeerPressure() const
+  {
+    return mLink.PeerPressure();
+  }
+
   void Drain() { mLink.Drain(); }
   void Leave() { mLink.Leave(); }
 
@@ -170,7 +179,8 @@
                                         time_point aUntil) {
       Apply(mStates.OnTold(aEndpoint, aUntil));
     };
-    listener.mOnPaused = [this](duration) { mListener.mPaused(); };
+    // Scheduler, holder and witness notice a pause by their own ticks.
+    listener.mOnPaused = [](duration) {};
     listener.mOnSuperseded = [this] { mListener.mSuperseded(); };
     return listener;
   }
@@ -333,6 +343,7 @@
     StartKeeperWhenDue();
     mKeys.Tick();
     Apply(mStates.Advance(Now()));
+    mListener.mTick();
     mTimer.expires_after(kTick);
     mTimer.async_wait([this](const boost::system::error_code& aWrong) {
       if (!aWrong) {
@@ -417,6 +428,18 @@
   mCore->OnEndpointLeaving(aEndpoint);
 }
 
+void
+control_plane::TellPressure(const std::vector<pool_pressure>& aPressures)
+{
+  mCore->TellPressure(aPressures);
+}
+
+std::vector<pool_pressure>
+control_plane::PeerPressure() const
+{
+  return mCore->PeerPressure();
+}
+
 void
 control_plane::Drain()
 {
--- a/thornhollow/daemon/control_plane.h
+++ b/thornhollow/daemon/control_plane.h
@@ -23,6 +23,7 @@
 #include "thornhollow/daemon/key_gate.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/policy/endpoint_states.h"
+#include "thornhollow/policy/pool_pressure.h"
 
 namespace boost::asio {
 class io_context;
@@ -37,8 +38,8 @@
   key_listener mKeys;
   // Entry instances of the own domain, this one included.
   std::function<void(const std::vector<instance_name>&)> mRouters;
-  // This process stood still.
-  std::function<void()> mPaused;
+  // Called every 100 ms.
+  std::function<void()> mTick;
   // Another process runs under this name; this one must stop.
   std::function<void()> mSuperseded;
 };
@@ -63,6 +64,10 @@
   // An endpoint said itself that it leaves.
   void OnEndpointLeaving(const endpoint_name& aEndpoint);
 
+  // See peer_link.h.
+  void TellPressure(const std::vector<pool_pressure>& aPressures);
+  std::vector<pool_pressure> PeerPressure() const;
+
   // This instance takes no new work; it still answers peers.
   void Drain();
   // This process stops now.
--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -163,8 +163,14 @@
     listener.mKeys.mRefused = [this](submission aOne, error_kind aKind) {
       mRouter.OnKeyRefused(aOne, aKind);
     };
-    listener.mRouters = [](const std::vector<instance_name>&) {};
-    listener.mPaused = [] {};
+    listener.mRouters = [this](const std::vector<instance_name>& aRouters) {
+      mRouter.SetRouters(mSettings.mName, aRouters);
+    };
+    listener.mTick = [this] {
+      mRouter.Tick();
+      mControl.TellPressure(mRouter.Pressure());
+      mRouter.OnPeerPressure(mControl.PeerPressure());
+    };
     listener.mSuperseded = [this] { BeginStop(); };
     return listener;
   }
--- a/thornhollow/daemon/intake.cc
+++ b/thornhollow/daemon/intake.cc
@@ -222,11 +222,11 @@
 }
 
 std::string
-EngineBody(const intake& aIntake, std::uint64_t aResumeFrom)
+EngineBody(const intake& aIntake, int aPriority, std::uint64_t aResumeFrom)
 {
   return fmt::format(R"({},"stream":true,"priority":{},"resume_from":{}}})",
                      aIntake.mBody,
-                     aIntake.mTier,
+                     aPriority,
                      aResumeFrom);
 }
 
--- a/thornhollow/daemon/intake.h
+++ b/thornhollow/daemon/intake.h
@@ -55,10 +55,10 @@
 intake_verdict
 ReadIntake(const caller_request& aRequest, const catalog& aCatalog);
 
-// The body for one attempt at an engine, which goes on after `aResumeFrom`
-// tokens.
+// The body for one attempt at an engine, which serves it with `aPriority` (as a
+// tier) and goes on after `aResumeFrom` tokens.
 std::string
-EngineBody(const intake& aIntake, std::uint64_t aResumeFrom);
+EngineBody(const intake& aIntake, int aPriority, std::uint64_t aResumeFrom);
 
 } // namespace thornhollow
 
--- a/thornhollow/daemon/intake_test.cc
+++ b/thornhollow/daemon/intake_test.cc
@@ -106,7 +106,8 @@
   // engine honours priorities, so the router must be the only one to set them.
   mRequest.mBody = R"({"model":"dispatch","messages":[],"priority":0,)"
                    R"("resume_from":7,"stream":false})";
-  const auto body = boost::json::parse(EngineBody(Accepted(), 3)).as_object();
+  const auto body =
+    boost::json::parse(EngineBody(Accepted(), 1, 3)).as_object();
   CHECK(body.at("priority").to_number<int>() == 1);
   CHECK(body.at("resume_from").to_number<int>() == 3);
   CHECK(body.at("stream").as_bool());
--- a/thornhollow/daemon/live_request.h
+++ b/thornhollow/daemon/live_request.h
@@ -59,6 +59,8 @@
   // The terms under which the request was taken.
   catalog_ptr mTerms;
   boost::intrusive_ptr<endpoint_attempt> mAttempt;
+  // The present attempt takes its class's minimum share.
+  bool mOwed = false;
   // Where the present or last attempt went.
   endpoint_name mEndpoint;
   boost::asio::steady_timer mTimer;
--- a/thornhollow/daemon/peer_link.cc
+++ b/thornhollow/daemon/peer_link.cc
@@ -126,6 +126,18 @@
     Apply(mMembers.OnEndpointLeaving(aEndpoint, kLeavingFor, Now()));
   }
 
+  void TellPressure(const std::vector<pool_pressure>& aPressures)
+  {
+    for (const pool_pressure& each : aPressures) {
+      mMembers.OnPressure(each, Now());
+    }
+  }
+
+  std::vector<pool_pressure> PeerPressure() const
+  {
+    return mMembers.Shared().OfPeers(Now());
+  }
+
   void Drain() { Apply(mMembers.Drain(Now())); }
   void Leave() { Apply(mMembers.Leave(Now())); }
 
@@ -453,6 +465,18 @@
   mCore->TellLeaving(aEndpoint);
 }
 
+void
+peer_link::TellPressure(const std::vector<pool_pressure>& aPressures)
+{
+  mCore->TellPressure(aPressures);
+}
+
+std::vector<pool_pressure>
+peer_link::PeerPressure() const
+{
+  return mCore->PeerPressure();
+}
+
 void
 peer_link::Drain()
 {
--- a/thornhollow/daemon/peer_link.h
+++ b/thornhollow/daemon/peer_link.h
@@ -95,6 +95,11 @@
   // Tells peers that this endpoint leaves.
   void TellLeaving(const endpoint_name& aEndpoint);
 
+  // Tells peers how tight pools are here, to be repeated while it lasts; and
+  // the tightest that peers said.
+  void TellPressure(const std::vector<pool_pressure>& aPressures);
+  std::vector<pool_pressure> PeerPressure() const;
+
   // This instance takes no new work; it still answers peers.
   void Drain();
   // This process stops now: peers need not suspect it first.
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -32,6 +32,10 @@
 constexpr int kSilentAfterTargets = 8;
 constexpr duration kLeastFirstByteLimit = Seconds(2);
 
+// Gossip hands on the tightest statement of all peers for each pool, not whose
+// it was.
+const instance_name kAllPeers("peers");
+
 time_point
 Now()
 {
@@ -127,6 +131,26 @@
     FeedTicket(aTicket, schedule_refused{ aKind, duration{} });
   }
 
+  void SetRouters(const instance_name& aOwn,
+                  const std::vector<instance_name>& aRouters)
+  {
+    mScheduler.SetRouters(aOwn, aRouters);
+  }
+
+  void Tick() { Apply(mScheduler.Tick(Now())); }
+
+  std::vector<pool_pressure> Pressure() const
+  {
+    return mScheduler.Pressure(Now());
+  }
+
+  void OnPeerPressure(const std::vector<pool_pressure>& aPressures)
+  {
+    for (const pool_pressure& each : aPressures) {
+      Apply(mScheduler.OnPeerPressure(kAllPeers, each, Now()));
+    }
+  }
+
   void BeginDrain() { mDraining = true; }
 
   std::size_t InProgress() const { return mLive.size(); }
@@ -241,6 +265,7 @@
       return;
     }
     live_request& live = *found->second;
+    live.mOwed = aStart.mOwed;
     // A claim may have lapsed while the request waited or this process stood
     // still; until something was run, it is confirmed before each sending.
     if (live.mKeyStage != key_stage::kNone && live.mMachine.Ran() == ran::kNo) {
@@ -359,7 +384,10 @@
     call.mPath = aLive.mIntake.mPath;
     call.mContentType = aLive.mIntake.mContentType;
     call.mEngine = aLive.mIntake.mEngine;
-    call.mBody = call.mEngine ? EngineBody(aLive.mIntake, aAction.mResumeFrom)
+    call.mBody = call.mEngine ? EngineBody(aLive.mIntake,
+                                           aLive.mOwed ? kHighestTier
+                                                       : aLive.mIntake.mTier,
+                                           aAction.mResumeFrom)
                               : aLive.mIntake.mBody;
     aLive.mAttempt =
       StartAttempt(mIo,
@@ -586,6 +614,31 @@
   mCore->OnEndpointState(aEndpoint, aState);
 }
 
+void
+router::SetRouters(const instance_name& aOwn,
+                   const std::vector<instance_name>& aRouters)
+{
+  mCore->SetRouters(aOwn, aRouters);
+}
+
+void
+router::Tick()
+{
+  mCore->Tick();
+}
+
+std::vector<pool_pressure>
+router::Pressure() const
+{
+  return mCore->Pressure();
+}
+
+void
+router::OnPeerPressure(const std::vector<pool_pressure>& aPressures)
+{
+  mCore->OnPeerPressure(aPressures);
+}
+
 void
 router::BeginDrain()
 {
--- a/thornhollow/daemon/router.h
+++ b/thornhollow/daemon/router.h
@@ -66,6 +66,15 @@
   void OnLoadReport(const endpoint_name& aEndpoint, const load_report& aReport);
   void OnEndpointState(const endpoint_name& aEndpoint, endpoint_state aState);
 
+  // Entry instances of the own domain; takes effect with the next catalog.
+  void SetRouters(const instance_name& aOwn,
+                  const std::vector<instance_name>& aRouters);
+  // To be called every `clock_gap::kTickEvery`.
+  void Tick();
+  // How tight each pool is here, for peers; and the tightest that they said.
+  std::vector<pool_pressure> Pressure() const;
+  void OnPeerPressure(const std::vector<pool_pressure>& aPressures);
+
   // From now on each new request is refused as `kDraining`.
   void BeginDrain();
 
--- a/thornhollow/fleet/peer_messages.h
+++ b/thornhollow/fleet/peer_messages.h
@@ -20,6 +20,7 @@
 #include "thornhollow/base/time.h"
 #include "thornhollow/config/config_word.h"
 #include "thornhollow/config/declarations.h"
+#include "thornhollow/policy/pool_pressure.h"
 
 namespace thornhollow {
 
@@ -70,20 +71,6 @@
   friend bool operator==(const member_digest&, const member_digest&) = default;
 };
 
-// The tightest load known for one pool inside a failure domain.
-struct pool_pressure
-{
-  pool_name mPool;
-  // The lowest tier still admitted: 1 (highest) to 4.
-  int mLowestAdmitted = kLowestTier;
-  // Longest present wait among requests of tiers above the refused ones.
-  duration mHigherWait{};
-  // Time since it was measured.
-  duration mAge{};
-
-  friend bool operator==(const pool_pressure&, const pool_pressure&) = default;
-};
-
 // An endpoint that said it is leaving.
 struct leaving_endpoint
 {
--- a/thornhollow/policy/pool_queue.cc
+++ b/thornhollow/policy/pool_queue.cc
@@ -383,12 +383,12 @@
   return wait;
 }
 
-tier_pressure
+pool_pressure
 pool_queue::Pressure(const pool_name& aPool,
                      duration aLeastWait,
                      time_point aNow) const
 {
-  tier_pressure out{ .mPool = aPool };
+  pool_pressure out{ .mPool = aPool };
   for (const auto& [key, queue] : mClasses) {
     const waiting_request* next = queue.mWaiting.Front();
     if (next == nullptr || key.mTier > out.mLowestAdmitted) {
--- a/thornhollow/policy/pool_queue.h
+++ b/thornhollow/policy/pool_queue.h
@@ -147,7 +147,7 @@
   duration PredictedWait(const work_item& aItem, time_point aNow) const;
 
   // For the other instances.
-  tier_pressure Pressure(const pool_name& aPool,
+  pool_pressure Pressure(const pool_name& aPool,
                          duration aLeastWait,
                          time_point aNow) const;
 
--- a/thornhollow/policy/request_queue.cc
+++ b/thornhollow/policy/request_queue.cc
@@ -226,12 +226,12 @@
                                : found->second.mFirstTokenTarget;
 }
 
-std::vector<tier_pressure>
+std::vector<pool_pressure>
 request_queue::Pressure(time_point aNow) const
 {
-  std::vector<tier_pressure> out;
+  std::vector<pool_pressure> out;
   for (const auto& [name, pool] : mPools) {
-    tier_pressure next = pool.Pressure(name, mSettings.mPeers.mLeastWait, aNow);
+    pool_pressure next = pool.Pressure(name, mSettings.mPeers.mLeastWait, aNow);
     if (next.mHigherWait > duration::zero()) {
       out.push_back(std::move(next));
     }
@@ -241,7 +241,7 @@
 
 void
 request_queue::OnPeerPressure(const instance_name& aFrom,
-                              const tier_pressure& aPressure,
+                              const pool_pressure& aPressure,
                               time_point aNow)
 {
   mPeers.OnReport(aFrom, aPressure, aNow);
--- a/thornhollow/policy/request_queue.h
+++ b/thornhollow/policy/request_queue.h
@@ -97,9 +97,9 @@
   duration TargetOf(const class_name& aClass) const;
 
   // What other instances should know; one entry for each pool under load.
-  std::vector<tier_pressure> Pressure(time_point aNow) const;
+  std::vector<pool_pressure> Pressure(time_point aNow) const;
   void OnPeerPressure(const instance_name& aFrom,
-                      const tier_pressure& aPressure,
+                      const pool_pressure& aPressure,
                       time_point aNow);
 
   std::size_t size() const { return mWhere.size(); }
--- a/thornhollow/policy/scenario/baselines.h
+++ b/thornhollow/policy/scenario/baselines.h
@@ -55,7 +55,7 @@
     return {};
   }
   decisions OnPeerPressure(const instance_name& /*aFrom*/,
-                           const tier_pressure& /*aPressure*/,
+                           const pool_pressure& /*aPressure*/,
                            time_point /*aNow*/)
   {
     return {};
--- a/thornhollow/policy/scenario/simulation.cc
+++ b/thornhollow/policy/scenario/simulation.cc
@@ -794,7 +794,7 @@
     return;
   }
   const instance_name name("instance-" + std::to_string(aInstance));
-  for (const tier_pressure& each : own->Pressure(mLoop.Now())) {
+  for (const pool_pressure& each : own->Pressure(mLoop.Now())) {
     for (std::size_t other = 0; other < mInstances.size(); ++other) {
       if (other == aInstance || !Reachable(mInstances[other].mDomain,
                                            mInstances[aInstance].mDomain)) {
--- a/thornhollow/policy/scheduler.cc
+++ b/thornhollow/policy/scheduler.cc
@@ -193,7 +193,7 @@
   return out;
 }
 
-std::vector<tier_pressure>
+std::vector<pool_pressure>
 scheduler::Pressure(time_point aNow) const
 {
   return mQueue.Pressure(aNow);
@@ -201,7 +201,7 @@
 
 decisions
 scheduler::OnPeerPressure(const instance_name& aFrom,
-                          const tier_pressure& aPressure,
+                          const pool_pressure& aPressure,
                           time_point aNow)
 {
   decisions out;
--- a/thornhollow/policy/scheduler.h
+++ b/thornhollow/policy/scheduler.h
@@ -109,10 +109,10 @@
                             time_point aNow);
 
   // How each pool under load fares here, for the other instances.
-  std::vector<tier_pressure> Pressure(time_point aNow) const;
+  std::vector<pool_pressure> Pressure(time_point aNow) const;
   // The same of another instance, as it came in.
   decisions OnPeerPressure(const instance_name& aFrom,
-                           const tier_pressure& aPressure,
+                           const pool_pressure& aPressure,
                            time_point aNow);
 
   // Who this instance is and which entry instances its domain has; takes effect
--- a/thornhollow/policy/tier_pressure.cc
+++ b/thornhollow/policy/tier_pressure.cc
@@ -25,7 +25,7 @@
 
 void
 peer_pressure::OnReport(const instance_name& aFrom,
-                        const tier_pressure& aPressure,
+                        const pool_pressure& aPressure,
                         time_point aNow)
 {
   pool_reports& pool = mPools[aPressure.mPool];
--- a/thornhollow/policy/tier_pressure.h
+++ b/thornhollow/policy/tier_pressure.h
@@ -28,26 +28,12 @@
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
 #include "thornhollow/config/declarations.h"
+#include "thornhollow/policy/pool_pressure.h"
 
 namespace thornhollow {
 
 inline constexpr std::size_t kTiers = kLowestTier - kHighestTier + 1;
 
-// One pool's load at one instance.
-struct tier_pressure
-{
-  pool_name mPool;
-  // The highest tier that waits too long there: those beyond it get no more
-  // than their minimum shares there, and should elsewhere.
-  int mLowestAdmitted = kLowestTier;
-  // How long that tier's next request has waited; zero where none waits.
-  duration mHigherWait{};
-  // Time since it was measured.
-  duration mAge{};
-
-  friend bool operator==(const tier_pressure&, const tier_pressure&) = default;
-};
-
 struct tier_pressure_settings
 {
   bool mEnabled = true;
@@ -67,7 +53,7 @@
   explicit peer_pressure(const tier_pressure_settings& aSettings);
 
   void OnReport(const instance_name& aFrom,
-                const tier_pressure& aPressure,
+                const pool_pressure& aPressure,
                 time_point aNow);
 
   // Whether a higher tier than `aTier` waits at another instance.
