--- a/thornhollow/policy/scenario/catalog.cc
+++ b/thornhollow/policy/scenario/catalog.cc
@@ -244,11 +244,44 @@
 std::vector<named_policy>
 AllPolicies()
 {
-  return {
-    { "thornhollow", scheduler_settings{} },
-    { "round_robin", round_robin{} },
-    { "least_outstanding", least_outstanding{} },
+  scheduler_settings off;
+  std::vector<named_policy> all = { { "thornhollow", off } };
+  const auto without = [&all, &off](const std::string& aName, auto aSwitch) {
+    scheduler_settings one;
+    aSwitch(one);
+    aSwitch(off);
+    all.push_back({ "without_" + aName, one });
   };
+  without("tier_order",
+          [](scheduler_settings& aOf) { aOf.mQueue.mPool.mTierOrder = false; });
+  without("shares", [](scheduler_settings& aOf) {
+    aOf.mQueue.mPool.mMinimumShares = false;
+  });
+  without("fair_teams",
+          [](scheduler_settings& aOf) { aOf.mQueue.mPool.mFairTeams = false; });
+  without("deadlines", [](scheduler_settings& aOf) {
+    aOf.mQueue.mPool.mDeadlineCheck = false;
+    aOf.mRunTimes.mQuantile = 0;
+  });
+  without("standing", [](scheduler_settings& aOf) {
+    aOf.mQueue.mPool.mStanding.mEnabled = false;
+  });
+  without("spread", [](scheduler_settings& aOf) {
+    aOf.mQueue.mPool.mReturns.mSpread = false;
+  });
+  without("pressure",
+          [](scheduler_settings& aOf) { aOf.mQueue.mPeers.mEnabled = false; });
+  without("endpoint_queues", [](scheduler_settings& aOf) {
+    aOf.mEndpointQueues.mEnabled = false;
+  });
+  scheduler_settings headroom;
+  headroom.mEndpointQueues.mEnabled = false;
+  headroom.mEndpoints = {};
+  all.push_back({ "with_headroom", headroom });
+  all.push_back({ "waiting_off", off });
+  all.push_back({ "round_robin", round_robin{} });
+  all.push_back({ "least_outstanding", least_outstanding{} });
+  return all;
 }
 
 } // namespace thornhollow::scenario
