Key cases with more daemons than witnesses; one fault switch for endpoints

Cause: with three daemons every one is a witness of every key, so a holder that is killed or paused is refused for being unreachable, and the two cases passed without claims. The endpoint stand-ins held the same mode code twice. Change: six daemons and twelve orders in each of the two cases, one of which must be denied by memory or run elsewhere; fault_switch for both stand-ins.

--- a/thornhollow/testing/fake_engine.cc
+++ b/thornhollow/testing/fake_engine.cc
@@ -102,12 +102,6 @@
   };
 }
 
-void
-fake_engine::OnRefuse(std::function<void(bool)> aCallback)
-{
-  mOnRefuse = std::move(aCallback);
-}
-
 void
 fake_engine::Handle(const http_request& aRequest, const exchange_ptr& aExchange)
 {
@@ -116,14 +110,14 @@
     Complete(aRequest, aExchange);
   } else if (path == "/v1/cancel" && aRequest.mMethod == "POST") {
     Cancel(aRequest, aExchange);
-  } else if (path == "/v1/load" && mMode.mFreeze) {
+  } else if (path == "/v1/load" && mFaults.Mode().mFreeze) {
     // A frozen engine answers nothing at all.
   } else if (path == "/v1/load") {
     aExchange->Answer(200, { kJson }, LoadJson());
   } else if (path == "/test/runs") {
     aExchange->Answer(200, { kJson }, RunsJson());
   } else if (path == "/test/mode" && aRequest.mMethod == "POST") {
-    SetMode(aRequest, aExchange);
+    mFaults.SetMode(aRequest, aExchange);
   } else {
     aExchange->Answer(404, {}, {});
   }
@@ -133,8 +127,12 @@
 fake_engine::Complete(const http_request& aRequest,
                       const exchange_ptr& aExchange)
 {
-  const misbehaviour faults = TakeFor(mMode);
-  if (FailsBeforeRun(faults, aExchange)) {
+  const misbehaviour faults = mFaults.Take();
+  if (mFaults.FailsBeforeRun(faults, aExchange)) {
+    return;
+  }
+  if (IsFull()) {
+    mFaults.Decline(aExchange, false);
     return;
   }
   json::error_code error;
@@ -165,39 +163,10 @@
 }
 
 bool
-fake_engine::FailsBeforeRun(const misbehaviour& aFaults,
-                            const exchange_ptr& aExchange)
+fake_engine::IsFull() const
 {
-  if (aFaults.mFreeze) {
-    return true;
-  }
-  if (aFaults.mCrashBeforeRun) {
-    aExchange->Cut();
-    return true;
-  }
-  if (aFaults.mErrorStatus) {
-    aExchange->Answer(*aFaults.mErrorStatus, {}, {});
-    return true;
-  }
-  const bool full =
-    mMaxWaiting > 0 &&
-    mStreams.size() >= mCore.Settings().mSlots + std::size_t{ mMaxWaiting };
-  if (aFaults.mDecline || aFaults.mLeaving || full) {
-    Decline(aExchange, aFaults.mLeaving);
-    return true;
-  }
-  return false;
-}
-
-void
-fake_engine::Decline(const exchange_ptr& aExchange, bool aLeaving)
-{
-  ++mDeclined;
-  std::vector<http_header> headers{ { "X-Request-Ran", "no" } };
-  if (aLeaving) {
-    headers.push_back({ "X-Leaving", "yes" });
-  }
-  aExchange->Answer(503, std::move(headers), {});
+  return mMaxWaiting > 0 && mStreams.size() >= mCore.Settings().mSlots +
+                                                 std::size_t{ mMaxWaiting };
 }
 
 void
@@ -225,22 +194,6 @@
   aExchange->Answer(found ? 200 : 404, {}, {});
 }
 
-void
-fake_engine::SetMode(const http_request& aRequest,
-                     const exchange_ptr& aExchange)
-{
-  const result<misbehaviour> mode = ReadMisbehaviour(aRequest.mBody);
-  if (!mode) {
-    aExchange->Answer(400, {}, "unknown or wrong field\n");
-    return;
-  }
-  mMode = *mode;
-  if (mOnRefuse) {
-    mOnRefuse(mMode.mRefuse);
-  }
-  aExchange->Answer(200, { kJson }, "{}");
-}
-
 std::string
 fake_engine::LoadJson() const
 {
@@ -250,8 +203,9 @@
     { "waiting", report.mWaiting },
     { "slots", report.mSlots },
     { "kv_used", report.mKvUsed },
-    { "step_ms", ToSeconds(mCore.Settings().mStep) * 1e3 * mMode.mSlowFactor },
-    { "leaving", mMode.mLeaving },
+    { "step_ms",
+      ToSeconds(mCore.Settings().mStep) * 1e3 * mFaults.Mode().mSlowFactor },
+    { "leaving", mFaults.Mode().mLeaving },
     { "age_ms", ToMilliseconds(report.mAge) },
     { "tokens_per_second", report.mTokensPerSecond } });
 }
@@ -271,7 +225,7 @@
     total.mTokens += record.mTokens;
   }
   json::object totals = RecordJson(total);
-  totals["declined"] = mDeclined;
+  totals["declined"] = mFaults.Declined();
   return json::serialize(
     json::object{ { "requests", requests }, { "totals", totals } });
 }
@@ -284,7 +238,7 @@
   }
   mStepScheduled = true;
   mLoop.After(
-    FromSeconds(ToSeconds(mCore.Settings().mStep) * mMode.mSlowFactor),
+    FromSeconds(ToSeconds(mCore.Settings().mStep) * mFaults.Mode().mSlowFactor),
     [this] { Step(); });
 }
 
--- a/thornhollow/testing/fake_engine.h
+++ b/thornhollow/testing/fake_engine.h
@@ -7,11 +7,11 @@
 #define THORNHOLLOW_TESTING_FAKE_ENGINE_H_
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <string>
 
 #include "thornhollow/testing/engine_core.h"
+#include "thornhollow/testing/fault_switch.h"
 #include "thornhollow/testing/http_server.h"
 #include "thornhollow/testing/misbehaviour.h"
 
@@ -26,8 +26,7 @@
               std::uint32_t aMaxWaiting);
 
   http_handler Handler();
-  // Called when the mode `refuse` is switched, with its new value.
-  void OnRefuse(std::function<void(bool)> aCallback);
+  fault_switch& Faults() { return mFaults; }
 
 private:
   struct stream
@@ -42,12 +41,9 @@
 
   void Handle(const http_request& aRequest, const exchange_ptr& aExchange);
   void Complete(const http_request& aRequest, const exchange_ptr& aExchange);
-  // True when a fault decided about the request before it was run.
-  bool FailsBeforeRun(const misbehaviour& aFaults,
-                      const exchange_ptr& aExchange);
-  void Decline(const exchange_ptr& aExchange, bool aLeaving);
+  // Whether the waiting queue has reached its bound.
+  bool IsFull() const;
   void Cancel(const http_request& aRequest, const exchange_ptr& aExchange);
-  void SetMode(const http_request& aRequest, const exchange_ptr& aExchange);
   std::string LoadJson() const;
   std::string RunsJson() const;
   void ScheduleStep();
@@ -61,11 +57,9 @@
   event_loop& mLoop;
   engine_core mCore;
   std::uint32_t mMaxWaiting;
-  misbehaviour mMode;
+  fault_switch mFaults;
   std::map<run_number, stream> mStreams;
-  std::function<void(bool)> mOnRefuse;
   bool mStepScheduled = false;
-  std::uint64_t mDeclined = 0;
 };
 
 } // namespace thornhollow::testing
--- a/thornhollow/testing/fake_engine_main.cc
+++ b/thornhollow/testing/fake_engine_main.cc
@@ -32,5 +32,5 @@
   };
   testing::event_loop loop;
   testing::fake_engine engine(loop, settings, FLAGS_max_waiting);
-  return testing::RunStandIn(loop, engine, FLAGS_listen, FLAGS_control);
+  return testing::RunEndpoint(loop, engine, FLAGS_listen, FLAGS_control);
 }
--- a/thornhollow/testing/fake_platform_main.cc
+++ b/thornhollow/testing/fake_platform_main.cc
@@ -3,8 +3,10 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <string>
+#include <utility>
 
 #include <gflags/gflags.h>
 
@@ -56,5 +58,12 @@
   if (!FLAGS_instances.empty()) {
     platform.SetInstances(ReadFile(FLAGS_instances));
   }
-  return testing::RunStandIn(loop, platform, FLAGS_listen, FLAGS_control);
+  return testing::ServeStandIn(
+    loop,
+    platform.Handler(),
+    [&platform](std::function<void(bool)> aSwitch) {
+      platform.OnRefuse(std::move(aSwitch));
+    },
+    FLAGS_listen,
+    FLAGS_control);
 }
--- a/thornhollow/testing/fake_service.cc
+++ b/thornhollow/testing/fake_service.cc
@@ -1,8 +1,5 @@
 #include "thornhollow/testing/fake_service.h"
 
-#include <utility>
-#include <vector>
-
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -50,12 +47,6 @@
   };
 }
 
-void
-fake_service::OnRefuse(std::function<void(bool)> aCallback)
-{
-  mOnRefuse = std::move(aCallback);
-}
-
 void
 fake_service::Handle(const http_request& aRequest,
                      const exchange_ptr& aExchange)
@@ -63,7 +54,7 @@
   if (aRequest.mPath == "/test/runs") {
     aExchange->Answer(200, { kJson }, RunsJson());
   } else if (aRequest.mPath == "/test/mode") {
-    SetMode(aRequest, aExchange);
+    mFaults.SetMode(aRequest, aExchange);
   } else {
     Call(aRequest, aExchange);
   }
@@ -72,8 +63,8 @@
 void
 fake_service::Call(const http_request& aRequest, const exchange_ptr& aExchange)
 {
-  const misbehaviour faults = TakeFor(mMode);
-  if (FailsBeforeRun(faults, aExchange)) {
+  const misbehaviour faults = mFaults.Take();
+  if (mFaults.FailsBeforeRun(faults, aExchange)) {
     return;
   }
   const std::string id = aRequest.Header("X-Request-Id");
@@ -98,57 +89,15 @@
     });
 }
 
-bool
-fake_service::FailsBeforeRun(const misbehaviour& aFaults,
-                             const exchange_ptr& aExchange)
-{
-  if (aFaults.mFreeze) {
-    return true;
-  }
-  if (aFaults.mCrashBeforeRun) {
-    aExchange->Cut();
-    return true;
-  }
-  if (aFaults.mErrorStatus) {
-    aExchange->Answer(*aFaults.mErrorStatus, {}, {});
-    return true;
-  }
-  if (aFaults.mDecline || aFaults.mLeaving) {
-    ++mDeclined;
-    std::vector<http_header> headers{ { "X-Request-Ran", "no" } };
-    if (aFaults.mLeaving) {
-      headers.push_back({ "X-Leaving", "yes" });
-    }
-    aExchange->Answer(503, std::move(headers), {});
-    return true;
-  }
-  return false;
-}
-
-void
-fake_service::SetMode(const http_request& aRequest,
-                      const exchange_ptr& aExchange)
-{
-  const result<misbehaviour> mode = ReadMisbehaviour(aRequest.mBody);
-  if (!mode) {
-    aExchange->Answer(400, {}, "unknown or wrong field\n");
-    return;
-  }
-  mMode = *mode;
-  if (mOnRefuse) {
-    mOnRefuse(mMode.mRefuse);
-  }
-  aExchange->Answer(200, { kJson }, "{}");
-}
-
 std::string
 fake_service::RunsJson() const
 {
-  return json::serialize(json::object{
-    { "requests", CountsJson(mRunsOfRequest) },
-    { "bodies", CountsJson(mRunsOfBody) },
-    { "totals",
-      json::object{ { "runs", mRuns }, { "declined", mDeclined } } } });
+  return json::serialize(
+    json::object{ { "requests", CountsJson(mRunsOfRequest) },
+                  { "bodies", CountsJson(mRunsOfBody) },
+                  { "totals",
+                    json::object{ { "runs", mRuns },
+                                  { "declined", mFaults.Declined() } } } });
 }
 
 } // namespace thornhollow::testing
--- a/thornhollow/testing/fake_service_main.cc
+++ b/thornhollow/testing/fake_service_main.cc
@@ -16,5 +16,5 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   testing::event_loop loop;
   testing::fake_service service(loop, Milliseconds(FLAGS_work_ms));
-  return testing::RunStandIn(loop, service, FLAGS_listen, FLAGS_control);
+  return testing::RunEndpoint(loop, service, FLAGS_listen, FLAGS_control);
 }
--- /dev/null
+++ b/thornhollow/testing/fault_switch.cc
@@ -0,0 +1,63 @@
+#include "thornhollow/testing/fault_switch.h"
+
+#include <utility>
+#include <vector>
+
+namespace thornhollow::testing {
+
+void
+fault_switch::OnRefuse(std::function<void(bool)> aCallback)
+{
+  mOnRefuse = std::move(aCallback);
+}
+
+void
+fault_switch::SetMode(const http_request& aRequest,
+                      const exchange_ptr& aExchange)
+{
+  const result<misbehaviour> mode = ReadMisbehaviour(aRequest.mBody);
+  if (!mode) {
+    aExchange->Answer(400, {}, "unknown or wrong field\n");
+    return;
+  }
+  mMode = *mode;
+  if (mOnRefuse) {
+    mOnRefuse(mMode.mRefuse);
+  }
+  aExchange->Answer(200, {}, "{}");
+}
+
+bool
+fault_switch::FailsBeforeRun(const misbehaviour& aFaults,
+                             const exchange_ptr& aExchange)
+{
+  if (aFaults.mFreeze) {
+    return true;
+  }
+  if (aFaults.mCrashBeforeRun) {
+    aExchange->Cut();
+    return true;
+  }
+  if (aFaults.mErrorStatus) {
+    aExchange->Answer(*aFaults.mErrorStatus, {}, {});
+    return true;
+  }
+  if (aFaults.mDecline || aFaults.mLeaving) {
+    Decline(aExchange, aFaults.mLeaving);
+    return true;
+  }
+  return false;
+}
+
+void
+fault_switch::Decline(const exchange_ptr& aExchange, bool aLeaving)
+{
+  ++mDeclined;
+  std::vector<http_header> headers{ { "X-Request-Ran", "no" } };
+  if (aLeaving) {
+    headers.push_back({ "X-Leaving", "yes" });
+  }
+  aExchange->Answer(503, std::move(headers), {});
+}
+
+} // namespace thornhollow::testing
--- /dev/null
+++ b/thornhollow/testing/fault_switch.h
@@ -0,0 +1,49 @@
+// The faults that a stand-in for an endpoint has switched on, and what they do
+// to a request before it is run.
+//
+//   if (path == "/test/mode") { mFaults.SetMode(request, exchange); }
+//   ...
+//   const misbehaviour faults = mFaults.Take();
+//   if (mFaults.FailsBeforeRun(faults, exchange)) { return; }
+#ifndef THORNHOLLOW_TESTING_FAULT_SWITCH_H_
+#define THORNHOLLOW_TESTING_FAULT_SWITCH_H_
+
+#include <cstdint>
+#include <functional>
+
+#include "thornhollow/testing/http_server.h"
+#include "thornhollow/testing/misbehaviour.h"
+
+namespace thornhollow::testing {
+
+class fault_switch
+{
+public:
+  // Called when the mode `refuse` is switched, with its new value.
+  void OnRefuse(std::function<void(bool)> aCallback);
+
+  // Answers POST /test/mode.
+  void SetMode(const http_request& aRequest, const exchange_ptr& aExchange);
+
+  // What is on now, whichever request it applies to.
+  const misbehaviour& Mode() const { return mMode; }
+  // The faults for one request; counts it against `mTimes`.
+  misbehaviour Take() { return TakeFor(mMode); }
+
+  // True when a fault decided about the request, which then must not be run.
+  bool FailsBeforeRun(const misbehaviour& aFaults,
+                      const exchange_ptr& aExchange);
+  // Answers that the request was not run, and counts it.
+  void Decline(const exchange_ptr& aExchange, bool aLeaving);
+
+  std::uint64_t Declined() const { return mDeclined; }
+
+private:
+  misbehaviour mMode;
+  std::uint64_t mDeclined = 0;
+  std::function<void(bool)> mOnRefuse;
+};
+
+} // namespace thornhollow::testing
+
+#endif // THORNHOLLOW_TESTING_FAULT_SWITCH_H_
--- a/thornhollow/testing/process/idempotency_key_test.py
+++ b/thornhollow/testing/process/idempotency_key_test.py
@@ -23,7 +23,9 @@
         super().setUp()
         self.desk = self.service("orders", "s1")
         self.publish()
-        for number in range(3):
+        # Twice as many as a key has witnesses: half of the keys have none of
+        # theirs in a given daemon, and only claims can protect these.
+        for number in range(6):
             self.daemon(f"d{number}")
         self.publish_instances()
         self.numbers = itertools.count()
@@ -64,7 +66,7 @@
             harness.wait_until(runs, f"an order is run; refused: {refusals}")
 
     def test_again_later_and_at_once_through_other_daemons(self):
-        first, second, third = self.daemons
+        first, second, third = self.daemons[:3]
         self.wait_until_vouched()
 
         order = self.new_order()
@@ -90,39 +92,46 @@
             ran += self.runs_of(order)
         self.assertGreater(ran, 0)
 
-    def test_holder_killed_while_the_order_runs(self):
-        """The caller sees its connection break and turns to the next daemon,
-        while the order desk still works on the order."""
-        holder, other, _ = self.daemons
+    def test_holder_killed_while_the_orders_run(self):
+        """The caller sees its connections break and turns to the next daemon,
+        while the order desk still works on the orders."""
+        holder, other = self.daemons[:2]
         self.wait_until_vouched()
         self.desk.mode(delay_ms=3000)
-        order = self.new_order()
-        broken = harness.Background(self.submit, holder, order)
-        harness.wait_until(lambda: self.runs_of(order) == 1, "the order runs")
+        orders = [self.new_order() for _ in range(12)]
+        broken = [harness.Background(self.submit, holder, order)
+                  for order in orders]
+        harness.wait_until(
+            lambda: all(self.runs_of(order) == 1 for order in orders),
+            "the orders run")
         holder.signal(harness.signal.SIGKILL)
         holder.wait()
-        self.assertEqual(broken.result().end, "cut")
-        again = self.submit(other, order)
-        self.assertEqual((again.end, again.ran), ("error", "no"), again)
-        self.assertEqual(self.runs_of(order), 1)
-
-    def test_holder_paused_with_the_order_in_its_socket(self):
-        """The paused daemon wakes late and finds an order that the caller has
+        self.assertEqual({call.result().end for call in broken}, {"cut"})
+        again = [self.submit(other, order) for order in orders]
+        self.assertEqual({answer.ran for answer in again}, {"no"}, again)
+        self.assertIn("key_held_elsewhere", {answer.kind for answer in again})
+        for order in orders:
+            self.assertEqual(self.runs_of(order), 1)
+
+    def test_holder_paused_with_the_orders_in_its_socket(self):
+        """The paused daemon wakes late and finds orders that the caller has
         long given to another one."""
-        holder, other, _ = self.daemons
+        holder, other = self.daemons[:2]
         self.wait_until_vouched()
-        order = self.new_order()
+        orders = [self.new_order() for _ in range(12)]
         holder.signal(harness.signal.SIGSTOP)
-        late = harness.Background(self.submit, holder, order)
-        answers = [self.submit(other, order) for _ in range(3)]
+        late = [harness.Background(self.submit, holder, order)
+                for order in orders]
+        answers = [self.submit(other, order) for order in orders]
+        self.assertIn("done", {answer.end for answer in answers}, answers)
         holder.signal(harness.signal.SIGCONT)
-        answers.append(late.result())
-        self.check(order, *answers)
+        for order, answer, call in zip(orders, answers, late):
+            self.check(order, answer, call.result())
 
-    def test_witness_replaced_without_memory(self):
-        """All but one of those who remember the order are replaced; the new
-        ones know nothing, and one stays."""
-        first, second, third = self.daemons
+    def test_two_instances_replaced_without_memory(self):
+        """Two of those who may remember the order are replaced; the new ones
+        know nothing, and at least one of three witnesses stays."""
+        first, second, third = self.daemons[:3]
         self.wait_until_vouched()
         order = self.new_order()
         answers = [self.submit(first, order)]
--- a/thornhollow/testing/stand_in.h
+++ b/thornhollow/testing/stand_in.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "thornhollow/testing/http_server.h"
 
@@ -21,19 +22,19 @@
              const std::string& aListen,
              const std::string& aControl);
 
-// The same for a stand-in with `Handler()` and `OnRefuse(callback)`.
-template<class stand_in>
+// The same for a stand-in for an endpoint, with `Handler()` and `Faults()`.
+template<class endpoint>
 int
-RunStandIn(event_loop& aLoop,
-           stand_in& aStandIn,
-           const std::string& aListen,
-           const std::string& aControl)
+RunEndpoint(event_loop& aLoop,
+            endpoint& aEndpoint,
+            const std::string& aListen,
+            const std::string& aControl)
 {
   return ServeStandIn(
     aLoop,
-    aStandIn.Handler(),
-    [&aStandIn](std::function<void(bool)> aSwitch) {
-      aStandIn.OnRefuse(std::move(aSwitch));
+    aEndpoint.Handler(),
+    [&aEndpoint](std::function<void(bool)> aSwitch) {
+      aEndpoint.Faults().OnRefuse(std::move(aSwitch));
     },
     aListen,
     aControl);
