--- a/thornhollow/policy/scheduler.h
+++ b/thornhollow/policy/scheduler.h
@@ -13,24 +13,56 @@
 // and `OnAttemptEnded`; to run it once more it calls `Resubmit`, which either
 // starts it elsewhere, lets it wait, or refuses. `Forget` ends a ticket whose
 // caller left while it waited.
+//
+// Instances tell each other about their load: what `Pressure` returns goes to
+// the others, a few times a second, and theirs comes in by `OnPeerPressure`.
 #ifndef THORNHOLLOW_POLICY_SCHEDULER_H_
 #define THORNHOLLOW_POLICY_SCHEDULER_H_
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
+#include "thornhollow/policy/clock_gap.h"
+#include "thornhollow/policy/endpoint_queue_window.h"
 #include "thornhollow/policy/endpoint_table.h"
 #include "thornhollow/policy/request_queue.h"
+#include "thornhollow/policy/retry_budget.h"
+#include "thornhollow/policy/run_time_estimate.h"
+#include "thornhollow/policy/team_in_flight.h"
 #include "thornhollow/policy/work.h"
 
 namespace thornhollow {
 
+// The endpoint side without its headroom for high tiers: what waits in the
+// endpoints' queues is bounded by `endpoint_queue_window` here, which leaves
+// classes their minimum shares (docs/design/decisions_under_load.md).
+inline endpoint_table_settings
+WithoutHeadroom()
+{
+  endpoint_table_settings settings;
+  settings.mRecord.mHeadroom = {};
+  return settings;
+}
+
 struct scheduler_settings
 {
-  endpoint_table_settings mEndpoints;
+  endpoint_table_settings mEndpoints = WithoutHeadroom();
   request_queue_settings mQueue;
+  retry_budget_settings mRetries;
+  run_time_settings mRunTimes;
+  clock_gap_settings mClockGap;
+  endpoint_queue_settings mEndpointQueues;
+  // The lowest tier whose requests may wait in endpoints' own queues without
+  // being owed their class's share.
+  int mLowestBeyond = 2;
+  // Requests of this instance that may wait in one endpoint's queue: as many as
+  // an ordinary batch, so that its next batch is not wholly decided here.
+  std::uint32_t mMostBeyond = 8;
+  // The same of those that take their class's share: long work, mostly.
+  std::uint32_t mMostOwedBeyond = 1;
 
   friend bool operator==(const scheduler_settings&,
                          const scheduler_settings&) = default;
@@ -76,10 +108,33 @@
                             endpoint_state aState,
                             time_point aNow);
 
+  // How each pool under load fares here, for the other instances.
+  std::vector<tier_pressure> Pressure(time_point aNow) const;
+  // The same of another instance, as it came in.
+  decisions OnPeerPressure(const instance_name& aFrom,
+                           const tier_pressure& aPressure,
+                           time_point aNow);
+
+  // Who this instance is and which entry instances its domain has; takes effect
+  // with the next `Configure`.
+  void SetRouters(const instance_name& aOwn,
+                  const std::vector<instance_name>& aRouters);
+
+  // How long a request like this would wait now, by what was measured.
+  duration PredictedWait(const work_item& aItem, time_point aNow) const;
+
+  // The endpoints as this instance sees them, by name.
+  std::vector<endpoint_status> Endpoints(time_point aNow) const;
+
   // Does what falls due: refuses requests whose deadline passed, starts what
   // fits.
   decisions Advance(time_point aNow);
 
+  // The same, called every `clock_gap::kTickEvery`. From the first call on, a
+  // long step between two calls of any kind means that this process stood
+  // still: what was believed before no longer counts.
+  decisions Tick(time_point aNow);
+
   // When `Advance` has something to do next; nothing where it has not.
   std::optional<time_point> NextDue() const;
 
@@ -93,18 +148,59 @@
     std::vector<endpoint_name> mTried;
     // Set while an attempt holds a place.
     std::optional<endpoint_name> mPlace;
+    bool mOwed = false;
     time_point mStarted{};
+    // Charged when it started.
+    double mCost = 0;
+    // It was sent to wait in the endpoint's own queue, and no token came yet.
+    bool mBeyond = false;
   };
+  struct pool_windows
+  {
+    explicit pool_windows(const endpoint_queue_settings& aSettings);
 
+    // By tier, highest first; the last is for what takes its minimum share.
+    std::vector<endpoint_queue_window> mWindows;
+  };
+  using in_progress = std::unordered_map<ticket, progress>;
+
+  endpoint_queue_window* WindowFor(const work_item& aItem, bool aOwed);
+  std::optional<endpoint_name> Choose(progress& aProgress,
+                                      bool aOwed,
+                                      time_point aNow);
+  work_estimate Estimate(const work_item& aItem) const;
+  // Every call starts here: notices a gap in the clock, and refuses what can't
+  // finish any more before anything is started.
+  void Begin(time_point aNow, decisions& aOut);
   void StartWhatFits(time_point aNow, decisions& aOut);
+  void StartWhatFits(const pool_name& aPool, time_point aNow, decisions& aOut);
+  void Start(progress& aProgress,
+             const endpoint_name& aEndpoint,
+             bool aOwed,
+             time_point aNow,
+             decisions& aOut);
+  void Refuse(const refuse& aRefusal, decisions& aOut);
+  void RefuseUndeclared(const declarations& aDeclared,
+                        time_point aNow,
+                        decisions& aOut);
+  void Drop(in_progress::iterator aProgress);
   void ReleasePlace(progress& aProgress,
                     attempt_end aHow,
                     std::uint32_t aTokens,
                     time_point aNow);
 
+  scheduler_settings mSettings;
   endpoint_table mEndpoints;
   request_queue mQueue;
-  std::unordered_map<ticket, progress> mInProgress;
+  retry_budget mRetries;
+  run_time_estimate mRunTimes;
+  team_in_flight mTeams;
+  clock_gap mClock;
+  // Whether the owner calls `Tick`.
+  bool mTicking = false;
+  time_point mNow{};
+  in_progress mInProgress;
+  std::unordered_map<pool_name, pool_windows> mWindows;
 };
 
 } // namespace thornhollow
