--- a/thornhollow/policy/endpoint_table.cc
+++ b/thornhollow/policy/endpoint_table.cc
@@ -18,6 +18,10 @@
 // while their report fades.
 constexpr duration kRecheckEvery = Milliseconds(250);
 
+// States of endpoints that are not declared are forgotten above this many, far
+// more than the 850 endpoints of the largest size.
+constexpr std::size_t kMostStatesKept = 4096;
+
 constexpr std::array<pool_index::rank, 2> kRanks{ pool_index::kOwnDomain,
                                                   pool_index::kOtherDomain };
 
@@ -56,7 +60,7 @@
   mView.mDomain = aOwnDomain;
   AddToPools(aDeclared);
   mLengths.Configure(aDeclared);
-  DropUnused();
+  DropUnused(aNow);
   for (std::optional<entry>& each : mEntries) {
     if (each) {
       Refresh(*each, aNow);
@@ -75,9 +79,13 @@
       serving[pool].push_back(&each);
     }
   }
-  std::erase_if(mNotLive, [&names](const auto& aEach) {
-    return !names.contains(aEach.first);
-  });
+  // The list goes on naming an endpoint that is not declared for a while; were
+  // its state forgotten, it would be taken for live when it is declared again.
+  if (mNotLive.size() > kMostStatesKept) {
+    std::erase_if(mNotLive, [&names](const auto& aEach) {
+      return !names.contains(aEach.first);
+    });
+  }
   std::erase_if(mPools, [&serving](const auto& aEach) {
     return !serving.contains(aEach.first);
   });
@@ -140,12 +148,17 @@
 }
 
 void
-endpoint_table::DropUnused()
+endpoint_table::DropUnused(time_point aNow)
 {
   for (endpoint_number number = 0; number < mEntries.size(); ++number) {
     std::optional<entry>& each = mEntries[number];
-    // One with requests in flight stays until they ended and counts them.
-    if (each && !each->mRecord.IsDeclared() && each->mRecord.InFlight() == 0) {
+    if (!each || each->mRecord.IsDeclared()) {
+      continue;
+    }
+    // One with requests in flight stays until they ended and counts them; one
+    // that said it leaves stays as long as its word counts, lest it get work
+    // when it is declared again.
+    if (each->mRecord.InFlight() == 0 && !each->mRecord.OwnWordEnds(aNow)) {
       mNumbers.erase(each->mRecord.Declared().mName);
       mAffinity.Forget(number);
       each.reset();
--- a/thornhollow/policy/endpoint_table.h
+++ b/thornhollow/policy/endpoint_table.h
@@ -194,7 +194,7 @@
   void AddToPool(const pool_name& aPool,
                  const std::vector<const endpoint*>& aServing,
                  bool aHonoursTiers);
-  void DropUnused();
+  void DropUnused(time_point aNow);
   // Brings the pools up to date with what changed about an endpoint.
   void Refresh(entry& aEntry, time_point aNow);
   void ScheduleRecheck(entry& aEntry, time_point aNow);
