policy: cost and memory of the endpoint table, measured

Cause: the cost of a decision at 850 endpoints was not known. Change: endpoint_table_benchmark, and a test that counts allocations by replacing operator new in the test program (also under the sanitizers).

--- /dev/null
+++ b/thornhollow/policy/endpoint_table_allocations_test.cc
@@ -0,0 +1,163 @@
+// Counts what one decision allocates. The program's operator new is replaced
+// here, for the whole test program, by one that counts while it is told to.
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <new>
+#include <string>
+
+#include <doctest/doctest.h>
+#include <malloc.h>
+
+#include "thornhollow/policy/endpoint_table.h"
+
+namespace {
+
+bool gCounting = false;
+std::size_t gAllocations = 0;
+// Held, by what the allocator set aside.
+std::size_t gBytes = 0;
+
+// Null where there is no memory.
+void*
+Allocate(std::size_t aSize) noexcept
+{
+  void* const made = std::malloc(aSize == 0 ? 1 : aSize);
+  if (gCounting && made != nullptr) {
+    ++gAllocations;
+    gBytes += malloc_usable_size(made);
+  }
+  return made;
+}
+
+void
+Free(void* aMemory) noexcept
+{
+  if (gCounting && aMemory != nullptr) {
+    gBytes -= malloc_usable_size(aMemory);
+  }
+  std::free(aMemory);
+}
+
+} // namespace
+
+void*
+operator new(std::size_t aSize)
+{
+  if (void* const made = Allocate(aSize)) {
+    return made;
+  }
+  throw std::bad_alloc();
+}
+
+// The standard library's temporary buffers come from this one.
+void*
+operator new(std::size_t aSize, const std::nothrow_t& /*aTag*/) noexcept
+{
+  return Allocate(aSize);
+}
+
+void
+operator delete(void* aMemory) noexcept
+{
+  Free(aMemory);
+}
+
+void
+operator delete(void* aMemory, std::size_t /*aSize*/) noexcept
+{
+  Free(aMemory);
+}
+
+namespace thornhollow {
+namespace {
+
+// Names longer than what a string holds without an allocation.
+constexpr const char* kNamePrefix = "an-endpoint-with-a-rather-long-name-";
+// Bounds that CI checks. A decision returns the endpoint's name, which is one
+// allocation where the name is long; nothing else may be allocated per request.
+constexpr double kMostPerDecision = 1.01;
+// What one endpoint takes: its record, name, places in lists, and its part of
+// the hash tables.
+constexpr std::size_t kMostBytesPerEndpoint = 2200;
+
+struct counted_table
+{
+  counted_table() { gCounting = false; }
+  ~counted_table() { gCounting = false; }
+  counted_table(const counted_table&) = delete;
+  counted_table& operator=(const counted_table&) = delete;
+
+  static void Start()
+  {
+    gAllocations = 0;
+    gBytes = 0;
+    gCounting = true;
+  }
+
+  static declarations Declared(int aCount)
+  {
+    declarations declared;
+    for (int i = 0; i < aCount; ++i) {
+      declared.mEndpoints.push_back(
+        { endpoint_name(kNamePrefix + std::to_string(i)),
+          domain_name("d" + std::to_string(i % 3)),
+          "127.0.0.1:1",
+          { pool_name("m") },
+          8 });
+    }
+    return declared;
+  }
+
+  // A request from its decision to its answer.
+  void Serve(work_item& aItem)
+  {
+    ++aItem.mTicket;
+    aItem.mPrefix = aItem.mTicket % 100;
+    mNow += Milliseconds(5);
+    const auto chosen = mTable.Choose(aItem, {}, mNow);
+    mTable.OnSent(*chosen, aItem, mNow);
+    mTable.OnFirstToken(*chosen, aItem, Milliseconds(5), mNow);
+    mTable.OnEnded(
+      *chosen, aItem, attempt_end::kCompleted, 100, Milliseconds(600), mNow);
+  }
+
+  time_point mNow{ Seconds(100) };
+  endpoint_table mTable{ endpoint_table_settings{}, 1 };
+};
+
+TEST_CASE_FIXTURE(counted_table,
+                  "endpoint_table/thousand_requests/one_allocation_each")
+{
+  mTable.Configure(Declared(850), domain_name("d0"), mNow);
+  work_item item;
+  item.mPool = pool_name("m");
+  item.mClass = class_name("c");
+  for (int i = 0; i < 1000; ++i) {
+    Serve(item);
+  }
+  Start();
+  for (int i = 0; i < 1000; ++i) {
+    Serve(item);
+  }
+  gCounting = false;
+  CHECK(static_cast<double>(gAllocations) / 1000 <= kMostPerDecision);
+}
+
+TEST_CASE_FIXTURE(counted_table,
+                  "endpoint_table/thousand_endpoints/memory_of_each_bounded")
+{
+  const declarations declared = Declared(1000);
+  endpoint_table_settings settings;
+  settings.mSubset.mMostPerPool = 1000;
+  mTable = endpoint_table(settings, 1);
+  Start();
+  mTable.Configure(declared, domain_name("d0"), mNow);
+  gCounting = false;
+  MESSAGE("bytes held for each endpoint: " << gBytes / 1000);
+  CHECK(gBytes / 1000 <= kMostBytesPerEndpoint);
+}
+
+} // namespace
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/policy/endpoint_table_benchmark.cc
@@ -0,0 +1,171 @@
+// Cost of one decision over endpoints. docs/design/endpoint_choice.md has the
+// figures and the commands.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <benchmark/benchmark.h>
+
+#include "thornhollow/policy/endpoint_subset.h"
+#include "thornhollow/policy/endpoint_table.h"
+
+namespace thornhollow {
+namespace {
+
+constexpr std::uint32_t kSlots = 8;
+constexpr std::int64_t kSizes[] = { 8, 77, 850 };
+
+struct benchmark_table
+{
+  // `aWhole`: every endpoint, to see the slope; else the usual subset.
+  benchmark_table(std::int64_t aEndpoints, bool aWhole)
+    : mTable(Settings(aWhole), 1)
+  {
+    declarations declared;
+    for (std::int64_t i = 0; i < aEndpoints; ++i) {
+      declared.mEndpoints.push_back(
+        { endpoint_name("engine-" + std::to_string(i)),
+          domain_name("d" + std::to_string(i % 3)),
+          "127.0.0.1:1",
+          { pool_name("m") },
+          kSlots });
+    }
+    mTable.Configure(declared, domain_name("d0"), mNow);
+    mItem.mPool = pool_name("m");
+    mItem.mClass = class_name("c");
+    mItem.mPromptTokens = 500;
+  }
+
+  static endpoint_table_settings Settings(bool aWhole)
+  {
+    endpoint_table_settings settings;
+    settings.mSubset.mMostPerPool = aWhole ? 1000 : 16;
+    return settings;
+  }
+
+  std::optional<endpoint_name> Send()
+  {
+    ++mItem.mTicket;
+    mItem.mPrefix = mItem.mTicket % 1000;
+    mNow += Milliseconds(1);
+    auto chosen = mTable.Choose(mItem, {}, mNow);
+    if (chosen) {
+      mTable.OnSent(*chosen, mItem, mNow);
+    }
+    return chosen;
+  }
+
+  void Answer(const endpoint_name& aEndpoint)
+  {
+    mTable.OnFirstToken(aEndpoint, mItem, Milliseconds(1), mNow);
+    mTable.OnEnded(
+      aEndpoint, mItem, attempt_end::kCompleted, 100, Milliseconds(600), mNow);
+  }
+
+  time_point mNow{ Seconds(100) };
+  work_item mItem;
+  endpoint_table mTable;
+};
+
+// From the decision to the end of the answer, all else idle.
+void
+ServeOne(benchmark::State& aState)
+{
+  benchmark_table table(aState.range(0), aState.range(1) != 0);
+  for (auto _ : aState) {
+    table.Answer(*table.Send());
+  }
+}
+
+// A decision while every place is taken: what each event costs in an overload.
+void
+ChooseWhileFull(benchmark::State& aState)
+{
+  benchmark_table table(aState.range(0), aState.range(1) != 0);
+  while (table.Send()) {
+  }
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(table.Send());
+  }
+}
+
+// One place free among all.
+void
+ChooseLastPlace(benchmark::State& aState)
+{
+  benchmark_table table(aState.range(0), aState.range(1) != 0);
+  const endpoint_name freed = *table.Send();
+  while (table.Send()) {
+  }
+  for (auto _ : aState) {
+    table.Answer(freed);
+    benchmark::DoNotOptimize(table.Send());
+  }
+}
+
+void
+TakeReport(benchmark::State& aState)
+{
+  benchmark_table table(aState.range(0), aState.range(1) != 0);
+  const endpoint_name reporting = *table.Send();
+  load_report report;
+  report.mRunning = 4;
+  for (auto _ : aState) {
+    table.mNow += Milliseconds(1);
+    report.mTakenAt = table.mNow;
+    table.mTable.OnLoadReport(reporting, report, table.mNow);
+  }
+}
+
+// A change of configuration.
+void
+Configure(benchmark::State& aState)
+{
+  for (auto _ : aState) {
+    benchmark_table table(aState.range(0), aState.range(1) != 0);
+    benchmark::DoNotOptimize(table.mTable.Places(pool_name("m")));
+  }
+}
+
+void
+Sizes(benchmark::internal::Benchmark* aBenchmark)
+{
+  aBenchmark->ArgNames({ "endpoints", "whole" });
+  for (const std::int64_t size : kSizes) {
+    aBenchmark->Args({ size, 1 });
+    aBenchmark->Args({ size, 0 });
+  }
+}
+
+BENCHMARK(ServeOne)->Apply(Sizes);
+BENCHMARK(ChooseWhileFull)->Apply(Sizes);
+BENCHMARK(ChooseLastPlace)->Apply(Sizes);
+BENCHMARK(TakeReport)->Apply(Sizes);
+BENCHMARK(Configure)->Apply(Sizes);
+
+// One pool of 850 endpoints in 11 domains as one of 38 routers sees it.
+void
+ChooseSubsetAt850(benchmark::State& aState)
+{
+  std::vector<subset_candidate> pool;
+  pool.reserve(850);
+  for (int i = 0; i < 850; ++i) {
+    pool.push_back({ endpoint_name("engine-" + std::to_string(i)),
+                     domain_name("d" + std::to_string(i % 11)) });
+  }
+  subset_view view{ instance_name("router-0"), {}, domain_name("d0") };
+  for (int i = 0; i < 38; ++i) {
+    view.mRouters.emplace_back("router-" + std::to_string(i));
+  }
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(
+      ChooseSubset(pool, view, endpoint_subset_settings{}));
+  }
+}
+
+BENCHMARK(ChooseSubsetAt850);
+
+} // namespace
+} // namespace thornhollow
