--- a/thornhollow/fleet/peer_messages.h
+++ b/thornhollow/fleet/peer_messages.h
@@ -11,6 +11,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -30,7 +31,7 @@
 inline constexpr std::size_t kMaxNameBytes = 128;
 // Bytes of a configuration part or a manifest: the platform holds values up to
 // a megabyte.
-inline constexpr std::size_t kMaxPartBytes = std::size_t{ 1 } << 20;
+inline constexpr std::size_t kMaxCarriedBytes = std::size_t{ 1 } << 20;
 
 // Orders what is known of one member. The epoch tells processes of the same
 // name apart (taken from the clock when the process starts); the revision is
@@ -121,8 +122,8 @@
   std::uint64_t mConfigurationVersion = 0;
   std::vector<pool_pressure> mPressures;
   std::vector<leaving_endpoint> mLeaving;
-  // What the sender says of its configuration.
-  config_word mConfiguration;
+  // With the configuration version: see config_hint.
+  std::optional<duration> mPlatformAge;
 
   friend bool operator==(const gossip_message&,
                          const gossip_message&) = default;
--- a/thornhollow/wire/codec.cc
+++ b/thornhollow/wire/codec.cc
@@ -187,6 +187,14 @@
                    boost::algorithm::hex_lower(aWire.digest) };
 }
 
+// An age from the future would make a peer's word count as fresh for ever.
+duration
+PlatformAge(std::int64_t aMilliseconds)
+{
+  return Milliseconds(
+    std::clamp(aMilliseconds, std::int64_t{ 0 }, ToMilliseconds(kUnknownAge)));
+}
+
 // Nothing where a revision is there but none that can be read.
 std::optional<config_word>
 FromWire(const wire::config_word& aWire)
@@ -198,9 +206,7 @@
   if (aWire.__isset.newest && !(out.mNewest = FromWire(aWire.newest))) {
     return std::nullopt;
   }
-  // An age from the future would make a peer's word count as fresh for ever.
-  out.mPlatformAge = Milliseconds(std::clamp(
-    aWire.platform_age_ms, std::int64_t{ 0 }, ToMilliseconds(kUnknownAge)));
+  out.mPlatformAge = PlatformAge(aWire.platform_age_ms);
   return out;
 }
 
@@ -310,7 +316,7 @@
 std::optional<stream_message>
 FromWire(const wire::part_answer& aWire)
 {
-  if (!IsName(aWire.digest) || aWire.bytes.size() > kMaxPartBytes) {
+  if (!IsName(aWire.digest) || aWire.bytes.size() > kMaxCarriedBytes) {
     return std::nullopt;
   }
   return part_answer{ aWire.digest, aWire.found, aWire.bytes };
@@ -352,7 +358,9 @@
   out.__set_target(aMessage.mTarget.Text());
   AppendTo(out.members, aMessage.mMembers);
   out.__set_configuration_version(Signed(aMessage.mConfigurationVersion));
-  out.__set_configuration(ToWire(aMessage.mConfiguration));
+  if (aMessage.mPlatformAge) {
+    out.__set_platform_age_ms(ToMilliseconds(*aMessage.mPlatformAge));
+  }
   AppendTo(out.pressures, aMessage.mPressures);
   AppendTo(out.leaving, aMessage.mLeaving);
   return Write(out);
@@ -382,12 +390,8 @@
   out.mTarget = instance_name(read->target);
   AppendKnown(out.mMembers, read->members);
   out.mConfigurationVersion = Unsigned(read->configuration_version);
-  if (read->__isset.configuration) {
-    const auto word = FromWire(read->configuration);
-    if (!word) {
-      return Fail(error_kind::kMalformedRequest, "gossip: no revision");
-    }
-    out.mConfiguration = *word;
+  if (read->__isset.platform_age_ms) {
+    out.mPlatformAge = PlatformAge(read->platform_age_ms);
   }
   AppendKnown(out.mPressures, read->pressures);
   AppendKnown(out.mLeaving, read->leaving);
@@ -405,7 +409,7 @@
 result<stream_message>
 DecodeStream(std::string_view aBytes)
 {
-  if (aBytes.size() > kMaxPartBytes + kMaxDatagramBytes) {
+  if (aBytes.size() > kMaxCarriedBytes + kMaxDatagramBytes) {
     return Fail(error_kind::kMalformedRequest, "stream: too long");
   }
   const auto read = Read<wire::stream_message>(aBytes, kMaxMessageEntries);
