policy: headroom for high tiers out, endpoint queue windows do its work

Cause: the scheduler bounds by endpoint_queue_window what waits in the engines' queues, which follows the wait and knows what a class is owed. The headroom of the endpoint table does the same with fixed figures. Change: headroom and the lists of free places by tier are gone from the table (the fixture of scheduler_test is as it was, with_headroom leaves the catalog); the catalog has policies without each part of the endpoint side.

--- a/thornhollow/policy/endpoint_table.cc
+++ b/thornhollow/policy/endpoint_table.cc
@@ -246,8 +246,7 @@
 endpoint_table::Sample(pool_index::rank aRank, search& aSearch)
 {
   for (std::size_t i = 0; i < mSettings.mChoice.mSample; ++i) {
-    const auto& withPlace =
-      aSearch.mPool.mIndex.WithPlace(aRank, aSearch.mItem.mTier);
+    const auto& withPlace = aSearch.mPool.mIndex.WithPlace(aRank);
     if (withPlace.empty()) {
       return;
     }
@@ -259,8 +258,7 @@
 void
 endpoint_table::Walk(pool_index::rank aRank, search& aSearch)
 {
-  const auto& withPlace =
-    aSearch.mPool.mIndex.WithPlace(aRank, aSearch.mItem.mTier);
+  const auto& withPlace = aSearch.mPool.mIndex.WithPlace(aRank);
   if (withPlace.empty()) {
     return;
   }
@@ -282,9 +280,7 @@
 {
   entry& candidate = *mEntries[aNumber];
   Refresh(candidate, aSearch.mNow);
-  const int tier = std::clamp(aSearch.mItem.mTier, kHighestTier, kLowestTier);
-  if (candidate.mRecord.LowestTierWithPlace(aSearch.mNow) < tier ||
-      !Fits(candidate, aSearch)) {
+  if (!candidate.mRecord.HasPlace(aSearch.mNow) || !Fits(candidate, aSearch)) {
     return;
   }
   const double cost = Cost(aNumber, aSearch);
@@ -376,14 +372,14 @@
     const endpoint_record& record = candidate.mRecord;
     if (!record.HonoursTiers() || !record.MayTakeWork(aNow) ||
         record.Health().Share() < 1 || record.Others(aNow) <= 0 ||
-        record.InFlight() >= record.Capacity(kLowestTier, aNow) + aBeyond ||
+        record.InFlight() >= record.Capacity(aNow) + aBeyond ||
         !Fits(candidate, look)) {
       continue;
     }
     // The shortest queue first: a cached prefix doesn't make up for a queue,
     // and everybody's would grow at its holder.
     const std::uint32_t inFlight = record.InFlight();
-    const std::uint32_t capacity = record.Capacity(kLowestTier, aNow);
+    const std::uint32_t capacity = record.Capacity(aNow);
     const std::uint32_t queued = inFlight > capacity ? inFlight - capacity : 0;
     const double cost = Cost(number, look);
     if (!look.mBest ||
@@ -594,13 +590,13 @@
   member_state state;
   state.mLive = record.MayTakeWork(aNow);
   state.mServing = state.mLive && share > 0;
-  state.mLowestTier = record.LowestTierWithPlace(aNow);
-  state.mPlaces = state.mServing ? record.Capacity(kLowestTier, aNow) : 0;
+  state.mHasPlace = record.HasPlace(aNow);
+  state.mPlaces = state.mServing ? record.Capacity(aNow) : 0;
   state.mLost = state.mLive ? 1 - share : 0;
   for (const membership& each : aEntry.mPools) {
     each.mPool->Update(each.mMember, state);
   }
-  if (state.mLowestTier < kLowestTier) {
+  if (!state.mHasPlace) {
     ScheduleRecheck(aEntry, aNow);
   }
 }
--- a/thornhollow/policy/endpoint_table_test.cc
+++ b/thornhollow/policy/endpoint_table_test.cc
@@ -142,21 +142,16 @@
   CHECK(sent.size() >= 5);
 }
 
-// All engines are full of low tiers that other routers sent. A route note that
-// waited in this router for a place would wait until those routers stop.
+// Eight routers share an endpoint that the others keep full. One that comes
+// late would never get in: each place that falls free is filled again at once.
 TEST_CASE_FIXTURE(table_fixture,
-                  "endpoint_table/engine_full_of_low_tier/high_tier_still_goes")
+                  "endpoint_table/others_hold_every_place/even_part_still_goes")
 {
-  Declare(1, 8);
-  mTable.OnLoadReport(Name(0), Report(8, mNow), mNow);
-  CHECK(Send(Item(4)));
-  CHECK_FALSE(Send(Item(4)));
-  int sent = 0;
-  while (Send(Item(1))) {
-    ++sent;
-  }
-  // 8 slots and 24 of headroom, less 8 of others and the one of tier 4.
-  CHECK(sent == 23);
+  Declare(1, 16);
+  mTable.OnLoadReport(Name(0), Report(16, mNow), mNow);
+  CHECK(Send(Item()));
+  CHECK(Send(Item()));
+  CHECK_FALSE(Send(Item()));
 }
 
 // The platform's list lags: it says that an endpoint is live which has told
--- a/thornhollow/policy/internal/endpoint_record.cc
+++ b/thornhollow/policy/internal/endpoint_record.cc
@@ -188,31 +188,16 @@
 // request of theirs at once: it may always hold its even part of the limit. The
 // engine then has a little more than its limit, the others see that in the next
 // report and hold back until each has its part.
-//
-// The engine's queue is the only one that all routers share, and it honours
-// tiers. So a high tier may go beyond the limit: it gets the next free place
-// there, before what another router would send of a lower tier, while lower
-// tiers find the engine full and wait in the routers, where they can still be
-// refused, reordered or sent elsewhere. Without it a router that gets all of
-// the highest tier waits while the others keep the engines full of lower ones.
-//
-// Grounds for the headroom: three times the slots hold what a burst of tier 1
-// brings in the second that reports need to tell the others; tier 2 gets less,
-// so that it can't fill what tier 1 needs; the lowest gets none.
 std::uint32_t
-endpoint_record::Capacity(int aTier, time_point aNow) const
+endpoint_record::Capacity(time_point aNow) const
 {
   const std::uint32_t limit = mLimit.Limit();
-  const auto tier = static_cast<std::size_t>(
-    std::clamp(aTier, kHighestTier, kLowestTier) - kHighestTier);
   const double others = mLoad.Others(aNow);
-  const double headroom =
-    mHonoursTiers ? mDeclared.mSlots * mSettings.mHeadroom[tier] : 0;
-  double places = std::round(limit + headroom);
+  double places = limit;
   if (others > 0) {
     const double even =
       std::floor(static_cast<double>(limit) / mSettings.mRouters);
-    places = std::max({ 1.0, even, std::round(places - others) });
+    places = std::max({ 1.0, even, std::round(limit - others) });
   }
   std::uint32_t capacity = mHealth.Allowance(
     static_cast<std::uint32_t>(places), mLoad.InFlight(), aNow);
@@ -222,24 +207,16 @@
   return capacity;
 }
 
-int
-endpoint_record::LowestTierWithPlace(time_point aNow) const
+bool
+endpoint_record::HasPlace(time_point aNow) const
 {
-  if (!MayTakeWork(aNow)) {
-    return 0;
-  }
-  int tier = kLowestTier;
-  while (tier >= kHighestTier && mLoad.InFlight() >= Capacity(tier, aNow)) {
-    --tier;
-  }
-  return tier;
+  return MayTakeWork(aNow) && mLoad.InFlight() < Capacity(aNow);
 }
 
 bool
 endpoint_record::HasPlaceForLong(time_point aNow) const
 {
-  const double most =
-    std::floor(Capacity(kLowestTier, aNow) * mSettings.mLongShare);
+  const double most = std::floor(Capacity(aNow) * mSettings.mLongShare);
   return mLong < std::max(1.0, most);
 }
 
--- a/thornhollow/policy/internal/endpoint_record.h
+++ b/thornhollow/policy/internal/endpoint_record.h
@@ -2,7 +2,6 @@
 #ifndef THORNHOLLOW_POLICY_INTERNAL_ENDPOINT_RECORD_H_
 #define THORNHOLLOW_POLICY_INTERNAL_ENDPOINT_RECORD_H_
 
-#include <array>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -21,9 +20,6 @@
   endpoint_health_settings mHealth;
   // Routers that may share an endpoint; see `Capacity`.
   std::uint32_t mRouters = 8;
-  // What each tier, from the highest, may take beyond the limit, as a part of
-  // the declared slots; see `Capacity`.
-  std::array<double, 4> mHeadroom{ 3, 2, 0.5, 0 };
   // How long an endpoint's own word that it leaves outweighs a list that says
   // it is live.
   duration mOwnWordLife = Seconds(30);
@@ -86,10 +82,9 @@
   // Until when the endpoint's own word that it leaves counts; nothing where it
   // gave none.
   std::optional<time_point> OwnWordEnds(time_point aNow) const;
-  // Own requests that may be in flight there for one of `aTier` to be added.
-  std::uint32_t Capacity(int aTier, time_point aNow) const;
-  // The lowest tier that finds a place there; zero where none does.
-  int LowestTierWithPlace(time_point aNow) const;
+  // Own requests that may be in flight there now.
+  std::uint32_t Capacity(time_point aNow) const;
+  bool HasPlace(time_point aNow) const;
   // Whether one more long request fits beside those there.
   bool HasPlaceForLong(time_point aNow) const;
   // Own requests in flight there as a share of the limit.
--- a/thornhollow/policy/internal/pool_index.cc
+++ b/thornhollow/policy/internal/pool_index.cc
@@ -39,7 +39,7 @@
 std::uint32_t
 pool_index::Add(std::uint32_t aEndpoint, rank aRank)
 {
-  mMembers.push_back({ aEndpoint, aRank, {}, {} });
+  mMembers.push_back({ aEndpoint, aRank, 0, {} });
   return static_cast<std::uint32_t>(mMembers.size() - 1);
 }
 
@@ -58,11 +58,10 @@
   mServing += static_cast<std::uint32_t>(aState.mServing) -
               static_cast<std::uint32_t>(before.mServing);
   mLost = std::max(0.0, mLost + aState.mLost - before.mLost);
-  for (int tier = before.mLowestTier + 1; tier <= aState.mLowestTier; ++tier) {
-    Insert(aMember, tier);
-  }
-  for (int tier = before.mLowestTier; tier > aState.mLowestTier; --tier) {
-    Erase(aMember, tier);
+  if (aState.mHasPlace && !before.mHasPlace) {
+    Insert(aMember);
+  } else if (!aState.mHasPlace && before.mHasPlace) {
+    Erase(aMember);
   }
 }
 
@@ -79,26 +78,25 @@
 }
 
 void
-pool_index::Insert(std::uint32_t aMember, int aTier)
+pool_index::Insert(std::uint32_t aMember)
 {
   member& added = mMembers[aMember];
-  list& into = mLists[added.mRank][ListOf(aTier)];
-  added.mPosition[ListOf(aTier)] =
-    static_cast<std::uint32_t>(into.mEndpoints.size());
+  list& into = mLists[added.mRank];
+  added.mPosition = static_cast<std::uint32_t>(into.mEndpoints.size());
   into.mEndpoints.push_back(added.mEndpoint);
   into.mMembers.push_back(aMember);
 }
 
 void
-pool_index::Erase(std::uint32_t aMember, int aTier)
+pool_index::Erase(std::uint32_t aMember)
 {
   const member& erased = mMembers[aMember];
-  list& from = mLists[erased.mRank][ListOf(aTier)];
+  list& from = mLists[erased.mRank];
   // The last one takes the place of the erased one.
-  const std::uint32_t position = erased.mPosition[ListOf(aTier)];
+  const std::uint32_t position = erased.mPosition;
   from.mEndpoints[position] = from.mEndpoints.back();
   from.mMembers[position] = from.mMembers.back();
-  mMembers[from.mMembers[position]].mPosition[ListOf(aTier)] = position;
+  mMembers[from.mMembers[position]].mPosition = position;
   from.mEndpoints.pop_back();
   from.mMembers.pop_back();
 }
--- a/thornhollow/policy/internal/pool_index.h
+++ b/thornhollow/policy/internal/pool_index.h
@@ -3,14 +3,11 @@
 #ifndef THORNHOLLOW_POLICY_INTERNAL_POOL_INDEX_H_
 #define THORNHOLLOW_POLICY_INTERNAL_POOL_INDEX_H_
 
-#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
 
-#include "thornhollow/config/declarations.h"
-
 namespace thornhollow::internal {
 
 // What a pool needs to know of a member.
@@ -20,9 +17,7 @@
   bool mLive = false;
   // Gets more than probes.
   bool mServing = false;
-  // The lowest tier that finds a place there, and with it all higher ones; zero
-  // where none does.
-  int mLowestTier = 0;
+  bool mHasPlace = false;
   // Places that this router may use there, taken or free.
   std::uint32_t mPlaces = 0;
   // Part of its share that it lost as an outlier, 0 to 1.
@@ -62,10 +57,10 @@
   // Constant time.
   void Update(std::uint32_t aMember, const member_state& aState);
 
-  // Endpoint numbers of members with a free place for `aTier`, in no order.
-  const std::vector<std::uint32_t>& WithPlace(rank aRank, int aTier) const
+  // Endpoint numbers of members with a free place, in no order.
+  const std::vector<std::uint32_t>& WithPlace(rank aRank) const
   {
-    return mLists[aRank][ListOf(aTier)].mEndpoints;
+    return mLists[aRank].mEndpoints;
   }
   rank RankOf(std::uint32_t aMember) const { return mMembers[aMember].mRank; }
   // Members, with or without a place.
@@ -85,21 +80,12 @@
   typical_value mPerToken;
 
 private:
-  static constexpr std::size_t kTiers = kLowestTier - kHighestTier + 1;
-
-  // Tiers outside the declared range count as the nearest one in it.
-  static std::size_t ListOf(int aTier)
-  {
-    return static_cast<std::size_t>(
-      std::clamp(aTier, kHighestTier, kLowestTier) - kHighestTier);
-  }
-
   struct member
   {
     std::uint32_t mEndpoint = 0;
     rank mRank = kOwnDomain;
-    // Where it stands in the list of each tier that finds a place there.
-    std::array<std::uint32_t, kTiers> mPosition{};
+    // Where it stands in the list, while it has a place.
+    std::uint32_t mPosition = 0;
     member_state mState;
   };
   struct list
@@ -109,11 +95,11 @@
     std::vector<std::uint32_t> mMembers;
   };
 
-  void Insert(std::uint32_t aMember, int aTier);
-  void Erase(std::uint32_t aMember, int aTier);
+  void Insert(std::uint32_t aMember);
+  void Erase(std::uint32_t aMember);
 
   std::vector<member> mMembers;
-  std::array<std::array<list, kTiers>, kRanks> mLists;
+  std::array<list, kRanks> mLists;
   std::uint32_t mPlaces = 0;
   std::uint32_t mLive = 0;
   std::uint32_t mServing = 0;
--- a/thornhollow/policy/internal/pool_index_test.cc
+++ b/thornhollow/policy/internal/pool_index_test.cc
@@ -11,13 +11,13 @@
   {
     for (std::uint32_t i = 0; i < 4; ++i) {
       mPool.Add(10 + i, pool_index::kOwnDomain);
-      Set(i, 4, 0);
+      Set(i, true, 0);
     }
   }
 
-  void Set(std::uint32_t aMember, int aLowestTier, double aLost)
+  void Set(std::uint32_t aMember, bool aHasPlace, double aLost)
   {
-    mPool.Update(aMember, { true, true, aLowestTier, 2, aLost });
+    mPool.Update(aMember, { true, true, aHasPlace, 2, aLost });
   }
 
   pool_index mPool;
@@ -25,15 +25,13 @@
 
 TEST_CASE_FIXTURE(four_members, "pool_index/members_fill_and_free/listed_once")
 {
-  Set(1, 0, 0);
-  Set(0, 0, 0);
-  CHECK(mPool.WithPlace(pool_index::kOwnDomain, 4) ==
+  Set(1, false, 0);
+  Set(0, false, 0);
+  CHECK(mPool.WithPlace(pool_index::kOwnDomain) ==
         std::vector<std::uint32_t>{ 12, 13 });
-  Set(1, 2, 0);
-  CHECK(mPool.WithPlace(pool_index::kOwnDomain, 2) ==
+  Set(1, true, 0);
+  CHECK(mPool.WithPlace(pool_index::kOwnDomain) ==
         std::vector<std::uint32_t>{ 12, 13, 11 });
-  CHECK(mPool.WithPlace(pool_index::kOwnDomain, 3) ==
-        std::vector<std::uint32_t>{ 12, 13 });
   CHECK(mPool.Places() == 8);
   CHECK(mPool.Serving() == 4);
 }
@@ -43,7 +41,7 @@
 TEST_CASE_FIXTURE(four_members, "pool_index/one_lost_of_four/no_other_may_go")
 {
   CHECK(mPool.MayLose(1));
-  Set(0, 0, 1);
+  Set(0, false, 1);
   CHECK(mPool.MayLose(0));
   CHECK_FALSE(mPool.MayLose(1));
 }
--- a/thornhollow/policy/scenario/catalog.cc
+++ b/thornhollow/policy/scenario/catalog.cc
@@ -204,6 +204,35 @@
   return made;
 }
 
+// The scheduler without one part of the endpoint side, and without all of them.
+void
+AddEndpointPolicies(std::vector<named_policy>& aAll)
+{
+  scheduler_settings off;
+  const auto without = [&aAll, &off](const std::string& aName, auto aSwitch) {
+    scheduler_settings one;
+    aSwitch(one.mEndpoints);
+    aSwitch(off.mEndpoints);
+    aAll.push_back({ "without_" + aName, one });
+  };
+  without("reports", [](endpoint_table_settings& aOf) {
+    aOf.mRecord.mLoad.mUseReports = false;
+  });
+  without("limit", [](endpoint_table_settings& aOf) {
+    aOf.mRecord.mLimit.mLearn = false;
+  });
+  without("health", [](endpoint_table_settings& aOf) {
+    aOf.mRecord.mHealth.mJudge = false;
+  });
+  without("prefixes", [](endpoint_table_settings& aOf) {
+    aOf.mPrefix.mRemember = false;
+  });
+  without("long_bound", [](endpoint_table_settings& aOf) {
+    aOf.mBoundLongWork = false;
+  });
+  aAll.push_back({ "endpoints_off", off });
+}
+
 } // namespace
 
 std::vector<scenario_spec>
@@ -274,11 +303,8 @@
   without("endpoint_queues", [](scheduler_settings& aOf) {
     aOf.mEndpointQueues.mEnabled = false;
   });
-  scheduler_settings headroom;
-  headroom.mEndpointQueues.mEnabled = false;
-  headroom.mEndpoints = {};
-  all.push_back({ "with_headroom", headroom });
   all.push_back({ "waiting_off", off });
+  AddEndpointPolicies(all);
   all.push_back({ "round_robin", round_robin{} });
   all.push_back({ "least_outstanding", least_outstanding{} });
   return all;
--- a/thornhollow/policy/scheduler.h
+++ b/thornhollow/policy/scheduler.h
@@ -36,20 +36,9 @@
 
 namespace thornhollow {
 
-// The endpoint side without its headroom for high tiers: what waits in the
-// endpoints' queues is bounded by `endpoint_queue_window` here, which leaves
-// classes their minimum shares (docs/design/decisions_under_load.md).
-inline endpoint_table_settings
-WithoutHeadroom()
-{
-  endpoint_table_settings settings;
-  settings.mRecord.mHeadroom = {};
-  return settings;
-}
-
 struct scheduler_settings
 {
-  endpoint_table_settings mEndpoints = WithoutHeadroom();
+  endpoint_table_settings mEndpoints;
   request_queue_settings mQueue;
   retry_budget_settings mRetries;
   run_time_settings mRunTimes;
--- a/thornhollow/policy/scheduler_search_test.cc
+++ b/thornhollow/policy/scheduler_search_test.cc
@@ -181,7 +181,7 @@
   static scheduler_settings Settings()
   {
     scheduler_settings settings;
-    settings.mQueue.mMaxWaiting = kMostWaiting;
+    settings.mQueue.mPool.mMaxWaiting = kMostWaiting;
     return settings;
   }
 
--- a/thornhollow/policy/scheduler_test.cc
+++ b/thornhollow/policy/scheduler_test.cc
@@ -32,16 +32,7 @@
     return item;
   }
 
-  // Without headroom, so that what is above the one slot waits here and not in
-  // the engine's queue.
-  static scheduler_settings Settings()
-  {
-    scheduler_settings settings;
-    settings.mEndpoints.mRecord.mHeadroom = {};
-    return settings;
-  }
-
-  scheduler mScheduler{ Settings(), 1 };
+  scheduler mScheduler{ scheduler_settings{}, 1 };
 };
 
 TEST_CASE_FIXTURE(one_slot_scheduler,
