--- a/thornhollow/testing/process/harness.py
+++ b/thornhollow/testing/process/harness.py
@@ -38,6 +38,7 @@
 
     def __init__(self, name, *arguments, ready=True):
         self.name = name
+        self.end_expected = False
         self.errors = tempfile.TemporaryFile(mode="w+")
         self.process = subprocess.Popen(
             [str(BIN / name), *arguments], stdout=subprocess.PIPE,
@@ -80,15 +81,24 @@
         self.process.send_signal(number)
 
     def wait(self):
+        """Waits for the end that the test brought about."""
+        self.end_expected = True
         return self.process.wait(LIMIT_SECONDS)
 
     def stop(self):
-        """Ends the program if it still runs; never fails."""
+        """Ends the program; fails if it had ended by itself, as after a crash
+        that a test would else see as one more broken connection."""
+        alone = not self.running() and not self.end_expected
         if self.running():
             self.process.kill()
         self.process.wait()
         self.process.stdout.close()
+        log = self.log()
         self.errors.close()
+        if alone:
+            raise AssertionError(
+                f"{self.name} ended by itself with "
+                f"{self.process.returncode}: {log[-3000:]}")
 
     def mode(self, **fields):
         """Switches faults on; without fields switches all off."""
@@ -251,6 +261,9 @@
   connect_ms: 300
   first_byte_ms: {first_byte_ms}
   between_tokens_ms: 500
+idempotency_keys:
+  lifetime_ms: {key_lifetime_ms}
+  view_lag_ms: 1000
 log_level: info
 """
 
@@ -391,6 +404,7 @@
     """A platform, endpoints and daemons that know of each other."""
 
     FIRST_BYTE_MS = 1000
+    KEY_LIFETIME_MS = 600000
 
     def setUp(self):
         self.endpoints = []
@@ -458,6 +472,7 @@
                 "peers": address_on_loopback(),
                 "platform": platform or self.platform.address,
                 "key": "ab" * 32, "first_byte_ms": self.FIRST_BYTE_MS,
+                "key_lifetime_ms": self.KEY_LIFETIME_MS,
                 "seeds": ", ".join(d.settings["peers"] for d in self.daemons)}
 
     def daemon(self, name="d1", platform=None, settings=None, ready=True):
