Platform watch: an answer older than its time limit is no answer

Cause: docs/design/idempotency_keys.md bounds a view's age by the moment it is read; an answer that waited in a socket through a pause was handed on as new. Change: the time since the question is looked at before the answer is used. Measured: not brought about by a test of its own; the paused-holder case passes. Conclusion: the bound holds for the daemon's own reads.

--- a/thornhollow/platform/platform_watch.cc
+++ b/thornhollow/platform/platform_watch.cc
@@ -1,5 +1,6 @@
 #include "thornhollow/platform/platform_watch.h"
 
+#include <chrono>
 #include <random>
 #include <utility>
 
@@ -50,6 +51,7 @@
     call.mTarget = fmt::format(
       "{}?after={}&wait_ms={}", mPath, mVersion, ToMilliseconds(kWait));
     call.mTimeout = kWait + kGrace;
+    mAsked = std::chrono::steady_clock::now();
     Fetch(mIo, call, [self = shared_from_this()](fetch_outcome aOutcome) {
       self->OnOutcome(std::move(aOutcome));
     });
@@ -70,6 +72,11 @@
     if (mStopped) {
       return;
     }
+    // An answer that waited in the socket while this process stood still is as
+    // old as the pause; idempotency keys rely on a view that is fresh.
+    if (std::chrono::steady_clock::now() - mAsked > kWait + kGrace) {
+      aOutcome.reset();
+    }
     if (aOutcome) {
       mListener.mOnBytes(aOutcome->mExchangedBytes);
     }
@@ -110,6 +117,7 @@
   boost::asio::steady_timer mTimer;
   std::mt19937 mRandom;
   std::uint64_t mVersion = 0;
+  time_point mAsked{};
   bool mStopped = false;
 };
 
