fleet: the second key search runs over three domains

Cause: the search had one domain only, so the choice of a key's home wasn't part. Change: fake_key_fleet spreads its daemons over domains; 12 over three in the second search.

--- a/thornhollow/fleet/key_search_test.cc
+++ b/thornhollow/fleet/key_search_test.cc
@@ -43,6 +43,7 @@
   // (60 s here): 30 events at most 1.9 s apart.
   std::int64_t mLongestGap = 1'900;
   std::int64_t mNodes = 5;
+  std::size_t mDomains = 1;
   std::int64_t mShortestPause = 0;
   std::int64_t mLongestPause = 40'000;
   // From the grant to sending, as in a queue.
@@ -83,6 +84,7 @@
     fleet.mGuard = mGuard;
     fleet.mLongestWait = mLongestWait;
     fleet.mRunLength = mRunLength;
+    fleet.mDomains = mDomains;
     fleet.Start(static_cast<int>(mNodes));
     for (const search_event& each : aEvents) {
       fleet.RunFor(each.mAfter);
@@ -198,6 +200,7 @@
     mLongestGap = 8'000;
     // Most daemons aren't witnesses, whose pauses would only refuse keys.
     mNodes = 12;
+    mDomains = 3;
     mShortestPause = 50'000;
     mLongestPause = 100'000;
     mLongestWait = Seconds(20);
--- a/thornhollow/fleet/testing/fake_key_fleet.h
+++ b/thornhollow/fleet/testing/fake_key_fleet.h
@@ -63,10 +63,12 @@
   key_guard mGuard;
   // Between a grant and the moment when the daemon sends.
   duration mLongestWait = Milliseconds(500);
+  // Domains over which the daemons are spread.
+  std::size_t mDomains = 1;
   // What a run takes.
   duration mRunLength = Milliseconds(700);
 
-  // Starts the daemons of one domain and lets their witnesses grow old enough
+  // Starts the daemons and lets their witnesses grow old enough
   // to vouch.
   void Start(int aCount)
   {
@@ -247,14 +249,22 @@
     }
   }
 
+  domain_name DomainOf(std::size_t aNode) const
+  {
+    return domain_name("hall-" + std::to_string(aNode % mDomains));
+  }
+
   void Publish()
   {
     ++mView.mList.mVersion;
-    mView.mDomains = { domain_name("hall") };
+    mView.mDomains.clear();
+    for (std::size_t domain = 0; domain < mDomains; ++domain) {
+      mView.mDomains.push_back(DomainOf(domain));
+    }
     mView.mList.mInstances.clear();
-    for (const node& each : mNodes) {
+    for (std::size_t index = 0; index < mNodes.size(); ++index) {
       mView.mList.mInstances.push_back(
-        { instance_name(each.mName), domain_name("hall"), "", false });
+        { instance_name(mNodes[index].mName), DomainOf(index), "", false });
     }
     for (std::size_t index = 0; index < mNodes.size(); ++index) {
       GiveView(index);
