--- a/thornhollow/policy/endpoint_table.cc
+++ b/thornhollow/policy/endpoint_table.cc
@@ -18,6 +18,10 @@
 // while their report fades.
 constexpr duration kRecheckEvery = Milliseconds(250);
 
+// States of endpoints that are not declared are forgotten above this many, far
+// more than the 850 endpoints of the largest size.
+constexpr std::size_t kMostStatesKept = 4096;
+
 constexpr std::array<pool_index::rank, 2> kRanks{ pool_index::kOwnDomain,
                                                   pool_index::kOtherDomain };
 
@@ -56,7 +60,7 @@
   mView.mDomain = aOwnDomain;
   AddToPools(aDeclared);
   mLengths.Configure(aDeclared);
-  DropUnused();
+  DropUnused(aNow);
   for (std::optional<entry>& each : mEntries) {
     if (each) {
       Refresh(*each, aNow);
@@ -75,9 +79,13 @@
       serving[pool].push_back(&each);
     }
   }
-  std::erase_if(mNotLive, [&names](const auto& aEach) {
-    return !names.contains(aEach.first);
-  });
+  // The list goes on naming an endpoint that is not declared for a while; were
+  // its state forgotten, it would be taken for live when it is declared again.
+  if (mNotLive.size() > kMostStatesKept) {
+    std::erase_if(mNotLive, [&names](const auto& aEach) {
+      return !names.contains(aEach.first);
+    });
+  }
   std::erase_if(mPools, [&serving](const auto& aEach) {
     return !serving.contains(aEach.first);
   });
@@ -140,12 +148,17 @@
 }
 
 void
-endpoint_table::DropUnused()
+endpoint_table::DropUnused(time_point aNow)
 {
   for (endpoint_number number = 0; number < mEntries.size(); ++number) {
     std::optional<entry>& each = mEntries[number];
-    // One with requests in flight stays until they ended and counts them.
-    if (each && !each->mRecord.IsDeclared() && each->mRecord.InFlight() == 0) {
+    if (!each || each->mRecord.IsDeclared()) {
+      continue;
+    }
+    // One with requests in flight stays until they ended and counts them; one
+    // that said it leaves stays as long as its word counts, lest it get work
+    // when it is declared again.
+    if (each->mRecord.InFlight() == 0 && !each->mRecord.OwnWordEnds(aNow)) {
       mNumbers.erase(each->mRecord.Declared().mName);
       mAffinity.Forget(number);
       each.reset();
@@ -233,8 +246,7 @@
 endpoint_table::Sample(pool_index::rank aRank, search& aSearch)
 {
   for (std::size_t i = 0; i < mSettings.mChoice.mSample; ++i) {
-    const auto& withPlace =
-      aSearch.mPool.mIndex.WithPlace(aRank, aSearch.mItem.mTier);
+    const auto& withPlace = aSearch.mPool.mIndex.WithPlace(aRank);
     if (withPlace.empty()) {
       return;
     }
@@ -246,8 +258,7 @@
 void
 endpoint_table::Walk(pool_index::rank aRank, search& aSearch)
 {
-  const auto& withPlace =
-    aSearch.mPool.mIndex.WithPlace(aRank, aSearch.mItem.mTier);
+  const auto& withPlace = aSearch.mPool.mIndex.WithPlace(aRank);
   if (withPlace.empty()) {
     return;
   }
@@ -269,9 +280,7 @@
 {
   entry& candidate = *mEntries[aNumber];
   Refresh(candidate, aSearch.mNow);
-  const int tier = std::clamp(aSearch.mItem.mTier, kHighestTier, kLowestTier);
-  if (candidate.mRecord.LowestTierWithPlace(aSearch.mNow) < tier ||
-      !Fits(candidate, aSearch)) {
+  if (!candidate.mRecord.HasPlace(aSearch.mNow) || !Fits(candidate, aSearch)) {
     return;
   }
   const double cost = Cost(aNumber, aSearch);
@@ -362,15 +371,15 @@
     const entry& candidate = *mEntries[number];
     const endpoint_record& record = candidate.mRecord;
     if (!record.HonoursTiers() || !record.MayTakeWork(aNow) ||
-        record.Health().Share() < 1 || record.Others(aNow) <= 0 ||
-        record.InFlight() >= record.Capacity(kLowestTier, aNow) + aBeyond ||
+        record.Health().Share() < 1 || !record.IsShared(aNow) ||
+        record.InFlight() >= record.Capacity(aNow) + aBeyond ||
         !Fits(candidate, look)) {
       continue;
     }
     // The shortest queue first: a cached prefix doesn't make up for a queue,
     // and everybody's would grow at its holder.
     const std::uint32_t inFlight = record.InFlight();
-    const std::uint32_t capacity = record.Capacity(kLowestTier, aNow);
+    const std::uint32_t capacity = record.Capacity(aNow);
     const std::uint32_t queued = inFlight > capacity ? inFlight - capacity : 0;
     const double cost = Cost(number, look);
     if (!look.mBest ||
@@ -581,13 +590,13 @@
   member_state state;
   state.mLive = record.MayTakeWork(aNow);
   state.mServing = state.mLive && share > 0;
-  state.mLowestTier = record.LowestTierWithPlace(aNow);
-  state.mPlaces = state.mServing ? record.Capacity(kLowestTier, aNow) : 0;
+  state.mHasPlace = record.HasPlace(aNow);
+  state.mPlaces = state.mServing ? record.Capacity(aNow) : 0;
   state.mLost = state.mLive ? 1 - share : 0;
   for (const membership& each : aEntry.mPools) {
     each.mPool->Update(each.mMember, state);
   }
-  if (state.mLowestTier < kLowestTier) {
+  if (!state.mHasPlace) {
     ScheduleRecheck(aEntry, aNow);
   }
 }
