Configuration cases: cut off from the platform, two operators at once

Change: an instance whose watch is silent and whose new connections are refused takes a new configuration from its peers and heals; ten publications by two operators end in one whole set on all.

--- a/thornhollow/testing/process/configuration_test.py
+++ b/thornhollow/testing/process/configuration_test.py
@@ -109,6 +109,45 @@
         harness.wait_until(daemon.ready, "ready once the platform is back")
         self.assertEqual(harness.chat(daemon.address).end, "done")
 
+    def test_cut_off_from_the_platform_takes_it_from_peers_and_heals(self):
+        """One instance's watch goes silent and its new connections fail, as
+        when its domain is cut off from the platform but not from its peers."""
+        self.publish()
+        proxy = self.start("fault-proxy", f"--target={self.platform.address}")
+        cut_off = self.daemon("d0", platform=proxy.address)
+        for number in (1, 2):
+            self.daemon(f"d{number}")
+        self.publish_instances()
+        harness.wait_until(
+            lambda: all(d.status_page().get("peers_alive") == 2
+                        for d in self.daemons), "the instances know each other")
+        proxy.mode(fault="silence")
+        proxy.mode(fault="refuse")
+        published = time.monotonic()
+        self.wait_for(self.publish(self.changed(100)))
+        print(f"in force on the instance cut off after "
+              f"{1000 * (time.monotonic() - published):.0f} ms")
+        proxy.mode()
+        self.wait_for(self.publish(self.changed(101)))
+        self.assertEqual(harness.chat(cut_off.address).end, "done")
+
+    def test_two_operators_at_once_one_whole_configuration_everywhere(self):
+        """Each operator's set has a class that the other's lacks; a mixture
+        would have both or neither."""
+        self.start_three()
+        sets = [self.declarations().replace("name: plans", f"name: {name}")
+                .replace("notes, plans, once", f"notes, {name}, once")
+                for name in ("plans-a", "plans-b")]
+        calls = [harness.Background(self.publish, sets[turn % 2])
+                 for turn in range(10)]
+        newest = max(call.result() for call in calls)
+        self.wait_for(newest)
+        for daemon in self.daemons:
+            kinds = [harness.chat(daemon.address, name).kind
+                     for name in ("plans-a", "plans-b")]
+            self.assertEqual(sorted(map(str, kinds)),
+                             ["None", "unknown_class"], kinds)
+
 
 if __name__ == "__main__":
     unittest.main()
