Waiting side: unit tests; a share accrues on its own service too

Cause: a class's own service accrued nothing while its credit was full, so that it got 20 % of a contested pool in place of its 25 %. Change: spend before accruing.

--- a/thornhollow/policy/fair_queue.h
+++ b/thornhollow/policy/fair_queue.h
@@ -62,6 +62,9 @@
   const waiting_request* Front() const;
   const waiting_request* Back() const;
 
+  // Where the next in order is; something must wait.
+  position FrontPosition() const { return mWaiting.begin()->first; }
+
   // The request there; null where there is none.
   const waiting_request* Find(const position& aPosition) const;
 
--- a/thornhollow/policy/pool_queue.cc
+++ b/thornhollow/policy/pool_queue.cc
@@ -288,11 +288,11 @@
   const double cost = started.mWork.mCost;
   from.mRate.OnServed(cost);
   from.mStanding.OnStarted(aNow - started.mQueuedAt, aNow);
+  from.mShare.Spend(cost);
   if (!mHeld) {
     mRate.OnServed(cost);
     AccrueShares(cost);
   }
-  from.mShare.Spend(cost);
   from.mWaiting.Take(aPlace.mPosition);
   --mCount;
   if (from.mWaiting.empty()) {
--- /dev/null
+++ b/thornhollow/policy/pool_queue_test.cc
@@ -0,0 +1,222 @@
+#include <map>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "thornhollow/policy/pool_queue.h"
+
+namespace thornhollow {
+namespace {
+
+constexpr time_point kStart{ Seconds(100) };
+
+// Tier 1 "high" without a share, tier 4 "low" with a share of a quarter.
+struct two_tiers
+{
+  two_tiers()
+  {
+    pool_queue_settings settings;
+    settings.mMaxWaiting = 8;
+    settings.mStanding.mEnabled = false;
+    mQueue.emplace(settings);
+    mQueue->SetTerms(class_name("high"), { 0, Milliseconds(500) });
+    mQueue->SetTerms(class_name("low"), { 0.25, Seconds(5) });
+  }
+
+  pool_queue::arrival Push(int aTier, const std::string& aTeam = "team")
+  {
+    waiting_request request;
+    request.mItem.mTicket = ++mLast;
+    request.mItem.mTeam = team_name(aTeam);
+    request.mItem.mTier = aTier;
+    request.mItem.mClass = class_name(aTier == 1 ? "high" : "low");
+    request.mItem.mDeadline = mNow + Seconds(60);
+    request.mWork.mCost = 100;
+    request.mQueuedAt = mNow;
+    pool_queue::arrival came = mQueue->Push(request, 1, mRandom, mNow);
+    for (const refuse& each : came.mRefused) {
+      mWhere.erase(each.mTicket);
+    }
+    if (came.mPlace) {
+      mWhere.emplace(mLast, *came.mPlace);
+    }
+    return came;
+  }
+
+  // Starts the next request; its tier.
+  int StartNext()
+  {
+    const next_request next = mQueue->Next(mPeers, mPool, {}, mNow);
+    REQUIRE(next.mItem != nullptr);
+    const work_item item = *next.mItem;
+    mQueue->Start(mWhere.at(item.mTicket), mNow);
+    mWhere.erase(item.mTicket);
+    return item.mTier;
+  }
+
+  const pool_name mPool{ "m" };
+  time_point mNow = kStart;
+  std::optional<pool_queue> mQueue;
+  peer_pressure mPeers{ tier_pressure_settings{} };
+  std::mt19937_64 mRandom{ 1 };
+  std::map<ticket, pool_queue::place> mWhere;
+  ticket mLast = 0;
+};
+
+// A burst of drivers' route notes fills the queue while pallet plans wait. The
+// plan that came last has to make room, and only as long as a plan waits in a
+// place that isn't its class's own.
+TEST_CASE_FIXTURE(two_tiers, "pool_queue/full/lowest_tiers_youngest_goes_first")
+{
+  for (int i = 0; i < 10; ++i) {
+    CHECK(Push(4).mRefused.empty());
+  }
+  // Eight common places and two of the class's own are taken.
+  for (ticket victim = 10; victim >= 3; --victim) {
+    const pool_queue::arrival came = Push(1);
+    REQUIRE(came.mRefused.size() == 1);
+    CHECK(came.mRefused[0].mTicket == victim);
+    CHECK(came.mRefused[0].mKind == error_kind::kShedForHigherTier);
+    CHECK(came.mPlace.has_value());
+  }
+  // All common places are the higher tier's: it is refused for its equals, and
+  // the lower class still holds its own two places.
+  const pool_queue::arrival full = Push(1);
+  REQUIRE(full.mRefused.size() == 1);
+  CHECK(full.mRefused[0].mTicket == mLast);
+  CHECK(full.mRefused[0].mKind == error_kind::kQueueFull);
+  CHECK(mQueue->size() == 10);
+}
+
+TEST_CASE_FIXTURE(two_tiers,
+                  "pool_queue/full_of_high_tier/own_places_stay_open")
+{
+  for (int i = 0; i < 8; ++i) {
+    CHECK(Push(1).mRefused.empty());
+  }
+  CHECK(Push(4).mRefused.empty());
+  CHECK(Push(4).mRefused.empty());
+  const pool_queue::arrival third = Push(4);
+  REQUIRE(third.mRefused.size() == 1);
+  CHECK(third.mRefused[0].mTicket == mLast);
+  CHECK(third.mRefused[0].mKind == error_kind::kQueueFull);
+}
+
+// One team fills the common places of a class; another team's first request
+// comes. Refusing the latter would let the hot team decide who is served.
+TEST_CASE_FIXTURE(two_tiers, "pool_queue/full_of_hot_team/its_last_makes_room")
+{
+  for (int i = 0; i < 8; ++i) {
+    Push(1, "hot");
+  }
+  const pool_queue::arrival came = Push(1, "light");
+  REQUIRE(came.mRefused.size() == 1);
+  CHECK(came.mRefused[0].mTicket == 8);
+  CHECK(came.mRefused[0].mKind == error_kind::kQueueFull);
+  CHECK(came.mPlace.has_value());
+}
+
+TEST_CASE_FIXTURE(two_tiers, "pool_queue/high_tier_endless/share_is_served")
+{
+  Push(1);
+  Push(4);
+  std::map<int, int> served;
+  for (int i = 0; i < 400; ++i) {
+    const int tier = StartNext();
+    ++served[tier];
+    Push(tier);
+    mNow += Milliseconds(10);
+  }
+  // A quarter, short of what the first request had to save up.
+  CHECK(served[4] >= 98);
+  CHECK(served[4] <= 100);
+}
+
+TEST_CASE_FIXTURE(two_tiers, "pool_queue/little_low_work/goes_by_tier")
+{
+  // A class that had nothing waiting has saved nothing: its first request goes
+  // after the higher tier's.
+  for (int i = 0; i < 4; ++i) {
+    Push(1);
+    CHECK(StartNext() == 1);
+  }
+  Push(4);
+  Push(1);
+  CHECK(StartNext() == 1);
+  CHECK(StartNext() == 4);
+}
+
+TEST_CASE_FIXTURE(two_tiers, "pool_queue/idle/predicts_no_wait")
+{
+  work_item item;
+  item.mTier = 1;
+  item.mClass = class_name("high");
+  CHECK(mQueue->PredictedWait(item, mNow) == duration::zero());
+}
+
+// The queue was served 10 requests a second while others waited. One more that
+// would wait for 20 of them has a second: it is refused on arrival, and told to
+// come back no sooner than the backlog lasts.
+TEST_CASE_FIXTURE(two_tiers,
+                  "pool_queue/measured_wait_too_long/refused_at_once")
+{
+  for (int i = 0; i < 8; ++i) {
+    Push(1);
+  }
+  for (int i = 0; i < 20; ++i) {
+    mNow += Milliseconds(100);
+    StartNext();
+    Push(1);
+  }
+  work_item item;
+  item.mTier = 1;
+  item.mClass = class_name("high");
+  item.mTeam = team_name("team");
+  const double wait = ToSeconds(mQueue->PredictedWait(item, mNow));
+  CHECK(wait == doctest::Approx(0.8).epsilon(0.15));
+
+  waiting_request late{ item, { 100, Milliseconds(500) }, mNow };
+  late.mItem.mDeadline = mNow + Seconds(1);
+  const pool_queue::arrival came = mQueue->Push(late, 1, mRandom, mNow);
+  REQUIRE(came.mRefused.size() == 1);
+  CHECK(came.mRefused[0].mKind == error_kind::kDeadlineUnmeetable);
+  CHECK(came.mRefused[0].mRetryAfter > Milliseconds(250));
+  StartNext();
+  late.mItem.mDeadline = mNow + Seconds(3);
+  CHECK(mQueue->Push(late, 1, mRandom, mNow).mPlace.has_value());
+}
+
+// Another instance is full of the high tier. This one has low work only: it may
+// start its class's share, no more, and all of it once the report has aged.
+TEST_CASE_FIXTURE(two_tiers, "pool_queue/peer_waits/low_tier_gets_its_share")
+{
+  for (int i = 0; i < 8; ++i) {
+    Push(4);
+  }
+  for (int i = 0; i < 5; ++i) {
+    mNow += Milliseconds(100);
+    StartNext();
+    Push(4);
+  }
+  std::size_t started = 0;
+  for (int i = 0; i < 800; ++i) {
+    mPeers.OnReport(instance_name("a"), { mPool, 1, Seconds(2), {} }, mNow);
+    mNow += Milliseconds(20);
+    if (mQueue->Next(mPeers, mPool, {}, mNow).mItem != nullptr) {
+      StartNext();
+      Push(4);
+      ++started;
+    }
+  }
+  // Sixteen seconds at ten a second would be 160; a quarter of that is its own,
+  // less what it took beyond its share before.
+  CHECK(started >= 32);
+  CHECK(started <= 40);
+  mNow += Seconds(2);
+  CHECK(StartNext() == 4);
+  CHECK(StartNext() == 4);
+}
+
+} // namespace
+} // namespace thornhollow
