Config follower: a hint may be asked for before the start

Cause: Hint() read the time of the start, which isn't there before Start(): membership that gossips earlier would read an empty optional. Change: the highest held revision is found without a time; a test for it.

--- a/thornhollow/config/config_follower.cc
+++ b/thornhollow/config/config_follower.cc
@@ -185,17 +185,21 @@
 config_word
 config_follower::Word(time_point aNow) const
 {
-  config_word word{ InForce(),
-                    InForce(),
-                    mFreshAt ? aNow - *mFreshAt : kUnknownAge };
+  return { InForce(), NewestHeld(), mFreshAt ? aNow - *mFreshAt : kUnknownAge };
+}
+
+// What is being judged is held whole, so peers may fetch it already.
+std::optional<revision>
+config_follower::NewestHeld() const
+{
+  std::optional<revision> newest = InForce();
   if (mRefused) {
-    word.mNewest = std::max(word.mNewest, std::optional(mRefused->mRevision));
+    newest = std::max(newest, std::optional(mRefused->mRevision));
   }
-  // What is being judged is held whole, so peers may fetch it already.
   if (mJudging) {
-    word.mNewest = std::max(word.mNewest, std::optional(mJudging->mRevision));
+    newest = std::max(newest, std::optional(mJudging->mRevision));
   }
-  return word;
+  return newest;
 }
 
 config_hint
@@ -208,8 +212,8 @@
 std::uint64_t
 config_follower::HeldWholeVersion() const
 {
-  const config_word word = Word(*mStarted);
-  return word.mNewest ? word.mNewest->mVersion : 0;
+  const std::optional<revision> newest = NewestHeld();
+  return newest ? newest->mVersion : 0;
 }
 
 bytes_ptr
--- a/thornhollow/config/config_follower.h
+++ b/thornhollow/config/config_follower.h
@@ -364,6 +364,7 @@
   void Fresh(std::uint64_t aVersion, time_point aWhen);
   bool IsFetching(const std::string& aDigest) const;
   std::uint64_t NewestKnownVersion() const;
+  std::optional<revision> NewestHeld() const;
   std::uint64_t HeldWholeVersion() const;
   bool InOwnDomain(const instance_name& aPeer) const;
   time_point StaleAt() const;
--- a/thornhollow/config/config_follower_test.cc
+++ b/thornhollow/config/config_follower_test.cc
@@ -344,6 +344,13 @@
   CHECK(mFollower.InForce() == second);
 }
 
+// Membership may gossip before the follower has begun.
+TEST_CASE_FIXTURE(lone_follower_fixture, "hint/before the start/nothing held")
+{
+  CHECK(mFollower.Hint(mNow) == config_hint{ 0, std::nullopt });
+  CHECK(mFollower.OnHint(mPeer, { 7, Seconds(1) }, mNow).empty());
+}
+
 TEST_CASE_FIXTURE(lone_follower_fixture, "lower/from anyone/nothing fetched")
 {
   const auto read = Of<read_manifest>(mFollower.Start({}, mNow));
