--- a/thornhollow/daemon/control_plane.cc
+++ b/thornhollow/daemon/control_plane.cc
@@ -59,6 +59,15 @@
   return { domains.begin(), domains.end() };
 }
 
+key_claim_settings
+KeySettings(const daemon_settings& aSettings)
+{
+  key_claim_settings settings;
+  settings.mLifetime = aSettings.mKeys.mLifetime;
+  settings.mViewLag = aSettings.mKeys.mViewLag;
+  return settings;
+}
+
 } // namespace
 
 class control_plane::core
@@ -87,7 +96,7 @@
               KeeperPeers(),
               KeeperListener())
     , mKeys(
-        key_claim_settings{},
+        KeySettings(aSettings),
         { aSettings.mName, mEpoch },
         [this](const instance_name& aPeer,
                const claim_request& aRequest,
@@ -143,9 +152,10 @@
   {
     peer_listener listener;
     listener.mOwnWord = [this] { return mKeeper.Word(); };
-    listener.mOnWord = [this](const instance_name& aPeer,
-                              const config_word& aWord) {
-      mKeeper.OnPeerSaid(aPeer, aWord);
+    listener.mOwnHint = [this] { return mKeeper.Hint(); };
+    listener.mOnHint = [this](const instance_name& aPeer,
+                              const config_hint& aHint) {
+      mKeeper.OnHint(aPeer, aHint);
     };
     listener.mOnClaim = [this](const claim_request& aRequest) {
       return mKeys.OnPeerClaim(aRequest);
@@ -178,8 +188,8 @@
              std::function<void(std::optional<std::string>)> aDone) {
         AskPart(aPeer, aDigest, std::move(aDone));
       };
-    peers.mTell = [this](const instance_name& aPeer, const config_word&) {
-      AskWord(aPeer, [](const auto&) {});
+    peers.mAnnounce = [this](std::uint64_t aVersion) {
+      mLink.Announce(aVersion);
     };
     return peers;
   }
