--- a/thornhollow/policy/scenario/simulation.cc
+++ b/thornhollow/policy/scenario/simulation.cc
@@ -666,19 +666,19 @@
     return;
   }
   submission& late = found->second;
+  const error_kind kind = late.mEngine ? error_kind::kDeadlineExpiredRunning
+                                       : error_kind::kDeadlineExpiredWaiting;
   if (late.mEngine) {
     Account(late, mEngines[*late.mEngine]->Cancel(aTicket));
   }
+  // The policy may refuse this very request now, which ends its submission.
   OnInstance(late.mInstance, [aTicket](auto& aPolicy, time_point aNow) {
     decisions out =
       aPolicy.OnAttemptEnded(aTicket, attempt_end::kCancelled, 0, aNow);
     std::ranges::copy(aPolicy.Forget(aTicket, aNow), std::back_inserter(out));
     return out;
   });
-  Fail(aTicket,
-       late.mEngine ? error_kind::kDeadlineExpiredRunning
-                    : error_kind::kDeadlineExpiredWaiting,
-       kOwnBackoff);
+  Fail(aTicket, kind, kOwnBackoff);
 }
 
 void
