Load reports are polled from the endpoints that an instance works with

Cause: every declared engine was polled, also those outside the subset: at 850 engines a round takes 85 s at ten polls a second. Change: the poller gets the subset. Measured: daemon and leaving cases pass.

--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -51,19 +51,27 @@
   return limits;
 }
 
-// Endpoints of models; plain services publish no load.
+// Endpoints of models, of those that this instance works with; plain services
+// publish no load.
 std::vector<endpoint>
-ModelEngines(const declarations& aDeclared)
+ModelEngines(const declarations& aDeclared,
+             const std::vector<endpoint_status>& aWorkedWith)
 {
+  std::set<endpoint_name> worked;
+  for (const endpoint_status& each : aWorkedWith) {
+    worked.insert(each.mName);
+  }
   std::set<pool_name> models;
   for (const model& each : aDeclared.mModels) {
     models.insert(PoolOf(each.mName));
   }
   std::vector<endpoint> engines;
   for (const endpoint& each : aDeclared.mEndpoints) {
-    if (std::ranges::any_of(each.mPools, [&](const pool_name& aPool) {
-          return models.contains(aPool);
-        })) {
+    const bool isEngine =
+      std::ranges::any_of(each.mPools, [&](const pool_name& aPool) {
+        return models.contains(aPool);
+      });
+    if (isEngine && worked.contains(each.mName)) {
       engines.push_back(each);
     }
   }
@@ -153,8 +161,9 @@
   {
     control_listener listener;
     listener.mInForce = [this](const catalog_ptr& aCatalog) {
-      mLoadPoller.SetEndpoints(ModelEngines(aCatalog->Declared()));
       mRouter.PutInForce(aCatalog);
+      mLoadPoller.SetEndpoints(
+        ModelEngines(aCatalog->Declared(), mRouter.Endpoints()));
     };
     listener.mEndpointState = [this](const state_change& aChange) {
       mRouter.OnEndpointState(aChange.mEndpoint, aChange.mState);
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -131,6 +131,11 @@
     FeedTicket(aTicket, schedule_refused{ aKind, duration{} });
   }
 
+  std::vector<endpoint_status> Endpoints() const
+  {
+    return mScheduler.Endpoints(Now());
+  }
+
   void SetRouters(const instance_name& aOwn,
                   const std::vector<instance_name>& aRouters)
   {
@@ -614,6 +619,12 @@
   mCore->OnEndpointState(aEndpoint, aState);
 }
 
+std::vector<endpoint_status>
+router::Endpoints() const
+{
+  return mCore->Endpoints();
+}
+
 void
 router::SetRouters(const instance_name& aOwn,
                    const std::vector<instance_name>& aRouters)
--- a/thornhollow/daemon/router.h
+++ b/thornhollow/daemon/router.h
@@ -66,6 +66,9 @@
   void OnLoadReport(const endpoint_name& aEndpoint, const load_report& aReport);
   void OnEndpointState(const endpoint_name& aEndpoint, endpoint_state aState);
 
+  // The endpoints that this instance works with, as it sees them.
+  std::vector<endpoint_status> Endpoints() const;
+
   // Entry instances of the own domain; takes effect with the next catalog.
   void SetRouters(const instance_name& aOwn,
                   const std::vector<instance_name>& aRouters);
