Harness: a paused instance takes a load report by value

Cause: a report for a paused instance was delivered later from a reference that was gone (found by the address sanitizer in paused_instance). Measured: policy_test passes in the default build.

--- a/thornhollow/policy/scenario/simulation.cc
+++ b/thornhollow/policy/scenario/simulation.cc
@@ -738,9 +738,12 @@
           if (!Reachable(mInstances[index].mDomain, declared.mDomain)) {
             continue;
           }
-          OnInstance(index, [&](auto& aPolicy, time_point aNow) {
-            return aPolicy.OnLoadReport(declared.mName, report, aNow);
-          });
+          // By value: a paused instance takes it later.
+          OnInstance(
+            index,
+            [report, name = declared.mName](auto& aPolicy, time_point aNow) {
+              return aPolicy.OnLoadReport(name, report, aNow);
+            });
         }
       });
     }
