A team's limit never refuses a higher tier for a lower one

Change: a request counts against its own and higher tiers only. Conclusion: a team holds at most its limit for each tier that it uses.

--- a/thornhollow/config/declarations.h
+++ b/thornhollow/config/declarations.h
@@ -65,7 +65,8 @@
   std::vector<class_name> mClasses;
   // Share of a class relative to other teams.
   double mWeight = 1;
-  // Requests that one entry instance holds for the team at a time.
+  // Requests of a tier and higher ones that one entry instance holds for the
+  // team at a time.
   std::uint32_t mMaxInFlight = 0;
 
   friend bool operator==(const team&, const team&) = default;
--- a/thornhollow/policy/scheduler.cc
+++ b/thornhollow/policy/scheduler.cc
@@ -84,7 +84,7 @@
     out.emplace_back(mQueue.Refuse(aItem, error_kind::kNoEndpoint, aNow));
     return out;
   }
-  if (!mTeams.Add(aItem.mTeam)) {
+  if (!mTeams.Add(aItem.mTeam, aItem.mTier)) {
     out.emplace_back(mQueue.Refuse(aItem, error_kind::kTeamOverLimit, aNow));
     return out;
   }
@@ -380,7 +380,7 @@
 void
 scheduler::Drop(in_progress::iterator aProgress)
 {
-  mTeams.Remove(aProgress->second.mItem.mTeam);
+  mTeams.Remove(aProgress->second.mItem.mTeam, aProgress->second.mItem.mTier);
   mInProgress.erase(aProgress);
 }
 
--- a/thornhollow/policy/team_in_flight.cc
+++ b/thornhollow/policy/team_in_flight.cc
@@ -1,5 +1,7 @@
 #include "thornhollow/policy/team_in_flight.h"
 
+#include <numeric>
+
 namespace thornhollow {
 
 void
@@ -13,32 +15,46 @@
       mTeams[each.mName].mLimit = each.mMaxInFlight;
     }
   }
-  std::erase_if(mTeams, [](const auto& aEach) {
-    return aEach.second.mLimit == 0 && aEach.second.mHeld == 0;
-  });
+  std::erase_if(mTeams,
+                [](const auto& aEach) { return aEach.second.IsUnused(); });
 }
 
 bool
-team_in_flight::Add(const team_name& aTeam)
+team_in_flight::Add(const team_name& aTeam, int aTier)
 {
   entry& known = mTeams[aTeam];
-  if (known.mLimit > 0 && known.mHeld >= known.mLimit) {
+  if (known.mLimit > 0 && known.HeldUpTo(aTier) >= known.mLimit) {
     return false;
   }
-  ++known.mHeld;
+  ++known.mHeld[aTier - kHighestTier];
   return true;
 }
 
 void
-team_in_flight::Remove(const team_name& aTeam)
+team_in_flight::Remove(const team_name& aTeam, int aTier)
 {
   const auto found = mTeams.find(aTeam);
-  if (found == mTeams.end() || found->second.mHeld == 0) {
+  if (found == mTeams.end()) {
     return;
   }
-  if (--found->second.mHeld == 0 && found->second.mLimit == 0) {
+  std::uint32_t& held = found->second.mHeld[aTier - kHighestTier];
+  held -= held > 0 ? 1 : 0;
+  if (found->second.IsUnused()) {
     mTeams.erase(found);
   }
 }
 
+bool
+team_in_flight::entry::IsUnused() const
+{
+  return mLimit == 0 && HeldUpTo(kLowestTier) == 0;
+}
+
+std::uint32_t
+team_in_flight::entry::HeldUpTo(int aTier) const
+{
+  const auto end = mHeld.begin() + (aTier - kHighestTier + 1);
+  return std::accumulate(mHeld.begin(), end, std::uint32_t{ 0 });
+}
+
 } // namespace thornhollow
