policy: a report for a paused instance outlives its event in the scenarios

Cause: policy.comparison_test failed under the sanitizers: a paused instance takes a load report later, and read it by reference after the event that held it was gone (heap-use-after-free in endpoint_record::OnReport). Change: simulation.cc captures the report by value.

--- a/thornhollow/policy/scenario/simulation.cc
+++ b/thornhollow/policy/scenario/simulation.cc
@@ -738,9 +738,10 @@
           if (!Reachable(mInstances[index].mDomain, declared.mDomain)) {
             continue;
           }
-          OnInstance(index, [&](auto& aPolicy, time_point aNow) {
-            return aPolicy.OnLoadReport(declared.mName, report, aNow);
-          });
+          OnInstance(
+            index, [report, &declared](auto& aPolicy, time_point aNow) {
+              return aPolicy.OnLoadReport(declared.mName, report, aNow);
+            });
         }
       });
     }
