Callers' connections: each refusal of bad input reaches the caller

Cause, each shown by a case of bad_input_test that failed before: - A refused or closing connection was closed with bytes unread, which resets it: a caller that writes its whole body first saw a broken connection instead of 413 or 503. - The time limit of reading was the stream's own, which closes the socket: a slow sender was cut without 408, and not counted. - After a stream had begun, a caller that closed its sending side got a second header into the stream. - An answer to HEAD had a body, taken for the start of the next answer. - `Transfer-Encoding` other than chunked was read as no body; its bytes were served as the next request.

Change: read and drop what still comes after the last answer (2 s at most, 256 connections beyond the limit at most); a timer that only ends the reading; an error event inside a stream; header only for HEAD; malformed_request for a coding without a length and for an unknown version. Connections being refused no longer count as served ones. The harness takes further settings lines.

--- a/thornhollow/net/caller_server.cc
+++ b/thornhollow/net/caller_server.cc
@@ -213,7 +213,9 @@
   exchange_handler mOnRequest;
   refusal_handler mOnUnreadable;
   tcp::acceptor mAcceptor;
+  // All connections, also those being refused or closed.
   std::set<session*> mSessions;
+  std::size_t mServing = 0;
   std::size_t mInProgress = 0;
   bool mDraining = false;
 };
@@ -222,6 +224,23 @@
 
 using shared_state = caller_server::shared;
 
+// Counts one more for as long as it lives, also where an exception ends it.
+class tally
+{
+public:
+  explicit tally(std::size_t& aCount)
+    : mCount(aCount)
+  {
+    ++mCount;
+  }
+  tally(const tally&) = delete;
+  tally& operator=(const tally&) = delete;
+  ~tally() { --mCount; }
+
+private:
+  std::size_t& mCount;
+};
+
 // One caller's connection.
 class session
   : public boost::intrusive_ref_counter<session, boost::thread_unsafe_counter>
@@ -230,6 +249,7 @@
   session(tcp::socket aSocket, std::shared_ptr<shared_state> aShared)
     : mStream(std::move(aSocket))
     , mShared(std::move(aShared))
+    , mReadLimit(mStream.get_executor())
   {
     mShared->mSessions.insert(this);
     DetectSilence(mStream.socket());
@@ -240,16 +260,15 @@
 
   asio::awaitable<void> Run()
   {
-    if (mShared->mSessions.size() > mShared->mLimits.mMaxConnections) {
-      co_await Refuse(error_kind::kTooManyConnections);
+    if (mShared->mServing < mShared->mLimits.mMaxConnections) {
+      co_await ServeAll();
+    } else if (Crowded()) {
+      mShared->mOnUnreadable(error_kind::kTooManyConnections);
       co_return;
+    } else {
+      co_await Refuse(error_kind::kTooManyConnections);
     }
-    bool again = true;
-    while (again) {
-      again = co_await ServeOne();
-    }
-    error_code ignored;
-    mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    co_await Linger();
   }
 
   void CloseIfIdle()
@@ -261,6 +280,38 @@
   }
 
 private:
+  // Refused and closing connections beyond this many are dropped at once.
+  bool Crowded() const
+  {
+    return mShared->mSessions.size() >
+           mShared->mLimits.mMaxConnections + kMaxClosing;
+  }
+
+  asio::awaitable<void> ServeAll()
+  {
+    const tally serving(mShared->mServing);
+    bool again = true;
+    while (again) {
+      again = co_await ServeOne();
+    }
+  }
+
+  // Closing a socket that holds unread bytes resets the connection, and the
+  // reset discards the answer on its way: a caller whose body is refused would
+  // see a broken connection instead of why. So what still comes is read and
+  // dropped until the caller closes, for a bounded time.
+  asio::awaitable<void> Linger()
+  {
+    error_code wrong;
+    mStream.socket().shutdown(tcp::socket::shutdown_send, wrong);
+    mBuffer.clear();
+    mStream.expires_after(kLingerTimeout);
+    while (!wrong && !Crowded()) {
+      co_await mStream.async_read_some(mBuffer.prepare(kFirstRead),
+                                       Into(wrong));
+    }
+  }
+
   // Reads one request and writes its answer; false ends the connection.
   asio::awaitable<bool> ServeOne()
   {
@@ -276,16 +327,16 @@
     }
     const bool keepAlive = parser.get().keep_alive();
     mVersion = parser.get().version();
+    mHead = parser.get().method() == http::verb::head;
     const auto one = boost::intrusive_ptr<exchange>(
       new exchange(mStream.get_executor(),
                    ToRequest(parser),
                    mShared->mLimits.mMaxUnsentBytes));
-    ++mShared->mInProgress;
+    const tally inProgress(mShared->mInProgress);
     Watch(one);
     mShared->mOnRequest(one);
     const bool written = co_await WriteAnswer(*one, keepAlive);
     one->Leave();
-    --mShared->mInProgress;
     // Wakes the watcher, which holds the exchange.
     mStream.socket().cancel();
     co_return written&& keepAlive&& mVersion == kHttp11 && !mShared->mDraining;
@@ -310,22 +361,20 @@
   asio::awaitable<std::optional<error_kind>> ReadRequest(
     request_parser& aParser)
   {
-    mStream.expires_after(mShared->mLimits.mSendTimeout);
+    BeginReadLimit();
     error_code wrong;
-    co_await http::async_read_header(mStream, mBuffer, aParser, Into(wrong));
-    if (!wrong &&
-        beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
-      http::response<http::empty_body> proceed(http::status::continue_,
-                                               kHttp11);
-      co_await http::async_write(mStream, proceed, Into(wrong));
-    }
-    if (!wrong) {
-      co_await http::async_read(mStream, mBuffer, aParser, Into(wrong));
+    const bool usable = co_await ReadAll(aParser, wrong);
+    ++mReads;
+    mReadLimit.cancel();
+    if (!usable) {
+      co_return error_kind::kMalformedRequest;
     }
-    mStream.expires_never();
     if (!wrong) {
       co_return std::nullopt;
     }
+    if (mLate) {
+      co_return error_kind::kSlowSender;
+    }
     if (wrong == http::error::header_limit ||
         wrong == http::error::buffer_overflow) {
       co_return error_kind::kHeaderTooLarge;
@@ -333,12 +382,62 @@
     if (wrong == http::error::body_limit) {
       co_return error_kind::kBodyTooLarge;
     }
-    if (wrong == beast::error::timeout) {
-      co_return error_kind::kSlowSender;
-    }
     co_return error_kind::kMalformedRequest;
   }
 
+  // False where a header was read that leaves open how the request goes on.
+  asio::awaitable<bool> ReadAll(request_parser& aParser, error_code& aWrong)
+  {
+    co_await http::async_read_header(mStream, mBuffer, aParser, Into(aWrong));
+    if (aWrong) {
+      co_return true;
+    }
+    const auto& header = aParser.get();
+    const bool known = header.version() == kHttp11 || header.version() == 10;
+    // Another coding than "chunked" doesn't tell where the body ends; its bytes
+    // would be taken for the next request.
+    if (!known || (header.count(http::field::transfer_encoding) > 0 &&
+                   !aParser.chunked())) {
+      co_return false;
+    }
+    if (header.version() == kHttp11 &&
+        beast::iequals(header[http::field::expect], "100-continue")) {
+      http::response<http::empty_body> proceed(http::status::continue_,
+                                               kHttp11);
+      co_await http::async_write(mStream, proceed, Into(aWrong));
+    }
+    if (!aWrong) {
+      co_await http::async_read(mStream, mBuffer, aParser, Into(aWrong));
+    }
+    co_return true;
+  }
+
+  // The stream's own time limit closes the socket, and nothing could be
+  // answered any more; this one only ends the reading.
+  void BeginReadLimit()
+  {
+    mLate = false;
+    mStream.expires_never();
+    mReadLimit.expires_after(mShared->mLimits.mSendTimeout);
+    AwaitReadLimit(mReads);
+  }
+
+  void AwaitReadLimit(std::uint64_t aRead)
+  {
+    mReadLimit.async_wait([self = boost::intrusive_ptr<session>(this),
+                           aRead](const error_code& aWrong) {
+      if (aWrong || aRead != self->mReads) {
+        return;
+      }
+      self->mLate = true;
+      self->mStream.cancel();
+      // A partial read that was done but not yet seen isn't cancelled, and
+      // another one follows it; that one is.
+      self->mReadLimit.expires_after(kCancelAgainAfter);
+      self->AwaitReadLimit(aRead);
+    });
+  }
+
   // Notices that the caller closes while its request is in progress. A caller
   // that only closed its sending side counts as gone as well; it can still
   // read that its request was given up.
@@ -365,7 +464,9 @@
 
   asio::awaitable<bool> WriteAnswer(exchange& aExchange, bool aKeepAlive)
   {
+    bool begun = false;
     while (const auto part = co_await aExchange.Next()) {
+      begun = true;
       mStream.expires_after(mShared->mLimits.mWriteTimeout);
       const bool written = co_await WritePart(*part, aKeepAlive);
       mStream.expires_never();
@@ -376,10 +477,28 @@
         co_return true;
       }
     }
-    co_await Refuse(error_kind::kCallerLeft);
+    if (begun) {
+      co_await BreakStream();
+    } else {
+      co_await Refuse(error_kind::kCallerLeft);
+    }
     co_return false;
   }
 
+  // A caller that closed only its sending side may still read. Inside a stream
+  // a second header would be taken for text of the stream.
+  asio::awaitable<void> BreakStream()
+  {
+    mStream.expires_after(kRefusalTimeout);
+    std::string body = mShared->mOnUnreadable(error_kind::kCallerLeft).mBody;
+    while (body.ends_with('\n')) {
+      body.pop_back();
+    }
+    if (co_await WriteText("event: error\ndata: " + body + "\n\n")) {
+      co_await WriteEnd();
+    }
+  }
+
   asio::awaitable<bool> WritePart(const reply_part& aPart, bool aKeepAlive)
   {
     if (const auto* whole = std::get_if<whole_reply>(&aPart)) {
@@ -414,7 +533,13 @@
     response.body() = aReply.mBody;
     response.prepare_payload();
     error_code wrong;
-    co_await http::async_write(mStream, response, Into(wrong));
+    if (mHead) {
+      // A body would be taken for the next answer.
+      http::response_serializer<http::string_body> serializer(response);
+      co_await http::async_write_header(mStream, serializer, Into(wrong));
+    } else {
+      co_await http::async_write(mStream, response, Into(wrong));
+    }
     co_return !wrong;
   }
 
@@ -469,12 +594,20 @@
 
   static constexpr std::size_t kFirstRead = 4096;
   static constexpr duration kRefusalTimeout = Seconds(1);
+  static constexpr duration kLingerTimeout = Seconds(2);
+  static constexpr duration kCancelAgainAfter = Milliseconds(20);
+  static constexpr std::size_t kMaxClosing = 256;
 
   beast::tcp_stream mStream;
   std::shared_ptr<shared_state> mShared;
   beast::flat_buffer mBuffer;
+  asio::steady_timer mReadLimit;
+  // Finished readings; tells a late timer that its own is over.
+  std::uint64_t mReads = 0;
   unsigned mVersion = kHttp11;
+  bool mHead = false;
   bool mIdle = false;
+  bool mLate = false;
 };
 
 asio::awaitable<void>
--- a/thornhollow/testing/process/harness.py
+++ b/thornhollow/testing/process/harness.py
@@ -265,6 +265,7 @@
   lifetime_ms: {key_lifetime_ms}
   view_lag_ms: 1000
 log_level: info
+{more}
 """
 
 TOKEN = "secret"
@@ -405,6 +406,8 @@
 
     FIRST_BYTE_MS = 1000
     KEY_LIFETIME_MS = 600000
+    # Further lines of every daemon's settings, such as "limits: {...}".
+    MORE_SETTINGS = ""
 
     def setUp(self):
         self.endpoints = []
@@ -473,6 +476,7 @@
                 "platform": platform or self.platform.address,
                 "key": "ab" * 32, "first_byte_ms": self.FIRST_BYTE_MS,
                 "key_lifetime_ms": self.KEY_LIFETIME_MS,
+                "more": self.MORE_SETTINGS,
                 "seeds": ", ".join(d.settings["peers"] for d in self.daemons)}
 
     def daemon(self, name="d1", platform=None, settings=None, ready=True):
