Callers that leave: seen behind pipelined bytes, and counted once

Cause: the look for a close peeked at one byte; with a next request in the socket it saw that byte and never looked again, so the run went on until its deadline. And caller_left was counted and logged by the request's end and again by the connection.

Change: bytes of a next request are taken over, up to 64 KiB, and the look for a close goes on; an answer that is already complete is still written. The connection's own answer to a caller that left isn't counted again.

--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -157,6 +157,10 @@
 
   whole_reply AnswerUnreadable(error_kind aKind)
   {
+    if (aKind == error_kind::kCallerLeft) {
+      // The request's own end counts and logs it.
+      return ErrorReply(aKind, duration{}, request_id());
+    }
     return Refusal(aKind, duration{}, request_id());
   }
 
--- a/thornhollow/net/caller_server.cc
+++ b/thornhollow/net/caller_server.cc
@@ -161,6 +161,7 @@
   }
 
   bool Gone() const { return mGone; }
+  bool Complete() const { return mLastQueued; }
 
   // The next part to write; nothing when the caller is gone.
   asio::awaitable<std::optional<reply_part>> Next()
@@ -443,23 +444,33 @@
   // read that its request was given up.
   void Watch(const boost::intrusive_ptr<exchange>& aExchange)
   {
-    mStream.socket().async_wait(
-      tcp::socket::wait_read,
-      [self = boost::intrusive_ptr<session>(this),
-       aExchange](const error_code& aWrong) {
-        if (aWrong || aExchange->Gone()) {
-          return;
-        }
-        char peeked = 0;
-        error_code wrong;
-        self->mStream.socket().non_blocking(true, wrong);
-        self->mStream.socket().receive(
-          asio::buffer(&peeked, 1), tcp::socket::message_peek, wrong);
-        // Bytes of a next request stay unread until their turn.
-        if (wrong && wrong != asio::error::would_block) {
-          aExchange->Leave();
-        }
-      });
+    mStream.socket().async_wait(tcp::socket::wait_read,
+                                [self = boost::intrusive_ptr<session>(this),
+                                 aExchange](const error_code& aWrong) {
+                                  if (!aWrong && !aExchange->Gone()) {
+                                    self->LookForClose(aExchange);
+                                  }
+                                });
+  }
+
+  // Bytes of a next request are taken over, up to a bound: a close shows only
+  // after them.
+  void LookForClose(const boost::intrusive_ptr<exchange>& aExchange)
+  {
+    error_code wrong;
+    mStream.socket().non_blocking(true, wrong);
+    const std::size_t bytes =
+      mStream.socket().receive(mBuffer.prepare(kFirstRead), 0, wrong);
+    mBuffer.commit(bytes);
+    if (wrong && wrong != asio::error::would_block) {
+      // An answer that is complete is still written; whoever closed only its
+      // sending side reads it.
+      if (!aExchange->Complete()) {
+        aExchange->Leave();
+      }
+    } else if (mBuffer.size() < kMaxReadAhead) {
+      Watch(aExchange);
+    }
   }
 
   asio::awaitable<bool> WriteAnswer(exchange& aExchange, bool aKeepAlive)
@@ -593,6 +604,7 @@
   }
 
   static constexpr std::size_t kFirstRead = 4096;
+  static constexpr std::size_t kMaxReadAhead = std::size_t{ 64 } << 10U;
   static constexpr duration kRefusalTimeout = Seconds(1);
   static constexpr duration kLingerTimeout = Seconds(2);
   static constexpr duration kCancelAgainAfter = Milliseconds(20);
--- a/thornhollow/testing/process/bad_input_test.py
+++ b/thornhollow/testing/process/bad_input_test.py
@@ -101,6 +101,11 @@
         self.assert_serves()
         self.assertLess(resident_kb(self.router) - self.memory, GROWTH_KB)
 
+    def counted(self, kind):
+        page = harness.call(self.router.operators, "GET", "/metrics")[2]
+        name = f'thornhollow_refused_total{{kind="{kind}"}}'
+        return float(page.decode().split(name)[1].split()[0])
+
     def assert_error(self, answer, status, kind, ran="no"):
         found, _, body = answer
         error = json.loads(body)["error"]
@@ -308,6 +313,24 @@
         harness.wait_until(
             lambda: self.served.runs()["totals"]["cancelled"] == 1,
             "the run is cancelled")
+        self.assertEqual(self.counted("caller_left"), 1)
+        self.assert_unharmed(runs=1)
+
+    def test_closed_after_pipelining_the_run_is_cancelled(self):
+        """Bytes of a next request lie before the close; a look at the first
+        byte only would never see it, and the engine would compute on."""
+        caller = self.caller()
+        caller.send(post(good_body(10000000)))
+        harness.wait_until(
+            lambda: harness.chat_runs(self.served) == self.runs + 1,
+            "the request runs")
+        caller.send(post(good_body()))
+        caller.close()
+        harness.wait_until(
+            lambda: self.served.runs()["totals"]["cancelled"] == 1,
+            "the run is cancelled")
+        # Not by its deadline.
+        self.assertEqual(self.counted("caller_left"), 1)
         self.assert_unharmed(runs=1)
 
 
