--- a/thornhollow/daemon/operators_page.cc
+++ b/thornhollow/daemon/operators_page.cc
@@ -39,7 +39,11 @@
               const metrics& aMetrics)
 {
   whole_reply reply;
-  if (aRequest.mPath == "/metrics") {
+  if (aRequest.mMethod != "GET" && aRequest.mMethod != "HEAD") {
+    reply.mHttpStatus = 405;
+    reply.mContentType = "text/plain";
+    reply.mBody = "the pages are only read\n";
+  } else if (aRequest.mPath == "/metrics") {
     reply.mContentType = kMetricsType;
     reply.mBody = aMetrics.Page();
   } else if (aRequest.mPath == "/status") {
--- a/thornhollow/daemon/operators_page.h
+++ b/thornhollow/daemon/operators_page.h
@@ -41,7 +41,8 @@
 std::string
 StatusJson(const instance_status& aStatus);
 
-// Answers `/metrics`, `/status`, `/ready`; 404 for any other path.
+// Answers `/metrics`, `/status`, `/ready`; 404 for any other path, 405 for a
+// method that doesn't read.
 whole_reply
 OperatorsPage(const caller_request& aRequest,
               const instance_status& aStatus,
