--- a/thornhollow/daemon/operators_page_test.cc
+++ b/thornhollow/daemon/operators_page_test.cc
@@ -12,8 +12,7 @@
     return OperatorsPage({ aMethod, aPath, {}, "" }, mStatus, mMetrics);
   }
 
-  instance_status mStatus{ .mName = instance_name("entry-1"),
-                           .mDomain = domain_name("hall") };
+  instance_status mStatus;
   metrics mMetrics;
 };
 
--- a/thornhollow/policy/minimum_share.h
+++ b/thornhollow/policy/minimum_share.h
@@ -17,10 +17,10 @@
 // cost, so that it can't collect a claim while it waits for nothing and then
 // crowd out a higher tier in one go; and it saves from zero when it has nothing
 // waiting, so that a class that asks for less than its share is served by tier
-// order, not before it. What a class was served by tier order counts as well, up
-// to 16 requests' cost: a share is kept over some tens of requests, not in each
-// moment. With a debt of one request the class was paid twice, by its turn in
-// quiet moments and by its share; the highest tier attained less.
+// order, not before it. What a class was served by tier order counts as well,
+// up to 16 requests' cost: a share is kept over some tens of requests, not in
+// each moment. With a debt of one request the class was paid twice, by its turn
+// in quiet moments and by its share; the highest tier attained less.
 #ifndef THORNHOLLOW_POLICY_MINIMUM_SHARE_H_
 #define THORNHOLLOW_POLICY_MINIMUM_SHARE_H_
 
--- a/thornhollow/policy/scenario/regression_test.cc
+++ b/thornhollow/policy/scenario/regression_test.cc
@@ -10,10 +10,6 @@
 
 #include <doctest/doctest.h>
 
-#include <cstdint>
-#include <string>
-#include <string_view>
-
 #include "thornhollow/policy/scenario/figures.h"
 
 namespace thornhollow::scenario {
