Every refusal has a request identifier, and one come-back time

Cause: requests refused before they were scheduled were answered without an identifier, against docs/API.md; an error inside a stream gave a fixed come-back time while the log and the header gave a spread one; a request held a catalog that nothing read. Change: an identifier for every refusal; one computed time in both forms; the dead member removed. Conclusion: a caller can name its refusal.

--- a/thornhollow/daemon/live_request.h
+++ b/thornhollow/daemon/live_request.h
@@ -11,7 +11,6 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include "thornhollow/config/catalog.h"
 #include "thornhollow/daemon/intake.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/endpoint_attempt.h"
@@ -39,14 +38,12 @@
                ticket aTicket,
                request_facts aFacts,
                intake aIntake,
-               caller_exchange_ptr aExchange,
-               catalog_ptr aTerms)
+               caller_exchange_ptr aExchange)
     : mTicket(aTicket)
     , mId(aFacts.mId)
     , mMachine(std::move(aFacts))
     , mIntake(std::move(aIntake))
     , mExchange(std::move(aExchange))
-    , mTerms(std::move(aTerms))
     , mTimer(aIo)
   {
   }
@@ -56,8 +53,6 @@
   request_machine mMachine;
   intake mIntake;
   caller_exchange_ptr mExchange;
-  // The terms under which the request was taken.
-  catalog_ptr mTerms;
   boost::intrusive_ptr<endpoint_attempt> mAttempt;
   // The present attempt takes its class's minimum share.
   bool mOwed = false;
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -166,7 +166,7 @@
       // The request's own end counts and logs it.
       return ErrorReply(aKind, duration{}, request_id());
     }
-    return Refusal(aKind, duration{}, request_id());
+    return Refusal(aKind, SpreadDelay(), NewId());
   }
 
 private:
@@ -174,18 +174,14 @@
   {
     const time_point arrival = aExchange->Arrival();
     request_facts facts;
-    facts.mId = request_id(to_string(mMakeId()));
+    facts.mId = NewId();
     facts.mIdempotent = aIntake.mIdempotent;
     facts.mStream = aIntake.mStream;
     facts.mDeadline = arrival + aIntake.mDeadline;
     facts.mLimits = LimitsFor(aIntake);
     const ticket number = ++mLastTicket;
-    auto live = live_request_ptr(new live_request(mIo,
-                                                  number,
-                                                  std::move(facts),
-                                                  std::move(aIntake),
-                                                  std::move(aExchange),
-                                                  mCatalog));
+    auto live = live_request_ptr(new live_request(
+      mIo, number, std::move(facts), std::move(aIntake), std::move(aExchange)));
     mLive.emplace(number, live);
     mMetrics.OnRequest(live->mIntake.mClass);
     live->mExchange->OnLeft([this, number] { Later(number, caller_left{}); });
@@ -489,14 +485,15 @@
   void Carry(live_request& aLive, const deliver_error& aAction)
   {
     mMetrics.OnWastedTokens(aLive.mMachine.DeliveredTokens());
-    const whole_reply reply =
-      Refusal(aAction.mKind, aAction.mRetryAfter, aLive.mId);
+    const duration comeBack =
+      aAction.mRetryAfter > duration{} ? aAction.mRetryAfter : SpreadDelay();
+    const whole_reply reply = Refusal(aAction.mKind, comeBack, aLive.mId);
     if (!aLive.mHeadSent) {
       aLive.mExchange->Send(reply);
       return;
     }
     aLive.mExchange->Send(
-      stream_text{ ErrorEvent(aAction.mKind, kComeBackAfter, aLive.mId) });
+      stream_text{ ErrorEvent(aAction.mKind, comeBack, aLive.mId) });
     aLive.mExchange->Send(stream_end{});
   }
 
@@ -523,7 +520,7 @@
 
   void RefuseEarly(caller_exchange& aExchange, error_kind aKind)
   {
-    aExchange.Send(Refusal(aKind, duration{}, request_id()));
+    aExchange.Send(Refusal(aKind, SpreadDelay(), NewId()));
   }
 
   whole_reply Refusal(error_kind aKind,
@@ -536,10 +533,11 @@
                { { "kind", std::string(Name(aKind)) },
                  { "ran", std::string(Name(AnswerFor(aKind).mRan)) },
                  { "request_id", aId.Text() } });
-    return ErrorReply(
-      aKind, aRetryAfter > duration{} ? aRetryAfter : SpreadDelay(), aId);
+    return ErrorReply(aKind, aRetryAfter, aId);
   }
 
+  request_id NewId() { return request_id(to_string(mMakeId())); }
+
   duration SpreadDelay()
   {
     std::uniform_real_distribution<double> factor(0.5, 1.5);
--- a/thornhollow/testing/process/bad_input_test.py
+++ b/thornhollow/testing/process/bad_input_test.py
@@ -108,8 +108,11 @@
         return float(page.decode().split(name)[1].split()[0])
 
     def assert_error(self, answer, status, kind, ran="no"):
-        found, _, body = answer
+        found, headers, body = answer
         error = json.loads(body)["error"]
+        # Whoever asks an operator about a refusal has to be able to name it.
+        self.assertTrue(headers.get("x-request-id"), headers)
+        self.assertEqual(error["request_id"], headers["x-request-id"])
         self.assertEqual((found, error["kind"], error["ran"]),
                          (status, kind, ran), error)
 
