Idle connections of callers: the setting now does something

Cause: reading the settings as a newcomer: timeouts.idle_connection_ms was checked and documented, and nothing read it, since endpoints' connections aren't reused. Change: it is the time after which a caller's connection without a request is closed, 60 s by default, as the daemon had fixed in its code.

--- a/thornhollow/config/settings.h
+++ b/thornhollow/config/settings.h
@@ -42,15 +42,17 @@
   friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
 
-// Time limits of the stages of an attempt at an endpoint.
+// Time limits of the stages of an attempt at an endpoint, and of a caller's
+// idle connection.
 struct stage_timeouts
 {
   duration mConnect = Milliseconds(500);
   // From the request's last byte to the answer's first one.
   duration mFirstByte = Seconds(30);
   duration mBetweenTokens = Seconds(5);
-  // A connection that was idle for longer is not used again.
-  duration mIdleConnection = Seconds(10);
+  // A caller's connection without a request for this long is closed. Longer
+  // than balancers keep theirs, or a request may meet a closing connection.
+  duration mIdleConnection = Seconds(60);
 
   friend bool operator==(const stage_timeouts&,
                          const stage_timeouts&) = default;
--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -39,6 +39,7 @@
   limits.mMaxConnections = aSettings.mLimits.mMaxConnections;
   limits.mSendTimeout = aSettings.mLimits.mSendTimeout;
   limits.mWriteTimeout = aSettings.mLimits.mSendTimeout;
+  limits.mIdleTimeout = aSettings.mTimeouts.mIdleConnection;
   return limits;
 }
 
--- a/thornhollow/testing/process/bad_input_test.py
+++ b/thornhollow/testing/process/bad_input_test.py
@@ -435,5 +435,16 @@
         self.assert_unharmed()
 
 
+class IdleConnection(BadInput):
+    """Callers that open connections and send nothing hold them for good."""
+
+    IDLE_MS = 300
+
+    def test_connection_without_a_request_is_closed(self):
+        caller = self.caller()
+        self.assertEqual(caller.reader.read(1), b"")
+        self.assert_serves()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornhollow/testing/process/harness.py
+++ b/thornhollow/testing/process/harness.py
@@ -261,6 +261,7 @@
   connect_ms: 300
   first_byte_ms: {first_byte_ms}
   between_tokens_ms: 500
+  idle_connection_ms: {idle_ms}
 idempotency_keys:
   lifetime_ms: {key_lifetime_ms}
   view_lag_ms: 1000
@@ -408,6 +409,7 @@
     KEY_LIFETIME_MS = 600000
     # Further lines of every daemon's settings, such as "limits: {...}".
     MORE_SETTINGS = ""
+    IDLE_MS = 60000
 
     def setUp(self):
         self.endpoints = []
@@ -476,7 +478,7 @@
                 "platform": platform or self.platform.address,
                 "key": "ab" * 32, "first_byte_ms": self.FIRST_BYTE_MS,
                 "key_lifetime_ms": self.KEY_LIFETIME_MS,
-                "more": self.MORE_SETTINGS,
+                "more": self.MORE_SETTINGS, "idle_ms": self.IDLE_MS,
                 "seeds": ", ".join(d.settings["peers"] for d in self.daemons)}
 
     def daemon(self, name="d1", platform=None, settings=None, ready=True):
