One clock for the edge, one reading of peers' answers

Cause: read once more: six sources had their own Now(), three callers the same look into an answer's variant. Change: net/clock.h, AnswerAs in the control plane; behaviour as before.

--- a/thornhollow/daemon/configuration_keeper.cc
+++ b/thornhollow/daemon/configuration_keeper.cc
@@ -1,6 +1,5 @@
 #include "thornhollow/daemon/configuration_keeper.h"
 
-#include <chrono>
 #include <random>
 #include <unordered_map>
 #include <utility>
@@ -13,6 +12,7 @@
 #include <fmt/format.h>
 
 #include "thornhollow/config/bundle.h"
+#include "thornhollow/net/clock.h"
 #include "thornhollow/net/http_fetch.h"
 
 namespace thornhollow {
@@ -21,12 +21,6 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotModified = 304;
 
-time_point
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 manifest_answer
 ToManifestAnswer(fetch_outcome aOutcome)
 {
--- a/thornhollow/daemon/control_plane.cc
+++ b/thornhollow/daemon/control_plane.cc
@@ -11,6 +11,7 @@
 
 #include "thornhollow/daemon/configuration_keeper.h"
 #include "thornhollow/daemon/peer_link.h"
+#include "thornhollow/net/clock.h"
 #include "thornhollow/platform/platform_list.h"
 #include "thornhollow/platform/platform_watch.h"
 
@@ -27,12 +28,6 @@
 // What an endpoint said of itself holds for this long unless it is said again.
 constexpr duration kToldFor = Seconds(60);
 
-time_point
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 // Higher at each start, as long as the clock isn't set back between two.
 std::uint64_t
 NewEpoch()
@@ -59,6 +54,14 @@
   return { domains.begin(), domains.end() };
 }
 
+// The answer where it came and is of the kind that was asked for, or null.
+template<class kind>
+const kind*
+AnswerAs(const std::optional<stream_message>& aAnswer)
+{
+  return aAnswer ? std::get_if<kind>(&*aAnswer) : nullptr;
+}
+
 key_claim_settings
 KeySettings(const daemon_settings& aSettings)
 {
@@ -261,8 +264,7 @@
       word_exchange{ mKeeper.Word() },
       kWordLimit,
       [done = std::move(aDone)](const std::optional<stream_message>& aAnswer) {
-        const auto* word =
-          aAnswer ? std::get_if<word_exchange>(&*aAnswer) : nullptr;
+        const auto* word = AnswerAs<word_exchange>(aAnswer);
         done(word == nullptr ? std::nullopt : std::optional(word->mWord));
       });
   }
@@ -276,8 +278,7 @@
       part_request{ aDigest },
       follower_settings{}.mFetchTimeout,
       [done = std::move(aDone)](const std::optional<stream_message>& aAnswer) {
-        const auto* part =
-          aAnswer ? std::get_if<part_answer>(&*aAnswer) : nullptr;
+        const auto* part = AnswerAs<part_answer>(aAnswer);
         done(part == nullptr || !part->mFound ? std::nullopt
                                               : std::optional(part->mBytes));
       });
@@ -292,8 +293,7 @@
       aRequest,
       key_claim_settings{}.mAskTimeout,
       [done = std::move(aDone)](const std::optional<stream_message>& aAnswer) {
-        const auto* claim =
-          aAnswer ? std::get_if<claim_answer>(&*aAnswer) : nullptr;
+        const auto* claim = AnswerAs<claim_answer>(aAnswer);
         done(claim == nullptr ? std::nullopt : std::optional(*claim));
       });
   }
--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <chrono>
 #include <set>
 #include <utility>
 #include <variant>
@@ -17,6 +16,7 @@
 #include "thornhollow/daemon/operators_page.h"
 #include "thornhollow/daemon/router.h"
 #include "thornhollow/net/caller_server.h"
+#include "thornhollow/net/clock.h"
 
 namespace thornhollow {
 namespace {
@@ -154,7 +154,7 @@
       { { "in_progress", static_cast<std::int64_t>(mRouter.InProgress()) } });
     mRouter.BeginDrain();
     mControl.Drain();
-    mDrainBegun = std::chrono::steady_clock::now();
+    mDrainBegun = Now();
     CheckDrained();
   }
 
@@ -210,7 +210,7 @@
 
   void CheckDrained()
   {
-    const duration since = std::chrono::steady_clock::now() - mDrainBegun;
+    const duration since = Now() - mDrainBegun;
     if (since >= kBalancerNotices) {
       mCallers.BeginDrain();
     }
--- a/thornhollow/daemon/key_gate.cc
+++ b/thornhollow/daemon/key_gate.cc
@@ -1,20 +1,11 @@
 #include "thornhollow/daemon/key_gate.h"
 
-#include <chrono>
 #include <utility>
 #include <variant>
 
-namespace thornhollow {
-namespace {
-
-time_point
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
-} // namespace
+#include "thornhollow/net/clock.h"
 
+namespace thornhollow {
 class key_gate::core : public std::enable_shared_from_this<core>
 {
 public:
--- a/thornhollow/daemon/load_poller.cc
+++ b/thornhollow/daemon/load_poller.cc
@@ -1,7 +1,6 @@
 #include "thornhollow/daemon/load_poller.h"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -9,6 +8,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 
+#include "thornhollow/net/clock.h"
 #include "thornhollow/net/http_fetch.h"
 
 namespace thornhollow {
@@ -23,12 +23,6 @@
 // A report claiming a greater age than this is told apart from nonsense.
 constexpr std::int64_t kOldestReportMs = 3'600'000;
 
-time_point
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 double
 NumberField(const boost::json::object& aObject, std::string_view aName)
 {
@@ -118,8 +112,7 @@
     if (aOutcome->mHttpStatus != kOk) {
       return;
     }
-    if (const auto report =
-          ReadLoadReport(aOutcome->mBody, std::chrono::steady_clock::now())) {
+    if (const auto report = ReadLoadReport(aOutcome->mBody, Now())) {
       mOnReport(aName, *report);
     }
   }
--- a/thornhollow/daemon/peer_link.cc
+++ b/thornhollow/daemon/peer_link.cc
@@ -1,7 +1,6 @@
 #include "thornhollow/daemon/peer_link.h"
 
 #include <algorithm>
-#include <chrono>
 #include <map>
 #include <random>
 #include <utility>
@@ -11,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "thornhollow/net/clock.h"
 #include "thornhollow/net/peer_transport.h"
 #include "thornhollow/wire/codec.h"
 #include "thornhollow/wire/seal.h"
@@ -25,12 +25,6 @@
 // A leaving endpoint is told for this long; by then the platform's list has it.
 constexpr duration kLeavingFor = Seconds(60);
 
-time_point
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 // The value of a result, or nothing; the error's detail is of no interest.
 template<class value>
 std::optional<value>
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -1,7 +1,6 @@
 #include "thornhollow/daemon/router.h"
 
 #include <algorithm>
-#include <chrono>
 #include <deque>
 #include <random>
 #include <unordered_map>
@@ -17,6 +16,7 @@
 #include "thornhollow/daemon/caller_reply.h"
 #include "thornhollow/daemon/intake.h"
 #include "thornhollow/daemon/live_request.h"
+#include "thornhollow/net/clock.h"
 
 namespace thornhollow {
 namespace {
@@ -36,12 +36,6 @@
 // it was.
 const instance_name kAllPeers("peers");
 
-time_point
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 class router::core
--- a/thornhollow/net/caller_server.cc
+++ b/thornhollow/net/caller_server.cc
@@ -26,6 +26,7 @@
 #include <netinet/tcp.h>
 
 #include "thornhollow/net/address.h"
+#include "thornhollow/net/clock.h"
 #include "thornhollow/net/internal/awaitable.h"
 
 namespace thornhollow {
@@ -117,7 +118,7 @@
            caller_request aRequest,
            std::size_t aMaxUnsentBytes)
     : mRequest(std::move(aRequest))
-    , mArrival(std::chrono::steady_clock::now())
+    , mArrival(Now())
     , mMaxUnsentBytes(aMaxUnsentBytes)
     , mSignal(aExecutor, asio::steady_timer::time_point::max())
   {
--- a/thornhollow/platform/platform_watch.cc
+++ b/thornhollow/platform/platform_watch.cc
@@ -1,6 +1,5 @@
 #include "thornhollow/platform/platform_watch.h"
 
-#include <chrono>
 #include <random>
 #include <utility>
 
@@ -8,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
+#include "thornhollow/net/clock.h"
 #include "thornhollow/net/http_fetch.h"
 
 namespace thornhollow {
@@ -51,7 +51,7 @@
     call.mTarget = fmt::format(
       "{}?after={}&wait_ms={}", mPath, mVersion, ToMilliseconds(kWait));
     call.mTimeout = kWait + kGrace;
-    mAsked = std::chrono::steady_clock::now();
+    mAsked = Now();
     Fetch(mIo, call, [self = shared_from_this()](fetch_outcome aOutcome) {
       self->OnOutcome(std::move(aOutcome));
     });
@@ -74,7 +74,7 @@
     }
     // An answer that waited in the socket while this process stood still is as
     // old as the pause; idempotency keys rely on a view that is fresh.
-    if (std::chrono::steady_clock::now() - mAsked > kWait + kGrace) {
+    if (Now() - mAsked > kWait + kGrace) {
       aOutcome.reset();
     }
     if (aOutcome) {
