--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -23,6 +23,11 @@
     endif()
   endforeach()
 
+  if(THORNHOLLOW_DAEMON_ONLY)
+    set(tests "")
+    set(benchmarks "")
+  endif()
+
   if(sources)
     add_library(th_${NAME} STATIC ${sources})
     target_include_directories(th_${NAME} PUBLIC ${PROJECT_SOURCE_DIR})
--- /dev/null
+++ b/thornhollow/config/internal/settings_fields.cc
@@ -0,0 +1,83 @@
+#include "thornhollow/config/internal/settings_fields.h"
+
+#include <algorithm>
+#include <array>
+
+#include <fmt/format.h>
+
+#include "thornhollow/config/internal/ip_address.h"
+
+namespace thornhollow::internal {
+namespace {
+
+constexpr std::size_t kMaxSeeds = 64;
+constexpr std::size_t kMaxSettingsBytes = std::size_t{ 64 } << 10U;
+constexpr std::array<log_level, 4> kLogLevels = { log_level::kError,
+                                                  log_level::kWarning,
+                                                  log_level::kInfo,
+                                                  log_level::kDebug };
+
+} // namespace
+
+std::optional<yaml_node>
+ParseSettings(const source_file& aFile, faults& aFaults)
+{
+  if (aFile.mText.size() > kMaxSettingsBytes) {
+    aFaults.push_back({ aFile.mName,
+                        0,
+                        "",
+                        fmt::format("{} bytes", aFile.mText.size()),
+                        fmt::format("at most {} bytes", kMaxSettingsBytes) });
+    return std::nullopt;
+  }
+  auto tree = ParseYaml(aFile.mName, aFile.mText, aFaults);
+  if (!tree || tree->mKind == yaml_kind::kMapping) {
+    return tree;
+  }
+  // Says what was found in place of a mapping.
+  const field_reader fields(*tree, aFile.mName, "", aFaults);
+  return std::nullopt;
+}
+
+std::string
+ReadAddress(field_reader& aFields, std::string_view aField)
+{
+  std::string address = aFields.Text(aField);
+  if (!address.empty() && !IsAddressWithPort(address)) {
+    aFields.Refuse(aField, Quote(address), std::string(kAddressForm));
+  }
+  return address;
+}
+
+std::vector<std::string>
+ReadSeeds(field_reader& aFields, std::string_view aField)
+{
+  std::vector<std::string> seeds = aFields.Texts(aField, { 0, kMaxSeeds });
+  for (const std::string& seed : seeds) {
+    if (!IsAddressWithPort(seed) || IsAnyAddress(seed)) {
+      aFields.Refuse(aField, Quote(seed), std::string(kAddressForm));
+    }
+  }
+  return seeds;
+}
+
+log_level
+ReadLogLevel(field_reader& aFields, log_level aDefault)
+{
+  const std::string text =
+    aFields.Text("log_level", std::string(Name(aDefault)));
+  const auto found = std::ranges::find(
+    kLogLevels, text, [](log_level aLevel) { return Name(aLevel); });
+  if (found == kLogLevels.end()) {
+    std::vector<std::string_view> names;
+    for (const log_level each : kLogLevels) {
+      names.push_back(Name(each));
+    }
+    aFields.Refuse(
+      "log_level", Quote(text), fmt::format("{}", fmt::join(names, ", ")));
+    return aDefault;
+  }
+  return *found;
+}
+
+} // namespace thornhollow::internal
--- /dev/null
+++ b/thornhollow/config/internal/settings_fields.h
@@ -0,0 +1,36 @@
+// Reading of fields that the settings of both kinds of daemon have.
+//
+//   settings.mCallerAddress = ReadAddress(fields, "caller_address");
+//
+#ifndef THORNHOLLOW_CONFIG_INTERNAL_SETTINGS_FIELDS_H_
+#define THORNHOLLOW_CONFIG_INTERNAL_SETTINGS_FIELDS_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "thornhollow/config/internal/field_reader.h"
+#include "thornhollow/config/settings.h"
+#include "thornhollow/config/source_file.h"
+
+namespace thornhollow::internal {
+
+// The mapping in the file, or nothing after its faults were added.
+std::optional<yaml_node>
+ParseSettings(const source_file& aFile, faults& aFaults);
+
+// An IP number with a port; another text is a fault.
+std::string
+ReadAddress(field_reader& aFields, std::string_view aField);
+
+// A list of such, each of one host.
+std::vector<std::string>
+ReadSeeds(field_reader& aFields, std::string_view aField);
+
+log_level
+ReadLogLevel(field_reader& aFields, log_level aDefault);
+
+} // namespace thornhollow::internal
+
+#endif // THORNHOLLOW_CONFIG_INTERNAL_SETTINGS_FIELDS_H_
--- /dev/null
+++ b/thornhollow/config/relay_settings.h
@@ -0,0 +1,73 @@
+// The settings of one daemon that relays requests as they are, with routes and
+// endpoints published by a source that can only be read. They come from one
+// YAML file.
+//
+//   const auto verdict = ReadRelaySettings({ "relay.yaml", text });
+//   if (const auto* refused = std::get_if<faults>(&verdict)) { ... }
+//
+#ifndef THORNHOLLOW_CONFIG_RELAY_SETTINGS_H_
+#define THORNHOLLOW_CONFIG_RELAY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "thornhollow/base/ids.h"
+#include "thornhollow/base/time.h"
+#include "thornhollow/config/fault.h"
+#include "thornhollow/config/settings.h"
+#include "thornhollow/config/source_file.h"
+
+namespace thornhollow {
+
+// Bound on attempts beyond the first of each request, over all instances.
+struct shared_retry_settings
+{
+  // Of the requests for a pool within the window.
+  double mRatio = 0.2;
+  // Free of charge within a window, over all instances.
+  double mExtra = 50;
+  duration mWindow = Seconds(10);
+
+  friend bool operator==(const shared_retry_settings&,
+                         const shared_retry_settings&) = default;
+};
+
+struct relay_settings
+{
+  // Unique over all instances.
+  instance_name mName;
+  domain_name mDomain;
+  // Each an IP number with a port.
+  std::string mCallerAddress;
+  // Where the balancer asks whether the instance takes connections.
+  std::string mReadinessAddress;
+  std::string mOperatorAddress;
+  // UDP and TCP, the same number.
+  std::string mPeerAddress;
+  // The source of routes and endpoints.
+  std::string mSourceAddress;
+  // Peers to ask first; may be stale or down.
+  std::vector<std::string> mPeerSeeds;
+  shared_retry_settings mRetries;
+  // After SIGTERM, requests in progress are cut when this has passed.
+  duration mDrainGrace = Seconds(30);
+  // Open connections of callers.
+  std::uint32_t mMaxConnections = 2'048;
+  // Prompt tokens that an engine reads a second.
+  double mReadPerSecond = 66'200;
+  log_level mLogLevel = log_level::kInfo;
+
+  friend bool operator==(const relay_settings&,
+                         const relay_settings&) = default;
+};
+
+using relay_settings_verdict = std::variant<relay_settings, faults>;
+
+relay_settings_verdict
+ReadRelaySettings(const source_file& aFile);
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_CONFIG_RELAY_SETTINGS_H_
--- a/thornhollow/config/settings.cc
+++ b/thornhollow/config/settings.cc
@@ -10,16 +10,14 @@
 
 #include "thornhollow/config/internal/field_reader.h"
 #include "thornhollow/config/internal/ip_address.h"
+#include "thornhollow/config/internal/settings_fields.h"
 
 namespace thornhollow {
 namespace {
 
 using internal::field_reader;
-using internal::yaml_kind;
 using internal::yaml_node;
 
-constexpr std::size_t kMaxSeeds = 64;
-constexpr std::size_t kMaxSettingsBytes = std::size_t{ 64 } << 10U;
 constexpr std::size_t kMaxPeerKeyBytes = 128;
 constexpr int kHexBase = 16;
 constexpr std::array<std::string_view, 4> kLogLevels = { "error",
@@ -100,7 +98,6 @@
   void ReadLimits(field_reader& aFields);
   void ReadTimeouts(field_reader& aFields);
   void ReadKeyTimes(field_reader& aFields);
-  void ReadLogLevel(field_reader& aFields);
   void CheckAddressesDiffer();
 
   std::string Named(field_reader& aFields,
@@ -119,21 +116,11 @@
 settings_verdict
 settings_reader::Run() &&
 {
-  if (mFile.mText.size() > kMaxSettingsBytes) {
-    return faults{ { mFile.mName,
-                     0,
-                     "",
-                     fmt::format("{} bytes", mFile.mText.size()),
-                     fmt::format("at most {} bytes", kMaxSettingsBytes) } };
-  }
-  const auto tree = internal::ParseYaml(mFile.mName, mFile.mText, mFaults);
+  const auto tree = internal::ParseSettings(mFile, mFaults);
   if (!tree) {
     return std::move(mFaults);
   }
   field_reader fields(*tree, mFile.mName, "", mFaults);
-  if (tree->mKind != yaml_kind::kMapping) {
-    return std::move(mFaults);
-  }
   ReadIdentity(fields);
   ReadAddresses(fields);
   ReadPeerKeyFields(fields);
@@ -142,7 +129,7 @@
   ReadKeyTimes(fields);
   mRead.mDrainGrace = ReadMilliseconds(
     fields, "drain_grace_ms", 1'000, 86'400'000, mRead.mDrainGrace);
-  ReadLogLevel(fields);
+  mRead.mLogLevel = internal::ReadLogLevel(fields, mRead.mLogLevel);
   fields.RefuseUnknown();
   CheckAddressesDiffer();
   if (mFaults.empty()) {
@@ -188,12 +175,7 @@
     }
     return aOverride;
   }
-  std::string address = aFields.Text(aField);
-  if (!address.empty() && !internal::IsAddressWithPort(address)) {
-    aFields.Refuse(
-      aField, internal::Quote(address), std::string(internal::kAddressForm));
-  }
-  return address;
+  return internal::ReadAddress(aFields, aField);
 }
 
 void
@@ -214,14 +196,7 @@
     Address(aFields, "peer_address", mOverrides.mPeerAddress);
   mRead.mPlatformAddress =
     Address(aFields, "platform_address", mOverrides.mPlatformAddress);
-  mRead.mPeerSeeds = aFields.Texts("peer_seeds", { 0, kMaxSeeds });
-  for (const std::string& seed : mRead.mPeerSeeds) {
-    if (!internal::IsAddressWithPort(seed) || internal::IsAnyAddress(seed)) {
-      aFields.Refuse("peer_seeds",
-                     internal::Quote(seed),
-                     std::string(internal::kAddressForm));
-    }
-  }
+  mRead.mPeerSeeds = internal::ReadSeeds(aFields, "peer_seeds");
 }
 
 // Exactly one of the two fields: with both, nobody could say which key is in
@@ -304,21 +279,6 @@
   fields.RefuseUnknown();
 }
 
-void
-settings_reader::ReadLogLevel(field_reader& aFields)
-{
-  const std::string text =
-    aFields.Text("log_level", std::string(Name(mRead.mLogLevel)));
-  const auto found = std::ranges::find(kLogLevels, text);
-  if (found == kLogLevels.end()) {
-    aFields.Refuse("log_level",
-                   internal::Quote(text),
-                   fmt::format("{}", fmt::join(kLogLevels, ", ")));
-    return;
-  }
-  mRead.mLogLevel = static_cast<log_level>(found - kLogLevels.begin());
-}
-
 // Two listeners on one address would fail only when the second one is opened.
 void
 settings_reader::CheckAddressesDiffer()
--- a/thornhollow/daemon/caller_reply.cc
+++ b/thornhollow/daemon/caller_reply.cc
@@ -54,7 +54,10 @@
 } // namespace
 
 whole_reply
-ErrorReply(error_kind aKind, duration aRetryAfter, const request_id& aId)
+ErrorReply(error_kind aKind,
+           duration aRetryAfter,
+           const request_id& aId,
+           const reply_form& aForm)
 {
   const answer& told = AnswerFor(aKind);
   whole_reply reply;
@@ -64,10 +67,12 @@
     boost::json::serialize(ErrorObject(aKind, aRetryAfter, aId)) + "\n";
   if (told.mComeBack == come_back::kAfterDelay) {
     reply.mHeaders.push_back(
-      { "Retry-After", std::to_string(WholeSecondsUp(aRetryAfter)) });
+      { "Retry-After",
+        aForm.mFractions ? fmt::format("{:.3f}", ToSeconds(aRetryAfter))
+                         : std::to_string(WholeSecondsUp(aRetryAfter)) });
   }
   if (!aId.empty()) {
-    reply.mHeaders.push_back({ "X-Request-Id", aId.Text() });
+    reply.mHeaders.push_back({ aForm.mRequestIdHeader, aId.Text() });
   }
   return reply;
 }
--- a/thornhollow/daemon/caller_reply.h
+++ b/thornhollow/daemon/caller_reply.h
@@ -16,11 +16,25 @@
 
 namespace thornhollow {
 
+// How an answer is written for its caller.
+struct reply_form
+{
+  // The header that repeats the request's identifier.
+  std::string mRequestIdHeader = "X-Request-Id";
+  // `Retry-After` may have fractions of a second.
+  bool mFractions = false;
+
+  friend bool operator==(const reply_form&, const reply_form&) = default;
+};
+
 // An error as a whole answer. `Retry-After` is there where the kind lets the
-// caller come back; it is `aRetryAfter` in whole seconds, rounded up, and the
-// body has it in milliseconds.
+// caller come back; it is `aRetryAfter` in seconds, rounded up to whole ones
+// where the form asks for that, and the body has it in milliseconds.
 whole_reply
-ErrorReply(error_kind aKind, duration aRetryAfter, const request_id& aId);
+ErrorReply(error_kind aKind,
+           duration aRetryAfter,
+           const request_id& aId,
+           const reply_form& aForm = {});
 
 // The same as the last event of a stream that can't go on.
 std::string
--- a/thornhollow/daemon/control_plane.cc
+++ b/thornhollow/daemon/control_plane.cc
@@ -11,9 +11,9 @@
 
 #include "thornhollow/daemon/configuration_keeper.h"
 #include "thornhollow/daemon/peer_link.h"
+#include "thornhollow/listing/platform_list.h"
+#include "thornhollow/listing/platform_watch.h"
 #include "thornhollow/net/clock.h"
-#include "thornhollow/platform/platform_list.h"
-#include "thornhollow/platform/platform_watch.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -37,6 +37,7 @@
   limits.mMaxHeaderBytes = aSettings.mLimits.mMaxHeaderBytes;
   limits.mMaxBodyBytes = aSettings.mLimits.mMaxBodyBytes;
   limits.mMaxConnections = aSettings.mLimits.mMaxConnections;
+  limits.mHeaderTimeout = aSettings.mLimits.mSendTimeout;
   limits.mSendTimeout = aSettings.mLimits.mSendTimeout;
   limits.mWriteTimeout = aSettings.mLimits.mSendTimeout;
   limits.mIdleTimeout = aSettings.mTimeouts.mIdleConnection;
--- a/thornhollow/daemon/json_log.cc
+++ b/thornhollow/daemon/json_log.cc
@@ -55,34 +55,70 @@
   if (aLevel > mLeast) {
     return;
   }
-  const auto now = std::chrono::system_clock::now();
-  const auto sinceEpoch = now.time_since_epoch();
-  const std::int64_t second =
-    std::chrono::duration_cast<std::chrono::seconds>(sinceEpoch).count();
   if (mRepeated.size() > kMaxRemembered) {
     mRepeated.clear();
   }
+  const auto now = wall_clock::now();
   repeated& seen = mRepeated[RepeatKey(aEvent, aFields)];
-  if (seen.mSecond != second) {
-    seen.mSecond = second;
-    seen.mWritten = 0;
+  if (Admit(seen, now, kLinesPerSecond)) {
+    Emit(aLevel, aEvent, aFields, now, seen);
   }
-  if (++seen.mWritten > kLinesPerSecond) {
-    ++seen.mSuppressed;
+}
+
+void
+json_log::WriteRequest(log_level aLevel,
+                       std::string_view aEvent,
+                       const std::vector<log_field>& aFields)
+{
+  if (aLevel > mLeast) {
     return;
   }
+  const auto now = wall_clock::now();
+  if (Admit(mRequests, now, kRequestLinesPerSecond)) {
+    Emit(aLevel, aEvent, aFields, now, mRequests);
+  }
+}
+
+bool
+json_log::Admit(repeated& aSeen,
+                wall_clock::time_point aNow,
+                std::uint32_t aMost)
+{
+  const std::int64_t second =
+    std::chrono::duration_cast<std::chrono::seconds>(aNow.time_since_epoch())
+      .count();
+  if (aSeen.mSecond != second) {
+    aSeen.mSecond = second;
+    aSeen.mWritten = 0;
+  }
+  if (++aSeen.mWritten > aMost) {
+    ++aSeen.mSuppressed;
+    return false;
+  }
+  return true;
+}
+
+void
+json_log::Emit(log_level aLevel,
+               std::string_view aEvent,
+               const std::vector<log_field>& aFields,
+               wall_clock::time_point aNow,
+               repeated& aSeen)
+{
   boost::json::object line;
   const auto milliseconds =
-    std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      aNow.time_since_epoch())
+      .count();
   line["time"] = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
-                             fmt::gmtime(std::time_t{ second }),
+                             fmt::gmtime(std::time_t{ aSeen.mSecond }),
                              milliseconds % 1000);
   line["level"] = Name(aLevel);
   line["event"] = aEvent;
   for (const log_field& each : aFields) {
     line[each.mName] = ToJson(each);
   }
-  if (const auto left = std::exchange(seen.mSuppressed, 0); left > 0) {
+  if (const auto left = std::exchange(aSeen.mSuppressed, 0); left > 0) {
     line["suppressed"] = left;
   }
   mSink(boost::json::serialize(line) + "\n");
--- a/thornhollow/daemon/json_log.h
+++ b/thornhollow/daemon/json_log.h
@@ -41,6 +41,17 @@
              std::string_view aEvent,
              const std::vector<log_field>& aFields = {});
 
+  // Writes one line about one request, unless `kRequestLinesPerSecond` were
+  // written in the present second; the number left out stands in the next line,
+  // as `suppressed`.
+  void WriteRequest(log_level aLevel,
+                    std::string_view aEvent,
+                    const std::vector<log_field>& aFields);
+
+  // More than an instance of a quarter of a core can serve in a second of
+  // ordinary load, so that only a flood of refusals is cut.
+  static constexpr std::uint32_t kRequestLinesPerSecond = 200;
+
 private:
   struct repeated
   {
@@ -49,7 +60,19 @@
     std::int64_t mSuppressed = 0;
   };
 
+  using wall_clock = std::chrono::system_clock;
+  // Counts one line more against its bound; false where it is to be left out.
+  static bool Admit(repeated& aSeen,
+                    wall_clock::time_point aNow,
+                    std::uint32_t aMost);
+  void Emit(log_level aLevel,
+            std::string_view aEvent,
+            const std::vector<log_field>& aFields,
+            wall_clock::time_point aNow,
+            repeated& aSeen);
+
   log_level mLeast;
+  repeated mRequests;
   std::function<void(std::string_view)> mSink;
   std::unordered_map<std::string, repeated> mRepeated;
 };
--- /dev/null
+++ b/thornhollow/daemon/log_output.cc
@@ -0,0 +1,59 @@
+#include "thornhollow/daemon/log_output.h"
+
+#include <algorithm>
+#include <climits>
+#include <utility>
+
+#include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
+
+namespace thornhollow {
+namespace {
+
+// A pipe that can be written to takes so many bytes without blocking. The
+// descriptor isn't made non-blocking itself: it may be shared with others.
+constexpr std::size_t kAtOnce = PIPE_BUF;
+
+bool
+TakesBytes(int aDescriptor)
+{
+  pollfd asked{ aDescriptor, POLLOUT, 0 };
+  return ::poll(&asked, 1, 0) == 1 && (asked.revents & POLLOUT) != 0;
+}
+
+} // namespace
+
+void
+log_output::Add(std::string_view aLine)
+{
+  if (mPending.size() + aLine.size() > kMaxPending) {
+    ++mDropped;
+    ++mDroppedInAll;
+    return;
+  }
+  if (const auto dropped = std::exchange(mDropped, 0); dropped > 0) {
+    mPending += fmt::format(
+      R"({{"level":"warning","event":"log_lines_dropped","lines":{}}})"
+      "\n",
+      dropped);
+  }
+  mPending += aLine;
+}
+
+void
+log_output::Flush()
+{
+  std::size_t written = 0;
+  while (written < mPending.size() && TakesBytes(mDescriptor)) {
+    const std::size_t next = std::min(kAtOnce, mPending.size() - written);
+    const ssize_t taken = ::write(mDescriptor, mPending.data() + written, next);
+    if (taken <= 0) {
+      break;
+    }
+    written += static_cast<std::size_t>(taken);
+  }
+  mPending.erase(0, written);
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/log_output_test.cc
@@ -0,0 +1,81 @@
+#include <array>
+#include <string>
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "thornhollow/daemon/log_output.h"
+
+namespace thornhollow {
+namespace {
+
+struct output_to_a_pipe
+{
+  std::array<int, 2> mEnds{};
+  log_output mOutput;
+
+  output_to_a_pipe()
+    : mOutput((Open(mEnds), mEnds[1]))
+  {
+  }
+  ~output_to_a_pipe()
+  {
+    ::close(mEnds[0]);
+    ::close(mEnds[1]);
+  }
+  output_to_a_pipe(const output_to_a_pipe&) = delete;
+  output_to_a_pipe& operator=(const output_to_a_pipe&) = delete;
+
+  static void Open(std::array<int, 2>& aEnds)
+  {
+    REQUIRE(::pipe(aEnds.data()) == 0);
+    // An empty pipe is read as nothing instead of being waited for.
+    REQUIRE(::fcntl(aEnds[0], F_SETFL, O_NONBLOCK) == 0);
+  }
+
+  std::string Read() const
+  {
+    std::string read(std::size_t{ 1 } << 20U, '\0');
+    const ssize_t got = ::read(mEnds[0], read.data(), read.size());
+    read.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+    return read;
+  }
+};
+
+TEST_CASE_FIXTURE(output_to_a_pipe, "log_output/lines/come_out_whole")
+{
+  mOutput.Add("one\n");
+  mOutput.Add("two\n");
+  mOutput.Flush();
+  CHECK(Read() == "one\ntwo\n");
+}
+
+TEST_CASE_FIXTURE(output_to_a_pipe,
+                  "log_output/reader_stops_reading/drops_and_goes_on")
+{
+  // Every request of an instance hangs: whoever collects its log has stopped
+  // reading, the pipe is full, and the instance waits in a write.
+  const std::string line(1023, 'x');
+  for (int count = 0; count < 2000; ++count) {
+    mOutput.Add(line + "\n");
+    mOutput.Flush();
+  }
+  CHECK(mOutput.Dropped() > 0);
+  // The reader comes back: the rest and the number of dropped lines follow.
+  std::string all;
+  for (int round = 0; round < 100; ++round) {
+    all += Read();
+    mOutput.Flush();
+    if (round == 20) {
+      mOutput.Add("last\n");
+    }
+    if (all.ends_with("last\n")) {
+      break;
+    }
+  }
+  CHECK(all.find("log_lines_dropped") != std::string::npos);
+}
+
+} // namespace
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -0,0 +1,292 @@
+#include "thornhollow/daemon/relay_dispatcher.h"
+
+#include <utility>
+#include <variant>
+
+#include <boost/asio/io_context.hpp>
+
+#include "thornhollow/daemon/caller_reply.h"
+#include "thornhollow/daemon/relay_session.h"
+#include "thornhollow/net/clock.h"
+
+namespace thornhollow {
+namespace {
+
+// Idle connections are looked through this often: their limits are seconds.
+constexpr duration kConnectionTick = Seconds(1);
+// Refused callers come back after between one and three of these: longer than
+// a chunk of prompts takes, shorter than most callers' patience.
+constexpr duration kComeBackLeast = Milliseconds(150);
+
+shared_retry_budget_settings
+RetrySettings(const relay_settings& aSettings)
+{
+  shared_retry_budget_settings settings;
+  settings.mRatio = aSettings.mRetries.mRatio;
+  settings.mExtra = aSettings.mRetries.mExtra;
+  settings.mWindow = aSettings.mRetries.mWindow;
+  return settings;
+}
+
+relay_pool_settings
+PoolSettings(const relay_settings& aSettings)
+{
+  relay_pool_settings settings;
+  settings.mReadPerSecond = aSettings.mReadPerSecond;
+  return settings;
+}
+
+} // namespace
+
+relay_dispatcher::relay_dispatcher(boost::asio::io_context& aIo,
+                                   const relay_settings& aSettings,
+                                   const relay_names& aNames,
+                                   json_log& aLog,
+                                   metrics& aMetrics)
+  : mIo(aIo)
+  , mSettings(aSettings)
+  , mNames(aNames)
+  , mLog(aLog)
+  , mMetrics(aMetrics)
+  , mConnections(aIo, endpoint_connection_settings{})
+  , mRetries(RetrySettings(aSettings))
+  , mRandom(std::random_device()())
+{
+}
+
+relay_dispatcher::~relay_dispatcher() = default;
+
+void
+relay_dispatcher::Serve(caller_exchange_ptr aExchange)
+{
+  StartRelaySession(*this, std::move(aExchange));
+}
+
+whole_reply
+relay_dispatcher::AnswerUnreadable(error_kind aKind)
+{
+  mMetrics.OnRefused(aKind);
+  mLog.Write(log_level::kInfo,
+             "request_unreadable",
+             { { "kind", std::string(Name(aKind)) } });
+  return ErrorReply(
+    aKind,
+    ComeBackAfter(),
+    request_id(),
+    { .mRequestIdHeader = mNames.mRequestId, .mFractions = true });
+}
+
+void
+relay_dispatcher::PutInForce(routing_table_ptr aTable)
+{
+  mTable = std::move(aTable);
+  mMetrics.OnConfiguration(mTable->Document().mVersion);
+  // A pool that turned out to hold engines chooses by other rules: its
+  // endpoints are put into a new one.
+  for (const auto& [name, each] : mEndpoints) {
+    PoolOf(each.mEntry.mPool);
+  }
+}
+
+void
+relay_dispatcher::Apply(const roster_changes& aChanges)
+{
+  for (const roster_change& each : aChanges) {
+    if (const auto* joined = std::get_if<endpoint_joined>(&each)) {
+      Join(joined->mEndpoint);
+    } else if (const auto* updated = std::get_if<endpoint_updated>(&each)) {
+      Update(updated->mEndpoint);
+    } else {
+      Drop(std::get<endpoint_gone>(each).mName);
+    }
+  }
+}
+
+void
+relay_dispatcher::Join(const listed_endpoint& aEndpoint)
+{
+  mEndpoints[aEndpoint.mName] = { aEndpoint, mNextLifetime++ };
+  mLog.Write(log_level::kInfo,
+             "endpoint_joined",
+             { { "endpoint", aEndpoint.mName.Text() },
+               { "pool", aEndpoint.mPool.Text() },
+               { "address", aEndpoint.mAddress },
+               { "started_ms", aEndpoint.mStartedMs },
+               { "draining", std::int64_t{ aEndpoint.mDraining } } });
+  Update(aEndpoint);
+}
+
+void
+relay_dispatcher::Update(const listed_endpoint& aEndpoint)
+{
+  known_endpoint& known = mEndpoints[aEndpoint.mName];
+  if (aEndpoint.mDraining && !known.mEntry.mDraining) {
+    mLog.Write(log_level::kInfo,
+               "endpoint_draining",
+               { { "endpoint", aEndpoint.mName.Text() } });
+  }
+  known.mEntry = aEndpoint;
+  PoolOf(aEndpoint.mPool)
+    .Put({ aEndpoint.mName,
+           aEndpoint.mAddress,
+           aEndpoint.mDomain,
+           known.mLifetime,
+           aEndpoint.mDraining });
+}
+
+void
+relay_dispatcher::Drop(const endpoint_name& aName)
+{
+  const auto found = mEndpoints.find(aName);
+  if (found == mEndpoints.end()) {
+    return;
+  }
+  mLog.Write(
+    log_level::kInfo, "endpoint_gone", { { "endpoint", aName.Text() } });
+  mConnections.Forget(
+    { found->second.mEntry.mAddress, found->second.mLifetime });
+  if (const auto pool = mPools.find(found->second.mEntry.mPool);
+      pool != mPools.end()) {
+    pool->second.Remove(aName);
+  }
+  mEndpoints.erase(found);
+}
+
+bool
+relay_dispatcher::IsEnginePool(const pool_name& aName) const
+{
+  const routed_pool* pool = mTable ? mTable->Pool(aName) : nullptr;
+  return pool != nullptr && pool->mEngine.has_value();
+}
+
+relay_pool&
+relay_dispatcher::PoolOf(const pool_name& aName)
+{
+  const bool engines = IsEnginePool(aName);
+  auto found = mPools.find(aName);
+  if (found != mPools.end() && found->second.OfEngines() == engines) {
+    return found->second;
+  }
+  if (found != mPools.end()) {
+    mPools.erase(found);
+  }
+  found = mPools
+            .emplace(
+              aName,
+              relay_pool(
+                PoolSettings(mSettings), engines, mSettings.mDomain, mRandom()))
+            .first;
+  for (const auto& [name, each] : mEndpoints) {
+    if (each.mEntry.mPool == aName) {
+      found->second.Put({ name,
+                          each.mEntry.mAddress,
+                          each.mEntry.mDomain,
+                          each.mLifetime,
+                          each.mEntry.mDraining });
+    }
+  }
+  return found->second;
+}
+
+relay_pool*
+relay_dispatcher::Pool(const pool_name& aName)
+{
+  const auto found = mPools.find(aName);
+  return found == mPools.end() ? nullptr : &found->second;
+}
+
+void
+relay_dispatcher::Tick(time_point aNow)
+{
+  if (aNow >= mNextConnectionTick) {
+    mNextConnectionTick = aNow + kConnectionTick;
+    mConnections.Tick(aNow);
+  }
+}
+
+void
+relay_dispatcher::OnClockGap(time_point aNow)
+{
+  mConnections.ForgetAll();
+  for (auto& [name, pool] : mPools) {
+    pool.OnClockGap(aNow);
+  }
+}
+
+std::map<pool_name, held_requests>
+relay_dispatcher::HeldByPool() const
+{
+  std::map<pool_name, held_requests> held;
+  for (const auto& [name, pool] : mPools) {
+    for (const relay_load& each : pool.Loads()) {
+      held[name].mInFlight += each.mInFlight;
+    }
+  }
+  return held;
+}
+
+std::map<pool_name, engine_demand>
+relay_dispatcher::OwnDemand(time_point aNow)
+{
+  std::map<pool_name, engine_demand> demand;
+  for (auto& [name, pool] : mPools) {
+    if (pool.OfEngines()) {
+      demand[name] = pool.OwnDemand(aNow);
+    }
+  }
+  return demand;
+}
+
+std::vector<relay_load>
+relay_dispatcher::OwnLoads() const
+{
+  std::vector<relay_load> loads;
+  for (const auto& [name, pool] : mPools) {
+    if (pool.OfEngines()) {
+      const std::vector<relay_load> its = pool.Loads();
+      loads.insert(loads.end(), its.begin(), its.end());
+    }
+  }
+  return loads;
+}
+
+void
+relay_dispatcher::SetPeers(std::size_t aInstances)
+{
+  mRetries.SetInstances(aInstances);
+}
+
+void
+relay_dispatcher::SetOthersLoad(
+  const std::map<endpoint_name, std::uint64_t>& aToRead)
+{
+  for (auto& [name, pool] : mPools) {
+    if (!pool.OfEngines()) {
+      continue;
+    }
+    for (const relay_load& each : pool.Loads()) {
+      const auto found = aToRead.find(each.mName);
+      pool.SetOthers(each.mName, found == aToRead.end() ? 0 : found->second);
+    }
+  }
+}
+
+void
+relay_dispatcher::SetDemand(const std::map<pool_name, engine_demand>& aDemand,
+                            time_point aNow)
+{
+  for (const auto& [name, demand] : aDemand) {
+    if (relay_pool* pool = Pool(name)) {
+      pool->SetDemand(demand, aNow);
+    }
+  }
+}
+
+duration
+relay_dispatcher::ComeBackAfter()
+{
+  std::uniform_real_distribution<double> spread(1, 3);
+  return FromSeconds(ToSeconds(kComeBackLeast) * spread(mRandom));
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -0,0 +1,123 @@
+// Serves relayed requests by the routing table and the endpoints in force:
+// finds route, team and pool, chooses endpoints, and keeps the fleet's retry
+// bound. One request's life is in relay_session.h.
+//
+//   relay_dispatcher dispatcher(io, settings, names, log, counted);
+//   dispatcher.PutInForce(table);
+//   dispatcher.Apply(rosterChanges);
+//   dispatcher.Serve(exchange);
+//
+#ifndef THORNHOLLOW_DAEMON_RELAY_DISPATCHER_H_
+#define THORNHOLLOW_DAEMON_RELAY_DISPATCHER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "thornhollow/base/error.h"
+#include "thornhollow/base/ids.h"
+#include "thornhollow/config/relay_settings.h"
+#include "thornhollow/daemon/json_log.h"
+#include "thornhollow/daemon/metrics.h"
+#include "thornhollow/discovery/endpoint_roster.h"
+#include "thornhollow/net/caller_server.h"
+#include "thornhollow/net/endpoint_connections.h"
+#include "thornhollow/policy/relay_pool.h"
+#include "thornhollow/policy/shared_retry_budget.h"
+#include "thornhollow/request/relay_headers.h"
+#include "thornhollow/routing/routing_table.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace thornhollow {
+
+class relay_dispatcher
+{
+public:
+  // All outlive the dispatcher.
+  relay_dispatcher(boost::asio::io_context& aIo,
+                   const relay_settings& aSettings,
+                   const relay_names& aNames,
+                   json_log& aLog,
+                   metrics& aMetrics);
+  relay_dispatcher(const relay_dispatcher&) = delete;
+  relay_dispatcher& operator=(const relay_dispatcher&) = delete;
+  ~relay_dispatcher();
+
+  void Serve(caller_exchange_ptr aExchange);
+  // The answer to a request that could not be read.
+  whole_reply AnswerUnreadable(error_kind aKind);
+
+  void PutInForce(routing_table_ptr aTable);
+  void Apply(const roster_changes& aChanges);
+  const routing_table_ptr& Table() const { return mTable; }
+
+  // Does what falls due. To be called every 100 ms.
+  void Tick(time_point aNow);
+  // This process stood still.
+  void OnClockGap(time_point aNow);
+
+  std::size_t InProgress() const { return mSessions; }
+  std::map<pool_name, held_requests> HeldByPool() const;
+
+  // What this instance tells its peers, and what they told of a pool.
+  std::map<pool_name, engine_demand> OwnDemand(time_point aNow);
+  std::vector<relay_load> OwnLoads() const;
+  void SetPeers(std::size_t aInstances);
+  void SetOthersLoad(const std::map<endpoint_name, std::uint64_t>& aToRead);
+  void SetDemand(const std::map<pool_name, engine_demand>& aDemand,
+                 time_point aNow);
+
+  // For sessions.
+  boost::asio::io_context& Io() { return mIo; }
+  const relay_names& Names() const { return mNames; }
+  json_log& Log() { return mLog; }
+  metrics& Metrics() { return mMetrics; }
+  endpoint_connections& Connections() { return mConnections; }
+  relay_pool* Pool(const pool_name& aName);
+  shared_retry_budget& Retries() { return mRetries; }
+  void OnSessionBegin() { ++mSessions; }
+  void OnSessionEnd() { --mSessions; }
+  // When a caller that is refused now should come back.
+  duration ComeBackAfter();
+
+private:
+  void Join(const listed_endpoint& aEndpoint);
+  void Update(const listed_endpoint& aEndpoint);
+  void Drop(const endpoint_name& aName);
+  relay_pool& PoolOf(const pool_name& aName);
+  bool IsEnginePool(const pool_name& aName) const;
+
+  // An endpoint that takes work, and under which lifetime it is known.
+  struct known_endpoint
+  {
+    listed_endpoint mEntry;
+    std::uint64_t mLifetime = 0;
+  };
+
+  boost::asio::io_context& mIo;
+  relay_settings mSettings;
+  const relay_names& mNames;
+  json_log& mLog;
+  metrics& mMetrics;
+  endpoint_connections mConnections;
+  shared_retry_budget mRetries;
+  std::mt19937_64 mRandom;
+  routing_table_ptr mTable;
+  std::map<pool_name, relay_pool> mPools;
+  std::map<endpoint_name, known_endpoint> mEndpoints;
+  std::uint64_t mNextLifetime = 1;
+  std::size_t mSessions = 0;
+  time_point mNextConnectionTick{};
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_DAEMON_RELAY_DISPATCHER_H_
--- /dev/null
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -0,0 +1,381 @@
+#include "thornhollow/daemon/relay_gateway.h"
+
+#include <ctime>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "thornhollow/daemon/metrics.h"
+#include "thornhollow/daemon/operators_page.h"
+#include "thornhollow/daemon/relay_dispatcher.h"
+#include "thornhollow/daemon/source_link.h"
+#include "thornhollow/net/caller_server.h"
+#include "thornhollow/net/clock.h"
+#include "thornhollow/policy/clock_gap.h"
+
+namespace thornhollow {
+namespace {
+
+using boost::system::error_code;
+
+// The balancer asks once a second and notices after two misses. Until then new
+// connections come and are served; idle ones are closed after it.
+constexpr duration kBalancerNotices = Milliseconds(2'300);
+// How often a stopping instance looks whether it is done.
+constexpr duration kDrainCheck = Milliseconds(50);
+// Left of the drain's grace for the process's own end.
+constexpr duration kEndReserve = Milliseconds(400);
+
+// Whole bodies are held, so a body may take as long as this to arrive.
+constexpr duration kBodyTime = Seconds(10);
+
+server_limits
+CallerLimits(const relay_settings& aSettings, const caller_bounds& aBounds)
+{
+  server_limits limits;
+  limits.mMaxHeaderBytes = aBounds.mMaxHeaderBytes;
+  limits.mMaxBodyBytes = aBounds.mMaxBodyBytes;
+  limits.mMaxConnections = aSettings.mMaxConnections;
+  limits.mHeaderTimeout = aBounds.mHeaderTimeout;
+  limits.mSendTimeout = aBounds.mHeaderTimeout + kBodyTime;
+  limits.mIdleTimeout = aBounds.mIdleTimeout;
+  return limits;
+}
+
+server_limits
+ControlLimits()
+{
+  server_limits limits;
+  limits.mMaxBodyBytes = 1024;
+  limits.mMaxConnections = 64;
+  return limits;
+}
+
+// Time since the machine started, suspended time included: the steady clock
+// does not count that.
+duration
+SinceBoot()
+{
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds(now.tv_sec) +
+         std::chrono::nanoseconds(now.tv_nsec);
+}
+
+} // namespace
+
+class relay_gateway::core
+{
+public:
+  core(boost::asio::io_context& aIo,
+       const relay_settings& aSettings,
+       relay_adapter aAdapter,
+       json_log& aLog,
+       std::function<void()> aOnTick)
+    : mIo(aIo)
+    , mSettings(aSettings)
+    , mAdapter(std::move(aAdapter))
+    , mLog(aLog)
+    , mOnTick(std::move(aOnTick))
+    , mDispatcher(aIo, aSettings, mAdapter.mNames, aLog, mMetrics)
+    , mCallers(
+        aIo,
+        CallerLimits(aSettings, caller_bounds{}),
+        [this](caller_exchange_ptr aOne) {
+          mDispatcher.Serve(std::move(aOne));
+        },
+        [this](error_kind aKind) {
+          return mDispatcher.AnswerUnreadable(aKind);
+        })
+    , mReadiness(
+        aIo,
+        ControlLimits(),
+        [this](const caller_exchange_ptr& aOne) { AnswerReadiness(aOne); },
+        [this](error_kind aKind) {
+          return mDispatcher.AnswerUnreadable(aKind);
+        })
+    , mOperators(
+        aIo,
+        ControlLimits(),
+        [this](const caller_exchange_ptr& aOne) {
+          mMetrics.SetHeld(mDispatcher.HeldByPool());
+          aOne->Send(OperatorsPage(aOne->Request(), Status(), mMetrics));
+        },
+        [this](error_kind aKind) {
+          return mDispatcher.AnswerUnreadable(aKind);
+        })
+    , mDocument(
+        aIo,
+        *mAdapter.mSource,
+        mAdapter.mDocumentPrefix,
+        "configuration",
+        { [this](const auto& aNews) { OnDocument(aNews); }, [] {}, [] {} },
+        aLog)
+    , mEndpoints(aIo,
+                 *mAdapter.mSource,
+                 mAdapter.mEndpointPrefix,
+                 "endpoints",
+                 { [this](const auto& aNews) { OnEndpoints(aNews); },
+                   [this] { mRoster.OnSourceLost(); },
+                   [this] { mRoster.OnSourceRegained(Now()); } },
+                 aLog)
+    , mRoster(roster_settings{})
+    , mTimer(aIo)
+    , mDrainTimer(aIo)
+  {
+  }
+
+  result<listening_addresses> Start()
+  {
+    BOOST_LEAF_AUTO(caller, mCallers.Listen(mSettings.mCallerAddress));
+    BOOST_LEAF_CHECK(mReadiness.Listen(mSettings.mReadinessAddress));
+    BOOST_LEAF_AUTO(operators, mOperators.Listen(mSettings.mOperatorAddress));
+    mDocument.Start();
+    mEndpoints.Start();
+    mLog.Write(log_level::kInfo,
+               "started",
+               { { "name", mSettings.mName.Text() },
+                 { "domain", mSettings.mDomain.Text() },
+                 { "caller_address", caller },
+                 { "operator_address", operators } });
+    Tick();
+    return listening_addresses{ caller, operators };
+  }
+
+  void BeginStop()
+  {
+    if (std::exchange(mDraining, true)) {
+      return;
+    }
+    mLog.Write(log_level::kInfo,
+               "drain_begun",
+               { { "in_progress",
+                   static_cast<std::int64_t>(mDispatcher.InProgress()) } });
+    mDrainBegun = Now();
+    mCallers.CloseAfterAnswers();
+    CheckDrained();
+  }
+
+private:
+  bool Ready() const
+  {
+    return !mDraining && mDispatcher.Table() && mEndpoints.Mirror().Listed();
+  }
+
+  void AnswerReadiness(const caller_exchange_ptr& aOne)
+  {
+    const bool known = aOne->Request().mPath == mAdapter.mReadinessPath;
+    const unsigned status = Ready() ? 200 : 503;
+    aOne->Send(whole_reply{ known ? status : 404, {}, "text/plain", "" });
+  }
+
+  instance_status Status() const
+  {
+    instance_status status;
+    status.mName = mSettings.mName;
+    status.mDomain = mSettings.mDomain;
+    status.mReady = Ready();
+    status.mDraining = mDraining;
+    if (mDispatcher.Table()) {
+      status.mRevision = mDispatcher.Table()->Document().mVersion;
+    }
+    status.mInProgress = mDispatcher.InProgress();
+    return status;
+  }
+
+  void OnDocument(const std::vector<item_change>& aNews)
+  {
+    for (const item_change& each : aNews) {
+      if (each.mKey == mAdapter.mDocumentKey && each.mValue) {
+        PutInForce(*each.mValue, each.mRevision);
+      }
+    }
+  }
+
+  // A document that can't be read, or an older one, leaves the present one in
+  // force.
+  void PutInForce(const std::string& aBytes, std::uint64_t aRevision)
+  {
+    boost::leaf::try_handle_all(
+      [&]() -> result<void> {
+        BOOST_LEAF_AUTO(document, mAdapter.mReadDocument(aBytes));
+        const auto& present = mDispatcher.Table();
+        if (present && document.mVersion < present->Document().mVersion) {
+          return Fail(error_kind::kInternal, "older than the one in force");
+        }
+        mLog.Write(
+          log_level::kInfo,
+          "configuration_in_force",
+          { { "version", static_cast<std::int64_t>(document.mVersion) },
+            { "at", static_cast<std::int64_t>(aRevision) },
+            { "routes", static_cast<std::int64_t>(document.mRoutes.size()) },
+            { "teams", static_cast<std::int64_t>(document.mTeams.size()) } });
+        mCallers.SetLimits(CallerLimits(mSettings, document.mCallers));
+        mDispatcher.PutInForce(MakeRoutingTable(std::move(document)));
+        return {};
+      },
+      [&](const failure& aFailure) {
+        OnDocumentRefused(aFailure.mDetail, aRevision);
+      },
+      [&] { OnDocumentRefused("unreadable", aRevision); });
+  }
+
+  void OnDocumentRefused(const std::string& aWhy, std::uint64_t aRevision)
+  {
+    mMetrics.OnConfigurationRefused();
+    mLog.Write(
+      log_level::kError,
+      "configuration_refused",
+      { { "detail", aWhy }, { "at", static_cast<std::int64_t>(aRevision) } });
+  }
+
+  void OnEndpoints(const std::vector<item_change>& aNews)
+  {
+    for (const item_change& each : aNews) {
+      if (each.mValue) {
+        OnEntry(each);
+      } else {
+        mDispatcher.Apply(
+          mRoster.OnRemoved(mAdapter.mEndpointName(each.mKey), Now()));
+      }
+    }
+  }
+
+  // An entry that can't be read names no endpoint to use, and harms no other.
+  void OnEntry(const item_change& aChange)
+  {
+    boost::leaf::try_handle_all(
+      [&]() -> result<void> {
+        BOOST_LEAF_AUTO(entry,
+                        mAdapter.mReadEndpoint(aChange.mKey, *aChange.mValue));
+        mDispatcher.Apply(mRoster.OnListed(entry, Now()));
+        return {};
+      },
+      [&](const failure& aFailure) {
+        OnEntryRefused(aChange.mKey, aFailure.mDetail);
+      },
+      [&] { OnEntryRefused(aChange.mKey, "unreadable"); });
+  }
+
+  void OnEntryRefused(const std::string& aKey, const std::string& aWhy)
+  {
+    mMetrics.OnEvent("endpoint_entry_refused");
+    mLog.Write(log_level::kWarning,
+               "endpoint_entry_refused",
+               { { "key", aKey }, { "detail", aWhy } });
+    mDispatcher.Apply(mRoster.OnRemoved(mAdapter.mEndpointName(aKey), Now()));
+  }
+
+  void Tick()
+  {
+    const time_point now = Now();
+    LookForGap(now);
+    mDocument.Tick(now);
+    mEndpoints.Tick(now);
+    mDispatcher.Apply(mRoster.Tick(now));
+    mDispatcher.SetDemand(mDispatcher.OwnDemand(now), now);
+    mDispatcher.Tick(now);
+    mOnTick();
+    mTimer.expires_after(clock_gap::kTickEvery);
+    mTimer.async_wait([this](const error_code& aWrong) {
+      if (!aWrong) {
+        Tick();
+      }
+    });
+  }
+
+  // After a pause, answers on their way and kept connections are as old as the
+  // pause: nothing is acted on before it is asked for again.
+  void LookForGap(time_point aNow)
+  {
+    const bool stood = mSteadyGap.Tick(aNow);
+    const bool slept = mBootGap.Tick(time_point(SinceBoot()));
+    if (!stood && !slept) {
+      return;
+    }
+    mMetrics.OnEvent("paused");
+    mLog.Write(log_level::kWarning,
+               "paused",
+               { { "suspended", std::int64_t{ slept && !stood } } });
+    mDispatcher.OnClockGap(aNow);
+    mDocument.Restart();
+    mEndpoints.Restart();
+  }
+
+  void CheckDrained()
+  {
+    const duration since = Now() - mDrainBegun;
+    const bool noticed = since >= kBalancerNotices;
+    if (noticed) {
+      mCallers.BeginDrain();
+    }
+    const bool idle =
+      mDispatcher.InProgress() == 0 && mCallers.InProgress() == 0;
+    if ((idle && noticed) || since >= mSettings.mDrainGrace - kEndReserve) {
+      mLog.Write(log_level::kInfo,
+                 "stopped",
+                 { { "left_in_progress",
+                     static_cast<std::int64_t>(mDispatcher.InProgress()) } });
+      mCallers.StopListening();
+      mIo.stop();
+      return;
+    }
+    mDrainTimer.expires_after(kDrainCheck);
+    mDrainTimer.async_wait([this](const error_code& aWrong) {
+      if (!aWrong) {
+        CheckDrained();
+      }
+    });
+  }
+
+  boost::asio::io_context& mIo;
+  relay_settings mSettings;
+  relay_adapter mAdapter;
+  json_log& mLog;
+  std::function<void()> mOnTick;
+  metrics mMetrics;
+  relay_dispatcher mDispatcher;
+  caller_server mCallers;
+  caller_server mReadiness;
+  caller_server mOperators;
+  source_link mDocument;
+  source_link mEndpoints;
+  endpoint_roster mRoster;
+  clock_gap mSteadyGap;
+  clock_gap mBootGap;
+  boost::asio::steady_timer mTimer;
+  boost::asio::steady_timer mDrainTimer;
+  bool mDraining = false;
+  time_point mDrainBegun{};
+};
+
+relay_gateway::relay_gateway(boost::asio::io_context& aIo,
+                             const relay_settings& aSettings,
+                             relay_adapter aAdapter,
+                             json_log& aLog,
+                             std::function<void()> aOnTick)
+  : mCore(std::make_unique<core>(aIo,
+                                 aSettings,
+                                 std::move(aAdapter),
+                                 aLog,
+                                 std::move(aOnTick)))
+{
+}
+
+relay_gateway::~relay_gateway() = default;
+
+result<listening_addresses>
+relay_gateway::Start()
+{
+  return mCore->Start();
+}
+
+void
+relay_gateway::BeginStop()
+{
+  mCore->BeginStop();
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/relay_session.cc
@@ -0,0 +1,629 @@
+#include "thornhollow/daemon/relay_session.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "thornhollow/base/hash.h"
+#include "thornhollow/daemon/caller_reply.h"
+#include "thornhollow/net/clock.h"
+#include "thornhollow/net/relay_attempt.h"
+#include "thornhollow/request/event_splitter.h"
+#include "thornhollow/request/relay_retry.h"
+
+namespace thornhollow {
+namespace {
+
+// Endpoints are a few milliseconds away; a first packet that was lost comes
+// again only after a second, and another endpoint answers sooner.
+constexpr duration kConnectTimeout = Milliseconds(300);
+// Connections that can't be made before the request is given up.
+constexpr std::uint32_t kMaxUnsent = 3;
+// How long ago a kept connection may have been used last. A request that may
+// run once only isn't put on one that may be about to close, since it could not
+// be told from one that ran.
+constexpr duration kMaxIdleRepeatable = Seconds(30);
+constexpr duration kMaxIdleOnce = Seconds(3);
+// Without a sign from the endpoint for this long a request that may be repeated
+// is sent to another one: a few times its target, and at least as long as an
+// engine takes for a prompt of middling length.
+constexpr int kSilentTargets = 4;
+constexpr duration kSilentLeast = Milliseconds(600);
+// Callers leave a stream after two seconds without an event.
+constexpr duration kSilentStream = Milliseconds(1'300);
+// An answer in one piece is held until it is whole.
+constexpr std::size_t kMaxWholeAnswer = std::size_t{ 8 } << 20U;
+constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } << 20U;
+// Least urgent rank that endpoints know.
+constexpr tier_number kLeastUrgent = 9;
+
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusRedirect = 300;
+constexpr unsigned kStatusServerError = 500;
+
+// Statuses that promise the caller that its request was not run. From an
+// endpoint that doesn't say so itself they are no such promise.
+bool
+PromisesNotRun(unsigned aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
+error_kind
+RetryReason(attempt_failure aFailure)
+{
+  switch (aFailure) {
+    case attempt_failure::kNotSent:
+      return error_kind::kConnectFailed;
+    case attempt_failure::kDeclined:
+      return error_kind::kEndpointDeclined;
+    case attempt_failure::kSilent:
+      return error_kind::kEndpointSilent;
+    case attempt_failure::kGarbled:
+    case attempt_failure::kFailed:
+      return error_kind::kEndpointBadAnswer;
+    case attempt_failure::kBroken:
+      return error_kind::kStreamBroken;
+    default:
+      return error_kind::kEndpointConnectionLost;
+  }
+}
+
+attempt_end
+HealthOutcome(attempt_failure aFailure)
+{
+  switch (aFailure) {
+    case attempt_failure::kDeclined:
+      return attempt_end::kDeclined;
+    case attempt_failure::kSilent:
+      return attempt_end::kSilent;
+    default:
+      return attempt_end::kFailed;
+  }
+}
+
+// Requests are counted by what they are, not by their route: routes come and
+// go with each configuration.
+class_name
+CountedAs(const route& aRoute, tier_number aTier)
+{
+  const char* kind = IsStream(aRoute.mKind) ? "stream" : "whole";
+  return class_name("tier" + std::to_string(aTier) + "_" + kind);
+}
+
+relay_work
+WorkOf(const relay_request& aRequest, const route& aRoute, tier_number aTier)
+{
+  relay_work work;
+  work.mTier = aTier;
+  work.mPromptTokens = aRequest.mPromptTokens;
+  work.mOutputTokens = aRequest.mLengthHint.value_or(aRequest.mMaxOutputTokens);
+  work.mTarget = aRoute.mTarget;
+  work.mPauseTarget = aRoute.mPauseTarget;
+  // The last part is the request's own.
+  for (std::size_t at = 0; at + 1 < aRequest.mParts.size(); ++at) {
+    const prompt_part& part = aRequest.mParts[at];
+    work.mSharedTokens += part.mTokens;
+    work.mSharedPrefix = CombineHash(work.mSharedPrefix, Hash64(part.mId));
+  }
+  work.mSharedTokens = std::min(work.mSharedTokens, work.mPromptTokens);
+  work.mPatient = work.mTarget >= relay_pool_settings().mPatientFrom;
+  return work;
+}
+
+class relay_session
+  : public boost::intrusive_ref_counter<relay_session,
+                                        boost::thread_unsafe_counter>
+{
+public:
+  relay_session(relay_dispatcher& aDispatcher, caller_exchange_ptr aExchange)
+    : mDispatcher(aDispatcher)
+    , mExchange(std::move(aExchange))
+    , mTable(aDispatcher.Table())
+    , mTimer(aDispatcher.Io())
+    , mEvents(kMaxEventBytes)
+  {
+    mDispatcher.OnSessionBegin();
+  }
+  relay_session(const relay_session&) = delete;
+  relay_session& operator=(const relay_session&) = delete;
+  ~relay_session() { mDispatcher.OnSessionEnd(); }
+
+  void Start()
+  {
+    const caller_request& request = mExchange->Request();
+    mRead = ReadRelayRequest(mDispatcher.Names(), request.mHeaders);
+    if (const auto wrong = FindRoute()) {
+      Refuse(*wrong);
+      return;
+    }
+    mWork = WorkOf(mRead, *mRoute, EffectiveTier(*mRoute, mTeam));
+    const duration patience =
+      std::min(mRead.mTimeLeft.value_or(mRoute->mTimeout), mRoute->mTimeout);
+    mWork.mDeadline = mExchange->Arrival() + patience;
+    mCountedAs = CountedAs(*mRoute, mWork.mTier);
+    mDispatcher.Metrics().OnRequest(mCountedAs);
+    mDispatcher.Retries().OnRequest(*mPool, Now());
+    mBody = std::make_shared<const std::string>(request.mBody);
+    mExchange->OnLeft([self = boost::intrusive_ptr<relay_session>(this)] {
+      self->OnCallerLeft();
+    });
+    Try();
+  }
+
+private:
+  // Nothing where route, team and pool were found; else why the request is
+  // refused.
+  std::optional<error_kind> FindRoute()
+  {
+    if (!mTable) {
+      return error_kind::kNotReady;
+    }
+    if (mRead.mId.empty()) {
+      return error_kind::kMalformedRequest;
+    }
+    const caller_request& request = mExchange->Request();
+    mRoute = mTable->Match(request.Header("Host"), request.mPath);
+    if (mRoute == nullptr) {
+      return error_kind::kUnknownPath;
+    }
+    mTeam = mTable->TeamOf(mRead.mToken);
+    const bool open = mRoute->mAnonymous || !mTable->Document().mTokensNeeded;
+    if (mTeam == nullptr && !open) {
+      return error_kind::kUnauthenticated;
+    }
+    mPool = routing_table::PoolFor(*mRoute, Hash64(mRead.mId.Text()));
+    return mPool == nullptr ? std::optional(error_kind::kNoEndpoint)
+                            : std::nullopt;
+  }
+
+  void Try()
+  {
+    const time_point now = Now();
+    if (now >= mWork.mDeadline) {
+      GiveUp(mMayHaveRun ? error_kind::kDeadlineExpiredRunning
+                         : error_kind::kDeadlineUnmeetable);
+      return;
+    }
+    relay_pool* pool = mDispatcher.Pool(*mPool);
+    const auto pick =
+      pool == nullptr ? std::nullopt : pool->Choose(mWork, mTried, now);
+    if (!pick) {
+      GiveUp(mMayHaveRun ? FinalError(Progress()) : error_kind::kNoEndpoint);
+      return;
+    }
+    mPick = *pick;
+    mTried.push_back(pick->mEndpoint);
+    mSentAt = now;
+    mLastByte = now;
+    mBegunHere = false;
+    mStream.reset();
+    mStatus = 0;
+    mWhole.clear();
+    pool->OnSent(mPick, mWork, now);
+    mCounted = true;
+    StartAttempt();
+    ArmTimer();
+  }
+
+  void StartAttempt()
+  {
+    const caller_request& request = mExchange->Request();
+    attempt_facts facts;
+    facts.mEndpoint = mPick.mEndpoint;
+    facts.mTeam = mTeam == nullptr ? team_name() : mTeam->mName;
+    facts.mTimeLeft = mWork.mDeadline - Now();
+    if (mWork.mPromptTokens > 0) {
+      facts.mPriority = std::min(mWork.mTier, kLeastUrgent);
+    }
+    facts.mResumeAfter =
+      mEvents.LastId().empty() ? mRead.mResumeAfter : mEvents.LastId();
+    relay_call call;
+    call.mWhere = { mPick.mAddress, mPick.mLifetime };
+    call.mMethod = request.mMethod;
+    call.mTarget = request.mTarget;
+    call.mHeaders =
+      AttemptHeaders(mDispatcher.Names(), request.mHeaders, facts);
+    call.mBody = mBody;
+    call.mId = mRead.mId;
+    call.mMaxIdle =
+      MayRepeat(mRoute->mKind) ? kMaxIdleRepeatable : kMaxIdleOnce;
+    call.mConnectTimeout = std::min<duration>(kConnectTimeout, facts.mTimeLeft);
+    mAttempt =
+      StartRelayAttempt(mDispatcher.Connections(),
+                        mDispatcher.Names(),
+                        std::move(call),
+                        [self = boost::intrusive_ptr<relay_session>(this)](
+                          relay_event aEvent) { self->OnEvent(aEvent); });
+  }
+
+  void OnEvent(relay_event& aEvent)
+  {
+    mLastByte = Now();
+    if (auto* head = std::get_if<relay_answer_head>(&aEvent)) {
+      OnHead(*head);
+    } else if (auto* bytes = std::get_if<relay_answer_bytes>(&aEvent)) {
+      OnBytes(bytes->mBytes);
+    } else if (std::holds_alternative<relay_answer_end>(aEvent)) {
+      OnAnswerEnd();
+    } else {
+      const auto& failed = std::get<relay_failure>(aEvent);
+      OnFailure(failed.mFailure, failed.mDetail, true);
+    }
+  }
+
+  void OnHead(relay_answer_head& aHead)
+  {
+    const bool success =
+      aHead.mStatus >= kStatusOk && aHead.mStatus < kStatusRedirect;
+    if (aHead.mMarks.mNotRun) {
+      OnFailure(attempt_failure::kDeclined,
+                "status " + std::to_string(aHead.mStatus),
+                false);
+      return;
+    }
+    if (success && !aHead.mMarks.mSigned) {
+      OnFailure(attempt_failure::kGarbled, "success without a proof", true);
+      return;
+    }
+    if (!success && mAnswerBegun) {
+      OnFailure(attempt_failure::kFailed, "not continued", true);
+      return;
+    }
+    if (PromisesNotRun(aHead.mStatus)) {
+      OnFailure(attempt_failure::kFailed,
+                "status " + std::to_string(aHead.mStatus),
+                false);
+      return;
+    }
+    if (aHead.mStatus >= kStatusServerError && MayAskAnother()) {
+      mPaid = true;
+      OnFailure(attempt_failure::kFailed,
+                "status " + std::to_string(aHead.mStatus),
+                false);
+      return;
+    }
+    mStatus = aHead.mStatus;
+    mStream = success && IsStream(mRoute->mKind);
+    if (!mAnswerBegun) {
+      mHeaders = AnswerHeaders(aHead.mHeaders);
+    }
+  }
+
+  // Whether an endpoint's own failure may be tried elsewhere; takes the retry.
+  // Else the caller gets that failure as it is.
+  bool MayAskAnother()
+  {
+    const relay_pool* pool = mDispatcher.Pool(*mPool);
+    return NextStep(Progress(attempt_failure::kFailed)) == relay_step::kRetry &&
+           pool != nullptr && pool->size() > mTried.size() &&
+           mDispatcher.Retries().Spend(*mPool, Now());
+  }
+
+  void OnBytes(const std::string& aBytes)
+  {
+    NoteFirstByte();
+    if (!mStream.value_or(false)) {
+      mWhole += aBytes;
+      if (mWhole.size() > kMaxWholeAnswer) {
+        OnFailure(attempt_failure::kGarbled, "answer too long", true);
+      }
+      return;
+    }
+    mEvents.Feed(aBytes);
+    if (mEvents.Overflowed()) {
+      OnFailure(attempt_failure::kGarbled, "event too long", true);
+      return;
+    }
+    Forward(mEvents.TakeWhole());
+  }
+
+  void NoteFirstByte()
+  {
+    if (std::exchange(mBegunHere, true)) {
+      return;
+    }
+    const time_point now = Now();
+    if (relay_pool* pool = mDispatcher.Pool(*mPool)) {
+      pool->OnFirstByte(mPick, now - mSentAt, now);
+    }
+    if (!mFirstByte) {
+      mFirstByte = now - mExchange->Arrival();
+      mDispatcher.Metrics().OnFirstToken(mCountedAs, *mFirstByte);
+    }
+  }
+
+  void Forward(std::string aText)
+  {
+    if (aText.empty()) {
+      return;
+    }
+    if (!std::exchange(mAnswerBegun, true)) {
+      mExchange->Send(stream_head{ mHeaders, mStatus, true });
+    }
+    mExchange->Send(stream_text{ std::move(aText) });
+  }
+
+  void OnAnswerEnd()
+  {
+    EndAttempt(attempt_end::kCompleted);
+    if (mStream.value_or(false)) {
+      Forward(mEvents.TakeAll());
+      if (!mAnswerBegun) {
+        mExchange->Send(stream_head{ mHeaders, mStatus, true });
+      }
+      mExchange->Send(stream_end{});
+    } else {
+      mExchange->Send(whole_reply{ mStatus, mHeaders, "", mWhole });
+    }
+    Finish("answered");
+  }
+
+  relay_progress Progress(
+    attempt_failure aFailure = attempt_failure::kLost) const
+  {
+    relay_progress progress;
+    progress.mKind = mRoute->mKind;
+    progress.mFailure = aFailure;
+    progress.mAttempts = mAttempts + (mCounted && Sent() ? 1 : 0);
+    progress.mMaxAttempts = mRoute->mMaxAttempts;
+    progress.mAnswerBegun = mAnswerBegun;
+    progress.mMayHaveRun =
+      mMayHaveRun || (!CertainlyNotRun(aFailure) && mCounted && Sent());
+    return progress;
+  }
+
+  bool Sent() const { return mAttempt && mAttempt->Sent(); }
+
+  // `aClose`: nothing more is wanted of the connection.
+  void OnFailure(attempt_failure aFailure,
+                 const std::string& aDetail,
+                 bool aClose)
+  {
+    const relay_progress progress = Progress(aFailure);
+    LogAttempt(aFailure, aDetail);
+    mAttempts = progress.mAttempts;
+    mMayHaveRun = progress.mMayHaveRun;
+    mUnsent += aFailure == attempt_failure::kNotSent ? 1 : 0;
+    if (aClose) {
+      mAttempt->Close();
+    } else {
+      mAttempt->Abandon();
+    }
+    EndAttempt(HealthOutcome(aFailure));
+    mEvents.DropUnfinished();
+    const relay_step step = NextStep(progress);
+    // What never arrived anywhere adds no work to any endpoint.
+    const bool firstArrival = progress.mAttempts == 0;
+    const bool paid = std::exchange(mPaid, false) || firstArrival;
+    const bool allowed = step != relay_step::kGiveUp && mUnsent < kMaxUnsent &&
+                         (paid || mDispatcher.Retries().Spend(*mPool, Now()));
+    if (!allowed) {
+      GiveUp(FinalError(progress));
+      return;
+    }
+    mDispatcher.Metrics().OnRetry(RetryReason(aFailure));
+    Try();
+  }
+
+  // Settles the attempt's account with the pool, once.
+  void EndAttempt(attempt_end aHow)
+  {
+    if (!std::exchange(mCounted, false)) {
+      return;
+    }
+    if (relay_pool* pool = mDispatcher.Pool(*mPool)) {
+      const time_point now = Now();
+      pool->OnEnded(mPick, aHow, mBegunHere, now - mSentAt, now);
+    }
+  }
+
+  void ArmTimer()
+  {
+    mTimer.expires_at(std::min(mWork.mDeadline, SilentAt()));
+    mTimer.async_wait([self = boost::intrusive_ptr<relay_session>(this)](
+                        const boost::system::error_code& aWrong) {
+      if (!aWrong && !self->mDone) {
+        self->OnTimer();
+      }
+    });
+  }
+
+  // When the present attempt counts as silent; never for what may not be
+  // repeated, since nothing could be done about it.
+  time_point SilentAt() const
+  {
+    if (!MayRepeat(mRoute->mKind)) {
+      return time_point::max();
+    }
+    if (IsStream(mRoute->mKind)) {
+      return mLastByte + kSilentStream;
+    }
+    return mLastByte +
+           std::max<duration>(kSilentTargets * mRoute->mTarget, kSilentLeast);
+  }
+
+  void OnTimer()
+  {
+    const time_point now = Now();
+    if (now >= mWork.mDeadline) {
+      OnDeadline();
+      return;
+    }
+    if (now >= SilentAt() && CanGoOn()) {
+      OnFailure(attempt_failure::kSilent, "no byte in time", true);
+      return;
+    }
+    if (now >= SilentAt()) {
+      // Nobody else could answer it; the endpoint still may.
+      mLastByte = now;
+    }
+    ArmTimer();
+  }
+
+  bool CanGoOn() const
+  {
+    return NextStep(Progress(attempt_failure::kSilent)) != relay_step::kGiveUp;
+  }
+
+  void OnDeadline()
+  {
+    const bool ran = Progress(attempt_failure::kSilent).mMayHaveRun;
+    LogAttempt(attempt_failure::kSilent, "deadline");
+    if (mAttempt) {
+      mAttempt->Close();
+    }
+    EndAttempt(attempt_end::kCancelled);
+    GiveUp(ran ? error_kind::kDeadlineExpiredRunning
+               : error_kind::kDeadlineUnmeetable);
+  }
+
+  // Nothing more is tried.
+  void GiveUp(error_kind aKind)
+  {
+    if (mAnswerBegun) {
+      mDispatcher.Metrics().OnRefused(error_kind::kStreamBroken);
+      mExchange->Send(stream_abort{});
+      Finish("broken");
+      return;
+    }
+    Refuse(aKind);
+  }
+
+  void Refuse(error_kind aKind)
+  {
+    mDispatcher.Metrics().OnRefused(aKind);
+    const duration after = mDispatcher.ComeBackAfter();
+    whole_reply reply =
+      ErrorReply(aKind,
+                 after,
+                 mRead.mId,
+                 { .mRequestIdHeader = mDispatcher.Names().mRequestId,
+                   .mFractions = true });
+    mStatus = reply.mHttpStatus;
+    mExchange->Send(std::move(reply));
+    Finish(Name(aKind));
+  }
+
+  void OnCallerLeft()
+  {
+    if (mDone) {
+      return;
+    }
+    if (mAttempt) {
+      mAttempt->Close();
+    }
+    EndAttempt(attempt_end::kCancelled);
+    mDispatcher.Metrics().OnRefused(error_kind::kCallerLeft);
+    Finish(Name(error_kind::kCallerLeft));
+  }
+
+  void Finish(std::string_view aOutcome)
+  {
+    mDone = true;
+    mTimer.cancel();
+    mExchange->OnLeft(nullptr);
+    LogEnd(aOutcome);
+    if (aOutcome == "answered") {
+      mDispatcher.Metrics().OnCompleted(mCountedAs, mEvents.Events());
+    }
+  }
+
+  void LogAttempt(attempt_failure aFailure, const std::string& aDetail)
+  {
+    const time_point now = Now();
+    mDispatcher.Log().WriteRequest(
+      log_level::kInfo,
+      "attempt_failed",
+      { { "request", mRead.mId.Text() },
+        { "why", std::string(Name(aFailure)) },
+        { "detail", aDetail },
+        { "endpoint", mPick.mEndpoint.Text() },
+        { "reused", std::int64_t{ mAttempt && mAttempt->Reused() } },
+        { "after_ms", ToMilliseconds(now - mSentAt) },
+        { "expected_ms", ToMilliseconds(mPick.mExpected) },
+        { "begun", std::int64_t{ mAnswerBegun } } });
+  }
+
+  void LogEnd(std::string_view aOutcome)
+  {
+    const time_point now = Now();
+    mDispatcher.Log().WriteRequest(
+      log_level::kInfo,
+      "request_done",
+      { { "request", mRead.mId.Text() },
+        { "outcome", std::string(aOutcome) },
+        { "status", std::int64_t{ mStatus } },
+        { "route", mRoute == nullptr ? "" : mRoute->mName },
+        { "team", mTeam == nullptr ? "" : mTeam->mName.Text() },
+        { "tier", std::int64_t{ mWork.mTier } },
+        { "endpoint", mPick.mEndpoint.Text() },
+        { "attempts", static_cast<std::int64_t>(mTried.size()) },
+        { "prompt_tokens", std::int64_t{ mWork.mPromptTokens } },
+        { "expected_ms", ToMilliseconds(mPick.mExpected) },
+        { "first_byte_ms", ToMilliseconds(mFirstByte.value_or(duration{})) },
+        { "total_ms", ToMilliseconds(now - mExchange->Arrival()) },
+        { "configuration",
+          mTable ? static_cast<std::int64_t>(mTable->Document().mVersion)
+                 : 0 } });
+  }
+
+  relay_dispatcher& mDispatcher;
+  caller_exchange_ptr mExchange;
+  routing_table_ptr mTable;
+  boost::asio::steady_timer mTimer;
+  relay_request mRead;
+  const route* mRoute = nullptr;
+  const routed_team* mTeam = nullptr;
+  const pool_name* mPool = nullptr;
+  relay_work mWork;
+  class_name mCountedAs;
+  std::shared_ptr<const std::string> mBody;
+
+  // The present attempt.
+  relay_attempt_ptr mAttempt;
+  relay_pick mPick;
+  time_point mSentAt{};
+  time_point mLastByte{};
+  // It stands in the pool's account.
+  bool mCounted = false;
+  bool mBegunHere = false;
+  // Its answer is a stream; nothing before its head.
+  std::optional<bool> mStream;
+  unsigned mStatus = 0;
+  std::string mWhole;
+
+  // Over all attempts.
+  std::vector<endpoint_name> mTried;
+  std::uint32_t mAttempts = 0;
+  std::uint32_t mUnsent = 0;
+  bool mMayHaveRun = false;
+  // The next retry is taken from the budget already.
+  bool mPaid = false;
+  event_splitter mEvents;
+  std::vector<header_field> mHeaders;
+  // Part of the answer is with the caller.
+  bool mAnswerBegun = false;
+  std::optional<duration> mFirstByte;
+  bool mDone = false;
+};
+
+} // namespace
+
+void
+StartRelaySession(relay_dispatcher& aDispatcher, caller_exchange_ptr aExchange)
+{
+  boost::intrusive_ptr<relay_session>(
+    new relay_session(aDispatcher, std::move(aExchange)))
+    ->Start();
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/source_link.cc
@@ -0,0 +1,238 @@
+#include "thornhollow/daemon/source_link.h"
+
+#include <random>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "thornhollow/discovery/source_follower.h"
+#include "thornhollow/net/clock.h"
+
+namespace thornhollow {
+
+class source_link::core : public std::enable_shared_from_this<core>
+{
+public:
+  core(boost::asio::io_context& aIo,
+       item_source& aSource,
+       std::string aPrefix,
+       std::string aWhat,
+       source_link_listener aListener,
+       json_log& aLog)
+    : mSource(aSource)
+    , mPrefix(std::move(aPrefix))
+    , mWhat(std::move(aWhat))
+    , mListener(std::move(aListener))
+    , mLog(aLog)
+    , mFollower(follower_settings{}, std::random_device()())
+    , mTimer(aIo)
+  {
+  }
+
+  void Ask(const source_call& aCall)
+  {
+    const std::uint64_t round = ++mRound;
+    if (aCall.mPause <= duration::zero()) {
+      Send(aCall, round);
+      return;
+    }
+    mTimer.expires_after(aCall.mPause);
+    mTimer.async_wait([weak = weak_from_this(),
+                       round](const boost::system::error_code& aWrong) {
+      const auto self = weak.lock();
+      if (!aWrong && self && self->mRound == round) {
+        // What a peer told meanwhile need not be asked for.
+        self->Send(self->mFollower.Start(self->mMirror), round);
+      }
+    });
+  }
+
+  void Restart() { Ask(mFollower.Start(mMirror)); }
+
+  void Tick(time_point aNow)
+  {
+    if (!mLost && mFollower.InOutage(aNow)) {
+      mLost = true;
+      mLog.Write(log_level::kWarning,
+                 "source_lost",
+                 { { "what", mWhat },
+                   { "at", static_cast<std::int64_t>(mMirror.At()) } });
+      mListener.mOnLost();
+    }
+  }
+
+  void OnPeer(const std::vector<source_item>& aItems, std::uint64_t aAt)
+  {
+    const std::uint64_t before = mMirror.At();
+    if (aAt <= before) {
+      return;
+    }
+    const auto news = mMirror.OnListing(aItems, aAt);
+    mLog.Write(log_level::kInfo,
+               "taken_from_peer",
+               { { "what", mWhat },
+                 { "from", static_cast<std::int64_t>(before) },
+                 { "at", static_cast<std::int64_t>(aAt) },
+                 { "changes", static_cast<std::int64_t>(news.size()) } });
+    if (!news.empty()) {
+      mListener.mOnNews(news);
+    }
+  }
+
+  void Stop()
+  {
+    ++mRound;
+    mTimer.cancel();
+  }
+
+  const item_mirror& Mirror() const { return mMirror; }
+  bool Failing() const { return mFollower.Failing(); }
+
+private:
+  void Send(const source_call& aCall, std::uint64_t aRound)
+  {
+    if (aCall.mList) {
+      mSource.List(
+        mPrefix,
+        [weak = weak_from_this(), aRound](const list_outcome& aOutcome) {
+          if (const auto self = weak.lock()) {
+            self->OnListed(aOutcome, aRound);
+          }
+        });
+      return;
+    }
+    mSource.Watch(
+      mPrefix,
+      aCall.mAfter,
+      [weak = weak_from_this(), aRound](const watch_outcome& aOutcome) {
+        if (const auto self = weak.lock()) {
+          self->OnWatched(aOutcome, aRound);
+        }
+      });
+  }
+
+  void OnListed(const list_outcome& aOutcome, std::uint64_t aRound)
+  {
+    if (aRound != mRound) {
+      return;
+    }
+    if (const auto* failed = std::get_if<source_failure>(&aOutcome)) {
+      LogFailure(*failed);
+    }
+    std::vector<item_change> news;
+    const source_call next = mFollower.OnListed(aOutcome, mMirror, news, Now());
+    Apply(news, next);
+  }
+
+  void OnWatched(const watch_outcome& aOutcome, std::uint64_t aRound)
+  {
+    if (aRound != mRound) {
+      return;
+    }
+    if (const auto* failed = std::get_if<source_failure>(&aOutcome)) {
+      LogFailure(*failed);
+    } else if (std::holds_alternative<history_gone>(aOutcome)) {
+      mLog.Write(
+        log_level::kInfo, "source_history_gone", { { "what", mWhat } });
+    }
+    std::vector<item_change> news;
+    const source_call next =
+      mFollower.OnWatched(aOutcome, mMirror, news, Now());
+    Apply(news, next);
+  }
+
+  void Apply(const std::vector<item_change>& aNews, const source_call& aNext)
+  {
+    if (mLost && !mFollower.Failing()) {
+      mLost = false;
+      mLog.Write(log_level::kInfo,
+                 "source_regained",
+                 { { "what", mWhat },
+                   { "at", static_cast<std::int64_t>(mMirror.At()) } });
+      mListener.mOnRegained();
+    }
+    if (!aNews.empty()) {
+      mListener.mOnNews(aNews);
+    }
+    Ask(aNext);
+  }
+
+  void LogFailure(const source_failure& aFailure)
+  {
+    mLog.Write(log_level::kInfo,
+               "source_call_failed",
+               { { "what", mWhat }, { "detail", aFailure.mDetail } });
+  }
+
+  item_source& mSource;
+  std::string mPrefix;
+  std::string mWhat;
+  source_link_listener mListener;
+  json_log& mLog;
+  item_mirror mMirror;
+  source_follower mFollower;
+  boost::asio::steady_timer mTimer;
+  // Tells an answer that is still wanted from one that came too late.
+  std::uint64_t mRound = 0;
+  bool mLost = false;
+};
+
+source_link::source_link(boost::asio::io_context& aIo,
+                         item_source& aSource,
+                         std::string aPrefix,
+                         std::string aWhat,
+                         source_link_listener aListener,
+                         json_log& aLog)
+  : mCore(std::make_shared<core>(aIo,
+                                 aSource,
+                                 std::move(aPrefix),
+                                 std::move(aWhat),
+                                 std::move(aListener),
+                                 aLog))
+{
+}
+
+source_link::~source_link()
+{
+  mCore->Stop();
+}
+
+void
+source_link::Start()
+{
+  mCore->Restart();
+}
+
+void
+source_link::Restart()
+{
+  mCore->Restart();
+}
+
+void
+source_link::Tick(time_point aNow)
+{
+  mCore->Tick(aNow);
+}
+
+void
+source_link::OnPeer(const std::vector<source_item>& aItems, std::uint64_t aAt)
+{
+  mCore->OnPeer(aItems, aAt);
+}
+
+const item_mirror&
+source_link::Mirror() const
+{
+  return mCore->Mirror();
+}
+
+bool
+source_link::Failing() const
+{
+  return mCore->Failing();
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/source_link.h
@@ -0,0 +1,69 @@
+// Keeps one prefix of a source mirrored: makes the calls that the follower
+// decides on, and hands on what changed.
+//
+//   source_link link(io, source, "servers/", "endpoints", listener, log);
+//   link.Start();
+//
+#ifndef THORNHOLLOW_DAEMON_SOURCE_LINK_H_
+#define THORNHOLLOW_DAEMON_SOURCE_LINK_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "thornhollow/base/time.h"
+#include "thornhollow/daemon/json_log.h"
+#include "thornhollow/discovery/item_mirror.h"
+#include "thornhollow/discovery/item_source.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace thornhollow {
+
+struct source_link_listener
+{
+  // Changes of the mirror, in order.
+  std::function<void(const std::vector<item_change>&)> mOnNews;
+  // The source began to fail for good, and answers again.
+  std::function<void()> mOnLost;
+  std::function<void()> mOnRegained;
+};
+
+class source_link
+{
+public:
+  // `aSource` and `aLog` outlive the link. `aWhat` names the items in logs.
+  source_link(boost::asio::io_context& aIo,
+              item_source& aSource,
+              std::string aPrefix,
+              std::string aWhat,
+              source_link_listener aListener,
+              json_log& aLog);
+  source_link(const source_link&) = delete;
+  source_link& operator=(const source_link&) = delete;
+  ~source_link();
+
+  void Start();
+  // An answer on its way is worth nothing any more: asks anew at once.
+  void Restart();
+  // Notices an outage. To be called every 100 ms.
+  void Tick(time_point aNow);
+
+  // What a peer holds. Taken only where it is newer.
+  void OnPeer(const std::vector<source_item>& aItems, std::uint64_t aAt);
+
+  const item_mirror& Mirror() const;
+  // The source's last answer was a failure.
+  bool Failing() const;
+
+private:
+  class core;
+  std::shared_ptr<core> mCore;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_DAEMON_SOURCE_LINK_H_
--- a/thornhollow/daemon/thornhollowd_main.cc
+++ b/thornhollow/daemon/thornhollowd_main.cc
@@ -1,6 +1,7 @@
 // The daemon that every entry instance runs.
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <optional>
@@ -12,12 +13,22 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
+#include <unistd.h>
 
+#include "thornhollow/config/relay_settings.h"
 #include "thornhollow/config/settings.h"
 #include "thornhollow/daemon/daemon.h"
 #include "thornhollow/daemon/json_log.h"
+#include "thornhollow/daemon/log_output.h"
+#include "thornhollow/daemon/relay_gateway.h"
+#include "thornhollow/platform/adapter.h"
+#include "thornhollow/platform/wire_names.h"
 
 DEFINE_string(settings, "", "YAML file with this instance's settings (needed)");
+DEFINE_bool(relay,
+            false,
+            "relays requests as they are, by the routes that a platform's "
+            "store publishes; the settings are those of docs/PLATFORM.md");
 DEFINE_string(name, "", "replaces the settings' name");
 DEFINE_string(domain, "", "replaces the settings' domain");
 DEFINE_string(caller_address, "", "replaces the settings' caller_address");
@@ -39,6 +50,10 @@
   "\n"
   "  thornhollowd --settings FILE [--name NAME] [--caller_address IP:PORT] "
   "...\n"
+  "  thornhollowd --relay [--settings FILE]\n"
+  "\n"
+  "With --relay the settings' path may also stand in the environment, in\n"
+  "THORNHOLLOW_NODE_FILE.\n"
   "\n"
   "Signals: SIGTERM or SIGINT stops gracefully: readiness goes off, new "
   "requests\n"
@@ -102,45 +117,119 @@
   return settings;
 }
 
+// Runs one instance until it has stopped; `instance` is either kind of daemon.
+template<class instance>
 int
-RunDaemon(const daemon_settings& aSettings)
+RunInstance(boost::asio::io_context& aIo, instance& aInstance, json_log& aLog)
 {
-  json_log log(aSettings.mLogLevel, WriteToStandardError);
-  boost::asio::io_context io(1);
-  daemon instance(io, aSettings, log);
   int exitCode = kExitStopped;
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  boost::asio::signal_set signals(aIo, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code& aWrong, int) {
     if (aWrong) {
       return;
     }
-    instance.BeginStop();
+    aInstance.BeginStop();
     signals.async_wait([&](const boost::system::error_code& aAgain, int) {
       if (!aAgain) {
         exitCode = kExitCutShort;
-        io.stop();
+        aIo.stop();
       }
     });
   });
   return boost::leaf::try_handle_all(
     [&]() -> result<int> {
-      BOOST_LEAF_AUTO(where, instance.Start());
+      BOOST_LEAF_AUTO(where, aInstance.Start());
       fmt::print(R"({{"listening":"{}","operators":"{}"}})"
                  "\n",
                  where.mCaller,
                  where.mOperator);
       std::fflush(stdout);
-      io.run();
+      aIo.run();
       return exitCode;
     },
     [&](const failure& aFailure) {
-      log.Write(
+      aLog.Write(
         log_level::kError, "cannot_start", { { "detail", aFailure.mDetail } });
       return kExitCannotListen;
     },
     [] { return kExitCannotListen; });
 }
 
+int
+RunDaemon(const daemon_settings& aSettings)
+{
+  json_log log(aSettings.mLogLevel, WriteToStandardError);
+  boost::asio::io_context io(1);
+  daemon instance(io, aSettings, log);
+  return RunInstance(io, instance, log);
+}
+
+std::string
+RelaySettingsPath()
+{
+  if (!FLAGS_settings.empty()) {
+    return FLAGS_settings;
+  }
+  const char* path = std::getenv(platform::kSettingsVariable);
+  return path == nullptr ? "" : path;
+}
+
+// The settings, or nothing after the faults were printed.
+std::optional<relay_settings>
+LoadRelaySettings(const std::string& aPath)
+{
+  const auto text = ReadFile(aPath);
+  if (!text) {
+    fmt::print(stderr, "{}: cannot be read\n", aPath);
+    return std::nullopt;
+  }
+  auto verdict = ReadRelaySettings({ aPath, *text });
+  if (const auto* wrong = std::get_if<faults>(&verdict)) {
+    Print(*wrong);
+    return std::nullopt;
+  }
+  return std::get<relay_settings>(std::move(verdict));
+}
+
+// Tells at SIGHUP whether the settings as they are now would be accepted; they
+// come into force at the next start.
+void
+CheckSettingsOnHangUp(boost::asio::signal_set& aSignals,
+                      const std::string& aPath,
+                      json_log& aLog)
+{
+  aSignals.async_wait(
+    [&aSignals, aPath, &aLog](const boost::system::error_code& aWrong, int) {
+      if (aWrong) {
+        return;
+      }
+      const bool accepted = LoadRelaySettings(aPath).has_value();
+      aLog.Write(log_level::kInfo,
+                 "settings_changed",
+                 { { "accepted", std::int64_t{ accepted } } });
+      CheckSettingsOnHangUp(aSignals, aPath, aLog);
+    });
+}
+
+int
+RunRelay(const std::string& aPath, const relay_settings& aSettings)
+{
+  log_output output(STDOUT_FILENO);
+  json_log log(aSettings.mLogLevel,
+               [&](std::string_view aLine) { output.Add(aLine); });
+  boost::asio::io_context io(1);
+  relay_gateway gateway(io,
+                        aSettings,
+                        platform::MakeAdapter(io, aSettings.mSourceAddress),
+                        log,
+                        [&] { output.Flush(); });
+  boost::asio::signal_set hangUp(io, SIGHUP);
+  CheckSettingsOnHangUp(hangUp, aPath, log);
+  const int exitCode = RunInstance(io, gateway, log);
+  output.Flush();
+  return exitCode;
+}
+
 } // namespace
 } // namespace thornhollow
 
@@ -151,6 +240,11 @@
   std::signal(SIGPIPE, SIG_IGN);
   gflags::SetUsageMessage(kUsage);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_relay && argc == 1 && !RelaySettingsPath().empty()) {
+    const std::string path = RelaySettingsPath();
+    const auto settings = LoadRelaySettings(path);
+    return settings ? RunRelay(path, *settings) : kExitSettingsRefused;
+  }
   if (FLAGS_settings.empty() || argc != 1) {
     fmt::print(stderr, "{}\n", kUsage);
     return kExitUsage;
--- /dev/null
+++ b/thornhollow/discovery/endpoint_roster.h
@@ -0,0 +1,134 @@
+// The endpoints that may get work, as the source lists them.
+//
+//   endpoint_roster roster(roster_settings{});
+//   Apply(roster.OnListed(entry, now));
+//   Apply(roster.OnRemoved(endpoint_name("i-7"), now));
+//   Apply(roster.Tick(now));
+//
+// Guards against an outage of the source: entries are leases, and those of
+// healthy endpoints lapse while the source is away. It shows as every endpoint
+// vanishing in the moment in which the source returns, and the instance would
+// refuse everything until the endpoints have registered again. So an entry that
+// is missing right after an outage keeps its endpoint for as long as a live one
+// needs to come back, and only then counts as gone.
+//
+// Guards against a restart under the same name: the new process holds and knows
+// nothing of before. It shows as a later start time, and is reported as the old
+// lifetime's end and a new one's beginning.
+#ifndef THORNHOLLOW_DISCOVERY_ENDPOINT_ROSTER_H_
+#define THORNHOLLOW_DISCOVERY_ENDPOINT_ROSTER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "thornhollow/base/ids.h"
+#include "thornhollow/base/time.h"
+
+namespace thornhollow {
+
+// One entry of the source's list.
+struct listed_endpoint
+{
+  // Unique among the endpoints that live at a time.
+  endpoint_name mName;
+  pool_name mPool;
+  // IP number and port. Addresses of endpoints that ended are used again, also
+  // by other pools.
+  std::string mAddress;
+  domain_name mDomain;
+  // Requests that it runs at a time; 0: not stated.
+  std::uint32_t mSlots = 0;
+  // Takes no new work and ends soon.
+  bool mDraining = false;
+  // How much longer it is slow after its start, as of the entry's writing.
+  duration mWarmUp{};
+  // When its process started, by its own clock; 0: not stated. Tells lifetimes
+  // of one name apart, nothing else.
+  std::int64_t mStartedMs = 0;
+
+  friend bool operator==(const listed_endpoint&,
+                         const listed_endpoint&) = default;
+};
+
+// A process began to serve under this name: nothing known of the name holds.
+struct endpoint_joined
+{
+  listed_endpoint mEndpoint;
+
+  friend bool operator==(const endpoint_joined&,
+                         const endpoint_joined&) = default;
+};
+// The entry says something else now, of the same process.
+struct endpoint_updated
+{
+  listed_endpoint mEndpoint;
+
+  friend bool operator==(const endpoint_updated&,
+                         const endpoint_updated&) = default;
+};
+// Gets no new work.
+struct endpoint_gone
+{
+  endpoint_name mName;
+
+  friend bool operator==(const endpoint_gone&, const endpoint_gone&) = default;
+};
+using roster_change =
+  std::variant<endpoint_joined, endpoint_updated, endpoint_gone>;
+using roster_changes = std::vector<roster_change>;
+
+struct roster_settings
+{
+  // Entries that lapsed during an outage are back within two seconds of its
+  // end; a tenth less, so that a removal that was real is acted on within two
+  // seconds of the source's return as well.
+  duration mReturnWindow = Milliseconds(1800);
+
+  friend bool operator==(const roster_settings&,
+                         const roster_settings&) = default;
+};
+
+class endpoint_roster
+{
+public:
+  explicit endpoint_roster(const roster_settings& aSettings)
+    : mSettings(aSettings)
+  {
+  }
+
+  roster_changes OnListed(const listed_endpoint& aEntry, time_point aNow);
+  // The source lists no endpoint of this name any more.
+  roster_changes OnRemoved(const endpoint_name& aName, time_point aNow);
+
+  // The source does not answer, and leases may lapse unseen.
+  void OnSourceLost();
+  // The source answers again.
+  void OnSourceRegained(time_point aNow);
+
+  // Removes what is missing for too long. To be called every 100 ms.
+  roster_changes Tick(time_point aNow);
+
+  // By name, those that still count though they are missing included.
+  std::vector<listed_endpoint> Endpoints() const;
+
+private:
+  struct record
+  {
+    listed_endpoint mEntry;
+    // Set while the source lists it no more but it still counts.
+    std::optional<time_point> mGoneAt;
+  };
+
+  roster_settings mSettings;
+  std::map<endpoint_name, record> mRecords;
+  bool mSourceLost = false;
+  std::optional<time_point> mRegained;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_DISCOVERY_ENDPOINT_ROSTER_H_
--- /dev/null
+++ b/thornhollow/discovery/endpoint_roster_test.cc
@@ -0,0 +1,93 @@
+#include <doctest/doctest.h>
+
+#include "thornhollow/discovery/endpoint_roster.h"
+
+namespace thornhollow {
+namespace {
+
+listed_endpoint
+Entry(const char* aName, std::int64_t aStartedMs = 1)
+{
+  listed_endpoint entry;
+  entry.mName = endpoint_name(aName);
+  entry.mPool = pool_name("engines");
+  entry.mAddress = "10.0.0.1:80";
+  entry.mStartedMs = aStartedMs;
+  return entry;
+}
+
+struct roster_with_two
+{
+  endpoint_roster mRoster{ roster_settings{} };
+  time_point mNow = time_point() + Seconds(100);
+
+  roster_with_two()
+  {
+    mRoster.OnListed(Entry("a"), mNow);
+    mRoster.OnListed(Entry("b"), mNow);
+  }
+};
+
+TEST_CASE_FIXTURE(roster_with_two, "endpoint_roster/removed/is_gone_at_once")
+{
+  const auto changes = mRoster.OnRemoved(endpoint_name("a"), mNow);
+  REQUIRE(changes.size() == 1);
+  CHECK(std::get<endpoint_gone>(changes[0]).mName == endpoint_name("a"));
+  CHECK(mRoster.Endpoints().size() == 1);
+}
+
+TEST_CASE_FIXTURE(roster_with_two,
+                  "endpoint_roster/lapsed_in_an_outage/counts_till_it_returns")
+{
+  // Callers get 503 for a second after each outage of the source: the leases
+  // lapsed meanwhile, the first listing afterwards is empty, and the endpoints,
+  // which never stopped serving, register again a moment later.
+  mRoster.OnSourceLost();
+  mNow += Seconds(5);
+  mRoster.OnSourceRegained(mNow);
+  CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow).empty());
+  CHECK(mRoster.OnRemoved(endpoint_name("b"), mNow).empty());
+  mNow += Seconds(1);
+  CHECK(mRoster.Tick(mNow).empty());
+  CHECK(mRoster.OnListed(Entry("a"), mNow).empty());
+  mNow += Seconds(1);
+  const auto changes = mRoster.Tick(mNow);
+  REQUIRE(changes.size() == 1);
+  CHECK(std::get<endpoint_gone>(changes[0]).mName == endpoint_name("b"));
+  CHECK(mRoster.Endpoints() == std::vector{ Entry("a") });
+}
+
+TEST_CASE_FIXTURE(roster_with_two,
+                  "endpoint_roster/draining_one_removed_in_an_outage/is_gone")
+{
+  listed_endpoint leaving = Entry("a");
+  leaving.mDraining = true;
+  mRoster.OnListed(leaving, mNow);
+  mRoster.OnSourceLost();
+  CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow).size() == 1);
+}
+
+TEST_CASE_FIXTURE(roster_with_two,
+                  "endpoint_roster/started_again_under_its_name/is_a_new_one")
+{
+  // Requests are sent for a cached prompt that is not there any more: the
+  // engine crashed and started again under its name.
+  const auto changes = mRoster.OnListed(Entry("a", 2), mNow);
+  REQUIRE(changes.size() == 2);
+  CHECK(std::holds_alternative<endpoint_gone>(changes[0]));
+  CHECK(std::holds_alternative<endpoint_joined>(changes[1]));
+}
+
+TEST_CASE_FIXTURE(roster_with_two,
+                  "endpoint_roster/same_entry_again/changes_nothing")
+{
+  CHECK(mRoster.OnListed(Entry("a"), mNow).empty());
+  listed_endpoint leaving = Entry("a");
+  leaving.mDraining = true;
+  const auto changes = mRoster.OnListed(leaving, mNow);
+  REQUIRE(changes.size() == 1);
+  CHECK(std::holds_alternative<endpoint_updated>(changes[0]));
+}
+
+} // namespace
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/discovery/item_mirror.cc
@@ -0,0 +1,76 @@
+#include "thornhollow/discovery/item_mirror.h"
+
+#include <algorithm>
+#include <set>
+
+namespace thornhollow {
+
+std::vector<item_change>
+item_mirror::OnListing(const std::vector<source_item>& aItems,
+                       std::uint64_t aAt)
+{
+  if (mListed && aAt < mAt) {
+    return {};
+  }
+  std::vector<item_change> changes;
+  std::set<std::string> present;
+  for (const source_item& each : aItems) {
+    present.insert(each.mKey);
+    const auto found = mItems.find(each.mKey);
+    if (found == mItems.end() || found->second.mRevision < each.mRevision) {
+      changes.push_back({ each.mKey, each.mValue, each.mRevision });
+    }
+  }
+  for (const auto& [key, item] : mItems) {
+    if (!present.contains(key)) {
+      changes.push_back({ key, std::nullopt, aAt });
+    }
+  }
+  for (const item_change& each : changes) {
+    if (each.mValue) {
+      mItems[each.mKey] = { *each.mValue, each.mRevision };
+    } else {
+      mItems.erase(each.mKey);
+    }
+  }
+  mListed = true;
+  mAt = aAt;
+  return changes;
+}
+
+std::vector<item_change>
+item_mirror::OnChanges(const std::vector<item_change>& aChanges,
+                       std::uint64_t aAt)
+{
+  std::vector<item_change> news;
+  for (const item_change& each : aChanges) {
+    if (each.mRevision <= mAt) {
+      continue;
+    }
+    const auto found = mItems.find(each.mKey);
+    if (found != mItems.end() && found->second.mRevision >= each.mRevision) {
+      continue;
+    }
+    if (each.mValue) {
+      mItems[each.mKey] = { *each.mValue, each.mRevision };
+    } else if (mItems.erase(each.mKey) == 0) {
+      continue;
+    }
+    news.push_back(each);
+  }
+  mAt = std::max(mAt, aAt);
+  return news;
+}
+
+std::vector<source_item>
+item_mirror::Items() const
+{
+  std::vector<source_item> items;
+  items.reserve(mItems.size());
+  for (const auto& [key, item] : mItems) {
+    items.push_back({ key, item.mValue, item.mRevision });
+  }
+  return items;
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/discovery/item_mirror.h
@@ -0,0 +1,76 @@
+// A local copy of the items that a read-only source publishes under one prefix,
+// kept in step by listings and changes, or by what a peer holds.
+//
+//   item_mirror mirror;
+//   for (const item_change& each : mirror.OnListing(items, 412)) { ... }
+//   for (const item_change& each : mirror.OnChanges(changes, 415)) { ... }
+//
+// Guards against going back: the source, a lagging replica of it and peers may
+// answer late, and an older answer taken after a newer one would bring back a
+// removed endpoint or a revoked token. Every step carries the source's revision
+// counter, and nothing at or below the one already held is taken.
+#ifndef THORNHOLLOW_DISCOVERY_ITEM_MIRROR_H_
+#define THORNHOLLOW_DISCOVERY_ITEM_MIRROR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace thornhollow {
+
+struct source_item
+{
+  std::string mKey;
+  std::string mValue;
+  // The source's counter at the item's last change.
+  std::uint64_t mRevision = 0;
+
+  friend bool operator==(const source_item&, const source_item&) = default;
+};
+
+// One item written, or removed where there is no value.
+struct item_change
+{
+  std::string mKey;
+  std::optional<std::string> mValue;
+  std::uint64_t mRevision = 0;
+
+  friend bool operator==(const item_change&, const item_change&) = default;
+};
+
+class item_mirror
+{
+public:
+  // All items as of revision `aAt`. Returns what differs from the copy; nothing
+  // where the copy is newer. A listing at the copy's own revision repairs it.
+  std::vector<item_change> OnListing(const std::vector<source_item>& aItems,
+                                     std::uint64_t aAt);
+
+  // Changes after the copy's revision, up to `aAt`. Returns those that are news
+  // here: a change that was seen already is left out.
+  std::vector<item_change> OnChanges(const std::vector<item_change>& aChanges,
+                                     std::uint64_t aAt);
+
+  // True once a listing was taken.
+  bool Listed() const { return mListed; }
+  // The source's revision up to which the copy is complete; 0 before.
+  std::uint64_t At() const { return mAt; }
+  std::vector<source_item> Items() const;
+
+private:
+  struct held
+  {
+    std::string mValue;
+    std::uint64_t mRevision = 0;
+  };
+
+  bool mListed = false;
+  std::uint64_t mAt = 0;
+  std::map<std::string, held> mItems;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_DISCOVERY_ITEM_MIRROR_H_
--- /dev/null
+++ b/thornhollow/discovery/item_mirror_test.cc
@@ -0,0 +1,84 @@
+#include <map>
+#include <random>
+
+#include <doctest/doctest.h>
+
+#include "thornhollow/discovery/item_mirror.h"
+
+namespace thornhollow {
+namespace {
+
+struct mirror_with_two_items
+{
+  item_mirror mMirror;
+
+  mirror_with_two_items()
+  {
+    mMirror.OnListing({ { "a", "1", 5 }, { "b", "2", 7 } }, 10);
+  }
+};
+
+TEST_CASE_FIXTURE(mirror_with_two_items,
+                  "item_mirror/listing_without_an_item/removes_it")
+{
+  const auto changes = mMirror.OnListing({ { "a", "1", 5 } }, 12);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0] == item_change{ "b", std::nullopt, 12 });
+  CHECK(mMirror.At() == 12);
+}
+
+TEST_CASE_FIXTURE(mirror_with_two_items,
+                  "item_mirror/older_listing/changes_nothing")
+{
+  // A caller whose token was revoked is served again: an instance that was cut
+  // off asks a peer, whose answer is from before the revocation, and that
+  // answer arrives after the source's own.
+  CHECK(mMirror.OnListing({ { "a", "old", 4 } }, 9).empty());
+  CHECK(mMirror.Items().size() == 2);
+  CHECK(mMirror.At() == 10);
+}
+
+TEST_CASE_FIXTURE(mirror_with_two_items,
+                  "item_mirror/changes_seen_before/are_left_out")
+{
+  CHECK(mMirror.OnChanges({ { "a", "0", 9 } }, 10).empty());
+  const auto news =
+    mMirror.OnChanges({ { "a", "3", 11 }, { "b", std::nullopt, 12 } }, 12);
+  CHECK(news.size() == 2);
+  CHECK(mMirror.Items() == std::vector<source_item>{ { "a", "3", 11 } });
+}
+
+TEST_CASE("item_mirror/random_answers/never_go_back_and_end_equal")
+{
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937_64 random(seed);
+    std::map<std::string, source_item> truth;
+    std::vector<std::pair<std::vector<source_item>, std::uint64_t>> history;
+    item_mirror mirror;
+    std::map<std::string, std::uint64_t> newest;
+    for (std::uint64_t revision = 1; revision <= 60; ++revision) {
+      const std::string key(1, static_cast<char>('a' + random() % 5));
+      if (random() % 3 == 0) {
+        truth.erase(key);
+      } else {
+        truth[key] = { key, std::to_string(revision), revision };
+      }
+      std::vector<source_item> all;
+      for (const auto& [name, item] : truth) {
+        all.push_back(item);
+      }
+      history.emplace_back(all, revision);
+      // An answer of any age arrives.
+      const auto& [items, at] = history[random() % history.size()];
+      for (const item_change& each : mirror.OnListing(items, at)) {
+        CHECK(each.mRevision >= newest[each.mKey]);
+        newest[each.mKey] = each.mRevision;
+      }
+    }
+    mirror.OnListing(history.back().first, history.back().second);
+    CHECK(mirror.Items() == history.back().first);
+  }
+}
+
+} // namespace
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/discovery/item_source.h
@@ -0,0 +1,76 @@
+// A source of items that can be listed and watched, and never written.
+//
+//   source.List("endpoints/", [](list_outcome aOutcome) { ... });
+//   source.Watch("endpoints/", 412, [](watch_outcome aOutcome) { ... });
+//
+#ifndef THORNHOLLOW_DISCOVERY_ITEM_SOURCE_H_
+#define THORNHOLLOW_DISCOVERY_ITEM_SOURCE_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "thornhollow/discovery/item_mirror.h"
+
+namespace thornhollow {
+
+// All items under the prefix as of revision `mAt`.
+struct source_listing
+{
+  std::vector<source_item> mItems;
+  std::uint64_t mAt = 0;
+
+  friend bool operator==(const source_listing&,
+                         const source_listing&) = default;
+};
+// What changed, up to revision `mAt`; nothing where the wait ended first.
+struct source_changes
+{
+  std::vector<item_change> mChanges;
+  std::uint64_t mAt = 0;
+
+  friend bool operator==(const source_changes&,
+                         const source_changes&) = default;
+};
+// The source no longer knows what changed since then: list anew.
+struct history_gone
+{
+  friend bool operator==(const history_gone&, const history_gone&) = default;
+};
+// No usable answer; for logs.
+struct source_failure
+{
+  std::string mDetail;
+
+  friend bool operator==(const source_failure&,
+                         const source_failure&) = default;
+};
+
+using list_outcome = std::variant<source_listing, source_failure>;
+using watch_outcome =
+  std::variant<source_changes, history_gone, source_failure>;
+
+class item_source
+{
+public:
+  item_source() = default;
+  item_source(const item_source&) = delete;
+  item_source& operator=(const item_source&) = delete;
+  virtual ~item_source() = default;
+
+  // `aDone` is called once, later.
+  virtual void List(const std::string& aPrefix,
+                    std::function<void(list_outcome)> aDone) = 0;
+
+  // Waits for changes after revision `aAfter`, for a bounded time. `aDone` is
+  // called once, later.
+  virtual void Watch(const std::string& aPrefix,
+                     std::uint64_t aAfter,
+                     std::function<void(watch_outcome)> aDone) = 0;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_DISCOVERY_ITEM_SOURCE_H_
--- /dev/null
+++ b/thornhollow/discovery/source_follower.cc
@@ -0,0 +1,92 @@
+#include "thornhollow/discovery/source_follower.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace thornhollow {
+namespace {
+
+void
+Append(std::vector<item_change> aNews, std::vector<item_change>& aTo)
+{
+  std::ranges::move(aNews, std::back_inserter(aTo));
+}
+
+} // namespace
+
+source_follower::source_follower(const follower_settings& aSettings,
+                                 std::uint64_t aSeed)
+  : mSettings(aSettings)
+  , mRandom(aSeed)
+  , mPause(aSettings.mFirstPause)
+{
+}
+
+source_call
+source_follower::Start(const item_mirror& aMirror) const
+{
+  const bool list = mMustList || !aMirror.Listed();
+  return { list, aMirror.At(), duration::zero() };
+}
+
+source_call
+source_follower::OnListed(const list_outcome& aOutcome,
+                          item_mirror& aMirror,
+                          std::vector<item_change>& aNews,
+                          time_point aNow)
+{
+  const auto* listing = std::get_if<source_listing>(&aOutcome);
+  if (listing == nullptr) {
+    return AfterFailure(aMirror, aNow);
+  }
+  Append(aMirror.OnListing(listing->mItems, listing->mAt), aNews);
+  mMustList = false;
+  NoteSuccess();
+  return Start(aMirror);
+}
+
+source_call
+source_follower::OnWatched(const watch_outcome& aOutcome,
+                           item_mirror& aMirror,
+                           std::vector<item_change>& aNews,
+                           time_point aNow)
+{
+  if (std::holds_alternative<source_failure>(aOutcome)) {
+    return AfterFailure(aMirror, aNow);
+  }
+  if (const auto* changes = std::get_if<source_changes>(&aOutcome)) {
+    Append(aMirror.OnChanges(changes->mChanges, changes->mAt), aNews);
+  } else {
+    mMustList = true;
+  }
+  NoteSuccess();
+  return Start(aMirror);
+}
+
+bool
+source_follower::InOutage(time_point aNow) const
+{
+  return mFailingSince && aNow - *mFailingSince >= mSettings.mOutageAfter;
+}
+
+source_call
+source_follower::AfterFailure(const item_mirror& aMirror, time_point aNow)
+{
+  if (!mFailingSince) {
+    mFailingSince = aNow;
+  }
+  source_call next = Start(aMirror);
+  std::uniform_real_distribution<double> jitter(0.75, 1.25);
+  next.mPause = FromSeconds(ToSeconds(mPause) * jitter(mRandom));
+  mPause = std::min(mPause * 2, mSettings.mLongestPause);
+  return next;
+}
+
+void
+source_follower::NoteSuccess()
+{
+  mFailingSince.reset();
+  mPause = mSettings.mFirstPause;
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/discovery/source_follower_test.cc
@@ -0,0 +1,73 @@
+#include <doctest/doctest.h>
+
+#include "thornhollow/discovery/source_follower.h"
+
+namespace thornhollow {
+namespace {
+
+struct follower_after_a_listing
+{
+  source_follower mFollower{ follower_settings{}, 1 };
+  item_mirror mMirror;
+  std::vector<item_change> mNews;
+  time_point mNow = time_point() + Seconds(10);
+  source_call mNext;
+
+  follower_after_a_listing()
+  {
+    mNext = mFollower.OnListed(
+      source_listing{ { { "a", "1", 5 } }, 10 }, mMirror, mNews, mNow);
+    mNews.clear();
+  }
+};
+
+TEST_CASE_FIXTURE(follower_after_a_listing,
+                  "source_follower/listed/watches_from_there")
+{
+  CHECK(mNext == source_call{ false, 10, duration::zero() });
+  mNext = mFollower.OnWatched(
+    source_changes{ { { "a", "2", 12 } }, 12 }, mMirror, mNews, mNow);
+  CHECK(mNext == source_call{ false, 12, duration::zero() });
+  CHECK(mNews.size() == 1);
+}
+
+TEST_CASE_FIXTURE(follower_after_a_listing,
+                  "source_follower/history_gone/lists_anew_until_it_succeeds")
+{
+  // An endpoint that left while the source dropped its history gets requests
+  // for ever: the watch goes on after the gap and never tells of it.
+  mNext = mFollower.OnWatched(history_gone{}, mMirror, mNews, mNow);
+  CHECK(mNext.mList);
+  mNext = mFollower.OnListed(source_failure{ "503" }, mMirror, mNews, mNow);
+  CHECK(mNext.mList);
+  mNext = mFollower.OnListed(source_listing{ {}, 20 }, mMirror, mNews, mNow);
+  CHECK_FALSE(mNext.mList);
+  REQUIRE(mNews.size() == 1);
+  CHECK_FALSE(mNews[0].mValue.has_value());
+}
+
+TEST_CASE_FIXTURE(follower_after_a_listing,
+                  "source_follower/failures/come_further_apart_up_to_a_bound")
+{
+  duration sum{};
+  for (int call = 0; call < 10; ++call) {
+    mNext = mFollower.OnWatched(source_failure{}, mMirror, mNews, mNow);
+    CHECK(mNext.mPause <= Milliseconds(625));
+    sum += mNext.mPause;
+  }
+  CHECK(sum > Seconds(3));
+  mNext = mFollower.OnWatched(source_changes{ {}, 10 }, mMirror, mNews, mNow);
+  CHECK(mNext.mPause == duration::zero());
+}
+
+TEST_CASE_FIXTURE(follower_after_a_listing,
+                  "source_follower/one_failure/is_no_outage_a_second_of_it_is")
+{
+  mFollower.OnWatched(source_failure{}, mMirror, mNews, mNow);
+  CHECK(mFollower.Failing());
+  CHECK_FALSE(mFollower.InOutage(mNow + Milliseconds(900)));
+  CHECK(mFollower.InOutage(mNow + Milliseconds(1000)));
+}
+
+} // namespace
+} // namespace thornhollow
--- a/thornhollow/platform/platform_list.cc
+++ b/thornhollow/listing/platform_list.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/platform/platform_list.h"
+#include "thornhollow/listing/platform_list.h"
 
 #include <string>
 
--- a/thornhollow/platform/platform_list.h
+++ b/thornhollow/listing/platform_list.h
@@ -2,8 +2,8 @@
 //
 //   const auto list = ReadPlatformList(body, version);
 //
-#ifndef THORNHOLLOW_PLATFORM_PLATFORM_LIST_H_
-#define THORNHOLLOW_PLATFORM_PLATFORM_LIST_H_
+#ifndef THORNHOLLOW_LISTING_PLATFORM_LIST_H_
+#define THORNHOLLOW_LISTING_PLATFORM_LIST_H_
 
 #include <cstdint>
 #include <optional>
@@ -40,4 +40,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_PLATFORM_PLATFORM_LIST_H_
+#endif // THORNHOLLOW_LISTING_PLATFORM_LIST_H_
--- a/thornhollow/platform/platform_list_test.cc
+++ b/thornhollow/listing/platform_list_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/platform/platform_list.h"
+#include "thornhollow/listing/platform_list.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/platform/platform_watch.cc
+++ b/thornhollow/listing/platform_watch.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/platform/platform_watch.h"
+#include "thornhollow/listing/platform_watch.h"
 
 #include <random>
 #include <utility>
--- a/thornhollow/platform/platform_watch.h
+++ b/thornhollow/listing/platform_watch.h
@@ -5,8 +5,8 @@
 //
 // Never hands on a version below one it handed on before: the service has
 // replicas that lag.
-#ifndef THORNHOLLOW_PLATFORM_PLATFORM_WATCH_H_
-#define THORNHOLLOW_PLATFORM_PLATFORM_WATCH_H_
+#ifndef THORNHOLLOW_LISTING_PLATFORM_WATCH_H_
+#define THORNHOLLOW_LISTING_PLATFORM_WATCH_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -57,4 +57,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_PLATFORM_PLATFORM_WATCH_H_
+#endif // THORNHOLLOW_LISTING_PLATFORM_WATCH_H_
--- a/thornhollow/net/caller_server.cc
+++ b/thornhollow/net/caller_server.cc
@@ -23,11 +23,12 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <netinet/tcp.h>
 
 #include "thornhollow/net/address.h"
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/internal/awaitable.h"
+#include "thornhollow/net/internal/header_text.h"
+#include "thornhollow/net/internal/silence.h"
 
 namespace thornhollow {
 namespace {
@@ -42,31 +43,19 @@
 using request_parser = http::request_parser<http::string_body>;
 
 constexpr unsigned kHttp11 = 11;
-// Data that the peer's end doesn't acknowledge for this long ends the
+// Data that the caller's end doesn't acknowledge for this long ends the
 // connection. Something between the ends can lose track of a connection; then
 // nothing is ever answered on it, and without this limit a stream's tokens
 // would be computed for nobody.
 constexpr int kUnacknowledgedMs = 10'000;
 // A connection without traffic is probed, so that one that went silent while
 // its request waits is found too: 5 s + 3 probes 2 s apart.
-constexpr int kProbeAfterSeconds = 5;
-constexpr int kProbeIntervalSeconds = 2;
-constexpr int kProbeCount = 3;
-
-void
-DetectSilence(tcp::socket& aSocket)
-{
-  const int handle = aSocket.native_handle();
-  const auto set = [handle](int aLevel, int aName, int aValue) {
-    ::setsockopt(handle, aLevel, aName, &aValue, sizeof(aValue));
-  };
-  set(IPPROTO_TCP, TCP_NODELAY, 1);
-  set(SOL_SOCKET, SO_KEEPALIVE, 1);
-  set(IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
-  set(IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
-  set(IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
-  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs);
-}
+constexpr net_internal::silence_limits kCallerSilence = {
+  .mUnacknowledgedMs = kUnacknowledgedMs,
+  .mProbeAfterSeconds = 5,
+  .mProbeIntervalSeconds = 2,
+  .mProbes = 3,
+};
 
 std::string
 PathOf(std::string_view aTarget)
@@ -80,7 +69,8 @@
   auto& message = aParser.get();
   caller_request request;
   request.mMethod = std::string(message.method_string());
-  request.mPath = PathOf({ message.target().data(), message.target().size() });
+  request.mTarget = std::string(message.target());
+  request.mPath = PathOf(request.mTarget);
   for (const auto& field : message) {
     request.mHeaders.push_back(
       { std::string(field.name_string()), std::string(field.value()) });
@@ -105,7 +95,8 @@
 IsLast(const reply_part& aPart)
 {
   return std::holds_alternative<whole_reply>(aPart) ||
-         std::holds_alternative<stream_end>(aPart);
+         std::holds_alternative<stream_end>(aPart) ||
+         std::holds_alternative<stream_abort>(aPart);
 }
 
 class session;
@@ -254,7 +245,7 @@
     , mReadLimit(mStream.get_executor())
   {
     mShared->mSessions.insert(this);
-    DetectSilence(mStream.socket());
+    net_internal::DetectSilence(mStream.socket(), kCallerSilence);
   }
   session(const session&) = delete;
   session& operator=(const session&) = delete;
@@ -390,16 +381,18 @@
   // False where a header was read that leaves open how the request goes on.
   asio::awaitable<bool> ReadAll(request_parser& aParser, error_code& aWrong)
   {
-    co_await http::async_read_header(mStream, mBuffer, aParser, Into(aWrong));
+    if (!co_await ReadHeaderText(aWrong)) {
+      co_return false;
+    }
+    if (!aWrong) {
+      co_await http::async_read_header(mStream, mBuffer, aParser, Into(aWrong));
+    }
     if (aWrong) {
       co_return true;
     }
+    ExtendReadLimit();
     const auto& header = aParser.get();
-    const bool known = header.version() == kHttp11 || header.version() == 10;
-    // Another coding than "chunked" doesn't tell where the body ends; its bytes
-    // would be taken for the next request.
-    if (!known || (header.count(http::field::transfer_encoding) > 0 &&
-                   !aParser.chunked())) {
+    if (!EndsClearly(aParser)) {
       co_return false;
     }
     if (header.version() == kHttp11 &&
@@ -414,13 +407,60 @@
     co_return true;
   }
 
+  // Whether all who read this header agree on where its body ends. Another
+  // coding than "chunked", two lengths, or a length beside a coding leave that
+  // open, and bytes of the body would be taken for the next request.
+  static bool EndsClearly(const request_parser& aParser)
+  {
+    const auto& header = aParser.get();
+    const auto codings = header.count(http::field::transfer_encoding);
+    const auto lengths = header.count(http::field::content_length);
+    const bool known = header.version() == kHttp11 || header.version() == 10;
+    return known && codings + lengths <= 1 &&
+           (codings == 0 || aParser.chunked());
+  }
+
+  // Reads until the buffer holds a whole header; false where its lines leave
+  // open how others would read them.
+  asio::awaitable<bool> ReadHeaderText(error_code& aWrong)
+  {
+    while (!aWrong) {
+      const auto data = mBuffer.cdata();
+      const auto found = net_internal::ScanHeaderText(
+        { static_cast<const char*>(data.data()), data.size() });
+      if (found == net_internal::header_text::kWhole) {
+        co_return true;
+      }
+      if (found == net_internal::header_text::kAmbiguous) {
+        co_return false;
+      }
+      if (mBuffer.size() > mShared->mLimits.mMaxHeaderBytes) {
+        aWrong = http::error::header_limit;
+        co_return true;
+      }
+      const std::size_t bytes = co_await mStream.async_read_some(
+        mBuffer.prepare(kFirstRead), Into(aWrong));
+      mBuffer.commit(bytes);
+    }
+    co_return true;
+  }
+
   // The stream's own time limit closes the socket, and nothing could be
   // answered any more; this one only ends the reading.
   void BeginReadLimit()
   {
     mLate = false;
     mStream.expires_never();
-    mReadLimit.expires_after(mShared->mLimits.mSendTimeout);
+    mReadBegun = Now();
+    mReadLimit.expires_at(mReadBegun + mShared->mLimits.mHeaderTimeout);
+    AwaitReadLimit(mReads);
+  }
+
+  // The header is in; its body has the rest of the whole request's time.
+  void ExtendReadLimit()
+  {
+    ++mReads;
+    mReadLimit.expires_at(mReadBegun + mShared->mLimits.mSendTimeout);
     AwaitReadLimit(mReads);
   }
 
@@ -522,9 +562,25 @@
     if (const auto* text = std::get_if<stream_text>(&aPart)) {
       co_return co_await WriteText(text->mText);
     }
+    if (std::holds_alternative<stream_abort>(aPart)) {
+      Abort();
+      co_return false;
+    }
     co_return co_await WriteEnd();
   }
 
+  // A chunked answer lacks its end when the connection closes. Without chunks
+  // the end of the connection is the end of the answer, so it is reset.
+  void Abort()
+  {
+    if (mVersion == kHttp11) {
+      return;
+    }
+    error_code ignored;
+    mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    mStream.socket().close(ignored);
+  }
+
   bool StaysOpen(bool aKeepAlive) const
   {
     return aKeepAlive && mVersion == kHttp11 && !mShared->mDraining;
@@ -536,7 +592,7 @@
     response.version(mVersion);
     response.result(aReply.mHttpStatus);
     for (const auto& [name, value] : aReply.mHeaders) {
-      response.set(name, value);
+      response.insert(name, value);
     }
     if (!aReply.mContentType.empty()) {
       response.set(http::field::content_type, aReply.mContentType);
@@ -557,12 +613,16 @@
 
   asio::awaitable<bool> WriteHead(const stream_head& aHead, bool aKeepAlive)
   {
-    http::response<http::empty_body> response(http::status::ok, mVersion);
+    http::response<http::empty_body> response;
+    response.version(mVersion);
+    response.result(aHead.mHttpStatus);
     for (const auto& [name, value] : aHead.mHeaders) {
-      response.set(name, value);
+      response.insert(name, value);
+    }
+    if (!aHead.mVerbatim) {
+      response.set(http::field::content_type, "text/event-stream");
+      response.set(http::field::cache_control, "no-store");
     }
-    response.set(http::field::content_type, "text/event-stream");
-    response.set(http::field::cache_control, "no-store");
     response.keep_alive(StaysOpen(aKeepAlive));
     response.chunked(mVersion == kHttp11);
     http::response_serializer<http::empty_body> serializer(response);
@@ -615,6 +675,8 @@
   std::shared_ptr<shared_state> mShared;
   beast::flat_buffer mBuffer;
   asio::steady_timer mReadLimit;
+  // When the present request's first byte was there.
+  time_point mReadBegun{};
   // Finished readings; tells a late timer that its own is over.
   std::uint64_t mReads = 0;
   unsigned mVersion = kHttp11;
@@ -656,11 +718,7 @@
 std::string_view
 caller_request::Header(std::string_view aName) const
 {
-  const auto found =
-    std::ranges::find_if(mHeaders, [aName](const header_field& aField) {
-      return beast::iequals(aField.mName, aName);
-    });
-  return found == mHeaders.end() ? std::string_view() : found->mValue;
+  return HeaderValue(mHeaders, aName);
 }
 
 caller_server::caller_server(asio::io_context& aIo,
@@ -707,9 +765,21 @@
 }
 
 void
-caller_server::BeginDrain()
+caller_server::SetLimits(const server_limits& aLimits)
+{
+  mShared->mLimits = aLimits;
+}
+
+void
+caller_server::CloseAfterAnswers()
 {
   mShared->mDraining = true;
+}
+
+void
+caller_server::BeginDrain()
+{
+  CloseAfterAnswers();
   const std::vector<session*> sessions(mShared->mSessions.begin(),
                                        mShared->mSessions.end());
   for (session* each : sessions) {
--- a/thornhollow/net/caller_server.h
+++ b/thornhollow/net/caller_server.h
@@ -24,6 +24,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "thornhollow/base/error.h"
+#include "thornhollow/base/header_field.h"
 #include "thornhollow/base/result.h"
 #include "thornhollow/base/time.h"
 
@@ -38,6 +39,8 @@
   std::uint32_t mMaxHeaderBytes = std::uint32_t{ 16 } << 10U;
   std::size_t mMaxBodyBytes = std::size_t{ 8 } << 20U;
   std::size_t mMaxConnections = 4096;
+  // From a request's first byte to the end of its header.
+  duration mHeaderTimeout = Seconds(10);
   // From a request's first byte to its last. A sender slower than this would
   // hold memory and a connection for as long as it likes.
   duration mSendTimeout = Seconds(10);
@@ -53,14 +56,6 @@
   friend bool operator==(const server_limits&, const server_limits&) = default;
 };
 
-struct header_field
-{
-  std::string mName;
-  std::string mValue;
-
-  friend bool operator==(const header_field&, const header_field&) = default;
-};
-
 // A request as it arrived, whole.
 struct caller_request
 {
@@ -69,6 +64,8 @@
   std::string mPath;
   std::vector<header_field> mHeaders;
   std::string mBody;
+  // Path and query as they came.
+  std::string mTarget = {};
 
   // The first value of this header, case ignored; empty where absent.
   std::string_view Header(std::string_view aName) const;
@@ -86,6 +83,10 @@
 struct stream_head
 {
   std::vector<header_field> mHeaders;
+  unsigned mHttpStatus = 200;
+  // The headers are another server's and are handed on as they are; else those
+  // of an event stream are added.
+  bool mVerbatim = false;
 };
 // Text of one or more events, each with its blank line.
 struct stream_text
@@ -94,8 +95,12 @@
 };
 struct stream_end
 {};
+// The stream can't go on and must not look complete: the connection is closed
+// without the stream's end.
+struct stream_abort
+{};
 using reply_part =
-  std::variant<whole_reply, stream_head, stream_text, stream_end>;
+  std::variant<whole_reply, stream_head, stream_text, stream_end, stream_abort>;
 
 // One request and its answer. The handler keeps a pointer for as long as it has
 // something to send.
@@ -112,7 +117,8 @@
   virtual const caller_request& Request() const = 0;
   virtual time_point Arrival() const = 0;
 
-  // Queues a part of the answer. A `whole_reply` or `stream_end` is the last.
+  // Queues a part of the answer. A `whole_reply`, `stream_end` or
+  // `stream_abort` is the last.
   // Does nothing once the caller is gone.
   virtual void Send(reply_part aPart) = 0;
 
@@ -141,8 +147,13 @@
   // port in use, which differs where port 0 was asked for.
   result<std::string> Listen(std::string_view aAddress);
 
-  // From now on each answer asks its caller to close the connection, and idle
-  // connections are closed.
+  // Bounds of the requests that are read from now on.
+  void SetLimits(const server_limits& aLimits);
+
+  // From now on each answer asks its caller to close the connection.
+  void CloseAfterAnswers();
+
+  // The same, and idle connections are closed.
   void BeginDrain();
 
   // Takes no further connection.
--- a/thornhollow/net/http_fetch.cc
+++ b/thornhollow/net/http_fetch.cc
@@ -1,5 +1,6 @@
 #include "thornhollow/net/http_fetch.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -20,6 +21,7 @@
 
 #include "thornhollow/net/address.h"
 #include "thornhollow/net/internal/awaitable.h"
+#include "thornhollow/net/internal/silence.h"
 
 namespace thornhollow {
 namespace {
@@ -31,6 +33,13 @@
 using boost::system::error_code;
 using net_internal::Into;
 
+constexpr net_internal::silence_limits kLongPollSilence = {
+  .mUnacknowledgedMs = 2'000,
+  .mProbeAfterSeconds = 1,
+  .mProbeIntervalSeconds = 1,
+  .mProbes = 2,
+};
+
 std::optional<std::uint64_t>
 ReadVersion(std::string_view aText)
 {
@@ -51,7 +60,7 @@
     co_return std::nullopt;
   }
   beast::tcp_stream stream(aIo);
-  stream.expires_after(aCall.mTimeout);
+  stream.expires_after(std::min(aCall.mTimeout, aCall.mConnectTimeout));
   error_code wrong;
   const tcp::endpoint where(asio::ip::make_address(address->mHost),
                             address->mPort);
@@ -59,6 +68,10 @@
   if (wrong) {
     co_return std::nullopt;
   }
+  stream.expires_after(aCall.mTimeout);
+  if (aCall.mLongPoll) {
+    net_internal::DetectSilence(stream.socket(), kLongPollSilence);
+  }
   http::request<http::empty_body> request(http::verb::get, aCall.mTarget, 11);
   request.set(http::field::host, aCall.mAddress);
   request.keep_alive(false);
--- a/thornhollow/net/http_fetch.h
+++ b/thornhollow/net/http_fetch.h
@@ -28,6 +28,11 @@
   // Over the whole exchange, connecting included. A peer that accepts and then
   // says nothing costs at most this.
   duration mTimeout = Seconds(2);
+  // Of that, the part in which the connection must stand.
+  duration mConnectTimeout = Seconds(2);
+  // The answer may take long, as that of a long poll: a connection that went
+  // silent meanwhile is found by probes, within about three seconds.
+  bool mLongPoll = false;
   // Bytes of the answer's body at most.
   std::size_t mMaxBytes = std::size_t{ 2 } << 20U;
 };
--- /dev/null
+++ b/thornhollow/net/relay_attempt.cc
@@ -0,0 +1,317 @@
+#include "thornhollow/net/relay_attempt.h"
+
+#include <array>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "thornhollow/net/address.h"
+#include "thornhollow/net/internal/awaitable.h"
+#include "thornhollow/net/internal/silence.h"
+
+namespace thornhollow {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using net_internal::Into;
+
+using body_type = http::span_body<const char>;
+using answer_parser = http::response_parser<http::buffer_body>;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::size_t kReadBytes = 8192;
+// Heads of endpoints are a few hundred bytes.
+constexpr std::uint32_t kMaxHeadBytes = 32 * 1024;
+// Bodies are bounded by who reads them, not here.
+constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{ 1 } << 40U;
+// Interim answers (1xx) in front of the real one; more are a fault.
+constexpr int kMaxInterim = 4;
+
+// The rest of an answer that nobody wants is read for at most this long; a new
+// connection costs less than waiting longer.
+constexpr duration kAbandonedLimit = Seconds(1);
+
+// An endpoint whose machine is dark, or a connection that something on the way
+// lost track of, is found within about two seconds: the time that callers of
+// streams wait between events at least before they leave.
+constexpr net_internal::silence_limits kEndpointSilence = {
+  .mUnacknowledgedMs = 2'000,
+  .mProbeAfterSeconds = 1,
+  .mProbeIntervalSeconds = 1,
+  .mProbes = 1,
+};
+
+std::vector<header_field>
+ToFields(const http::fields& aFields)
+{
+  std::vector<header_field> fields;
+  for (const auto& each : aFields) {
+    fields.push_back(
+      { std::string(each.name_string()), std::string(each.value()) });
+  }
+  return fields;
+}
+
+class attempt final : public relay_attempt
+{
+public:
+  attempt(endpoint_connections& aConnections,
+          const relay_names& aNames,
+          relay_call aCall,
+          std::function<void(relay_event)> aOnEvent)
+    : mConnections(aConnections)
+    , mNames(aNames)
+    , mCall(std::move(aCall))
+    , mOnEvent(std::move(aOnEvent))
+  {
+  }
+
+  void Close() override
+  {
+    mOnEvent = nullptr;
+    mClosed = true;
+    if (mConnection) {
+      mConnection->mStream.close();
+    }
+  }
+
+  void Abandon() override
+  {
+    mOnEvent = nullptr;
+    if (mConnection) {
+      mConnection->mStream.expires_after(kAbandonedLimit);
+    }
+  }
+
+  bool Sent() const override { return mSent; }
+  bool Reused() const override { return mReused; }
+
+  asio::awaitable<void> Run()
+  {
+    co_await asio::post(mConnections.Io(), asio::use_awaitable);
+    if (mClosed || !co_await Connect()) {
+      co_return;
+    }
+    StartWriting();
+    std::optional<answer_parser> parser;
+    if (!co_await ReadHead(parser) || !co_await ReadBody(*parser)) {
+      mConnection->mStream.close();
+      co_return;
+    }
+    Finish(*parser);
+  }
+
+private:
+  void Tell(relay_event aEvent)
+  {
+    if (mOnEvent) {
+      // The listener may close this attempt while it is being told.
+      const auto listener = mOnEvent;
+      listener(std::move(aEvent));
+    }
+  }
+
+  void Fail(attempt_failure aFailure, std::string aDetail)
+  {
+    Tell(relay_failure{ aFailure, std::move(aDetail) });
+    mOnEvent = nullptr;
+  }
+
+  asio::awaitable<bool> Connect()
+  {
+    if (mCall.mMaxIdle > duration::zero()) {
+      mConnection = mConnections.TakeIdle(mCall.mWhere, mCall.mMaxIdle);
+      mReused = mConnection != nullptr;
+    }
+    if (mConnection) {
+      co_return true;
+    }
+    const auto address = ParseAddress(mCall.mWhere.mAddress);
+    if (!address) {
+      Fail(attempt_failure::kNotSent, "address can't be read");
+      co_return false;
+    }
+    mConnection =
+      endpoint_connection_ptr(new endpoint_connection(mConnections.Io()));
+    error_code wrong;
+    mConnection->mStream.expires_after(mCall.mConnectTimeout);
+    co_await mConnection->mStream.async_connect(
+      tcp::endpoint(asio::ip::make_address(address->mHost), address->mPort),
+      Into(wrong));
+    mConnection->mStream.expires_never();
+    if (wrong) {
+      Fail(attempt_failure::kNotSent, wrong.message());
+      co_return false;
+    }
+    net_internal::DetectSilence(mConnection->mStream.socket(),
+                                kEndpointSilence);
+    co_return !mClosed;
+  }
+
+  // Runs beside the reading: an endpoint may answer before it has read the
+  // whole body. Such a connection is not used again, since the rest of the body
+  // would be taken for the next request.
+  void StartWriting()
+  {
+    mRequest.version(kHttp11);
+    mRequest.method_string(mCall.mMethod);
+    mRequest.target(mCall.mTarget);
+    for (const header_field& each : mCall.mHeaders) {
+      mRequest.insert(each.mName, each.mValue);
+    }
+    mRequest.body() = { mCall.mBody->data(), mCall.mBody->size() };
+    mRequest.prepare_payload();
+    mSerializer.emplace(mRequest);
+    mSent = true;
+    http::async_write(
+      mConnection->mStream,
+      *mSerializer,
+      [self = boost::intrusive_ptr<attempt>(this)](
+        const error_code& aWrong, std::size_t) { self->mWritten = !aWrong; });
+  }
+
+  asio::awaitable<bool> ReadHead(std::optional<answer_parser>& aParser)
+  {
+    for (int interim = 0; interim <= kMaxInterim; ++interim) {
+      aParser.emplace();
+      aParser->header_limit(kMaxHeadBytes);
+      aParser->body_limit(kMaxBodyBytes);
+      error_code wrong;
+      co_await http::async_read_header(
+        mConnection->mStream, mConnection->mBuffer, *aParser, Into(wrong));
+      if (wrong) {
+        Fail(IsUnreadable(wrong) ? attempt_failure::kGarbled
+                                 : attempt_failure::kLost,
+             wrong.message());
+        co_return false;
+      }
+      if (aParser->get().result_int() / 100 != 1) {
+        co_return TakeHead(*aParser);
+      }
+    }
+    Fail(attempt_failure::kGarbled, "too many interim answers");
+    co_return false;
+  }
+
+  // Bytes came, but they are no answer; else the connection ended.
+  static bool IsUnreadable(const error_code& aWrong)
+  {
+    const error_code ended = http::error::end_of_stream;
+    return aWrong.category() == ended.category() && aWrong != ended &&
+           aWrong != http::error::partial_message;
+  }
+
+  bool TakeHead(answer_parser& aParser)
+  {
+    const auto& head = aParser.get();
+    relay_answer_head told;
+    told.mStatus = head.result_int();
+    told.mHeaders = ToFields(head);
+    told.mMarks = ReadAnswerMarks(mNames, told.mStatus, told.mHeaders);
+    mIdleLimit = told.mMarks.mIdleLimit;
+    const std::string& echoed = told.mMarks.mRequestId;
+    if (!echoed.empty() && echoed != mCall.mId.Text()) {
+      Fail(attempt_failure::kGarbled, "answer to another request");
+      return false;
+    }
+    // Without its identifier a first answer on a new connection can still be
+    // told by its place; on a kept one it can't.
+    if (echoed.empty() && mReused) {
+      Fail(attempt_failure::kGarbled, "answer without identifier");
+      return false;
+    }
+    Tell(std::move(told));
+    return !mClosed;
+  }
+
+  asio::awaitable<bool> ReadBody(answer_parser& aParser)
+  {
+    std::array<char, kReadBytes> bytes;
+    while (!aParser.is_done()) {
+      aParser.get().body().data = bytes.data();
+      aParser.get().body().size = bytes.size();
+      aParser.get().body().more = true;
+      error_code wrong;
+      co_await http::async_read_some(
+        mConnection->mStream, mConnection->mBuffer, aParser, Into(wrong));
+      const std::size_t got = bytes.size() - aParser.get().body().size;
+      if (wrong && wrong != http::error::need_buffer) {
+        Fail(attempt_failure::kBroken, wrong.message());
+        co_return false;
+      }
+      if (got > 0) {
+        Tell(relay_answer_bytes{ std::string(bytes.data(), got) });
+      }
+      if (mClosed) {
+        co_return false;
+      }
+    }
+    co_return true;
+  }
+
+  void Finish(answer_parser& aParser)
+  {
+    const bool reusable = mWritten && aParser.get().keep_alive() &&
+                          !aParser.need_eof() &&
+                          mConnection->mBuffer.size() == 0;
+    if (reusable) {
+      ++mConnection->mAnswers;
+      mConnection->mStream.expires_never();
+      mConnections.GiveBack(mCall.mWhere, std::move(mConnection), mIdleLimit);
+    } else {
+      mConnection->mStream.close();
+    }
+    Tell(relay_answer_end{});
+    mOnEvent = nullptr;
+  }
+
+  endpoint_connections& mConnections;
+  const relay_names& mNames;
+  relay_call mCall;
+  std::function<void(relay_event)> mOnEvent;
+  endpoint_connection_ptr mConnection;
+  http::request<body_type> mRequest;
+  std::optional<http::request_serializer<body_type>> mSerializer;
+  std::optional<duration> mIdleLimit;
+  bool mClosed = false;
+  bool mSent = false;
+  bool mWritten = false;
+  bool mReused = false;
+};
+
+asio::awaitable<void>
+RunAttempt(boost::intrusive_ptr<attempt> aAttempt)
+{
+  co_await aAttempt->Run();
+}
+
+} // namespace
+
+relay_attempt_ptr
+StartRelayAttempt(endpoint_connections& aConnections,
+                  const relay_names& aNames,
+                  relay_call aCall,
+                  std::function<void(relay_event)> aOnEvent)
+{
+  boost::intrusive_ptr<attempt> one(
+    new attempt(aConnections, aNames, std::move(aCall), std::move(aOnEvent)));
+  asio::co_spawn(aConnections.Io(), RunAttempt(one), asio::detached);
+  return one;
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/platform/document_reader.h
@@ -0,0 +1,22 @@
+// Reads the platform's configuration document into the router's own types.
+//
+//   BOOST_LEAF_AUTO(document, ReadDocument(bytes));
+//
+#ifndef THORNHOLLOW_PLATFORM_DOCUMENT_READER_H_
+#define THORNHOLLOW_PLATFORM_DOCUMENT_READER_H_
+
+#include <string_view>
+
+#include "thornhollow/base/result.h"
+#include "thornhollow/routing/routing_document.h"
+
+namespace thornhollow::platform {
+
+// The whole document, or a failure that names the field at fault. Fields that
+// aren't known are skipped.
+result<routing_document>
+ReadDocument(std::string_view aBytes);
+
+} // namespace thornhollow::platform
+
+#endif // THORNHOLLOW_PLATFORM_DOCUMENT_READER_H_
--- /dev/null
+++ b/thornhollow/platform/endpoint_reader.cc
@@ -0,0 +1,85 @@
+#include "thornhollow/platform/endpoint_reader.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <boost/json/object.hpp>
+
+#include "thornhollow/net/address.h"
+#include "thornhollow/platform/json_fields.h"
+#include "thornhollow/platform/wire_names.h"
+
+namespace thornhollow::platform {
+namespace {
+
+std::uint32_t
+Bounded(std::uint64_t aCount)
+{
+  constexpr std::uint64_t most = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(aCount, most));
+}
+
+result<bool>
+ReadDraining(const boost::json::object& aFields)
+{
+  BOOST_LEAF_AUTO(state, TextField(aFields, "state"));
+  if (state != "ready" && state != "draining") {
+    return Fail(error_kind::kMalformedRequest, "state: not known");
+  }
+  return state == "draining";
+}
+
+} // namespace
+
+endpoint_name
+EndpointName(std::string_view aKey)
+{
+  aKey.remove_prefix(std::min(kEndpointPrefix.size(), aKey.size()));
+  return endpoint_name(std::string(aKey));
+}
+
+result<listed_endpoint>
+ReadEndpoint(std::string_view aKey, std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(fields, ParseObject(aBytes));
+  listed_endpoint read;
+  read.mName = EndpointName(aKey);
+  if (read.mName.empty()) {
+    return Fail(error_kind::kMalformedRequest, "key without a name");
+  }
+  BOOST_LEAF_AUTO(pool, TextField(fields, "service"));
+  read.mPool = pool_name(pool);
+  BOOST_LEAF_ASSIGN(read.mAddress, TextField(fields, "address"));
+  BOOST_LEAF_CHECK(ParseAddress(read.mAddress));
+  BOOST_LEAF_AUTO(domain, TextField(fields, "zone"));
+  read.mDomain = domain_name(domain);
+  BOOST_LEAF_CHECK(TextField(fields, "version"));
+  BOOST_LEAF_AUTO(slots, CountField(fields, "slots"));
+  read.mSlots = Bounded(slots);
+  BOOST_LEAF_ASSIGN(read.mDraining, ReadDraining(fields));
+  // How much longer it is slow, not how long it has been up.
+  BOOST_LEAF_ASSIGN(read.mWarmUp,
+                    MillisecondsField(fields, "cold_remaining_ms"));
+  BOOST_LEAF_CHECK(CountField(fields, "sequence_number"));
+  BOOST_LEAF_AUTO(started, OptionalCount(fields, "born", 0));
+  read.mStartedMs = static_cast<std::int64_t>(started);
+  return read;
+}
+
+result<engine_load>
+ReadEngineLoad(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(fields, ParseObject(aBytes));
+  engine_load read;
+  BOOST_LEAF_AUTO(waiting, CountField(fields, "queued_requests"));
+  read.mWaiting = Bounded(waiting);
+  BOOST_LEAF_AUTO(running, CountField(fields, "active_requests"));
+  read.mRunning = Bounded(running);
+  BOOST_LEAF_ASSIGN(read.mMemoryUsed, CountField(fields, "kv_cache_used"));
+  BOOST_LEAF_ASSIGN(read.mMemoryTotal, CountField(fields, "kv_cache_total"));
+  BOOST_LEAF_AUTO(started, OptionalCount(fields, "born", 0));
+  read.mStartedMs = static_cast<std::int64_t>(started);
+  return read;
+}
+
+} // namespace thornhollow::platform
--- /dev/null
+++ b/thornhollow/platform/json_fields.cc
@@ -0,0 +1,136 @@
+#include "thornhollow/platform/json_fields.h"
+
+#include <cmath>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+namespace thornhollow::platform {
+namespace {
+
+// Configurations nest four levels; the bound keeps hostile text from
+// exhausting the stack.
+constexpr std::size_t kMaxDepth = 16;
+constexpr double kMaxMilliseconds = 86'400'000;
+
+auto
+Wrong(std::string_view aName, std::string_view aWanted)
+{
+  return Fail(error_kind::kMalformedRequest,
+              std::string(aName) + ": " + std::string(aWanted));
+}
+
+const boost::json::value*
+Find(const boost::json::object& aObject, std::string_view aName)
+{
+  return aObject.if_contains({ aName.data(), aName.size() });
+}
+
+} // namespace
+
+result<boost::json::object>
+ParseObject(std::string_view aText)
+{
+  boost::json::error_code wrong;
+  boost::json::parse_options options;
+  options.max_depth = kMaxDepth;
+  boost::json::value read =
+    boost::json::parse({ aText.data(), aText.size() }, wrong, {}, options);
+  if (wrong || !read.is_object()) {
+    return Fail(error_kind::kMalformedRequest, "not a JSON object");
+  }
+  return std::move(read.as_object());
+}
+
+result<std::string>
+TextField(const boost::json::object& aObject, std::string_view aName)
+{
+  const auto* value = Find(aObject, aName);
+  if (value == nullptr || !value->is_string()) {
+    return Wrong(aName, "a text is needed");
+  }
+  return std::string(value->get_string());
+}
+
+result<std::uint64_t>
+CountField(const boost::json::object& aObject, std::string_view aName)
+{
+  const auto* value = Find(aObject, aName);
+  if (value != nullptr && value->is_uint64()) {
+    return value->get_uint64();
+  }
+  if (value != nullptr && value->is_int64() && value->get_int64() >= 0) {
+    return static_cast<std::uint64_t>(value->get_int64());
+  }
+  return Wrong(aName, "a whole number is needed");
+}
+
+result<duration>
+MillisecondsField(const boost::json::object& aObject, std::string_view aName)
+{
+  const auto* value = Find(aObject, aName);
+  if (value == nullptr || !value->is_number()) {
+    return Wrong(aName, "a number of milliseconds is needed");
+  }
+  const double count = value->to_number<double>();
+  if (!std::isfinite(count) || count < 0 || count > kMaxMilliseconds) {
+    return Wrong(aName, "milliseconds up to a day are needed");
+  }
+  return FromSeconds(count / 1000);
+}
+
+result<const boost::json::array*>
+ListField(const boost::json::object& aObject, std::string_view aName)
+{
+  const auto* value = Find(aObject, aName);
+  if (value == nullptr || !value->is_array()) {
+    return Wrong(aName, "a list is needed");
+  }
+  return &value->get_array();
+}
+
+result<std::uint64_t>
+OptionalCount(const boost::json::object& aObject,
+              std::string_view aName,
+              std::uint64_t aDefault)
+{
+  if (!HasField(aObject, aName)) {
+    return aDefault;
+  }
+  return CountField(aObject, aName);
+}
+
+result<bool>
+OptionalFlag(const boost::json::object& aObject,
+             std::string_view aName,
+             bool aDefault)
+{
+  if (!HasField(aObject, aName)) {
+    return aDefault;
+  }
+  const auto* value = Find(aObject, aName);
+  if (!value->is_bool()) {
+    return Wrong(aName, "true or false is needed");
+  }
+  return value->get_bool();
+}
+
+result<duration>
+OptionalMilliseconds(const boost::json::object& aObject,
+                     std::string_view aName,
+                     duration aDefault)
+{
+  if (!HasField(aObject, aName)) {
+    return aDefault;
+  }
+  return MillisecondsField(aObject, aName);
+}
+
+bool
+HasField(const boost::json::object& aObject, std::string_view aName)
+{
+  const auto* value = Find(aObject, aName);
+  return value != nullptr && !value->is_null();
+}
+
+} // namespace thornhollow::platform
--- /dev/null
+++ b/thornhollow/platform/store_client.cc
@@ -0,0 +1,249 @@
+#include "thornhollow/platform/store_client.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+#include "thornhollow/net/http_fetch.h"
+#include "thornhollow/platform/json_fields.h"
+
+namespace thornhollow::platform {
+namespace {
+
+// The store answers within a few milliseconds; at sixty times that it is still
+// in use.
+constexpr duration kCallTimeout = Seconds(2);
+constexpr duration kConnectTimeout = Milliseconds(500);
+// A longer wait makes fewer calls, each of which is paid for; a shorter one
+// finds a store that says nothing sooner, where connections stay up. Peers tell
+// of news meanwhile, so the wait may be long.
+constexpr duration kWatchWait = Seconds(8);
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusGone = 410;
+// Two pages of a megabyte at most, in base64 and JSON.
+constexpr std::size_t kMaxAnswerBytes = std::size_t{ 4 } << 20U;
+
+std::optional<std::string>
+DecodeBase64(std::string_view aText)
+{
+  if (aText.size() % 4 != 0) {
+    return std::nullopt;
+  }
+  std::string bytes(aText.size() / 4 * 3, '\0');
+  const int length =
+    EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                    reinterpret_cast<const unsigned char*>(aText.data()),
+                    static_cast<int>(aText.size()));
+  if (length < 0) {
+    return std::nullopt;
+  }
+  // The padding was decoded to zero bytes.
+  const std::size_t padding = aText.size() - aText.find_last_not_of('=') - 1;
+  bytes.resize(static_cast<std::size_t>(length) -
+               std::min<std::size_t>(aText.empty() ? 0 : padding, 2));
+  return bytes;
+}
+
+// An item that can't be decoded is there with an empty value, so that whoever
+// reads it sees that its writer put something else there than before.
+result<source_item>
+ReadItem(const boost::json::object& aItem)
+{
+  source_item read;
+  BOOST_LEAF_ASSIGN(read.mKey, TextField(aItem, "key"));
+  BOOST_LEAF_AUTO(value, TextField(aItem, "value"));
+  read.mValue = DecodeBase64(value).value_or(std::string());
+  BOOST_LEAF_ASSIGN(read.mRevision, CountField(aItem, "revision"));
+  return read;
+}
+
+result<item_change>
+ReadChange(const boost::json::object& aEvent)
+{
+  BOOST_LEAF_AUTO(deleted, OptionalFlag(aEvent, "is_deleted", false));
+  if (!deleted) {
+    BOOST_LEAF_AUTO(item, ReadItem(aEvent));
+    return item_change{ item.mKey, item.mValue, item.mRevision };
+  }
+  item_change read;
+  BOOST_LEAF_ASSIGN(read.mKey, TextField(aEvent, "key"));
+  BOOST_LEAF_ASSIGN(read.mRevision, CountField(aEvent, "revision"));
+  return read;
+}
+
+// The value of `aRead`, or what was wrong.
+template<class value>
+std::variant<value, source_failure>
+OrFailure(result<value> aRead)
+{
+  using outcome = std::variant<value, source_failure>;
+  return boost::leaf::try_handle_all(
+    [&]() -> result<outcome> {
+      BOOST_LEAF_AUTO(read, std::move(aRead));
+      return outcome(std::move(read));
+    },
+    [](const failure& aFailure) {
+      return outcome(source_failure{ aFailure.mDetail });
+    },
+    [] { return outcome(source_failure{ "unreadable" }); });
+}
+
+source_failure
+NoAnswer(const fetch_outcome& aOutcome)
+{
+  return { aOutcome ? fmt::format("status {}", aOutcome->mHttpStatus)
+                    : "no answer" };
+}
+
+// One listing, page after page.
+class listing_call : public std::enable_shared_from_this<listing_call>
+{
+public:
+  listing_call(boost::asio::io_context& aIo,
+               std::string aAddress,
+               std::string aPrefix,
+               std::function<void(list_outcome)> aDone)
+    : mIo(aIo)
+    , mAddress(std::move(aAddress))
+    , mPrefix(std::move(aPrefix))
+    , mDone(std::move(aDone))
+  {
+  }
+
+  void AskPage(const std::string& aAfter)
+  {
+    fetch_call call;
+    call.mAddress = mAddress;
+    call.mTarget = fmt::format("/v1/kv-range?path_prefix={}", mPrefix);
+    if (!aAfter.empty()) {
+      call.mTarget += fmt::format("&after={}", aAfter);
+    }
+    call.mTimeout = kCallTimeout;
+    call.mConnectTimeout = kConnectTimeout;
+    call.mMaxBytes = kMaxAnswerBytes;
+    Fetch(mIo, call, [self = shared_from_this()](fetch_outcome aOutcome) {
+      self->OnPage(aOutcome);
+    });
+  }
+
+private:
+  void OnPage(const fetch_outcome& aOutcome)
+  {
+    if (!aOutcome || aOutcome->mHttpStatus != kStatusOk) {
+      mDone(NoAnswer(aOutcome));
+      return;
+    }
+    auto read = OrFailure(ReadStorePage(aOutcome->mBody));
+    if (const auto* wrong = std::get_if<source_failure>(&read)) {
+      mDone(*wrong);
+      return;
+    }
+    auto& page = std::get<store_page>(read);
+    // Pages are no snapshot: the whole is known to hold as of the first one
+    // only, and what changed since comes again with the first watch.
+    mListing.mAt =
+      mFirst ? page.mListing.mAt : std::min(mListing.mAt, page.mListing.mAt);
+    mFirst = false;
+    std::ranges::move(page.mListing.mItems,
+                      std::back_inserter(mListing.mItems));
+    if (page.mMoreAfter.empty()) {
+      mDone(std::move(mListing));
+    } else {
+      AskPage(page.mMoreAfter);
+    }
+  }
+
+  boost::asio::io_context& mIo;
+  std::string mAddress;
+  std::string mPrefix;
+  std::function<void(list_outcome)> mDone;
+  source_listing mListing;
+  bool mFirst = true;
+};
+
+} // namespace
+
+result<store_page>
+ReadStorePage(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(fields, ParseObject(aBytes));
+  store_page read;
+  BOOST_LEAF_ASSIGN(read.mListing.mAt, CountField(fields, "at"));
+  BOOST_LEAF_AUTO(items, ListField(fields, "entries"));
+  for (const boost::json::value& each : *items) {
+    if (!each.is_object()) {
+      return Fail(error_kind::kMalformedRequest, "entries: objects are needed");
+    }
+    BOOST_LEAF_AUTO(item, ReadItem(each.get_object()));
+    read.mListing.mItems.push_back(std::move(item));
+  }
+  BOOST_LEAF_AUTO(more, OptionalFlag(fields, "has_more", false));
+  if (more && !read.mListing.mItems.empty()) {
+    read.mMoreAfter = read.mListing.mItems.back().mKey;
+  }
+  return read;
+}
+
+result<source_changes>
+ReadStoreChanges(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(fields, ParseObject(aBytes));
+  source_changes read;
+  BOOST_LEAF_ASSIGN(read.mAt, CountField(fields, "at"));
+  BOOST_LEAF_AUTO(events, ListField(fields, "events"));
+  for (const boost::json::value& each : *events) {
+    if (!each.is_object()) {
+      return Fail(error_kind::kMalformedRequest, "events: objects are needed");
+    }
+    BOOST_LEAF_AUTO(change, ReadChange(each.get_object()));
+    read.mChanges.push_back(std::move(change));
+  }
+  return read;
+}
+
+void
+store_client::List(const std::string& aPrefix,
+                   std::function<void(list_outcome)> aDone)
+{
+  std::make_shared<listing_call>(mIo, mAddress, aPrefix, std::move(aDone))
+    ->AskPage("");
+}
+
+void
+store_client::Watch(const std::string& aPrefix,
+                    std::uint64_t aAfter,
+                    std::function<void(watch_outcome)> aDone)
+{
+  fetch_call call;
+  call.mAddress = mAddress;
+  call.mTarget = fmt::format("/v1/kv-watch?path_prefix={}&after={}&wait_ms={}",
+                             aPrefix,
+                             aAfter,
+                             ToMilliseconds(kWatchWait));
+  call.mTimeout = kWatchWait + kCallTimeout;
+  call.mConnectTimeout = kConnectTimeout;
+  call.mLongPoll = true;
+  call.mMaxBytes = kMaxAnswerBytes;
+  Fetch(mIo, call, [done = std::move(aDone)](const fetch_outcome& aOutcome) {
+    if (aOutcome && aOutcome->mHttpStatus == kStatusGone) {
+      done(history_gone{});
+      return;
+    }
+    if (!aOutcome || aOutcome->mHttpStatus != kStatusOk) {
+      done(NoAnswer(aOutcome));
+      return;
+    }
+    auto read = OrFailure(ReadStoreChanges(aOutcome->mBody));
+    std::visit([&](auto& aRead) { done(std::move(aRead)); }, read);
+  });
+}
+
+} // namespace thornhollow::platform
--- /dev/null
+++ b/thornhollow/platform/wire_names.cc
@@ -0,0 +1,27 @@
+#include "thornhollow/platform/wire_names.h"
+
+namespace thornhollow::platform {
+
+relay_names
+PlatformRelayNames()
+{
+  relay_names names;
+  names.mRequestId = "X-Attempt-Id";
+  names.mTokenScheme = "Token";
+  names.mTimeLeft = "X-Deadline-Ms";
+  names.mTokenCounts = "X-Token-Counts";
+  names.mLengthHint = "X-Length-Hint";
+  names.mPromptParts = "X-Prompt-Prefix";
+  names.mResumeAfter = "Last-Event-Id";
+  names.mTeam = "X-Tenant";
+  names.mExpectedInstance = "X-Expected-Instance";
+  names.mPriority = "X-Request-Priority";
+  names.mRouterOnly = { "X-Cache-Retention", "X-Pin-Duration-Ms",
+                        "X-Kv-Backup",       "Kv-From",
+                        "Kv-Fetch",          "X-Expected-Version" };
+  names.mNotRun = "X-Not-Executed";
+  names.mSignature = "X-Response-Signature";
+  return names;
+}
+
+} // namespace thornhollow::platform
--- /dev/null
+++ b/thornhollow/policy/engine_border.cc
@@ -0,0 +1,79 @@
+#include "thornhollow/policy/engine_border.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace thornhollow {
+namespace {
+
+// Assumed while nothing has arrived yet: two thirds of the engines for patient
+// work, as its prompts are the longer ones.
+constexpr double kFirstPart = 2.0 / 3;
+
+} // namespace
+
+void
+engine_border::Observe(const engine_demand& aDemand,
+                       std::size_t aEngines,
+                       time_point aNow)
+{
+  if (!mSettings.mSeparate || aEngines < mSettings.mLeastEngines) {
+    mEngines = aEngines;
+    mPatient = aEngines;
+    return;
+  }
+  if (mEngines != aEngines) {
+    // An engine came or went: keep the parts.
+    const double part =
+      mEngines == 0 || mPatient == mEngines
+        ? kFirstPart
+        : static_cast<double>(mPatient) / static_cast<double>(mEngines);
+    mEngines = aEngines;
+    mPatient = static_cast<std::size_t>(
+      std::lround(part * static_cast<double>(aEngines)));
+    mPatient = std::clamp(mPatient, Least(), mEngines - Least());
+  }
+  if (mMoved && aNow - *mMoved < mSettings.mHold) {
+    return;
+  }
+  const std::size_t best = Best(aDemand);
+  if (best == mPatient || Fullest(aDemand, best) * mSettings.mBetterBy >
+                            Fullest(aDemand, mPatient)) {
+    return;
+  }
+  mPatient += best > mPatient ? 1 : -1;
+  mMoved = aNow;
+}
+
+double
+engine_border::Fullest(const engine_demand& aDemand, std::size_t aPatient) const
+{
+  const double patient =
+    aDemand.mPatient / static_cast<double>(aPatient) / mSettings.mPatientBusy;
+  const double urgent = aDemand.mUrgent /
+                        static_cast<double>(mEngines - aPatient) /
+                        mSettings.mUrgentBusy;
+  return std::max(patient, urgent);
+}
+
+std::size_t
+engine_border::Best(const engine_demand& aDemand) const
+{
+  std::size_t best = mPatient;
+  for (std::size_t each = Least(); each <= mEngines - Least(); ++each) {
+    if (Fullest(aDemand, each) < Fullest(aDemand, best)) {
+      best = each;
+    }
+  }
+  return best;
+}
+
+std::size_t
+engine_border::Least() const
+{
+  const auto least = static_cast<std::size_t>(
+    std::lround(mSettings.mLeastPart * static_cast<double>(mEngines)));
+  return std::clamp<std::size_t>(least, 1, mEngines / 2);
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/policy/relay_pool.cc
@@ -0,0 +1,348 @@
+#include "thornhollow/policy/relay_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "thornhollow/base/hash.h"
+
+namespace thornhollow {
+namespace {
+
+// Memory of the demand: a few of the arrivals' clumps, shorter than a burst.
+constexpr double kDemandMemorySeconds = 2.0;
+
+// Plain services answer part of their requests with errors of their own as a
+// matter of course (14 in 100 where the users' inventory is asked), so more
+// failures are needed before one is left than for engines, which answer
+// without a failure for as long as they are sound.
+endpoint_health_settings
+HealthSettings(bool aEngines)
+{
+  endpoint_health_settings settings;
+  settings.mFailuresInRow = aEngines ? 3 : 5;
+  settings.mFailureShare = aEngines ? 0.3 : 0.45;
+  settings.mLeastAttempts = aEngines ? 5 : 10;
+  settings.mLastProbeAfter = Seconds(4);
+  return settings;
+}
+
+} // namespace
+
+relay_pool::relay_pool(const relay_pool_settings& aSettings,
+                       bool aEngines,
+                       domain_name aOwnDomain,
+                       std::uint64_t aSeed)
+  : mSettings(aSettings)
+  , mEngines(aEngines)
+  , mOwnDomain(std::move(aOwnDomain))
+  , mRandom(aSeed)
+  , mAffinity(aSettings.mAffinity)
+  , mBorder(aSettings.mBorder)
+{
+}
+
+void
+relay_pool::Put(const relay_endpoint& aEndpoint)
+{
+  const auto found = mRecords.find(aEndpoint.mName);
+  if (found != mRecords.end() &&
+      found->second.mEndpoint.mLifetime == aEndpoint.mLifetime) {
+    found->second.mEndpoint = aEndpoint;
+    return;
+  }
+  Remove(aEndpoint.mName);
+  mRecords.emplace(aEndpoint.mName,
+                   record{ aEndpoint,
+                           mNextNumber++,
+                           Hash64(aEndpoint.mName.Text()),
+                           endpoint_health(HealthSettings(mEngines)),
+                           0,
+                           0,
+                           0 });
+}
+
+void
+relay_pool::Remove(const endpoint_name& aName)
+{
+  if (const auto found = mRecords.find(aName); found != mRecords.end()) {
+    mAffinity.Forget(found->second.mNumber);
+    mRecords.erase(found);
+  }
+}
+
+std::optional<relay_pick>
+relay_pool::Choose(const relay_work& aWork,
+                   const std::vector<endpoint_name>& aTried,
+                   time_point aNow)
+{
+  for (auto& [name, each] : mRecords) {
+    each.mHealth.Update(aNow);
+  }
+  std::vector<record*> candidates = Candidates(aWork, aTried, aNow);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  relay_pick pick;
+  record* chosen = mEngines ? ChooseEngine(aWork, candidates, aNow, pick)
+                            : ChoosePlain(candidates);
+  pick.mEndpoint = chosen->mEndpoint.mName;
+  pick.mAddress = chosen->mEndpoint.mAddress;
+  pick.mLifetime = chosen->mEndpoint.mLifetime;
+  return pick;
+}
+
+bool
+relay_pool::TakesNewWork(const record& aRecord, time_point aNow) const
+{
+  constexpr std::uint32_t unlimited = 1U << 20U;
+  return !aRecord.mEndpoint.mDraining &&
+         aRecord.mInFlight <
+           aRecord.mHealth.Allowance(unlimited, aRecord.mInFlight, aNow);
+}
+
+std::vector<relay_pool::record*>
+relay_pool::Candidates(const relay_work& aWork,
+                       const std::vector<endpoint_name>& aTried,
+                       time_point aNow)
+{
+  std::vector<record*> sound;
+  std::vector<record*> doubtful;
+  for (auto& [name, each] : mRecords) {
+    if (each.mEndpoint.mDraining || std::ranges::count(aTried, name) > 0) {
+      continue;
+    }
+    (TakesNewWork(each, aNow) ? sound : doubtful).push_back(&each);
+  }
+  // With no sound one left a doubtful one is worth the try: refusing is
+  // certain to fail.
+  if (sound.empty()) {
+    return doubtful;
+  }
+  if (mEngines) {
+    KeepSide(aWork, sound);
+  }
+  return sound;
+}
+
+// Leaves the engines of the work's side of the border.
+void
+relay_pool::KeepSide(const relay_work& aWork, std::vector<record*>& aCandidates)
+{
+  if (!mBorder.Separates() || aCandidates.size() < 2) {
+    return;
+  }
+  std::ranges::sort(aCandidates, {}, &record::mRank);
+  const double part = static_cast<double>(mBorder.Patient()) /
+                      static_cast<double>(std::max<std::size_t>(size(), 1));
+  const auto patient =
+    std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(
+                              part * static_cast<double>(aCandidates.size()))),
+                            1,
+                            aCandidates.size() - 1);
+  if (aWork.mPatient) {
+    aCandidates.resize(patient);
+  } else {
+    aCandidates.erase(aCandidates.begin(),
+                      aCandidates.begin() +
+                        static_cast<std::ptrdiff_t>(patient));
+  }
+}
+
+relay_pool::record*
+relay_pool::ChoosePlain(const std::vector<record*>& aCandidates)
+{
+  const auto cost = [this](const record* aRecord) {
+    const bool own = aRecord->mEndpoint.mDomain == mOwnDomain;
+    return 2 * aRecord->mInFlight + (own ? 0 : 1);
+  };
+  std::uint32_t least = std::numeric_limits<std::uint32_t>::max();
+  std::vector<record*> best;
+  for (record* each : aCandidates) {
+    const std::uint32_t its = cost(each);
+    if (its < least) {
+      best.clear();
+      least = its;
+    }
+    if (its == least) {
+      best.push_back(each);
+    }
+  }
+  return best[mRandom() % best.size()];
+}
+
+relay_pool::record*
+relay_pool::ChooseEngine(const relay_work& aWork,
+                         const std::vector<record*>& aCandidates,
+                         time_point aNow,
+                         relay_pick& aPick)
+{
+  const auto holders = mAffinity.Holders(aWork.mSharedPrefix, aNow);
+  record* home = nullptr;
+  std::uint64_t highest = 0;
+  for (record* each : aCandidates) {
+    const std::uint64_t weight = CombineHash(aWork.mSharedPrefix, each->mRank);
+    if (home == nullptr || weight > highest) {
+      home = each;
+      highest = weight;
+    }
+  }
+  record* best = nullptr;
+  double bestCost = 0;
+  for (record* each : aCandidates) {
+    const bool holds = std::ranges::count(holders, each->mNumber) > 0;
+    double missing = aWork.mSharedTokens;
+    if (holds) {
+      missing = 0;
+    } else if (each == home) {
+      missing *= mSettings.mGuessedMiss;
+    }
+    const double own = aWork.mPromptTokens - aWork.mSharedTokens;
+    const double waiting =
+      static_cast<double>(each->mToRead + each->mOthersToRead);
+    const double cost = waiting + own + missing * mSettings.mMissPenalty;
+    if (best == nullptr || cost < bestCost) {
+      best = each;
+      bestCost = cost;
+      aPick.mToRead = static_cast<std::uint32_t>(own + missing);
+      aPick.mExpected =
+        mSettings.mFirstEvent +
+        FromSeconds((waiting + own + missing) / mSettings.mReadPerSecond);
+    }
+  }
+  return best;
+}
+
+void
+relay_pool::OnSent(const relay_pick& aPick,
+                   const relay_work& aWork,
+                   time_point aNow)
+{
+  if (mEngines) {
+    CountDemand(aWork, aPick.mToRead, aNow);
+  }
+  record* found = Find(aPick);
+  if (found == nullptr) {
+    return;
+  }
+  ++found->mInFlight;
+  found->mToRead += aPick.mToRead;
+  found->mHealth.OnSent(aNow);
+  if (aWork.mSharedPrefix != 0) {
+    mAffinity.Remember(aWork.mSharedPrefix, found->mNumber, aNow);
+  }
+}
+
+void
+relay_pool::OnFirstByte(const relay_pick& aPick,
+                        duration aWait,
+                        time_point aNow)
+{
+  if (record* found = Find(aPick)) {
+    found->mToRead -= std::min<std::uint64_t>(found->mToRead, aPick.mToRead);
+    found->mHealth.OnFirstToken(aWait, aNow);
+  }
+}
+
+void
+relay_pool::OnEnded(const relay_pick& aPick,
+                    attempt_end aHow,
+                    bool aBegun,
+                    duration aLength,
+                    time_point aNow)
+{
+  record* found = Find(aPick);
+  if (found == nullptr) {
+    return;
+  }
+  found->mInFlight -= std::min(found->mInFlight, 1U);
+  if (!aBegun) {
+    found->mToRead -= std::min<std::uint64_t>(found->mToRead, aPick.mToRead);
+  }
+  // Half of the pool may be left for failures; beyond that the cause is
+  // elsewhere.
+  const auto failing = static_cast<std::size_t>(
+    std::ranges::count_if(mRecords, [](const auto& aOne) {
+      return aOne.second.mHealth.Kind() == health_kind::kFailing;
+    }));
+  const bool mayLeave = 2 * (failing + 1) <= mRecords.size();
+  found->mHealth.OnEnded(aHow, aLength, mayLeave, aNow);
+}
+
+void
+relay_pool::SetOthers(const endpoint_name& aName, std::uint64_t aToRead)
+{
+  if (const auto found = mRecords.find(aName); found != mRecords.end()) {
+    found->second.mOthersToRead = aToRead;
+  }
+}
+
+void
+relay_pool::SetDemand(const engine_demand& aDemand, time_point aNow)
+{
+  if (mEngines) {
+    mBorder.Observe(aDemand, mRecords.size(), aNow);
+  }
+}
+
+void
+relay_pool::OnClockGap(time_point aNow)
+{
+  for (auto& [name, each] : mRecords) {
+    each.mHealth.OnClockGap(aNow);
+    each.mOthersToRead = 0;
+  }
+}
+
+engine_demand
+relay_pool::OwnDemand(time_point aNow)
+{
+  FadeDemand(aNow);
+  return mOwnDemand;
+}
+
+std::vector<relay_load>
+relay_pool::Loads() const
+{
+  std::vector<relay_load> loads;
+  loads.reserve(mRecords.size());
+  for (const auto& [name, each] : mRecords) {
+    loads.push_back({ name, each.mInFlight, each.mToRead });
+  }
+  return loads;
+}
+
+relay_pool::record*
+relay_pool::Find(const relay_pick& aPick)
+{
+  const auto found = mRecords.find(aPick.mEndpoint);
+  return found == mRecords.end() ||
+             found->second.mEndpoint.mLifetime != aPick.mLifetime
+           ? nullptr
+           : &found->second;
+}
+
+void
+relay_pool::CountDemand(const relay_work& aWork,
+                        double aTokens,
+                        time_point aNow)
+{
+  FadeDemand(aNow);
+  double& side = aWork.mPatient ? mOwnDemand.mPatient : mOwnDemand.mUrgent;
+  side += aTokens / kDemandMemorySeconds;
+}
+
+void
+relay_pool::FadeDemand(time_point aNow)
+{
+  if (mDemandAt && aNow > *mDemandAt) {
+    const double left =
+      std::exp(-ToSeconds(aNow - *mDemandAt) / kDemandMemorySeconds);
+    mOwnDemand.mPatient *= left;
+    mOwnDemand.mUrgent *= left;
+  }
+  mDemandAt = std::max(aNow, mDemandAt.value_or(aNow));
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/policy/relay_pool.h
@@ -0,0 +1,180 @@
+// One pool's endpoints and the choice among them for relayed requests.
+//
+//   relay_pool pool(relay_pool_settings{}, true, seed);
+//   pool.Put(entry, lifetime, now);
+//   if (const auto pick = pool.Choose(work, tried, now)) {
+//     pool.OnSent(*pick, work, now);
+//   }
+//
+// Load pattern: engines that read prompts at a fixed rate, between the steps of
+// their streams; sessions whose prompts begin alike, each costly to read again;
+// several instances that send to the same engines and see each other's work
+// late.
+//
+// An engine's price for a request is the time until its first event: the
+// prompt tokens that wait there, by this instance's count and by what others
+// said they sent lately, and those that it has to read for the request itself.
+// A prompt's shared parts are at the engine that was sent them before, and, as
+// all instances rank the engines alike by the parts' hash, most likely at the
+// first of that rank. To read them again elsewhere costs `mMissPenalty` times
+// the time that it takes, since it is also time taken from all others.
+//
+// Plain services have places instead: the endpoint with the fewest requests of
+// this instance is taken, one of its own failure domain before others.
+#ifndef THORNHOLLOW_POLICY_RELAY_POOL_H_
+#define THORNHOLLOW_POLICY_RELAY_POOL_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "thornhollow/base/ids.h"
+#include "thornhollow/base/time.h"
+#include "thornhollow/policy/endpoint_health.h"
+#include "thornhollow/policy/engine_border.h"
+#include "thornhollow/policy/prefix_affinity.h"
+#include "thornhollow/policy/relay_work.h"
+
+namespace thornhollow {
+
+struct relay_pool_settings
+{
+  // Prompt tokens that an engine reads a second, while nothing else is known
+  // of it: what the users' engines read.
+  double mReadPerSecond = 66'200;
+  // From a request's arrival at an idle engine to its first event, the reading
+  // left out.
+  duration mFirstEvent = Milliseconds(20);
+  // See above.
+  double mMissPenalty = 4;
+  // Work whose target is at least this long may wait.
+  duration mPatientFrom = Seconds(1);
+  // Part of the penalty that is left where the shared parts are likely at the
+  // engine but this instance never sent them there.
+  double mGuessedMiss = 0.25;
+  engine_border_settings mBorder;
+  prefix_affinity_settings mAffinity = { .mRemember = true,
+                                         .mPrefixes = 1024,
+                                         .mLife = Seconds(30) };
+
+  friend bool operator==(const relay_pool_settings&,
+                         const relay_pool_settings&) = default;
+};
+
+// An endpoint as placement knows it.
+struct relay_endpoint
+{
+  endpoint_name mName;
+  std::string mAddress;
+  domain_name mDomain;
+  std::uint64_t mLifetime = 0;
+  bool mDraining = false;
+
+  friend bool operator==(const relay_endpoint&,
+                         const relay_endpoint&) = default;
+};
+
+// What this instance has at an endpoint.
+struct relay_load
+{
+  endpoint_name mName;
+  // Requests without an end yet.
+  std::uint32_t mInFlight = 0;
+  // Prompt tokens of those without a first event yet.
+  std::uint64_t mToRead = 0;
+
+  friend bool operator==(const relay_load&, const relay_load&) = default;
+};
+
+class relay_pool
+{
+public:
+  relay_pool(const relay_pool_settings& aSettings,
+             bool aEngines,
+             domain_name aOwnDomain,
+             std::uint64_t aSeed);
+
+  // A new endpoint, or another state of one that is known. Another lifetime is
+  // a new endpoint.
+  void Put(const relay_endpoint& aEndpoint);
+  void Remove(const endpoint_name& aName);
+  std::size_t size() const { return mRecords.size(); }
+  // Chooses by the rules for engines.
+  bool OfEngines() const { return mEngines; }
+
+  // Where to send `aWork`, none of `aTried`; nothing where no endpoint takes
+  // new work.
+  std::optional<relay_pick> Choose(const relay_work& aWork,
+                                   const std::vector<endpoint_name>& aTried,
+                                   time_point aNow);
+
+  void OnSent(const relay_pick& aPick,
+              const relay_work& aWork,
+              time_point aNow);
+  // The first event or the whole answer begins.
+  void OnFirstByte(const relay_pick& aPick, duration aWait, time_point aNow);
+  // `aBegun`: the first byte had come.
+  void OnEnded(const relay_pick& aPick,
+               attempt_end aHow,
+               bool aBegun,
+               duration aLength,
+               time_point aNow);
+
+  // Work that other instances have sent there and that waits, as they said.
+  void SetOthers(const endpoint_name& aName, std::uint64_t aToRead);
+  // Demand over all instances, in prompt tokens a second.
+  void SetDemand(const engine_demand& aDemand, time_point aNow);
+  // This process stood still.
+  void OnClockGap(time_point aNow);
+
+  // This instance's own part of the demand.
+  engine_demand OwnDemand(time_point aNow);
+  std::vector<relay_load> Loads() const;
+  std::size_t PatientEngines() const { return mBorder.Patient(); }
+
+private:
+  struct record
+  {
+    relay_endpoint mEndpoint;
+    std::uint32_t mNumber = 0;
+    // Rank for the border: the same on every instance.
+    std::uint64_t mRank = 0;
+    endpoint_health mHealth;
+    std::uint32_t mInFlight = 0;
+    std::uint64_t mToRead = 0;
+    std::uint64_t mOthersToRead = 0;
+  };
+
+  record* Find(const relay_pick& aPick);
+  bool TakesNewWork(const record& aRecord, time_point aNow) const;
+  std::vector<record*> Candidates(const relay_work& aWork,
+                                  const std::vector<endpoint_name>& aTried,
+                                  time_point aNow);
+  void KeepSide(const relay_work& aWork, std::vector<record*>& aCandidates);
+  record* ChoosePlain(const std::vector<record*>& aCandidates);
+  record* ChooseEngine(const relay_work& aWork,
+                       const std::vector<record*>& aCandidates,
+                       time_point aNow,
+                       relay_pick& aPick);
+  void CountDemand(const relay_work& aWork, double aTokens, time_point aNow);
+  void FadeDemand(time_point aNow);
+
+  relay_pool_settings mSettings;
+  bool mEngines;
+  domain_name mOwnDomain;
+  std::mt19937_64 mRandom;
+  std::map<endpoint_name, record> mRecords;
+  std::uint32_t mNextNumber = 0;
+  prefix_affinity mAffinity;
+  engine_border mBorder;
+  engine_demand mOwnDemand;
+  std::optional<time_point> mDemandAt;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_POLICY_RELAY_POOL_H_
--- /dev/null
+++ b/thornhollow/policy/relay_work.h
@@ -0,0 +1,58 @@
+// What placement and admission know of one relayed request.
+//
+//   const relay_work work = { .mTier = 0, .mPromptTokens = 640, ... };
+//
+#ifndef THORNHOLLOW_POLICY_RELAY_WORK_H_
+#define THORNHOLLOW_POLICY_RELAY_WORK_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "thornhollow/base/ids.h"
+#include "thornhollow/base/time.h"
+
+namespace thornhollow {
+
+struct relay_work
+{
+  // 0 is served first.
+  std::uint32_t mTier = 0;
+  // All of the prompt, shared parts included; 0 for a plain service.
+  std::uint32_t mPromptTokens = 0;
+  // Of these, parts that other requests begin with as well.
+  std::uint32_t mSharedTokens = 0;
+  // Hash of the shared parts; 0 where there are none.
+  std::uint64_t mSharedPrefix = 0;
+  // Tokens to be generated, as far as can be told.
+  std::uint32_t mOutputTokens = 0;
+  // To the first event or the whole answer.
+  duration mTarget{};
+  // Longest pause between two events; zero where none is promised.
+  duration mPauseTarget{};
+  // When the caller stops waiting.
+  time_point mDeadline{};
+  // The work may wait: its target leaves room for other prompts before it.
+  bool mPatient = false;
+
+  friend bool operator==(const relay_work&, const relay_work&) = default;
+};
+
+// Where a request is sent.
+struct relay_pick
+{
+  endpoint_name mEndpoint;
+  std::string mAddress;
+  // Tells processes of one name apart.
+  std::uint64_t mLifetime = 0;
+  // Prompt tokens that the engine is believed to have to read.
+  std::uint32_t mToRead = 0;
+  // Time until the first event, as predicted.
+  duration mExpected{};
+
+  friend bool operator==(const relay_pick&, const relay_pick&) = default;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_POLICY_RELAY_WORK_H_
--- /dev/null
+++ b/thornhollow/policy/shared_retry_budget.cc
@@ -0,0 +1,67 @@
+#include "thornhollow/policy/shared_retry_budget.h"
+
+#include <numeric>
+
+namespace thornhollow {
+namespace {
+
+// Slices that a window is counted in. A slice counts whole until it has left
+// the window, which errs on the side of fewer retries.
+constexpr int kSlices = 20;
+
+} // namespace
+
+shared_retry_budget::shared_retry_budget(
+  const shared_retry_budget_settings& aSettings)
+  : mSettings(aSettings)
+  , mSliceLength(aSettings.mWindow / kSlices)
+{
+}
+
+void
+shared_retry_budget::OnRequest(const pool_name& aPool, time_point aNow)
+{
+  ++Present(aPool, aNow).mRequests;
+}
+
+bool
+shared_retry_budget::Spend(const pool_name& aPool, time_point aNow)
+{
+  slice& present = Present(aPool, aNow);
+  std::uint64_t requests = 0;
+  std::uint64_t retries = 0;
+  for (const slice& each : mPools[aPool]) {
+    retries += each.mRetries;
+    // The oldest slice may lie outside the window in part: its retries count
+    // here, its requests don't.
+    if (each.mBegin >= aNow - mSettings.mWindow) {
+      requests += each.mRequests;
+    }
+  }
+  const std::size_t instances =
+    mInstances == 0 ? mSettings.mUnknownInstances : mInstances;
+  const double bound =
+    mSettings.mUsed * (mSettings.mRatio * static_cast<double>(requests) +
+                       mSettings.mExtra / static_cast<double>(instances));
+  if (static_cast<double>(retries + 1) > bound) {
+    return false;
+  }
+  ++present.mRetries;
+  return true;
+}
+
+shared_retry_budget::slice&
+shared_retry_budget::Present(const pool_name& aPool, time_point aNow)
+{
+  slices& held = mPools[aPool];
+  while (!held.empty() &&
+         held.front().mBegin + mSliceLength + mSettings.mWindow <= aNow) {
+    held.pop_front();
+  }
+  if (held.empty() || aNow >= held.back().mBegin + mSliceLength) {
+    held.push_back({ aNow, 0, 0 });
+  }
+  return held.back();
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/request/relay_headers.cc
@@ -0,0 +1,237 @@
+#include "thornhollow/request/relay_headers.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <initializer_list>
+
+namespace thornhollow {
+namespace {
+
+// An endpoint of another process has this address: it did not run the request.
+constexpr unsigned kStatusMisdirected = 421;
+// Longer identifiers are refused: they stand in logs and in tables.
+constexpr std::size_t kMaxIdBytes = 200;
+// More parts than this are not looked at; the first ones are the shared ones.
+constexpr std::size_t kMaxParts = 64;
+
+// Headers that concern one connection only, and those that the sender of the
+// next hop writes itself.
+constexpr std::array<std::string_view, 11> kHopHeaders = {
+  "Connection", "Keep-Alive",          "Proxy-Connection",  "TE",
+  "Trailer",    "Transfer-Encoding",   "Upgrade",           "Content-Length",
+  "Expect",     "Proxy-Authorization", "Proxy-Authenticate"
+};
+
+template<class number>
+std::optional<number>
+ParseWhole(std::string_view aText)
+{
+  number value = 0;
+  const char* last = aText.data() + aText.size();
+  const auto [end, wrong] = std::from_chars(aText.data(), last, value);
+  if (wrong != std::errc() || end != last || aText.empty()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string_view
+Trimmed(std::string_view aText)
+{
+  while (!aText.empty() && (aText.front() == ' ' || aText.front() == '\t')) {
+    aText.remove_prefix(1);
+  }
+  while (!aText.empty() && (aText.back() == ' ' || aText.back() == '\t')) {
+    aText.remove_suffix(1);
+  }
+  return aText;
+}
+
+// Takes the text up to the next `aSeparator` off the front.
+std::string_view
+TakeItem(std::string_view& aRest, char aSeparator)
+{
+  const std::size_t end = std::min(aRest.find(aSeparator), aRest.size());
+  const std::string_view item = aRest.substr(0, end);
+  aRest.remove_prefix(std::min(end + 1, aRest.size()));
+  return Trimmed(item);
+}
+
+bool
+IsAnyOf(std::string_view aName, std::initializer_list<std::string_view> aNames)
+{
+  return std::ranges::any_of(aNames, [aName](std::string_view aOther) {
+    return EqualsIgnoreCase(aName, aOther);
+  });
+}
+
+// Whether the header concerns this connection only; `Connection` itself may
+// name further ones.
+bool
+ConcernsHop(std::string_view aName, std::string_view aConnection)
+{
+  if (std::ranges::any_of(kHopHeaders, [aName](std::string_view aOther) {
+        return EqualsIgnoreCase(aName, aOther);
+      })) {
+    return true;
+  }
+  while (!aConnection.empty()) {
+    if (EqualsIgnoreCase(TakeItem(aConnection, ','), aName)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<prompt_part>
+ReadParts(std::string_view aText)
+{
+  std::vector<prompt_part> parts;
+  while (!aText.empty() && parts.size() < kMaxParts) {
+    std::string_view item = TakeItem(aText, ',');
+    const std::string_view id = TakeItem(item, ':');
+    const auto tokens = ParseWhole<std::uint32_t>(item);
+    if (id.empty() || !tokens) {
+      break;
+    }
+    parts.push_back({ std::string(id), *tokens });
+  }
+  return parts;
+}
+
+std::string
+ReadToken(std::string_view aScheme, std::string_view aValue)
+{
+  if (aValue.size() <= aScheme.size() + 1 ||
+      !EqualsIgnoreCase(aValue.substr(0, aScheme.size()), aScheme) ||
+      aValue[aScheme.size()] != ' ') {
+    return {};
+  }
+  return std::string(Trimmed(aValue.substr(aScheme.size())));
+}
+
+bool
+SetByRouter(const relay_names& aNames, std::string_view aName)
+{
+  return IsAnyOf(aName,
+                 { aNames.mTeam,
+                   aNames.mExpectedInstance,
+                   aNames.mPriority,
+                   aNames.mTimeLeft,
+                   aNames.mResumeAfter,
+                   "Authorization" }) ||
+         std::ranges::any_of(aNames.mRouterOnly,
+                             [aName](std::string_view aOther) {
+                               return EqualsIgnoreCase(aName, aOther);
+                             });
+}
+
+// The `timeout` of a `Keep-Alive` header, in seconds.
+std::optional<duration>
+ReadIdleLimit(std::string_view aValue)
+{
+  while (!aValue.empty()) {
+    std::string_view item = TakeItem(aValue, ',');
+    if (EqualsIgnoreCase(TakeItem(item, '='), "timeout")) {
+      if (const auto seconds = ParseWhole<std::uint32_t>(item)) {
+        return Seconds(*seconds);
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+relay_request
+ReadRelayRequest(const relay_names& aNames,
+                 const std::vector<header_field>& aFields)
+{
+  relay_request read;
+  const std::string_view id = HeaderValue(aFields, aNames.mRequestId);
+  if (id.size() <= kMaxIdBytes) {
+    read.mId = request_id(std::string(id));
+  }
+  read.mToken =
+    ReadToken(aNames.mTokenScheme, HeaderValue(aFields, "Authorization"));
+  if (const std::string_view left = HeaderValue(aFields, aNames.mTimeLeft);
+      !left.empty()) {
+    if (const auto milliseconds = ParseWhole<std::uint32_t>(left)) {
+      read.mTimeLeft = Milliseconds(*milliseconds);
+    } else {
+      read.mId = request_id();
+    }
+  }
+  std::string_view counts = HeaderValue(aFields, aNames.mTokenCounts);
+  read.mPromptTokens =
+    ParseWhole<std::uint32_t>(TakeItem(counts, ',')).value_or(0);
+  read.mMaxOutputTokens =
+    ParseWhole<std::uint32_t>(TakeItem(counts, ',')).value_or(0);
+  read.mLengthHint =
+    ParseWhole<std::uint32_t>(HeaderValue(aFields, aNames.mLengthHint));
+  read.mParts = ReadParts(HeaderValue(aFields, aNames.mPromptParts));
+  read.mResumeAfter = HeaderValue(aFields, aNames.mResumeAfter);
+  return read;
+}
+
+std::vector<header_field>
+AttemptHeaders(const relay_names& aNames,
+               const std::vector<header_field>& aFields,
+               const attempt_facts& aFacts)
+{
+  const std::string_view connection = HeaderValue(aFields, "Connection");
+  std::vector<header_field> sent;
+  sent.reserve(aFields.size() + 5);
+  for (const header_field& each : aFields) {
+    if (!ConcernsHop(each.mName, connection) &&
+        !SetByRouter(aNames, each.mName)) {
+      sent.push_back(each);
+    }
+  }
+  sent.push_back({ aNames.mExpectedInstance, aFacts.mEndpoint.Text() });
+  // Never beyond what is left: an endpoint would work on for nobody.
+  sent.push_back({ aNames.mTimeLeft,
+                   std::to_string(std::max<std::int64_t>(
+                     ToMilliseconds(aFacts.mTimeLeft), 1)) });
+  if (!aFacts.mTeam.empty()) {
+    sent.push_back({ aNames.mTeam, aFacts.mTeam.Text() });
+  }
+  if (aFacts.mPriority) {
+    sent.push_back({ aNames.mPriority, std::to_string(*aFacts.mPriority) });
+  }
+  if (!aFacts.mResumeAfter.empty()) {
+    sent.push_back({ aNames.mResumeAfter, aFacts.mResumeAfter });
+  }
+  return sent;
+}
+
+std::vector<header_field>
+AnswerHeaders(const std::vector<header_field>& aFields)
+{
+  const std::string_view connection = HeaderValue(aFields, "Connection");
+  std::vector<header_field> sent;
+  sent.reserve(aFields.size());
+  for (const header_field& each : aFields) {
+    if (!ConcernsHop(each.mName, connection)) {
+      sent.push_back(each);
+    }
+  }
+  return sent;
+}
+
+answer_marks
+ReadAnswerMarks(const relay_names& aNames,
+                unsigned aStatus,
+                const std::vector<header_field>& aFields)
+{
+  answer_marks marks;
+  marks.mRequestId = HeaderValue(aFields, aNames.mRequestId);
+  marks.mNotRun = aStatus == kStatusMisdirected ||
+                  !HeaderValue(aFields, aNames.mNotRun).empty();
+  marks.mSigned = !HeaderValue(aFields, aNames.mSignature).empty();
+  marks.mIdleLimit = ReadIdleLimit(HeaderValue(aFields, "Keep-Alive"));
+  return marks;
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/request/relay_headers.h
@@ -0,0 +1,137 @@
+// What the headers of an opaquely relayed request and its answer say, and what
+// the router sends on. The names are a table, so that one code serves every
+// platform; the defaults are the project's own.
+//
+//   const relay_request request = ReadRelayRequest(names, fields);
+//   const auto sent = AttemptHeaders(names, fields, facts);
+//   const answer_marks marks = ReadAnswerMarks(names, 200, answerFields);
+//
+#ifndef THORNHOLLOW_REQUEST_RELAY_HEADERS_H_
+#define THORNHOLLOW_REQUEST_RELAY_HEADERS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "thornhollow/base/header_field.h"
+#include "thornhollow/base/ids.h"
+#include "thornhollow/base/time.h"
+
+namespace thornhollow {
+
+struct relay_names
+{
+  // Names one submission; endpoints echo it.
+  std::string mRequestId = "X-Request-Id";
+  // What stands before the token in `Authorization`.
+  std::string mTokenScheme = "Bearer";
+  // Milliseconds for which the caller still waits.
+  std::string mTimeLeft = "X-Deadline-Ms";
+  // "prompt,output": tokens of the prompt, and the most that are generated.
+  std::string mTokenCounts = "X-Token-Counts";
+  // The caller's guess of the number of generated tokens.
+  std::string mLengthHint = "X-Length-Hint";
+  // "id:tokens,...": the prompt's parts in order, shared ones first.
+  std::string mPromptParts = "X-Prompt-Parts";
+  // The last event that the caller has of a stream to be continued.
+  std::string mResumeAfter = "Last-Event-Id";
+
+  // Set by the router towards endpoints.
+  std::string mTeam = "X-Team";
+  std::string mExpectedInstance = "X-Expected-Instance";
+  std::string mPriority = "X-Priority";
+  // Other headers that only the router may set: never passed on from a caller.
+  std::vector<std::string> mRouterOnly;
+
+  // In answers: there where the request was not run.
+  std::string mNotRun = "X-Not-Run";
+  // In answers: proves that an endpoint made them.
+  std::string mSignature = "X-Signature";
+
+  friend bool operator==(const relay_names&, const relay_names&) = default;
+};
+
+// A part of a prompt; requests that begin with the same parts share their work.
+struct prompt_part
+{
+  std::string mId;
+  std::uint32_t mTokens = 0;
+
+  friend bool operator==(const prompt_part&, const prompt_part&) = default;
+};
+
+struct relay_request
+{
+  request_id mId;
+  // Empty where the caller sent none.
+  std::string mToken;
+  // Nothing where the caller stated none.
+  std::optional<duration> mTimeLeft;
+  std::uint32_t mPromptTokens = 0;
+  std::uint32_t mMaxOutputTokens = 0;
+  std::optional<std::uint32_t> mLengthHint;
+  std::vector<prompt_part> mParts;
+  // Empty for a stream from its beginning.
+  std::string mResumeAfter;
+
+  friend bool operator==(const relay_request&, const relay_request&) = default;
+};
+
+// Never fails: a header that can't be read counts as absent, since the router
+// only takes advice from it and hands it on as it is. An identifier or a time
+// limit that breaks its form makes the identifier empty, which refuses the
+// request.
+relay_request
+ReadRelayRequest(const relay_names& aNames,
+                 const std::vector<header_field>& aFields);
+
+// What the router tells an endpoint about one attempt.
+struct attempt_facts
+{
+  endpoint_name mEndpoint;
+  // Empty for a caller without a team.
+  team_name mTeam;
+  duration mTimeLeft{};
+  // 0 is the most urgent, 9 the least; nothing where the pool takes none.
+  std::optional<std::uint32_t> mPriority;
+  // Empty for a stream from its beginning.
+  std::string mResumeAfter;
+
+  friend bool operator==(const attempt_facts&, const attempt_facts&) = default;
+};
+
+// The caller's headers but for those that concern one connection, its token and
+// what only the router sets; then what the router sets.
+std::vector<header_field>
+AttemptHeaders(const relay_names& aNames,
+               const std::vector<header_field>& aFields,
+               const attempt_facts& aFacts);
+
+// An endpoint's headers but for those that concern one connection.
+std::vector<header_field>
+AnswerHeaders(const std::vector<header_field>& aFields);
+
+// What an endpoint's answer says about itself.
+struct answer_marks
+{
+  // As echoed; empty where it isn't there.
+  std::string mRequestId;
+  // The endpoint says that it did not run the request. Nothing else says so.
+  bool mNotRun = false;
+  bool mSigned = false;
+  // How long an idle connection stays open; nothing where it isn't stated.
+  std::optional<duration> mIdleLimit;
+
+  friend bool operator==(const answer_marks&, const answer_marks&) = default;
+};
+
+answer_marks
+ReadAnswerMarks(const relay_names& aNames,
+                unsigned aStatus,
+                const std::vector<header_field>& aFields);
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_REQUEST_RELAY_HEADERS_H_
--- /dev/null
+++ b/thornhollow/request/relay_retry.cc
@@ -0,0 +1,56 @@
+#include "thornhollow/request/relay_retry.h"
+
+#include <array>
+
+namespace thornhollow {
+namespace {
+
+constexpr std::array<std::string_view, 7> kFailureNames = {
+  "not_sent", "declined", "lost", "silent", "garbled", "failed", "broken"
+};
+
+} // namespace
+
+std::string_view
+Name(attempt_failure aFailure)
+{
+  return kFailureNames[static_cast<std::size_t>(aFailure)];
+}
+
+relay_step
+NextStep(const relay_progress& aProgress)
+{
+  if (aProgress.mAnswerBegun) {
+    return aProgress.mKind == request_kind::kResumableStream &&
+               aProgress.mAttempts < aProgress.mMaxAttempts
+             ? relay_step::kResume
+             : relay_step::kGiveUp;
+  }
+  // A connection that was never made used up no endpoint.
+  const bool attemptsLeft = aProgress.mAttempts < aProgress.mMaxAttempts;
+  const bool allowed = !aProgress.mMayHaveRun || MayRepeat(aProgress.mKind);
+  return attemptsLeft && allowed ? relay_step::kRetry : relay_step::kGiveUp;
+}
+
+error_kind
+FinalError(const relay_progress& aProgress)
+{
+  if (!aProgress.mMayHaveRun) {
+    return aProgress.mFailure == attempt_failure::kDeclined
+             ? error_kind::kEndpointDeclined
+             : error_kind::kNoEndpoint;
+  }
+  switch (aProgress.mFailure) {
+    case attempt_failure::kSilent:
+      return error_kind::kEndpointSilent;
+    case attempt_failure::kGarbled:
+    case attempt_failure::kFailed:
+      return error_kind::kEndpointBadAnswer;
+    case attempt_failure::kBroken:
+      return error_kind::kStreamBroken;
+    default:
+      return error_kind::kEndpointConnectionLost;
+  }
+}
+
+} // namespace thornhollow
