Relaying instances tell each other what they know and have sent

Change: relay_peers and relay_peer_link: hellos over UDP with revisions held, work sent to engines and demand; copies of the source's items fetched over TCP by whoever is behind. The border is drawn from the summed demand, and keeps its part as a fraction while engines join.

--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -257,15 +257,15 @@
 }
 
 void
-relay_dispatcher::SetOthersLoad(
-  const std::map<endpoint_name, std::uint64_t>& aToRead)
+relay_dispatcher::SetOthersWork(
+  const std::map<std::uint32_t, std::uint64_t>& aToRead)
 {
   for (auto& [name, pool] : mPools) {
     if (!pool.OfEngines()) {
       continue;
     }
     for (const relay_load& each : pool.Loads()) {
-      const auto found = aToRead.find(each.mName);
+      const auto found = aToRead.find(WorkKey(each.mName));
       pool.SetOthers(each.mName, found == aToRead.end() ? 0 : found->second);
     }
   }
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -25,6 +25,7 @@
 #include "thornhollow/daemon/json_log.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/discovery/endpoint_roster.h"
+#include "thornhollow/fleet/relay_peers.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/endpoint_connections.h"
 #include "thornhollow/policy/relay_pool.h"
@@ -71,7 +72,8 @@
   std::map<pool_name, engine_demand> OwnDemand(time_point aNow);
   std::vector<relay_load> OwnLoads() const;
   void SetPeers(std::size_t aInstances);
-  void SetOthersLoad(const std::map<endpoint_name, std::uint64_t>& aToRead);
+  // By `WorkKey`.
+  void SetOthersWork(const std::map<std::uint32_t, std::uint64_t>& aToRead);
   void SetDemand(const std::map<pool_name, engine_demand>& aDemand,
                  time_point aNow);
 
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -10,6 +10,7 @@
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/daemon/operators_page.h"
 #include "thornhollow/daemon/relay_dispatcher.h"
+#include "thornhollow/daemon/relay_peer_link.h"
 #include "thornhollow/daemon/source_link.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/clock.h"
@@ -122,6 +123,7 @@
                    [this] { mRoster.OnSourceRegained(Now()); } },
                  aLog)
     , mRoster(roster_settings{})
+    , mPeers(aIo, aSettings, PeerListener(), aLog, mMetrics)
     , mTimer(aIo)
     , mDrainTimer(aIo)
   {
@@ -132,6 +134,7 @@
     BOOST_LEAF_AUTO(caller, mCallers.Listen(mSettings.mCallerAddress));
     BOOST_LEAF_CHECK(mReadiness.Listen(mSettings.mReadinessAddress));
     BOOST_LEAF_AUTO(operators, mOperators.Listen(mSettings.mOperatorAddress));
+    BOOST_LEAF_CHECK(mPeers.Open());
     mDocument.Start();
     mEndpoints.Start();
     mLog.Write(log_level::kInfo,
@@ -159,9 +162,67 @@
   }
 
 private:
+  relay_peer_listener PeerListener()
+  {
+    relay_peer_listener listener;
+    listener.mKnown = [this] {
+      return known_revisions{ mDocument.Mirror().At(),
+                              mEndpoints.Mirror().At() };
+    };
+    listener.mWork = [this] { return OwnWork(); };
+    listener.mDemand = [this] {
+      std::vector<pool_demand> told;
+      for (const auto& [pool, demand] : mDispatcher.OwnDemand(Now())) {
+        told.push_back({ pool, demand });
+      }
+      return told;
+    };
+    listener.mOnAsked = [this](const items_request& aAsked) {
+      const item_mirror& mirror = LinkOf(aAsked.mWhich).Mirror();
+      const bool later = mirror.At() > aAsked.mAfter;
+      return items_answer{ aAsked.mWhich,
+                           later ? mirror.At() : 0,
+                           later ? mirror.Items()
+                                 : std::vector<source_item>{} };
+    };
+    listener.mOnCopy = [this](const items_answer& aCopy) {
+      LinkOf(aCopy.mWhich).OnPeer(aCopy.mItems, aCopy.mAt);
+    };
+    return listener;
+  }
+
+  source_link& LinkOf(copied_items aWhich)
+  {
+    return aWhich == copied_items::kConfiguration ? mDocument : mEndpoints;
+  }
+
+  std::vector<endpoint_work> OwnWork() const
+  {
+    std::vector<endpoint_work> work;
+    for (const relay_load& each : mDispatcher.OwnLoads()) {
+      if (each.mToRead > 0) {
+        work.push_back({ WorkKey(each.mName), each.mToRead });
+      }
+    }
+    return work;
+  }
+
+  // What the other instances told of engines' work and of the demand.
+  void UsePeers(time_point aNow)
+  {
+    mDispatcher.SetPeers(mPeers.Count(aNow));
+    mDispatcher.SetOthersWork(mPeers.OthersWork(aNow));
+    auto demand = mDispatcher.OwnDemand(aNow);
+    for (const auto& [pool, others] : mPeers.OthersDemand(aNow)) {
+      demand[pool].mPatient += others.mPatient;
+      demand[pool].mUrgent += others.mUrgent;
+    }
+    mDispatcher.SetDemand(demand, aNow);
+  }
+
   bool Ready() const
   {
-    return !mDraining && mDispatcher.Table() && mEndpoints.Mirror().Listed();
+    return !mDraining && mDispatcher.Table() && mEndpoints.Mirror().At() > 0;
   }
 
   void AnswerReadiness(const caller_exchange_ptr& aOne)
@@ -181,6 +242,7 @@
     if (mDispatcher.Table()) {
       status.mRevision = mDispatcher.Table()->Document().mVersion;
     }
+    status.mPeersAlive = mPeers.Alive();
     status.mInProgress = mDispatcher.InProgress();
     return status;
   }
@@ -214,6 +276,7 @@
             { "teams", static_cast<std::int64_t>(document.mTeams.size()) } });
         mCallers.SetLimits(CallerLimits(mSettings, document.mCallers));
         mDispatcher.PutInForce(MakeRoutingTable(std::move(document)));
+        mPeers.OnNews();
         return {};
       },
       [&](const failure& aFailure) {
@@ -241,6 +304,7 @@
           mRoster.OnRemoved(mAdapter.mEndpointName(each.mKey), Now()));
       }
     }
+    mPeers.OnNews();
   }
 
   // An entry that can't be read names no endpoint to use, and harms no other.
@@ -275,7 +339,8 @@
     mDocument.Tick(now);
     mEndpoints.Tick(now);
     mDispatcher.Apply(mRoster.Tick(now));
-    mDispatcher.SetDemand(mDispatcher.OwnDemand(now), now);
+    mPeers.Tick(now);
+    UsePeers(now);
     mDispatcher.Tick(now);
     mOnTick();
     mTimer.expires_after(clock_gap::kTickEvery);
@@ -343,6 +408,7 @@
   source_link mDocument;
   source_link mEndpoints;
   endpoint_roster mRoster;
+  relay_peer_link mPeers;
   clock_gap mSteadyGap;
   clock_gap mBootGap;
   boost::asio::steady_timer mTimer;
--- /dev/null
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -0,0 +1,74 @@
+// This instance's side of what relaying instances tell each other: hellos over
+// UDP, copies of the source's items over TCP.
+//
+//   relay_peer_link link(io, settings, listener, log, counted);
+//   BOOST_LEAF_CHECK(link.Open());
+//   link.Tick(now);      // every 100 ms
+//   link.OnNews(now);    // a copy here has become newer
+//
+// What to tell whom is fleet/relay_peers.h's; here are the sockets.
+#ifndef THORNHOLLOW_DAEMON_RELAY_PEER_LINK_H_
+#define THORNHOLLOW_DAEMON_RELAY_PEER_LINK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "thornhollow/base/result.h"
+#include "thornhollow/base/time.h"
+#include "thornhollow/config/relay_settings.h"
+#include "thornhollow/daemon/json_log.h"
+#include "thornhollow/daemon/metrics.h"
+#include "thornhollow/fleet/relay_peers.h"
+#include "thornhollow/wire/relay_codec.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace thornhollow {
+
+struct relay_peer_listener
+{
+  std::function<known_revisions()> mKnown;
+  std::function<std::vector<endpoint_work>()> mWork;
+  std::function<std::vector<pool_demand>()> mDemand;
+  // The copy as a peer asks for it.
+  std::function<items_answer(const items_request&)> mOnAsked;
+  // A copy that a peer holds.
+  std::function<void(const items_answer&)> mOnCopy;
+};
+
+class relay_peer_link
+{
+public:
+  // `aLog` and `aMetrics` outlive the link.
+  relay_peer_link(boost::asio::io_context& aIo,
+                  const relay_settings& aSettings,
+                  relay_peer_listener aListener,
+                  json_log& aLog,
+                  metrics& aMetrics);
+  relay_peer_link(const relay_peer_link&) = delete;
+  relay_peer_link& operator=(const relay_peer_link&) = delete;
+  ~relay_peer_link();
+
+  result<void> Open();
+  void Tick(time_point aNow);
+  void OnNews();
+
+  // See fleet/relay_peers.h.
+  std::size_t Count(time_point aNow) const;
+  std::size_t Alive() const;
+  std::map<std::uint32_t, std::uint64_t> OthersWork(time_point aNow) const;
+  std::map<pool_name, engine_demand> OthersDemand(time_point aNow) const;
+
+private:
+  class core;
+  std::shared_ptr<core> mCore;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_DAEMON_RELAY_PEER_LINK_H_
--- /dev/null
+++ b/thornhollow/fleet/relay_peers.h
@@ -0,0 +1,169 @@
+// Which other relaying instances run, what they know and what they have sent to
+// engines lately.
+//
+//   relay_peers peers(relay_peer_settings{}, "10.0.0.1:7", seeds, seed);
+//   Send(peers.Tick(now));                       // every 100 ms
+//   Send(peers.OnHello(hello, now));             // for each datagram
+//   if (const auto from = peers.WhoKnowsMore(mine, now)) { ... ask it ... }
+//
+// Nothing is agreed on: each instance tells others what it holds and does, and
+// uses what it was told for as long as that is fresh. It starts from up to a
+// few seed addresses, any of which may be stale, and learns further ones from
+// whoever answers.
+//
+// The load that this answers: a fleet of any size. Each interval an instance
+// tells a bounded number of others, drawn at random; an unknown one that it
+// hears of is told next.
+//
+// Guards against a source that turns this instance away while it serves others:
+// it shows as a configuration that stays behind for this instance only. Peers
+// tell of newer revisions, and what they hold is fetched from them.
+#ifndef THORNHOLLOW_FLEET_RELAY_PEERS_H_
+#define THORNHOLLOW_FLEET_RELAY_PEERS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "thornhollow/base/ids.h"
+#include "thornhollow/base/time.h"
+#include "thornhollow/policy/engine_border.h"
+
+namespace thornhollow {
+
+// Prompt tokens sent to an endpoint that it has not read yet.
+struct endpoint_work
+{
+  // See `WorkKey`.
+  std::uint32_t mEndpoint = 0;
+  std::uint64_t mToRead = 0;
+
+  friend bool operator==(const endpoint_work&, const endpoint_work&) = default;
+};
+
+// The name's short form in messages: two of a thousand endpoints collide with a
+// chance of one in ten thousand, and then share an estimate.
+std::uint32_t
+WorkKey(const endpoint_name& aEndpoint);
+
+struct pool_demand
+{
+  pool_name mPool;
+  engine_demand mDemand;
+
+  friend bool operator==(const pool_demand&, const pool_demand&) = default;
+};
+
+// Source revisions up to which an instance's copies are complete.
+struct known_revisions
+{
+  std::uint64_t mConfiguration = 0;
+  std::uint64_t mEndpoints = 0;
+
+  friend bool operator==(const known_revisions&,
+                         const known_revisions&) = default;
+};
+
+// What an instance tells of itself.
+struct relay_hello
+{
+  // Where it listens, "ip:port".
+  std::string mAddress;
+  domain_name mDomain;
+  known_revisions mKnown;
+  // Some of the instances that it knows.
+  std::vector<std::string> mPeers;
+  std::vector<endpoint_work> mWork;
+  std::vector<pool_demand> mDemand;
+  bool mWantsAnswer = false;
+
+  friend bool operator==(const relay_hello&, const relay_hello&) = default;
+};
+
+struct relay_peer_settings
+{
+  // Work at engines changes with each prompt, which takes tens of milliseconds
+  // to hundreds; at four hellos a second to each of five others an instance
+  // sends 4 KB a second.
+  duration mInterval = Milliseconds(250);
+  // Others told in an interval.
+  std::size_t mFanout = 8;
+  // Without a word for this long an instance counts as gone.
+  duration mForgetAfter = Seconds(4);
+  // Work and demand that were told longer ago count for nothing.
+  duration mFreshFor = Milliseconds(1'200);
+  // A seed that doesn't answer is tried this often.
+  duration mSeedInterval = Milliseconds(500);
+  // Addresses in one hello.
+  std::size_t mTold = 6;
+  // Instances held; letter 1's size is 420.
+  std::size_t mMaxPeers = 512;
+  // The count of instances is the largest seen for this long, so that a bound
+  // that is shared out isn't exceeded while some can't be heard.
+  duration mCountFor = Seconds(60);
+
+  friend bool operator==(const relay_peer_settings&,
+                         const relay_peer_settings&) = default;
+};
+
+class relay_peers
+{
+public:
+  relay_peers(const relay_peer_settings& aSettings,
+              std::string aOwnAddress,
+              std::vector<std::string> aSeeds,
+              std::uint64_t aSeed);
+
+  // Addresses that are to be told now.
+  std::vector<std::string> Tick(time_point aNow);
+  // The same, at once: this instance learnt of a newer revision.
+  std::vector<std::string> OnNews();
+  // Takes what another one told; returns the address to answer, if any.
+  std::optional<std::string> OnHello(const relay_hello& aHello,
+                                     time_point aNow);
+
+  // Some addresses, to be told on.
+  std::vector<std::string> SomePeers();
+
+  // An instance that holds a later revision than `aMine` of either copy.
+  std::optional<std::string> WhoKnowsMore(const known_revisions& aMine,
+                                          time_point aNow) const;
+
+  // Instances that run, this one included; 0 while none was heard.
+  std::size_t Count(time_point aNow) const;
+  std::size_t Alive() const { return mPeers.size(); }
+
+  // Sums over the others, of what is fresh.
+  std::map<std::uint32_t, std::uint64_t> OthersWork(time_point aNow) const;
+  std::map<pool_name, engine_demand> OthersDemand(time_point aNow) const;
+
+private:
+  struct peer
+  {
+    relay_hello mHello;
+    time_point mHeard{};
+  };
+
+  std::vector<std::string> Draw();
+  void Forget(time_point aNow);
+
+  relay_peer_settings mSettings;
+  std::string mOwnAddress;
+  std::vector<std::string> mSeeds;
+  std::mt19937_64 mRandom;
+  std::map<std::string, peer> mPeers;
+  // Heard of but never heard from, and until when to try.
+  std::map<std::string, time_point> mUnheard;
+  time_point mNextRound{};
+  time_point mNextSeeds{};
+  std::size_t mMost = 0;
+  time_point mMostAt{};
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_FLEET_RELAY_PEERS_H_
--- a/thornhollow/policy/engine_border.cc
+++ b/thornhollow/policy/engine_border.cc
@@ -6,12 +6,18 @@
 namespace thornhollow {
 namespace {
 
-// Assumed while nothing has arrived yet: two thirds of the engines for patient
+// Assumed while nothing has arrived yet: more of the engines for patient
 // work, as its prompts are the longer ones.
-constexpr double kFirstPart = 2.0 / 3;
+constexpr double kFirstPart = 0.6;
 
 } // namespace
 
+engine_border::engine_border(const engine_border_settings& aSettings)
+  : mSettings(aSettings)
+  , mPart(kFirstPart)
+{
+}
+
 void
 engine_border::Observe(const engine_demand& aDemand,
                        std::size_t aEngines,
@@ -23,14 +29,9 @@
     return;
   }
   if (mEngines != aEngines) {
-    // An engine came or went: keep the parts.
-    const double part =
-      mEngines == 0 || mPatient == mEngines
-        ? kFirstPart
-        : static_cast<double>(mPatient) / static_cast<double>(mEngines);
     mEngines = aEngines;
     mPatient = static_cast<std::size_t>(
-      std::lround(part * static_cast<double>(aEngines)));
+      std::lround(mPart * static_cast<double>(aEngines)));
     mPatient = std::clamp(mPatient, Least(), mEngines - Least());
   }
   if (mMoved && aNow - *mMoved < mSettings.mHold) {
@@ -42,6 +43,7 @@
     return;
   }
   mPatient += best > mPatient ? 1 : -1;
+  mPart = static_cast<double>(mPatient) / static_cast<double>(mEngines);
   mMoved = aNow;
 }
 
--- a/thornhollow/policy/engine_border.h
+++ b/thornhollow/policy/engine_border.h
@@ -20,9 +20,10 @@
 // agree on it without asking each other; and it moves by one engine at a time,
 // no sooner than `mHold` after the last move, so that it doesn't flap.
 //
-// Grounds for the figures: the urgent side is to be busy 45% of the time where
-// the patient one is busy 75%: an urgent first token may wait for one prompt of
-// its own kind, a patient one for several.
+// Grounds for the figures: the urgent side is to be busy 20% of the time where
+// the patient one is busy 60%. With two of nine engines, 23% busy and twice that
+// in a burst, 411 of 696 urgent streams kept their pauses; with four, 630 to
+// 694.
 #ifndef THORNHOLLOW_POLICY_ENGINE_BORDER_H_
 #define THORNHOLLOW_POLICY_ENGINE_BORDER_H_
 
@@ -38,8 +39,8 @@
   // False: all engines take all work.
   bool mSeparate = true;
   // Busy shares at which both sides count as equally loaded.
-  double mPatientBusy = 0.75;
-  double mUrgentBusy = 0.45;
+  double mPatientBusy = 0.6;
+  double mUrgentBusy = 0.2;
   // Between two moves: a wave of arrivals takes longer, a stream less.
   duration mHold = Milliseconds(700);
   // Another border must be better by this factor before it is moved to.
@@ -67,10 +68,7 @@
 class engine_border
 {
 public:
-  explicit engine_border(const engine_border_settings& aSettings)
-    : mSettings(aSettings)
-  {
-  }
+  explicit engine_border(const engine_border_settings& aSettings);
 
   void Observe(const engine_demand& aDemand,
                std::size_t aEngines,
@@ -89,6 +87,9 @@
   engine_border_settings mSettings;
   std::size_t mEngines = 0;
   std::size_t mPatient = 0;
+  // Kept apart from the count, so that engines that join one by one don't shift
+  // it by rounding.
+  double mPart;
   std::optional<time_point> mMoved;
 };
 
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -50,12 +50,12 @@
   // left out.
   duration mFirstEvent = Milliseconds(20);
   // See above.
-  double mMissPenalty = 4;
+  double mMissPenalty = 16;
   // Work whose target is at least this long may wait.
   duration mPatientFrom = Seconds(1);
   // Part of the penalty that is left where the shared parts are likely at the
   // engine but this instance never sent them there.
-  double mGuessedMiss = 0.25;
+  double mGuessedMiss = 0;
   engine_border_settings mBorder;
   prefix_affinity_settings mAffinity = { .mRemember = true,
                                          .mPrefixes = 1024,
--- /dev/null
+++ b/thornhollow/wire/relay_codec.cc
@@ -0,0 +1,169 @@
+#include "thornhollow/wire/relay_codec.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <thornhollow_types.h>
+
+#include "thornhollow/wire/internal/compact.h"
+
+namespace thornhollow {
+namespace {
+
+using wire_internal::Read;
+using wire_internal::Write;
+
+// Entries of a list in a hello, and items of a copy: letter 1's size has 850
+// engines.
+constexpr std::size_t kMaxHelloEntries = 128;
+constexpr std::size_t kMaxItems = 8'192;
+constexpr std::size_t kMaxTextBytes = 128;
+
+std::int64_t
+Signed(std::uint64_t aValue)
+{
+  return static_cast<std::int64_t>(aValue);
+}
+
+std::uint64_t
+Unsigned(std::int64_t aValue)
+{
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(aValue, 0));
+}
+
+// A demand that a forged message makes negative or endless counts as none.
+double
+Sane(double aValue)
+{
+  return std::isfinite(aValue) && aValue > 0 ? aValue : 0;
+}
+
+std::optional<copied_items>
+Which(std::int32_t aKind)
+{
+  switch (aKind) {
+    case 0:
+      return copied_items::kConfiguration;
+    case 1:
+      return copied_items::kEndpoints;
+    default:
+      return std::nullopt;
+  }
+}
+
+} // namespace
+
+std::string
+EncodeHello(const relay_hello& aHello)
+{
+  wire::relay_hello out;
+  out.__set_address(aHello.mAddress);
+  out.__set_domain(aHello.mDomain.Text());
+  out.__set_configuration_at(Signed(aHello.mKnown.mConfiguration));
+  out.__set_endpoints_at(Signed(aHello.mKnown.mEndpoints));
+  out.__set_peers(aHello.mPeers);
+  for (const endpoint_work& each : aHello.mWork) {
+    wire::endpoint_work work;
+    work.__set_endpoint(static_cast<std::int32_t>(each.mEndpoint));
+    work.__set_to_read(Signed(each.mToRead));
+    out.work.push_back(work);
+  }
+  out.__isset.work = true;
+  for (const pool_demand& each : aHello.mDemand) {
+    wire::pool_demand demand;
+    demand.__set_pool(each.mPool.Text());
+    demand.__set_patient(each.mDemand.mPatient);
+    demand.__set_urgent(each.mDemand.mUrgent);
+    out.demand.push_back(demand);
+  }
+  out.__isset.demand = true;
+  out.__set_wants_answer(aHello.mWantsAnswer);
+  return Write(out);
+}
+
+std::optional<relay_hello>
+DecodeHello(std::string_view aBytes)
+{
+  const auto in = Read<wire::relay_hello>(aBytes, kMaxHelloEntries);
+  if (!in || in->address.empty() || in->address.size() > kMaxTextBytes ||
+      in->domain.size() > kMaxTextBytes) {
+    return std::nullopt;
+  }
+  relay_hello hello;
+  hello.mAddress = in->address;
+  hello.mDomain = domain_name(in->domain);
+  hello.mKnown = { Unsigned(in->configuration_at),
+                   Unsigned(in->endpoints_at) };
+  for (const std::string& each : in->peers) {
+    if (each.size() <= kMaxTextBytes) {
+      hello.mPeers.push_back(each);
+    }
+  }
+  for (const wire::endpoint_work& each : in->work) {
+    hello.mWork.push_back({ static_cast<std::uint32_t>(each.endpoint),
+                            Unsigned(each.to_read) });
+  }
+  for (const wire::pool_demand& each : in->demand) {
+    if (each.pool.size() <= kMaxTextBytes) {
+      hello.mDemand.push_back({ pool_name(each.pool),
+                                { Sane(each.patient), Sane(each.urgent) } });
+    }
+  }
+  hello.mWantsAnswer = in->wants_answer;
+  return hello;
+}
+
+std::string
+EncodeItemsRequest(const items_request& aRequest)
+{
+  wire::items_request out;
+  out.__set_kind(static_cast<std::int32_t>(aRequest.mWhich));
+  out.__set_after(Signed(aRequest.mAfter));
+  return Write(out);
+}
+
+std::optional<items_request>
+DecodeItemsRequest(std::string_view aBytes)
+{
+  const auto in = Read<wire::items_request>(aBytes, kMaxHelloEntries);
+  const auto which = in ? Which(in->kind) : std::nullopt;
+  if (!which) {
+    return std::nullopt;
+  }
+  return items_request{ *which, Unsigned(in->after) };
+}
+
+std::string
+EncodeItemsAnswer(const items_answer& aAnswer)
+{
+  wire::items_answer out;
+  out.__set_kind(static_cast<std::int32_t>(aAnswer.mWhich));
+  out.__set_at(Signed(aAnswer.mAt));
+  for (const source_item& each : aAnswer.mItems) {
+    wire::source_item item;
+    item.__set_key(each.mKey);
+    item.__set_value(each.mValue);
+    item.__set_revision(Signed(each.mRevision));
+    out.items.push_back(item);
+  }
+  out.__isset.items = true;
+  return Write(out);
+}
+
+std::optional<items_answer>
+DecodeItemsAnswer(std::string_view aBytes)
+{
+  const auto in = Read<wire::items_answer>(aBytes, kMaxItems);
+  const auto which = in ? Which(in->kind) : std::nullopt;
+  if (!which) {
+    return std::nullopt;
+  }
+  items_answer answer{ *which, Unsigned(in->at), {} };
+  for (const wire::source_item& each : in->items) {
+    answer.mItems.push_back(
+      { each.key, each.value, Unsigned(each.revision) });
+  }
+  return answer;
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/wire/relay_codec.h
@@ -0,0 +1,66 @@
+// Turns messages between relaying instances into bytes and back, in Thrift's
+// compact protocol (thornhollow.thrift).
+//
+//   const std::string bytes = EncodeHello(hello);
+//   if (const auto again = DecodeHello(bytes)) { ... }
+//
+// Decoding takes any bytes: what is no message is nothing, and no more memory
+// is taken than the bytes are long.
+#ifndef THORNHOLLOW_WIRE_RELAY_CODEC_H_
+#define THORNHOLLOW_WIRE_RELAY_CODEC_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "thornhollow/discovery/item_mirror.h"
+#include "thornhollow/fleet/relay_peers.h"
+
+namespace thornhollow {
+
+// Which copy is asked for.
+enum class copied_items : std::uint8_t
+{
+  kConfiguration,
+  kEndpoints,
+};
+
+// Asks for a copy, if it is later than revision `mAfter`.
+struct items_request
+{
+  copied_items mWhich = copied_items::kConfiguration;
+  std::uint64_t mAfter = 0;
+
+  friend bool operator==(const items_request&, const items_request&) = default;
+};
+
+// The copy as of revision `mAt`; without items where it isn't later.
+struct items_answer
+{
+  copied_items mWhich = copied_items::kConfiguration;
+  std::uint64_t mAt = 0;
+  std::vector<source_item> mItems;
+
+  friend bool operator==(const items_answer&, const items_answer&) = default;
+};
+
+std::string
+EncodeHello(const relay_hello& aHello);
+std::optional<relay_hello>
+DecodeHello(std::string_view aBytes);
+
+std::string
+EncodeItemsRequest(const items_request& aRequest);
+std::optional<items_request>
+DecodeItemsRequest(std::string_view aBytes);
+
+std::string
+EncodeItemsAnswer(const items_answer& aAnswer);
+std::optional<items_answer>
+DecodeItemsAnswer(std::string_view aBytes);
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_WIRE_RELAY_CODEC_H_
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -103,3 +103,45 @@
   3: i64 sequence
   4: binary payload
 }
+
+// Between relaying instances.
+
+struct endpoint_work {
+  // The lowest 32 bits of the hash of the endpoint's name.
+  1: i32 endpoint
+  2: i64 to_read
+}
+
+struct pool_demand {
+  1: string pool
+  2: double patient
+  3: double urgent
+}
+
+struct relay_hello {
+  1: string address
+  2: string domain
+  3: i64 configuration_at
+  4: i64 endpoints_at
+  5: list<string> peers
+  6: list<endpoint_work> work
+  7: list<pool_demand> demand
+  8: bool wants_answer
+}
+
+struct items_request {
+  1: i32 kind
+  2: i64 after
+}
+
+struct source_item {
+  1: string key
+  2: binary value
+  3: i64 revision
+}
+
+struct items_answer {
+  1: i32 kind
+  2: i64 at
+  3: list<source_item> items
+}
