Engines' ranks are finer than teams' tiers; the border moves only when a side is full

Change: the rank sent to engines is the team's tier, then the route's. A stopping instance refuses, as not run, what it can't answer whole before its end. The border moves only when a side is over its busy share. Settings of all that under engines.

--- a/thornhollow/config/relay_settings.cc
+++ b/thornhollow/config/relay_settings.cc
@@ -47,6 +47,38 @@
   fields.RefuseUnknown();
 }
 
+void
+ReadEngines(field_reader& aFields,
+            const source_file& aFile,
+            engine_settings& aRead,
+            faults& aFaults)
+{
+  const yaml_node* node = aFields.Node("engines");
+  if (node == nullptr) {
+    return;
+  }
+  field_reader fields(*node, aFile.mName, "engines", aFaults);
+  aRead.mReadPerSecond = fields.Number(
+    "prompt_tokens_per_s",
+    { .mLeast = 1, .mMost = 1e9, .mDefault = aRead.mReadPerSecond });
+  aRead.mMissPenalty = fields.Number(
+    "miss_penalty",
+    { .mLeast = 0, .mMost = 1'000, .mDefault = aRead.mMissPenalty });
+  aRead.mUrgentMissPenalty = fields.Number(
+    "urgent_miss_penalty",
+    { .mLeast = 0, .mMost = 1'000, .mDefault = aRead.mUrgentMissPenalty });
+  aRead.mBalance = FromSeconds(fields.Number(
+    "balance_s",
+    { .mLeast = 0, .mMost = 1'000, .mDefault = ToSeconds(aRead.mBalance) }));
+  aRead.mPatientBusy = fields.Number(
+    "patient_busy",
+    { .mLeast = 0.01, .mMost = 1, .mDefault = aRead.mPatientBusy });
+  aRead.mUrgentBusy = fields.Number(
+    "urgent_busy",
+    { .mLeast = 0.01, .mMost = 1, .mDefault = aRead.mUrgentBusy });
+  fields.RefuseUnknown();
+}
+
 } // namespace
 
 relay_settings_verdict
@@ -71,9 +103,7 @@
   read.mMaxConnections = static_cast<std::uint32_t>(fields.Whole(
     "max_connections",
     { .mLeast = 1, .mMost = 65'535, .mDefault = read.mMaxConnections }));
-  read.mReadPerSecond = fields.Number(
-    "engine_prompt_tokens_per_s",
-    { .mLeast = 1, .mMost = 1e9, .mDefault = read.mReadPerSecond });
+  ReadEngines(fields, aFile, read.mEngines, found);
   read.mLogLevel = internal::ReadLogLevel(fields, read.mLogLevel);
   fields.RefuseUnknown();
   if (found.empty()) {
--- a/thornhollow/config/relay_settings.h
+++ b/thornhollow/config/relay_settings.h
@@ -34,6 +34,22 @@
                          const shared_retry_settings&) = default;
 };
 
+// What is assumed of engines, and how work is spread over them. Each field's
+// grounds stand where it is used: policy/relay_pool.h, policy/engine_border.h.
+struct engine_settings
+{
+  // Prompt tokens that an engine reads a second.
+  double mReadPerSecond = 66'200;
+  double mMissPenalty = 16;
+  double mUrgentMissPenalty = 4;
+  duration mBalance{};
+  double mPatientBusy = 0.45;
+  double mUrgentBusy = 0.2;
+
+  friend bool operator==(const engine_settings&,
+                         const engine_settings&) = default;
+};
+
 struct relay_settings
 {
   // Unique over all instances.
@@ -55,8 +71,7 @@
   duration mDrainGrace = Seconds(30);
   // Open connections of callers.
   std::uint32_t mMaxConnections = 2'048;
-  // Prompt tokens that an engine reads a second.
-  double mReadPerSecond = 66'200;
+  engine_settings mEngines;
   log_level mLogLevel = log_level::kInfo;
 
   friend bool operator==(const relay_settings&,
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -32,7 +32,13 @@
 PoolSettings(const relay_settings& aSettings)
 {
   relay_pool_settings settings;
-  settings.mReadPerSecond = aSettings.mReadPerSecond;
+  settings.mReadPerSecond = aSettings.mEngines.mReadPerSecond;
+  settings.mMissPenalty = aSettings.mEngines.mMissPenalty;
+  settings.mUrgentMissPenalty = aSettings.mEngines.mUrgentMissPenalty;
+  settings.mBalance = aSettings.mEngines.mBalance;
+  settings.mBorder.mReadPerSecond = aSettings.mEngines.mReadPerSecond;
+  settings.mBorder.mPatientBusy = aSettings.mEngines.mPatientBusy;
+  settings.mBorder.mUrgentBusy = aSettings.mEngines.mUrgentBusy;
   return settings;
 }
 
@@ -204,6 +210,19 @@
   }
 }
 
+void
+relay_dispatcher::EndAt(time_point aEnd, time_point aRefuseFrom)
+{
+  mEnd = aEnd;
+  mRefuseFrom = aRefuseFrom;
+}
+
+bool
+relay_dispatcher::Takes(duration aPatience, time_point aNow) const
+{
+  return !mEnd || aNow < mRefuseFrom || aNow + aPatience < *mEnd;
+}
+
 void
 relay_dispatcher::OnClockGap(time_point aNow)
 {
@@ -218,7 +237,7 @@
 {
   std::map<pool_name, held_requests> held;
   for (const auto& [name, pool] : mPools) {
-    for (const relay_load& each : pool.Loads()) {
+    for (const relay_load& each : pool.Loads(Now())) {
       held[name].mInFlight += each.mInFlight;
     }
   }
@@ -243,7 +262,7 @@
   std::vector<relay_load> loads;
   for (const auto& [name, pool] : mPools) {
     if (pool.OfEngines()) {
-      const std::vector<relay_load> its = pool.Loads();
+      const std::vector<relay_load> its = pool.Loads(Now());
       loads.insert(loads.end(), its.begin(), its.end());
     }
   }
@@ -258,15 +277,17 @@
 
 void
 relay_dispatcher::SetOthersWork(
-  const std::map<std::uint32_t, std::uint64_t>& aToRead)
+  const std::map<std::uint32_t, endpoint_work>& aWork)
 {
   for (auto& [name, pool] : mPools) {
     if (!pool.OfEngines()) {
       continue;
     }
-    for (const relay_load& each : pool.Loads()) {
-      const auto found = aToRead.find(WorkKey(each.mName));
-      pool.SetOthers(each.mName, found == aToRead.end() ? 0 : found->second);
+    for (const relay_load& each : pool.Loads(Now())) {
+      const auto found = aWork.find(WorkKey(each.mName));
+      const endpoint_work others =
+        found == aWork.end() ? endpoint_work{} : found->second;
+      pool.SetOthers(each.mName, others.mToRead, others.mPerSecond);
     }
   }
 }
@@ -276,8 +297,20 @@
                             time_point aNow)
 {
   for (const auto& [name, demand] : aDemand) {
-    if (relay_pool* pool = Pool(name)) {
-      pool->SetDemand(demand, aNow);
+    relay_pool* pool = Pool(name);
+    if (pool == nullptr) {
+      continue;
+    }
+    const std::size_t before = pool->PatientEngines();
+    pool->SetDemand(demand, aNow);
+    if (const std::size_t after = pool->PatientEngines(); after != before) {
+      mLog.Write(log_level::kInfo,
+                 "border_moved",
+                 { { "pool", name.Text() },
+                   { "patient_engines", static_cast<std::int64_t>(after) },
+                   { "engines", static_cast<std::int64_t>(pool->size()) },
+                   { "patient_tokens_per_s", demand.mPatient },
+                   { "urgent_tokens_per_s", demand.mUrgent } });
     }
   }
 }
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -62,6 +62,11 @@
 
   // Does what falls due. To be called every 100 ms.
   void Tick(time_point aNow);
+  // This process ends then: what can't be answered whole before is refused as
+  // not run from `aRefuseFrom` on.
+  void EndAt(time_point aEnd, time_point aRefuseFrom);
+  // Whether a request that may take `aPatience` is still taken.
+  bool Takes(duration aPatience, time_point aNow) const;
   // This process stood still.
   void OnClockGap(time_point aNow);
 
@@ -73,7 +78,7 @@
   std::vector<relay_load> OwnLoads() const;
   void SetPeers(std::size_t aInstances);
   // By `WorkKey`.
-  void SetOthersWork(const std::map<std::uint32_t, std::uint64_t>& aToRead);
+  void SetOthersWork(const std::map<std::uint32_t, endpoint_work>& aWork);
   void SetDemand(const std::map<pool_name, engine_demand>& aDemand,
                  time_point aNow);
 
@@ -117,6 +122,9 @@
   std::map<endpoint_name, known_endpoint> mEndpoints;
   std::uint64_t mNextLifetime = 1;
   std::size_t mSessions = 0;
+  // Set while the instance drains.
+  std::optional<time_point> mEnd;
+  time_point mRefuseFrom{};
   time_point mNextConnectionTick{};
 };
 
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -24,6 +24,9 @@
 // The balancer asks once a second and notices after two misses. Until then new
 // connections come and are served; idle ones are closed after it.
 constexpr duration kBalancerNotices = Milliseconds(2'300);
+// From then on a stopping instance takes only what it can answer whole before
+// its end: a long answer would be cut, and another instance can give it.
+constexpr duration kRefuseAfter = Milliseconds(2'500);
 // How often a stopping instance looks whether it is done.
 constexpr duration kDrainCheck = Milliseconds(50);
 // Left of the drain's grace for the process's own end.
@@ -157,6 +160,8 @@
                { { "in_progress",
                    static_cast<std::int64_t>(mDispatcher.InProgress()) } });
     mDrainBegun = Now();
+    mDispatcher.EndAt(mDrainBegun + mSettings.mDrainGrace - kEndReserve,
+                      mDrainBegun + kRefuseAfter);
     mCallers.CloseAfterAnswers();
     CheckDrained();
   }
@@ -200,8 +205,9 @@
   {
     std::vector<endpoint_work> work;
     for (const relay_load& each : mDispatcher.OwnLoads()) {
-      if (each.mToRead > 0) {
-        work.push_back({ WorkKey(each.mName), each.mToRead });
+      if (each.mToRead > 0 || each.mPerSecond >= 1) {
+        work.push_back(
+          { WorkKey(each.mName), each.mToRead, each.mPerSecond });
       }
     }
     return work;
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -220,7 +220,7 @@
   return mCore->Peers().Alive();
 }
 
-std::map<std::uint32_t, std::uint64_t>
+std::map<std::uint32_t, endpoint_work>
 relay_peer_link::OthersWork(time_point aNow) const
 {
   return mCore->Peers().OthersWork(aNow);
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -61,7 +61,7 @@
   // See fleet/relay_peers.h.
   std::size_t Count(time_point aNow) const;
   std::size_t Alive() const;
-  std::map<std::uint32_t, std::uint64_t> OthersWork(time_point aNow) const;
+  std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
   std::map<pool_name, engine_demand> OthersDemand(time_point aNow) const;
 
 private:
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -44,6 +44,8 @@
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } << 20U;
 // Least urgent rank that endpoints know.
 constexpr tier_number kLeastUrgent = 9;
+// Of these, ranks that the routes of one tier share.
+constexpr tier_number kRouteRanks = 3;
 
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusRedirect = 300;
@@ -99,6 +101,17 @@
   return class_name("tier" + std::to_string(aTier) + "_" + kind);
 }
 
+// How urgent a request is to an engine: by its team's tier first, and among
+// equal ones by its route's. An engine that runs out of places or memory
+// interrupts the least urgent; by the team's tier alone that is as likely a
+// driver's note as a plan of many pages.
+std::uint32_t
+RankOf(const route& aRoute, tier_number aTier)
+{
+  const tier_number byRoute = std::min(aRoute.mTier, kRouteRanks - 1);
+  return std::min(aTier * kRouteRanks + byRoute, kLeastUrgent);
+}
+
 relay_work
 WorkOf(const relay_request& aRequest, const route& aRoute, tier_number aTier)
 {
@@ -106,6 +119,7 @@
   work.mTier = aTier;
   work.mPromptTokens = aRequest.mPromptTokens;
   work.mOutputTokens = aRequest.mLengthHint.value_or(aRequest.mMaxOutputTokens);
+  work.mRank = RankOf(aRoute, aTier);
   work.mTarget = aRoute.mTarget;
   work.mPauseTarget = aRoute.mPauseTarget;
   // The last part is the request's own.
@@ -148,6 +162,10 @@
     mWork = WorkOf(mRead, *mRoute, EffectiveTier(*mRoute, mTeam));
     const duration patience =
       std::min(mRead.mTimeLeft.value_or(mRoute->mTimeout), mRoute->mTimeout);
+    if (!mDispatcher.Takes(patience, Now())) {
+      Refuse(error_kind::kDraining);
+      return;
+    }
     mWork.mDeadline = mExchange->Arrival() + patience;
     mCountedAs = CountedAs(*mRoute, mWork.mTier);
     mDispatcher.Metrics().OnRequest(mCountedAs);
@@ -222,7 +240,7 @@
     facts.mTeam = mTeam == nullptr ? team_name() : mTeam->mName;
     facts.mTimeLeft = mWork.mDeadline - Now();
     if (mWork.mPromptTokens > 0) {
-      facts.mPriority = std::min(mWork.mTier, kLeastUrgent);
+      facts.mPriority = mWork.mRank;
     }
     facts.mResumeAfter =
       mEvents.LastId().empty() ? mRead.mResumeAfter : mEvents.LastId();
@@ -349,9 +367,21 @@
     if (!std::exchange(mAnswerBegun, true)) {
       mExchange->Send(stream_head{ mHeaders, mStatus, true });
     }
+    NotePause();
     mExchange->Send(stream_text{ std::move(aText) });
   }
 
+  void NotePause()
+  {
+    const time_point now = Now();
+    if (mLastEvent) {
+      const duration pause = now - *mLastEvent;
+      mLongestPause = std::max(mLongestPause, pause);
+      mDispatcher.Metrics().OnTokenGap(mCountedAs, pause);
+    }
+    mLastEvent = now;
+  }
+
   void OnAnswerEnd()
   {
     EndAttempt(attempt_end::kCompleted);
@@ -568,7 +598,9 @@
         { "endpoint", mPick.mEndpoint.Text() },
         { "attempts", static_cast<std::int64_t>(mTried.size()) },
         { "prompt_tokens", std::int64_t{ mWork.mPromptTokens } },
+        { "to_read", std::int64_t{ mPick.mToRead } },
         { "expected_ms", ToMilliseconds(mPick.mExpected) },
+        { "longest_pause_ms", ToMilliseconds(mLongestPause) },
         { "first_byte_ms", ToMilliseconds(mFirstByte.value_or(duration{})) },
         { "total_ms", ToMilliseconds(now - mExchange->Arrival()) },
         { "configuration",
@@ -613,6 +645,8 @@
   // Part of the answer is with the caller.
   bool mAnswerBegun = false;
   std::optional<duration> mFirstByte;
+  std::optional<time_point> mLastEvent;
+  duration mLongestPause{};
   bool mDone = false;
 };
 
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -121,16 +121,17 @@
   return aNow - mMostAt < mSettings.mCountFor ? mMost : mPeers.size() + 1;
 }
 
-std::map<std::uint32_t, std::uint64_t>
+std::map<std::uint32_t, endpoint_work>
 relay_peers::OthersWork(time_point aNow) const
 {
-  std::map<std::uint32_t, std::uint64_t> sum;
+  std::map<std::uint32_t, endpoint_work> sum;
   for (const auto& [address, each] : mPeers) {
     if (aNow - each.mHeard >= mSettings.mFreshFor) {
       continue;
     }
     for (const endpoint_work& work : each.mHello.mWork) {
-      sum[work.mEndpoint] += work.mToRead;
+      sum[work.mEndpoint].mToRead += work.mToRead;
+      sum[work.mEndpoint].mPerSecond += work.mPerSecond;
     }
   }
   return sum;
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -35,12 +35,15 @@
 
 namespace thornhollow {
 
-// Prompt tokens sent to an endpoint that it has not read yet.
+// Prompt tokens sent to an endpoint: those that it has not read yet, and how
+// many come in a second.
 struct endpoint_work
 {
   // See `WorkKey`.
   std::uint32_t mEndpoint = 0;
   std::uint64_t mToRead = 0;
+  // Prompt tokens sent there a second, over the last seconds.
+  double mPerSecond = 0;
 
   friend bool operator==(const endpoint_work&, const endpoint_work&) = default;
 };
@@ -138,7 +141,7 @@
   std::size_t Alive() const { return mPeers.size(); }
 
   // Sums over the others, of what is fresh.
-  std::map<std::uint32_t, std::uint64_t> OthersWork(time_point aNow) const;
+  std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
   std::map<pool_name, engine_demand> OthersDemand(time_point aNow) const;
 
 private:
--- a/thornhollow/policy/engine_border.cc
+++ b/thornhollow/policy/engine_border.cc
@@ -8,7 +8,7 @@
 
 // Assumed while nothing has arrived yet: more of the engines for patient
 // work, as its prompts are the longer ones.
-constexpr double kFirstPart = 0.6;
+constexpr double kFirstPart = 0.62;
 
 } // namespace
 
@@ -37,9 +37,13 @@
   if (mMoved && aNow - *mMoved < mSettings.mHold) {
     return;
   }
+  const double present = Fullest(aDemand, mPatient);
+  if (present <= mSettings.mFull) {
+    return;
+  }
   const std::size_t best = Best(aDemand);
-  if (best == mPatient || Fullest(aDemand, best) * mSettings.mBetterBy >
-                            Fullest(aDemand, mPatient)) {
+  if (best == mPatient ||
+      Fullest(aDemand, best) * mSettings.mBetterBy > present) {
     return;
   }
   mPatient += best > mPatient ? 1 : -1;
@@ -50,11 +54,11 @@
 double
 engine_border::Fullest(const engine_demand& aDemand, std::size_t aPatient) const
 {
-  const double patient =
-    aDemand.mPatient / static_cast<double>(aPatient) / mSettings.mPatientBusy;
+  const double patient = aDemand.mPatient / static_cast<double>(aPatient) /
+                         mSettings.mReadPerSecond / mSettings.mPatientBusy;
   const double urgent = aDemand.mUrgent /
                         static_cast<double>(mEngines - aPatient) /
-                        mSettings.mUrgentBusy;
+                        mSettings.mReadPerSecond / mSettings.mUrgentBusy;
   return std::max(patient, urgent);
 }
 
--- a/thornhollow/policy/engine_border.h
+++ b/thornhollow/policy/engine_border.h
@@ -17,8 +17,9 @@
 // patient served 81 of 100 urgent streams and 35 of 100 long prompts, five 64
 // and 79. So the border follows what arrives. It is worked out from the demand
 // summed over all instances and the engines' number alone, so that instances
-// agree on it without asking each other; and it moves by one engine at a time,
-// no sooner than `mHold` after the last move, so that it doesn't flap.
+// agree on it without asking each other; and it moves only where one side is
+// too full, by one engine at a time, no sooner than `mHold` after the last move,
+// so that it doesn't flap.
 //
 // Grounds for the figures: the urgent side is to be busy 20% of the time where
 // the patient one is busy 60%. With two of nine engines, 23% busy and twice that
@@ -39,8 +40,14 @@
   // False: all engines take all work.
   bool mSeparate = true;
   // Busy shares at which both sides count as equally loaded.
-  double mPatientBusy = 0.6;
+  double mPatientBusy = 0.45;
   double mUrgentBusy = 0.2;
+  // Prompt tokens that an engine reads a second.
+  double mReadPerSecond = 66'200;
+  // No move while the fuller side is no fuller than this part of its busy
+  // share: each one mixes the work of both sides on one engine until the
+  // streams there have ended.
+  double mFull = 1;
   // Between two moves: a wave of arrivals takes longer, a stream less.
   duration mHold = Milliseconds(700);
   // Another border must be better by this factor before it is moved to.
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -10,9 +10,6 @@
 namespace thornhollow {
 namespace {
 
-// Memory of the demand: a few of the arrivals' clumps, shorter than a burst.
-constexpr double kDemandMemorySeconds = 2.0;
-
 // Plain services answer part of their requests with errors of their own as a
 // matter of course (14 in 100 where the users' inventory is asked), so more
 // failures are needed before one is left than for engines, which answer
@@ -60,6 +57,8 @@
                            endpoint_health(HealthSettings(mEngines)),
                            0,
                            0,
+                           0,
+                           {},
                            0 });
 }
 
@@ -188,20 +187,20 @@
       highest = weight;
     }
   }
+  const double penalty = aWork.mPatient ? mSettings.mMissPenalty
+                                        : mSettings.mUrgentMissPenalty;
+  const double mean = MeanPerSecond(aCandidates, aNow);
   record* best = nullptr;
   double bestCost = 0;
   for (record* each : aCandidates) {
     const bool holds = std::ranges::count(holders, each->mNumber) > 0;
-    double missing = aWork.mSharedTokens;
-    if (holds) {
-      missing = 0;
-    } else if (each == home) {
-      missing *= mSettings.mGuessedMiss;
-    }
+    const double missing = holds || each == home ? 0 : aWork.mSharedTokens;
     const double own = aWork.mPromptTokens - aWork.mSharedTokens;
     const double waiting =
       static_cast<double>(each->mToRead + each->mOthersToRead);
-    const double cost = waiting + own + missing * mSettings.mMissPenalty;
+    const double above = std::max(0.0, each->PerSecond(aNow) - mean);
+    const double cost = waiting + own + missing * penalty +
+                        above * ToSeconds(mSettings.mBalance);
     if (best == nullptr || cost < bestCost) {
       best = each;
       bestCost = cost;
@@ -214,20 +213,29 @@
   return best;
 }
 
+double
+relay_pool::MeanPerSecond(const std::vector<record*>& aRecords, time_point aNow)
+{
+  double sum = 0;
+  for (const record* each : aRecords) {
+    sum += each->PerSecond(aNow);
+  }
+  return sum / static_cast<double>(aRecords.size());
+}
+
 void
 relay_pool::OnSent(const relay_pick& aPick,
                    const relay_work& aWork,
                    time_point aNow)
 {
-  if (mEngines) {
-    CountDemand(aWork, aPick.mToRead, aNow);
-  }
+  (aWork.mPatient ? mPatientSent : mUrgentSent).Add(aPick.mToRead, aNow);
   record* found = Find(aPick);
   if (found == nullptr) {
     return;
   }
   ++found->mInFlight;
   found->mToRead += aPick.mToRead;
+  found->mSent.Add(aPick.mToRead, aNow);
   found->mHealth.OnSent(aNow);
   if (aWork.mSharedPrefix != 0) {
     mAffinity.Remember(aWork.mSharedPrefix, found->mNumber, aNow);
@@ -271,10 +279,13 @@
 }
 
 void
-relay_pool::SetOthers(const endpoint_name& aName, std::uint64_t aToRead)
+relay_pool::SetOthers(const endpoint_name& aName,
+                      std::uint64_t aToRead,
+                      double aPerSecond)
 {
   if (const auto found = mRecords.find(aName); found != mRecords.end()) {
     found->second.mOthersToRead = aToRead;
+    found->second.mOthersPerSecond = aPerSecond;
   }
 }
 
@@ -292,23 +303,27 @@
   for (auto& [name, each] : mRecords) {
     each.mHealth.OnClockGap(aNow);
     each.mOthersToRead = 0;
+    each.mOthersPerSecond = 0;
   }
 }
 
 engine_demand
-relay_pool::OwnDemand(time_point aNow)
+relay_pool::OwnDemand(time_point aNow) const
 {
-  FadeDemand(aNow);
-  return mOwnDemand;
+  return { mPatientSent.PerSecond(aNow), mUrgentSent.PerSecond(aNow) };
 }
 
 std::vector<relay_load>
-relay_pool::Loads() const
+relay_pool::Loads(time_point aNow) const
 {
   std::vector<relay_load> loads;
   loads.reserve(mRecords.size());
   for (const auto& [name, each] : mRecords) {
-    loads.push_back({ name, each.mInFlight, each.mToRead });
+    loads.push_back(
+      { name,
+        each.mInFlight,
+        each.mToRead,
+        each.mSent.PerSecond(aNow) });
   }
   return loads;
 }
@@ -323,26 +338,4 @@
            : &found->second;
 }
 
-void
-relay_pool::CountDemand(const relay_work& aWork,
-                        double aTokens,
-                        time_point aNow)
-{
-  FadeDemand(aNow);
-  double& side = aWork.mPatient ? mOwnDemand.mPatient : mOwnDemand.mUrgent;
-  side += aTokens / kDemandMemorySeconds;
-}
-
-void
-relay_pool::FadeDemand(time_point aNow)
-{
-  if (mDemandAt && aNow > *mDemandAt) {
-    const double left =
-      std::exp(-ToSeconds(aNow - *mDemandAt) / kDemandMemorySeconds);
-    mOwnDemand.mPatient *= left;
-    mOwnDemand.mUrgent *= left;
-  }
-  mDemandAt = std::max(aNow, mDemandAt.value_or(aNow));
-}
-
 } // namespace thornhollow
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -17,7 +17,10 @@
 // A prompt's shared parts are at the engine that was sent them before, and, as
 // all instances rank the engines alike by the parts' hash, most likely at the
 // first of that rank. To read them again elsewhere costs `mMissPenalty` times
-// the time that it takes, since it is also time taken from all others.
+// the time that it takes, since it is also time taken from all others. That
+// alone would leave an engine with a popular session overloaded while others
+// idle: what all instances sent an engine over the last seconds counts as well,
+// where it is more than the mean.
 //
 // Plain services have places instead: the endpoint with the fewest requests of
 // this instance is taken, one of its own failure domain before others.
@@ -36,6 +39,7 @@
 #include "thornhollow/base/time.h"
 #include "thornhollow/policy/endpoint_health.h"
 #include "thornhollow/policy/engine_border.h"
+#include "thornhollow/policy/faded_rate.h"
 #include "thornhollow/policy/prefix_affinity.h"
 #include "thornhollow/policy/relay_work.h"
 
@@ -51,11 +55,14 @@
   duration mFirstEvent = Milliseconds(20);
   // See above.
   double mMissPenalty = 16;
+  // The same for work that may not wait: to pile its prompts up on one engine
+  // breaks the pauses of all its streams.
+  double mUrgentMissPenalty = 4;
+  // An engine that is sent more than the mean of its side counts as if each
+  // tenth of an engine more were a tenth of this long a wait.
+  duration mBalance{};
   // Work whose target is at least this long may wait.
   duration mPatientFrom = Seconds(1);
-  // Part of the penalty that is left where the shared parts are likely at the
-  // engine but this instance never sent them there.
-  double mGuessedMiss = 0;
   engine_border_settings mBorder;
   prefix_affinity_settings mAffinity = { .mRemember = true,
                                          .mPrefixes = 1024,
@@ -86,6 +93,8 @@
   std::uint32_t mInFlight = 0;
   // Prompt tokens of those without a first event yet.
   std::uint64_t mToRead = 0;
+  // Prompt tokens sent there a second, over the last seconds.
+  double mPerSecond = 0;
 
   friend bool operator==(const relay_load&, const relay_load&) = default;
 };
@@ -124,16 +133,20 @@
                duration aLength,
                time_point aNow);
 
-  // Work that other instances have sent there and that waits, as they said.
-  void SetOthers(const endpoint_name& aName, std::uint64_t aToRead);
-  // Demand over all instances, in prompt tokens a second.
+  // Work that other instances have sent there, as they said: tokens that wait,
+  // and how many come in a second.
+  void SetOthers(const endpoint_name& aName,
+                 std::uint64_t aToRead,
+                 double aPerSecond);
+  // Demand over all instances, in prompt tokens a second. To be called every
+  // 100 ms.
   void SetDemand(const engine_demand& aDemand, time_point aNow);
   // This process stood still.
   void OnClockGap(time_point aNow);
 
   // This instance's own part of the demand.
-  engine_demand OwnDemand(time_point aNow);
-  std::vector<relay_load> Loads() const;
+  engine_demand OwnDemand(time_point aNow) const;
+  std::vector<relay_load> Loads(time_point aNow) const;
   std::size_t PatientEngines() const { return mBorder.Patient(); }
 
 private:
@@ -147,6 +160,13 @@
     std::uint32_t mInFlight = 0;
     std::uint64_t mToRead = 0;
     std::uint64_t mOthersToRead = 0;
+    faded_rate mSent;
+    double mOthersPerSecond = 0;
+
+    double PerSecond(time_point aNow) const
+    {
+      return mSent.PerSecond(aNow) + mOthersPerSecond;
+    }
   };
 
   record* Find(const relay_pick& aPick);
@@ -160,9 +180,8 @@
                        const std::vector<record*>& aCandidates,
                        time_point aNow,
                        relay_pick& aPick);
-  void CountDemand(const relay_work& aWork, double aTokens, time_point aNow);
-  void FadeDemand(time_point aNow);
-
+  static double MeanPerSecond(const std::vector<record*>& aRecords,
+                              time_point aNow);
   relay_pool_settings mSettings;
   bool mEngines;
   domain_name mOwnDomain;
@@ -171,8 +190,8 @@
   std::uint32_t mNextNumber = 0;
   prefix_affinity mAffinity;
   engine_border mBorder;
-  engine_demand mOwnDemand;
-  std::optional<time_point> mDemandAt;
+  faded_rate mPatientSent;
+  faded_rate mUrgentSent;
 };
 
 } // namespace thornhollow
--- a/thornhollow/policy/relay_work.h
+++ b/thornhollow/policy/relay_work.h
@@ -18,6 +18,8 @@
 {
   // 0 is served first.
   std::uint32_t mTier = 0;
+  // The same for engines, in finer steps: 0 to 9.
+  std::uint32_t mRank = 0;
   // All of the prompt, shared parts included; 0 for a plain service.
   std::uint32_t mPromptTokens = 0;
   // Of these, parts that other requests begin with as well.
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kMaxHelloEntries = 128;
 constexpr std::size_t kMaxItems = 8'192;
 constexpr std::size_t kMaxTextBytes = 128;
+// Prompt tokens a second: far more than any engine reads.
+constexpr double kMostPerSecond = 1e9;
 
 std::int64_t
 Signed(std::uint64_t aValue)
@@ -66,6 +68,8 @@
     wire::endpoint_work work;
     work.__set_endpoint(static_cast<std::int32_t>(each.mEndpoint));
     work.__set_to_read(Signed(each.mToRead));
+    work.__set_per_s(static_cast<std::int32_t>(
+      std::min(each.mPerSecond, kMostPerSecond)));
     out.work.push_back(work);
   }
   out.__isset.work = true;
@@ -101,7 +105,8 @@
   }
   for (const wire::endpoint_work& each : in->work) {
     hello.mWork.push_back({ static_cast<std::uint32_t>(each.endpoint),
-                            Unsigned(each.to_read) });
+                            Unsigned(each.to_read),
+                            Sane(each.per_s) });
   }
   for (const wire::pool_demand& each : in->demand) {
     if (each.pool.size() <= kMaxTextBytes) {
