--- a/thornhollow/config/internal/settings_fields.cc
+++ b/thornhollow/config/internal/settings_fields.cc
@@ -69,10 +69,9 @@
   const auto found = std::ranges::find(
     kLogLevels, text, [](log_level aLevel) { return Name(aLevel); });
   if (found == kLogLevels.end()) {
-    std::vector<std::string_view> names;
-    for (const log_level each : kLogLevels) {
-      names.push_back(Name(each));
-    }
+    std::array<std::string_view, kLogLevels.size()> names;
+    std::ranges::transform(
+      kLogLevels, names.begin(), [](log_level aLevel) { return Name(aLevel); });
     aFields.Refuse(
       "log_level", Quote(text), fmt::format("{}", fmt::join(names, ", ")));
     return aDefault;
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
@@ -146,7 +147,8 @@
                  { "domain", mSettings.mDomain.Text() },
                  { "caller_address", caller },
                  { "operator_address", operators } });
-    Tick();
+    // The line with the addresses goes to the same output, before any log line.
+    boost::asio::post(mIo, [this] { Tick(); });
     return listening_addresses{ caller, operators };
   }
 
--- a/thornhollow/discovery/item_mirror_test.cc
+++ b/thornhollow/discovery/item_mirror_test.cc
@@ -64,6 +64,7 @@
         truth[key] = { key, std::to_string(revision), revision };
       }
       std::vector<source_item> all;
+      all.reserve(truth.size());
       for (const auto& [name, item] : truth) {
         all.push_back(item);
       }
--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -17,7 +17,7 @@
   std::map<std::string, bool> mCutOff;
   time_point mNow = time_point() + Seconds(100);
 
-  void Add(const std::string& aAddress, std::vector<std::string> aSeeds)
+  void Add(const std::string& aAddress, const std::vector<std::string>& aSeeds)
   {
     mPeers[aAddress] = std::make_unique<relay_peers>(
       relay_peer_settings{}, aAddress, aSeeds, mPeers.size() + 1);
--- a/thornhollow/policy/read_pace.h
+++ b/thornhollow/policy/read_pace.h
@@ -31,10 +31,10 @@
 inline double
 ReadCost(double aOwn, double aCached)
 {
-  constexpr double steps = 0.125;
-  constexpr double tokensForAPair = 18.3e-6;
+  constexpr double kSteps = 0.125;
+  constexpr double kTokensForAPair = 18.3e-6;
   const double pairs = aOwn * (aCached + aOwn / 2);
-  return aOwn * (1 + steps) + pairs * tokensForAPair;
+  return aOwn * (1 + kSteps) + pairs * kTokensForAPair;
 }
 
 class read_pace
--- /dev/null
+++ b/thornhollow/testing/process/relay_site.py
@@ -0,0 +1,305 @@
+"""Stand-ins of a platform's store and engines in the protocol of
+docs/PLATFORM.md, and a relaying daemon before them.
+
+    class Case(relay_site.RelayTest):
+        def test_something(self):
+            engine = self.engine("i-1")
+            daemon = self.daemon()
+            status, headers, body = self.ask(daemon, "/p/x")
+"""
+
+import base64
+import http.server
+import json
+import pathlib
+import tempfile
+import threading
+import unittest
+import urllib.parse
+
+import harness
+
+ID = "X-Attempt-Id"
+SIGNATURE = "X-Response-Signature"
+NOT_RUN = "X-Not-Executed"
+
+
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def __init__(self, handler):
+        super().__init__(("127.0.0.1", 0), handler)
+        self.address = f"127.0.0.1:{self.server_port}"
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def handle_error(self, request, client_address):
+        """A caller that leaves is no error of the stand-in."""
+
+    def stop(self):
+        self.shutdown()
+        self.server_close()
+
+
+class Store:
+    """Items with revisions, listed and watched."""
+
+    def __init__(self):
+        self.items = {}
+        self.at = 1
+        self.changed = threading.Condition()
+        self.refuse = False
+        store = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_GET(self):
+                path, _, query = self.path.partition("?")
+                asked = dict(urllib.parse.parse_qsl(query))
+                status, body = store.answer(path, asked)
+                text = json.dumps(body).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(text)))
+                self.end_headers()
+                self.wfile.write(text)
+
+        self.server = Server(Handler)
+
+    def put(self, key, value):
+        text = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self.changed:
+            self.at += 1
+            self.items[key] = {
+                "key": key, "value": base64.b64encode(text).decode(),
+                "revision": self.at, "created": self.at, "lease": 0}
+            self.changed.notify_all()
+
+    def delete(self, key):
+        with self.changed:
+            self.at += 1
+            self.items[key] = {
+                "key": key, "revision": self.at, "is_deleted": True}
+            self.changed.notify_all()
+
+    def answer(self, path, asked):
+        if self.refuse:
+            return 503, {}
+        prefix = asked["path_prefix"]
+        if path == "/v1/kv-range":
+            with self.changed:
+                found = [item for key, item in sorted(self.items.items())
+                         if key.startswith(prefix) and "value" in item]
+                return 200, {"entries": found, "has_more": False,
+                             "at": self.at}
+        after = int(asked["after"])
+
+        def news():
+            return self.refuse or [
+                item for key, item in self.items.items()
+                if key.startswith(prefix) and item["revision"] > after]
+
+        with self.changed:
+            # A short wait, so that a refusal that begins meanwhile shows.
+            self.changed.wait_for(news, timeout=0.3)
+            if self.refuse:
+                return 503, {}
+            return 200, {"events": news(), "at": self.at}
+
+
+class Engine:
+    """Streams events, or answers whole; counts what it ran."""
+
+    def __init__(self, name, events=3):
+        self.name = name
+        self.events = events
+        # "", "decline", "error", "cut" (what isn't continued), "hang".
+        self.mode = ""
+        self.ran = []
+        self.headers = []
+        self.release = threading.Event()
+        engine = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_POST(self):
+                self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                engine.serve(self)
+
+            do_GET = do_POST
+
+        self.server = Server(Handler)
+        self.address = self.server.address
+
+    def serve(self, call):
+        self.headers.append(dict(call.headers))
+        expected = call.headers.get("X-Expected-Instance")
+        if expected != self.name:
+            return self.whole(call, 421, b"", signed=False)
+        if self.mode == "decline":
+            return self.whole(call, 503, b"", signed=False, not_run=True)
+        self.ran.append(call.headers[ID])
+        if self.mode == "hang":
+            self.release.wait(harness.LIMIT_SECONDS)
+        if self.mode == "error":
+            return self.whole(call, 500, b"broken")
+        if "X-Token-Counts" not in call.headers:
+            return self.whole(call, 200, f"body of {self.name}".encode())
+        return self.stream(call)
+
+    def head(self, call, status, signed, more):
+        call.send_response(status)
+        call.send_header(ID, call.headers[ID])
+        if signed:
+            call.send_header(SIGNATURE, self.name)
+        for name, value in more.items():
+            call.send_header(name, value)
+        call.end_headers()
+
+    def whole(self, call, status, body, signed=True, not_run=False):
+        more = {"Content-Length": str(len(body))}
+        if not_run:
+            more[NOT_RUN] = "1"
+        self.head(call, status, signed, more)
+        call.wfile.write(body)
+
+    def stream(self, call):
+        first = int(call.headers.get("Last-Event-Id", 0)) + 1
+        self.head(call, 200, True, {"Content-Type": "text/event-stream",
+                                    "Transfer-Encoding": "chunked"})
+        for event in range(first, self.events + 1):
+            text = f"id: {event}\ndata: e{event}\n\n".encode()
+            if self.mode == "cut" and first == 1 and event == 2:
+                # In the middle of an event, without the stream's end.
+                call.wfile.write(b"5\r\n" + text[:5] + b"\r\n")
+                call.wfile.flush()
+                call.close_connection = True
+                call.connection.shutdown(2)
+                return
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
+            call.wfile.flush()
+        call.wfile.write(b"0\r\n\r\n")
+
+    def entry(self, state="ready", service="engines"):
+        return {"service": service, "address": self.address, "zone": "hall",
+                "version": "v1", "slots": 8, "state": state,
+                "cold_remaining_ms": 0, "sequence_number": 1, "born": 1}
+
+
+def document(version, **changes):
+    """A configuration: streams at /p/, resumable ones at /s/, orders at /o/,
+    look-ups at /l/."""
+    def route(prefix, kind, **more):
+        return {"name": prefix.strip("/"), "host": "a.example",
+                "path_prefix": prefix, "kind": kind, "timeout_ms": 20000,
+                "target_latency_ms": 5000, "priority": 1,
+                "service": "engines", "max_attempts": 2, **more}
+    made = {
+        "version": version,
+        "routes": [route("/p/", "streaming"),
+                   route("/s/", "streaming", stream_resumption=True),
+                   route("/o/", "non_idempotent"),
+                   route("/l/", "idempotent")],
+        "services": [{"name": "engines", "engine": {"slots": 8}}],
+        "limits": {"max_header_bytes": 8192, "max_body_bytes": 65536,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "office", "api_keys": ["k1"], "priority": 0}]}
+    made.update(changes)
+    return made
+
+
+SETTINGS = """
+name: {name}
+domain: hall
+caller_address: {caller}
+readiness_address: {ready}
+operator_address: {operators}
+peer_address: {peers}
+peer_seeds: [{seeds}]
+source_address: {source}
+drain_grace_s: 20
+retries: {{ratio: 0.2, extra: 400, window_s: 10}}
+"""
+
+
+class RelayDaemon(harness.Program):
+
+    def __init__(self, source, name="n1", seeds=""):
+        self.ready_address = harness.address_on_loopback()
+        self.peers = harness.address_on_loopback()
+        settings = SETTINGS.format(
+            name=name, caller=harness.address_on_loopback(),
+            ready=self.ready_address, peers=self.peers, seeds=seeds,
+            operators=harness.address_on_loopback(), source=source)
+        self.folder = tempfile.TemporaryDirectory()
+        path = pathlib.Path(self.folder.name, "settings.yaml")
+        path.write_text(settings)
+        self.lines = []
+        super().__init__("thornhollowd", "--relay", f"--settings={path}")
+        # Log lines come on standard output, after the listening line.
+        self.reader = threading.Thread(target=self._read_log, daemon=True)
+        self.reader.start()
+
+    def _read_log(self):
+        for line in self.process.stdout:
+            self.lines.append(json.loads(line))
+
+    def events(self, name):
+        return [line for line in list(self.lines) if line.get("event") == name]
+
+    def ready(self):
+        try:
+            return harness.call(
+                self.ready_address, "GET", "/v1/readiness")[0] == 200
+        except OSError:
+            return False
+
+    def stop(self):
+        if self.running():
+            self.process.kill()
+        self.process.wait()
+        self.reader.join()
+        self.process.stdout.close()
+        self.errors.close()
+        self.folder.cleanup()
+
+
+class RelayTest(unittest.TestCase):
+
+    def setUp(self):
+        self.store = Store()
+        self.addCleanup(self.store.server.stop)
+
+    def engine(self, name, **options):
+        engine = Engine(name, **options)
+        self.addCleanup(engine.server.stop)
+        self.addCleanup(engine.release.set)
+        self.store.put(f"servers/{name}", engine.entry())
+        return engine
+
+    def daemon(self, **options):
+        """A daemon that is ready, with version 1 unless there is another."""
+        if "op/config" not in self.store.items:
+            self.store.put("op/config", document(1))
+        daemon = RelayDaemon(self.store.server.address, **options)
+        self.addCleanup(daemon.stop)
+        harness.wait_until(daemon.ready, "the daemon is ready")
+        return daemon
+
+    def headers(self, request, stream=False, key="k1"):
+        made = {"Host": "a.example", ID: request, "X-Deadline-Ms": "15000",
+                "Authorization": f"Token {key}"}
+        if stream:
+            made["X-Token-Counts"] = "1460,80"
+            made["X-Prompt-Prefix"] = "5c:800,91:410,e4:250"
+        return made
+
+    def ask(self, daemon, path, request="r1", stream=False, key="k1"):
+        return harness.call(daemon.address, "POST", path, b"body",
+                            self.headers(request, stream, key))
