--- a/thornhollow/net/internal/header_text_test.cc
+++ b/thornhollow/net/internal/header_text_test.cc
@@ -37,7 +37,7 @@
                             "\r\nGET / HTTP/1.1\r\n\r\n" }) {
     CHECK(ScanHeaderText(text) == header_text::kAmbiguous);
   }
-  const std::string withNul("GET / HTTP/1.1\r\nA: \0\r\n\r\n", 25);
+  const std::string withNul("GET / HTTP/1.1\r\nA: \0\r\n\r\n", 24);
   CHECK(ScanHeaderText(withNul) == header_text::kAmbiguous);
 }
 
--- a/thornhollow/platform/document_reader.cc
+++ b/thornhollow/platform/document_reader.cc
@@ -1,6 +1,5 @@
 #include "thornhollow/platform/document_reader.h"
 
-#include <limits>
 #include <utility>
 
 #include <boost/json/array.hpp>
@@ -33,13 +32,6 @@
   return read;
 }
 
-std::uint32_t
-Bounded(std::uint64_t aCount)
-{
-  constexpr std::uint64_t most = std::numeric_limits<std::uint32_t>::max();
-  return static_cast<std::uint32_t>(std::min(aCount, most));
-}
-
 // A kind that isn't known is taken for the strictest.
 request_kind
 ReadKind(std::string_view aKind, bool aResumable)
--- a/thornhollow/platform/endpoint_reader.cc
+++ b/thornhollow/platform/endpoint_reader.cc
@@ -1,7 +1,6 @@
 #include "thornhollow/platform/endpoint_reader.h"
 
 #include <algorithm>
-#include <limits>
 
 #include <boost/json/object.hpp>
 
@@ -12,13 +11,6 @@
 namespace thornhollow::platform {
 namespace {
 
-std::uint32_t
-Bounded(std::uint64_t aCount)
-{
-  constexpr std::uint64_t most = std::numeric_limits<std::uint32_t>::max();
-  return static_cast<std::uint32_t>(std::min(aCount, most));
-}
-
 result<bool>
 ReadDraining(const boost::json::object& aFields)
 {
--- a/thornhollow/platform/json_fields.cc
+++ b/thornhollow/platform/json_fields.cc
@@ -1,6 +1,8 @@
 #include "thornhollow/platform/json_fields.h"
 
+#include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
@@ -126,6 +128,13 @@
   return MillisecondsField(aObject, aName);
 }
 
+std::uint32_t
+Bounded(std::uint64_t aCount)
+{
+  constexpr std::uint64_t kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(aCount, kMost));
+}
+
 bool
 HasField(const boost::json::object& aObject, std::string_view aName)
 {
--- a/thornhollow/platform/json_fields.h
+++ b/thornhollow/platform/json_fields.h
@@ -49,6 +49,10 @@
                      std::string_view aName,
                      duration aDefault);
 
+// The count, or the largest that fits where it is larger.
+std::uint32_t
+Bounded(std::uint64_t aCount);
+
 // Whether the field is there and not null.
 bool
 HasField(const boost::json::object& aObject, std::string_view aName);
--- a/thornhollow/platform/store_client.cc
+++ b/thornhollow/platform/store_client.cc
@@ -129,9 +129,10 @@
     call.mTimeout = kCallTimeout;
     call.mConnectTimeout = kConnectTimeout;
     call.mMaxBytes = kMaxAnswerBytes;
-    Fetch(mIo, call, [self = shared_from_this()](fetch_outcome aOutcome) {
-      self->OnPage(aOutcome);
-    });
+    Fetch(
+      mIo, call, [self = shared_from_this()](const fetch_outcome& aOutcome) {
+        self->OnPage(aOutcome);
+      });
   }
 
 private:
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -99,10 +99,10 @@
 bool
 relay_pool::TakesNewWork(const record& aRecord, time_point aNow) const
 {
-  constexpr std::uint32_t unlimited = 1U << 20U;
+  constexpr std::uint32_t kUnlimited = 1U << 20U;
   return !aRecord.mEndpoint.mDraining &&
          aRecord.mInFlight <
-           aRecord.mHealth.Allowance(unlimited, aRecord.mInFlight, aNow);
+           aRecord.mHealth.Allowance(kUnlimited, aRecord.mInFlight, aNow);
 }
 
 std::vector<relay_pool::record*>
--- a/thornhollow/policy/shared_retry_budget_test.cc
+++ b/thornhollow/policy/shared_retry_budget_test.cc
@@ -40,7 +40,7 @@
 // in it, the one before, or the one half a window before.
 TEST_CASE("shared_retry_budget/random_fleet/sum_keeps_the_bound")
 {
-  constexpr int ticksInWindow = 200;
+  constexpr int kTicksInWindow = 200;
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     std::mt19937_64 random(seed);
     const std::size_t instances = 1 + random() % 9;
@@ -68,15 +68,15 @@
     }
     const auto sum = [](const std::vector<int>& aCounts, int aEnd) {
       int total = 0;
-      for (int at = std::max(0, aEnd - ticksInWindow); at < aEnd; ++at) {
+      for (int at = std::max(0, aEnd - kTicksInWindow); at < aEnd; ++at) {
         total += aCounts[static_cast<std::size_t>(at)];
       }
       return total;
     };
     for (int end = 1; end <= 1000; ++end) {
       const int most = std::max({ sum(requests, end),
-                                  sum(requests, end - ticksInWindow),
-                                  sum(requests, end - ticksInWindow / 2) });
+                                  sum(requests, end - kTicksInWindow),
+                                  sum(requests, end - kTicksInWindow / 2) });
       CHECK(sum(retries, end) <= 0.2 * most + 52);
     }
   }
