--- a/thornhollow/discovery/source_follower.cc
+++ b/thornhollow/discovery/source_follower.cc
@@ -75,6 +75,9 @@
   if (!mFailingSince) {
     mFailingSince = aNow;
   }
+  // A watch that waits tells nothing, so that the outage's end would go unseen
+  // until something changes; a listing answers at once.
+  mMustList = mMustList || InOutage(aNow);
   source_call next = Start(aMirror);
   std::uniform_real_distribution<double> jitter(0.75, 1.25);
   next.mPause = FromSeconds(ToSeconds(mPause) * jitter(mRandom));
--- a/thornhollow/discovery/source_follower.h
+++ b/thornhollow/discovery/source_follower.h
@@ -81,7 +81,7 @@
   std::mt19937_64 mRandom;
   std::optional<time_point> mFailingSince;
   duration mPause;
-  // The source forgot what the mirror is to be continued with.
+  // The source forgot what the mirror is to be continued with, or was away.
   bool mMustList = false;
 };
 
--- a/thornhollow/discovery/source_follower_test.cc
+++ b/thornhollow/discovery/source_follower_test.cc
@@ -60,6 +60,28 @@
   CHECK(mNext.mPause == duration::zero());
 }
 
+TEST_CASE_FIXTURE(follower_after_a_listing,
+                  "source_follower/outage_over/is_seen_by_a_listing_at_once")
+{
+  // An endpoint that left after an outage got work for two seconds more: the
+  // source had been back for ten, but the watch had not answered yet, so that
+  // the entry was taken for one that had lapsed.
+  mFollower.OnWatched(source_failure{}, mMirror, mNews, mNow);
+  CHECK_FALSE(
+    mFollower
+      .OnWatched(source_failure{}, mMirror, mNews, mNow + Milliseconds(500))
+      .mList);
+  mNext = mFollower.OnWatched(
+    source_failure{}, mMirror, mNews, mNow + Milliseconds(1500));
+  CHECK(mNext.mList);
+  mFollower.OnListed(source_listing{ { { "a", "1", 5 } }, 10 },
+                     mMirror,
+                     mNews,
+                     mNow + Seconds(2));
+  CHECK_FALSE(mFollower.Failing());
+  CHECK(mNews.empty());
+}
+
 TEST_CASE_FIXTURE(follower_after_a_listing,
                   "source_follower/one_failure/is_no_outage_a_second_of_it_is")
 {
