--- a/thornhollow/platform/endpoint_reader.cc
+++ b/thornhollow/platform/endpoint_reader.cc
@@ -58,20 +58,4 @@
   return read;
 }
 
-result<engine_load>
-ReadEngineLoad(std::string_view aBytes)
-{
-  BOOST_LEAF_AUTO(fields, ParseObject(aBytes));
-  engine_load read;
-  BOOST_LEAF_AUTO(waiting, CountField(fields, "queued_requests"));
-  read.mWaiting = Bounded(waiting);
-  BOOST_LEAF_AUTO(running, CountField(fields, "active_requests"));
-  read.mRunning = Bounded(running);
-  BOOST_LEAF_ASSIGN(read.mMemoryUsed, CountField(fields, "kv_cache_used"));
-  BOOST_LEAF_ASSIGN(read.mMemoryTotal, CountField(fields, "kv_cache_total"));
-  BOOST_LEAF_AUTO(started, OptionalCount(fields, "born", 0));
-  read.mStartedMs = static_cast<std::int64_t>(started);
-  return read;
-}
-
 } // namespace thornhollow::platform
--- a/thornhollow/platform/readers_test.cc
+++ b/thornhollow/platform/readers_test.cc
@@ -183,10 +183,6 @@
     }
     Read(ReadStorePage(
       Spoilt(R"({"entries":[],"has_more":false,"at":9})", random)));
-    Read(ReadEngineLoad(Spoilt(
-      R"({"queued_requests":1,"active_requests":2,"kv_cache_used":3,
-        "kv_cache_total":4})",
-      random)));
   }
 }
 
--- a/thornhollow/platform/wire_names.cc
+++ b/thornhollow/platform/wire_names.cc
@@ -14,7 +14,7 @@
   names.mPromptParts = "X-Prompt-Prefix";
   names.mResumeAfter = "Last-Event-Id";
   names.mTeam = "X-Tenant";
-  names.mExpectedInstance = "X-Expected-Instance";
+  names.mExpectedEndpoint = "X-Expected-Instance";
   names.mPriority = "X-Request-Priority";
   names.mRouterOnly = { "X-Cache-Retention", "X-Pin-Duration-Ms",
                         "X-Kv-Backup",       "Kv-From",
--- a/thornhollow/platform/wire_names.h
+++ b/thornhollow/platform/wire_names.h
@@ -15,8 +15,6 @@
 inline constexpr const char* kSettingsVariable = "THORNHOLLOW_NODE_FILE";
 // Asked by the platform's balancer: 200 where the instance takes connections.
 inline constexpr std::string_view kReadinessPath = "/v1/readiness";
-// An engine's own account of its load.
-inline constexpr std::string_view kLoadPath = "/v1/report";
 // The one item that holds the whole configuration.
 inline constexpr std::string_view kConfigurationPrefix = "op/";
 inline constexpr std::string_view kConfigurationKey = "op/config";
--- a/thornhollow/request/relay_headers.cc
+++ b/thornhollow/request/relay_headers.cc
@@ -116,7 +116,7 @@
 {
   return IsAnyOf(aName,
                  { aNames.mTeam,
-                   aNames.mExpectedInstance,
+                   aNames.mExpectedEndpoint,
                    aNames.mPriority,
                    aNames.mTimeLeft,
                    aNames.mResumeAfter,
@@ -189,7 +189,7 @@
       sent.push_back(each);
     }
   }
-  sent.push_back({ aNames.mExpectedInstance, aFacts.mEndpoint.Text() });
+  sent.push_back({ aNames.mExpectedEndpoint, aFacts.mEndpoint.Text() });
   // Never beyond what is left: an endpoint would work on for nobody.
   sent.push_back({ aNames.mTimeLeft,
                    std::to_string(std::max<std::int64_t>(
--- a/thornhollow/request/relay_headers.h
+++ b/thornhollow/request/relay_headers.h
@@ -30,9 +30,9 @@
   // Milliseconds for which the caller still waits.
   std::string mTimeLeft = "X-Deadline-Ms";
   // "prompt,output": tokens of the prompt, and the most that are generated.
-  std::string mTokenCounts = "X-Token-Counts";
+  std::string mTokenCounts = "X-Tokens";
   // The caller's guess of the number of generated tokens.
-  std::string mLengthHint = "X-Length-Hint";
+  std::string mLengthHint = "X-Expected-Tokens";
   // "id:tokens,...": the prompt's parts in order, shared ones first.
   std::string mPromptParts = "X-Prompt-Parts";
   // The last event that the caller has of a stream to be continued.
@@ -40,7 +40,7 @@
 
   // Set by the router towards endpoints.
   std::string mTeam = "X-Team";
-  std::string mExpectedInstance = "X-Expected-Instance";
+  std::string mExpectedEndpoint = "X-Endpoint";
   std::string mPriority = "X-Priority";
   // Other headers that only the router may set: never passed on from a caller.
   std::vector<std::string> mRouterOnly;
--- a/thornhollow/request/relay_headers_test.cc
+++ b/thornhollow/request/relay_headers_test.cc
@@ -15,9 +15,9 @@
     { "x-request-id", "r1" },
     { "Authorization", "bearer  secret" },
     { "X-Deadline-Ms", "1500" },
-    { "X-Token-Counts", "1460,80" },
+    { "X-Tokens", "1460,80" },
     { "X-Prompt-Parts", "5c:800, 91:410,e4:250" },
-    { "X-Length-Hint", "40" },
+    { "X-Expected-Tokens", "40" },
     { "Connection", "keep-alive, X-Hop" },
     { "X-Hop", "1" },
     { "Content-Length", "3" },
@@ -60,7 +60,7 @@
   CHECK(Sent(sent, "Connection").empty());
   CHECK(Sent(sent, "Content-Length").empty());
   CHECK(Sent(sent, "X-Own") == "kept");
-  CHECK(Sent(sent, "X-Expected-Instance") == "i-7");
+  CHECK(Sent(sent, "X-Endpoint") == "i-7");
   CHECK(Sent(sent, "X-Team") == "office");
   CHECK(Sent(sent, "X-Deadline-Ms") == "700");
   CHECK(Sent(sent, "X-Priority") == "3");
