Readers of the source and changes in place of copies between peers; readers are off

Change: a few instances of a large failure domain may read the source for all (source_readers); peers pass on changes, not whole lists (a list of 93 endpoints is 30 KB, a change 300 bytes); an outage that a non-reader can't see is told by several leases ending at once.

--- a/thornhollow/config/relay_settings.cc
+++ b/thornhollow/config/relay_settings.cc
@@ -99,6 +99,9 @@
                               { .mLeast = 0.1,
                                 .mMost = 86'400,
                                 .mDefault = ToSeconds(read.mDrainGrace) }));
+  read.mSourceReaders = static_cast<std::uint32_t>(fields.Whole(
+    "source_readers",
+    { .mLeast = 0, .mMost = 64, .mDefault = read.mSourceReaders }));
   read.mMaxConnections = static_cast<std::uint32_t>(fields.Whole(
     "max_connections",
     { .mLeast = 1, .mMost = 65'535, .mDefault = read.mMaxConnections }));
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -1,5 +1,6 @@
 #include "thornhollow/daemon/relay_gateway.h"
 
+#include <algorithm>
 #include <ctime>
 #include <utility>
 
@@ -28,6 +29,10 @@
 // From then on a stopping instance takes only what it can answer whole before
 // its end: a long answer would be cut, and another instance can give it.
 constexpr duration kRefuseAfter = Milliseconds(2'500);
+// An instance that the source didn't answer leaves it to others for this long,
+// where there are enough: longer than most refusals, short enough that a site's
+// readers are soon the same again.
+constexpr duration kLeaveSourceFor = Seconds(5);
 // How often a stopping instance looks whether it is done.
 constexpr duration kDrainCheck = Milliseconds(50);
 // Left of the drain's grace for the process's own end.
@@ -176,6 +181,7 @@
       return known_revisions{ mDocument.Mirror().At(),
                               mEndpoints.Mirror().At() };
     };
+    listener.mSourceFails = [this] { return Now() < mSourceFailsUntil; };
     listener.mWork = [this] { return OwnWork(); };
     listener.mDemand = [this] {
       std::vector<pool_demand> told;
@@ -185,16 +191,9 @@
       return told;
     };
     listener.mOnAsked = [this](const items_request& aAsked) {
-      const item_mirror& mirror = LinkOf(aAsked.mWhich).Mirror();
-      const bool later = mirror.At() > aAsked.mAfter;
-      return items_answer{ aAsked.mWhich,
-                           later ? mirror.At() : 0,
-                           later ? mirror.Items()
-                                 : std::vector<source_item>{} };
-    };
-    listener.mOnCopy = [this](const items_answer& aCopy) {
-      LinkOf(aCopy.mWhich).OnPeer(aCopy.mItems, aCopy.mAt);
+      return CopyFor(aAsked);
     };
+    listener.mOnCopy = [this](const items_answer& aCopy) { TakeCopy(aCopy); };
     return listener;
   }
 
@@ -203,6 +202,43 @@
     return aWhich == copied_items::kConfiguration ? mDocument : mEndpoints;
   }
 
+  // What changed where that is remembered, else everything: the list of a large
+  // site is 30 KB, a change of it 300 bytes, and each reaches every instance.
+  items_answer CopyFor(const items_request& aAsked)
+  {
+    const item_mirror& mirror = LinkOf(aAsked.mWhich).Mirror();
+    items_answer answer{ aAsked.mWhich, 0, false, {} };
+    if (mirror.At() <= aAsked.mAfter) {
+      return answer;
+    }
+    answer.mAt = mirror.At();
+    if (auto changes = mirror.Since(aAsked.mAfter)) {
+      answer.mChangesOnly = true;
+      answer.mItems = std::move(*changes);
+      return answer;
+    }
+    for (const source_item& each : mirror.Items()) {
+      answer.mItems.push_back({ each.mKey, each.mValue, each.mRevision });
+    }
+    return answer;
+  }
+
+  void TakeCopy(const items_answer& aCopy)
+  {
+    source_link& link = LinkOf(aCopy.mWhich);
+    if (aCopy.mChangesOnly) {
+      link.OnPeerChanges(aCopy.mItems, aCopy.mAt);
+      return;
+    }
+    std::vector<source_item> items;
+    items.reserve(aCopy.mItems.size());
+    for (const item_change& each : aCopy.mItems) {
+      items.push_back(
+        { each.mKey, each.mValue.value_or(std::string()), each.mRevision });
+    }
+    link.OnPeerListing(items, aCopy.mAt);
+  }
+
   std::vector<endpoint_work> OwnWork() const
   {
     std::vector<endpoint_work> work;
@@ -215,13 +251,34 @@
     return work;
   }
 
+  void ChooseReading(time_point aNow)
+  {
+    if (mDocument.Failing() || mEndpoints.Failing()) {
+      mSourceFailsUntil = aNow + kLeaveSourceFor;
+    }
+    mReads = mPeers.Reads(aNow);
+    mDocument.SetReading(mReads);
+    mEndpoints.SetReading(mReads);
+  }
+
+  // Who doesn't read the source doesn't see its outage. Several leases that end
+  // at once are taken for lapsed ones; endpoints that leave say so one by one.
+  void LookForLapse(const std::vector<item_change>& aNews)
+  {
+    const auto removed = std::ranges::count_if(
+      aNews, [](const item_change& aOne) { return !aOne.mValue.has_value(); });
+    if (!mReads && removed > 1) {
+      mRoster.OnSourceRegained(Now());
+    }
+  }
+
   // What the other instances told of engines' work and of the demand.
   void UsePeers(time_point aNow)
   {
     mDispatcher.SetPeers(mPeers.Count(aNow));
     mDispatcher.SetOthersWork(mPeers.OthersWork(aNow));
     auto demand = mDispatcher.OwnDemand(aNow);
-    for (const auto& [pool, others] : mPeers.OthersDemand(aNow)) {
+    for (const auto& [pool, others] : mPeers.OthersDemand()) {
       demand[pool].mPatient += others.mPatient;
       demand[pool].mUrgent += others.mUrgent;
     }
@@ -304,6 +361,7 @@
 
   void OnEndpoints(const std::vector<item_change>& aNews)
   {
+    LookForLapse(aNews);
     for (const item_change& each : aNews) {
       if (each.mValue) {
         OnEntry(each);
@@ -347,6 +405,7 @@
     mDocument.Tick(now);
     mEndpoints.Tick(now);
     mDispatcher.Apply(mRoster.Tick(now));
+    ChooseReading(now);
     mPeers.Tick(now);
     UsePeers(now);
     mDispatcher.Tick(now);
@@ -421,6 +480,9 @@
   clock_gap mBootGap;
   boost::asio::steady_timer mTimer;
   boost::asio::steady_timer mDrainTimer;
+  // Asks the source itself; else peers tell.
+  bool mReads = true;
+  time_point mSourceFailsUntil{};
   bool mDraining = false;
   time_point mDrainBegun{};
 };
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -30,6 +30,14 @@
   return settings;
 }
 
+relay_peer_settings
+PeerSettings(const relay_settings& aSettings)
+{
+  relay_peer_settings settings;
+  settings.mReaders = aSettings.mSourceReaders;
+  return settings;
+}
+
 } // namespace
 
 class relay_peer_link::core : public std::enable_shared_from_this<core>
@@ -44,8 +52,9 @@
     , mListener(std::move(aListener))
     , mLog(aLog)
     , mMetrics(aMetrics)
-    , mPeers(relay_peer_settings{},
+    , mPeers(PeerSettings(aSettings),
              aSettings.mPeerAddress,
+             aSettings.mDomain,
              aSettings.mPeerSeeds,
              std::random_device()())
     , mTransport(
@@ -74,6 +83,18 @@
 
   void OnNews() { Tell(mPeers.OnNews(), false); }
 
+  bool Reads(time_point aNow)
+  {
+    const bool reads = mPeers.Reads(mListener.mSourceFails(), aNow);
+    if (reads != std::exchange(mReads, reads)) {
+      mLog.Write(log_level::kInfo,
+                 "source_reading",
+                 { { "reads", std::int64_t{ reads } },
+                   { "alive", static_cast<std::int64_t>(mPeers.Alive()) } });
+    }
+    return reads;
+  }
+
   const relay_peers& Peers() const { return mPeers; }
 
 private:
@@ -95,6 +116,7 @@
     }
     hello.mDemand = mListener.mDemand();
     hello.mWantsAnswer = aWantAnswer;
+    hello.mSourceFails = mListener.mSourceFails();
     const std::string bytes = EncodeHello(hello);
     for (const std::string& each : aTo) {
       mTransport.SendDatagram(each, bytes);
@@ -136,7 +158,9 @@
     if (!mBehindSince) {
       mBehindSince = aNow;
     }
-    if (aNow - *mBehindSince < kBehindFor || aNow < mNextAsk) {
+    // Who doesn't read the source is told of nothing by it.
+    const duration patience = mReads ? kBehindFor : duration::zero();
+    if (aNow - *mBehindSince < patience || aNow < mNextAsk) {
       return;
     }
     mNextAsk = aNow + kAskEvery;
@@ -171,6 +195,7 @@
   relay_peers mPeers;
   peer_transport mTransport;
   std::size_t mAlive = 0;
+  bool mReads = true;
   std::optional<time_point> mBehindSince;
   time_point mNextAsk{};
 };
@@ -208,6 +233,12 @@
   mCore->OnNews();
 }
 
+bool
+relay_peer_link::Reads(time_point aNow)
+{
+  return mCore->Reads(aNow);
+}
+
 std::size_t
 relay_peer_link::Count(time_point aNow) const
 {
@@ -227,9 +258,9 @@
 }
 
 std::map<pool_name, engine_demand>
-relay_peer_link::OthersDemand(time_point aNow) const
+relay_peer_link::OthersDemand() const
 {
-  return mCore->Peers().OthersDemand(aNow);
+  return mCore->Peers().OthersDemand();
 }
 
 } // namespace thornhollow
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -33,6 +33,8 @@
 struct relay_peer_listener
 {
   std::function<known_revisions()> mKnown;
+  // The source doesn't answer this instance.
+  std::function<bool()> mSourceFails;
   std::function<std::vector<endpoint_work>()> mWork;
   std::function<std::vector<pool_demand>()> mDemand;
   // The copy as a peer asks for it.
@@ -57,12 +59,14 @@
   result<void> Open();
   void Tick(time_point aNow);
   void OnNews();
+  // Whether this instance is to read the source.
+  bool Reads(time_point aNow);
 
   // See fleet/relay_peers.h.
   std::size_t Count(time_point aNow) const;
   std::size_t Alive() const;
   std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
-  std::map<pool_name, engine_demand> OthersDemand(time_point aNow) const;
+  std::map<pool_name, engine_demand> OthersDemand() const;
 
 private:
   class core;
--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -31,9 +31,27 @@
   {
   }
 
+  void SetReading(bool aReads)
+  {
+    if (std::exchange(mReads, aReads) == aReads) {
+      return;
+    }
+    if (aReads && mIdle) {
+      Restart();
+    }
+    if (!aReads) {
+      mFollower.StopAsking();
+      NoteRegained();
+    }
+  }
+
   void Ask(const source_call& aCall)
   {
     const std::uint64_t round = ++mRound;
+    mIdle = !mReads;
+    if (mIdle) {
+      return;
+    }
     if (aCall.mPause <= duration::zero()) {
       Send(aCall, round);
       return;
@@ -63,21 +81,19 @@
     }
   }
 
-  void OnPeer(const std::vector<source_item>& aItems, std::uint64_t aAt)
+  void OnPeerListing(const std::vector<source_item>& aItems, std::uint64_t aAt)
   {
-    const std::uint64_t before = mMirror.At();
-    if (aAt <= before) {
-      return;
+    if (const std::uint64_t before = mMirror.At(); aAt > before) {
+      TakePeersNews(mMirror.OnListing(aItems, aAt), before);
     }
-    const auto news = mMirror.OnListing(aItems, aAt);
-    mLog.Write(log_level::kInfo,
-               "taken_from_peer",
-               { { "what", mWhat },
-                 { "from", static_cast<std::int64_t>(before) },
-                 { "at", static_cast<std::int64_t>(aAt) },
-                 { "changes", static_cast<std::int64_t>(news.size()) } });
-    if (!news.empty()) {
-      mListener.mOnNews(news);
+  }
+
+  void OnPeerChanges(const std::vector<item_change>& aChanges,
+                     std::uint64_t aAt)
+  {
+    if (const std::uint64_t before = mMirror.At();
+        aAt > before && mMirror.Listed()) {
+      TakePeersNews(mMirror.OnChanges(aChanges, aAt), before);
     }
   }
 
@@ -145,20 +161,40 @@
 
   void Apply(const std::vector<item_change>& aNews, const source_call& aNext)
   {
-    if (mLost && !mFollower.Failing()) {
-      mLost = false;
-      mLog.Write(log_level::kInfo,
-                 "source_regained",
-                 { { "what", mWhat },
-                   { "at", static_cast<std::int64_t>(mMirror.At()) } });
-      mListener.mOnRegained();
-    }
+    NoteRegained();
     if (!aNews.empty()) {
       mListener.mOnNews(aNews);
     }
     Ask(aNext);
   }
 
+  void TakePeersNews(const std::vector<item_change>& aNews,
+                     std::uint64_t aBefore)
+  {
+    mLog.Write(log_level::kInfo,
+               "taken_from_peer",
+               { { "what", mWhat },
+                 { "from", static_cast<std::int64_t>(aBefore) },
+                 { "at", static_cast<std::int64_t>(mMirror.At()) },
+                 { "changes", static_cast<std::int64_t>(aNews.size()) } });
+    if (!aNews.empty()) {
+      mListener.mOnNews(aNews);
+    }
+  }
+
+  void NoteRegained()
+  {
+    if (!mLost || mFollower.Failing()) {
+      return;
+    }
+    mLost = false;
+    mLog.Write(
+      log_level::kInfo,
+      "source_regained",
+      { { "what", mWhat }, { "at", static_cast<std::int64_t>(mMirror.At()) } });
+    mListener.mOnRegained();
+  }
+
   void LogFailure(const source_failure& aFailure)
   {
     mLog.Write(log_level::kInfo,
@@ -174,6 +210,9 @@
   item_mirror mMirror;
   source_follower mFollower;
   boost::asio::steady_timer mTimer;
+  bool mReads = true;
+  // No call is on its way or due.
+  bool mIdle = false;
   // Tells an answer that is still wanted from one that came too late.
   std::uint64_t mRound = 0;
   bool mLost = false;
@@ -211,6 +250,12 @@
   mCore->Restart();
 }
 
+void
+source_link::SetReading(bool aReads)
+{
+  mCore->SetReading(aReads);
+}
+
 void
 source_link::Tick(time_point aNow)
 {
@@ -218,9 +263,17 @@
 }
 
 void
-source_link::OnPeer(const std::vector<source_item>& aItems, std::uint64_t aAt)
+source_link::OnPeerListing(const std::vector<source_item>& aItems,
+                           std::uint64_t aAt)
+{
+  mCore->OnPeerListing(aItems, aAt);
+}
+
+void
+source_link::OnPeerChanges(const std::vector<item_change>& aChanges,
+                           std::uint64_t aAt)
 {
-  mCore->OnPeer(aItems, aAt);
+  mCore->OnPeerChanges(aChanges, aAt);
 }
 
 const item_mirror&
--- a/thornhollow/daemon/source_link.h
+++ b/thornhollow/daemon/source_link.h
@@ -49,11 +49,17 @@
   void Start();
   // An answer on its way is worth nothing any more: asks anew at once.
   void Restart();
+  // Whether the source is asked at all; what is on its way is still taken.
+  // Peers tell of news meanwhile.
+  void SetReading(bool aReads);
   // Notices an outage. To be called every 100 ms.
   void Tick(time_point aNow);
 
-  // What a peer holds. Taken only where it is newer.
-  void OnPeer(const std::vector<source_item>& aItems, std::uint64_t aAt);
+  // What a peer holds, or what it has seen change since a revision that this
+  // copy had. Taken only where it is newer.
+  void OnPeerListing(const std::vector<source_item>& aItems, std::uint64_t aAt);
+  void OnPeerChanges(const std::vector<item_change>& aChanges,
+                     std::uint64_t aAt);
 
   const item_mirror& Mirror() const;
   // The source's last answer was a failure.
--- a/thornhollow/discovery/item_mirror.cc
+++ b/thornhollow/discovery/item_mirror.cc
@@ -33,6 +33,7 @@
       mItems.erase(each.mKey);
     }
   }
+  Remember(changes, mListed ? mAt : aAt);
   mListed = true;
   mAt = aAt;
   return changes;
@@ -58,10 +59,40 @@
     }
     news.push_back(each);
   }
+  Remember(news, mAt);
   mAt = std::max(mAt, aAt);
   return news;
 }
 
+std::optional<std::vector<item_change>>
+item_mirror::Since(std::uint64_t aAfter) const
+{
+  if (!mListed || aAfter < mLatelyAfter) {
+    return std::nullopt;
+  }
+  std::vector<item_change> changes;
+  for (const item_change& each : mLately) {
+    if (each.mRevision > aAfter) {
+      changes.push_back(each);
+    }
+  }
+  return changes;
+}
+
+void
+item_mirror::Remember(const std::vector<item_change>& aChanges,
+                      std::uint64_t aBefore)
+{
+  if (mLately.empty()) {
+    mLatelyAfter = aBefore;
+  }
+  mLately.insert(mLately.end(), aChanges.begin(), aChanges.end());
+  while (mLately.size() > kRemembered) {
+    mLatelyAfter = std::max(mLatelyAfter, mLately.front().mRevision);
+    mLately.pop_front();
+  }
+}
+
 std::vector<source_item>
 item_mirror::Items() const
 {
--- a/thornhollow/discovery/item_mirror.h
+++ b/thornhollow/discovery/item_mirror.h
@@ -13,6 +13,7 @@
 #define THORNHOLLOW_DISCOVERY_ITEM_MIRROR_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -59,6 +60,10 @@
   std::uint64_t At() const { return mAt; }
   std::vector<source_item> Items() const;
 
+  // What changed after revision `aAfter`, the latest last; nothing where that
+  // is longer ago than the copy remembers.
+  std::optional<std::vector<item_change>> Since(std::uint64_t aAfter) const;
+
 private:
   struct held
   {
@@ -69,6 +74,15 @@
   bool mListed = false;
   std::uint64_t mAt = 0;
   std::map<std::string, held> mItems;
+
+  // Changes remembered: minutes of those of a large site.
+  static constexpr std::size_t kRemembered = 256;
+  void Remember(const std::vector<item_change>& aChanges,
+                std::uint64_t aBefore);
+
+  std::deque<item_change> mLately;
+  // All changes after this revision are remembered.
+  std::uint64_t mLatelyAfter = 0;
 };
 
 } // namespace thornhollow
--- a/thornhollow/discovery/item_mirror_test.cc
+++ b/thornhollow/discovery/item_mirror_test.cc
@@ -48,6 +48,33 @@
   CHECK(mMirror.Items() == std::vector<source_item>{ { "a", "3", 11 } });
 }
 
+TEST_CASE_FIXTURE(mirror_with_two_items,
+                  "item_mirror/changes_since/make_another_copy_equal")
+{
+  item_mirror other;
+  other.OnListing({ { "a", "1", 5 }, { "b", "2", 7 } }, 10);
+  mMirror.OnChanges({ { "a", "3", 11 } }, 11);
+  mMirror.OnListing({ { "a", "3", 11 }, { "c", "4", 13 } }, 14);
+  const auto since = mMirror.Since(10);
+  REQUIRE(since.has_value());
+  other.OnChanges(*since, mMirror.At());
+  CHECK(other.Items() == mMirror.Items());
+  CHECK(other.At() == 14);
+  CHECK_FALSE(mMirror.Since(9).has_value());
+  CHECK_FALSE(item_mirror().Since(0).has_value());
+}
+
+TEST_CASE_FIXTURE(mirror_with_two_items,
+                  "item_mirror/more_changes_than_remembered/gives_none")
+{
+  for (std::uint64_t revision = 11; revision < 400; ++revision) {
+    mMirror.OnChanges({ { "a", std::to_string(revision), revision } },
+                      revision);
+  }
+  CHECK_FALSE(mMirror.Since(20).has_value());
+  CHECK(mMirror.Since(390)->size() == 9);
+}
+
 TEST_CASE("item_mirror/random_answers/never_go_back_and_end_equal")
 {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
--- a/thornhollow/discovery/source_follower.h
+++ b/thornhollow/discovery/source_follower.h
@@ -68,6 +68,9 @@
                         std::vector<item_change>& aNews,
                         time_point aNow);
 
+  // The source isn't asked from here any more: what it last did says nothing.
+  void StopAsking() { NoteSuccess(); }
+
   // The source has failed for longer than a moment.
   bool InOutage(time_point aNow) const;
   // The last answer was a failure.
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -16,10 +16,12 @@
 
 relay_peers::relay_peers(const relay_peer_settings& aSettings,
                          std::string aOwnAddress,
+                         domain_name aOwnDomain,
                          std::vector<std::string> aSeeds,
                          std::uint64_t aSeed)
   : mSettings(aSettings)
   , mOwnAddress(std::move(aOwnAddress))
+  , mOwnDomain(std::move(aOwnDomain))
   , mSeeds(std::move(aSeeds))
   , mRandom(aSeed)
 {
@@ -46,13 +48,63 @@
     mNextRound = aNow + mSettings.mInterval;
     std::ranges::move(Draw(), std::back_inserter(told));
   }
+  if (mReads && mSettings.mReaders > 0 && aNow >= mNextAsReader) {
+    mNextAsReader = aNow + mSettings.mReaderInterval;
+    std::ranges::move(OwnDomain(), std::back_inserter(told));
+  }
+  std::ranges::sort(told);
+  const auto repeated = std::ranges::unique(told);
+  told.erase(repeated.begin(), repeated.end());
   return told;
 }
 
+bool
+relay_peers::Reads(bool aFails, time_point aNow)
+{
+  std::size_t ranked = 0;
+  std::size_t inDomain = 1;
+  const std::uint64_t own = Hash64(mOwnAddress);
+  for (const auto& [address, each] : mPeers) {
+    if (each.mHello.mDomain != mOwnDomain) {
+      continue;
+    }
+    ++inDomain;
+    const bool fit =
+      !each.mHello.mSourceFails && aNow - each.mHeard < mSettings.mForgetAfter;
+    // One that the source answers goes before this one where it fails here.
+    if (fit && (aFails || Hash64(address) > own)) {
+      ++ranked;
+    }
+  }
+  mReads = mSettings.mReaders == 0 || inDomain <= mSettings.mAllRead ||
+           ranked < mSettings.mReaders;
+  return mReads;
+}
+
+std::vector<std::string>
+relay_peers::OwnDomain() const
+{
+  std::vector<std::string> found;
+  for (const auto& [address, each] : mPeers) {
+    if (each.mHello.mDomain == mOwnDomain) {
+      found.push_back(address);
+    }
+  }
+  return found;
+}
+
+duration
+relay_peers::ForgetAfter() const
+{
+  return mSettings.mForgetAfter +
+         mSettings.mForgetMore *
+           static_cast<std::int64_t>(mPeers.size() / mSettings.mFanout);
+}
+
 std::vector<std::string>
 relay_peers::OnNews()
 {
-  return Draw();
+  return mReads && mSettings.mReaders > 0 ? OwnDomain() : Draw();
 }
 
 std::optional<std::string>
@@ -101,16 +153,25 @@
     const bool more = its.mConfiguration > aMine.mConfiguration ||
                       its.mEndpoints > aMine.mEndpoints;
     const bool fresh = aNow - each.mHeard < mSettings.mFreshFor;
-    if (more && fresh &&
-        (best == nullptr || its.mConfiguration + its.mEndpoints >
-                              best->mHello.mKnown.mConfiguration +
-                                best->mHello.mKnown.mEndpoints)) {
+    if (more && fresh && (best == nullptr || IsBetter(each, *best))) {
       best = &each;
     }
   }
   return best == nullptr ? std::nullopt : std::optional(best->mHello.mAddress);
 }
 
+// The nearer one first, then the one that knows more.
+bool
+relay_peers::IsBetter(const peer& aLeft, const peer& aRight) const
+{
+  const auto rank = [this](const peer& aOne) {
+    return std::pair(aOne.mHello.mDomain == mOwnDomain,
+                     aOne.mHello.mKnown.mConfiguration +
+                       aOne.mHello.mKnown.mEndpoints);
+  };
+  return rank(aLeft) > rank(aRight);
+}
+
 std::size_t
 relay_peers::Count(time_point aNow) const
 {
@@ -124,10 +185,12 @@
 relay_peers::OthersWork(time_point aNow) const
 {
   std::map<std::uint32_t, endpoint_work> sum;
+  std::size_t fresh = 0;
   for (const auto& [address, each] : mPeers) {
     if (aNow - each.mHeard >= mSettings.mFreshFor) {
       continue;
     }
+    ++fresh;
     for (const endpoint_work& work : each.mHello.mWork) {
       endpoint_work& its = sum[work.mEndpoint];
       its.mToRead += work.mToRead;
@@ -137,17 +200,19 @@
       }
     }
   }
+  for (auto& [endpoint, work] : sum) {
+    work.mToRead = work.mToRead * mPeers.size() / fresh;
+    work.mPerSecond *=
+      static_cast<double>(mPeers.size()) / static_cast<double>(fresh);
+  }
   return sum;
 }
 
 std::map<pool_name, engine_demand>
-relay_peers::OthersDemand(time_point aNow) const
+relay_peers::OthersDemand() const
 {
   std::map<pool_name, engine_demand> sum;
   for (const auto& [address, each] : mPeers) {
-    if (aNow - each.mHeard >= mSettings.mForgetAfter) {
-      continue;
-    }
     for (const pool_demand& one : each.mHello.mDemand) {
       sum[one.mPool].mPatient += one.mDemand.mPatient;
       sum[one.mPool].mUrgent += one.mDemand.mUrgent;
@@ -173,8 +238,9 @@
 void
 relay_peers::Forget(time_point aNow)
 {
+  const duration after = ForgetAfter();
   std::erase_if(mPeers, [&](const auto& aOne) {
-    return aNow - aOne.second.mHeard >= mSettings.mForgetAfter;
+    return aNow - aOne.second.mHeard >= after;
   });
   std::erase_if(mUnheard,
                 [&](const auto& aOne) { return aNow >= aOne.second; });
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -1,7 +1,7 @@
 // Which other relaying instances run, what they know and what they have sent to
 // engines lately.
 //
-//   relay_peers peers(relay_peer_settings{}, "10.0.0.1:7", seeds, seed);
+//   relay_peers peers(relay_peer_settings{}, "10.0.0.1:7", domain, seeds, 1);
 //   Send(peers.Tick(now));                       // every 100 ms
 //   Send(peers.OnHello(hello, now));             // for each datagram
 //   if (const auto from = peers.WhoKnowsMore(mine, now)) { ... ask it ... }
@@ -15,6 +15,13 @@
 // tells a bounded number of others, drawn at random; an unknown one that it
 // hears of is told next.
 //
+// In a large failure domain a few instances may read the source for all: those
+// that rank highest by a hash of their addresses, among those that were heard a
+// moment ago and that the source answers. The others hold what readers tell.
+// The list of endpoints changes every second or two on a site of 90 engines,
+// and a call to the source for each change and instance cost 0.15 of all that
+// such a site earned.
+//
 // Guards against a source that turns this instance away while it serves others:
 // it shows as a configuration that stays behind for this instance only. Peers
 // tell of newer revisions, and what they hold is fetched from them.
@@ -86,6 +93,8 @@
   std::vector<endpoint_work> mWork;
   std::vector<pool_demand> mDemand;
   bool mWantsAnswer = false;
+  // The source doesn't answer this instance.
+  bool mSourceFails = false;
 
   friend bool operator==(const relay_hello&, const relay_hello&) = default;
 };
@@ -98,14 +107,27 @@
   duration mInterval = Milliseconds(250);
   // Others told in an interval.
   std::size_t mFanout = 8;
-  // Without a word for this long an instance counts as gone.
+  // Without a word for this long an instance counts as gone; longer the more
+  // there are, as each is then heard less often: by this much for each
+  // `mFanout` of them.
   duration mForgetAfter = Seconds(4);
+  duration mForgetMore = Milliseconds(1'600);
   // Work and demand that were told longer ago count for nothing.
   duration mFreshFor = Milliseconds(1'200);
   // A seed that doesn't answer is tried this often.
   duration mSeedInterval = Milliseconds(500);
   // Addresses in one hello.
   std::size_t mTold = 6;
+  // Instances of a failure domain that read the source, once it has more than
+  // `mAllRead`; 0: all read it. Two may be enough, so that one can fail unseen
+  // for as long as it takes to notice. Off: with two readers among thirty, a
+  // leaving endpoint got work for 3.2 to 3.5 s where three were allowed, on two
+  // of three days with trouble; with all reading, on none of eight.
+  std::size_t mReaders = 0;
+  std::size_t mAllRead = 6;
+  // A reader tells every instance of its domain this often, or the next in rank
+  // would take it for gone.
+  duration mReaderInterval = Seconds(1);
   // Instances held; letter 1's size is 420.
   std::size_t mMaxPeers = 512;
   // The count of instances is the largest seen for this long, so that a bound
@@ -121,11 +143,15 @@
 public:
   relay_peers(const relay_peer_settings& aSettings,
               std::string aOwnAddress,
+              domain_name aOwnDomain,
               std::vector<std::string> aSeeds,
               std::uint64_t aSeed);
 
   // Addresses that are to be told now.
   std::vector<std::string> Tick(time_point aNow);
+  // Whether this instance is to read the source. `aFails`: it doesn't answer
+  // here.
+  bool Reads(bool aFails, time_point aNow);
   // The same, at once: this instance learnt of a newer revision.
   std::vector<std::string> OnNews();
   // Takes what another one told; returns the address to answer, if any.
@@ -143,9 +169,10 @@
   std::size_t Count(time_point aNow) const;
   std::size_t Alive() const { return mPeers.size(); }
 
-  // Sums over the others, of what is fresh; of paces the least.
+  // Sums over the others, of what is fresh; of paces the least. Work is scaled
+  // up to all where not all were heard a moment ago.
   std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
-  std::map<pool_name, engine_demand> OthersDemand(time_point aNow) const;
+  std::map<pool_name, engine_demand> OthersDemand() const;
 
 private:
   struct peer
@@ -154,11 +181,15 @@
     time_point mHeard{};
   };
 
+  bool IsBetter(const peer& aLeft, const peer& aRight) const;
   std::vector<std::string> Draw();
+  std::vector<std::string> OwnDomain() const;
+  duration ForgetAfter() const;
   void Forget(time_point aNow);
 
   relay_peer_settings mSettings;
   std::string mOwnAddress;
+  domain_name mOwnDomain;
   std::vector<std::string> mSeeds;
   std::mt19937_64 mRandom;
   std::map<std::string, peer> mPeers;
@@ -166,6 +197,8 @@
   std::map<std::string, time_point> mUnheard;
   time_point mNextRound{};
   time_point mNextSeeds{};
+  time_point mNextAsReader{};
+  bool mReads = true;
   std::size_t mMost = 0;
   time_point mMostAt{};
 };
--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -9,18 +9,23 @@
 namespace thornhollow {
 namespace {
 
+const domain_name kHall("hall");
+
 // Instances that exchange hellos in virtual time.
 struct hello_fleet
 {
+  relay_peer_settings mSettings;
   std::map<std::string, std::unique_ptr<relay_peers>> mPeers;
   std::map<std::string, known_revisions> mKnown;
   std::map<std::string, bool> mCutOff;
+  // Whom the source turns away.
+  std::map<std::string, bool> mFails;
   time_point mNow = time_point() + Seconds(100);
 
   void Add(const std::string& aAddress, const std::vector<std::string>& aSeeds)
   {
     mPeers[aAddress] = std::make_unique<relay_peers>(
-      relay_peer_settings{}, aAddress, aSeeds, mPeers.size() + 1);
+      mSettings, aAddress, kHall, aSeeds, mPeers.size() + 1);
   }
 
   void Deliver(const std::string& aFrom, const std::string& aTo, bool aAsk)
@@ -30,6 +35,8 @@
     }
     relay_hello hello;
     hello.mAddress = aFrom;
+    hello.mDomain = kHall;
+    hello.mSourceFails = mFails[aFrom];
     hello.mKnown = mKnown[aFrom];
     hello.mPeers = mPeers[aFrom]->SomePeers();
     hello.mWork = { { 1, 10, 1, 0 } };
@@ -44,6 +51,7 @@
     for (const time_point end = mNow + aLength; mNow < end;
          mNow += Milliseconds(100)) {
       for (auto& [address, peers] : mPeers) {
+        peers->Reads(mFails[address], mNow);
         const bool ask = peers->Alive() == 0;
         for (const std::string& to : peers->Tick(mNow)) {
           Deliver(address, to, ask);
@@ -99,6 +107,75 @@
   CHECK(mPeers["a"]->OthersWork(mNow).at(1).mToRead == 20);
 }
 
+// Those of 30 that read the source, cut off ones left out.
+struct thirty_in_a_domain : hello_fleet
+{
+  thirty_in_a_domain()
+  {
+    mSettings.mReaders = 2;
+    for (int each = 0; each < 30; ++each) {
+      Add("n" + std::to_string(each), { "n0", "n1" });
+    }
+    Run(Seconds(10));
+  }
+
+  std::vector<std::string> Readers()
+  {
+    std::vector<std::string> readers;
+    for (auto& [address, peers] : mPeers) {
+      if (peers->Reads(mFails[address], mNow) && !mCutOff[address]) {
+        readers.push_back(address);
+      }
+    }
+    return readers;
+  }
+};
+
+TEST_CASE_FIXTURE(thirty_in_a_domain, "relay_peers/large_domain/two_read")
+{
+  CHECK(Readers().size() == 2);
+}
+
+TEST_CASE_FIXTURE(thirty_in_a_domain,
+                  "relay_peers/readers_die_or_are_turned_away/others_read")
+{
+  // All instances of a domain go on with an old list for good: those that read
+  // it for them were killed, or the source stopped answering them.
+  for (const std::string& each : Readers()) {
+    mCutOff[each] = true;
+  }
+  Run(Seconds(6));
+  const std::vector<std::string> next = Readers();
+  CHECK(next.size() == 2);
+  for (const std::string& each : next) {
+    mFails[each] = true;
+  }
+  Run(Seconds(6));
+  const std::vector<std::string> last = Readers();
+  CHECK(last.size() >= 2);
+  CHECK(last != next);
+}
+
+TEST_CASE_FIXTURE(hello_fleet, "relay_peers/no_readers_set/all_read")
+{
+  for (int each = 0; each < 30; ++each) {
+    Add("n" + std::to_string(each), { "n0" });
+  }
+  Run(Seconds(5));
+  for (auto& [address, peers] : mPeers) {
+    CHECK(peers->Reads(false, mNow));
+  }
+}
+
+TEST_CASE_FIXTURE(thirty_in_a_domain, "relay_peers/source_down/somebody_asks")
+{
+  for (auto& [address, peers] : mPeers) {
+    mFails[address] = true;
+  }
+  Run(Seconds(6));
+  CHECK_FALSE(Readers().empty());
+}
+
 TEST_CASE_FIXTURE(hello_fleet, "relay_peers/nobody_heard/counts_as_unknown")
 {
   Add("a", { "gone" });
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -86,6 +86,7 @@
   }
   out.__isset.demand = true;
   out.__set_wants_answer(aHello.mWantsAnswer);
+  out.__set_source_fails(aHello.mSourceFails);
   return Write(out);
 }
 
@@ -119,6 +120,7 @@
     }
   }
   hello.mWantsAnswer = in->wants_answer;
+  hello.mSourceFails = in->source_fails;
   return hello;
 }
 
@@ -148,10 +150,12 @@
   wire::items_answer out;
   out.__set_kind(static_cast<std::int32_t>(aAnswer.mWhich));
   out.__set_at(Signed(aAnswer.mAt));
-  for (const source_item& each : aAnswer.mItems) {
+  out.__set_changes_only(aAnswer.mChangesOnly);
+  for (const item_change& each : aAnswer.mItems) {
     wire::source_item item;
     item.__set_key(each.mKey);
-    item.__set_value(each.mValue);
+    item.__set_value(each.mValue.value_or(std::string()));
+    item.__set_removed(!each.mValue.has_value());
     item.__set_revision(Signed(each.mRevision));
     out.items.push_back(item);
   }
@@ -167,9 +171,12 @@
   if (!which) {
     return std::nullopt;
   }
-  items_answer answer{ *which, Unsigned(in->at), {} };
+  items_answer answer{ *which, Unsigned(in->at), in->changes_only, {} };
   for (const wire::source_item& each : in->items) {
-    answer.mItems.push_back({ each.key, each.value, Unsigned(each.revision) });
+    answer.mItems.push_back(
+      { each.key,
+        each.removed ? std::nullopt : std::optional(each.value),
+        Unsigned(each.revision) });
   }
   return answer;
 }
--- a/thornhollow/wire/relay_codec.h
+++ b/thornhollow/wire/relay_codec.h
@@ -36,12 +36,15 @@
   friend bool operator==(const items_request&, const items_request&) = default;
 };
 
-// The copy as of revision `mAt`; without items where it isn't later.
+// The copy as of revision `mAt`, or what changed up to it after the revision
+// that was asked with. Nothing where the copy isn't later.
 struct items_answer
 {
   copied_items mWhich = copied_items::kConfiguration;
   std::uint64_t mAt = 0;
-  std::vector<source_item> mItems;
+  bool mChangesOnly = false;
+  // None of them is a removal where this is the whole copy.
+  std::vector<item_change> mItems;
 
   friend bool operator==(const items_answer&, const items_answer&) = default;
 };
--- a/thornhollow/wire/relay_codec_test.cc
+++ b/thornhollow/wire/relay_codec_test.cc
@@ -18,6 +18,7 @@
   hello.mWork = { { 0xfedcba98, 1200, 300, 15000 } };
   hello.mDemand = { { pool_name("engines"), { 1000, 50 } } };
   hello.mWantsAnswer = true;
+  hello.mSourceFails = true;
   return hello;
 }
 
@@ -28,7 +29,9 @@
   CHECK(DecodeItemsRequest(EncodeItemsRequest(asked)) == asked);
   const items_answer answer{ copied_items::kConfiguration,
                              10,
-                             { { "k", std::string("\0x", 2), 4 } } };
+                             true,
+                             { { "k", std::string("\0x", 2), 4 },
+                               { "l", std::nullopt, 5 } } };
   CHECK(DecodeItemsAnswer(EncodeItemsAnswer(answer)) == answer);
 }
 
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -129,6 +129,7 @@
   6: list<endpoint_work> work
   7: list<pool_demand> demand
   8: bool wants_answer
+  9: bool source_fails
 }
 
 struct items_request {
@@ -140,10 +141,13 @@
   1: string key
   2: binary value
   3: i64 revision
+  4: bool removed
 }
 
 struct items_answer {
   1: i32 kind
   2: i64 at
   3: list<source_item> items
+  // The items are what changed after the revision that was asked with.
+  4: bool changes_only
 }
