--- a/thornhollow/routing/routing_table.cc
+++ b/thornhollow/routing/routing_table.cc
@@ -102,12 +102,12 @@
 std::uint32_t
 EngineRank(const route& aRoute, tier_number aTier)
 {
-  // Of ten ranks, three for the routes of each tier.
-  constexpr tier_number kRouteRanks = 3;
+  // Of ten ranks, three for the teams of each route.
+  constexpr tier_number kTeamRanks = 3;
   constexpr tier_number kLeastUrgent = 9;
-  const tier_number tier = std::min(aTier, kLeastUrgent);
-  const tier_number byRoute = std::min(aRoute.mTier, kRouteRanks - 1);
-  return std::min(tier * kRouteRanks + byRoute, kLeastUrgent);
+  const tier_number byRoute = std::min(aRoute.mTier, kLeastUrgent);
+  const tier_number byTeam = std::min(aTier, kTeamRanks - 1);
+  return std::min(byRoute * kTeamRanks + byTeam, kLeastUrgent);
 }
 
 tier_number
--- a/thornhollow/routing/routing_table.h
+++ b/thornhollow/routing/routing_table.h
@@ -63,14 +63,15 @@
 tier_number
 EffectiveTier(const route& aRoute, const routed_team* aTeam);
 
-// How urgent a request is to an engine, 0 (most) to 9: by its effective tier
-// first, and among equal ones by its route's.
+// How urgent a request is to an engine, 0 (most) to 9: by its route's tier
+// first, and among equal ones by its effective tier.
 //
 // Load pattern: an engine out of places or memory interrupts the newest of the
-// least urgent requests. Where the rank is the team's tier alone, a driver's
-// note of that tier is interrupted as likely as a plan of many pages; on the
-// users' heaviest hours 11 to 35 notes were, while plans ran on, and with the
-// finer rank none was.
+// least urgent requests, hundreds of times in the users' heaviest hour. Where
+// the rank is the team's tier, a driver's note or a short tag is interrupted
+// while another team's plan of many pages, which may wait, runs on: 11 to 35
+// times, with the route second 13 times in one run of eight. With the route
+// first it happened in none of seven, with 340 to 366 interruptions each.
 std::uint32_t
 EngineRank(const route& aRoute, tier_number aTier);
 
