Read once more: one place for refusals and for an endpoint's placement facts; dead fields out

Cause: the dispatcher and the session each built a refusal's form, two places each copied an endpoint's facts for placement, a record was made of thirteen values by position, and two fields of relay_work and a counter of kept connections were written but never read.

Change: relay_dispatcher::Refusal and ForPlacement, default values in the record, the dead fields removed. Behaviour as before.

--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -75,10 +75,16 @@
   mLog.Write(log_level::kInfo,
              "request_unreadable",
              { { "kind", std::string(Name(aKind)) } });
+  return Refusal(aKind, request_id());
+}
+
+whole_reply
+relay_dispatcher::Refusal(error_kind aKind, const request_id& aId)
+{
   return ErrorReply(
     aKind,
     ComeBackAfter(),
-    request_id(),
+    aId,
     { .mRequestIdHeader = mNames.mRequestId, .mFractions = true });
 }
 
@@ -132,12 +138,7 @@
                { { "endpoint", aEndpoint.mName.Text() } });
   }
   known.mEntry = aEndpoint;
-  PoolOf(aEndpoint.mPool)
-    .Put({ aEndpoint.mName,
-           aEndpoint.mAddress,
-           aEndpoint.mDomain,
-           known.mLifetime,
-           aEndpoint.mDraining });
+  PoolOf(aEndpoint.mPool).Put(ForPlacement(known));
 }
 
 void
@@ -158,6 +159,17 @@
   mEndpoints.erase(found);
 }
 
+relay_endpoint
+relay_dispatcher::ForPlacement(const known_endpoint& aKnown)
+{
+  const listed_endpoint& entry = aKnown.mEntry;
+  return { entry.mName,
+           entry.mAddress,
+           entry.mDomain,
+           aKnown.mLifetime,
+           entry.mDraining };
+}
+
 bool
 relay_dispatcher::IsEnginePool(const pool_name& aName) const
 {
@@ -184,11 +196,7 @@
             .first;
   for (const auto& [name, each] : mEndpoints) {
     if (each.mEntry.mPool == aName) {
-      found->second.Put({ name,
-                          each.mEntry.mAddress,
-                          each.mEntry.mDomain,
-                          each.mLifetime,
-                          each.mEntry.mDraining });
+      found->second.Put(ForPlacement(each));
     }
   }
   return found->second;
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -93,10 +93,11 @@
   shared_retry_budget& Retries() { return mRetries; }
   void OnSessionBegin() { ++mSessions; }
   void OnSessionEnd() { --mSessions; }
-  // When a caller that is refused now should come back.
-  duration ComeBackAfter();
+  // What a caller that is refused now is told, with when to come back.
+  whole_reply Refusal(error_kind aKind, const request_id& aId);
 
 private:
+  duration ComeBackAfter();
   void Join(const listed_endpoint& aEndpoint);
   void Update(const listed_endpoint& aEndpoint);
   void Drop(const endpoint_name& aName);
@@ -111,6 +112,8 @@
     std::uint64_t mLifetime = 0;
   };
 
+  static relay_endpoint ForPlacement(const known_endpoint& aKnown);
+
   boost::asio::io_context& mIo;
   relay_settings mSettings;
   const relay_names& mNames;
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -13,7 +13,6 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "thornhollow/base/hash.h"
-#include "thornhollow/daemon/caller_reply.h"
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/relay_attempt.h"
 #include "thornhollow/request/event_splitter.h"
@@ -82,10 +81,8 @@
   relay_work work;
   work.mTier = aTier;
   work.mPromptTokens = aRequest.mPromptTokens;
-  work.mOutputTokens = aRequest.mLengthHint.value_or(aRequest.mMaxOutputTokens);
   work.mRank = EngineRank(aRoute, aTier);
   work.mTarget = aRoute.mTarget;
-  work.mPauseTarget = aRoute.mPauseTarget;
   // The last part is the request's own.
   for (std::size_t at = 0; at + 1 < aRequest.mParts.size(); ++at) {
     const prompt_part& part = aRequest.mParts[at];
@@ -495,13 +492,7 @@
   void Refuse(error_kind aKind)
   {
     mDispatcher.Metrics().OnRefused(aKind);
-    const duration after = mDispatcher.ComeBackAfter();
-    whole_reply reply =
-      ErrorReply(aKind,
-                 after,
-                 mRead.mId,
-                 { .mRequestIdHeader = mDispatcher.Names().mRequestId,
-                   .mFractions = true });
+    whole_reply reply = mDispatcher.Refusal(aKind, mRead.mId);
     mStatus = reply.mHttpStatus;
     mExchange->Send(std::move(reply));
     Finish(Name(aKind));
--- a/thornhollow/net/endpoint_connections.h
+++ b/thornhollow/net/endpoint_connections.h
@@ -66,8 +66,6 @@
 
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
-  // Answers that came over it so far.
-  std::uint64_t mAnswers = 0;
 };
 using endpoint_connection_ptr = boost::intrusive_ptr<endpoint_connection>;
 
--- a/thornhollow/net/relay_attempt.cc
+++ b/thornhollow/net/relay_attempt.cc
@@ -270,7 +270,6 @@
                           !aParser.need_eof() &&
                           mConnection->mBuffer.size() == 0;
     if (reusable) {
-      ++mConnection->mAnswers;
       mConnection->mStream.expires_never();
       mConnections.GiveBack(mCall.mWhere, std::move(mConnection), mIdleLimit);
     } else {
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -54,16 +54,7 @@
                    record{ aEndpoint,
                            mNextNumber++,
                            Hash64(aEndpoint.mName.Text()),
-                           endpoint_health(HealthSettings(mEngines)),
-                           0,
-                           0,
-                           0,
-                           {},
-                           {},
-                           0,
-                           std::nullopt,
-                           false,
-                           0 });
+                           endpoint_health(HealthSettings(mEngines)) });
 }
 
 void
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -178,11 +178,11 @@
     std::uint32_t mInFlight = 0;
     std::uint64_t mToRead = 0;
     std::uint64_t mOthersToRead = 0;
-    faded_rate mSent;
-    read_pace mPace;
+    faded_rate mSent = {};
+    read_pace mPace = {};
     double mOthersPace = 0;
     // When a pace of it was known first.
-    std::optional<time_point> mPaceKnown;
+    std::optional<time_point> mPaceKnown = std::nullopt;
     // Reads prompts so slowly that it is left to patient work first.
     bool mSlow = false;
     double mOthersPerSecond = 0;
--- a/thornhollow/policy/relay_work.h
+++ b/thornhollow/policy/relay_work.h
@@ -26,12 +26,8 @@
   std::uint32_t mSharedTokens = 0;
   // Hash of the shared parts; 0 where there are none.
   std::uint64_t mSharedPrefix = 0;
-  // Tokens to be generated, as far as can be told.
-  std::uint32_t mOutputTokens = 0;
   // To the first event or the whole answer.
   duration mTarget{};
-  // Longest pause between two events; zero where none is promised.
-  duration mPauseTarget{};
   // When the caller stops waiting.
   time_point mDeadline{};
   // The work may wait: its target leaves room for other prompts before it.
