Serve what arrives while idle connections are closed at a stop

Cause: a stopping instance closed each connection without a request every 50 ms. Ruled out: the grace (the instance ended after it had answered all it counted), the balancer's notice time. The loop stood twice (daemon, relay_gateway), now once: drain_watch.

--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -7,10 +7,10 @@
 #include <variant>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "thornhollow/config/catalog.h"
 #include "thornhollow/daemon/control_plane.h"
+#include "thornhollow/daemon/drain_watch.h"
 #include "thornhollow/daemon/load_poller.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/daemon/operators_page.h"
@@ -27,8 +27,6 @@
 // as it takes to notice; they are answered with "not run" instead of meeting a
 // closed port.
 constexpr duration kBalancerNotices = Seconds(2);
-// How often a stopping instance looks whether it is done.
-constexpr duration kDrainCheck = Milliseconds(50);
 
 server_limits
 CallerServerLimits(const daemon_settings& aSettings)
@@ -121,7 +119,7 @@
           mRouter.OnLoadReport(aName, aReport);
         },
         [this](std::size_t aBytes) { mMetrics.OnControlBytes("load", aBytes); })
-    , mDrainTimer(aIo)
+    , mDrain(aIo, mCallers)
   {
     mRouter.SetKeyGate(&mControl.Keys());
     mRouter.OnEndpointLeaving([this](const endpoint_name& aEndpoint) {
@@ -155,8 +153,10 @@
       { { "in_progress", static_cast<std::int64_t>(mRouter.InProgress()) } });
     mRouter.BeginDrain();
     mControl.Drain();
-    mDrainBegun = Now();
-    CheckDrained();
+    mDrain.Begin(
+      { .mBalancerNotices = kBalancerNotices, .mGrace = mSettings.mDrainGrace },
+      [this] { return mRouter.InProgress(); },
+      [this] { Stop(); });
   }
 
 private:
@@ -187,6 +187,16 @@
     return listener;
   }
 
+  void Stop()
+  {
+    mLog.Write(log_level::kInfo,
+               "stopped",
+               { { "left_in_progress",
+                   static_cast<std::int64_t>(mRouter.InProgress()) } });
+    mControl.Leave();
+    mIo.stop();
+  }
+
   instance_status Status() const
   {
     instance_status status;
@@ -209,31 +219,6 @@
     return status;
   }
 
-  void CheckDrained()
-  {
-    const duration since = Now() - mDrainBegun;
-    if (since >= kBalancerNotices) {
-      mCallers.BeginDrain();
-    }
-    const bool idle = mRouter.InProgress() == 0 && mCallers.InProgress() == 0;
-    if ((idle && since >= kBalancerNotices) || since >= mSettings.mDrainGrace) {
-      mLog.Write(log_level::kInfo,
-                 "stopped",
-                 { { "left_in_progress",
-                     static_cast<std::int64_t>(mRouter.InProgress()) } });
-      mCallers.StopListening();
-      mControl.Leave();
-      mIo.stop();
-      return;
-    }
-    mDrainTimer.expires_after(kDrainCheck);
-    mDrainTimer.async_wait([this](const error_code& aWrong) {
-      if (!aWrong) {
-        CheckDrained();
-      }
-    });
-  }
-
   boost::asio::io_context& mIo;
   daemon_settings mSettings;
   json_log& mLog;
@@ -243,9 +228,8 @@
   caller_server mOperators;
   control_plane mControl;
   load_poller mLoadPoller;
-  boost::asio::steady_timer mDrainTimer;
+  drain_watch mDrain;
   bool mDraining = false;
-  time_point mDrainBegun{};
 };
 
 daemon::daemon(boost::asio::io_context& aIo,
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "thornhollow/daemon/drain_watch.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/daemon/operators_page.h"
 #include "thornhollow/daemon/relay_dispatcher.h"
@@ -33,8 +34,6 @@
 // where there are enough: longer than most refusals, short enough that a site's
 // readers are soon the same again.
 constexpr duration kLeaveSourceFor = Seconds(5);
-// How often a stopping instance looks whether it is done.
-constexpr duration kDrainCheck = Milliseconds(50);
 // Left of the drain's grace for the process's own end.
 constexpr duration kEndReserve = Milliseconds(400);
 
@@ -134,7 +133,7 @@
     , mRoster(roster_settings{})
     , mPeers(aIo, aSettings, PeerListener(), aLog, mMetrics)
     , mTimer(aIo)
-    , mDrainTimer(aIo)
+    , mDrain(aIo, mCallers)
   {
   }
 
@@ -166,11 +165,13 @@
                "drain_begun",
                { { "in_progress",
                    static_cast<std::int64_t>(mDispatcher.InProgress()) } });
-    mDrainBegun = Now();
-    mDispatcher.EndAt(mDrainBegun + mSettings.mDrainGrace - kEndReserve,
-                      mDrainBegun + kRefuseAfter);
+    const duration grace = mSettings.mDrainGrace - kEndReserve;
+    mDispatcher.EndAt(Now() + grace, Now() + kRefuseAfter);
     mCallers.CloseAfterAnswers();
-    CheckDrained();
+    mDrain.Begin(
+      { .mBalancerNotices = kBalancerNotices, .mGrace = grace },
+      [this] { return mDispatcher.InProgress(); },
+      [this] { Stop(); });
   }
 
 private:
@@ -436,30 +437,13 @@
     mEndpoints.Restart();
   }
 
-  void CheckDrained()
+  void Stop()
   {
-    const duration since = Now() - mDrainBegun;
-    const bool noticed = since >= kBalancerNotices;
-    if (noticed) {
-      mCallers.BeginDrain();
-    }
-    const bool idle =
-      mDispatcher.InProgress() == 0 && mCallers.InProgress() == 0;
-    if ((idle && noticed) || since >= mSettings.mDrainGrace - kEndReserve) {
-      mLog.Write(log_level::kInfo,
-                 "stopped",
-                 { { "left_in_progress",
-                     static_cast<std::int64_t>(mDispatcher.InProgress()) } });
-      mCallers.StopListening();
-      mIo.stop();
-      return;
-    }
-    mDrainTimer.expires_after(kDrainCheck);
-    mDrainTimer.async_wait([this](const error_code& aWrong) {
-      if (!aWrong) {
-        CheckDrained();
-      }
-    });
+    mLog.Write(log_level::kInfo,
+               "stopped",
+               { { "left_in_progress",
+                   static_cast<std::int64_t>(mDispatcher.InProgress()) } });
+    mIo.stop();
   }
 
   boost::asio::io_context& mIo;
@@ -479,12 +463,11 @@
   clock_gap mSteadyGap;
   clock_gap mBootGap;
   boost::asio::steady_timer mTimer;
-  boost::asio::steady_timer mDrainTimer;
+  drain_watch mDrain;
   // Asks the source itself; else peers tell.
   bool mReads = true;
   time_point mSourceFailsUntil{};
   bool mDraining = false;
-  time_point mDrainBegun{};
 };
 
 relay_gateway::relay_gateway(boost::asio::io_context& aIo,
--- a/thornhollow/net/caller_server.cc
+++ b/thornhollow/net/caller_server.cc
@@ -243,6 +243,7 @@
     : mStream(std::move(aSocket))
     , mShared(std::move(aShared))
     , mReadLimit(mStream.get_executor())
+    , mOpened(Now())
   {
     mShared->mSessions.insert(this);
     net_internal::DetectSilence(mStream.socket(), kCallerSilence);
@@ -261,17 +262,33 @@
     } else {
       co_await Refuse(error_kind::kTooManyConnections);
     }
+    mPhase = phase::kClosing;
     co_await Linger();
   }
 
-  void CloseIfIdle()
+  // Ends the wait for a next request. Bytes that have arrived are not thrown
+  // away: closing the socket would let a request that was read already run
+  // with nowhere to put its answer, which the caller sees as a connection that
+  // closed on it. Cancelling leaves a finished read as it is, so that request
+  // is served.
+  void EndIfIdle()
   {
-    if (mIdle) {
-      error_code ignored;
-      mStream.socket().close(ignored);
+    error_code wrong;
+    if (!Busy() && mPhase == phase::kWaiting &&
+        mStream.socket().available(wrong) == 0) {
+      mStream.socket().cancel(wrong);
     }
   }
 
+  // A request is being read or answered, or the connection is so new that its
+  // first one is on its way.
+  bool Busy() const
+  {
+    const bool isNew =
+      !mAnsweredOne && Now() - mOpened < mShared->mLimits.mFirstRequestComes;
+    return mPhase == phase::kWorking || (mPhase == phase::kWaiting && isNew);
+  }
+
 private:
   // Refused and closing connections beyond this many are dropped at once.
   bool Crowded() const
@@ -332,7 +349,8 @@
     one->Leave();
     // Wakes the watcher, which holds the exchange.
     mStream.socket().cancel();
-    co_return written&& keepAlive&& mVersion == kHttp11 && !mShared->mDraining;
+    mAnsweredOne = true;
+    co_return written&& mToldToStay;
   }
 
   asio::awaitable<bool> WaitForFirstByte()
@@ -340,13 +358,13 @@
     if (mBuffer.size() > 0) {
       co_return true;
     }
-    mIdle = true;
+    mPhase = phase::kWaiting;
     mStream.expires_after(mShared->mLimits.mIdleTimeout);
     error_code wrong;
     const std::size_t bytes = co_await mStream.async_read_some(
       mBuffer.prepare(kFirstRead), Into(wrong));
     mBuffer.commit(bytes);
-    mIdle = false;
+    mPhase = phase::kWorking;
     co_return !wrong;
   }
 
@@ -581,9 +599,13 @@
     mStream.socket().close(ignored);
   }
 
-  bool StaysOpen(bool aKeepAlive) const
+  // Whether this answer tells its caller that the connection stays open. It
+  // then does, also where a drain begins before the answer's end: a caller
+  // that was told so may have sent its next request already.
+  bool StaysOpen(bool aKeepAlive)
   {
-    return aKeepAlive && mVersion == kHttp11 && !mShared->mDraining;
+    mToldToStay = aKeepAlive && mVersion == kHttp11 && !mShared->mDraining;
+    return mToldToStay;
   }
 
   asio::awaitable<bool> WriteWhole(const whole_reply& aReply, bool aKeepAlive)
@@ -671,17 +693,31 @@
   static constexpr duration kCancelAgainAfter = Milliseconds(20);
   static constexpr std::size_t kMaxClosing = 256;
 
+  enum class phase : std::uint8_t
+  {
+    // For a request's first byte.
+    kWaiting,
+    // Reads a request or writes its answer.
+    kWorking,
+    // Nothing that comes is read as a request any more.
+    kClosing,
+  };
+
   beast::tcp_stream mStream;
   std::shared_ptr<shared_state> mShared;
   beast::flat_buffer mBuffer;
   asio::steady_timer mReadLimit;
+  time_point mOpened;
+  phase mPhase = phase::kWorking;
+  bool mAnsweredOne = false;
+  // What the last answer's head said.
+  bool mToldToStay = false;
   // When the present request's first byte was there.
   time_point mReadBegun{};
   // Finished readings; tells a late timer that its own is over.
   std::uint64_t mReads = 0;
   unsigned mVersion = kHttp11;
   bool mHead = false;
-  bool mIdle = false;
   bool mLate = false;
 };
 
@@ -691,6 +727,14 @@
   co_await aSession->Run();
 }
 
+void
+Serve(const std::shared_ptr<shared_state>& aShared, tcp::socket aSocket)
+{
+  auto one =
+    boost::intrusive_ptr<session>(new session(std::move(aSocket), aShared));
+  asio::co_spawn(aShared->mIo, RunSession(std::move(one)), asio::detached);
+}
+
 asio::awaitable<void>
 Accept(std::shared_ptr<shared_state> aShared)
 {
@@ -707,9 +751,7 @@
       co_await pause.async_wait(Into(wrong));
       continue;
     }
-    auto one =
-      boost::intrusive_ptr<session>(new session(std::move(socket), aShared));
-    asio::co_spawn(aShared->mIo, RunSession(std::move(one)), asio::detached);
+    Serve(aShared, std::move(socket));
   }
 }
 
@@ -734,7 +776,8 @@
 
 caller_server::~caller_server()
 {
-  StopListening();
+  error_code ignored;
+  mShared->mAcceptor.close(ignored);
 }
 
 result<std::string>
@@ -783,15 +826,32 @@
   const std::vector<session*> sessions(mShared->mSessions.begin(),
                                        mShared->mSessions.end());
   for (session* each : sessions) {
-    each->CloseIfIdle();
+    each->EndIfIdle();
   }
 }
 
 void
 caller_server::StopListening()
 {
-  error_code ignored;
-  mShared->mAcceptor.close(ignored);
+  auto& acceptor = mShared->mAcceptor;
+  error_code wrong;
+  acceptor.non_blocking(true, wrong);
+  while (!wrong) {
+    tcp::socket socket(mShared->mIo);
+    acceptor.accept(socket, wrong);
+    if (!wrong) {
+      Serve(mShared, std::move(socket));
+    }
+  }
+  acceptor.close(wrong);
+}
+
+bool
+caller_server::Busy() const
+{
+  return std::any_of(mShared->mSessions.begin(),
+                     mShared->mSessions.end(),
+                     [](const session* aOne) { return aOne->Busy(); });
 }
 
 std::size_t
--- a/thornhollow/net/caller_server.h
+++ b/thornhollow/net/caller_server.h
@@ -46,6 +46,10 @@
   duration mSendTimeout = Seconds(10);
   // A connection without a request for this long is closed.
   duration mIdleTimeout = Seconds(60);
+  // From a connection's opening to its first request: a round trip of 100 ms
+  // and as much for a busy caller. One that has waited longer was opened in
+  // advance and counts as idle.
+  duration mFirstRequestComes = Milliseconds(200);
   // A write that makes no progress for this long: the caller is gone, or its
   // connection silent.
   duration mWriteTimeout = Seconds(10);
@@ -153,12 +157,19 @@
   // From now on each answer asks its caller to close the connection.
   void CloseAfterAnswers();
 
-  // The same, and idle connections are closed.
+  // The same, and connections that wait for a next request are closed. A
+  // request that has arrived, or is on its way on a connection that was just
+  // opened, is still served. Calling it again closes what is idle since.
   void BeginDrain();
 
-  // Takes no further connection.
+  // Takes no further connection; those that the kernel has accepted already
+  // are served, since closing would reset them.
   void StopListening();
 
+  // Some request is being read or answered, or may be on its way on a
+  // connection that was just opened.
+  bool Busy() const;
+
   // Requests whose answer is not yet written out.
   std::size_t InProgress() const;
   std::size_t Connections() const;
--- /dev/null
+++ b/thornhollow/net/caller_server_test.cc
@@ -0,0 +1,259 @@
+#include <array>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include "thornhollow/net/address.h"
+#include "thornhollow/net/caller_server.h"
+
+namespace thornhollow {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+const std::string kRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+// A caller whose calls don't wait; the test runs the server between them.
+class caller
+{
+public:
+  caller(asio::io_context& aIo, const std::string& aAddress)
+    : mSocket(aIo)
+  {
+    const auto address = ParseAddress(aAddress).value();
+    mSocket.connect({ asio::ip::make_address(address.mHost), address.mPort });
+    mSocket.non_blocking(true);
+  }
+
+  void Write(const std::string& aText)
+  {
+    asio::write(mSocket, asio::buffer(aText));
+  }
+
+  // All that has come; "(closed)" at its end once the connection is.
+  std::string Read()
+  {
+    std::array<char, 4096> bytes{};
+    boost::system::error_code wrong;
+    while (!wrong) {
+      const std::size_t got = mSocket.read_some(asio::buffer(bytes), wrong);
+      mRead.append(bytes.data(), got);
+    }
+    return wrong == asio::error::would_block ? mRead : mRead + "(closed)";
+  }
+
+private:
+  tcp::socket mSocket;
+  std::string mRead;
+};
+
+std::size_t
+Answers(const std::string& aText)
+{
+  const std::string mark = "HTTP/1.1 200";
+  std::size_t count = 0;
+  for (auto at = aText.find(mark); at != std::string::npos;
+       at = aText.find(mark, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+class condition
+{
+public:
+  condition()
+    : subject(
+        mIo,
+        // Real time has no part in what is tested.
+        server_limits{ .mFirstRequestComes = Seconds(3'600) },
+        [this](caller_exchange_ptr aOne) { mHeld.push_back(aOne); },
+        [](error_kind) {
+          return whole_reply{ 400, {}, {}, {} };
+        })
+    , mAddress(subject.Listen("127.0.0.1:0").value())
+  {
+  }
+
+  // Lets the server do all that it can do now.
+  void Settle()
+  {
+    for (int round = 0; round < 20; ++round) {
+      mIo.restart();
+      mIo.poll();
+    }
+  }
+
+  void AnswerAll()
+  {
+    for (const auto& each : std::exchange(mHeld, {})) {
+      each->Send(
+        whole_reply{ .mHeaders = {}, .mContentType = "", .mBody = "x" });
+    }
+    Settle();
+  }
+
+  asio::io_context mIo;
+  std::vector<caller_exchange_ptr> mHeld;
+  caller_server subject;
+  std::string mAddress;
+};
+
+// While an instance stops, callers that don't know yet still connect. The
+// server closed each connection that had no request so far, also one that was
+// accepted a moment ago: its request, on its way, ran into a closed connection.
+TEST_CASE("a connection that was just opened has its first request served")
+{
+  condition at;
+  caller one(at.mIo, at.mAddress);
+  at.Settle();
+  at.subject.BeginDrain();
+  at.Settle();
+  CHECK(at.subject.Busy());
+  one.Write(kRequest);
+  at.Settle();
+  REQUIRE(at.mHeld.size() == 1);
+  at.AnswerAll();
+  const std::string result = one.Read();
+  CHECK(Answers(result) == 1);
+  CHECK(result.find("Connection: close") != std::string::npos);
+  CHECK_FALSE(at.subject.Busy());
+}
+
+// A request arrived on a kept connection in the moment in which the stopping
+// server closed what was idle. Its bytes were read, the request was run, and
+// the connection was closed: the caller saw no answer to a request that ran.
+// The closing falls on each step between the bytes' arrival and their reading.
+TEST_CASE("a request that meets the closing of idle connections is answered")
+{
+  for (int steps = 0; steps < 8; ++steps) {
+    CAPTURE(steps);
+    condition at;
+    caller one(at.mIo, at.mAddress);
+    one.Write(kRequest);
+    at.Settle();
+    at.AnswerAll();
+    REQUIRE(Answers(one.Read()) == 1);
+
+    one.Write(kRequest);
+    at.mIo.restart();
+    for (int step = 0; step < steps; ++step) {
+      at.mIo.poll_one();
+    }
+    at.subject.BeginDrain();
+    at.Settle();
+    REQUIRE(at.mHeld.size() == 1);
+    at.AnswerAll();
+    CHECK(Answers(one.Read()) == 2);
+  }
+}
+
+// The same, with the closing queued between the reading and its handler.
+TEST_CASE("a request that was read but not yet seen is answered")
+{
+  for (int posts = 0; posts < 4; ++posts) {
+    CAPTURE(posts);
+    condition at;
+    caller one(at.mIo, at.mAddress);
+    one.Write(kRequest);
+    at.Settle();
+    at.AnswerAll();
+    REQUIRE(Answers(one.Read()) == 1);
+
+    one.Write(kRequest);
+    std::function<void(int)> later = [&](int aLeft) {
+      if (aLeft == 0) {
+        at.subject.BeginDrain();
+      } else {
+        asio::post(at.mIo, [&later, aLeft] { later(aLeft - 1); });
+      }
+    };
+    later(posts);
+    at.Settle();
+    REQUIRE(at.mHeld.size() == 1);
+    at.AnswerAll();
+    CHECK(Answers(one.Read()) == 2);
+  }
+}
+
+TEST_CASE("an idle connection is closed and no longer counts")
+{
+  condition at;
+  caller one(at.mIo, at.mAddress);
+  one.Write(kRequest);
+  at.Settle();
+  at.AnswerAll();
+  CHECK_FALSE(at.subject.Busy());
+  at.subject.BeginDrain();
+  at.Settle();
+  CHECK(one.Read().ends_with("(closed)"));
+}
+
+// An answer's head had told its caller that the connection stays open. The
+// stop came before the answer's end, and the connection was closed after it: a
+// next request, sent meanwhile as it was told it might, got no answer.
+TEST_CASE("an answer that promised to stay open is followed by one more")
+{
+  condition at;
+  caller one(at.mIo, at.mAddress);
+  one.Write(kRequest);
+  at.Settle();
+  REQUIRE(at.mHeld.size() == 1);
+  const auto stream = at.mHeld.front();
+  at.mHeld.clear();
+  stream->Send(stream_head{});
+  at.Settle();
+  at.subject.CloseAfterAnswers();
+  one.Write(kRequest);
+  stream->Send(stream_end{});
+  at.Settle();
+  REQUIRE(at.mHeld.size() == 1);
+  at.AnswerAll();
+  const std::string result = one.Read();
+  CHECK(Answers(result) == 2);
+  CHECK(result.ends_with("(closed)"));
+}
+
+// The process ended as soon as no answer was in progress. A request of which
+// half had been read was not counted, and its connection closed on it.
+TEST_CASE("a request that is being read keeps the server busy")
+{
+  condition at;
+  caller one(at.mIo, at.mAddress);
+  one.Write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+  at.Settle();
+  CHECK(at.subject.Busy());
+  CHECK(at.subject.InProgress() == 0);
+  at.subject.BeginDrain();
+  one.Write("cd");
+  at.Settle();
+  at.AnswerAll();
+  CHECK(Answers(one.Read()) == 1);
+}
+
+// Connections that the kernel has accepted are reset when the listening socket
+// closes. A caller that had just connected was cut off before it was heard.
+TEST_CASE("connections that wait to be accepted are served at the end")
+{
+  condition at;
+  at.Settle();
+  caller one(at.mIo, at.mAddress);
+  one.Write(kRequest);
+  at.subject.StopListening();
+  CHECK(at.subject.Busy());
+  at.Settle();
+  REQUIRE(at.mHeld.size() == 1);
+  at.AnswerAll();
+  CHECK(Answers(one.Read()) == 1);
+}
+
+} // namespace
+} // namespace thornhollow
