Operators' command reads relay documents; status shows beliefs and their age

Cause: check and explain knew only our own declarations, and nothing said how old what a relaying instance goes by is. Change: check-document, explain-document (the daemon's own reader), status with revision, count and age of configuration and endpoints; /status carries them.

--- a/thornhollow/daemon/operators_page.cc
+++ b/thornhollow/daemon/operators_page.cc
@@ -15,6 +15,19 @@
   return aNumber ? boost::json::value(*aNumber) : boost::json::value();
 }
 
+boost::json::object
+Held(const held_items& aOne)
+{
+  boost::json::object held;
+  held["what"] = aOne.mWhat;
+  held["at"] = aOne.mAt;
+  held["count"] = aOne.mCount;
+  held["age_ms"] = aOne.mAge ? boost::json::value(ToMilliseconds(*aOne.mAge))
+                             : boost::json::value();
+  held["failing"] = aOne.mFailing;
+  return held;
+}
+
 } // namespace
 
 std::string
@@ -30,6 +43,11 @@
   status["refused_faults"] = boost::json::value_from(aStatus.mRefusedFaults);
   status["in_progress"] = aStatus.mInProgress;
   status["peers_alive"] = aStatus.mPeersAlive;
+  boost::json::array held;
+  for (const held_items& each : aStatus.mHeld) {
+    held.push_back(Held(each));
+  }
+  status["held"] = std::move(held);
   return boost::json::serialize(status) + "\n";
 }
 
--- a/thornhollow/daemon/operators_page.h
+++ b/thornhollow/daemon/operators_page.h
@@ -12,11 +12,29 @@
 #include <vector>
 
 #include "thornhollow/base/ids.h"
+#include "thornhollow/base/time.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/net/caller_server.h"
 
 namespace thornhollow {
 
+// What an instance believes of one prefix of its source.
+struct held_items
+{
+  // "configuration", "endpoints".
+  std::string mWhat;
+  // The source's revision up to which they are known.
+  std::uint64_t mAt = 0;
+  std::size_t mCount = 0;
+  // Since the source itself last answered; nothing where it never did and all
+  // that is known comes from peers.
+  std::optional<duration> mAge;
+  // Its last answer was a failure.
+  bool mFailing = false;
+
+  friend bool operator==(const held_items&, const held_items&) = default;
+};
+
 // One instance's state as `GET /status` tells it.
 struct instance_status
 {
@@ -32,6 +50,8 @@
   std::vector<std::string> mRefusedFaults;
   std::size_t mInProgress = 0;
   std::size_t mPeersAlive = 0;
+  // Empty where a bundle is followed.
+  std::vector<held_items> mHeld;
 
   friend bool operator==(const instance_status&,
                          const instance_status&) = default;
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -298,6 +298,15 @@
     aOne->Send(whole_reply{ known ? status : 404, {}, "text/plain", "" });
   }
 
+  static held_items HeldBy(const source_link& aLink, std::string aWhat)
+  {
+    return { std::move(aWhat),
+             aLink.Mirror().At(),
+             aLink.Mirror().size(),
+             aLink.AnswerAge(Now()),
+             aLink.Failing() };
+  }
+
   instance_status Status() const
   {
     instance_status status;
@@ -310,6 +319,8 @@
     }
     status.mPeersAlive = mPeers.Alive();
     status.mInProgress = mDispatcher.InProgress();
+    status.mHeld = { HeldBy(mDocument, "configuration"),
+                     HeldBy(mEndpoints, "endpoints") };
     return status;
   }
 
--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -105,6 +105,7 @@
 
   const item_mirror& Mirror() const { return mMirror; }
   bool Failing() const { return mFollower.Failing(); }
+  std::optional<time_point> Answered() const { return mFollower.Answered(); }
 
 private:
   void Send(const source_call& aCall, std::uint64_t aRound)
@@ -288,4 +289,11 @@
   return mCore->Failing();
 }
 
+std::optional<duration>
+source_link::AnswerAge(time_point aNow) const
+{
+  const auto answered = mCore->Answered();
+  return answered ? std::optional<duration>(aNow - *answered) : std::nullopt;
+}
+
 } // namespace thornhollow
--- a/thornhollow/daemon/source_link.h
+++ b/thornhollow/daemon/source_link.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,8 @@
   const item_mirror& Mirror() const;
   // The source's last answer was a failure.
   bool Failing() const;
+  // How long ago the source itself last answered; nothing before it did.
+  std::optional<duration> AnswerAge(time_point aNow) const;
 
 private:
   class core;
--- a/thornhollow/discovery/item_mirror.h
+++ b/thornhollow/discovery/item_mirror.h
@@ -58,6 +58,7 @@
   bool Listed() const { return mListed; }
   // The source's revision up to which the copy is complete; 0 before.
   std::uint64_t At() const { return mAt; }
+  std::size_t size() const { return mItems.size(); }
   std::vector<source_item> Items() const;
 
   // What changed after revision `aAfter`, the latest last; nothing where that
--- a/thornhollow/discovery/source_follower.cc
+++ b/thornhollow/discovery/source_follower.cc
@@ -41,7 +41,7 @@
   }
   Append(aMirror.OnListing(listing->mItems, listing->mAt), aNews);
   mMustList = false;
-  NoteSuccess();
+  NoteAnswer(aNow);
   return Start(aMirror);
 }
 
@@ -59,7 +59,7 @@
   } else {
     mMustList = true;
   }
-  NoteSuccess();
+  NoteAnswer(aNow);
   return Start(aMirror);
 }
 
@@ -86,7 +86,14 @@
 }
 
 void
-source_follower::NoteSuccess()
+source_follower::NoteAnswer(time_point aNow)
+{
+  mAnswered = aNow;
+  EndFailing();
+}
+
+void
+source_follower::EndFailing()
 {
   mFailingSince.reset();
   mPause = mSettings.mFirstPause;
--- a/thornhollow/discovery/source_follower.h
+++ b/thornhollow/discovery/source_follower.h
@@ -69,7 +69,11 @@
                         time_point aNow);
 
   // The source isn't asked from here any more: what it last did says nothing.
-  void StopAsking() { NoteSuccess(); }
+  void StopAsking() { EndFailing(); }
+
+  // When the source last answered; what a peer told doesn't count. Nothing
+  // before the first answer.
+  std::optional<time_point> Answered() const { return mAnswered; }
 
   // The source has failed for longer than a moment.
   bool InOutage(time_point aNow) const;
@@ -78,11 +82,13 @@
 
 private:
   source_call AfterFailure(const item_mirror& aMirror, time_point aNow);
-  void NoteSuccess();
+  void NoteAnswer(time_point aNow);
+  void EndFailing();
 
   follower_settings mSettings;
   std::mt19937_64 mRandom;
   std::optional<time_point> mFailingSince;
+  std::optional<time_point> mAnswered;
   duration mPause;
   // The source forgot what the mirror is to be continued with, or was away.
   bool mMustList = false;
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -233,10 +233,11 @@
     def __init__(self, source, name="n1", seeds=""):
         self.ready_address = harness.address_on_loopback()
         self.peers = harness.address_on_loopback()
+        self.operators = harness.address_on_loopback()
         settings = SETTINGS.format(
             name=name, caller=harness.address_on_loopback(),
             ready=self.ready_address, peers=self.peers, seeds=seeds,
-            operators=harness.address_on_loopback(), source=source)
+            operators=self.operators, source=source)
         self.folder = tempfile.TemporaryDirectory()
         path = pathlib.Path(self.folder.name, "settings.yaml")
         path.write_text(settings)
--- a/thornhollow/testing/process/relay_test.py
+++ b/thornhollow/testing/process/relay_test.py
@@ -1,7 +1,11 @@
 """The relaying daemon before stand-ins of a platform's store and engines."""
 
 import http.client
+import json
+import pathlib
 import signal
+import subprocess
+import tempfile
 import unittest
 
 import harness
@@ -213,6 +217,46 @@
             for field in ("endpoint", "detail", "reused", "after_ms"):
                 self.assertIn(field, line)
 
+    def operators(self, *arguments):
+        """Exit code, output and errors of the operators' command."""
+        done = subprocess.run([str(harness.BIN / "thornhollow"), *arguments],
+                              capture_output=True, text=True, timeout=20)
+        return done.returncode, done.stdout, done.stderr
+
+    def test_operators_command_reads_a_document_as_a_daemon_does(self):
+        with tempfile.TemporaryDirectory() as folder:
+            good = pathlib.Path(folder, "good.json")
+            good.write_text(json.dumps(document(7)))
+            bad = pathlib.Path(folder, "bad.json")
+            bad.write_text(json.dumps(document(8, routes=[{"name": 3}])))
+            code, out, _ = self.operators("check-document", str(good))
+            self.assertEqual(code, 0)
+            self.assertIn("accepted: version 7, 4 route(s)", out)
+            code, _, errors = self.operators("check-document", str(bad))
+            self.assertEqual(code, 1)
+            self.assertIn("refused: ", errors)
+            code, out, _ = self.operators(
+                "explain-document", str(good), "--host", "a.example",
+                "--path", "/s/x", "--token", "k1")
+            self.assertEqual(code, 0, out)
+            self.assertIn("stream, may be continued elsewhere", out)
+            self.assertIn("office", out)
+
+    def test_operators_command_tells_what_an_instance_believes(self):
+        self.engine("i-1")
+        daemon = self.daemon()
+        code, out, errors = self.operators(
+            "status", "--instances", daemon.operators)
+        self.assertEqual(code, 0, errors)
+        self.assertRegex(out, r"configuration: 1 items at revision \d+, "
+                              r"source answered \d+\.\d s ago\n")
+        self.assertRegex(out, r"endpoints: 1 items at revision \d+")
+        self.store.refuse = True
+        harness.wait_until(
+            lambda: "failing now" in self.operators(
+                "status", "--instances", daemon.operators)[1],
+            "the outage shows")
+
     def test_smuggled_requests_are_refused(self):
         engine = self.engine("i-1")
         daemon = self.daemon()
--- a/thornhollow/tools/instance_report.cc
+++ b/thornhollow/tools/instance_report.cc
@@ -53,6 +53,26 @@
   return texts;
 }
 
+std::vector<held_report>
+HeldField(const json::object& aObject)
+{
+  std::vector<held_report> held;
+  const json::value* field = aObject.if_contains("held");
+  if (field == nullptr || !field->is_array()) {
+    return held;
+  }
+  for (const json::value& each : field->get_array()) {
+    if (const json::object* one = each.if_object()) {
+      held.push_back({ TextField(*one, "what"),
+                       CountField(*one, "at").value_or(0),
+                       CountField(*one, "count").value_or(0),
+                       CountField(*one, "age_ms"),
+                       FlagField(*one, "failing") });
+    }
+  }
+  return held;
+}
+
 } // namespace
 
 std::optional<instance_report>
@@ -78,6 +98,7 @@
   read.mRefusedFaults = TextsField(object, "refused_faults");
   read.mInProgress = CountField(object, "in_progress").value_or(0);
   read.mPeersAlive = CountField(object, "peers_alive").value_or(0);
+  read.mHeld = HeldField(object);
   return read;
 }
 
--- a/thornhollow/tools/instance_report.h
+++ b/thornhollow/tools/instance_report.h
@@ -15,6 +15,21 @@
 
 namespace thornhollow {
 
+// What an instance believes of one prefix of its source.
+struct held_report
+{
+  std::string mWhat;
+  // The source's revision up to which it is known.
+  std::uint64_t mAt = 0;
+  std::uint64_t mCount = 0;
+  // Milliseconds since the source itself answered; nothing where only peers
+  // have told of it.
+  std::optional<std::uint64_t> mAgeMs;
+  bool mFailing = false;
+
+  friend bool operator==(const held_report&, const held_report&) = default;
+};
+
 struct instance_report
 {
   instance_name mName;
@@ -28,6 +43,8 @@
   std::vector<std::string> mRefusedFaults;
   std::uint64_t mInProgress = 0;
   std::uint64_t mPeersAlive = 0;
+  // Empty where a bundle is followed.
+  std::vector<held_report> mHeld = {};
 
   friend bool operator==(const instance_report&,
                          const instance_report&) = default;
--- a/thornhollow/tools/instance_report_test.cc
+++ b/thornhollow/tools/instance_report_test.cc
@@ -15,7 +15,9 @@
                           .mRefusedRevision = 42,
                           .mRefusedFaults = { "a.yaml:3: x" },
                           .mInProgress = 7,
-                          .mPeersAlive = 3 };
+                          .mPeersAlive = 3,
+                          .mHeld = {
+                            { "endpoints", 820, 12, std::nullopt, false } } };
 };
 
 // The text is what the daemon's operators' page writes.
@@ -25,7 +27,9 @@
           R"({"name":"entry-1","domain":"hall","ready":true,)"
           R"("draining":false,"revision":41,"refused_revision":42,)"
           R"("refused_faults":["a.yaml:3: x"],"in_progress":7,)"
-          R"("peers_alive":3,"later":"ignored"})"
+          R"("peers_alive":3,"later":"ignored","held":[)"
+          R"({"what":"endpoints","at":820,"count":12,"age_ms":null,)"
+          R"("failing":false},7]})"
           "\n") == mWhole);
 }
 
--- a/thornhollow/tools/operator_command.cc
+++ b/thornhollow/tools/operator_command.cc
@@ -143,6 +143,21 @@
               named.mIdempotent ? "yes" : "no, runs at most once");
 }
 
+std::string
+HeldRow(const held_report& aHeld)
+{
+  const std::string age =
+    aHeld.mAgeMs ? fmt::format("source answered {:.1f} s ago",
+                               static_cast<double>(*aHeld.mAgeMs) / 1'000)
+                 : std::string("told by peers only");
+  return fmt::format("    {}: {} items at revision {}, {}{}\n",
+                     aHeld.mWhat,
+                     aHeld.mCount,
+                     aHeld.mAt,
+                     age,
+                     aHeld.mFailing ? ", failing now" : "");
+}
+
 std::string
 StatusRow(const asked_instance& aAsked)
 {
@@ -166,6 +181,9 @@
   for (const std::string& each : status->mRefusedFaults) {
     row += "    refused: " + each + '\n';
   }
+  for (const held_report& each : status->mHeld) {
+    row += HeldRow(each);
+  }
   return row;
 }
 
--- a/thornhollow/tools/operator_command_test.cc
+++ b/thornhollow/tools/operator_command_test.cc
@@ -90,11 +90,18 @@
   answered.mRevision = 41;
   answered.mRefusedRevision = 42;
   answered.mRefusedFaults = { "a.yaml: x" };
+  answered.mHeld = { { "configuration", 812, 1, 1'500, true },
+                     { "endpoints", 820, 12, std::nullopt, false } };
   const std::vector<asked_instance> asked = { { "127.0.0.1:1", answered },
                                               { "127.0.0.1:2", std::nullopt } };
   const auto done = RunStatus(asked);
   CHECK(done.mExit == kExitUnreachable);
   CHECK(done.mOut.find("refused: a.yaml: x") != std::string::npos);
+  CHECK(done.mOut.find("    configuration: 1 items at revision 812, source "
+                       "answered 1.5 s ago, failing now\n") !=
+        std::string::npos);
+  CHECK(done.mOut.find("    endpoints: 12 items at revision 820, told by peers "
+                       "only\n") != std::string::npos);
   CHECK(done.mErr == "127.0.0.1:2 did not answer\n");
   CHECK(RunStatus(std::span(asked).first(1)).mExit == kExitOk);
 }
--- a/thornhollow/tools/thornhollow_main.cc
+++ b/thornhollow/tools/thornhollow_main.cc
@@ -14,6 +14,8 @@
 #include <gflags/gflags.h>
 
 #include "thornhollow/net/http_fetch.h"
+#include "thornhollow/platform/document_reader.h"
+#include "thornhollow/tools/document_command.h"
 #include "thornhollow/tools/file_set.h"
 #include "thornhollow/tools/operator_command.h"
 
@@ -21,6 +23,9 @@
 DEFINE_string(team, "", "explain: the team");
 DEFINE_string(class, "", "explain: the class; the team's first by default");
 DEFINE_string(instances, "", "status: operator addresses, IP:PORT,IP:PORT,...");
+DEFINE_string(host, "", "explain-document: the request's host");
+DEFINE_string(path, "/", "explain-document: the request's path");
+DEFINE_string(token, "", "explain-document: the caller's token");
 DEFINE_int32(timeout_ms, 2000, "status: how long to wait for an instance");
 
 namespace thornhollow {
@@ -47,7 +52,16 @@
 
   thornhollow status --instances IP:PORT,IP:PORT,... [--timeout_ms 2000]
       Asks instances at their operator addresses and prints a table: version in
-      force, refused version and why, failure domain, ready, draining.
+      force, refused version and why, failure domain, ready, draining; of a
+      relaying instance also what it believes of its source, and how old that
+      is.
+
+  thornhollow check-document FILE
+      For relaying: says whether the platform's configuration document would be
+      accepted, by the code that every daemon runs, and what in it looks wrong.
+
+  thornhollow explain-document FILE --host HOST [--path PATH] [--token TOKEN]
+      Route, team, tier, pools, targets and limits of one request.
 
 A PATH (also OLD and NEW) is a YAML file or a folder, which stands for all its
 *.yaml files. All files of one call form one set of declarations. Flags may
@@ -149,6 +163,49 @@
   });
 }
 
+// Runs `aThen` with the document in the one file that is named.
+command_result
+WithDocument(
+  const std::vector<std::string>& aPaths,
+  const std::function<command_result(const routing_document&)>& aThen)
+{
+  if (aPaths.size() != 1) {
+    throw usage_error{ "one file is needed" };
+  }
+  return WithFiles(aPaths, [&](const std::vector<source_file>& aFiles) {
+    return boost::leaf::try_handle_all(
+      [&]() -> result<command_result> {
+        BOOST_LEAF_AUTO(document, platform::ReadDocument(aFiles.at(0).mText));
+        return aThen(document);
+      },
+      [](const failure& aFailure) {
+        return command_result{ kExitRefused,
+                               "",
+                               "refused: " + aFailure.mDetail + '\n' };
+      },
+      [] {
+        return command_result{ kExitRefused, "", "refused: can't be read\n" };
+      });
+  });
+}
+
+command_result
+CheckDocument(const std::vector<std::string>& aPaths)
+{
+  return WithDocument(aPaths, RunCheckDocument);
+}
+
+command_result
+ExplainDocument(const std::vector<std::string>& aPaths)
+{
+  if (FLAGS_host.empty()) {
+    throw usage_error{ "explain-document needs --host HOST" };
+  }
+  return WithDocument(aPaths, [](const routing_document& aDocument) {
+    return RunExplainDocument(aDocument, FLAGS_host, FLAGS_path, FLAGS_token);
+  });
+}
+
 command_result
 Status(const std::vector<std::string>& aPaths)
 {
@@ -213,7 +270,9 @@
                   { "bundle", Bundle },
                   { "diff", Diff },
                   { "explain", Explain },
-                  { "status", Status } };
+                  { "status", Status },
+                  { "check-document", CheckDocument },
+                  { "explain-document", ExplainDocument } };
   for (const std::string& each : aArguments) {
     if (each == "--help" || each == "-h" || each == "help") {
       return { kExitOk, std::string(kHelp), "" };
