Border and demand keep up at ninety instances and engines

The border moved by one of 90 engines each 0.7 s, and the demand that moves it was summed from all that had ever been told, on average 2.8 s old and more: it began to move at 5.2 s of a burst of 9. Change: a ninth of the engines a move and an exchange; demand from the peers heard within 1.2 s, scaled up to all. Nine engines: a step is one, as before.

--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -180,16 +180,31 @@
   return aNow - mMostAt < mSettings.mCountFor ? mMost : mPeers.size() + 1;
 }
 
+bool
+relay_peers::Fresh(const peer& aPeer, time_point aNow) const
+{
+  return aNow - aPeer.mHeard < mSettings.mFreshFor;
+}
+
+double
+relay_peers::ForEachFresh(time_point aNow) const
+{
+  const auto fresh = std::ranges::count_if(
+    mPeers, [&](const auto& aOne) { return Fresh(aOne.second, aNow); });
+  return fresh == 0
+           ? 0
+           : static_cast<double>(mPeers.size()) / static_cast<double>(fresh);
+}
+
 std::map<std::uint32_t, endpoint_work>
 relay_peers::OthersWork(time_point aNow) const
 {
+  const double scale = ForEachFresh(aNow);
   std::map<std::uint32_t, endpoint_work> sum;
-  std::size_t fresh = 0;
   for (const auto& [address, each] : mPeers) {
-    if (aNow - each.mHeard >= mSettings.mFreshFor) {
+    if (!Fresh(each, aNow)) {
       continue;
     }
-    ++fresh;
     for (const endpoint_work& work : each.mHello.mWork) {
       endpoint_work& its = sum[work.mEndpoint];
       its.mToRead += work.mToRead;
@@ -200,21 +215,25 @@
     }
   }
   for (auto& [endpoint, work] : sum) {
-    work.mToRead = work.mToRead * mPeers.size() / fresh;
-    work.mPerSecond *=
-      static_cast<double>(mPeers.size()) / static_cast<double>(fresh);
+    work.mToRead =
+      static_cast<std::uint64_t>(static_cast<double>(work.mToRead) * scale);
+    work.mPerSecond *= scale;
   }
   return sum;
 }
 
 std::map<pool_name, engine_demand>
-relay_peers::OthersDemand() const
+relay_peers::OthersDemand(time_point aNow) const
 {
+  const double scale = ForEachFresh(aNow);
   std::map<pool_name, engine_demand> sum;
   for (const auto& [address, each] : mPeers) {
+    if (!Fresh(each, aNow)) {
+      continue;
+    }
     for (const pool_demand& one : each.mHello.mDemand) {
-      sum[one.mPool].mPatient += one.mDemand.mPatient;
-      sum[one.mPool].mUrgent += one.mDemand.mUrgent;
+      sum[one.mPool].mPatient += one.mDemand.mPatient * scale;
+      sum[one.mPool].mUrgent += one.mDemand.mUrgent * scale;
     }
   }
   return sum;
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -169,10 +169,12 @@
   std::size_t Count(time_point aNow) const;
   std::size_t Alive() const { return mPeers.size(); }
 
-  // Sums over the others, of what is fresh; of paces the least. Work is scaled
-  // up to all where not all were heard a moment ago.
+  // Sums over the others, of what is fresh, scaled up to all where not all were
+  // heard a moment ago; of paces the least.
   std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
-  std::map<pool_name, engine_demand> OthersDemand() const;
+  // The same of the demand. Of ninety instances each hears another every 2.8 s;
+  // with what was told before, a burst showed after four seconds of its nine.
+  std::map<pool_name, engine_demand> OthersDemand(time_point aNow) const;
 
 private:
   struct peer
@@ -181,6 +183,9 @@
     time_point mHeard{};
   };
 
+  bool Fresh(const peer& aPeer, time_point aNow) const;
+  // All others for each of those that were heard a moment ago; 0: none was.
+  double ForEachFresh(time_point aNow) const;
   bool IsBetter(const peer& aLeft, const peer& aRight) const;
   std::vector<std::string> Draw();
   std::vector<std::string> OwnDomain() const;
--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -107,6 +107,35 @@
   CHECK(mPeers["a"]->OthersWork(mNow).at(1).mToRead == 20);
 }
 
+// A burst of long prompts came to ninety instances. Each heard a third of the
+// others in a second and summed what it knew of all: the burst showed in its
+// sum when it was half over, and the engines were shared out too late.
+TEST_CASE("relay_peers/burst_at_many/shows_by_those_heard_a_moment_ago")
+{
+  const pool_name pool("plans");
+  relay_peers subject(relay_peer_settings{}, "me", domain_name("a"), {}, 1);
+  time_point now = time_point() + Seconds(100);
+  const auto hear = [&](int aNumber, double aPatient) {
+    relay_hello hello;
+    hello.mAddress = "n" + std::to_string(aNumber);
+    hello.mDomain = domain_name("a");
+    hello.mDemand = { { pool, { aPatient, 0 } } };
+    subject.OnHello(hello, now);
+  };
+  for (int each = 0; each < 89; ++each) {
+    hear(each, 1'000);
+  }
+  CHECK(subject.OthersDemand(now).at(pool).mPatient == doctest::Approx(89'000));
+  now += Seconds(2);
+  for (int each = 0; each < 30; ++each) {
+    hear(each, 3'000);
+  }
+  CHECK(subject.OthersDemand(now).at(pool).mPatient ==
+        doctest::Approx(267'000));
+  now += Seconds(2);
+  CHECK(subject.OthersDemand(now).empty());
+}
+
 // Those of 30 that read the source, cut off ones left out.
 struct thirty_in_a_domain : hello_fleet
 {
--- a/thornhollow/policy/engine_border.cc
+++ b/thornhollow/policy/engine_border.cc
@@ -46,7 +46,9 @@
       Fullest(aDemand, best) * mSettings.mBetterBy > present) {
     return;
   }
-  mPatient += best > mPatient ? 1 : -1;
+  mPatient = best > mPatient
+               ? std::min(best, mPatient + Step())
+               : std::max(best, mPatient - std::min(mPatient, Step()));
   mPart = static_cast<double>(mPatient) / static_cast<double>(mEngines);
   mMoved = aNow;
 }
@@ -74,6 +76,14 @@
   return best;
 }
 
+std::size_t
+engine_border::Step() const
+{
+  const auto step = static_cast<std::size_t>(
+    std::lround(mSettings.mStepPart * static_cast<double>(mEngines)));
+  return std::max<std::size_t>(step, 1);
+}
+
 std::size_t
 engine_border::Least() const
 {
--- a/thornhollow/policy/engine_border.h
+++ b/thornhollow/policy/engine_border.h
@@ -18,8 +18,8 @@
 // and 79. So the border follows what arrives. It is worked out from the demand
 // summed over all instances and the engines' number alone, so that instances
 // agree on it without asking each other; and it moves only where one side is
-// too full, by one engine at a time, no sooner than `mHold` after the last
-// move, so that it doesn't flap.
+// too full, by a ninth of the engines at a time, no sooner than `mHold` after
+// the last move, so that it doesn't flap.
 //
 // Grounds for the figures: the urgent side is to be busy 25% of the time where
 // the patient one is busy 50%. With two of nine engines, 23% busy and twice
@@ -50,6 +50,12 @@
   double mFull = 1;
   // Between two moves: a wave of arrivals takes longer, a stream less.
   duration mHold = Milliseconds(700);
+  // Engines that change sides in one move, as a part of all, one at least: one
+  // of nine. By one of ninety at a time a burst of eight seconds was over
+  // before the border had followed: the patient side read 61 thousand tokens a
+  // second on each engine, all that they can, with the urgent side at a sixth
+  // of that.
+  double mStepPart = 0.11;
   // Another border must be better by this factor before it is moved to.
   double mBetterBy = 1.15;
   // Below this many engines nothing is kept apart: a side of one has no room
@@ -90,6 +96,7 @@
   double Fullest(const engine_demand& aDemand, std::size_t aPatient) const;
   std::size_t Best(const engine_demand& aDemand) const;
   std::size_t Least() const;
+  std::size_t Step() const;
 
   engine_border_settings mSettings;
   std::size_t mEngines = 0;
--- a/thornhollow/policy/engine_border_test.cc
+++ b/thornhollow/policy/engine_border_test.cc
@@ -56,6 +56,21 @@
   CHECK(mBorder.Patient() == 2);
 }
 
+// Ninety engines met a burst of eight seconds; the border moved by one of them
+// every 0.7 s, and the burst was over before it had got anywhere.
+TEST_CASE("engine_border/ninety_engines/follows_a_burst_as_soon_as_nine")
+{
+  engine_border border{ engine_border_settings{} };
+  time_point now = time_point() + Seconds(100);
+  border.Observe({ 1'000'000, 300'000 }, 90, now);
+  const std::size_t before = border.Patient();
+  for (int tick = 0; tick < 15; ++tick) {
+    now += Milliseconds(100);
+    border.Observe({ 3'500'000, 300'000 }, 90, now);
+  }
+  CHECK(border.Patient() >= before + 10);
+}
+
 TEST_CASE("engine_border/few_engines/separates_nothing")
 {
   engine_border border{ engine_border_settings{} };
--- a/thornhollow/policy/engine_sides.cc
+++ b/thornhollow/policy/engine_sides.cc
@@ -1,6 +1,7 @@
 #include "thornhollow/policy/engine_sides.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -27,7 +28,7 @@
   if (CountPatient() != aPatient) {
     MeetCount(aEngines, aPatient, aNow);
   } else if (!mExchanged || aNow - *mExchanged >= mSettings.mExchangeEvery) {
-    ExchangeOne(aEngines, aPatient, aNow);
+    ExchangeSome(aEngines, aPatient, aNow);
   }
 }
 
@@ -103,6 +104,24 @@
 }
 
 void
+engine_sides::ExchangeSome(const std::vector<engine_standing>& aOrder,
+                           std::size_t aPatient,
+                           time_point aNow)
+{
+  const auto most = std::max<std::int64_t>(
+    std::lround(mSettings.mExchangePart * static_cast<double>(aOrder.size())),
+    1);
+  std::int64_t made = 0;
+  while (made < most && ExchangeOne(aOrder, aPatient, aNow)) {
+    ++made;
+  }
+  if (made > 0) {
+    mExchanged = aNow;
+  }
+}
+
+// False where all are where they belong.
+bool
 engine_sides::ExchangeOne(const std::vector<engine_standing>& aOrder,
                           std::size_t aPatient,
                           time_point aNow)
@@ -118,11 +137,11 @@
       return Of(aOne.mNumber) == engine_side::kPatient;
     });
   if (toPatient == border || toUrgent == std::make_reverse_iterator(border)) {
-    return;
+    return false;
   }
   Turn(toPatient->mNumber, engine_side::kPatient, aNow);
   Turn(toUrgent->mNumber, engine_side::kUrgent, aNow);
-  mExchanged = aNow;
+  return true;
 }
 
 void
--- a/thornhollow/policy/engine_sides.h
+++ b/thornhollow/policy/engine_sides.h
@@ -14,7 +14,7 @@
 // over such an engine until most of its streams have ended.
 //
 // All instances come to the same sides by the same engines and the same border,
-// without asking each other. Exchanges are made one at a time: three of nine
+// without asking each other. Exchanges are few at a time: three of nine
 // engines found slow within two seconds had taken three fifths of the patient
 // side's sessions from their engines at once, and 150 thousand prompt tokens
 // were read again.
@@ -38,8 +38,10 @@
   // average, 22 ms each).
   duration mClear = Seconds(3);
   // Between two exchanges of engines between the sides: as long as an engine
-  // clears, so that no more than one at a time takes nothing.
+  // clears, so that no more than this part of them (one at least) clears at a
+  // time.
   duration mExchangeEvery = Seconds(3);
+  double mExchangePart = 0.11;
   // For so long it counts where an engine was before: as long as an engine's
   // memory of a prompt is worth anything.
   duration mRemember = Seconds(30);
@@ -103,7 +105,10 @@
   void MeetCount(const std::vector<engine_standing>& aOrder,
                  std::size_t aPatient,
                  time_point aNow);
-  void ExchangeOne(const std::vector<engine_standing>& aOrder,
+  void ExchangeSome(const std::vector<engine_standing>& aOrder,
+                    std::size_t aPatient,
+                    time_point aNow);
+  bool ExchangeOne(const std::vector<engine_standing>& aOrder,
                    std::size_t aPatient,
                    time_point aNow);
   void Turn(std::uint32_t aNumber, engine_side aSide, time_point aNow);
--- a/thornhollow/policy/engine_sides_test.cc
+++ b/thornhollow/policy/engine_sides_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 #include <vector>
 
@@ -95,6 +96,25 @@
   CHECK(Patient() == numbers{ 0, 1, 6, 7, 8 });
 }
 
+TEST_CASE("engine_sides/ninety_engines/a_ninth_is_exchanged_at_a_time")
+{
+  engine_sides subject{ engine_sides_settings{} };
+  std::vector<engine_standing> engines;
+  for (std::uint32_t each = 0; each < 90; ++each) {
+    engines.push_back({ each, false, each });
+  }
+  const time_point now = time_point() + Seconds(100);
+  subject.Observe(engines, 60, true, now);
+  for (std::uint32_t slow = 60; slow < 90; ++slow) {
+    engines[slow].mSlow = true;
+  }
+  subject.Observe(engines, 60, false, now + Milliseconds(100));
+  const auto result = std::ranges::count_if(engines, [&](const auto& aOne) {
+    return subject.Clearing(aOne.mNumber, now + Milliseconds(100));
+  });
+  CHECK(result == 10);
+}
+
 TEST_CASE_FIXTURE(condition, "engine_sides/engine_leaves/count_is_met_at_once")
 {
   mEngines.erase(mEngines.begin());
