Watches gather what follows within 250 ms into one answer

Change: after a watch that told of something the next comes 250 ms later; news that stands alone isn't delayed.

--- a/thornhollow/discovery/source_follower.cc
+++ b/thornhollow/discovery/source_follower.cc
@@ -54,13 +54,18 @@
   if (std::holds_alternative<source_failure>(aOutcome)) {
     return AfterFailure(aMirror, aNow);
   }
+  const std::size_t before = aNews.size();
   if (const auto* changes = std::get_if<source_changes>(&aOutcome)) {
     Append(aMirror.OnChanges(changes->mChanges, changes->mAt), aNews);
   } else {
     mMustList = true;
   }
   NoteAnswer(aNow);
-  return Start(aMirror);
+  source_call next = Start(aMirror);
+  if (!next.mList && aNews.size() > before) {
+    next.mPause = mSettings.mGather;
+  }
+  return next;
 }
 
 bool
--- a/thornhollow/discovery/source_follower.h
+++ b/thornhollow/discovery/source_follower.h
@@ -29,6 +29,12 @@
   // call may take a moment: half a second leaves room for one failure more.
   duration mFirstPause = Milliseconds(100);
   duration mLongestPause = Milliseconds(500);
+  // Between a watch that told of something and the next, so that what follows
+  // comes in one answer: calls are priced, and ninety engines that join one
+  // after the other were a call each for ninety instances. News that stands
+  // alone isn't delayed; other news by an eighth at most of the two seconds in
+  // which it must be known.
+  duration mGather = Milliseconds(250);
   // Failing for so long counts as an outage; a shorter one is a cut connection
   // or a refusal of one call, in which no lease lapses.
   duration mOutageAfter = Seconds(1);
