A fault soak of the relay: real processes, faults by seed

Cause: the process tests bring one fault each; nothing of ours ran them together. Change: three daemons, four engines and the store as stand-ins, six callers; store outages, engines that decline, fail, cut, drain, leave, daemons stopped in turn or frozen, changes of configuration and keys. Checked for each answer: at most one run of what may not be repeated, 'not run' is true, whole bodies and streams, no connection closed without a word.

--- /dev/null
+++ b/thornhollow/testing/process/relay_soak_test.py
@@ -0,0 +1,175 @@
+"""Three relaying daemons under load while everything round them fails.
+
+Faults are drawn by seed: the store turns all away, engines decline, fail, cut
+their streams, drain, leave and come back, daemons are stopped in turn or frozen,
+configurations and keys change. What must hold at any timing is checked for each
+answer; at the end all faults end and everything is served again.
+
+Longer, by hand:  SOAK_SEEDS=1-50 SOAK_SECONDS=20 python3 relay_soak_test.py
+"""
+
+import http.client
+import os
+import random
+import re
+import signal
+import threading
+import time
+import unittest
+
+import harness
+import relay_site
+from relay_site import document
+
+SECONDS = float(os.environ.get("SOAK_SECONDS", "5"))
+FIRST, _, LAST = os.environ.get("SOAK_SEEDS", "1-2").partition("-")
+CALLERS = 6
+# A promise that the request never ran.
+NOT_RUN = {408, 421, 429, 503}
+PATHS = {"/o/x": False, "/l/x": False, "/p/x": True, "/s/x": True}
+
+
+class Soak(relay_site.RelayTest):
+
+    def begin(self, seed):
+        self.random = random.Random(seed)
+        self.engines = [self.engine(f"i-{number}", events=6)
+                        for number in range(4)]
+        self.version = 1
+        seeds = ""
+        self.fleet = []
+        for number in range(3):
+            daemon = self.daemon(name=f"n{number}", seeds=seeds)
+            seeds = seeds or daemon.peers
+            self.fleet.append(daemon)
+        self.seeds = seeds
+        self.results = []
+        self.over = threading.Event()
+
+    # Load.
+
+    def call_until_over(self, caller):
+        draw = random.Random(caller)
+        for number in range(10 ** 6):
+            if self.over.is_set():
+                return
+            path = draw.choice(sorted(PATHS))
+            daemon = draw.choice(self.fleet)
+            request = f"c{caller}-{number}"
+            try:
+                status, headers, body = self.ask(
+                    daemon, path, request, stream=PATHS[path])
+            except (OSError, http.client.HTTPException) as error:
+                self.results.append((request, path, type(error).__name__, {},
+                                     getattr(error, "partial", b"")))
+                continue
+            self.results.append((request, path, status, headers, body))
+            time.sleep(0.005)
+
+    # Faults; each is given back by `calm`.
+
+    def fault(self):
+        draw = self.random
+        engine = draw.choice(self.engines)
+        kind = draw.choice(["store"] + 5 * ["mode"] + ["drain", "leave",
+                            "stop", "freeze", "configuration", "key"])
+        if kind == "store":
+            self.store.refuse = not self.store.refuse
+        elif kind == "mode":
+            engine.mode = draw.choice(["", "decline", "error", "cut"])
+        elif kind == "drain":
+            self.store.put(f"servers/{engine.name}", engine.entry("draining"))
+        elif kind == "leave":
+            self.store.delete(f"servers/{engine.name}")
+        elif kind == "stop":
+            self.replace(draw.randrange(len(self.fleet)))
+        elif kind == "freeze":
+            daemon = draw.choice(self.fleet)
+            daemon.signal(signal.SIGSTOP)
+            time.sleep(draw.uniform(0.1, 1.2))
+            daemon.signal(signal.SIGCONT)
+        else:
+            self.version += 1
+            keys = ["k1"] if kind == "configuration" else ["k1", "k2"]
+            self.store.put("op/config", document(self.version, tenants=[
+                {"name": "office", "api_keys": keys, "priority": 0}]))
+
+    def replace(self, number):
+        """Stops a daemon as an operator would, and starts another."""
+        old = self.fleet[number]
+        old.signal(signal.SIGTERM)
+        self.assertEqual(old.wait(), 0, "a stopped daemon's exit code")
+        new = relay_site.RelayDaemon(
+            self.store.server.address, name=f"n{number}", seeds=self.seeds)
+        self.addCleanup(new.stop)
+        self.fleet[number] = new
+
+    def calm(self):
+        self.store.refuse = False
+        for engine in self.engines:
+            engine.mode = ""
+            self.store.put(f"servers/{engine.name}", engine.entry())
+
+    # What must hold.
+
+    def check_all(self):
+        ran = {}
+        for engine in self.engines:
+            for request in list(engine.ran):
+                ran.setdefault(request, []).append(engine.name)
+        self.assertGreater(len(self.results), 100)
+        for result in list(self.results):
+            self.check_one(result, ran.get(result[0], []))
+
+    def check_one(self, result, ran):
+        request, path, status, headers, body = result
+        if path in ("/o/x", "/p/x"):
+            self.assertLessEqual(len(ran), 1, (result, "ran twice"))
+        self.assertLessEqual(len(ran), 2, (result, "more than its attempts"))
+        # Stops are planned: a connection that was taken gets an answer.
+        self.assertNotEqual(status, "RemoteDisconnected", (result, ran))
+        if status in NOT_RUN and "x-response-signature" not in headers:
+            self.assertEqual(ran, [], (result, "said not run, and ran"))
+        if status == 200:
+            self.assertEqual(headers.get("x-attempt-id"), request)
+            self.check_body(result, ran)
+
+    def check_body(self, result, ran):
+        _, path, _, headers, body = result
+        if not PATHS[path]:
+            signed = headers["x-response-signature"]
+            self.assertEqual(body, f"body of {signed}".encode(), result)
+            self.assertIn(signed, ran)
+            return
+        ids = [int(each) for each in re.findall(rb"id: (\d+)\n", body)]
+        self.assertEqual(ids, list(range(1, 7)), (result, "looks whole"))
+
+    def soak(self, seed):
+        self.begin(seed)
+        callers = [harness.Background(self.call_until_over, f"{seed}{number}")
+                   for number in range(CALLERS)]
+        end = time.monotonic() + SECONDS
+        while time.monotonic() < end:
+            self.fault()
+            time.sleep(self.random.uniform(0.02, 0.2))
+        self.calm()
+        self.over.set()
+        for each in callers:
+            each.result()
+        harness.wait_until(lambda: all(d.ready() for d in self.fleet),
+                           "all are ready again")
+        for daemon in self.fleet:
+            harness.wait_until(
+                lambda d=daemon: self.ask(
+                    d, "/l/x", f"after-{time.monotonic_ns()}")[0] == 200,
+                "served again")
+        self.check_all()
+
+
+for number in range(int(FIRST), int(LAST or FIRST) + 1):
+    setattr(Soak, f"test_seed_{number}",
+            lambda self, seed=number: self.soak(seed))
+
+
+if __name__ == "__main__":
+    unittest.main()
