A step known by its ends only is never told on as if each change in it were

Cause: a copy that had got from revision 5 to 8 by a listing told a peer at 6 what differed between 5 and 8. An item that came at 6 and went at 7 stood in neither end, and the peer kept it for good: a removed endpoint, or a revoked token, while the source turns it away. The same where the asker had moved on by itself before the answer came. Ruled out: the source's own listings and watches, whose steps name each change. Change: the mirror keeps its steps of which both ends are known only (listings, and what peers told) and answers no part from inside one, so that the asker gets the whole; a peer's part is taken only at the revision that it was asked for.

--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -194,7 +194,10 @@
     listener.mOnAsked = [this](const items_request& aAsked) {
       return CopyFor(aAsked);
     };
-    listener.mOnCopy = [this](const items_answer& aCopy) { TakeCopy(aCopy); };
+    listener.mOnCopy = [this](const items_request& aAsked,
+                              const items_answer& aCopy) {
+      TakeCopy(aAsked, aCopy);
+    };
     return listener;
   }
 
@@ -224,11 +227,11 @@
     return answer;
   }
 
-  void TakeCopy(const items_answer& aCopy)
+  void TakeCopy(const items_request& aAsked, const items_answer& aCopy)
   {
     source_link& link = LinkOf(aCopy.mWhich);
     if (aCopy.mChangesOnly) {
-      link.OnPeerChanges(aCopy.mItems, aCopy.mAt);
+      link.OnPeerChanges(aCopy.mItems, aAsked.mAfter, aCopy.mAt);
       return;
     }
     std::vector<source_item> items;
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -174,22 +174,23 @@
 
   void Ask(const std::string& aFrom, const items_request& aRequest)
   {
-    mTransport.Exchange(
-      aFrom,
-      EncodeItemsRequest(aRequest),
-      kAskLimit,
-      [weak = weak_from_this()](const std::optional<std::string>& aBytes) {
-        const auto self = weak.lock();
-        if (!self || !aBytes) {
-          return;
-        }
-        if (const auto answer = DecodeItemsAnswer(*aBytes)) {
-          self->mMetrics.OnControlBytes("peers", aBytes->size());
-          self->mListener.mOnCopy(*answer);
-        } else {
-          self->mMetrics.OnEvent("peer_answer_refused");
-        }
-      });
+    mTransport.Exchange(aFrom,
+                        EncodeItemsRequest(aRequest),
+                        kAskLimit,
+                        [weak = weak_from_this(),
+                         aRequest](const std::optional<std::string>& aBytes) {
+                          const auto self = weak.lock();
+                          if (!self || !aBytes) {
+                            return;
+                          }
+                          if (const auto answer = DecodeItemsAnswer(*aBytes)) {
+                            self->mMetrics.OnControlBytes("peers",
+                                                          aBytes->size());
+                            self->mListener.mOnCopy(aRequest, *answer);
+                          } else {
+                            self->mMetrics.OnEvent("peer_answer_refused");
+                          }
+                        });
   }
 
   relay_settings mSettings;
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -39,8 +39,8 @@
   std::function<std::vector<pool_demand>()> mDemand;
   // The copy as a peer asks for it.
   std::function<items_answer(const items_request&)> mOnAsked;
-  // A copy that a peer holds.
-  std::function<void(const items_answer&)> mOnCopy;
+  // What a peer answered to such a request.
+  std::function<void(const items_request&, const items_answer&)> mOnCopy;
 };
 
 class relay_peer_link
--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -89,11 +89,12 @@
   }
 
   void OnPeerChanges(const std::vector<item_change>& aChanges,
+                     std::uint64_t aAsked,
                      std::uint64_t aAt)
   {
     if (const std::uint64_t before = mMirror.At();
-        aAt > before && mMirror.Listed()) {
-      TakePeersNews(mMirror.OnChanges(aChanges, aAt), before);
+        aAt > before && aAsked == before && mMirror.Listed()) {
+      TakePeersNews(mMirror.OnPeerChanges(aChanges, aAsked, aAt), before);
     }
   }
 
@@ -272,9 +273,10 @@
 
 void
 source_link::OnPeerChanges(const std::vector<item_change>& aChanges,
+                           std::uint64_t aAsked,
                            std::uint64_t aAt)
 {
-  mCore->OnPeerChanges(aChanges, aAt);
+  mCore->OnPeerChanges(aChanges, aAsked, aAt);
 }
 
 const item_mirror&
--- a/thornhollow/daemon/source_link.h
+++ b/thornhollow/daemon/source_link.h
@@ -59,7 +59,9 @@
   // What a peer holds, or what it has seen change since a revision that this
   // copy had. Taken only where it is newer.
   void OnPeerListing(const std::vector<source_item>& aItems, std::uint64_t aAt);
+  // `aAsked`: the revision for which the peer was asked.
   void OnPeerChanges(const std::vector<item_change>& aChanges,
+                     std::uint64_t aAsked,
                      std::uint64_t aAt);
 
   const item_mirror& Mirror() const;
--- a/thornhollow/discovery/item_mirror.cc
+++ b/thornhollow/discovery/item_mirror.cc
@@ -33,7 +33,7 @@
       mItems.erase(each.mKey);
     }
   }
-  Remember(changes, mListed ? mAt : aAt);
+  Remember(changes, mListed ? mAt : aAt, aAt, true);
   mListed = true;
   mAt = aAt;
   return changes;
@@ -42,6 +42,25 @@
 std::vector<item_change>
 item_mirror::OnChanges(const std::vector<item_change>& aChanges,
                        std::uint64_t aAt)
+{
+  return Take(aChanges, aAt, false);
+}
+
+std::vector<item_change>
+item_mirror::OnPeerChanges(const std::vector<item_change>& aChanges,
+                           std::uint64_t aAsked,
+                           std::uint64_t aAt)
+{
+  if (aAsked != mAt) {
+    return {};
+  }
+  return Take(aChanges, aAt, true);
+}
+
+std::vector<item_change>
+item_mirror::Take(const std::vector<item_change>& aChanges,
+                  std::uint64_t aAt,
+                  bool aEndsOnly)
 {
   std::vector<item_change> news;
   for (const item_change& each : aChanges) {
@@ -59,7 +78,7 @@
     }
     news.push_back(each);
   }
-  Remember(news, mAt);
+  Remember(news, mAt, aAt, aEndsOnly);
   mAt = std::max(mAt, aAt);
   return news;
 }
@@ -70,6 +89,12 @@
   if (!mListed || aAfter < mLatelyAfter) {
     return std::nullopt;
   }
+  const bool inside = std::ranges::any_of(mJumps, [aAfter](const auto& aJump) {
+    return aJump.first < aAfter && aAfter < aJump.second;
+  });
+  if (inside) {
+    return std::nullopt;
+  }
   std::vector<item_change> changes;
   for (const item_change& each : mLately) {
     if (each.mRevision > aAfter) {
@@ -81,16 +106,26 @@
 
 void
 item_mirror::Remember(const std::vector<item_change>& aChanges,
-                      std::uint64_t aBefore)
+                      std::uint64_t aBefore,
+                      std::uint64_t aAfter,
+                      bool aEndsOnly)
 {
   if (mLately.empty()) {
     mLatelyAfter = aBefore;
   }
+  if (aEndsOnly && aBefore + 1 < aAfter) {
+    mJumps.emplace_back(aBefore, aAfter);
+  }
   mLately.insert(mLately.end(), aChanges.begin(), aChanges.end());
   while (mLately.size() > kRemembered) {
     mLatelyAfter = std::max(mLatelyAfter, mLately.front().mRevision);
     mLately.pop_front();
   }
+  while (mJumps.size() > kRemembered ||
+         (!mJumps.empty() && mJumps.front().second <= mLatelyAfter)) {
+    mLatelyAfter = std::max(mLatelyAfter, mJumps.front().second);
+    mJumps.pop_front();
+  }
 }
 
 std::vector<source_item>
--- a/thornhollow/discovery/item_mirror.h
+++ b/thornhollow/discovery/item_mirror.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace thornhollow {
@@ -49,11 +50,20 @@
   std::vector<item_change> OnListing(const std::vector<source_item>& aItems,
                                      std::uint64_t aAt);
 
-  // Changes after the copy's revision, up to `aAt`. Returns those that are news
-  // here: a change that was seen already is left out.
+  // All that the source changed after the copy's revision, up to `aAt`. Returns
+  // what is news here: a change that was seen already is left out.
   std::vector<item_change> OnChanges(const std::vector<item_change>& aChanges,
                                      std::uint64_t aAt);
 
+  // The same of what a peer answered with `Since(aAsked)`: it may lack items
+  // that came and went meanwhile. So it is taken only where the copy is still
+  // at the revision that it was asked for: one that has moved on may hold such
+  // an item, and would keep it.
+  std::vector<item_change> OnPeerChanges(
+    const std::vector<item_change>& aChanges,
+    std::uint64_t aAsked,
+    std::uint64_t aAt);
+
   // True once a listing was taken.
   bool Listed() const { return mListed; }
   // The source's revision up to which the copy is complete; 0 before.
@@ -62,7 +72,10 @@
   std::vector<source_item> Items() const;
 
   // What changed after revision `aAfter`, the latest last; nothing where that
-  // is longer ago than the copy remembers.
+  // is longer ago than the copy remembers, or lies inside a step of which it
+  // knows both ends only. A peer at such a revision may hold an item that had
+  // come and was gone again in that step: it kept it for good, and sent
+  // requests to an engine that no longer was.
   std::optional<std::vector<item_change>> Since(std::uint64_t aAfter) const;
 
 private:
@@ -78,12 +91,20 @@
 
   // Changes remembered: minutes of those of a large site.
   static constexpr std::size_t kRemembered = 256;
+  // Of a step from `aBefore` of which both ends are known only, or each change.
   void Remember(const std::vector<item_change>& aChanges,
-                std::uint64_t aBefore);
+                std::uint64_t aBefore,
+                std::uint64_t aAfter,
+                bool aEndsOnly);
+  std::vector<item_change> Take(const std::vector<item_change>& aChanges,
+                                std::uint64_t aAt,
+                                bool aEndsOnly);
 
   std::deque<item_change> mLately;
   // All changes after this revision are remembered.
   std::uint64_t mLatelyAfter = 0;
+  // Steps of which both ends are known only: from, to.
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> mJumps;
 };
 
 } // namespace thornhollow
