--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -21,8 +21,6 @@
 namespace thornhollow {
 namespace {
 
-using boost::system::error_code;
-
 // After readiness goes off, the balancer still sends requests for about as long
 // as it takes to notice; they are answered with "not run" instead of meeting a
 // closed port.
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -113,7 +113,8 @@
       // Those without work take turns, or nobody would hear of their paces.
       const auto turn =
         static_cast<std::ptrdiff_t>(mWorkTurn++ % hello.mWork.size());
-      std::ranges::rotate(hello.mWork, hello.mWork.begin() + turn);
+      std::rotate(
+        hello.mWork.begin(), hello.mWork.begin() + turn, hello.mWork.end());
       std::ranges::stable_sort(
         hello.mWork, std::ranges::greater(), &endpoint_work::mToRead);
       hello.mWork.resize(kMostWork);
--- a/thornhollow/net/caller_server_test.cc
+++ b/thornhollow/net/caller_server_test.cc
@@ -71,15 +71,15 @@
 {
 public:
   condition()
-    : subject(
+    : mSubject(
         mIo,
         // Real time has no part in what is tested.
         server_limits{ .mFirstRequestComes = Seconds(3'600) },
-        [this](caller_exchange_ptr aOne) { mHeld.push_back(aOne); },
+        [this](const caller_exchange_ptr& aOne) { mHeld.push_back(aOne); },
         [](error_kind) {
           return whole_reply{ 400, {}, {}, {} };
         })
-    , mAddress(subject.Listen("127.0.0.1:0").value())
+    , mAddress(mSubject.Listen("127.0.0.1:0").value())
   {
   }
 
@@ -103,10 +103,21 @@
 
   asio::io_context mIo;
   std::vector<caller_exchange_ptr> mHeld;
-  caller_server subject;
+  caller_server mSubject;
   std::string mAddress;
 };
 
+// Has one request answered on a kept connection, and sends the next.
+void
+AskAgain(condition& aAt, caller& aCaller)
+{
+  aCaller.Write(kRequest);
+  aAt.Settle();
+  aAt.AnswerAll();
+  REQUIRE(Answers(aCaller.Read()) == 1);
+  aCaller.Write(kRequest);
+}
+
 // While an instance stops, callers that don't know yet still connect. The
 // server closed each connection that had no request so far, also one that was
 // accepted a moment ago: its request, on its way, ran into a closed connection.
@@ -115,9 +126,9 @@
   condition at;
   caller one(at.mIo, at.mAddress);
   at.Settle();
-  at.subject.BeginDrain();
+  at.mSubject.BeginDrain();
   at.Settle();
-  CHECK(at.subject.Busy());
+  CHECK(at.mSubject.Busy());
   one.Write(kRequest);
   at.Settle();
   REQUIRE(at.mHeld.size() == 1);
@@ -125,7 +136,7 @@
   const std::string result = one.Read();
   CHECK(Answers(result) == 1);
   CHECK(result.find("Connection: close") != std::string::npos);
-  CHECK_FALSE(at.subject.Busy());
+  CHECK_FALSE(at.mSubject.Busy());
 }
 
 // A request arrived on a kept connection in the moment in which the stopping
@@ -138,17 +149,12 @@
     CAPTURE(steps);
     condition at;
     caller one(at.mIo, at.mAddress);
-    one.Write(kRequest);
-    at.Settle();
-    at.AnswerAll();
-    REQUIRE(Answers(one.Read()) == 1);
-
-    one.Write(kRequest);
+    AskAgain(at, one);
     at.mIo.restart();
     for (int step = 0; step < steps; ++step) {
       at.mIo.poll_one();
     }
-    at.subject.BeginDrain();
+    at.mSubject.BeginDrain();
     at.Settle();
     REQUIRE(at.mHeld.size() == 1);
     at.AnswerAll();
@@ -163,15 +169,10 @@
     CAPTURE(posts);
     condition at;
     caller one(at.mIo, at.mAddress);
-    one.Write(kRequest);
-    at.Settle();
-    at.AnswerAll();
-    REQUIRE(Answers(one.Read()) == 1);
-
-    one.Write(kRequest);
+    AskAgain(at, one);
     std::function<void(int)> later = [&](int aLeft) {
       if (aLeft == 0) {
-        at.subject.BeginDrain();
+        at.mSubject.BeginDrain();
       } else {
         asio::post(at.mIo, [&later, aLeft] { later(aLeft - 1); });
       }
@@ -191,8 +192,8 @@
   one.Write(kRequest);
   at.Settle();
   at.AnswerAll();
-  CHECK_FALSE(at.subject.Busy());
-  at.subject.BeginDrain();
+  CHECK_FALSE(at.mSubject.Busy());
+  at.mSubject.BeginDrain();
   at.Settle();
   CHECK(one.Read().ends_with("(closed)"));
 }
@@ -211,7 +212,7 @@
   at.mHeld.clear();
   stream->Send(stream_head{});
   at.Settle();
-  at.subject.CloseAfterAnswers();
+  at.mSubject.CloseAfterAnswers();
   one.Write(kRequest);
   stream->Send(stream_end{});
   at.Settle();
@@ -230,9 +231,9 @@
   caller one(at.mIo, at.mAddress);
   one.Write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
   at.Settle();
-  CHECK(at.subject.Busy());
-  CHECK(at.subject.InProgress() == 0);
-  at.subject.BeginDrain();
+  CHECK(at.mSubject.Busy());
+  CHECK(at.mSubject.InProgress() == 0);
+  at.mSubject.BeginDrain();
   one.Write("cd");
   at.Settle();
   at.AnswerAll();
@@ -247,8 +248,8 @@
   at.Settle();
   caller one(at.mIo, at.mAddress);
   one.Write(kRequest);
-  at.subject.StopListening();
-  CHECK(at.subject.Busy());
+  at.mSubject.StopListening();
+  CHECK(at.mSubject.Busy());
   at.Settle();
   REQUIRE(at.mHeld.size() == 1);
   at.AnswerAll();
--- a/thornhollow/policy/engine_sides_test.cc
+++ b/thornhollow/policy/engine_sides_test.cc
@@ -11,7 +11,7 @@
 
 struct condition
 {
-  engine_sides subject{ engine_sides_settings{} };
+  engine_sides mSubject{ engine_sides_settings{} };
   std::vector<engine_standing> mEngines;
   time_point mNow = time_point() + Seconds(100);
 
@@ -20,19 +20,19 @@
     for (std::uint32_t each = 0; each < 9; ++each) {
       mEngines.push_back({ each, false, each });
     }
-    subject.Observe(mEngines, 5, true, mNow);
+    mSubject.Observe(mEngines, 5, true, mNow);
   }
 
   void Observe(std::size_t aPatient)
   {
-    subject.Observe(mEngines, aPatient, false, mNow);
+    mSubject.Observe(mEngines, aPatient, false, mNow);
   }
 
   std::set<std::uint32_t> Patient() const
   {
     std::set<std::uint32_t> result;
     for (const engine_standing& each : mEngines) {
-      if (subject.Of(each.mNumber) == engine_side::kPatient) {
+      if (mSubject.Of(each.mNumber) == engine_side::kPatient) {
         result.insert(each.mNumber);
       }
     }
@@ -43,7 +43,7 @@
   {
     std::set<std::uint32_t> result;
     for (const engine_standing& each : mEngines) {
-      if (subject.Clearing(each.mNumber, mNow)) {
+      if (mSubject.Clearing(each.mNumber, mNow)) {
         result.insert(each.mNumber);
       }
     }
@@ -120,7 +120,7 @@
   mEngines.erase(mEngines.begin());
   Observe(5);
   CHECK(Patient() == numbers{ 1, 2, 3, 4, 5 });
-  CHECK(subject.Of(0) == std::nullopt);
+  CHECK(mSubject.Of(0) == std::nullopt);
 }
 
 // Instances that started at other times, or saw other moves, send alike after
@@ -138,7 +138,7 @@
     mNow += Milliseconds(100);
   }
   for (const engine_standing& each : mEngines) {
-    CHECK(subject.Of(each.mNumber) == other.Of(each.mNumber));
+    CHECK(mSubject.Of(each.mNumber) == other.Of(each.mNumber));
   }
 }
 
--- a/thornhollow/policy/relay_pool_benchmark.cc
+++ b/thornhollow/policy/relay_pool_benchmark.cc
@@ -11,7 +11,7 @@
 // One decision, with the sessions and the work of a busy hour, over as many
 // engines as the argument says: a small site, a grown one, letter 1's.
 void
-BM_ChooseEngine(benchmark::State& aState)
+ChooseEngine(benchmark::State& aState)
 {
   relay_pool pool(relay_pool_settings{}, true, domain_name("hall"), 1);
   time_point now = time_point() + Seconds(100);
@@ -37,7 +37,7 @@
     now += Milliseconds(1);
   }
 }
-BENCHMARK(BM_ChooseEngine)->Arg(12)->Arg(112)->Arg(850);
+BENCHMARK(ChooseEngine)->Arg(12)->Arg(112)->Arg(850);
 
 } // namespace
 } // namespace thornhollow
