No parts are copied from an engine that fails

Cause: read in the diff: the engine told to copy would wait for one that is gone. Change: failing engines are passed over as givers.

--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -259,7 +259,7 @@
     return nullptr;
   }
   for (const std::uint32_t each : holders) {
-    if (const record* found = ByNumber(each)) {
+    if (const record* found = ByNumber(each); found && MayGive(*found)) {
       return found;
     }
   }
@@ -277,7 +277,7 @@
   std::uint64_t highest = 0;
   for (const auto& [name, each] : mRecords) {
     const std::uint64_t weight = CombineHash(aWork.mSharedPrefix, each.mRank);
-    if (mSides.Earlier(each.mNumber, aNow) == side &&
+    if (MayGive(each) && mSides.Earlier(each.mNumber, aNow) == side &&
         (home == nullptr || weight > highest)) {
       home = &each;
       highest = weight;
@@ -286,6 +286,14 @@
   return home;
 }
 
+// An engine that fails may not answer the one that asks it for a copy, and the
+// request would wait for as long as that one tries.
+bool
+relay_pool::MayGive(const record& aRecord)
+{
+  return aRecord.mHealth.Kind() != health_kind::kFailing;
+}
+
 const relay_pool::record*
 relay_pool::ByNumber(std::uint32_t aNumber) const
 {
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -229,6 +229,7 @@
                        const record& aChosen,
                        time_point aNow) const;
   const record* EarlierHome(const relay_work& aWork, time_point aNow) const;
+  static bool MayGive(const record& aRecord);
   const record* ByNumber(std::uint32_t aNumber) const;
   static std::vector<const record*> FirstInOrder(
     const relay_work& aWork,
--- a/thornhollow/policy/relay_pool_test.cc
+++ b/thornhollow/policy/relay_pool_test.cc
@@ -239,6 +239,24 @@
   CHECK(mPool.Choose(work, { first.mEndpoint }, mNow)->mCopyFrom.empty());
 }
 
+// The engine that held a session's parts had crashed. The next one was told to
+// copy them from there, and the request waited for an engine that was gone.
+TEST_CASE_FIXTURE(pool_of_nine_engines,
+                  "relay_pool/holder_fails/nothing_is_copied_from_it")
+{
+  const relay_work work = Work(7, true);
+  const relay_pick first = Send(work);
+  Finish(first, work, Milliseconds(100));
+  for (int each = 0; each < 6; ++each) {
+    mPool.OnSent(first, work, mNow);
+    mPool.OnEnded(first, attempt_end::kFailed, false, Milliseconds(5), mNow);
+  }
+  const auto result = mPool.Choose(work, {}, mNow);
+  REQUIRE(result.has_value());
+  CHECK(result->mEndpoint != first.mEndpoint);
+  CHECK(result->mCopyFrom.empty());
+}
+
 // The border moved: the engine that all instances had sent a session to takes
 // no more such work. An instance that hadn't sent the session itself didn't
 // know who held its parts.
