--- a/thornhollow/config/relay_settings.cc
+++ b/thornhollow/config/relay_settings.cc
@@ -71,9 +71,6 @@
                   { .mLeast = 0,
                     .mMost = 1e9,
                     .mDefault = static_cast<double>(aRead.mCopyFromTokens) }));
-  aRead.mBalance = FromSeconds(fields.Number(
-    "balance_s",
-    { .mLeast = 0, .mMost = 1'000, .mDefault = ToSeconds(aRead.mBalance) }));
   aRead.mPatientBusy = fields.Number(
     "patient_busy",
     { .mLeast = 0.01, .mMost = 1, .mDefault = aRead.mPatientBusy });
--- a/thornhollow/config/relay_settings.h
+++ b/thornhollow/config/relay_settings.h
@@ -44,7 +44,6 @@
   double mUrgentMissPenalty = 16;
   // Shared parts of at least so many tokens are copied; 0: never.
   std::uint32_t mCopyFromTokens = 256;
-  duration mBalance{};
   double mPatientBusy = 0.5;
   double mUrgentBusy = 0.25;
 
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -36,7 +36,6 @@
   settings.mMissPenalty = aSettings.mEngines.mMissPenalty;
   settings.mUrgentMissPenalty = aSettings.mEngines.mUrgentMissPenalty;
   settings.mCopyFromTokens = aSettings.mEngines.mCopyFromTokens;
-  settings.mBalance = aSettings.mEngines.mBalance;
   settings.mBorder.mReadPerSecond = aSettings.mEngines.mReadPerSecond;
   settings.mBorder.mPatientBusy = aSettings.mEngines.mPatientBusy;
   settings.mBorder.mUrgentBusy = aSettings.mEngines.mUrgentBusy;
@@ -299,7 +298,6 @@
         found == aWork.end() ? endpoint_work{} : found->second;
       pool.SetOthers({ .mName = each.mName,
                        .mToRead = others.mToRead,
-                       .mPerSecond = others.mPerSecond,
                        .mPace = others.mPace },
                      aNow);
       LogPace(each);
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -247,9 +247,8 @@
   {
     std::vector<endpoint_work> work;
     for (const relay_load& each : mDispatcher.OwnLoads()) {
-      if (each.mToRead > 0 || each.mPerSecond >= 1 || each.mPace > 0) {
-        work.push_back(
-          { WorkKey(each.mName), each.mToRead, each.mPerSecond, each.mPace });
+      if (each.mToRead > 0 || each.mPace > 0) {
+        work.push_back({ WorkKey(each.mName), each.mToRead, each.mPace });
       }
     }
     return work;
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -90,7 +90,7 @@
     work.mSharedPrefix = CombineHash(work.mSharedPrefix, Hash64(part.mId));
   }
   work.mSharedTokens = std::min(work.mSharedTokens, work.mPromptTokens);
-  work.mPatient = work.mTarget >= relay_pool_settings().mPatientFrom;
+  work.mPatient = work.mTarget >= kPatientFrom;
   return work;
 }
 
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -215,7 +215,6 @@
     for (const endpoint_work& work : each.mHello.mWork) {
       endpoint_work& its = sum[work.mEndpoint];
       its.mToRead += work.mToRead;
-      its.mPerSecond += work.mPerSecond;
       if (work.mPace > 0 && (its.mPace == 0 || work.mPace < its.mPace)) {
         its.mPace = work.mPace;
       }
@@ -224,7 +223,6 @@
   for (auto& [endpoint, work] : sum) {
     work.mToRead =
       static_cast<std::uint64_t>(static_cast<double>(work.mToRead) * scale);
-    work.mPerSecond *= scale;
   }
   return sum;
 }
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -42,15 +42,13 @@
 
 namespace thornhollow {
 
-// Prompt tokens sent to an endpoint: those that it has not read yet, and how
-// many come in a second.
+// What an instance tells of an endpoint: prompt tokens that it was sent and has
+// not read yet, and how fast it reads.
 struct endpoint_work
 {
   // See `WorkKey`.
   std::uint32_t mEndpoint = 0;
   std::uint64_t mToRead = 0;
-  // Prompt tokens sent there a second, over the last seconds.
-  double mPerSecond = 0;
   // Nanoseconds for which it was seen to read a prompt token, at its best; 0:
   // not seen.
   double mPace = 0;
--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -40,7 +40,7 @@
     hello.mSourceFails = mFails[aFrom];
     hello.mKnown = mKnown[aFrom];
     hello.mPeers = mPeers[aFrom]->SomePeers();
-    hello.mWork = { { 1, 10, 1, 0 } };
+    hello.mWork = { { 1, 10, 0 } };
     hello.mWantsAnswer = aAsk;
     if (const auto back = mPeers[aTo]->OnHello(hello, mNow)) {
       Deliver(aTo, *back, false);
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -208,7 +208,8 @@
   const auto first = FirstInOrder(aWork, aCandidates, kNearRanks);
   const double most =
     aWork.mPatient ? mSettings.mMissPenalty : mSettings.mUrgentMissPenalty;
-  const double mean = MeanPerSecond(aCandidates, aNow);
+  const double own =
+    ReadCost(aWork.mPromptTokens - aWork.mSharedTokens, aWork.mSharedTokens);
   record* best = nullptr;
   double bestCost = 0;
   for (record* each : aCandidates) {
@@ -221,13 +222,9 @@
       rank == first.size()
         ? most
         : std::min(most, mSettings.mMissStep * static_cast<double>(rank));
-    const double own =
-      ReadCost(aWork.mPromptTokens - aWork.mSharedTokens, aWork.mSharedTokens);
     const double waiting =
       static_cast<double>(each->mToRead + each->mOthersToRead);
-    const double above = std::max(0.0, each->PerSecond(aNow) - mean);
-    const double cost =
-      waiting + own + missing * penalty + above * ToSeconds(mSettings.mBalance);
+    const double cost = waiting + own + missing * penalty;
     if (best == nullptr || cost < bestCost) {
       best = each;
       bestCost = cost;
@@ -240,7 +237,7 @@
   }
   if (mSettings.mCopyFromTokens > 0 &&
       aWork.mSharedTokens >= mSettings.mCopyFromTokens) {
-    if (const record* from = Holder(aWork, *best, aNow)) {
+    if (const record* from = Holder(aWork, holders, *best, aNow)) {
       aPick.mCopyFrom = from->mEndpoint.mAddress;
     }
   }
@@ -251,14 +248,14 @@
 // `aChosen` is believed to.
 const relay_pool::record*
 relay_pool::Holder(const relay_work& aWork,
+                   const prefix_affinity::holders& aHolders,
                    const record& aChosen,
                    time_point aNow) const
 {
-  const auto holders = mAffinity.Holders(aWork.mSharedPrefix, aNow);
-  if (std::ranges::count(holders, aChosen.mNumber) > 0) {
+  if (std::ranges::count(aHolders, aChosen.mNumber) > 0) {
     return nullptr;
   }
-  for (const std::uint32_t each : holders) {
+  for (const std::uint32_t each : aHolders) {
     if (const record* found = ByNumber(each); found && MayGive(*found)) {
       return found;
     }
@@ -325,16 +322,6 @@
   return first;
 }
 
-double
-relay_pool::MeanPerSecond(const std::vector<record*>& aRecords, time_point aNow)
-{
-  double sum = 0;
-  for (const record* each : aRecords) {
-    sum += each->PerSecond(aNow);
-  }
-  return sum / static_cast<double>(aRecords.size());
-}
-
 void
 relay_pool::OnSent(const relay_pick& aPick,
                    const relay_work& aWork,
@@ -347,7 +334,6 @@
   }
   ++found->mInFlight;
   found->mToRead += aPick.mToRead;
-  found->mSent.Add(aPick.mToRead, aNow);
   found->mHealth.OnSent(aNow);
   if (aWork.mSharedPrefix != 0) {
     mAffinity.Remember(aWork.mSharedPrefix, found->mNumber, aNow);
@@ -404,7 +390,6 @@
 {
   if (const auto found = mRecords.find(aLoad.mName); found != mRecords.end()) {
     found->second.mOthersToRead = aLoad.mToRead;
-    found->second.mOthersPerSecond = aLoad.mPerSecond;
     if (aLoad.mPace > 0) {
       found->second.mPace.OnTold(aLoad.mPace, aNow);
     }
@@ -451,7 +436,6 @@
   for (auto& [name, each] : mRecords) {
     each.mHealth.OnClockGap(aNow);
     each.mOthersToRead = 0;
-    each.mOthersPerSecond = 0;
   }
 }
 
@@ -470,7 +454,6 @@
     loads.push_back({ name,
                       each.mInFlight,
                       each.mToRead,
-                      each.mSent.PerSecond(aNow),
                       each.mPace.NanosecondsPerToken(aNow),
                       each.mSlow });
   }
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -19,8 +19,7 @@
 // first of that rank. To read them again elsewhere costs `mMissPenalty` times
 // the time that it takes, since it is also time taken from all others. That
 // alone would leave an engine with a popular session overloaded while others
-// idle: what all instances sent an engine over the last seconds counts as well,
-// where it is more than the mean.
+// idle: the penalty is less for the next engines of the session's rank.
 //
 // On which side of the border an engine is follows from its name's hash, but
 // slow ones are on the patient side first.
@@ -73,18 +72,11 @@
   // full ones (two deployments, two seeds each). Shorter parts are read in a
   // few milliseconds.
   std::uint32_t mCopyFromTokens = 256;
-  // Tokens a second that an engine is sent above the mean of its side count as
-  // if they came for so long at once. Off: with 6 s sessions moved so often
-  // that 296 thousand tokens were read again where 165 were without (one calm
-  // hour of 34 s, nine engines).
-  duration mBalance{};
   // Patient work passes over engines that still have urgent streams from
   // before they became patient ones while the others would be busy reading for
   // less than this part of the time. Without a bound full days lost 0.03 to
   // 0.05 of their worth by the room that was missing.
   double mClearBelow = 0.6;
-  // Work whose target is at least this long may wait.
-  duration mPatientFrom = Seconds(1);
   // Slow from this multiple of the pool's fastest pace on, and no more below
   // the other: engines differ by 1.3.
   double mSlowFrom = 1.17;
@@ -125,8 +117,6 @@
   std::uint32_t mInFlight = 0;
   // Prompt tokens of those without a first event yet.
   std::uint64_t mToRead = 0;
-  // Prompt tokens sent there a second, over the last seconds.
-  double mPerSecond = 0;
   // Nanoseconds for which it reads a prompt token, at its best; 0: not known.
   double mPace = 0;
   bool mSlow = false;
@@ -196,18 +186,11 @@
     std::uint32_t mInFlight = 0;
     std::uint64_t mToRead = 0;
     std::uint64_t mOthersToRead = 0;
-    faded_rate mSent = {};
     read_pace mPace = {};
     // When a pace of it was known first.
     std::optional<time_point> mPaceKnown = std::nullopt;
     // Reads prompts so slowly that it is left to patient work first.
     bool mSlow = false;
-    double mOthersPerSecond = 0;
-
-    double PerSecond(time_point aNow) const
-    {
-      return mSent.PerSecond(aNow) + mOthersPerSecond;
-    }
   };
 
   record* Find(const relay_pick& aPick);
@@ -226,6 +209,7 @@
                        time_point aNow,
                        relay_pick& aPick);
   const record* Holder(const relay_work& aWork,
+                       const prefix_affinity::holders& aHolders,
                        const record& aChosen,
                        time_point aNow) const;
   const record* EarlierHome(const relay_work& aWork, time_point aNow) const;
@@ -235,8 +219,6 @@
     const relay_work& aWork,
     const std::vector<record*>& aCandidates,
     std::size_t aMost);
-  static double MeanPerSecond(const std::vector<record*>& aRecords,
-                              time_point aNow);
   relay_pool_settings mSettings;
   bool mEngines;
   domain_name mOwnDomain;
--- a/thornhollow/policy/relay_work.h
+++ b/thornhollow/policy/relay_work.h
@@ -14,6 +14,10 @@
 
 namespace thornhollow {
 
+// Work whose target is at least this long may wait: other prompts are read
+// before it in well under a second.
+inline constexpr duration kPatientFrom = Seconds(1);
+
 struct relay_work
 {
   // 0 is served first.
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -18,8 +18,6 @@
 constexpr std::size_t kMaxHelloEntries = 128;
 constexpr std::size_t kMaxItems = 8'192;
 constexpr std::size_t kMaxTextBytes = 128;
-// Prompt tokens a second: far more than any engine reads.
-constexpr double kMostPerSecond = 1e9;
 // Nanoseconds for a token: a second.
 constexpr double kSlowestPace = 1e9;
 
@@ -70,8 +68,6 @@
     wire::endpoint_work work;
     work.__set_endpoint(static_cast<std::int32_t>(each.mEndpoint));
     work.__set_to_read(Signed(each.mToRead));
-    work.__set_per_s(
-      static_cast<std::int32_t>(std::min(each.mPerSecond, kMostPerSecond)));
     work.__set_pace_ns(
       static_cast<std::int32_t>(std::min(each.mPace, kSlowestPace)));
     out.work.push_back(work);
@@ -110,7 +106,6 @@
   for (const wire::endpoint_work& each : in->work) {
     hello.mWork.push_back({ static_cast<std::uint32_t>(each.endpoint),
                             Unsigned(each.to_read),
-                            Sane(each.per_s),
                             Sane(each.pace_ns) });
   }
   for (const wire::pool_demand& each : in->demand) {
--- a/thornhollow/wire/relay_codec_test.cc
+++ b/thornhollow/wire/relay_codec_test.cc
@@ -15,7 +15,7 @@
   hello.mDomain = domain_name("hall");
   hello.mKnown = { 12, 34 };
   hello.mPeers = { "10.0.0.2:7" };
-  hello.mWork = { { 0xfedcba98, 1200, 300, 15000 } };
+  hello.mWork = { { 0xfedcba98, 1200, 15000 } };
   hello.mDemand = { { pool_name("engines"), { 1000, 50 } } };
   hello.mWantsAnswer = true;
   hello.mSourceFails = true;
@@ -39,7 +39,7 @@
 {
   relay_hello hello = Hello();
   hello.mPeers.assign(6, "255.255.255.255:65535");
-  hello.mWork.assign(64, { 0xffffffff, 200'000, 100'000, 30'000 });
+  hello.mWork.assign(64, { 0xffffffff, 200'000, 30'000 });
   CHECK(EncodeHello(hello).size() <= 1200);
   // What an instance sends at most (relay_peer_link.cc); CAPACITY.md counts on
   // it.
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -110,7 +110,7 @@
   // The lowest 32 bits of the hash of the endpoint's name.
   1: i32 endpoint
   2: i64 to_read
-  3: i32 per_s
+  // 3 was per_s.
   4: i32 pace_ns
 }
 
