caller_server.cc in three: the server, its sessions, one request's answer

869 lines held them all. internal/caller_session has a connection, internal/queued_exchange what waits to be written; caller_server.cc keeps 148 lines of listening and stopping. The copying of a message's header fields stood in the relay's attempt too: internal/http_fields serves both. Moved as it was.

--- a/thornhollow/net/caller_server.cc
+++ b/thornhollow/net/caller_server.cc
@@ -1,755 +1,48 @@
 #include "thornhollow/net/caller_server.h"
 
 #include <algorithm>
-#include <deque>
-#include <optional>
-#include <set>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/string.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include "thornhollow/net/address.h"
-#include "thornhollow/net/clock.h"
 #include "thornhollow/net/internal/awaitable.h"
-#include "thornhollow/net/internal/header_text.h"
-#include "thornhollow/net/internal/silence.h"
+#include "thornhollow/net/internal/caller_session.h"
 
 namespace thornhollow {
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
+using net_internal::caller_server_state;
+using net_internal::caller_session;
 using net_internal::Into;
-
-using request_parser = http::request_parser<http::string_body>;
-
-constexpr unsigned kHttp11 = 11;
-// Data that the caller's end doesn't acknowledge for this long ends the
-// connection. Something between the ends can lose track of a connection; then
-// nothing is ever answered on it, and without this limit a stream's tokens
-// would be computed for nobody.
-constexpr int kUnacknowledgedMs = 10'000;
-// A connection without traffic is probed, so that one that went silent while
-// its request waits is found too: 5 s + 3 probes 2 s apart.
-constexpr net_internal::silence_limits kCallerSilence = {
-  .mUnacknowledgedMs = kUnacknowledgedMs,
-  .mProbeAfterSeconds = 5,
-  .mProbeIntervalSeconds = 2,
-  .mProbes = 3,
-};
-
-std::string
-PathOf(std::string_view aTarget)
-{
-  return std::string(aTarget.substr(0, aTarget.find('?')));
-}
-
-caller_request
-ToRequest(request_parser& aParser)
-{
-  auto& message = aParser.get();
-  caller_request request;
-  request.mMethod = std::string(message.method_string());
-  request.mTarget = std::string(message.target());
-  request.mPath = PathOf(request.mTarget);
-  for (const auto& field : message) {
-    request.mHeaders.push_back(
-      { std::string(field.name_string()), std::string(field.value()) });
-  }
-  request.mBody = std::move(message.body());
-  return request;
-}
-
-std::size_t
-BytesOf(const reply_part& aPart)
-{
-  if (const auto* whole = std::get_if<whole_reply>(&aPart)) {
-    return whole->mBody.size();
-  }
-  if (const auto* text = std::get_if<stream_text>(&aPart)) {
-    return text->mText.size();
-  }
-  return 0;
-}
-
-bool
-IsLast(const reply_part& aPart)
-{
-  return std::holds_alternative<whole_reply>(aPart) ||
-         std::holds_alternative<stream_end>(aPart) ||
-         std::holds_alternative<stream_abort>(aPart);
-}
-
-class session;
-
-// The session's side of an exchange: parts wait here until they are written.
-class exchange final : public caller_exchange
-{
-public:
-  exchange(const asio::any_io_executor& aExecutor,
-           caller_request aRequest,
-           std::size_t aMaxUnsentBytes)
-    : mRequest(std::move(aRequest))
-    , mArrival(Now())
-    , mMaxUnsentBytes(aMaxUnsentBytes)
-    , mSignal(aExecutor, asio::steady_timer::time_point::max())
-  {
-  }
-
-  const caller_request& Request() const override { return mRequest; }
-  time_point Arrival() const override { return mArrival; }
-
-  void Send(reply_part aPart) override
-  {
-    if (mGone || mLastQueued) {
-      return;
-    }
-    mUnsentBytes += BytesOf(aPart);
-    mLastQueued = IsLast(aPart);
-    mParts.push_back(std::move(aPart));
-    // A caller that reads more slowly than its answer comes would let the
-    // answer pile up here without bound.
-    if (mUnsentBytes > mMaxUnsentBytes) {
-      Leave();
-    }
-    mSignal.cancel();
-  }
-
-  void OnLeft(std::function<void()> aListener) override
-  {
-    mOnLeft = std::move(aListener);
-  }
-
-  // The caller is gone; tells the listener unless the answer is complete.
-  void Leave()
-  {
-    if (std::exchange(mGone, true)) {
-      return;
-    }
-    mSignal.cancel();
-    const auto listener = std::exchange(mOnLeft, nullptr);
-    if (listener && !mLastQueued) {
-      listener();
-    }
-  }
-
-  bool Gone() const { return mGone; }
-  bool Complete() const { return mLastQueued; }
-
-  // The next part to write; nothing when the caller is gone.
-  asio::awaitable<std::optional<reply_part>> Next()
-  {
-    while (mParts.empty() && !mGone) {
-      error_code ignored;
-      co_await mSignal.async_wait(Into(ignored));
-    }
-    if (mGone) {
-      co_return std::nullopt;
-    }
-    reply_part part = std::move(mParts.front());
-    mParts.pop_front();
-    mUnsentBytes -= BytesOf(part);
-    co_return part;
-  }
-
-private:
-  caller_request mRequest;
-  time_point mArrival;
-  std::size_t mMaxUnsentBytes;
-  std::size_t mUnsentBytes = 0;
-  std::deque<reply_part> mParts;
-  std::function<void()> mOnLeft;
-  bool mGone = false;
-  bool mLastQueued = false;
-  asio::steady_timer mSignal;
-};
-
-} // namespace
-
-// What the server and its sessions share.
-class caller_server::shared
-{
-public:
-  shared(asio::io_context& aIo,
-         const server_limits& aLimits,
-         exchange_handler aOnRequest,
-         refusal_handler aOnUnreadable)
-    : mIo(aIo)
-    , mLimits(aLimits)
-    , mOnRequest(std::move(aOnRequest))
-    , mOnUnreadable(std::move(aOnUnreadable))
-    , mAcceptor(aIo)
-  {
-  }
-
-  asio::io_context& mIo;
-  server_limits mLimits;
-  exchange_handler mOnRequest;
-  refusal_handler mOnUnreadable;
-  tcp::acceptor mAcceptor;
-  // All connections, also those being refused or closed.
-  std::set<session*> mSessions;
-  std::size_t mServing = 0;
-  bool mDraining = false;
-};
-
-namespace {
-
-using shared_state = caller_server::shared;
-
-// Counts one more for as long as it lives, also where an exception ends it.
-class tally
-{
-public:
-  explicit tally(std::size_t& aCount)
-    : mCount(aCount)
-  {
-    ++mCount;
-  }
-  tally(const tally&) = delete;
-  tally& operator=(const tally&) = delete;
-  ~tally() { --mCount; }
-
-private:
-  std::size_t& mCount;
-};
-
-// One caller's connection.
-class session
-  : public boost::intrusive_ref_counter<session, boost::thread_unsafe_counter>
-{
-public:
-  session(tcp::socket aSocket, std::shared_ptr<shared_state> aShared)
-    : mStream(std::move(aSocket))
-    , mShared(std::move(aShared))
-    , mReadLimit(mStream.get_executor())
-    , mOpened(Now())
-  {
-    mShared->mSessions.insert(this);
-    net_internal::DetectSilence(mStream.socket(), kCallerSilence);
-  }
-  session(const session&) = delete;
-  session& operator=(const session&) = delete;
-  ~session() { mShared->mSessions.erase(this); }
-
-  asio::awaitable<void> Run()
-  {
-    if (mShared->mServing < mShared->mLimits.mMaxConnections) {
-      co_await ServeAll();
-    } else if (Crowded()) {
-      mShared->mOnUnreadable(error_kind::kTooManyConnections);
-      co_return;
-    } else {
-      co_await Refuse(error_kind::kTooManyConnections);
-    }
-    mPhase = phase::kClosing;
-    co_await Linger();
-  }
-
-  // Ends the wait for a next request. Bytes that have arrived are not thrown
-  // away: closing the socket would let a request that was read already run
-  // with nowhere to put its answer, which the caller sees as a connection that
-  // closed on it. Cancelling leaves a finished read as it is, so that request
-  // is served.
-  void EndIfIdle()
-  {
-    error_code wrong;
-    if (!Busy() && mPhase == phase::kWaiting &&
-        mStream.socket().available(wrong) == 0) {
-      mStream.socket().cancel(wrong);
-    }
-  }
-
-  // A request is being read or answered, or the connection is so new that its
-  // first one is on its way.
-  bool Busy() const
-  {
-    const bool isNew =
-      !mAnsweredOne && Now() - mOpened < mShared->mLimits.mFirstRequestComes;
-    return mPhase == phase::kWorking || (mPhase == phase::kWaiting && isNew);
-  }
-
-private:
-  // Refused and closing connections beyond this many are dropped at once.
-  bool Crowded() const
-  {
-    return mShared->mSessions.size() >
-           mShared->mLimits.mMaxConnections + kMaxClosing;
-  }
-
-  asio::awaitable<void> ServeAll()
-  {
-    const tally serving(mShared->mServing);
-    bool again = true;
-    while (again) {
-      again = co_await ServeOne();
-    }
-  }
-
-  // Closing a socket that holds unread bytes resets the connection, and the
-  // reset discards the answer on its way: a caller whose body is refused would
-  // see a broken connection instead of why. So what still comes is read and
-  // dropped until the caller closes, for a bounded time.
-  asio::awaitable<void> Linger()
-  {
-    error_code wrong;
-    mStream.socket().shutdown(tcp::socket::shutdown_send, wrong);
-    mBuffer.clear();
-    mStream.expires_after(kLingerTimeout);
-    while (!wrong && !Crowded()) {
-      co_await mStream.async_read_some(mBuffer.prepare(kFirstRead),
-                                       Into(wrong));
-    }
-  }
-
-  // Reads one request and writes its answer; false ends the connection.
-  asio::awaitable<bool> ServeOne()
-  {
-    if (!co_await WaitForFirstByte()) {
-      co_return false;
-    }
-    request_parser parser;
-    parser.header_limit(mShared->mLimits.mMaxHeaderBytes);
-    parser.body_limit(mShared->mLimits.mMaxBodyBytes);
-    if (const auto wrong = co_await ReadRequest(parser)) {
-      co_await Refuse(*wrong);
-      co_return false;
-    }
-    const bool keepAlive = parser.get().keep_alive();
-    mVersion = parser.get().version();
-    mHead = parser.get().method() == http::verb::head;
-    const auto one = boost::intrusive_ptr<exchange>(
-      new exchange(mStream.get_executor(),
-                   ToRequest(parser),
-                   mShared->mLimits.mMaxUnsentBytes));
-    Watch(one);
-    mShared->mOnRequest(one);
-    const bool written = co_await WriteAnswer(*one, keepAlive);
-    one->Leave();
-    // Wakes the watcher, which holds the exchange.
-    mStream.socket().cancel();
-    mAnsweredOne = true;
-    co_return written&& mToldToStay;
-  }
-
-  asio::awaitable<bool> WaitForFirstByte()
-  {
-    if (mBuffer.size() > 0) {
-      co_return true;
-    }
-    mPhase = phase::kWaiting;
-    mStream.expires_after(mShared->mLimits.mIdleTimeout);
-    error_code wrong;
-    const std::size_t bytes = co_await mStream.async_read_some(
-      mBuffer.prepare(kFirstRead), Into(wrong));
-    mBuffer.commit(bytes);
-    mPhase = phase::kWorking;
-    co_return !wrong;
-  }
-
-  // Nothing when the request is whole; else why it is not.
-  asio::awaitable<std::optional<error_kind>> ReadRequest(
-    request_parser& aParser)
-  {
-    BeginReadLimit();
-    error_code wrong;
-    const bool usable = co_await ReadAll(aParser, wrong);
-    ++mReads;
-    mReadLimit.cancel();
-    if (!usable) {
-      co_return error_kind::kMalformedRequest;
-    }
-    if (!wrong) {
-      co_return std::nullopt;
-    }
-    if (mLate) {
-      co_return error_kind::kSlowSender;
-    }
-    if (wrong == http::error::header_limit ||
-        wrong == http::error::buffer_overflow) {
-      co_return error_kind::kHeaderTooLarge;
-    }
-    if (wrong == http::error::body_limit) {
-      co_return error_kind::kBodyTooLarge;
-    }
-    co_return error_kind::kMalformedRequest;
-  }
-
-  // False where a header was read that leaves open how the request goes on.
-  asio::awaitable<bool> ReadAll(request_parser& aParser, error_code& aWrong)
-  {
-    if (!co_await ReadHeaderText(aWrong)) {
-      co_return false;
-    }
-    if (!aWrong) {
-      co_await http::async_read_header(mStream, mBuffer, aParser, Into(aWrong));
-    }
-    if (aWrong) {
-      co_return true;
-    }
-    ExtendReadLimit();
-    const auto& header = aParser.get();
-    if (!EndsClearly(aParser)) {
-      co_return false;
-    }
-    if (header.version() == kHttp11 &&
-        beast::iequals(header[http::field::expect], "100-continue")) {
-      http::response<http::empty_body> proceed(http::status::continue_,
-                                               kHttp11);
-      co_await http::async_write(mStream, proceed, Into(aWrong));
-    }
-    if (!aWrong) {
-      co_await http::async_read(mStream, mBuffer, aParser, Into(aWrong));
-    }
-    co_return true;
-  }
-
-  // Whether all who read this header agree on where its body ends. Another
-  // coding than "chunked", two lengths, or a length beside a coding leave that
-  // open, and bytes of the body would be taken for the next request.
-  static bool EndsClearly(const request_parser& aParser)
-  {
-    const auto& header = aParser.get();
-    const auto codings = header.count(http::field::transfer_encoding);
-    const auto lengths = header.count(http::field::content_length);
-    const bool known = header.version() == kHttp11 || header.version() == 10;
-    return known && codings + lengths <= 1 &&
-           (codings == 0 || aParser.chunked());
-  }
-
-  // Reads until the buffer holds a whole header; false where its lines leave
-  // open how others would read them.
-  asio::awaitable<bool> ReadHeaderText(error_code& aWrong)
-  {
-    while (!aWrong) {
-      const auto data = mBuffer.cdata();
-      const auto found = net_internal::ScanHeaderText(
-        { static_cast<const char*>(data.data()), data.size() });
-      if (found == net_internal::header_text::kWhole) {
-        co_return true;
-      }
-      if (found == net_internal::header_text::kAmbiguous) {
-        co_return false;
-      }
-      if (mBuffer.size() > mShared->mLimits.mMaxHeaderBytes) {
-        aWrong = http::error::header_limit;
-        co_return true;
-      }
-      const std::size_t bytes = co_await mStream.async_read_some(
-        mBuffer.prepare(kFirstRead), Into(aWrong));
-      mBuffer.commit(bytes);
-    }
-    co_return true;
-  }
-
-  // The stream's own time limit closes the socket, and nothing could be
-  // answered any more; this one only ends the reading.
-  void BeginReadLimit()
-  {
-    mLate = false;
-    mStream.expires_never();
-    mReadBegun = Now();
-    mReadLimit.expires_at(mReadBegun + mShared->mLimits.mHeaderTimeout);
-    AwaitReadLimit(mReads);
-  }
-
-  // The header is in; its body has the rest of the whole request's time.
-  void ExtendReadLimit()
-  {
-    ++mReads;
-    mReadLimit.expires_at(mReadBegun + mShared->mLimits.mSendTimeout);
-    AwaitReadLimit(mReads);
-  }
-
-  void AwaitReadLimit(std::uint64_t aRead)
-  {
-    mReadLimit.async_wait([self = boost::intrusive_ptr<session>(this),
-                           aRead](const error_code& aWrong) {
-      if (aWrong || aRead != self->mReads) {
-        return;
-      }
-      self->mLate = true;
-      self->mStream.cancel();
-      // A partial read that was done but not yet seen isn't cancelled, and
-      // another one follows it; that one is.
-      self->mReadLimit.expires_after(kCancelAgainAfter);
-      self->AwaitReadLimit(aRead);
-    });
-  }
-
-  // Notices that the caller closes while its request is in progress. A caller
-  // that only closed its sending side counts as gone as well; it can still
-  // read that its request was given up.
-  void Watch(const boost::intrusive_ptr<exchange>& aExchange)
-  {
-    mStream.socket().async_wait(tcp::socket::wait_read,
-                                [self = boost::intrusive_ptr<session>(this),
-                                 aExchange](const error_code& aWrong) {
-                                  if (!aWrong && !aExchange->Gone()) {
-                                    self->LookForClose(aExchange);
-                                  }
-                                });
-  }
-
-  // Bytes of a next request are taken over, up to a bound: a close shows only
-  // after them.
-  void LookForClose(const boost::intrusive_ptr<exchange>& aExchange)
-  {
-    error_code wrong;
-    mStream.socket().non_blocking(true, wrong);
-    const std::size_t bytes =
-      mStream.socket().receive(mBuffer.prepare(kFirstRead), 0, wrong);
-    mBuffer.commit(bytes);
-    if (wrong && wrong != asio::error::would_block) {
-      // An answer that is complete is still written; whoever closed only its
-      // sending side reads it.
-      if (!aExchange->Complete()) {
-        aExchange->Leave();
-      }
-    } else if (mBuffer.size() < kMaxReadAhead) {
-      Watch(aExchange);
-    }
-  }
-
-  asio::awaitable<bool> WriteAnswer(exchange& aExchange, bool aKeepAlive)
-  {
-    bool begun = false;
-    while (const auto part = co_await aExchange.Next()) {
-      begun = true;
-      mStream.expires_after(mShared->mLimits.mWriteTimeout);
-      const bool written = co_await WritePart(*part, aKeepAlive);
-      mStream.expires_never();
-      if (!written) {
-        co_return false;
-      }
-      if (IsLast(*part)) {
-        co_return true;
-      }
-    }
-    if (begun) {
-      co_await BreakStream();
-    } else {
-      co_await Refuse(error_kind::kCallerLeft);
-    }
-    co_return false;
-  }
-
-  // A caller that closed only its sending side may still read. Inside a stream
-  // a second header would be taken for text of the stream.
-  asio::awaitable<void> BreakStream()
-  {
-    mStream.expires_after(kRefusalTimeout);
-    std::string body = mShared->mOnUnreadable(error_kind::kCallerLeft).mBody;
-    while (body.ends_with('\n')) {
-      body.pop_back();
-    }
-    if (co_await WriteText("event: error\ndata: " + body + "\n\n")) {
-      co_await WriteEnd();
-    }
-  }
-
-  asio::awaitable<bool> WritePart(const reply_part& aPart, bool aKeepAlive)
-  {
-    if (const auto* whole = std::get_if<whole_reply>(&aPart)) {
-      co_return co_await WriteWhole(*whole, aKeepAlive);
-    }
-    if (const auto* head = std::get_if<stream_head>(&aPart)) {
-      co_return co_await WriteHead(*head, aKeepAlive);
-    }
-    if (const auto* text = std::get_if<stream_text>(&aPart)) {
-      co_return co_await WriteText(text->mText);
-    }
-    if (std::holds_alternative<stream_abort>(aPart)) {
-      Abort();
-      co_return false;
-    }
-    co_return co_await WriteEnd();
-  }
-
-  // A chunked answer lacks its end when the connection closes. Without chunks
-  // the end of the connection is the end of the answer, so it is reset.
-  void Abort()
-  {
-    if (mVersion == kHttp11) {
-      return;
-    }
-    error_code ignored;
-    mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    mStream.socket().close(ignored);
-  }
-
-  // Whether this answer tells its caller that the connection stays open. It
-  // then does, also where a drain begins before the answer's end: a caller
-  // that was told so may have sent its next request already.
-  bool StaysOpen(bool aKeepAlive)
-  {
-    mToldToStay = aKeepAlive && mVersion == kHttp11 && !mShared->mDraining;
-    return mToldToStay;
-  }
-
-  asio::awaitable<bool> WriteWhole(const whole_reply& aReply, bool aKeepAlive)
-  {
-    http::response<http::string_body> response;
-    response.version(mVersion);
-    response.result(aReply.mHttpStatus);
-    for (const auto& [name, value] : aReply.mHeaders) {
-      response.insert(name, value);
-    }
-    if (!aReply.mContentType.empty()) {
-      response.set(http::field::content_type, aReply.mContentType);
-    }
-    response.keep_alive(StaysOpen(aKeepAlive));
-    response.body() = aReply.mBody;
-    response.prepare_payload();
-    error_code wrong;
-    if (mHead) {
-      // A body would be taken for the next answer.
-      http::response_serializer<http::string_body> serializer(response);
-      co_await http::async_write_header(mStream, serializer, Into(wrong));
-    } else {
-      co_await http::async_write(mStream, response, Into(wrong));
-    }
-    co_return !wrong;
-  }
-
-  asio::awaitable<bool> WriteHead(const stream_head& aHead, bool aKeepAlive)
-  {
-    http::response<http::empty_body> response;
-    response.version(mVersion);
-    response.result(aHead.mHttpStatus);
-    for (const auto& [name, value] : aHead.mHeaders) {
-      response.insert(name, value);
-    }
-    if (!aHead.mVerbatim) {
-      response.set(http::field::content_type, "text/event-stream");
-      response.set(http::field::cache_control, "no-store");
-    }
-    response.keep_alive(StaysOpen(aKeepAlive));
-    response.chunked(mVersion == kHttp11);
-    http::response_serializer<http::empty_body> serializer(response);
-    error_code wrong;
-    co_await http::async_write_header(mStream, serializer, Into(wrong));
-    co_return !wrong;
-  }
-
-  asio::awaitable<bool> WriteText(const std::string& aText)
-  {
-    error_code wrong;
-    if (mVersion == kHttp11) {
-      co_await asio::async_write(
-        mStream, http::make_chunk(asio::buffer(aText)), Into(wrong));
-    } else {
-      co_await asio::async_write(mStream, asio::buffer(aText), Into(wrong));
-    }
-    co_return !wrong;
-  }
-
-  asio::awaitable<bool> WriteEnd()
-  {
-    error_code wrong;
-    if (mVersion == kHttp11) {
-      co_await asio::async_write(mStream, http::make_chunk_last(), Into(wrong));
-    }
-    co_return !wrong;
-  }
-
-  // The connection's state is unknown after this: it is closed.
-  asio::awaitable<void> Refuse(error_kind aKind)
-  {
-    if (!mStream.socket().is_open()) {
-      co_return;
-    }
-    mStream.expires_after(kRefusalTimeout);
-    mVersion = kHttp11;
-    const whole_reply reply = mShared->mOnUnreadable(aKind);
-    co_await WriteWhole(reply, false);
-  }
-
-  static constexpr std::size_t kFirstRead = 4096;
-  static constexpr std::size_t kMaxReadAhead = std::size_t{ 64 } << 10U;
-  static constexpr duration kRefusalTimeout = Seconds(1);
-  static constexpr duration kLingerTimeout = Seconds(2);
-  static constexpr duration kCancelAgainAfter = Milliseconds(20);
-  static constexpr std::size_t kMaxClosing = 256;
-
-  enum class phase : std::uint8_t
-  {
-    // For a request's first byte.
-    kWaiting,
-    // Reads a request or writes its answer.
-    kWorking,
-    // Nothing that comes is read as a request any more.
-    kClosing,
-  };
-
-  beast::tcp_stream mStream;
-  std::shared_ptr<shared_state> mShared;
-  beast::flat_buffer mBuffer;
-  asio::steady_timer mReadLimit;
-  time_point mOpened;
-  phase mPhase = phase::kWorking;
-  bool mAnsweredOne = false;
-  // What the last answer's head said.
-  bool mToldToStay = false;
-  // When the present request's first byte was there.
-  time_point mReadBegun{};
-  // Finished readings; tells a late timer that its own is over.
-  std::uint64_t mReads = 0;
-  unsigned mVersion = kHttp11;
-  bool mHead = false;
-  bool mLate = false;
-};
-
-asio::awaitable<void>
-RunSession(boost::intrusive_ptr<session> aSession)
-{
-  co_await aSession->Run();
-}
-
-void
-Serve(const std::shared_ptr<shared_state>& aShared, tcp::socket aSocket)
-{
-  auto one =
-    boost::intrusive_ptr<session>(new session(std::move(aSocket), aShared));
-  asio::co_spawn(aShared->mIo, RunSession(std::move(one)), asio::detached);
-}
+using net_internal::ServeConnection;
 
 asio::awaitable<void>
-Accept(std::shared_ptr<shared_state> aShared)
+Accept(std::shared_ptr<caller_server_state> aState)
 {
-  while (aShared->mAcceptor.is_open()) {
-    tcp::socket socket(aShared->mIo);
+  while (aState->mAcceptor.is_open()) {
+    tcp::socket socket(aState->mIo);
     error_code wrong;
-    co_await aShared->mAcceptor.async_accept(socket, Into(wrong));
+    co_await aState->mAcceptor.async_accept(socket, Into(wrong));
     if (wrong == asio::error::operation_aborted) {
       co_return;
     }
     if (wrong) {
       // Out of descriptors, most likely; trying again at once would spin.
-      asio::steady_timer pause(aShared->mIo, Milliseconds(50));
+      asio::steady_timer pause(aState->mIo, Milliseconds(50));
       co_await pause.async_wait(Into(wrong));
       continue;
     }
-    Serve(aShared, std::move(socket));
+    ServeConnection(aState, std::move(socket));
   }
 }
 
@@ -765,17 +58,17 @@
                              const server_limits& aLimits,
                              exchange_handler aOnRequest,
                              refusal_handler aOnUnreadable)
-  : mShared(std::make_shared<shared>(aIo,
-                                     aLimits,
-                                     std::move(aOnRequest),
-                                     std::move(aOnUnreadable)))
+  : mState(std::make_shared<caller_server_state>(aIo,
+                                                 aLimits,
+                                                 std::move(aOnRequest),
+                                                 std::move(aOnUnreadable)))
 {
 }
 
 caller_server::~caller_server()
 {
   error_code ignored;
-  mShared->mAcceptor.close(ignored);
+  mState->mAcceptor.close(ignored);
 }
 
 result<std::string>
@@ -784,7 +77,7 @@
   BOOST_LEAF_AUTO(address, ParseAddress(aAddress));
   const tcp::endpoint where(asio::ip::make_address(address.mHost),
                             address.mPort);
-  auto& acceptor = mShared->mAcceptor;
+  auto& acceptor = mState->mAcceptor;
   error_code wrong;
   acceptor.open(where.protocol(), wrong);
   if (!wrong) {
@@ -799,7 +92,7 @@
                 "cannot listen on " + std::string(aAddress) + ": " +
                   wrong.message());
   }
-  asio::co_spawn(mShared->mIo, Accept(mShared), asio::detached);
+  asio::co_spawn(mState->mIo, Accept(mState), asio::detached);
   const std::string host =
     where.address().is_v6() ? "[" + address.mHost + "]" : address.mHost;
   return host + ":" + std::to_string(acceptor.local_endpoint().port());
@@ -808,22 +101,22 @@
 void
 caller_server::SetLimits(const server_limits& aLimits)
 {
-  mShared->mLimits = aLimits;
+  mState->mLimits = aLimits;
 }
 
 void
 caller_server::CloseAfterAnswers()
 {
-  mShared->mDraining = true;
+  mState->mDraining = true;
 }
 
 void
 caller_server::BeginDrain()
 {
   CloseAfterAnswers();
-  const std::vector<session*> sessions(mShared->mSessions.begin(),
-                                       mShared->mSessions.end());
-  for (session* each : sessions) {
+  const std::vector<caller_session*> sessions(mState->mSessions.begin(),
+                                              mState->mSessions.end());
+  for (caller_session* each : sessions) {
     each->EndIfIdle();
   }
 }
@@ -831,14 +124,14 @@
 void
 caller_server::StopListening()
 {
-  auto& acceptor = mShared->mAcceptor;
+  auto& acceptor = mState->mAcceptor;
   error_code wrong;
   acceptor.non_blocking(true, wrong);
   while (!wrong) {
-    tcp::socket socket(mShared->mIo);
+    tcp::socket socket(mState->mIo);
     acceptor.accept(socket, wrong);
     if (!wrong) {
-      Serve(mShared, std::move(socket));
+      ServeConnection(mState, std::move(socket));
     }
   }
   acceptor.close(wrong);
@@ -847,9 +140,9 @@
 bool
 caller_server::Busy() const
 {
-  return std::any_of(mShared->mSessions.begin(),
-                     mShared->mSessions.end(),
-                     [](const session* aOne) { return aOne->Busy(); });
+  return std::any_of(mState->mSessions.begin(),
+                     mState->mSessions.end(),
+                     [](const caller_session* aOne) { return aOne->Busy(); });
 }
 
 } // namespace thornhollow
--- a/thornhollow/net/caller_server.h
+++ b/thornhollow/net/caller_server.h
@@ -34,6 +34,10 @@
 
 namespace thornhollow {
 
+namespace net_internal {
+struct caller_server_state;
+}
+
 struct server_limits
 {
   std::uint32_t mMaxHeaderBytes = std::uint32_t{ 16 } << 10U;
@@ -170,13 +174,10 @@
   // connection that was just opened.
   bool Busy() const;
 
-
+private:
   // Sessions outlive the server object until their connections end, so what
   // they share is kept apart.
-  class shared;
-
-private:
-  std::shared_ptr<shared> mShared;
+  std::shared_ptr<net_internal::caller_server_state> mState;
 };
 
 } // namespace thornhollow
--- /dev/null
+++ b/thornhollow/net/internal/http_fields.h
@@ -0,0 +1,31 @@
+// A message's header fields as the library holds them, in the project's type.
+//
+//   request.mHeaders = ToHeaderFields(parser.get());
+//
+#ifndef THORNHOLLOW_NET_INTERNAL_HTTP_FIELDS_H_
+#define THORNHOLLOW_NET_INTERNAL_HTTP_FIELDS_H_
+
+#include <string>
+#include <vector>
+
+#include <boost/beast/http/fields.hpp>
+
+#include "thornhollow/base/header_field.h"
+
+namespace thornhollow::net_internal {
+
+// In the order in which they came; a repeated field stands repeatedly.
+inline std::vector<header_field>
+ToHeaderFields(const boost::beast::http::fields& aFields)
+{
+  std::vector<header_field> fields;
+  for (const auto& each : aFields) {
+    fields.push_back(
+      { std::string(each.name_string()), std::string(each.value()) });
+  }
+  return fields;
+}
+
+} // namespace thornhollow::net_internal
+
+#endif // THORNHOLLOW_NET_INTERNAL_HTTP_FIELDS_H_
--- /dev/null
+++ b/thornhollow/net/internal/queued_exchange.cc
@@ -0,0 +1,96 @@
+#include "thornhollow/net/internal/queued_exchange.h"
+
+#include <utility>
+#include <variant>
+
+#include "thornhollow/net/clock.h"
+#include "thornhollow/net/internal/awaitable.h"
+
+namespace thornhollow::net_internal {
+namespace {
+
+std::size_t
+BytesOf(const reply_part& aPart)
+{
+  if (const auto* whole = std::get_if<whole_reply>(&aPart)) {
+    return whole->mBody.size();
+  }
+  if (const auto* text = std::get_if<stream_text>(&aPart)) {
+    return text->mText.size();
+  }
+  return 0;
+}
+
+} // namespace
+
+bool
+IsLast(const reply_part& aPart)
+{
+  return std::holds_alternative<whole_reply>(aPart) ||
+         std::holds_alternative<stream_end>(aPart) ||
+         std::holds_alternative<stream_abort>(aPart);
+}
+
+queued_exchange::queued_exchange(const boost::asio::any_io_executor& aExecutor,
+                                 caller_request aRequest,
+                                 std::size_t aMaxUnsentBytes)
+  : mRequest(std::move(aRequest))
+  , mArrival(Now())
+  , mMaxUnsentBytes(aMaxUnsentBytes)
+  , mSignal(aExecutor, boost::asio::steady_timer::time_point::max())
+{
+}
+
+void
+queued_exchange::Send(reply_part aPart)
+{
+  if (mGone || mLastQueued) {
+    return;
+  }
+  mUnsentBytes += BytesOf(aPart);
+  mLastQueued = IsLast(aPart);
+  mParts.push_back(std::move(aPart));
+  // A caller that reads more slowly than its answer comes would let the
+  // answer pile up here without bound.
+  if (mUnsentBytes > mMaxUnsentBytes) {
+    Leave();
+  }
+  mSignal.cancel();
+}
+
+void
+queued_exchange::OnLeft(std::function<void()> aListener)
+{
+  mOnLeft = std::move(aListener);
+}
+
+void
+queued_exchange::Leave()
+{
+  if (std::exchange(mGone, true)) {
+    return;
+  }
+  mSignal.cancel();
+  const auto listener = std::exchange(mOnLeft, nullptr);
+  if (listener && !mLastQueued) {
+    listener();
+  }
+}
+
+boost::asio::awaitable<std::optional<reply_part>>
+queued_exchange::Next()
+{
+  while (mParts.empty() && !mGone) {
+    boost::system::error_code ignored;
+    co_await mSignal.async_wait(Into(ignored));
+  }
+  if (mGone) {
+    co_return std::nullopt;
+  }
+  reply_part part = std::move(mParts.front());
+  mParts.pop_front();
+  mUnsentBytes -= BytesOf(part);
+  co_return part;
+}
+
+} // namespace thornhollow::net_internal
--- a/thornhollow/net/relay_attempt.cc
+++ b/thornhollow/net/relay_attempt.cc
@@ -18,6 +18,7 @@
 
 #include "thornhollow/net/address.h"
 #include "thornhollow/net/internal/awaitable.h"
+#include "thornhollow/net/internal/http_fields.h"
 #include "thornhollow/net/internal/silence.h"
 
 namespace thornhollow {
@@ -56,17 +57,6 @@
   .mProbes = 1,
 };
 
-std::vector<header_field>
-ToFields(const http::fields& aFields)
-{
-  std::vector<header_field> fields;
-  for (const auto& each : aFields) {
-    fields.push_back(
-      { std::string(each.name_string()), std::string(each.value()) });
-  }
-  return fields;
-}
-
 class attempt final : public relay_attempt
 {
 public:
@@ -221,7 +211,7 @@
     const auto& head = aParser.get();
     relay_answer_head told;
     told.mStatus = head.result_int();
-    told.mHeaders = ToFields(head);
+    told.mHeaders = net_internal::ToHeaderFields(head);
     told.mMarks = ReadAnswerMarks(mNames, told.mStatus, told.mHeaders);
     mIdleLimit = told.mMarks.mIdleLimit;
     const std::string& echoed = told.mMarks.mRequestId;
