--- a/thornhollow/config/relay_settings.cc
+++ b/thornhollow/config/relay_settings.cc
@@ -12,7 +12,6 @@
 namespace {
 
 using internal::field_reader;
-using internal::yaml_node;
 
 void
 ReadAddresses(field_reader& aFields, relay_settings& aRead)
--- a/thornhollow/config/settings.cc
+++ b/thornhollow/config/settings.cc
@@ -16,7 +16,6 @@
 namespace {
 
 using internal::field_reader;
-using internal::yaml_node;
 
 constexpr std::size_t kMaxPeerKeyBytes = 128;
 constexpr int kHexBase = 16;
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -70,13 +70,13 @@
   // take 36 ms to copy and 80 to read, and the copy takes no time from streams.
   // Gained 1 to 2 hundredths of what a calm hour's answers are worth to callers
   // and 1 to 7 of a full one's (two deployments, two hours of each kind, with
-  // real processes before stand-in engines). Shorter parts are read in a
+  // real processes). Shorter parts are read in a
   // few milliseconds.
   std::uint32_t mCopyFromTokens = 256;
   // Patient work passes over engines that still have urgent streams from
   // before they became patient ones while the others would be busy reading for
   // less than this part of the time. Without a bound full hours lost 3 to 5
-  // hundredths of it by the room that was missing.
+  // hundredths of that by the room that was missing.
   double mClearBelow = 0.6;
   // Slow from this multiple of the pool's fastest pace on, and no more below
   // the other: engines differ by 1.3.
