Baselines as a setting, admission's inputs in the log

engines.placement: apart, least or hash, so that placements are compared with the product's own code; engines.admission switches admission off.

--- a/thornhollow/config/relay_settings.cc
+++ b/thornhollow/config/relay_settings.cc
@@ -36,6 +36,22 @@
     { .mLeast = 0.1, .mMost = 3'600, .mDefault = ToSeconds(aRead.mWindow) }));
 }
 
+engine_placement
+ReadPlacement(field_reader& aSection, engine_placement aDefault)
+{
+  const std::string text = aSection.Text("placement", "apart");
+  if (text == "least") {
+    return engine_placement::kLeast;
+  }
+  if (text == "hash") {
+    return engine_placement::kHash;
+  }
+  if (text != "apart") {
+    aSection.Refuse("placement", text, "apart, least or hash");
+  }
+  return aDefault;
+}
+
 void
 ReadEngines(field_reader& aSection, engine_settings& aRead)
 {
@@ -59,6 +75,8 @@
   aRead.mUrgentBusy = aSection.Number(
     "urgent_busy",
     { .mLeast = 0.01, .mMost = 1, .mDefault = aRead.mUrgentBusy });
+  aRead.mPlacement = ReadPlacement(aSection, aRead.mPlacement);
+  aRead.mAdmission = aSection.Flag("admission", aRead.mAdmission);
 }
 
 } // namespace
--- a/thornhollow/config/relay_settings.h
+++ b/thornhollow/config/relay_settings.h
@@ -34,6 +34,17 @@
                          const shared_retry_settings&) = default;
 };
 
+// How prompts are spread over the engines of a pool.
+enum class engine_placement : std::uint8_t
+{
+  // Patient work apart from urgent streams, sessions where their parts are.
+  kApart,
+  // The engine with the fewest prompt tokens of this instance and its peers.
+  kLeast,
+  // Sessions by the hash of their shared parts, as far as load allows.
+  kHash,
+};
+
 // What is assumed of engines, and how work is spread over them. Each field's
 // grounds stand where it is used: policy/relay_pool.h, policy/engine_border.h.
 struct engine_settings
@@ -46,6 +57,10 @@
   std::uint32_t mCopyFromTokens = 256;
   double mPatientBusy = 0.5;
   double mUrgentBusy = 0.25;
+  // The others are there to be compared with.
+  engine_placement mPlacement = engine_placement::kApart;
+  // Whether long prompts are refused that would begin late.
+  bool mAdmission = true;
 
   friend bool operator==(const engine_settings&,
                          const engine_settings&) = default;
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -39,6 +39,16 @@
   settings.mBorder.mReadPerSecond = aSettings.mEngines.mReadPerSecond;
   settings.mBorder.mPatientBusy = aSettings.mEngines.mPatientBusy;
   settings.mBorder.mUrgentBusy = aSettings.mEngines.mUrgentBusy;
+  settings.mAdmission.mAdmit = aSettings.mEngines.mAdmission;
+  const engine_placement placement = aSettings.mEngines.mPlacement;
+  if (placement != engine_placement::kApart) {
+    settings.mBorder.mSeparate = false;
+    settings.mCopyFromTokens = 0;
+  }
+  if (placement == engine_placement::kLeast) {
+    settings.mMissPenalty = 0;
+    settings.mUrgentMissPenalty = 0;
+  }
   return settings;
 }
 
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -145,6 +145,7 @@
     mDispatcher.Retries().OnRequest(*mPool, Now());
     if (relay_pool* pool = mDispatcher.Pool(*mPool)) {
       if (const auto refused = pool->Admit(mWork, patience, Now())) {
+        LogNotTaken(*refused);
         Refuse(refused->mKind, refused->mComeBackAfter);
         return;
       }
@@ -543,6 +544,20 @@
     }
   }
 
+  void LogNotTaken(const admission_refusal& aRefusal)
+  {
+    mDispatcher.Log().WriteRequest(
+      log_level::kInfo,
+      "request_not_taken",
+      { { "request", mRead.mId.Text() },
+        { "why", std::string(Name(aRefusal.mKind)) },
+        { "pool", mPool->Text() },
+        { "wait_ms", ToMilliseconds(aRefusal.mWait) },
+        { "seen_wait_ms", ToMilliseconds(aRefusal.mSeenWait) },
+        { "longest_ms", ToMilliseconds(aRefusal.mLongest) },
+        { "come_back_ms", ToMilliseconds(aRefusal.mComeBackAfter) } });
+  }
+
   void LogAttempt(attempt_failure aFailure, const std::string& aDetail)
   {
     const time_point now = Now();
--- a/thornhollow/policy/relay_admission.cc
+++ b/thornhollow/policy/relay_admission.cc
@@ -71,7 +71,10 @@
     backlog, aRequest.mTokens, Rate(aNow), aRandom, aNow);
   return admission_refusal{
     inTime ? error_kind::kQueueFull : error_kind::kDeadlineUnmeetable,
-    std::min<duration>(after, aRequest.mTimeLeft / kPartOfTimeLeft)
+    std::min<duration>(after, aRequest.mTimeLeft / kPartOfTimeLeft),
+    wait,
+    SeenWait(aNow),
+    FromSeconds(longest)
   };
 }
 
--- a/thornhollow/policy/relay_admission.h
+++ b/thornhollow/policy/relay_admission.h
@@ -88,6 +88,11 @@
 {
   error_kind mKind = error_kind::kQueueFull;
   duration mComeBackAfter{};
+  // What decided: the wait as worked out, the mean of answers that began
+  // lately, and the longest wait that this team may have.
+  duration mWait{};
+  duration mSeenWait{};
+  duration mLongest{};
 
   friend bool operator==(const admission_refusal&,
                          const admission_refusal&) = default;
