--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -26,6 +26,9 @@
 
 class Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
+    # With the default of 5 some of a dozen connections that come at once wait
+    # for as long as their makers do.
+    request_queue_size = 128
 
     def __init__(self, handler):
         super().__init__(("127.0.0.1", 0), handler)
@@ -239,10 +242,14 @@
             ready=self.ready_address, peers=self.peers, seeds=seeds,
             operators=self.operators, source=source)
         self.folder = tempfile.TemporaryDirectory()
-        path = pathlib.Path(self.folder.name, "settings.yaml")
-        path.write_text(settings)
+        self.settings = pathlib.Path(self.folder.name, "settings.yaml")
+        self.settings.write_text(settings)
+        self._start()
+
+    def _start(self):
         self.lines = []
-        super().__init__("thornhollowd", "--relay", f"--settings={path}")
+        super().__init__("thornhollowd", "--relay",
+                         f"--settings={self.settings}")
         # Log lines come on standard output, after the listening line.
         self.reader = threading.Thread(target=self._read_log, daemon=True)
         self.reader.start()
@@ -261,13 +268,21 @@
         except OSError:
             return False
 
-    def stop(self):
+    def kill(self):
         if self.running():
             self.process.kill()
         self.process.wait()
         self.reader.join()
         self.process.stdout.close()
         self.errors.close()
+
+    def start_again(self):
+        """After `kill`, at the same addresses, knowing nothing."""
+        self._start()
+
+    def stop(self):
+        if not self.errors.closed:
+            self.kill()
         self.folder.cleanup()
 
 
