--- a/thornhollow/policy/relay_admission.cc
+++ b/thornhollow/policy/relay_admission.cc
@@ -53,6 +53,7 @@
                        time_point aNow)
 {
   ForgetIdleTeams(aNow);
+  mAsked.Add(1, aNow);
   mAskedByTeam[aRequest.mTeam].Add(1, aNow);
   const duration wait = Wait(aNow);
   const double patience =
@@ -79,17 +80,13 @@
 }
 
 double
-relay_admission::PartFor(const team_name& aTeam, time_point aNow)
+relay_admission::PartFor(const team_name& aTeam, time_point aNow) const
 {
-  double all = 0;
-  for (const auto& [name, rate] : mAskedByTeam) {
-    all += rate.PerSecond(aNow);
-  }
   const auto found = mAskedByTeam.find(aTeam);
   const double its =
     found == mAskedByTeam.end() ? 0 : found->second.PerSecond(aNow);
-  const double even =
-    all / static_cast<double>(std::max<std::size_t>(mAskedByTeam.size(), 1));
+  const auto teams = std::max<std::size_t>(mAskedByTeam.size(), 1);
+  const double even = mAsked.PerSecond(aNow) / static_cast<double>(teams);
   if (mAskedByTeam.size() > 1 && its > even * mSettings.mMoreFrom) {
     return mSettings.mForMore;
   }
--- a/thornhollow/policy/relay_admission.h
+++ b/thornhollow/policy/relay_admission.h
@@ -132,7 +132,7 @@
 private:
   double Rate(time_point aNow) const;
   // Of the longest wait, what the team may have.
-  double PartFor(const team_name& aTeam, time_point aNow);
+  double PartFor(const team_name& aTeam, time_point aNow) const;
   void ForgetIdleTeams(time_point aNow);
 
   relay_admission_settings mSettings;
@@ -142,7 +142,8 @@
   // Answers that began, and the seconds that they waited.
   faded_rate mAnswers;
   faded_rate mWaits;
-  // Requests asked for, taken or not.
+  // Requests asked for, taken or not; by team those that asked lately.
+  faded_rate mAsked;
   std::map<team_name, faded_rate> mAskedByTeam;
   time_point mNextForget{};
   return_schedule mReturns;
--- /dev/null
+++ b/thornhollow/policy/relay_admission_benchmark.cc
@@ -0,0 +1,35 @@
+#include <string>
+
+#include <benchmark/benchmark.h>
+
+#include "thornhollow/policy/relay_admission.h"
+
+namespace thornhollow {
+namespace {
+
+// One decision while as many teams as the argument says asked for something
+// lately: a site's, a grown one's, all of letter 1's on one instance.
+void
+JudgePrompt(benchmark::State& aState)
+{
+  relay_admission admission{ relay_admission_settings{} };
+  std::mt19937_64 random(1);
+  const time_point now = time_point() + Seconds(100);
+  admission.SetCapacity(40'000);
+  const auto teams = aState.range(0);
+  std::int64_t number = 0;
+  for (auto _ : aState) {
+    const admission_request request{ team_name("team" + std::to_string(
+                                                          number++ % teams)),
+                                     8'000,
+                                     Seconds(2),
+                                     Seconds(15) };
+    benchmark::DoNotOptimize(admission.Judge(request, random, now));
+    admission.OnSent(8'000);
+    admission.OnStarted(8'000, Milliseconds(200), now);
+  }
+}
+BENCHMARK(JudgePrompt)->Arg(10)->Arg(24)->Arg(11'000);
+
+} // namespace
+} // namespace thornhollow
