Kept connections are told their silence limits only when these change; one coroutine holder

Found while reading the change: since the limit depends on the request, every attempt on a kept connection set six socket options, though the same ones as a rule. The connection remembers what it was told. Not measured.

--- a/thornhollow/net/endpoint_attempt.cc
+++ b/thornhollow/net/endpoint_attempt.cc
@@ -57,10 +57,10 @@
     mSocket.close(ignored);
   }
 
-  asio::any_io_executor Executor() { return mSocket.get_executor(); }
-
   asio::awaitable<void> Run()
   {
+    // No event comes from within the call that starts the attempt.
+    co_await asio::post(mSocket.get_executor(), asio::use_awaitable);
     const attempt_number attempt = mCall.mAttempt;
     if (!co_await Connect()) {
       Emit(connect_failed{ attempt });
@@ -274,14 +274,6 @@
   std::array<char, kReadBytes> mChunk{};
 };
 
-// Holds the attempt until its coroutine has ended, also after `Close`.
-asio::awaitable<void>
-RunToEnd(boost::intrusive_ptr<attempt_run> aAttempt)
-{
-  co_await asio::post(aAttempt->Executor(), asio::use_awaitable);
-  co_await aAttempt->Run();
-}
-
 } // namespace
 
 boost::intrusive_ptr<endpoint_attempt>
@@ -291,7 +283,7 @@
 {
   auto attempt = boost::intrusive_ptr<attempt_run>(
     new attempt_run(aIo, std::move(aCall), std::move(aOnEvent)));
-  asio::co_spawn(aIo, RunToEnd(attempt), asio::detached);
+  asio::co_spawn(aIo, net_internal::RunToEnd(attempt), asio::detached);
   return attempt;
 }
 
--- a/thornhollow/net/endpoint_connections.h
+++ b/thornhollow/net/endpoint_connections.h
@@ -66,6 +66,9 @@
 
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
+  // For how long the other end may be silent, as the socket was told last; zero
+  // where it was told nothing.
+  duration mSilence{};
 };
 using endpoint_connection_ptr = boost::intrusive_ptr<endpoint_connection>;
 
--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -573,12 +573,6 @@
   bool mLate = false;
 };
 
-asio::awaitable<void>
-RunSession(boost::intrusive_ptr<session> aSession)
-{
-  co_await aSession->Run();
-}
-
 } // namespace
 
 void
@@ -587,7 +581,7 @@
 {
   auto one =
     boost::intrusive_ptr<session>(new session(std::move(aSocket), aState));
-  asio::co_spawn(aState->mIo, RunSession(std::move(one)), asio::detached);
+  asio::co_spawn(aState->mIo, RunToEnd(std::move(one)), asio::detached);
 }
 
 } // namespace thornhollow::net_internal
--- a/thornhollow/net/relay_attempt.cc
+++ b/thornhollow/net/relay_attempt.cc
@@ -157,11 +157,15 @@
     co_return !mClosed;
   }
 
-  // A kept connection has the limits of the request before.
+  // A kept connection has the limits of the request before: as a rule the same,
+  // and setting them is six calls to the system.
   void LimitSilence()
   {
-    net_internal::DetectSilence(mConnection->mStream.socket(),
-                                SilenceLimits(mCall.mSilence));
+    if (std::exchange(mConnection->mSilence, mCall.mSilence) !=
+        mCall.mSilence) {
+      net_internal::DetectSilence(mConnection->mStream.socket(),
+                                  SilenceLimits(mCall.mSilence));
+    }
   }
 
   // Runs beside the reading: an endpoint may answer before it has read the
@@ -294,12 +298,6 @@
   bool mReused = false;
 };
 
-asio::awaitable<void>
-RunAttempt(boost::intrusive_ptr<attempt> aAttempt)
-{
-  co_await aAttempt->Run();
-}
-
 } // namespace
 
 relay_attempt_ptr
@@ -310,7 +308,8 @@
 {
   boost::intrusive_ptr<attempt> one(
     new attempt(aConnections, aNames, std::move(aCall), std::move(aOnEvent)));
-  asio::co_spawn(aConnections.Io(), RunAttempt(one), asio::detached);
+  asio::co_spawn(
+    aConnections.Io(), net_internal::RunToEnd(one), asio::detached);
   return one;
 }
 
