Settings with a few named values are read in one place

engines.placement was read beside its twin, the log level, and differed: its default was written out a second time, and the fault didn't quote what was found. ReadChoice serves both. The fault of a wrong placement now reads like that of a wrong log level; nothing else changes.

--- a/thornhollow/config/internal/settings_fields.cc
+++ b/thornhollow/config/internal/settings_fields.cc
@@ -77,22 +77,26 @@
   return seeds;
 }
 
-log_level
-ReadLogLevel(field_reader& aFields, log_level aDefault)
+std::size_t
+ReadNamed(field_reader& aFields,
+          std::string_view aField,
+          const std::vector<std::string_view>& aNames,
+          std::size_t aDefault)
 {
-  const std::string text =
-    aFields.Text("log_level", std::string(Name(aDefault)));
-  const auto found = std::ranges::find(
-    kLogLevels, text, [](log_level aLevel) { return Name(aLevel); });
-  if (found == kLogLevels.end()) {
-    std::array<std::string_view, kLogLevels.size()> names;
-    std::ranges::transform(
-      kLogLevels, names.begin(), [](log_level aLevel) { return Name(aLevel); });
+  const std::string text = aFields.Text(aField, std::string(aNames[aDefault]));
+  const auto found = std::ranges::find(aNames, text);
+  if (found == aNames.end()) {
     aFields.Refuse(
-      "log_level", Quote(text), fmt::format("{}", fmt::join(names, ", ")));
+      aField, Quote(text), fmt::format("{}", fmt::join(aNames, ", ")));
     return aDefault;
   }
-  return *found;
+  return static_cast<std::size_t>(found - aNames.begin());
+}
+
+log_level
+ReadLogLevel(field_reader& aFields, log_level aDefault)
+{
+  return ReadChoice(aFields, "log_level", kLogLevels, aDefault);
 }
 
 } // namespace thornhollow::internal
--- a/thornhollow/config/internal/settings_fields.h
+++ b/thornhollow/config/internal/settings_fields.h
@@ -5,6 +5,8 @@
 #ifndef THORNHOLLOW_CONFIG_INTERNAL_SETTINGS_FIELDS_H_
 #define THORNHOLLOW_CONFIG_INTERNAL_SETTINGS_FIELDS_H_
 
+#include <array>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -38,6 +40,31 @@
 std::vector<std::string>
 ReadSeeds(field_reader& aFields, std::string_view aField);
 
+// Which of the names stands in the field; `aDefault` where it is absent, and
+// where another text stands there, which is a fault.
+std::size_t
+ReadNamed(field_reader& aFields,
+          std::string_view aField,
+          const std::vector<std::string_view>& aNames,
+          std::size_t aDefault);
+
+// The same for values that have a `Name`.
+template<class value, std::size_t count>
+value
+ReadChoice(field_reader& aFields,
+           std::string_view aField,
+           const std::array<value, count>& aChoices,
+           value aDefault)
+{
+  std::vector<std::string_view> names;
+  std::size_t byDefault = 0;
+  for (std::size_t at = 0; at < count; ++at) {
+    names.push_back(Name(aChoices[at]));
+    byDefault = aChoices[at] == aDefault ? at : byDefault;
+  }
+  return aChoices[ReadNamed(aFields, aField, names, byDefault)];
+}
+
 log_level
 ReadLogLevel(field_reader& aFields, log_level aDefault);
 
--- a/thornhollow/config/relay_settings.cc
+++ b/thornhollow/config/relay_settings.cc
@@ -1,5 +1,6 @@
 #include "thornhollow/config/relay_settings.h"
 
+#include <array>
 #include <utility>
 
 #include <fmt/format.h>
@@ -11,6 +12,12 @@
 namespace thornhollow {
 namespace {
 
+constexpr std::array<engine_placement, 3> kPlacements = {
+  engine_placement::kApart,
+  engine_placement::kLeast,
+  engine_placement::kHash
+};
+
 using internal::field_reader;
 
 void
@@ -36,22 +43,6 @@
     { .mLeast = 0.1, .mMost = 3'600, .mDefault = ToSeconds(aRead.mWindow) }));
 }
 
-engine_placement
-ReadPlacement(field_reader& aSection, engine_placement aDefault)
-{
-  const std::string text = aSection.Text("placement", "apart");
-  if (text == "least") {
-    return engine_placement::kLeast;
-  }
-  if (text == "hash") {
-    return engine_placement::kHash;
-  }
-  if (text != "apart") {
-    aSection.Refuse("placement", text, "apart, least or hash");
-  }
-  return aDefault;
-}
-
 void
 ReadEngines(field_reader& aSection, engine_settings& aRead)
 {
@@ -75,12 +66,22 @@
   aRead.mUrgentBusy = aSection.Number(
     "urgent_busy",
     { .mLeast = 0.01, .mMost = 1, .mDefault = aRead.mUrgentBusy });
-  aRead.mPlacement = ReadPlacement(aSection, aRead.mPlacement);
+  aRead.mPlacement =
+    internal::ReadChoice(aSection, "placement", kPlacements, aRead.mPlacement);
   aRead.mAdmission = aSection.Flag("admission", aRead.mAdmission);
 }
 
 } // namespace
 
+std::string_view
+Name(engine_placement aPlacement)
+{
+  constexpr std::array<std::string_view, 3> kNames = { "apart",
+                                                       "least",
+                                                       "hash" };
+  return kNames[static_cast<std::size_t>(aPlacement)];
+}
+
 relay_settings_verdict
 ReadRelaySettings(const source_file& aFile)
 {
--- a/thornhollow/config/relay_settings.h
+++ b/thornhollow/config/relay_settings.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -45,6 +46,10 @@
   kHash,
 };
 
+// "apart", "least" or "hash".
+std::string_view
+Name(engine_placement aPlacement);
+
 // What is assumed of engines, and how work is spread over them. Each field's
 // grounds stand where it is used: policy/relay_pool.h, policy/engine_border.h.
 struct engine_settings
