--- a/thornhollow/policy/relay_admission.cc
+++ b/thornhollow/policy/relay_admission.cc
@@ -56,12 +56,12 @@
   mAsked.Add(1, aNow);
   mAskedByTeam[aRequest.mTeam].Add(1, aNow);
   const duration wait = Wait(aNow);
+  const duration seen = SeenWait(aNow);
   const double patience =
     ToSeconds(aRequest.mTarget) * PartFor(aRequest.mTeam, aNow);
   const double longest = patience * mSettings.mPartOfTarget;
   const bool inTime = wait < aRequest.mTimeLeft;
-  const bool calm =
-    ToSeconds(SeenWait(aNow)) < patience * mSettings.mSeenPartOfTarget;
+  const bool calm = ToSeconds(seen) < patience * mSettings.mSeenPartOfTarget;
   if (!mSettings.mAdmit || mUnstarted == 0 || calm ||
       (inTime && ToSeconds(wait) <= longest)) {
     return std::nullopt;
@@ -74,7 +74,7 @@
     inTime ? error_kind::kQueueFull : error_kind::kDeadlineUnmeetable,
     std::min<duration>(after, aRequest.mTimeLeft / kPartOfTimeLeft),
     wait,
-    SeenWait(aNow),
+    seen,
     FromSeconds(longest)
   };
 }
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -30,6 +30,12 @@
 // penalty is whole from the third on.
 constexpr std::size_t kNearRanks = 4;
 
+engine_side
+SideOf(const relay_work& aWork)
+{
+  return aWork.mPatient ? engine_side::kPatient : engine_side::kUrgent;
+}
+
 } // namespace
 
 relay_pool::relay_pool(const relay_pool_settings& aSettings,
@@ -176,8 +182,7 @@
                    const std::vector<record*>& aSound,
                    time_point aNow) const
 {
-  const engine_side side =
-    aWork.mPatient ? engine_side::kPatient : engine_side::kUrgent;
+  const engine_side side = SideOf(aWork);
   std::vector<record*> all;
   std::vector<record*> clear;
   for (record* each : aSound) {
@@ -288,8 +293,7 @@
 const relay_pool::record*
 relay_pool::EarlierHome(const relay_work& aWork, time_point aNow) const
 {
-  const engine_side side =
-    aWork.mPatient ? engine_side::kPatient : engine_side::kUrgent;
+  const engine_side side = SideOf(aWork);
   const record* home = nullptr;
   std::uint64_t highest = 0;
   for (const auto& [name, each] : mRecords) {
