The restart test waits with the harness's own loop

It had two loops of its own; wait_until takes how often it asks. start and start_again of the stand-in site's daemon were one function. Assertions as they were.

--- a/thornhollow/testing/process/harness.py
+++ b/thornhollow/testing/process/harness.py
@@ -191,14 +191,15 @@
         self.connection.close()
 
 
-def wait_until(condition, what):
-    """Returns the first true value of `condition()`."""
+def wait_until(condition, what, every=0.01):
+    """Returns the first true value of `condition()`, asked every so many
+    seconds."""
     end = time.monotonic() + LIMIT_SECONDS
     while time.monotonic() < end:
         found = condition()
         if found:
             return found
-        time.sleep(0.01)
+        time.sleep(every)
     raise AssertionError(f"did not happen: {what}")
 
 
--- a/thornhollow/testing/process/relay_restart_test.py
+++ b/thornhollow/testing/process/relay_restart_test.py
@@ -45,15 +45,12 @@
         times = [None] * len(some)
 
         def run(at, daemon):
-            daemon.start_again()
-            while not daemon.ready():
-                time.sleep(0.005)
+            daemon.start()
+            harness.wait_until(daemon.ready, "ready", every=0.005)
             ready = time.monotonic() - begun
-            while True:
-                status, _, _ = self.ask(daemon, "/o/x", f"r{at}-{ready}")
-                if status == 200:
-                    break
-                time.sleep(0.005)
+            harness.wait_until(
+                lambda: self.ask(daemon, "/o/x", f"r{at}-{ready}")[0] == 200,
+                "served", every=0.005)
             times[at] = (ready, time.monotonic() - begun)
 
         runs = [threading.Thread(target=run, args=(at, daemon), daemon=True)
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -244,9 +244,10 @@
         self.folder = tempfile.TemporaryDirectory()
         self.settings = pathlib.Path(self.folder.name, "settings.yaml")
         self.settings.write_text(settings)
-        self._start()
+        self.start()
 
-    def _start(self):
+    def start(self):
+        """Again after `kill`: at the same addresses, knowing nothing."""
         self.lines = []
         super().__init__("thornhollowd", "--relay",
                          f"--settings={self.settings}")
@@ -276,10 +277,6 @@
         self.process.stdout.close()
         self.errors.close()
 
-    def start_again(self):
-        """After `kill`, at the same addresses, knowing nothing."""
-        self._start()
-
     def stop(self):
         if not self.errors.closed:
             self.kill()
