--- a/thornhollow/config/relay_settings.cc
+++ b/thornhollow/config/relay_settings.cc
@@ -46,26 +46,14 @@
 void
 ReadEngines(field_reader& aSection, engine_settings& aRead)
 {
-  aRead.mReadPerSecond = aSection.Number(
-    "prompt_tokens_per_s",
-    { .mLeast = 1, .mMost = 1e9, .mDefault = aRead.mReadPerSecond });
   aRead.mMissPenalty = aSection.Number(
     "miss_penalty",
     { .mLeast = 0, .mMost = 1'000, .mDefault = aRead.mMissPenalty });
-  aRead.mUrgentMissPenalty = aSection.Number(
-    "urgent_miss_penalty",
-    { .mLeast = 0, .mMost = 1'000, .mDefault = aRead.mUrgentMissPenalty });
   aRead.mCopyFromTokens = static_cast<std::uint32_t>(aSection.Number(
     "copy_from_tokens",
     { .mLeast = 0,
       .mMost = 1e9,
       .mDefault = static_cast<double>(aRead.mCopyFromTokens) }));
-  aRead.mPatientBusy = aSection.Number(
-    "patient_busy",
-    { .mLeast = 0.01, .mMost = 1, .mDefault = aRead.mPatientBusy });
-  aRead.mUrgentBusy = aSection.Number(
-    "urgent_busy",
-    { .mLeast = 0.01, .mMost = 1, .mDefault = aRead.mUrgentBusy });
   aRead.mPlacement =
     internal::ReadChoice(aSection, "placement", kPlacements, aRead.mPlacement);
   aRead.mAdmission = aSection.Flag("admission", aRead.mAdmission);
--- a/thornhollow/config/relay_settings.h
+++ b/thornhollow/config/relay_settings.h
@@ -54,18 +54,13 @@
 // grounds stand where it is used: policy/relay_pool.h, policy/engine_border.h.
 struct engine_settings
 {
-  // Prompt tokens that an engine reads a second.
-  double mReadPerSecond = 66'200;
   double mMissPenalty = 16;
-  double mUrgentMissPenalty = 16;
   // Shared parts of at least so many tokens are copied; 0: never.
   std::uint32_t mCopyFromTokens = 256;
-  double mPatientBusy = 0.5;
-  double mUrgentBusy = 0.25;
   // The others are there to be compared with.
   engine_placement mPlacement = engine_placement::kApart;
   // Whether long prompts are refused that would begin late.
-  bool mAdmission = true;
+  bool mAdmission = false;
 
   friend bool operator==(const engine_settings&,
                          const engine_settings&) = default;
--- a/thornhollow/config/relay_settings_test.cc
+++ b/thornhollow/config/relay_settings_test.cc
@@ -45,13 +45,13 @@
 TEST_CASE("relay_settings/engines/are_read_into_their_fields")
 {
   const auto verdict = Read("engines:\n"
-                            "  prompt_tokens_per_s: 30000\n"
+                            "  miss_penalty: 3\n"
                             "  copy_from_tokens: 0\n"
                             "  placement: hash\n"
                             "  admission: false\n");
   const auto* result = std::get_if<relay_settings>(&verdict);
   REQUIRE(result != nullptr);
-  CHECK(result->mEngines.mReadPerSecond == doctest::Approx(30'000));
+  CHECK(result->mEngines.mMissPenalty == doctest::Approx(3));
   CHECK(result->mEngines.mCopyFromTokens == 0);
   CHECK(result->mEngines.mPlacement == engine_placement::kHash);
   CHECK_FALSE(result->mEngines.mAdmission);
@@ -61,7 +61,7 @@
 {
   CHECK(Faults("engines: {placement: random}\n") == 1);
   CHECK(Faults("engines: {admission: often}\n") == 1);
-  CHECK(Faults("engines: {prompt_tokens_per_s: 0}\n") == 1);
+  CHECK(Faults("engines: {miss_penalty: -1}\n") == 1);
   CHECK(Faults("engines: {unknown: 1}\n") == 1);
   CHECK(Faults("source_readers: -1\ndrain_grace_s: 0\n") == 2);
 }
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include <boost/asio/io_context.hpp>
+#include <fmt/format.h>
 
 #include "thornhollow/daemon/caller_reply.h"
 #include "thornhollow/daemon/relay_session.h"
@@ -18,6 +19,23 @@
 // a chunk of prompts takes, shorter than most callers' patience.
 constexpr duration kComeBackLeast = Milliseconds(150);
 
+// "target/pause: requests/s, tokens/s, open" of each kind.
+std::string
+DemandText(const demand_sums& aDemand)
+{
+  std::string text;
+  for (const kind_demand& each : aDemand) {
+    text += fmt::format("{}{}/{}: {:.1f}, {:.0f}, {:.0f}",
+                        text.empty() ? "" : "; ",
+                        ToMilliseconds(each.mKind.mTarget),
+                        ToMilliseconds(each.mKind.mPause),
+                        each.mRequests,
+                        each.mTokens,
+                        each.mOpen);
+  }
+  return text;
+}
+
 shared_retry_budget_settings
 RetrySettings(const relay_settings& aSettings)
 {
@@ -32,13 +50,8 @@
 PoolSettings(const relay_settings& aSettings)
 {
   relay_pool_settings settings;
-  settings.mReadPerSecond = aSettings.mEngines.mReadPerSecond;
   settings.mMissPenalty = aSettings.mEngines.mMissPenalty;
-  settings.mUrgentMissPenalty = aSettings.mEngines.mUrgentMissPenalty;
   settings.mCopyFromTokens = aSettings.mEngines.mCopyFromTokens;
-  settings.mBorder.mReadPerSecond = aSettings.mEngines.mReadPerSecond;
-  settings.mBorder.mPatientBusy = aSettings.mEngines.mPatientBusy;
-  settings.mBorder.mUrgentBusy = aSettings.mEngines.mUrgentBusy;
   settings.mAdmission.mAdmit = aSettings.mEngines.mAdmission;
   const engine_placement placement = aSettings.mEngines.mPlacement;
   if (placement != engine_placement::kApart) {
@@ -47,7 +60,6 @@
   }
   if (placement == engine_placement::kLeast) {
     settings.mMissPenalty = 0;
-    settings.mUrgentMissPenalty = 0;
   }
   return settings;
 }
@@ -207,6 +219,9 @@
                 PoolSettings(mSettings), engines, mSettings.mDomain, mRandom()))
             .first;
   found->second.SetInstances(mInstances);
+  if (engines) {
+    found->second.SetSlots(mTable->Pool(aName)->mEngine->mSlots);
+  }
   for (const auto& [name, each] : mEndpoints) {
     if (each.mEntry.mPool == aName) {
       found->second.Put(ForPlacement(each));
@@ -265,13 +280,13 @@
   return held;
 }
 
-std::map<pool_name, engine_demand>
-relay_dispatcher::OwnDemand(time_point aNow)
+std::map<pool_name, pool_view>
+relay_dispatcher::OwnViews(time_point aNow)
 {
-  std::map<pool_name, engine_demand> demand;
+  std::map<pool_name, pool_view> demand;
   for (auto& [name, pool] : mPools) {
     if (pool.OfEngines()) {
-      demand[name] = pool.OwnDemand(aNow);
+      demand[name] = pool.OwnView(aNow);
     }
   }
   return demand;
@@ -314,6 +329,7 @@
       const endpoint_work others =
         found == aWork.end() ? endpoint_work{} : found->second;
       pool.SetOthers({ .mName = each.mName,
+                       .mInFlight = others.mOpen,
                        .mToRead = others.mToRead,
                        .mPace = others.mPace },
                      aNow);
@@ -342,24 +358,24 @@
 }
 
 void
-relay_dispatcher::SetDemand(const std::map<pool_name, engine_demand>& aDemand,
-                            time_point aNow)
+relay_dispatcher::SetViews(const std::map<pool_name, pool_view>& aViews,
+                           time_point aNow)
 {
-  for (const auto& [name, demand] : aDemand) {
+  for (const auto& [name, view] : aViews) {
     relay_pool* pool = Pool(name);
     if (pool == nullptr) {
       continue;
     }
-    const std::size_t before = pool->PatientEngines();
-    pool->SetDemand(demand, aNow);
-    if (const std::size_t after = pool->PatientEngines(); after != before) {
+    const std::size_t before = pool->BulkEngines();
+    pool->SetView(view, aNow);
+    if (const std::size_t after = pool->BulkEngines(); after != before) {
       mLog.Write(log_level::kInfo,
                  "border_moved",
                  { { "pool", name.Text() },
-                   { "patient_engines", static_cast<std::int64_t>(after) },
+                   { "bulk_engines", static_cast<std::int64_t>(after) },
                    { "engines", static_cast<std::int64_t>(pool->size()) },
-                   { "patient_tokens_per_s", demand.mPatient },
-                   { "urgent_tokens_per_s", demand.mUrgent } });
+                   { "read_per_s", pool->ReadPerSecond() },
+                   { "demand", DemandText(view.mDemand) } });
     }
   }
 }
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -75,14 +75,13 @@
   std::map<pool_name, held_requests> HeldByPool() const;
 
   // What this instance tells its peers, and what they told of a pool.
-  std::map<pool_name, engine_demand> OwnDemand(time_point aNow);
+  std::map<pool_name, pool_view> OwnViews(time_point aNow);
   std::vector<relay_load> OwnLoads() const;
   void SetPeers(std::size_t aInstances);
   // By `WorkKey`.
   void SetOthersWork(const std::map<std::uint32_t, endpoint_work>& aWork,
                      time_point aNow);
-  void SetDemand(const std::map<pool_name, engine_demand>& aDemand,
-                 time_point aNow);
+  void SetViews(const std::map<pool_name, pool_view>& aDemand, time_point aNow);
 
   // For sessions.
   boost::asio::io_context& Io() { return mIo; }
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -173,7 +173,7 @@
     listener.mWork = [this] { return OwnWork(); };
     listener.mDemand = [this] {
       std::vector<pool_demand> told;
-      for (const auto& [pool, demand] : mDispatcher.OwnDemand(Now())) {
+      for (const auto& [pool, demand] : mDispatcher.OwnViews(Now())) {
         told.push_back({ pool, demand });
       }
       return told;
@@ -234,8 +234,9 @@
   {
     std::vector<endpoint_work> work;
     for (const relay_load& each : mDispatcher.OwnLoads()) {
-      if (each.mToRead > 0 || each.mPace > 0) {
-        work.push_back({ WorkKey(each.mName), each.mToRead, each.mPace });
+      if (each.mToRead > 0 || each.mPace > 0 || each.mInFlight > 0) {
+        work.push_back(
+          { WorkKey(each.mName), each.mToRead, each.mPace, each.mInFlight });
       }
     }
     return work;
@@ -267,12 +268,11 @@
   {
     mDispatcher.SetPeers(mPeers.Count(aNow));
     mDispatcher.SetOthersWork(mPeers.OthersWork(aNow), aNow);
-    auto demand = mDispatcher.OwnDemand(aNow);
-    for (const auto& [pool, others] : mPeers.OthersDemand(aNow)) {
-      demand[pool].mPatient += others.mPatient;
-      demand[pool].mUrgent += others.mUrgent;
+    auto views = mDispatcher.OwnViews(aNow);
+    for (const auto& [pool, others] : mPeers.OthersViews(aNow)) {
+      AddView(views[pool], others);
     }
-    mDispatcher.SetDemand(demand, aNow);
+    mDispatcher.SetViews(views, aNow);
   }
 
   bool Ready() const
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -19,9 +19,9 @@
 // Between two questions while still behind.
 constexpr duration kAskEvery = Milliseconds(250);
 constexpr duration kAskLimit = Milliseconds(600);
-// Entries that leave a hello at 1,100 bytes at most: 10 for each, the rest for
+// Entries that leave a hello at 1,100 bytes at most: 18 for each, the rest for
 // addresses and demand.
-constexpr std::size_t kMostWork = 56;
+constexpr std::size_t kMostWork = 44;
 
 peer_transport_settings
 TransportSettings(const relay_settings& aSettings)
@@ -265,10 +265,10 @@
   return mCore->Peers().OthersWork(aNow);
 }
 
-std::map<pool_name, engine_demand>
-relay_peer_link::OthersDemand(time_point aNow) const
+std::map<pool_name, pool_view>
+relay_peer_link::OthersViews(time_point aNow) const
 {
-  return mCore->Peers().OthersDemand(aNow);
+  return mCore->Peers().OthersViews(aNow);
 }
 
 } // namespace thornhollow
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -66,7 +66,7 @@
   std::size_t Count(time_point aNow) const;
   std::size_t Alive() const;
   std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
-  std::map<pool_name, engine_demand> OthersDemand(time_point aNow) const;
+  std::map<pool_name, pool_view> OthersViews(time_point aNow) const;
 
 private:
   class core;
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -94,6 +94,7 @@
   work.mPromptTokens = aRequest.mPromptTokens;
   work.mRank = EngineRank(aRoute, aTier);
   work.mTarget = aRoute.mTarget;
+  work.mPause = aRoute.mPauseTarget;
   // The last part is the request's own.
   for (std::size_t at = 0; at + 1 < aRequest.mParts.size(); ++at) {
     const prompt_part& part = aRequest.mParts[at];
@@ -101,7 +102,6 @@
     work.mSharedPrefix = CombineHash(work.mSharedPrefix, Hash64(part.mId));
   }
   work.mSharedTokens = std::min(work.mSharedTokens, work.mPromptTokens);
-  work.mPatient = work.mTarget >= kPatientFrom;
   return work;
 }
 
@@ -434,7 +434,7 @@
     }
     if (relay_pool* pool = mDispatcher.Pool(*mPool)) {
       const time_point now = Now();
-      pool->OnEnded(mPick, aHow, mBegunHere, now - mSentAt, now);
+      pool->OnEnded(mPick, mWork, aHow, mBegunHere, now - mSentAt, now);
     }
   }
 
@@ -590,6 +590,9 @@
         { "attempts", static_cast<std::int64_t>(mTried.size()) },
         { "prompt_tokens", std::int64_t{ mWork.mPromptTokens } },
         { "to_read", std::int64_t{ mPick.mToRead } },
+        { "target_ms", ToMilliseconds(mWork.mTarget) },
+        { "side", mPick.mBulk ? "bulk" : "interactive" },
+        { "backlog", static_cast<std::int64_t>(mPick.mBacklog) },
         { "expected_ms", ToMilliseconds(mPick.mExpected) },
         { "longest_pause_ms", ToMilliseconds(mLongestPause) },
         { "first_byte_ms", ToMilliseconds(mFirstByte.value_or(duration{})) },
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -215,6 +215,7 @@
     for (const endpoint_work& work : each.mHello.mWork) {
       endpoint_work& its = sum[work.mEndpoint];
       its.mToRead += work.mToRead;
+      its.mOpen += work.mOpen;
       if (work.mPace > 0 && (its.mPace == 0 || work.mPace < its.mPace)) {
         its.mPace = work.mPace;
       }
@@ -223,22 +224,23 @@
   for (auto& [endpoint, work] : sum) {
     work.mToRead =
       static_cast<std::uint64_t>(static_cast<double>(work.mToRead) * scale);
+    work.mOpen =
+      static_cast<std::uint32_t>(static_cast<double>(work.mOpen) * scale);
   }
   return sum;
 }
 
-std::map<pool_name, engine_demand>
-relay_peers::OthersDemand(time_point aNow) const
+std::map<pool_name, pool_view>
+relay_peers::OthersViews(time_point aNow) const
 {
   const double scale = ForEachFresh(aNow);
-  std::map<pool_name, engine_demand> sum;
+  std::map<pool_name, pool_view> sum;
   for (const auto& [address, each] : mPeers) {
     if (!Fresh(each, aNow)) {
       continue;
     }
     for (const pool_demand& one : each.mHello.mDemand) {
-      sum[one.mPool].mPatient += one.mDemand.mPatient * scale;
-      sum[one.mPool].mUrgent += one.mDemand.mUrgent * scale;
+      AddView(sum[one.mPool], one.mView, scale);
     }
   }
   return sum;
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -38,7 +38,7 @@
 
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/engine_border.h"
+#include "thornhollow/policy/work_kind.h"
 
 namespace thornhollow {
 
@@ -52,6 +52,8 @@
   // Nanoseconds for which it was seen to read a prompt token, at its best; 0:
   // not seen.
   double mPace = 0;
+  // Requests that it was sent and that haven't ended.
+  std::uint32_t mOpen = 0;
 
   friend bool operator==(const endpoint_work&, const endpoint_work&) = default;
 };
@@ -64,7 +66,7 @@
 struct pool_demand
 {
   pool_name mPool;
-  engine_demand mDemand;
+  pool_view mView;
 
   friend bool operator==(const pool_demand&, const pool_demand&) = default;
 };
@@ -176,7 +178,7 @@
   std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
   // The same of the demand. Of ninety instances each hears another every 2.8 s;
   // with what was told before, a burst showed after four seconds of its nine.
-  std::map<pool_name, engine_demand> OthersDemand(time_point aNow) const;
+  std::map<pool_name, pool_view> OthersViews(time_point aNow) const;
 
 private:
   struct peer
--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -116,25 +116,28 @@
   const pool_name pool("plans");
   relay_peers subject(relay_peer_settings{}, "me", domain_name("a"), {}, 1);
   time_point now = time_point() + Seconds(100);
-  const auto hear = [&](int aNumber, double aPatient) {
+  const work_kind kind{ Seconds(2), Milliseconds(800) };
+  const auto hear = [&](int aNumber, double aTokens) {
     relay_hello hello;
     hello.mAddress = "n" + std::to_string(aNumber);
     hello.mDomain = domain_name("a");
-    hello.mDemand = { { pool, { aPatient, 0 } } };
+    hello.mDemand = { { pool, { { { kind, 1, aTokens, 0, 0 } } } } };
     subject.OnHello(hello, now);
   };
   for (int each = 0; each < 89; ++each) {
     hear(each, 1'000);
   }
-  CHECK(subject.OthersDemand(now).at(pool).mPatient == doctest::Approx(89'000));
+  const auto tokens = [&] {
+    return subject.OthersViews(now).at(pool).mDemand.at(0).mTokens;
+  };
+  CHECK(tokens() == doctest::Approx(89'000));
   now += Seconds(2);
   for (int each = 0; each < 30; ++each) {
     hear(each, 3'000);
   }
-  CHECK(subject.OthersDemand(now).at(pool).mPatient ==
-        doctest::Approx(267'000));
+  CHECK(tokens() == doctest::Approx(267'000));
   now += Seconds(2);
-  CHECK(subject.OthersDemand(now).empty());
+  CHECK(subject.OthersViews(now).empty());
 }
 
 // At letter 1's 420 instances the hellos alone took 35 KB/s of an instance,
--- a/thornhollow/policy/engine_border.h
+++ b/thornhollow/policy/engine_border.h
@@ -1,37 +1,38 @@
-// How many engines of a pool take the work that may wait, so that its long
-// prompts stay away from streams that may not pause.
+// Which kinds of work a pool's engines keep apart, and how many engines each
+// side gets.
 //
 //   engine_border border(engine_border_settings{});
-//   border.Observe({ .mPatient = 90'000, .mUrgent = 30'000 }, 9, now);
-//   const std::size_t patient = border.Patient();
+//   border.Observe(demand, { .mEngines = 9, .mReadPerSecond = 60'000 }, now);
+//   if (border.IsBulk(kind)) { ... one of border.Bulk() engines ... }
 //
-// Load pattern: prompts of ten thousand tokens beside streams that promise an
-// event every 200 ms. An engine reads a prompt in chunks between the steps of
-// all its streams; a chunk of 2,048 tokens makes a step of 4 ms one of 35 ms,
-// and an event of five tokens one of 175 ms or, with a long context, of more
-// than 200. Mixed on all engines, 448 of 694 streams of the urgent kind met
-// their promise; kept apart, 694 did (one deployment's calm hour, nine
-// engines, measured with real processes).
+// Load pattern: long prompts beside streams that may not pause. An engine reads
+// prompts in chunks between the steps of all its streams, so while it has
+// prompts to read each event takes as many chunks as it has tokens. Streams
+// that promise shorter pauses are late then, if the reading lasts. Mixed on all
+// engines, 448 of 694 short streams of a calm hour kept their promise; kept
+// apart, 694 did (nine engines, measured with real processes).
 //
-// A fixed border is wrong in a burst: of nine engines, three left to the
-// patient served 81 of 100 urgent streams and 35 of 100 long prompts, five 64
-// and 79. So the border follows what arrives. It is worked out from the demand
-// summed over all instances and the engines' number alone, so that instances
-// agree on it without asking each other; and it moves only where one side is
-// too full, by a ninth of the engines at a time, no sooner than `mHold` after
-// the last move, so that it doesn't flap.
+// What is kept apart, and how many engines it gets, is what loses least: the
+// share of requests whose first event would come after its target, or whose
+// stream would meet reading for longer than its pause allows. Both follow from
+// what arrives of each kind and from the pace of reading, by the usual formulas
+// for a queue with random arrivals (see engine_border.cc). Where no stream is
+// in danger, or only one kind of work comes, nothing is kept apart and no
+// engine waits for work that doesn't come.
 //
-// Grounds for the figures: the urgent side is to be busy 25% of the time where
-// the patient one is busy 50%. With two of nine engines, 23% busy and twice
-// that in a burst, 411 of 696 urgent streams kept their pauses; with four, 630
-// to 694.
+// All instances work it out from the same sums, so they agree on it without
+// asking each other; and it moves only where that gains something, by a ninth
+// of the engines at a time, no sooner than `mHold` after the last move, so that
+// it doesn't flap.
 #ifndef THORNHOLLOW_POLICY_ENGINE_BORDER_H_
 #define THORNHOLLOW_POLICY_ENGINE_BORDER_H_
 
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 #include "thornhollow/base/time.h"
+#include "thornhollow/policy/work_kind.h"
 
 namespace thornhollow {
 
@@ -39,43 +40,58 @@
 {
   // False: all engines take all work.
   bool mSeparate = true;
-  // Busy shares at which both sides count as equally loaded.
-  double mPatientBusy = 0.5;
-  double mUrgentBusy = 0.25;
-  // Prompt tokens that an engine reads a second.
-  double mReadPerSecond = 66'200;
-  // No move while the fuller side is no fuller than this part of its busy
-  // share: each one mixes the work of both sides on one engine until the
-  // streams there have ended.
-  double mFull = 1;
+  // Of all reading, what the kinds that are kept apart make up at least: the
+  // rest is what few prompts do, and finds room beside the streams.
+  double mBulkReads = 0.25;
+  // So many prompts in a row must take longer to read than streams beside them
+  // may pause: engines that are busy for half of the time have such rows in the
+  // life of most streams. What is kept apart stays so until even twice as many
+  // take less.
+  double mRow = 6;
+  double mRowToLeave = 12;
   // Between two moves: a wave of arrivals takes longer, a stream less.
   duration mHold = Milliseconds(700);
+  // For so long other kinds must ask to be kept apart than are now: streams of
+  // before are on the wrong engines until they have ended, which takes some
+  // seconds.
+  duration mHoldKinds = Seconds(3);
   // Engines that change sides in one move, as a part of all, one at least: one
   // of nine. By one of ninety at a time a burst of eight seconds was over
-  // before the border had followed: the patient side read 61 thousand tokens a
-  // second on each engine, all that they can, with the urgent side at a sixth
-  // of that.
+  // before the border had followed.
   double mStepPart = 0.11;
+  // Busy shares at which both sides count as equally loaded.
+  double mBulkBusy = 0.5;
+  double mInteractiveBusy = 0.25;
+  // No move while the fuller side is no fuller than this part of its busy
+  // share: each one mixes the work of both sides on one engine until the
+  // streams there have ended.
+  double mFull = 1;
   // Another border must be better by this factor before it is moved to.
   double mBetterBy = 1.15;
+  // Engines on either side at least, as a part of all and as a number: with
+  // fewer the loss of one engine takes half of a side's room or more.
+  double mLeastPart = 0.11;
+  std::size_t mLeast = 2;
   // Below this many engines nothing is kept apart: a side of one has no room
   // for a long prompt and no second choice.
   std::size_t mLeastEngines = 4;
-  // Engines on either side at least, as a part of all, whatever the demand:
-  // a burst begins sooner than the border can move.
-  double mLeastPart = 0.22;
 
   friend bool operator==(const engine_border_settings&,
                          const engine_border_settings&) = default;
 };
 
-// Prompt tokens to be read a second, over all instances.
-struct engine_demand
+// What is known of a pool's engines.
+struct engine_facts
 {
-  double mPatient = 0;
-  double mUrgent = 0;
-
-  friend bool operator==(const engine_demand&, const engine_demand&) = default;
+  std::size_t mEngines = 0;
+  // Prompt tokens that one reads in a second, in the mean.
+  double mReadPerSecond = 0;
+  // Requests that one runs at a time; 0: not stated.
+  std::size_t mSlots = 0;
+  // Those that read so slowly that streams beside any prompt are late: they are
+  // for bulk work.
+  std::size_t mSlow = 0;
+  friend bool operator==(const engine_facts&, const engine_facts&) = default;
 };
 
 class engine_border
@@ -83,28 +99,55 @@
 public:
   explicit engine_border(const engine_border_settings& aSettings);
 
-  void Observe(const engine_demand& aDemand,
-               std::size_t aEngines,
+  void Observe(const demand_sums& aDemand,
+               const engine_facts& aFacts,
                time_point aNow);
 
-  // Engines for patient work; all of them where nothing is kept apart.
-  std::size_t Patient() const { return mPatient; }
-  bool Separates() const { return mPatient < mEngines; }
+  // Engines for bulk work; all of them where nothing is kept apart.
+  std::size_t Bulk() const { return mBulk; }
+  bool Separates() const { return !mBulkKinds.empty() && mBulk < mEngines; }
+  // Whether work of this kind goes to the engines for bulk work.
+  bool IsBulk(const work_kind& aKind) const;
 
 private:
-  // How full the fuller side is with `aPatient` engines for patient work.
-  double Fullest(const engine_demand& aDemand, std::size_t aPatient) const;
-  std::size_t Best(const engine_demand& aDemand) const;
-  std::size_t Least() const;
+  // What arrives, by where it goes.
+  struct sides
+  {
+    demand_sums mBulk;
+    demand_sums mInteractive;
+  };
+
+  std::vector<work_kind> Harmful(demand_sums aArriving,
+                                 const engine_facts& aFacts) const;
+  void ChooseKinds(const demand_sums& aArriving,
+                   const engine_facts& aFacts,
+                   time_point aNow);
+  void ChooseCount(const demand_sums& aArriving,
+                   const engine_facts& aFacts,
+                   time_point aNow);
+  duration HoldKinds(time_point aNow) const;
+  sides Apart(const demand_sums& aArriving) const;
+  // How full the fuller side is with `aBulk` engines for bulk work.
+  double Fullest(const sides& aApart,
+                 std::size_t aBulk,
+                 const engine_facts& aFacts) const;
+  std::size_t Best(const sides& aApart, const engine_facts& aFacts) const;
+  void Remember(time_point aNow);
   std::size_t Step() const;
+  std::size_t Least() const;
+  std::size_t LeastBulk(const engine_facts& aFacts) const;
 
   engine_border_settings mSettings;
   std::size_t mEngines = 0;
-  std::size_t mPatient = 0;
+  std::size_t mBulk = 0;
+  std::vector<work_kind> mBulkKinds;
   // Kept apart from the count, so that engines that join one by one don't shift
   // it by rounding.
-  double mPart;
+  double mPart = 1;
   std::optional<time_point> mMoved;
+  std::optional<time_point> mFirstDemand;
+  // Since when other kinds would be kept apart than are.
+  std::optional<time_point> mKindsDiffer;
 };
 
 } // namespace thornhollow
--- a/thornhollow/policy/engine_sides.cc
+++ b/thornhollow/policy/engine_sides.cc
@@ -14,7 +14,7 @@
 
 void
 engine_sides::Observe(std::vector<engine_standing> aEngines,
-                      std::size_t aPatient,
+                      std::size_t aBulk,
                       bool aIdle,
                       time_point aNow)
 {
@@ -24,11 +24,11 @@
   if (aIdle) {
     mPlaces.clear();
   }
-  Keep(aEngines, aPatient);
-  if (CountPatient() != aPatient) {
-    MeetCount(aEngines, aPatient, aNow);
+  Keep(aEngines, aBulk);
+  if (CountBulk() != aBulk) {
+    MeetCount(aEngines, aBulk, aNow);
   } else if (!mExchanged || aNow - *mExchanged >= mSettings.mExchangeEvery) {
-    ExchangeSome(aEngines, aPatient, aNow);
+    ExchangeSome(aEngines, aBulk, aNow);
   }
 }
 
@@ -51,16 +51,15 @@
   if (!turned || aNow - *turned >= mSettings.mRemember) {
     return side;
   }
-  return side == engine_side::kPatient ? engine_side::kUrgent
-                                       : engine_side::kPatient;
+  return side == engine_side::kBulk ? engine_side::kInteractive
+                                    : engine_side::kBulk;
 }
 
 bool
 engine_sides::Clearing(std::uint32_t aNumber, time_point aNow) const
 {
   const auto found = mPlaces.find(aNumber);
-  return found != mPlaces.end() &&
-         found->second.mSide == engine_side::kPatient &&
+  return found != mPlaces.end() && found->second.mSide == engine_side::kBulk &&
          found->second.mTurned &&
          aNow - *found->second.mTurned < mSettings.mClear;
 }
@@ -68,7 +67,7 @@
 // Forgets who is gone; newcomers, which have no streams, go where they belong.
 void
 engine_sides::Keep(const std::vector<engine_standing>& aOrder,
-                   std::size_t aPatient)
+                   std::size_t aBulk)
 {
   std::map<std::uint32_t, place> kept;
   for (std::size_t at = 0; at < aOrder.size(); ++at) {
@@ -77,27 +76,27 @@
     kept[number] =
       found != mPlaces.end()
         ? found->second
-        : place{ at < aPatient ? engine_side::kPatient : engine_side::kUrgent };
+        : place{ at < aBulk ? engine_side::kBulk : engine_side::kInteractive };
   }
   mPlaces = std::move(kept);
 }
 
-// The first in order become patient, the last urgent.
+// The first in order become bulk, the last interactive.
 void
 engine_sides::MeetCount(const std::vector<engine_standing>& aOrder,
-                        std::size_t aPatient,
+                        std::size_t aBulk,
                         time_point aNow)
 {
-  std::size_t count = CountPatient();
-  for (std::size_t at = 0; at < aOrder.size() && count < aPatient; ++at) {
-    if (Of(aOrder[at].mNumber) == engine_side::kUrgent) {
-      Turn(aOrder[at].mNumber, engine_side::kPatient, aNow);
+  std::size_t count = CountBulk();
+  for (std::size_t at = 0; at < aOrder.size() && count < aBulk; ++at) {
+    if (Of(aOrder[at].mNumber) == engine_side::kInteractive) {
+      Turn(aOrder[at].mNumber, engine_side::kBulk, aNow);
       ++count;
     }
   }
-  for (std::size_t at = aOrder.size(); at > 0 && count > aPatient; --at) {
-    if (Of(aOrder[at - 1].mNumber) == engine_side::kPatient) {
-      Turn(aOrder[at - 1].mNumber, engine_side::kUrgent, aNow);
+  for (std::size_t at = aOrder.size(); at > 0 && count > aBulk; --at) {
+    if (Of(aOrder[at - 1].mNumber) == engine_side::kBulk) {
+      Turn(aOrder[at - 1].mNumber, engine_side::kInteractive, aNow);
       --count;
     }
   }
@@ -105,14 +104,14 @@
 
 void
 engine_sides::ExchangeSome(const std::vector<engine_standing>& aOrder,
-                           std::size_t aPatient,
+                           std::size_t aBulk,
                            time_point aNow)
 {
   const auto most = std::max<std::int64_t>(
     std::lround(mSettings.mExchangePart * static_cast<double>(aOrder.size())),
     1);
   std::int64_t made = 0;
-  while (made < most && ExchangeOne(aOrder, aPatient, aNow)) {
+  while (made < most && ExchangeOne(aOrder, aBulk, aNow)) {
     ++made;
   }
   if (made > 0) {
@@ -123,24 +122,24 @@
 // False where all are where they belong.
 bool
 engine_sides::ExchangeOne(const std::vector<engine_standing>& aOrder,
-                          std::size_t aPatient,
+                          std::size_t aBulk,
                           time_point aNow)
 {
   const auto begin = aOrder.begin();
   const auto border =
-    begin + static_cast<std::ptrdiff_t>(std::min(aPatient, aOrder.size()));
-  const auto toPatient = std::find_if(begin, border, [&](const auto& aOne) {
-    return Of(aOne.mNumber) == engine_side::kUrgent;
+    begin + static_cast<std::ptrdiff_t>(std::min(aBulk, aOrder.size()));
+  const auto toBulk = std::find_if(begin, border, [&](const auto& aOne) {
+    return Of(aOne.mNumber) == engine_side::kInteractive;
   });
-  const auto toUrgent = std::find_if(
+  const auto toInteractive = std::find_if(
     aOrder.rbegin(), std::make_reverse_iterator(border), [&](const auto& aOne) {
-      return Of(aOne.mNumber) == engine_side::kPatient;
+      return Of(aOne.mNumber) == engine_side::kBulk;
     });
-  if (toPatient == border || toUrgent == std::make_reverse_iterator(border)) {
+  if (toBulk == border || toInteractive == std::make_reverse_iterator(border)) {
     return false;
   }
-  Turn(toPatient->mNumber, engine_side::kPatient, aNow);
-  Turn(toUrgent->mNumber, engine_side::kUrgent, aNow);
+  Turn(toBulk->mNumber, engine_side::kBulk, aNow);
+  Turn(toInteractive->mNumber, engine_side::kInteractive, aNow);
   return true;
 }
 
@@ -151,11 +150,11 @@
 }
 
 std::size_t
-engine_sides::CountPatient() const
+engine_sides::CountBulk() const
 {
   return static_cast<std::size_t>(
     std::ranges::count_if(mPlaces, [](const auto& aOne) {
-      return aOne.second.mSide == engine_side::kPatient;
+      return aOne.second.mSide == engine_side::kBulk;
     }));
 }
 
--- a/thornhollow/policy/engine_sides.h
+++ b/thornhollow/policy/engine_sides.h
@@ -1,21 +1,21 @@
-// Which engines of a pool take patient work and which urgent, given how many
+// Which engines of a pool take bulk work and which interactive, given how many
 // the border leaves to each.
 //
 //   engine_sides sides(engine_sides_settings{});
 //   sides.Observe(engines, 5, !demand, now);
-//   if (sides.Of(number) == engine_side::kPatient &&
+//   if (sides.Of(number) == engine_side::kBulk &&
 //       !sides.Clearing(number, now)) { ... }
 //
-// Load pattern: an engine changes sides while urgent streams run on it, since
-// the border moved or the engine turned out to be slow. Long prompts that come
-// to it at once break the pauses of all those streams: in one calm hour 45 of
-// 61 late urgent streams had been begun on an engine that then became a patient
-// one, their pauses 250 to 320 ms at a promise of 200. So patient work passes
+// Load pattern: an engine changes sides while interactive streams run on it,
+// since the border moved or the engine turned out to be slow. Long prompts that
+// come to it at once break the pauses of all those streams: in one calm hour 45
+// of 61 late interactive streams had been begun on an engine that then became a
+// bulk one, their pauses 250 to 320 ms at a promise of 200. So bulk work passes
 // over such an engine until most of its streams have ended.
 //
 // All instances come to the same sides by the same engines and the same border,
 // without asking each other. Exchanges are few at a time: three of nine
-// engines found slow within two seconds had taken three fifths of the patient
+// engines found slow within two seconds had taken three fifths of the bulk
 // side's sessions from their engines at once, and 150 thousand prompt tokens
 // were read again.
 #ifndef THORNHOLLOW_POLICY_ENGINE_SIDES_H_
@@ -33,8 +33,8 @@
 
 struct engine_sides_settings
 {
-  // For so long patient work passes over an engine that was an urgent one: of
-  // urgent streams nine in ten end within 3 s (58 events of 5 tokens on
+  // For so long bulk work passes over an engine that was an interactive one: of
+  // interactive streams nine in ten end within 3 s (58 events of 5 tokens on
   // average, 22 ms each).
   duration mClear = Seconds(3);
   // Between two exchanges of engines between the sides: as long as an engine
@@ -55,7 +55,7 @@
 {
   // Tells it from others of the pool for as long as it is there.
   std::uint32_t mNumber = 0;
-  // Goes to the patient side first.
+  // Goes to the bulk side first.
   bool mSlow = false;
   // Decides among equals; the same on every instance.
   std::uint64_t mRank = 0;
@@ -66,8 +66,8 @@
 
 enum class engine_side : std::uint8_t
 {
-  kPatient,
-  kUrgent,
+  kBulk,
+  kInteractive,
 };
 
 class engine_sides
@@ -75,10 +75,10 @@
 public:
   explicit engine_sides(const engine_sides_settings& aSettings);
 
-  // `aPatient` of `aEngines` are to be patient. `aIdle`: no work is on its way
+  // `aBulk` of `aEngines` are to be bulk. `aIdle`: no work is on its way
   // to any, so that all may change sides at once.
   void Observe(std::vector<engine_standing> aEngines,
-               std::size_t aPatient,
+               std::size_t aBulk,
                bool aIdle,
                time_point aNow);
 
@@ -90,29 +90,29 @@
   std::optional<engine_side> Earlier(std::uint32_t aNumber,
                                      time_point aNow) const;
 
-  // It is a patient one, but urgent streams may still run on it.
+  // It is a bulk one, but interactive streams may still run on it.
   bool Clearing(std::uint32_t aNumber, time_point aNow) const;
 
 private:
   struct place
   {
-    engine_side mSide = engine_side::kUrgent;
+    engine_side mSide = engine_side::kInteractive;
     // When it came from the other side.
     std::optional<time_point> mTurned = std::nullopt;
   };
 
-  void Keep(const std::vector<engine_standing>& aOrder, std::size_t aPatient);
+  void Keep(const std::vector<engine_standing>& aOrder, std::size_t aBulk);
   void MeetCount(const std::vector<engine_standing>& aOrder,
-                 std::size_t aPatient,
+                 std::size_t aBulk,
                  time_point aNow);
   void ExchangeSome(const std::vector<engine_standing>& aOrder,
-                    std::size_t aPatient,
+                    std::size_t aBulk,
                     time_point aNow);
   bool ExchangeOne(const std::vector<engine_standing>& aOrder,
-                   std::size_t aPatient,
+                   std::size_t aBulk,
                    time_point aNow);
   void Turn(std::uint32_t aNumber, engine_side aSide, time_point aNow);
-  std::size_t CountPatient() const;
+  std::size_t CountBulk() const;
 
   engine_sides_settings mSettings;
   std::map<std::uint32_t, place> mPlaces;
--- a/thornhollow/policy/engine_sides_test.cc
+++ b/thornhollow/policy/engine_sides_test.cc
@@ -23,16 +23,16 @@
     mSubject.Observe(mEngines, 5, true, mNow);
   }
 
-  void Observe(std::size_t aPatient)
+  void Observe(std::size_t aBulk)
   {
-    mSubject.Observe(mEngines, aPatient, false, mNow);
+    mSubject.Observe(mEngines, aBulk, false, mNow);
   }
 
   std::set<std::uint32_t> Patient() const
   {
     std::set<std::uint32_t> result;
     for (const engine_standing& each : mEngines) {
-      if (mSubject.Of(each.mNumber) == engine_side::kPatient) {
+      if (mSubject.Of(each.mNumber) == engine_side::kBulk) {
         result.insert(each.mNumber);
       }
     }
@@ -53,14 +53,15 @@
 
 using numbers = std::set<std::uint32_t>;
 
-TEST_CASE_FIXTURE(condition, "engine_sides/first_in_order/are_patient")
+TEST_CASE_FIXTURE(condition, "engine_sides/first_in_order/are_bulk")
 {
   CHECK(Patient() == numbers{ 0, 1, 2, 3, 4 });
   CHECK(Clearing().empty());
 }
 
 // The border left one engine more to long prompts. They came to it at once,
-// beside the urgent streams that it had, and each of those paused too long.
+// beside the interactive streams that it had, and each of those paused too
+// long.
 TEST_CASE_FIXTURE(condition, "engine_sides/border_moves/engine_clears_first")
 {
   Observe(6);
@@ -71,7 +72,8 @@
   CHECK(Clearing().empty());
 }
 
-TEST_CASE_FIXTURE(condition, "engine_sides/border_moves_back/last_is_urgent")
+TEST_CASE_FIXTURE(condition,
+                  "engine_sides/border_moves_back/last_is_interactive")
 {
   Observe(4);
   CHECK(Patient() == numbers{ 0, 1, 2, 3 });
--- a/thornhollow/policy/faded_rate.h
+++ b/thornhollow/policy/faded_rate.h
@@ -20,19 +20,25 @@
   // A few of the arrivals' clumps, and shorter than a burst.
   static constexpr double kMemorySeconds = 2.0;
 
+  explicit faded_rate(double aMemorySeconds = kMemorySeconds)
+    : mMemorySeconds(aMemorySeconds)
+  {
+  }
+
   void Add(double aAmount, time_point aNow)
   {
-    mPerSecond = PerSecond(aNow) + aAmount / kMemorySeconds;
+    mPerSecond = PerSecond(aNow) + aAmount / mMemorySeconds;
     mAt = std::max(mAt, aNow);
   }
 
   double PerSecond(time_point aNow) const
   {
     const double passed = std::max(0.0, ToSeconds(aNow - mAt));
-    return mPerSecond * std::exp(-passed / kMemorySeconds);
+    return mPerSecond * std::exp(-passed / mMemorySeconds);
   }
 
 private:
+  double mMemorySeconds;
   double mPerSecond = 0;
   time_point mAt{};
 };
--- a/thornhollow/policy/read_pace.h
+++ b/thornhollow/policy/read_pace.h
@@ -1,7 +1,6 @@
 // How fast an engine reads prompts, and what a prompt costs it.
 //
-//   const double cost = ReadCost(900, 5400);
-//   pace.OnRead(cost, wait, now);
+//   pace.OnRead(2'900, wait, now);
 //   if (pace.NanosecondsPerToken() > 1.15 * fastest) { ... it is slow ... }
 //
 // Load pattern: engines of one pool that differ by a third in speed. What makes
@@ -24,38 +23,26 @@
 
 namespace thornhollow {
 
-// Prompt tokens that reading `aOwn` tokens after `aCached` known ones is worth,
-// as compared to reading without context: a step of its own for each chunk of
-// 2,048 tokens (3.9 ms beside 31), and attention to all tokens before (0.28 ms
-// for a million pairs, at 66 tokens a millisecond).
-inline double
-ReadCost(double aOwn, double aCached)
-{
-  constexpr double kSteps = 0.125;
-  constexpr double kTokensForAPair = 18.3e-6;
-  const double pairs = aOwn * (aCached + aOwn / 2);
-  return aOwn * (1 + kSteps) + pairs * kTokensForAPair;
-}
-
 class read_pace
 {
 public:
   // Shorter prompts tell more of the network than of the engine.
-  static constexpr double kLeastCost = 3'500;
+  static constexpr double kLeastTokens = 3'500;
   // From a request's arrival to its first event, the reading left out: two
   // ways, the engine's own start, a step.
   static constexpr double kOverheadSeconds = 0.018;
   // The least is forgotten by so much a second, as engines slow down for good.
   static constexpr double kForgetPerSecond = 0.003;
 
-  // A prompt of this cost had its first event after `aWait`.
-  void OnRead(double aCost, duration aWait, time_point aNow)
+  // A prompt of which so many tokens were read had its first event after
+  // `aWait`.
+  void OnRead(double aTokens, duration aWait, time_point aNow)
   {
     const double seconds = ToSeconds(aWait) - kOverheadSeconds;
-    if (aCost < kLeastCost || seconds <= 0) {
+    if (aTokens < kLeastTokens || seconds <= 0) {
       return;
     }
-    OnTold(seconds / aCost * 1e9, aNow);
+    OnTold(seconds / aTokens * 1e9, aNow);
   }
 
   // Another instance's pace for the same engine. It is kept like an own one,
--- /dev/null
+++ b/thornhollow/policy/read_rate.h
@@ -0,0 +1,73 @@
+// How many prompt tokens an engine of a pool reads in a second.
+//
+//   read_rate rate(55'000);
+//   rate.OnRead(tokensBefore + ownTokens, wait);
+//   const duration wait = FromSeconds(tokens / rate.PerSecond());
+//
+// Load pattern: engines of a deployment that nobody has measured; rates of
+// present engines lie between 20 and 150 thousand. Each answer that begins
+// tells one: the prompt tokens that its engine had to read until then, over the
+// time that it took. What others sent there a moment ago isn't known, so single
+// answers are far off; the median is close. It is followed by steps in
+// proportion, large ones at first, so that odd answers move it little and a
+// wrong first guess is left within ten: within a fifth, for rates of 20 to 150
+// thousand, when one answer in five waited behind unknown prompts.
+#ifndef THORNHOLLOW_POLICY_READ_RATE_H_
+#define THORNHOLLOW_POLICY_READ_RATE_H_
+
+#include <algorithm>
+#include <cstddef>
+
+#include "thornhollow/base/time.h"
+
+namespace thornhollow {
+
+class read_rate
+{
+public:
+  // `aPrior`: tokens a second, until something was seen.
+  explicit read_rate(double aPrior)
+    : mPerSecond(aPrior)
+  {
+  }
+
+  // An answer began after `aWait`, when its engine had read `aTokens`.
+  void OnRead(double aTokens, duration aWait)
+  {
+    const double seconds = ToSeconds(aWait) - kOverheadSeconds;
+    if (aTokens < kLeastTokens || seconds <= 0) {
+      return;
+    }
+    const double seen = std::clamp(aTokens / seconds, kLeast, kMost);
+    const double step =
+      std::clamp(1 / static_cast<double>(++mSeen), kLeastStep, kFirstStep);
+    mPerSecond *= seen > mPerSecond ? 1 + step : 1 / (1 + step);
+    mPerSecond = std::clamp(mPerSecond, kLeast, kMost);
+  }
+
+  double PerSecond() const { return mPerSecond; }
+  // Whether it is more than the first guess.
+  bool Known() const { return mSeen >= kLeastSeen; }
+
+private:
+  // Shorter readings tell more of the network than of the engine.
+  static constexpr double kLeastTokens = 1'000;
+  // From a request's arrival to its first event, the reading left out: two
+  // ways, the engine's own start, a step.
+  static constexpr double kOverheadSeconds = 0.018;
+  // An engine outside of these isn't believed.
+  static constexpr double kLeast = 2'000;
+  static constexpr double kMost = 2'000'000;
+  static constexpr double kFirstStep = 0.25;
+  static constexpr double kLeastStep = 0.02;
+
+  // From then on it is told to others.
+  static constexpr std::size_t kLeastSeen = 5;
+
+  double mPerSecond;
+  std::size_t mSeen = 0;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_POLICY_READ_RATE_H_
--- /dev/null
+++ b/thornhollow/policy/read_rate_test.cc
@@ -0,0 +1,86 @@
+#include <cmath>
+#include <random>
+
+#include <doctest/doctest.h>
+
+#include "thornhollow/policy/read_rate.h"
+
+namespace thornhollow {
+namespace {
+
+// Answers of one kind of engine: a prompt's reading, the way to the engine and
+// back, and now and then a queue that nobody here knows of.
+struct engine_of_a_pool
+{
+  double mPerSecond = 0;
+  double mChunk = 0;
+
+  duration WaitFor(double aTokens, std::mt19937_64& aRandom) const
+  {
+    std::uniform_real_distribution<double> way(0.012, 0.024);
+    std::uniform_real_distribution<double> queue(0, 1);
+    const double chunks = std::ceil(aTokens / mChunk);
+    const double queued = queue(aRandom) < 0.2 ? queue(aRandom) * 0.2 : 0;
+    return FromSeconds(aTokens / mPerSecond + chunks * 0.0005 + way(aRandom) +
+                       queued);
+  }
+};
+
+constexpr double kPrior = 55'000;
+
+TEST_CASE("read_rate/eight_kinds_of_engine/known_within_a_fifth_after_ten")
+{
+  for (const double perSecond : { 20'000.0, 60'000.0, 100'000.0, 150'000.0 }) {
+    for (const double chunk : { 512.0, 8'192.0 }) {
+      const engine_of_a_pool engine{ perSecond, chunk };
+      std::mt19937_64 random(7);
+      std::uniform_real_distribution<double> size(6'000, 12'000);
+      read_rate subject(kPrior);
+      for (int answer = 0; answer < 10; ++answer) {
+        const double tokens = size(random);
+        subject.OnRead(tokens, engine.WaitFor(tokens, random));
+      }
+      CAPTURE(perSecond);
+      CAPTURE(chunk);
+      CHECK(subject.Known());
+      CHECK(subject.PerSecond() > perSecond * 0.8);
+      CHECK(subject.PerSecond() < perSecond * 1.2);
+    }
+  }
+}
+
+TEST_CASE("read_rate/engine_turns_slow/is_followed")
+{
+  std::mt19937_64 random(3);
+  read_rate subject(kPrior);
+  const engine_of_a_pool before{ 60'000, 4'096 };
+  const engine_of_a_pool after{ 30'000, 4'096 };
+  for (int answer = 0; answer < 50; ++answer) {
+    subject.OnRead(8'000, before.WaitFor(8'000, random));
+  }
+  for (int answer = 0; answer < 60; ++answer) {
+    subject.OnRead(8'000, after.WaitFor(8'000, random));
+  }
+  CHECK(subject.PerSecond() < 36'000);
+}
+
+TEST_CASE("read_rate/odd_answers/are_bounded")
+{
+  read_rate subject(kPrior);
+  subject.OnRead(9'000, duration::zero());
+  subject.OnRead(9'000, Milliseconds(-5));
+  subject.OnRead(10, Seconds(2));
+  CHECK(subject.PerSecond() == doctest::Approx(kPrior));
+  CHECK_FALSE(subject.Known());
+  for (int answer = 0; answer < 1'000; ++answer) {
+    subject.OnRead(1e12, Milliseconds(19));
+  }
+  CHECK(subject.PerSecond() <= 2e6);
+  for (int answer = 0; answer < 2'000; ++answer) {
+    subject.OnRead(1'000, Seconds(1'000));
+  }
+  CHECK(subject.PerSecond() >= 2'000);
+}
+
+} // namespace
+} // namespace thornhollow
--- a/thornhollow/policy/relay_admission.cc
+++ b/thornhollow/policy/relay_admission.cc
@@ -129,8 +129,8 @@
   if (mUnstarted == 0) {
     // Both rates fade alike, so their ratio would say forever how long the last
     // answers had waited.
-    mAnswers = {};
-    mWaits = {};
+    mAnswers = faded_rate();
+    mWaits = faded_rate();
   }
 }
 
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -29,13 +29,18 @@
 // Engines whose place in a session's order counts: with the default steps the
 // penalty is whole from the third on.
 constexpr std::size_t kNearRanks = 4;
-
-engine_side
-SideOf(const relay_work& aWork)
+inline double
+ReadCost(double aOwn, double aCached)
 {
-  return aWork.mPatient ? engine_side::kPatient : engine_side::kUrgent;
+  constexpr double kSteps = 0.125;
+  constexpr double kTokensForAPair = 18.3e-6;
+  const double pairs = aOwn * (aCached + aOwn / 2);
+  return aOwn * (1 + kSteps) + pairs * kTokensForAPair;
 }
 
+// Engines of one pool don't differ by more, whatever was seen of a few prompts.
+constexpr double kMostApart = 2.5;
+
 } // namespace
 
 relay_pool::relay_pool(const relay_pool_settings& aSettings,
@@ -50,6 +55,8 @@
   , mBorder(aSettings.mBorder)
   , mSides(aSettings.mSides)
   , mAdmission(aSettings.mAdmission)
+  , mReadRate(aSettings.mReadPerSecond)
+  , mReadPerSecond(aSettings.mReadPerSecond)
 {
 }
 
@@ -79,10 +86,17 @@
   }
 }
 
+engine_side
+relay_pool::SideOf(const relay_work& aWork) const
+{
+  return mBorder.IsBulk(KindOf(aWork)) ? engine_side::kBulk
+                                       : engine_side::kInteractive;
+}
+
 std::optional<admission_refusal>
 relay_pool::Admit(const relay_work& aWork, duration aTimeLeft, time_point aNow)
 {
-  if (!mEngines || !aWork.mPatient) {
+  if (!mEngines || SideOf(aWork) != engine_side::kBulk) {
     return std::nullopt;
   }
   return mAdmission.Judge({ aWork.mTeam,
@@ -111,7 +125,7 @@
   pick.mEndpoint = chosen->mEndpoint.mName;
   pick.mAddress = chosen->mEndpoint.mAddress;
   pick.mLifetime = chosen->mEndpoint.mLifetime;
-  pick.mPatient = aWork.mPatient;
+  pick.mBulk = SideOf(aWork) == engine_side::kBulk;
   return pick;
 }
 
@@ -146,7 +160,7 @@
 }
 
 void
-relay_pool::AssignSides(const engine_demand& aDemand, time_point aNow)
+relay_pool::AssignSides(const demand_sums& aDemand, time_point aNow)
 {
   std::vector<engine_standing> sound;
   for (auto& [name, each] : mRecords) {
@@ -158,30 +172,32 @@
   if (!mBorder.Separates() || sound.size() < 2) {
     sound.clear();
   }
-  const double part = static_cast<double>(mBorder.Patient()) /
+  const double part = static_cast<double>(mBorder.Bulk()) /
                       static_cast<double>(std::max<std::size_t>(size(), 1));
-  const auto patient = static_cast<std::size_t>(
+  const auto bulk = static_cast<std::size_t>(
     std::lround(part * static_cast<double>(sound.size())));
   const std::size_t most = sound.empty() ? 0 : sound.size() - 1;
   mAdmission.SetCapacity(
-    static_cast<double>(sound.empty() ? size() : patient) *
-    mSettings.mReadPerSecond /
+    static_cast<double>(sound.empty() ? size() : bulk) * ReadPerSecond() /
     static_cast<double>(std::max<std::size_t>(mInstances, 1)));
   mSides.Observe(
     std::move(sound),
-    std::clamp<std::size_t>(patient, std::min<std::size_t>(most, 1), most),
-    aDemand == engine_demand{},
+    std::clamp<std::size_t>(bulk, std::min<std::size_t>(most, 1), most),
+    aDemand.empty(),
     aNow);
 }
 
 // The engines of the work's side of the border; all where that leaves none.
-// Patient work passes over those that still clear, as long as the others have
+// Bulk work passes over those that still clear, as long as the others have
 // room for it.
 std::vector<relay_pool::record*>
 relay_pool::OfSide(const relay_work& aWork,
                    const std::vector<record*>& aSound,
                    time_point aNow) const
 {
+  if (!mBorder.Separates()) {
+    return aSound;
+  }
   const engine_side side = SideOf(aWork);
   std::vector<record*> all;
   std::vector<record*> clear;
@@ -193,9 +209,9 @@
       }
     }
   }
-  const double room = static_cast<double>(clear.size()) *
-                      mSettings.mReadPerSecond * mSettings.mClearBelow;
-  if (mPatientDemand < room) {
+  const double room =
+    static_cast<double>(clear.size()) * ReadPerSecond() * mSettings.mClearBelow;
+  if (side == engine_side::kBulk && mBulkDemand < room) {
     return clear;
   }
   return all.empty() ? aSound : all;
@@ -231,10 +247,11 @@
 {
   const auto holders = mAffinity.Holders(aWork.mSharedPrefix, aNow);
   const auto first = FirstInOrder(aWork, aCandidates, kNearRanks);
-  const double most =
-    aWork.mPatient ? mSettings.mMissPenalty : mSettings.mUrgentMissPenalty;
   const double own =
     ReadCost(aWork.mPromptTokens - aWork.mSharedTokens, aWork.mSharedTokens);
+  const bool mayCopy = mSettings.mCopyFromTokens > 0 &&
+                       aWork.mSharedTokens >= mSettings.mCopyFromTokens &&
+                       holders.front() != prefix_affinity::kNobody;
   record* best = nullptr;
   double bestCost = 0;
   for (record* each : aCandidates) {
@@ -242,22 +259,28 @@
     const auto rank =
       static_cast<std::size_t>(std::ranges::find(first, each) - first.begin());
     const bool hasParts = holds || rank == 0;
-    const double missing = hasParts ? 0 : aWork.mSharedTokens;
+    const double missing =
+      hasParts ? 0
+               : aWork.mSharedTokens * (mayCopy ? mSettings.mCopyPart : 1.0);
     const double penalty =
       rank == first.size()
-        ? most
-        : std::min(most, mSettings.mMissStep * static_cast<double>(rank));
+        ? mSettings.mMissPenalty
+        : std::min(mSettings.mMissPenalty,
+                   mSettings.mMissStep * static_cast<double>(rank));
     const double waiting =
       static_cast<double>(each->mToRead + each->mOthersToRead);
-    const double cost = waiting + own + missing * penalty;
+    const double pace = SecondsPerToken(*each, aNow);
+    const double cost =
+      (waiting + own + missing * penalty) * pace + CrowdSeconds(*each, aWork);
     if (best == nullptr || cost < bestCost) {
       best = each;
       bestCost = cost;
       aPick.mToRead = static_cast<std::uint32_t>(own + missing);
       aPick.mHolds = hasParts;
+      aPick.mSentBefore = holds;
+      aPick.mBacklog = each->mToRead + each->mOthersToRead;
       aPick.mExpected =
-        mSettings.mFirstEvent +
-        FromSeconds((waiting + own + missing) / mSettings.mReadPerSecond);
+        mSettings.mFirstEvent + FromSeconds((waiting + own + missing) * pace);
     }
   }
   if (mSettings.mCopyFromTokens > 0 &&
@@ -269,6 +292,23 @@
   return best;
 }
 
+// What its open requests cost one more: each makes the events of all others
+// later, and once the slots are taken the request waits until one has ended.
+// Without it the short prompts of a burst all went to the one of two engines
+// that held most of their sessions: 70 requests on it with 64 slots, 15 on the
+// other.
+double
+relay_pool::CrowdSeconds(const record& aRecord, const relay_work& aWork) const
+{
+  if (mSlots == 0) {
+    return 0;
+  }
+  const double taken =
+    static_cast<double>(aRecord.mInFlight + aRecord.mOthersInFlight) /
+    static_cast<double>(mSlots);
+  return ToSeconds(aWork.mTarget) * mSettings.mCrowdPart * taken * taken;
+}
+
 // Another engine that is believed to hold the shared parts; nothing where
 // `aChosen` is believed to.
 const relay_pool::record*
@@ -351,8 +391,8 @@
                    const relay_work& aWork,
                    time_point aNow)
 {
-  (aWork.mPatient ? mPatientSent : mUrgentSent).Add(aPick.mToRead, aNow);
-  if (aPick.mPatient) {
+  mMeter.OnSent(KindOf(aWork), aPick.mToRead, aNow);
+  if (aPick.mBulk) {
     mAdmission.OnSent(aPick.mToRead);
   }
   record* found = Find(aPick);
@@ -373,7 +413,7 @@
                         duration aWait,
                         time_point aNow)
 {
-  if (aPick.mPatient) {
+  if (aPick.mBulk) {
     mAdmission.OnStarted(aPick.mToRead, aWait, aNow);
   }
   if (record* found = Find(aPick)) {
@@ -382,24 +422,28 @@
     // Where parts were to be read that another instance had sent there before,
     // the time would be too short for what was counted.
     if (mEngines && aPick.mHolds) {
-      found->mPace.OnRead(ReadCost(aWork.mPromptTokens - aWork.mSharedTokens,
-                                   aWork.mSharedTokens),
-                          aWait,
-                          aNow);
+      const double read = ReadCost(aWork.mPromptTokens - aWork.mSharedTokens,
+                                   aWork.mSharedTokens);
+      found->mPace.OnRead(read, aWait, aNow);
+      if (aPick.mSentBefore) {
+        mReadRate.OnRead(read + static_cast<double>(aPick.mBacklog), aWait);
+      }
     }
   }
 }
 
 void
 relay_pool::OnEnded(const relay_pick& aPick,
+                    const relay_work& aWork,
                     attempt_end aHow,
                     bool aBegun,
                     duration aLength,
                     time_point aNow)
 {
-  if (aPick.mPatient && !aBegun) {
+  if (aPick.mBulk && !aBegun) {
     mAdmission.OnLost(aPick.mToRead);
   }
+  mMeter.OnEnded(KindOf(aWork));
   record* found = Find(aPick);
   if (found == nullptr) {
     return;
@@ -423,6 +467,7 @@
 {
   if (const auto found = mRecords.find(aLoad.mName); found != mRecords.end()) {
     found->second.mOthersToRead = aLoad.mToRead;
+    found->second.mOthersInFlight = aLoad.mInFlight;
     if (aLoad.mPace > 0) {
       found->second.mPace.OnTold(aLoad.mPace, aNow);
     }
@@ -452,14 +497,57 @@
   }
 }
 
+double
+relay_pool::SecondsPerToken(const record& aRecord, time_point aNow) const
+{
+  const double its = aRecord.mPace.NanosecondsPerToken(aNow);
+  const bool judged =
+    aRecord.mPaceKnown && aNow - *aRecord.mPaceKnown >= mSettings.mJudgeAfter;
+  const double relative =
+    judged && its > 0 && mMeanPace > 0
+      ? std::clamp(its / mMeanPace, 1 / kMostApart, kMostApart)
+      : 1;
+  return relative / mReadPerSecond;
+}
+
+void
+relay_pool::MeasurePaces(time_point aNow)
+{
+  double sum = 0;
+  std::size_t known = 0;
+  for (const auto& [name, each] : mRecords) {
+    if (const double pace = each.mPace.NanosecondsPerToken(aNow); pace > 0) {
+      sum += pace;
+      ++known;
+    }
+  }
+  mMeanPace = known == 0 ? 0 : sum / static_cast<double>(known);
+}
+
+std::size_t
+relay_pool::SlowEngines() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    mRecords, [](const auto& aOne) { return aOne.second.mSlow; }));
+}
+
 void
-relay_pool::SetDemand(const engine_demand& aDemand, time_point aNow)
+relay_pool::SetView(const pool_view& aView, time_point aNow)
 {
-  if (mEngines) {
-    JudgePaces(aNow);
-    mBorder.Observe(aDemand, mRecords.size(), aNow);
-    AssignSides(aDemand, aNow);
-    mPatientDemand = aDemand.mPatient;
+  if (!mEngines) {
+    return;
+  }
+  mReadPerSecond = aView.mReadSeen > 0 ? aView.mReadSum / aView.mReadSeen
+                                       : mReadRate.PerSecond();
+  JudgePaces(aNow);
+  MeasurePaces(aNow);
+  mBorder.Observe(aView.mDemand,
+                  { mRecords.size(), mReadPerSecond, mSlots, SlowEngines() },
+                  aNow);
+  AssignSides(aView.mDemand, aNow);
+  mBulkDemand = 0;
+  for (const kind_demand& each : aView.mDemand) {
+    mBulkDemand += mBorder.IsBulk(each.mKind) ? each.mTokens : 0;
   }
 }
 
@@ -469,13 +557,19 @@
   for (auto& [name, each] : mRecords) {
     each.mHealth.OnClockGap(aNow);
     each.mOthersToRead = 0;
+    each.mOthersInFlight = 0;
   }
 }
 
-engine_demand
-relay_pool::OwnDemand(time_point aNow) const
+pool_view
+relay_pool::OwnView(time_point aNow) const
 {
-  return { mPatientSent.PerSecond(aNow), mUrgentSent.PerSecond(aNow) };
+  pool_view view{ mMeter.Demand(aNow) };
+  if (mReadRate.Known()) {
+    view.mReadSum = mReadRate.PerSecond();
+    view.mReadSeen = 1;
+  }
+  return view;
 }
 
 std::vector<relay_load>
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -22,7 +22,7 @@
 // idle: the penalty is less for the next engines of the session's rank.
 //
 // On which side of the border an engine is follows from its name's hash, but
-// slow ones are on the patient side first.
+// slow ones are on the bulk side first.
 //
 // Plain services have places instead: the endpoint with the fewest requests of
 // this instance is taken, one of its own failure domain before others.
@@ -42,19 +42,20 @@
 #include "thornhollow/policy/endpoint_health.h"
 #include "thornhollow/policy/engine_border.h"
 #include "thornhollow/policy/engine_sides.h"
-#include "thornhollow/policy/faded_rate.h"
 #include "thornhollow/policy/prefix_affinity.h"
 #include "thornhollow/policy/read_pace.h"
+#include "thornhollow/policy/read_rate.h"
 #include "thornhollow/policy/relay_admission.h"
 #include "thornhollow/policy/relay_work.h"
+#include "thornhollow/policy/work_kind.h"
 
 namespace thornhollow {
 
 struct relay_pool_settings
 {
-  // Prompt tokens that an engine reads a second, while nothing else is known
-  // of it: what the users' engines read.
-  double mReadPerSecond = 66'200;
+  // Prompt tokens that an engine reads a second, while nothing is known of any:
+  // the middle of 20 to 150 thousand, which is what present engines do.
+  double mReadPerSecond = 55'000;
   // From a request's arrival at an idle engine to its first event, the reading
   // left out.
   duration mFirstEvent = Milliseconds(20);
@@ -64,8 +65,10 @@
   // that for the one after, up to the whole. A session that one engine can't
   // serve thus spreads over the same few on every instance.
   double mMissStep = 8;
-  // The same for work that may not wait.
-  double mUrgentMissPenalty = 16;
+  // Of its target, what a request loses at an engine whose slots are all taken.
+  double mCrowdPart = 0.1;
+  // What it takes to copy shared parts, as a part of what reading them takes.
+  double mCopyPart = 1;
   // Shared parts of at least so many tokens are copied from an engine that is
   // believed to hold them, where the chosen one isn't; 0: never. 4,900 tokens
   // take 36 ms to copy and 80 to read, and the copy takes no time from streams.
@@ -74,8 +77,8 @@
   // real processes). Shorter parts are read in a
   // few milliseconds.
   std::uint32_t mCopyFromTokens = 256;
-  // Patient work passes over engines that still have urgent streams from
-  // before they became patient ones while the others would be busy reading for
+  // Bulk work passes over engines that still have interactive streams from
+  // before they became bulk ones while the others would be busy reading for
   // less than this part of the time. Without a bound full hours lost 3 to 5
   // hundredths of that by the room that was missing.
   double mClearBelow = 0.6;
@@ -84,11 +87,12 @@
   double mSlowFrom = 1.17;
   double mSlowUntil = 1.10;
   // Before that long after its first prompt an engine isn't judged: the first
-  // few waits hold other prompts' time. Until then slow engines have urgent
-  // streams, whose pauses break their promise: with 12 s a calm half minute's
-  // answers were worth 0.91 to callers in the mean of five draws, with 6 s 0.92
-  // (0.88 and 0.93 in the worst). Of twelve equal engines none to four were
-  // taken for slow at times, at no cost that showed; with 4 s more were.
+  // few waits hold other prompts' time. Until then slow engines have
+  // interactive streams, whose pauses break their promise: with 12 s a calm
+  // half minute's answers were worth 0.91 to callers in the mean of five draws,
+  // with 6 s 0.92 (0.88 and 0.93 in the worst). Of twelve equal engines none to
+  // four were taken for slow at times, at no cost that showed; with 4 s more
+  // were.
   duration mJudgeAfter = Seconds(6);
   engine_border_settings mBorder;
   engine_sides_settings mSides;
@@ -146,7 +150,7 @@
   bool OfEngines() const { return mEngines; }
 
   // Whether `aWork`, whose caller waits for `aTimeLeft` more, is taken; to be
-  // asked before its first attempt. All but patient work on engines is.
+  // asked before its first attempt. All but bulk work on engines is.
   std::optional<admission_refusal> Admit(const relay_work& aWork,
                                          duration aTimeLeft,
                                          time_point aNow);
@@ -167,26 +171,31 @@
                    time_point aNow);
   // `aBegun`: the first byte had come.
   void OnEnded(const relay_pick& aPick,
+               const relay_work& aWork,
                attempt_end aHow,
                bool aBegun,
                duration aLength,
                time_point aNow);
 
   // What other instances said of it, in sums, and in the least of their paces,
-  // 0 where they said none; its counts of requests are not looked at.
+  // 0 where they said none.
   void SetOthers(const relay_load& aLoad, time_point aNow);
-  // Demand over all instances, in prompt tokens a second. To be called every
+  // What is known over all instances, this one included. To be called every
   // 100 ms.
-  void SetDemand(const engine_demand& aDemand, time_point aNow);
+  void SetView(const pool_view& aView, time_point aNow);
+  // Requests that an engine runs at a time; 0: not stated.
+  void SetSlots(std::size_t aSlots) { mSlots = aSlots; }
   // Instances that send to these endpoints, this one included.
   void SetInstances(std::size_t aInstances) { mInstances = aInstances; }
   // This process stood still.
   void OnClockGap(time_point aNow);
 
-  // This instance's own part of the demand.
-  engine_demand OwnDemand(time_point aNow) const;
+  // This instance's own part of it.
+  pool_view OwnView(time_point aNow) const;
   std::vector<relay_load> Loads(time_point aNow) const;
-  std::size_t PatientEngines() const { return mBorder.Patient(); }
+  std::size_t BulkEngines() const { return mBorder.Bulk(); }
+  // Prompt tokens that one engine reads in a second, in the mean.
+  double ReadPerSecond() const { return mReadPerSecond; }
 
 private:
   struct record
@@ -199,10 +208,11 @@
     std::uint32_t mInFlight = 0;
     std::uint64_t mToRead = 0;
     std::uint64_t mOthersToRead = 0;
+    std::uint32_t mOthersInFlight = 0;
     read_pace mPace = {};
     // When a pace of it was known first.
     std::optional<time_point> mPaceKnown = std::nullopt;
-    // Reads prompts so slowly that it is left to patient work first.
+    // Reads prompts so slowly that it is left to bulk work first.
     bool mSlow = false;
   };
 
@@ -212,7 +222,11 @@
                                   const std::vector<endpoint_name>& aTried,
                                   time_point aNow);
   void JudgePaces(time_point aNow);
-  void AssignSides(const engine_demand& aDemand, time_point aNow);
+  void MeasurePaces(time_point aNow);
+  std::size_t SlowEngines() const;
+  double SecondsPerToken(const record& aRecord, time_point aNow) const;
+  engine_side SideOf(const relay_work& aWork) const;
+  void AssignSides(const demand_sums& aDemand, time_point aNow);
   std::vector<record*> OfSide(const relay_work& aWork,
                               const std::vector<record*>& aSound,
                               time_point aNow) const;
@@ -221,6 +235,7 @@
                        const std::vector<record*>& aCandidates,
                        time_point aNow,
                        relay_pick& aPick);
+  double CrowdSeconds(const record& aRecord, const relay_work& aWork) const;
   const record* Holder(const relay_work& aWork,
                        const prefix_affinity::holders& aHolders,
                        const record& aChosen,
@@ -243,10 +258,15 @@
   engine_sides mSides;
   relay_admission mAdmission;
   std::size_t mInstances = 1;
-  // Prompt tokens a second, over all instances.
-  double mPatientDemand = 0;
-  faded_rate mPatientSent;
-  faded_rate mUrgentSent;
+  // Prompt tokens a second for bulk work, over all instances.
+  double mBulkDemand = 0;
+  // Nanoseconds for a token, in the mean over engines; 0: not known.
+  double mMeanPace = 0;
+  read_rate mReadRate;
+  // The same over all instances.
+  double mReadPerSecond;
+  std::size_t mSlots = 0;
+  work_meter mMeter;
 };
 
 } // namespace thornhollow
--- a/thornhollow/policy/relay_pool_benchmark.cc
+++ b/thornhollow/policy/relay_pool_benchmark.cc
@@ -22,18 +22,24 @@
                1,
                false });
   }
-  pool.SetDemand({ 50'000, 20'000 }, now);
+  const work_kind plan{ Seconds(2), Milliseconds(800) };
+  const work_kind note{ Milliseconds(300), Milliseconds(200) };
+  pool.SetView({ { { note, 28, 20'000, 14e6 }, { plan, 5, 50'000, 600e6 } } },
+               now);
   std::uint64_t number = 0;
   for (auto _ : aState) {
     relay_work work;
-    work.mPatient = number % 3 == 0;
-    work.mPromptTokens = work.mPatient ? 12'000 : 800;
-    work.mSharedTokens = work.mPatient ? 5'400 : 200;
+    const bool isLong = number % 3 == 0;
+    work.mTarget = isLong ? plan.mTarget : note.mTarget;
+    work.mPause = isLong ? plan.mPause : note.mPause;
+    work.mPromptTokens = isLong ? 12'000 : 800;
+    work.mSharedTokens = isLong ? 5'400 : 200;
     work.mSharedPrefix = number++ % 450 + 1;
     const auto pick = pool.Choose(work, {}, now);
     pool.OnSent(*pick, work, now);
     pool.OnFirstByte(*pick, work, Milliseconds(200), now);
-    pool.OnEnded(*pick, attempt_end::kCompleted, true, Milliseconds(900), now);
+    pool.OnEnded(
+      *pick, work, attempt_end::kCompleted, true, Milliseconds(900), now);
     now += Milliseconds(1);
   }
 }
--- a/thornhollow/policy/relay_pool_test.cc
+++ b/thornhollow/policy/relay_pool_test.cc
@@ -23,17 +23,29 @@
 }
 
 relay_work
-Work(std::uint64_t aSession, bool aPatient)
+Work(std::uint64_t aSession, bool aLong)
 {
   relay_work work;
-  work.mPromptTokens = aPatient ? 12'000 : 800;
-  work.mSharedTokens = aPatient ? 5'400 : 200;
+  work.mPromptTokens = aLong ? 12'000 : 800;
+  work.mSharedTokens = aLong ? 5'400 : 200;
   work.mSharedPrefix = aSession;
-  work.mTarget = aPatient ? Seconds(2) : Milliseconds(300);
-  work.mPatient = aPatient;
+  work.mTarget = aLong ? Seconds(2) : Milliseconds(300);
+  work.mPause = aLong ? Milliseconds(800) : Milliseconds(200);
   return work;
 }
 
+// Prompt tokens a second of long and of short prompts.
+pool_view
+View(double aLong, double aShort)
+{
+  constexpr double kLong = 9'000;
+  constexpr double kShort = 700;
+  return {
+    { { KindOf(Work(1, false)), aShort / kShort, aShort, aShort * kShort },
+      { KindOf(Work(1, true)), aLong / kLong, aLong, aLong * kLong } }
+  };
+}
+
 struct pool_of_nine_engines
 {
   relay_pool mPool{ relay_pool_settings{}, true, domain_name("hall"), 1 };
@@ -44,7 +56,7 @@
     for (int each = 0; each < 9; ++each) {
       mPool.Put(Endpoint("e" + std::to_string(each)));
     }
-    mPool.SetDemand({ 50'000, 20'000 }, mNow);
+    mPool.SetView(View(50'000, 20'000), mNow);
   }
 
   relay_pick Send(const relay_work& aWork)
@@ -58,21 +70,21 @@
   void Finish(const relay_pick& aPick, const relay_work& aWork, duration aWait)
   {
     mPool.OnFirstByte(aPick, aWork, aWait, mNow);
-    mPool.OnEnded(aPick, attempt_end::kCompleted, true, aWait, mNow);
+    mPool.OnEnded(aPick, aWork, attempt_end::kCompleted, true, aWait, mNow);
   }
 };
 
 TEST_CASE_FIXTURE(pool_of_nine_engines,
-                  "relay_pool/patient_and_urgent_work/never_meet")
+                  "relay_pool/long_and_short_prompts/never_meet")
 {
   // Drivers' notes come in bursts of words with pauses between: a plan's prompt
   // of many pages is read on the same engine.
   std::map<endpoint_name, std::pair<int, int>> seen;
   for (std::uint64_t each = 1; each <= 400; ++each) {
-    const bool patient = each % 3 == 0;
-    const relay_work work = Work(each % 60 + 1, patient);
+    const bool isLong = each % 3 == 0;
+    const relay_work work = Work(each % 60 + 1, isLong);
     const relay_pick pick = Send(work);
-    ++(patient ? seen[pick.mEndpoint].first : seen[pick.mEndpoint].second);
+    ++(isLong ? seen[pick.mEndpoint].first : seen[pick.mEndpoint].second);
     Finish(pick, work, Milliseconds(100));
     mNow += Milliseconds(20);
   }
@@ -101,7 +113,7 @@
   for (int each = 8; each >= 0; --each) {
     other.Put(Endpoint("e" + std::to_string(each)));
   }
-  other.SetDemand({ 50'000, 20'000 }, mNow);
+  other.SetView(View(50'000, 20'000), mNow);
   for (std::uint64_t session = 1; session <= 50; ++session) {
     const auto there = other.Choose(Work(session, true), {}, mNow);
     const auto here = mPool.Choose(Work(session, true), {}, mNow);
@@ -127,22 +139,22 @@
 }
 
 TEST_CASE_FIXTURE(pool_of_nine_engines,
-                  "relay_pool/slow_engine/is_left_to_patient_work")
+                  "relay_pool/slow_engine/is_left_to_bulk_work")
 {
   // Every note on one engine is late though it has little to do: it reads a
   // third more slowly, and five of its steps exceed the promised pause.
-  const auto urgent = mPool.Choose(Work(3, false), {}, mNow);
+  const auto before = mPool.Choose(Work(3, false), {}, mNow);
   for (const relay_load& each : mPool.Loads(mNow)) {
-    const bool slow = each.mName == urgent->mEndpoint;
+    const bool slow = each.mName == before->mEndpoint;
     mPool.SetOthers(
       { .mName = each.mName, .mPace = slow ? 19'500.0 : 15'000.0 }, mNow);
   }
-  mPool.SetDemand({ 50'000, 20'000 }, mNow);
+  mPool.SetView(View(50'000, 20'000), mNow);
   mNow += Seconds(7);
-  mPool.SetDemand({ 50'000, 20'000 }, mNow);
+  mPool.SetView(View(50'000, 20'000), mNow);
   for (std::uint64_t session = 1; session <= 100; ++session) {
     CHECK(mPool.Choose(Work(session, false), {}, mNow)->mEndpoint !=
-          urgent->mEndpoint);
+          before->mEndpoint);
   }
 }
 
@@ -173,6 +185,7 @@
     const bool fails = pick.mEndpoint == failing;
     sentThere += fails ? 1 : 0;
     mPool.OnEnded(pick,
+                  work,
                   fails ? attempt_end::kFailed : attempt_end::kCompleted,
                   false,
                   Milliseconds(5),
@@ -249,7 +262,8 @@
   Finish(first, work, Milliseconds(100));
   for (int each = 0; each < 6; ++each) {
     mPool.OnSent(first, work, mNow);
-    mPool.OnEnded(first, attempt_end::kFailed, false, Milliseconds(5), mNow);
+    mPool.OnEnded(
+      first, work, attempt_end::kFailed, false, Milliseconds(5), mNow);
   }
   const auto result = mPool.Choose(work, {}, mNow);
   REQUIRE(result.has_value());
@@ -267,12 +281,12 @@
   for (std::uint64_t session = 1; session <= 40; ++session) {
     homes[session] = mPool.Choose(Work(session, true), {}, mNow)->mEndpoint;
   }
-  const std::size_t before = mPool.PatientEngines();
+  const std::size_t before = mPool.BulkEngines();
   for (int tick = 0; tick < 20; ++tick) {
     mNow += Milliseconds(100);
-    mPool.SetDemand({ 50'000, 80'000 }, mNow);
+    mPool.SetView(View(50'000, 80'000), mNow);
   }
-  REQUIRE(mPool.PatientEngines() < before);
+  REQUIRE(mPool.BulkEngines() < before);
   int moved = 0;
   for (const auto& [session, home] : homes) {
     const auto result = mPool.Choose(Work(session, true), {}, mNow);
--- a/thornhollow/policy/relay_work.h
+++ b/thornhollow/policy/relay_work.h
@@ -11,13 +11,10 @@
 
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
+#include "thornhollow/policy/work_kind.h"
 
 namespace thornhollow {
 
-// Work whose target is at least this long may wait: other prompts are read
-// before it in well under a second.
-inline constexpr duration kPatientFrom = Seconds(1);
-
 struct relay_work
 {
   // Empty for a caller without a team.
@@ -34,14 +31,20 @@
   std::uint64_t mSharedPrefix = 0;
   // To the first event or the whole answer.
   duration mTarget{};
+  // Between two events; zero: none is promised.
+  duration mPause{};
   // When the caller stops waiting.
   time_point mDeadline{};
-  // The work may wait: its target leaves room for other prompts before it.
-  bool mPatient = false;
 
   friend bool operator==(const relay_work&, const relay_work&) = default;
 };
 
+inline work_kind
+KindOf(const relay_work& aWork)
+{
+  return { aWork.mTarget, aWork.mPause };
+}
+
 // Where a request is sent.
 struct relay_pick
 {
@@ -51,13 +54,17 @@
   std::uint64_t mLifetime = 0;
   // Prompt tokens that the engine is believed to have to read.
   std::uint32_t mToRead = 0;
-  // The work is patient; see `relay_work`.
-  bool mPatient = false;
+  // It went to the engines for bulk work.
+  bool mBulk = false;
   // Of the shared parts it is believed to hold all.
   bool mHolds = false;
+  // It was sent them before by this instance.
+  bool mSentBefore = false;
   // Address of another engine that is believed to hold them, to be copied from
   // there; empty where none is.
   std::string mCopyFrom = {};
+  // What it had to read before, prompts of other instances included.
+  std::uint64_t mBacklog = 0;
   // Time until the first event, as predicted.
   duration mExpected{};
 
--- /dev/null
+++ b/thornhollow/policy/work_kind.h
@@ -0,0 +1,107 @@
+// Kinds of relayed work, as their routes declare them, and how much of each
+// arrives.
+//
+//   work_meter meter;
+//   meter.OnSent(KindOf(work), 3'600, now);
+//   meter.OnEnded(KindOf(work));
+//   demand_sums sums = meter.Demand(now);
+//   AddDemand(sums, others);                      // what other instances told
+//
+// All that placement decides for a whole pool follows from these sums, which
+// instances tell each other; so they come to the same decisions without asking.
+#ifndef THORNHOLLOW_POLICY_WORK_KIND_H_
+#define THORNHOLLOW_POLICY_WORK_KIND_H_
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+#include "thornhollow/base/time.h"
+#include "thornhollow/policy/faded_rate.h"
+
+namespace thornhollow {
+
+// Work of one kind has the same promises.
+struct work_kind
+{
+  // To the first event or the whole answer.
+  duration mTarget{};
+  // Between two events; zero: none is promised.
+  duration mPause{};
+
+  friend auto operator<=>(const work_kind&, const work_kind&) = default;
+};
+
+// What arrives of a kind in a second.
+struct kind_demand
+{
+  work_kind mKind;
+  double mRequests = 0;
+  // Prompt tokens to be read for them.
+  double mTokens = 0;
+  // Sum of the squares of the same: long prompts among short ones weigh more.
+  double mSquares = 0;
+  // Requests that are at engines now.
+  double mOpen = 0;
+
+  friend bool operator==(const kind_demand&, const kind_demand&) = default;
+};
+
+// Sorted by kind, each kind once.
+using demand_sums = std::vector<kind_demand>;
+
+// Adds `aOthers`, each figure times `aScale`.
+void
+AddDemand(demand_sums& aSums, const demand_sums& aOthers, double aScale = 1);
+
+// What is known of a pool over several instances.
+struct pool_view
+{
+  demand_sums mDemand;
+  // Prompt tokens that an engine was seen to read in a second: the sum of what
+  // instances saw, and how many did.
+  double mReadSum = 0;
+  double mReadSeen = 0;
+
+  friend bool operator==(const pool_view&, const pool_view&) = default;
+};
+
+void
+AddView(pool_view& aSums, const pool_view& aOthers, double aScale = 1);
+
+// Counts what this instance sends.
+class work_meter
+{
+public:
+  // Kinds held; more than the routes of a pool promise. What comes beyond them
+  // isn't counted: a configuration with many different promises would fill the
+  // messages between instances.
+  static constexpr std::size_t kMaxKinds = 6;
+
+  void OnSent(const work_kind& aKind, double aTokens, time_point aNow);
+  void OnEnded(const work_kind& aKind);
+
+  demand_sums Demand(time_point aNow) const;
+
+private:
+  static constexpr double kSizeMemorySeconds = 30;
+
+  struct counts
+  {
+    faded_rate mRequests;
+    faded_rate mTokens;
+    // Sizes change with what callers do, not with how many call: they are taken
+    // from many more prompts, as the few longest decide.
+    faded_rate mSizes{ kSizeMemorySeconds };
+    faded_rate mSizeSquares{ kSizeMemorySeconds };
+    std::size_t mOpen = 0;
+  };
+
+  counts* Of(const work_kind& aKind, time_point aNow);
+
+  std::map<work_kind, counts> mKinds;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_POLICY_WORK_KIND_H_
--- /dev/null
+++ b/thornhollow/policy/work_kind_test.cc
@@ -0,0 +1,72 @@
+#include <doctest/doctest.h>
+
+#include "thornhollow/policy/work_kind.h"
+
+namespace thornhollow {
+namespace {
+
+struct meter_of_two_kinds
+{
+  work_kind mPlan{ Seconds(2), Milliseconds(800) };
+  work_kind mNote{ Milliseconds(300), Milliseconds(200) };
+  work_meter mSubject;
+  time_point mNow = time_point() + Seconds(100);
+};
+
+TEST_CASE_FIXTURE(meter_of_two_kinds, "work_meter/steady_work/rates_and_sizes")
+{
+  for (int each = 0; each < 1'000; ++each, mNow += Milliseconds(20)) {
+    mSubject.OnSent(mNote, each % 10 == 0 ? 1'550 : 750, mNow);
+  }
+  const demand_sums result = mSubject.Demand(mNow);
+  REQUIRE(result.size() == 1);
+  CHECK(result[0].mKind == mNote);
+  CHECK(result[0].mRequests == doctest::Approx(50).epsilon(0.02));
+  CHECK(result[0].mTokens == doctest::Approx(50 * 830).epsilon(0.03));
+  // One in ten is long: weighted by size they count for more than the mean.
+  CHECK(result[0].mSquares / result[0].mTokens ==
+        doctest::Approx(899).epsilon(0.03));
+  CHECK(result[0].mOpen == 1'000);
+}
+
+TEST_CASE_FIXTURE(meter_of_two_kinds, "work_meter/requests_end/none_is_open")
+{
+  mSubject.OnSent(mPlan, 9'000, mNow);
+  mSubject.OnSent(mPlan, 9'000, mNow);
+  mSubject.OnEnded(mPlan);
+  CHECK(mSubject.Demand(mNow).at(0).mOpen == 1);
+  mSubject.OnEnded(mPlan);
+  mSubject.OnEnded(mPlan);
+  mSubject.OnEnded(mNote);
+  CHECK(mSubject.Demand(mNow).at(0).mOpen == 0);
+}
+
+// A configuration with hundreds of routes, each with a target of its own, would
+// make the messages between instances longer than a datagram.
+TEST_CASE_FIXTURE(meter_of_two_kinds, "work_meter/many_kinds/a_few_are_counted")
+{
+  for (int each = 0; each < 300; ++each) {
+    mSubject.OnSent({ Milliseconds(100 + each), {} }, 500, mNow);
+  }
+  CHECK(mSubject.Demand(mNow).size() == work_meter::kMaxKinds);
+  for (int each = 0; each < 300; ++each) {
+    mSubject.OnEnded({ Milliseconds(100 + each), {} });
+  }
+  mNow += Seconds(60);
+  mSubject.OnSent(mNote, 700, mNow);
+  CHECK(mSubject.Demand(mNow).size() <= work_meter::kMaxKinds);
+  CHECK(mSubject.Demand(mNow).back().mKind.mTarget == mNote.mTarget);
+}
+
+TEST_CASE_FIXTURE(meter_of_two_kinds, "add_demand/others/sums_by_kind")
+{
+  demand_sums result{ { mNote, 10, 7'000, 5e6, 3 } };
+  AddDemand(
+    result, { { mNote, 1, 700, 5e5, 1 }, { mPlan, 2, 18'000, 16e7, 1 } }, 2);
+  REQUIRE(result.size() == 2);
+  CHECK(result[0] == kind_demand{ mNote, 12, 8'400, 6e6, 5 });
+  CHECK(result[1] == kind_demand{ mPlan, 4, 36'000, 32e7, 2 });
+}
+
+} // namespace
+} // namespace thornhollow
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -40,6 +40,62 @@
   return std::isfinite(aValue) && aValue > 0 ? aValue : 0;
 }
 
+// Requests of one instance at one engine.
+constexpr std::int32_t kMostOpen = 1'000'000;
+// Rates are told in hundredths.
+constexpr double kHundredths = 100;
+// No fleet reads or streams more; a forged figure beyond it would attract or
+// repel all work.
+constexpr double kMostTold = 1e12;
+// Targets and pauses of more than a day.
+constexpr std::int64_t kMostMilliseconds = 86'400'000;
+
+std::int64_t
+Rounded(double aValue)
+{
+  return std::llround(std::min(Sane(aValue), kMostTold));
+}
+
+double
+Bounded(std::int64_t aValue)
+{
+  return std::min(static_cast<double>(Unsigned(aValue)), kMostTold);
+}
+
+duration
+Span(std::int32_t aMilliseconds)
+{
+  return Milliseconds(
+    std::clamp<std::int64_t>(aMilliseconds, 0, kMostMilliseconds));
+}
+
+wire::kind_demand
+Told(const kind_demand& aKind)
+{
+  wire::kind_demand told;
+  told.__set_target_ms(
+    static_cast<std::int32_t>(ToMilliseconds(aKind.mKind.mTarget)));
+  told.__set_pause_ms(
+    static_cast<std::int32_t>(ToMilliseconds(aKind.mKind.mPause)));
+  told.__set_requests_per_100_s(Rounded(aKind.mRequests * kHundredths));
+  told.__set_tokens_per_s(Rounded(aKind.mTokens));
+  told.__set_weighted_tokens(
+    Rounded(aKind.mSquares / std::max(aKind.mTokens, 1.0)));
+  told.__set_open(Rounded(aKind.mOpen));
+  return told;
+}
+
+kind_demand
+Heard(const wire::kind_demand& aTold)
+{
+  const double tokens = Bounded(aTold.tokens_per_s);
+  return { { Span(aTold.target_ms), Span(aTold.pause_ms) },
+           Bounded(aTold.requests_per_100_s) / kHundredths,
+           tokens,
+           tokens * Bounded(aTold.weighted_tokens),
+           Bounded(aTold.open) };
+}
+
 std::optional<copied_items>
 Which(std::int32_t aKind)
 {
@@ -70,14 +126,19 @@
     work.__set_to_read(Signed(each.mToRead));
     work.__set_pace_ns(
       static_cast<std::int32_t>(std::min(each.mPace, kSlowestPace)));
+    work.__set_open(static_cast<std::int32_t>(
+      std::min<std::uint32_t>(each.mOpen, kMostOpen)));
     out.work.push_back(work);
   }
   out.__isset.work = true;
   for (const pool_demand& each : aHello.mDemand) {
     wire::pool_demand demand;
     demand.__set_pool(each.mPool.Text());
-    demand.__set_patient(each.mDemand.mPatient);
-    demand.__set_urgent(each.mDemand.mUrgent);
+    for (const kind_demand& kind : each.mView.mDemand) {
+      demand.kinds.push_back(Told(kind));
+    }
+    demand.__isset.kinds = true;
+    demand.__set_read_per_s(Rounded(each.mView.mReadSum));
     out.demand.push_back(demand);
   }
   out.__isset.demand = true;
@@ -106,12 +167,21 @@
   for (const wire::endpoint_work& each : in->work) {
     hello.mWork.push_back({ static_cast<std::uint32_t>(each.endpoint),
                             Unsigned(each.to_read),
-                            Sane(each.pace_ns) });
+                            Sane(each.pace_ns),
+                            static_cast<std::uint32_t>(std::clamp<std::int32_t>(
+                              each.open, 0, kMostOpen)) });
   }
   for (const wire::pool_demand& each : in->demand) {
     if (each.pool.size() <= kMaxTextBytes) {
-      hello.mDemand.push_back(
-        { pool_name(each.pool), { Sane(each.patient), Sane(each.urgent) } });
+      pool_demand demand{ pool_name(each.pool), {} };
+      for (const wire::kind_demand& kind : each.kinds) {
+        AddDemand(demand.mView.mDemand, { Heard(kind) });
+      }
+      if (const double read = Bounded(each.read_per_s); read > 0) {
+        demand.mView.mReadSum = read;
+        demand.mView.mReadSeen = 1;
+      }
+      hello.mDemand.push_back(std::move(demand));
     }
   }
   hello.mWantsAnswer = in->wants_answer;
--- a/thornhollow/wire/relay_codec_test.cc
+++ b/thornhollow/wire/relay_codec_test.cc
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <random>
 
 #include <doctest/doctest.h>
@@ -7,6 +8,9 @@
 namespace thornhollow {
 namespace {
 
+constexpr work_kind kNote{ Milliseconds(300), Milliseconds(200) };
+constexpr work_kind kPlan{ Seconds(2), Milliseconds(800) };
+
 relay_hello
 Hello()
 {
@@ -15,8 +19,12 @@
   hello.mDomain = domain_name("hall");
   hello.mKnown = { 12, 34 };
   hello.mPeers = { "10.0.0.2:7" };
-  hello.mWork = { { 0xfedcba98, 1200, 15000 } };
-  hello.mDemand = { { pool_name("engines"), { 1000, 50 } } };
+  hello.mWork = { { 0xfedcba98, 1200, 15000, 7 } };
+  hello.mDemand = { { pool_name("engines"),
+                      { { { kNote, 41.25, 30'000, 30'000 * 800.0, 92 },
+                          { kPlan, 12.5, 110'000, 110'000 * 9'000.0, 21 } },
+                        52'000,
+                        1 } } };
   hello.mWantsAnswer = true;
   hello.mSourceFails = true;
   return hello;
@@ -39,11 +47,11 @@
 {
   relay_hello hello = Hello();
   hello.mPeers.assign(6, "255.255.255.255:65535");
-  hello.mWork.assign(64, { 0xffffffff, 200'000, 30'000 });
-  CHECK(EncodeHello(hello).size() <= 1200);
+  demand_sums& demand = hello.mDemand.front().mView.mDemand;
+  demand.push_back({ { Seconds(3), Seconds(2) }, 300, 3e6, 3e6 * 40'000, 900 });
   // What an instance sends at most (relay_peer_link.cc); CAPACITY.md counts on
   // it.
-  hello.mWork.resize(56);
+  hello.mWork.assign(44, { 0x7edcba98, 200'000, 30'000, 64 });
   CHECK(EncodeHello(hello).size() <= 1100);
 }
 
@@ -60,7 +68,14 @@
     if (const auto hello = DecodeHello(bytes)) {
       CHECK(hello->mWork.size() <= 128);
       for (const pool_demand& each : hello->mDemand) {
-        CHECK(each.mDemand.mPatient >= 0);
+        CHECK(each.mView.mReadSum >= 0);
+        CHECK(each.mView.mDemand.size() <= 128);
+        for (const kind_demand& kind : each.mView.mDemand) {
+          CHECK(std::isfinite(kind.mSquares));
+          CHECK(kind.mTokens >= 0);
+          CHECK(kind.mRequests >= 0);
+          CHECK(kind.mOpen >= 0);
+        }
       }
     }
     DecodeItemsAnswer(bytes);
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -112,12 +112,25 @@
   2: i64 to_read
   // 3 was per_s.
   4: i32 pace_ns
+  5: i32 open
+}
+
+// Whole numbers, as they take two or three bytes where a double takes eight.
+struct kind_demand {
+  1: i32 target_ms
+  2: i32 pause_ms
+  3: i64 requests_per_100_s
+  4: i64 tokens_per_s
+  // The mean size of a prompt, weighted by size: squares over tokens.
+  5: i64 weighted_tokens
+  6: i64 open
 }
 
 struct pool_demand {
   1: string pool
-  2: double patient
-  3: double urgent
+  // 2 and 3 were two sums over all kinds.
+  4: list<kind_demand> kinds
+  5: i64 read_per_s
 }
 
 struct relay_hello {
