First reads are counted, rates are right from the start, admission goes by placement's expectation

Engines were empty, yet a session's engine was taken to hold its parts, so prompts were believed a third as long as they were (expected 585 ms, seen 1,266); and rates with two seconds of memory told of half the burst, so the border followed late and nothing was refused.

Change: a prefix that this instance doesn't know is taken as held with the likelihood that any instance sent it, from its own share of known ones; rates are scaled up while the instance is new; the wait that admission judges is what placement expects of the best engine, and only while the engines for bulk work have 85% of what they can read to do. Who comes back is taken while it can be served.

Tests: first reads, first second, clumps, overload, return.

--- a/thornhollow/config/relay_settings.h
+++ b/thornhollow/config/relay_settings.h
@@ -60,7 +60,7 @@
   // The others are there to be compared with.
   engine_placement mPlacement = engine_placement::kApart;
   // Whether long prompts are refused that would begin late.
-  bool mAdmission = false;
+  bool mAdmission = true;
 
   friend bool operator==(const engine_settings&,
                          const engine_settings&) = default;
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -49,6 +49,9 @@
 constexpr duration kSilentLeast = Milliseconds(600);
 // Callers leave a stream after two seconds without an event.
 constexpr duration kSilentStream = Milliseconds(1'300);
+// Of a route's timeout; a caller that gives less time has spent the rest on an
+// attempt before: the least wait that one is told is a tenth of most timeouts.
+constexpr double kReturnsBelow = 0.9;
 // An answer in one piece is held until it is whole.
 constexpr std::size_t kMaxWholeAnswer = std::size_t{ 8 } << 20U;
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } << 20U;
@@ -140,6 +143,8 @@
     }
     mWork.mTeam = mTeam == nullptr ? team_name() : mTeam->mName;
     mWork.mDeadline = mExchange->Arrival() + patience;
+    mWork.mReturns =
+      ToSeconds(patience) < ToSeconds(mRoute->mTimeout) * kReturnsBelow;
     mCountedAs = CountedAs(*mRoute, mWork.mTier);
     mDispatcher.Metrics().OnRequest(mCountedAs);
     mDispatcher.Retries().OnRequest(*mPool, Now());
--- /dev/null
+++ b/thornhollow/policy/known_prefixes.h
@@ -0,0 +1,54 @@
+// How likely it is that some instance has sent a prefix before, of which this
+// one knows nothing.
+//
+//   known_prefixes known;
+//   known.OnSent(wasKnownHere);
+//   const double likely = known.Probability(instances);
+//
+// Load pattern: all engines are empty, as after a start of the whole site, and
+// a burst of long prompts comes. All instances send a session to the same
+// engine, so one that doesn't know the session takes its parts to be there; but
+// nobody had sent it yet. Counted as if they were there, the first prompts were
+// believed to take 50 ms each and took 160, queues of 1.3 s were thought to be
+// half as long, and half of the first seconds' long prompts began late.
+//
+// Each of the other instances sees other requests of the same sessions, and
+// knows as large a part of them as this one does.
+#ifndef THORNHOLLOW_POLICY_KNOWN_PREFIXES_H_
+#define THORNHOLLOW_POLICY_KNOWN_PREFIXES_H_
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+
+namespace thornhollow {
+
+class known_prefixes
+{
+public:
+  // A request was sent whose prefix this instance had sent before, or not.
+  void OnSent(bool aKnown)
+  {
+    ++mSeen;
+    const double step = std::max(1 / static_cast<double>(mSeen), kLeastStep);
+    mPart += ((aKnown ? 1 : 0) - mPart) * step;
+  }
+
+  double Probability(std::size_t aInstances) const
+  {
+    const auto instances =
+      static_cast<double>(std::max<std::size_t>(aInstances, 1));
+    return 1 - std::pow(1 - mPart, instances);
+  }
+
+private:
+  // A few dozen requests: sessions come and go within tens of seconds.
+  static constexpr double kLeastStep = 0.03;
+
+  std::size_t mSeen = 0;
+  double mPart = 0;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_POLICY_KNOWN_PREFIXES_H_
--- /dev/null
+++ b/thornhollow/policy/known_prefixes_test.cc
@@ -0,0 +1,41 @@
+#include <doctest/doctest.h>
+
+#include "thornhollow/policy/known_prefixes.h"
+
+namespace thornhollow {
+namespace {
+
+TEST_CASE("known_prefixes/nothing_sent_yet/nobody_knows_any")
+{
+  const known_prefixes subject;
+  CHECK(subject.Probability(8) == doctest::Approx(0));
+  CHECK(subject.Probability(0) == doctest::Approx(0));
+}
+
+TEST_CASE("known_prefixes/one_in_five_known_here/most_known_by_some_of_eight")
+{
+  known_prefixes subject;
+  for (int each = 0; each < 500; ++each) {
+    subject.OnSent(each % 5 == 0);
+  }
+  CHECK(subject.Probability(1) == doctest::Approx(0.2).epsilon(0.25));
+  CHECK(subject.Probability(8) > 0.75);
+  CHECK(subject.Probability(8) < 0.92);
+}
+
+// A third of the sessions was new after a release; what had been known before
+// was forgotten too slowly, and prompts were believed to be short.
+TEST_CASE("known_prefixes/sessions_change/is_followed_within_a_hundred")
+{
+  known_prefixes subject;
+  for (int each = 0; each < 1'000; ++each) {
+    subject.OnSent(true);
+  }
+  for (int each = 0; each < 100; ++each) {
+    subject.OnSent(false);
+  }
+  CHECK(subject.Probability(1) < 0.1);
+}
+
+} // namespace
+} // namespace thornhollow
--- a/thornhollow/policy/relay_admission.cc
+++ b/thornhollow/policy/relay_admission.cc
@@ -33,12 +33,6 @@
     { mStarted.PerSecond(aNow), mCapacity * mSettings.mLeastReading, 1.0 });
 }
 
-duration
-relay_admission::Wait(time_point aNow) const
-{
-  return FromSeconds(static_cast<double>(mUnstarted) / Rate(aNow));
-}
-
 duration
 relay_admission::SeenWait(time_point aNow) const
 {
@@ -55,15 +49,14 @@
   ForgetIdleTeams(aNow);
   mAsked.Add(1, aNow);
   mAskedByTeam[aRequest.mTeam].Add(1, aNow);
-  const duration wait = Wait(aNow);
+  const duration wait = aRequest.mExpected;
   const duration seen = SeenWait(aNow);
-  const double patience =
+  const double longest =
     ToSeconds(aRequest.mTarget) * PartFor(aRequest.mTeam, aNow);
-  const double longest = patience * mSettings.mPartOfTarget;
   const bool inTime = wait < aRequest.mTimeLeft;
-  const bool calm = ToSeconds(seen) < patience * mSettings.mSeenPartOfTarget;
-  if (!mSettings.mAdmit || mUnstarted == 0 || calm ||
-      (inTime && ToSeconds(wait) <= longest)) {
+  const bool calm = ToSeconds(seen) < longest * mSettings.mSeenPartOfTarget;
+  const bool soon = aRequest.mReturns || ToSeconds(wait) <= longest;
+  if (!mSettings.mAdmit || calm || (inTime && soon)) {
     return std::nullopt;
   }
   const duration backlog =
--- a/thornhollow/policy/relay_admission.h
+++ b/thornhollow/policy/relay_admission.h
@@ -17,12 +17,10 @@
 // they could be to callers instead of 0.26, and 0.31 instead of 0.18 on a
 // second one (real processes, one run each).
 //
-// The wait is this instance's own queue over its own rate: prompt tokens that
-// it sent and whose answer hasn't begun, over those that begin in a second.
-// What engines do else, and what other instances send them, is in that rate, so
-// nothing has to be known of either. A rate seen while little was sent says
-// nothing of what engines can do; so it counts for no less than this instance's
-// part of what its engines read in half of their time.
+// The wait is what placement expects of the best engine, by what this instance
+// and others have sent there. It is believed only while answers were seen to
+// begin late, as news of others' prompts is old. Who was refused before and
+// comes back is taken as long as its caller is served at all.
 //
 // Teams: one that asks for more than its even part is refused at half of that
 // wait, one that asks for less at a quarter more. So a team that sends many
@@ -50,9 +48,6 @@
 {
   // False: all are taken.
   bool mAdmit = true;
-  // The longest wait, as a part of the request's target: the rest is for its
-  // own reading.
-  double mPartOfTarget = 0.8;
   // Nothing is refused while answers began sooner than this part of the target
   // lately, in the mean: one instance's queue is a few prompts of very
   // different length, and says by itself too little.
@@ -85,6 +80,10 @@
   duration mTarget{};
   // Until its caller stops waiting.
   duration mTimeLeft{};
+  // Until its first event, as placement expects it.
+  duration mExpected{};
+  // Its caller has asked before.
+  bool mReturns = false;
 
   friend bool operator==(const admission_request&,
                          const admission_request&) = default;
@@ -124,8 +123,6 @@
   // It ended before.
   void OnLost(std::uint32_t aTokens);
 
-  // Until what is sent now begins.
-  duration Wait(time_point aNow) const;
   // Of answers that began lately, in the mean; zero once nothing waits.
   duration SeenWait(time_point aNow) const;
 
--- a/thornhollow/policy/relay_admission_benchmark.cc
+++ b/thornhollow/policy/relay_admission_benchmark.cc
@@ -19,11 +19,13 @@
   const auto teams = aState.range(0);
   std::int64_t number = 0;
   for (auto _ : aState) {
-    const admission_request request{ team_name("team" + std::to_string(
-                                                          number++ % teams)),
-                                     8'000,
-                                     Seconds(2),
-                                     Seconds(15) };
+    const admission_request request{
+      .mTeam = team_name("team" + std::to_string(number++ % teams)),
+      .mTokens = 8'000,
+      .mTarget = Seconds(2),
+      .mTimeLeft = Seconds(15),
+      .mExpected = Milliseconds(200)
+    };
     benchmark::DoNotOptimize(admission.Judge(request, random, now));
     admission.OnSent(8'000);
     admission.OnStarted(8'000, Milliseconds(200), now);
--- a/thornhollow/policy/relay_admission_test.cc
+++ b/thornhollow/policy/relay_admission_test.cc
@@ -33,9 +33,14 @@
 
   engines_in_order() { mAdmission.SetCapacity(kRate); }
 
-  static admission_request From(const team_name& aTeam)
+  admission_request From(const team_name& aTeam) const
   {
-    return { aTeam, kPrompt, Seconds(2), Seconds(15) };
+    const duration queue = std::max(mFree - mNow, duration::zero());
+    return { .mTeam = aTeam,
+             .mTokens = kPrompt,
+             .mTarget = Seconds(2),
+             .mTimeLeft = Seconds(15),
+             .mExpected = queue + FromSeconds(kPrompt / kRate) };
   }
 
   void RunUntil(time_point aNow)
@@ -238,9 +243,27 @@
     mQueue.pop_front();
     mAdmission.OnLost(kPrompt);
   }
-  CHECK(mAdmission.Wait(mNow) == duration::zero());
+  mFree = mNow;
+  CHECK(mAdmission.SeenWait(mNow) == duration::zero());
   CHECK(Offer(team_name("office")));
 }
 
+// Callers that had been refused came back as told, while the overload lasted,
+// and were refused once more: half a second of waiting for nothing.
+TEST_CASE_FIXTURE(engines_in_order,
+                  "relay_admission/comes_back/is_taken_while_it_can_be_served")
+{
+  Load(15, Seconds(6));
+  for (int each = 0; each < 5; ++each) {
+    Take();
+  }
+  admission_request request = From(team_name("office"));
+  REQUIRE(mAdmission.Judge(request, mRandom, mNow));
+  request.mReturns = true;
+  CHECK_FALSE(mAdmission.Judge(request, mRandom, mNow));
+  request.mTimeLeft = Milliseconds(600);
+  CHECK(mAdmission.Judge(request, mRandom, mNow));
+}
+
 } // namespace
 } // namespace thornhollow
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -38,6 +38,12 @@
   return aOwn * (1 + kSteps) + pairs * kTokensForAPair;
 }
 
+// Nothing is refused before engines have this part of what they can read to do:
+// a queue that is there all the same is a clump, and gone before who is sent
+// away for it comes back. What is refused isn't counted as work, so the rest is
+// for what that hides.
+constexpr double kFullFrom = 0.85;
+
 // Engines of one pool don't differ by more, whatever was seen of a few prompts.
 constexpr double kMostApart = 2.5;
 
@@ -99,12 +105,23 @@
   if (!mEngines || SideOf(aWork) != engine_side::kBulk) {
     return std::nullopt;
   }
-  return mAdmission.Judge({ aWork.mTeam,
-                            aWork.mPromptTokens - aWork.mSharedTokens,
-                            aWork.mTarget,
-                            aTimeLeft },
-                          mRandom,
-                          aNow);
+  const double room = static_cast<double>(mBorder.Bulk()) * mReadPerSecond;
+  if (mBulkDemand < room * kFullFrom) {
+    return std::nullopt;
+  }
+  const auto pick = Choose(aWork, {}, aNow);
+  if (!pick) {
+    return std::nullopt;
+  }
+  return mAdmission.Judge(
+    { .mTeam = aWork.mTeam,
+      .mTokens = aWork.mPromptTokens - aWork.mSharedTokens,
+      .mTarget = aWork.mTarget,
+      .mTimeLeft = aTimeLeft,
+      .mExpected = pick->mExpected,
+      .mReturns = aWork.mReturns },
+    mRandom,
+    aNow);
 }
 
 std::optional<relay_pick>
@@ -260,8 +277,10 @@
       static_cast<std::size_t>(std::ranges::find(first, each) - first.begin());
     const bool hasParts = holds || rank == 0;
     const double missing =
-      hasParts ? 0
-               : aWork.mSharedTokens * (mayCopy ? mSettings.mCopyPart : 1.0);
+      holds ? 0
+      : rank == 0
+        ? aWork.mSharedTokens * (1 - mSentByAny.Probability(mInstances))
+        : aWork.mSharedTokens * (mayCopy ? mSettings.mCopyPart : 1.0);
     const double penalty =
       rank == first.size()
         ? mSettings.mMissPenalty
@@ -278,6 +297,7 @@
       aPick.mToRead = static_cast<std::uint32_t>(own + missing);
       aPick.mHolds = hasParts;
       aPick.mSentBefore = holds;
+      aPick.mKnownPrefix = holders.front() != prefix_affinity::kNobody;
       aPick.mBacklog = each->mToRead + each->mOthersToRead;
       aPick.mExpected =
         mSettings.mFirstEvent + FromSeconds((waiting + own + missing) * pace);
@@ -403,6 +423,7 @@
   found->mToRead += aPick.mToRead;
   found->mHealth.OnSent(aNow);
   if (aWork.mSharedPrefix != 0) {
+    mSentByAny.OnSent(aPick.mKnownPrefix);
     mAffinity.Remember(aWork.mSharedPrefix, found->mNumber, aNow);
   }
 }
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -42,6 +42,7 @@
 #include "thornhollow/policy/endpoint_health.h"
 #include "thornhollow/policy/engine_border.h"
 #include "thornhollow/policy/engine_sides.h"
+#include "thornhollow/policy/known_prefixes.h"
 #include "thornhollow/policy/prefix_affinity.h"
 #include "thornhollow/policy/read_pace.h"
 #include "thornhollow/policy/read_rate.h"
@@ -262,6 +263,7 @@
   double mBulkDemand = 0;
   // Nanoseconds for a token, in the mean over engines; 0: not known.
   double mMeanPace = 0;
+  known_prefixes mSentByAny;
   read_rate mReadRate;
   // The same over all instances.
   double mReadPerSecond;
--- a/thornhollow/policy/relay_pool_test.cc
+++ b/thornhollow/policy/relay_pool_test.cc
@@ -301,6 +301,61 @@
   CHECK(moved > 0);
 }
 
+// A calm day refused work: a clump of prompts stood at the engines, though
+// these had half of their time to spare and were done with it within a second.
+TEST_CASE_FIXTURE(pool_of_nine_engines,
+                  "relay_pool/clump_on_a_calm_day/nothing_is_refused")
+{
+  for (std::uint64_t session = 1; session <= 200; ++session) {
+    const relay_work work = Work(session, true);
+    CHECK_FALSE(mPool.Admit(work, Seconds(15), mNow));
+    const relay_pick pick = Send(work);
+    mPool.OnFirstByte(pick, work, Seconds(3), mNow);
+  }
+}
+
+// Twice as many long prompts came as engines could read. All were taken, and
+// after two seconds every answer began late.
+TEST_CASE_FIXTURE(pool_of_nine_engines,
+                  "relay_pool/more_than_can_be_read/some_are_refused_at_once")
+{
+  int refused = 0;
+  for (std::uint64_t session = 1; session <= 400; ++session) {
+    mPool.SetView(View(900'000, 20'000), mNow);
+    const relay_work work = Work(session, true);
+    if (const auto result = mPool.Admit(work, Seconds(15), mNow)) {
+      ++refused;
+      CHECK(result->mWait > result->mLongest);
+      CHECK(result->mComeBackAfter <= Seconds(5));
+      continue;
+    }
+    const relay_pick pick = Send(work);
+    // One in ten begins meanwhile, late.
+    if (session % 10 == 0) {
+      mPool.OnFirstByte(pick, work, Seconds(2), mNow);
+    }
+    mNow += Milliseconds(5);
+  }
+  CHECK(refused > 100);
+  CHECK_FALSE(mPool.Admit(Work(7, false), Seconds(15), mNow));
+}
+
+// After a start of the whole site nobody had sent a session yet, but its engine
+// was taken to hold its parts: the first prompts were expected to begin after a
+// third of the time that they took.
+TEST_CASE_FIXTURE(pool_of_nine_engines,
+                  "relay_pool/all_engines_empty/first_reads_are_counted")
+{
+  mPool.SetInstances(8);
+  const relay_pick first = Send(Work(1, true));
+  CHECK(first.mToRead >= 12'000);
+  for (int each = 0; each < 100; ++each) {
+    const relay_work work = Work(each % 4 + 1, true);
+    Finish(Send(work), work, Milliseconds(200));
+  }
+  CHECK(Send(Work(99, true)).mToRead < 12'000);
+}
+
 TEST_CASE_FIXTURE(pool_of_nine_engines, "relay_pool/short_parts/are_not_copied")
 {
   const relay_work work = Work(7, false);
--- a/thornhollow/policy/relay_work.h
+++ b/thornhollow/policy/relay_work.h
@@ -35,6 +35,8 @@
   duration mPause{};
   // When the caller stops waiting.
   time_point mDeadline{};
+  // The caller has asked before: it has less time than its route gives.
+  bool mReturns = false;
 
   friend bool operator==(const relay_work&, const relay_work&) = default;
 };
@@ -60,6 +62,8 @@
   bool mHolds = false;
   // It was sent them before by this instance.
   bool mSentBefore = false;
+  // This instance sent them to some engine before.
+  bool mKnownPrefix = false;
   // Address of another engine that is believed to hold them, to be copied from
   // there; empty where none is.
   std::string mCopyFrom = {};
--- a/thornhollow/policy/work_kind.cc
+++ b/thornhollow/policy/work_kind.cc
@@ -1,6 +1,7 @@
 #include "thornhollow/policy/work_kind.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace thornhollow {
 namespace {
@@ -8,6 +9,9 @@
 // A kind of which less than this many requests came in a second gives its place
 // to another one: none for several times the rates' memory.
 constexpr double kIdleRequests = 0.01;
+// Before that long after the first request a rate isn't scaled up any further:
+// one request would count for many.
+constexpr double kLeastSeconds = 0.4;
 
 } // namespace
 
@@ -55,6 +59,7 @@
 void
 work_meter::OnSent(const work_kind& aKind, double aTokens, time_point aNow)
 {
+  mBegun = mBegun.value_or(aNow);
   if (counts* its = Of(aKind, aNow)) {
     ++its->mOpen;
     its->mRequests.Add(1, aNow);
@@ -72,18 +77,32 @@
   }
 }
 
+// All instances start at the same moment when a whole site was killed, and what
+// callers sent meanwhile comes at once: with rates that take two seconds to
+// rise, engines were shared out for half of what came.
+double
+work_meter::StartFactor(time_point aNow) const
+{
+  if (!mBegun) {
+    return 1;
+  }
+  const double age = std::max(ToSeconds(aNow - *mBegun), kLeastSeconds);
+  return 1 / (1 - std::exp(-age / faded_rate::kMemorySeconds));
+}
+
 demand_sums
 work_meter::Demand(time_point aNow) const
 {
+  const double factor = StartFactor(aNow);
   demand_sums sums;
   sums.reserve(mKinds.size());
   for (const auto& [kind, its] : mKinds) {
-    const double tokens = its.mTokens.PerSecond(aNow);
+    const double tokens = its.mTokens.PerSecond(aNow) * factor;
     const double sizes = its.mSizes.PerSecond(aNow);
     const double weighted =
       sizes > 0 ? its.mSizeSquares.PerSecond(aNow) / sizes : 0;
     sums.push_back({ kind,
-                     its.mRequests.PerSecond(aNow),
+                     its.mRequests.PerSecond(aNow) * factor,
                      tokens,
                      tokens * weighted,
                      static_cast<double>(its.mOpen) });
--- a/thornhollow/policy/work_kind.h
+++ b/thornhollow/policy/work_kind.h
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "thornhollow/base/time.h"
@@ -97,9 +98,12 @@
     std::size_t mOpen = 0;
   };
 
+  // What the rates, which begin at nothing, lack while this instance is new.
+  double StartFactor(time_point aNow) const;
   counts* Of(const work_kind& aKind, time_point aNow);
 
   std::map<work_kind, counts> mKinds;
+  std::optional<time_point> mBegun;
 };
 
 } // namespace thornhollow
--- a/thornhollow/policy/work_kind_test.cc
+++ b/thornhollow/policy/work_kind_test.cc
@@ -29,6 +29,24 @@
   CHECK(result[0].mOpen == 1'000);
 }
 
+// A site was killed whole; what callers had sent meanwhile came in the first
+// second after, and engines were shared out for a third of it.
+TEST_CASE_FIXTURE(meter_of_two_kinds, "work_meter/first_second/rate_is_whole")
+{
+  for (int each = 0; each < 50; ++each, mNow += Milliseconds(20)) {
+    mSubject.OnSent(mNote, 800, mNow);
+  }
+  const demand_sums result = mSubject.Demand(mNow);
+  CHECK(result.at(0).mRequests == doctest::Approx(50).epsilon(0.1));
+  CHECK(result.at(0).mTokens == doctest::Approx(40'000).epsilon(0.1));
+}
+
+TEST_CASE_FIXTURE(meter_of_two_kinds, "work_meter/first_request/counts_for_few")
+{
+  mSubject.OnSent(mNote, 800, mNow);
+  CHECK(mSubject.Demand(mNow).at(0).mRequests < 3);
+}
+
 TEST_CASE_FIXTURE(meter_of_two_kinds, "work_meter/requests_end/none_is_open")
 {
   mSubject.OnSent(mPlan, 9'000, mNow);
