A silent store is noticed by somebody at once, and its return by all within a second

Cause: all instances watched the store for 20 s and 2 more; in a silence of six seconds the hung watches were given up together and asked again into the silence.

Change: watches last a second for each instance (4 to 20 s, with jitter), so that they end one after the other; a peer that hears of a failure asks anew, at most every 3 s; until an answer calls last 0.3 s and half to two seconds more.

Weighed: a short watch for all always (8 calls a second at 8 instances instead of 1 to 2); a second connection (doubles the calls).

Test in virtual time: eight followers, 40 seeds, heard of within a second.

--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -248,8 +248,13 @@
       mSourceFailsUntil = aNow + kLeaveSourceFor;
     }
     mReads = mPeers.Reads(aNow);
-    mDocument.SetReading(mReads);
-    mEndpoints.SetReading(mReads);
+    for (source_link* each : { &mDocument, &mEndpoints }) {
+      each->SetReading(mReads);
+      each->SetInstances(mPeers.Count(aNow));
+      if (mPeers.SourceFailsElsewhere(aNow)) {
+        each->OnPeerFails(aNow);
+      }
+    }
   }
 
   // Who doesn't read the source doesn't see its outage. Several leases that end
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -259,6 +259,12 @@
   return mCore->Peers().Alive();
 }
 
+bool
+relay_peer_link::SourceFailsElsewhere(time_point aNow) const
+{
+  return mCore->Peers().SourceFailsElsewhere(aNow);
+}
+
 std::map<std::uint32_t, endpoint_work>
 relay_peer_link::OthersWork(time_point aNow) const
 {
--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -69,6 +69,21 @@
 
   void Restart() { Ask(mFollower.Start(mMirror)); }
 
+  void OnPeerFails(time_point aNow)
+  {
+    if (!mReads) {
+      return;
+    }
+    if (const auto call = mFollower.OnPeerFails(mMirror, aNow)) {
+      Ask(*call);
+    }
+  }
+
+  void SetInstances(std::size_t aInstances)
+  {
+    mFollower.SetInstances(aInstances);
+  }
+
   void Tick(time_point aNow)
   {
     if (!mLost && mFollower.InOutage(aNow)) {
@@ -114,6 +129,7 @@
     if (aCall.mList) {
       mSource.List(
         mPrefix,
+        aCall.mLimit,
         [weak = weak_from_this(), aRound](const list_outcome& aOutcome) {
           if (const auto self = weak.lock()) {
             self->OnListed(aOutcome, aRound);
@@ -124,6 +140,8 @@
     mSource.Watch(
       mPrefix,
       aCall.mAfter,
+      aCall.mWait,
+      aCall.mLimit,
       [weak = weak_from_this(), aRound](const watch_outcome& aOutcome) {
         if (const auto self = weak.lock()) {
           self->OnWatched(aOutcome, aRound);
@@ -252,6 +270,18 @@
   mCore->Restart();
 }
 
+void
+source_link::OnPeerFails(time_point aNow)
+{
+  mCore->OnPeerFails(aNow);
+}
+
+void
+source_link::SetInstances(std::size_t aInstances)
+{
+  mCore->SetInstances(aInstances);
+}
+
 void
 source_link::SetReading(bool aReads)
 {
--- a/thornhollow/daemon/source_link.h
+++ b/thornhollow/daemon/source_link.h
@@ -53,6 +53,11 @@
   // Whether the source is asked at all; what is on its way is still taken.
   // Peers tell of news meanwhile.
   void SetReading(bool aReads);
+  // The source doesn't answer a peer: asks anew where the answer on its way may
+  // never come either.
+  void OnPeerFails(time_point aNow);
+  // Instances that follow the source.
+  void SetInstances(std::size_t aInstances);
   // Notices an outage. To be called every 100 ms.
   void Tick(time_point aNow);
 
--- a/thornhollow/discovery/item_source.h
+++ b/thornhollow/discovery/item_source.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "thornhollow/base/time.h"
 #include "thornhollow/discovery/item_mirror.h"
 
 namespace thornhollow {
@@ -60,14 +61,19 @@
   item_source& operator=(const item_source&) = delete;
   virtual ~item_source() = default;
 
-  // `aDone` is called once, later.
+  // `aDone` is called once, later; with a failure where no answer came within
+  // `aLimit`.
   virtual void List(const std::string& aPrefix,
+                    duration aLimit,
                     std::function<void(list_outcome)> aDone) = 0;
 
-  // Waits for changes after revision `aAfter`, for a bounded time. `aDone` is
-  // called once, later.
+  // Waits for changes after revision `aAfter`, for `aWait` at the most. `aDone`
+  // is called once, later; with a failure where no answer came within `aLimit`
+  // beyond it.
   virtual void Watch(const std::string& aPrefix,
                      std::uint64_t aAfter,
+                     duration aWait,
+                     duration aLimit,
                      std::function<void(watch_outcome)> aDone) = 0;
 };
 
--- a/thornhollow/discovery/source_follower.cc
+++ b/thornhollow/discovery/source_follower.cc
@@ -19,14 +19,48 @@
   : mSettings(aSettings)
   , mRandom(aSeed)
   , mPause(aSettings.mFirstPause)
+  , mLimit(aSettings.mMostLimit)
 {
 }
 
 source_call
-source_follower::Start(const item_mirror& aMirror) const
+source_follower::Start(const item_mirror& aMirror)
 {
-  const bool list = mMustList || !aMirror.Listed();
-  return { list, aMirror.At(), duration::zero() };
+  source_call call;
+  call.mList = mMustList || !aMirror.Listed();
+  call.mAfter = aMirror.At();
+  call.mLimit = mLimit;
+  if (!call.mList) {
+    call.mWait = Failing() || mProbing ? mSettings.mShortWait : LongWait();
+  }
+  return call;
+}
+
+std::optional<source_call>
+source_follower::OnPeerFails(const item_mirror& aMirror, time_point aNow)
+{
+  const bool fresh = mAnswered && aNow - *mAnswered < mSettings.mOutageAfter;
+  if (Failing() || fresh ||
+      (mProbed && aNow - *mProbed < mSettings.mProbeEvery)) {
+    return std::nullopt;
+  }
+  mProbed = aNow;
+  mProbing = true;
+  mLimit = mSettings.mFirstLimit;
+  return Start(aMirror);
+}
+
+// With jitter, so that the watches of instances that started together don't end
+// together.
+duration
+source_follower::LongWait()
+{
+  const duration all =
+    mSettings.mWaitForEach * static_cast<std::int64_t>(mInstances);
+  std::uniform_real_distribution<double> jitter(0.5, 1);
+  return FromSeconds(
+    ToSeconds(std::clamp(all, mSettings.mLeastWait, mSettings.mMostWait)) *
+    jitter(mRandom));
 }
 
 source_call
@@ -83,6 +117,10 @@
   // A watch that waits tells nothing, so that the outage's end would go unseen
   // until something changes; a listing answers at once.
   mMustList = mMustList || InOutage(aNow);
+  mProbing = false;
+  mLimit = mLimit >= mSettings.mMostLimit
+             ? mSettings.mFirstLimit
+             : std::min(mLimit * 2, mSettings.mMostLimit);
   source_call next = Start(aMirror);
   std::uniform_real_distribution<double> jitter(0.75, 1.25);
   next.mPause = FromSeconds(ToSeconds(mPause) * jitter(mRandom));
@@ -94,6 +132,8 @@
 source_follower::NoteAnswer(time_point aNow)
 {
   mAnswered = aNow;
+  mProbing = false;
+  mLimit = mSettings.mMostLimit;
   EndFailing();
 }
 
--- a/thornhollow/discovery/source_follower_test.cc
+++ b/thornhollow/discovery/source_follower_test.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <vector>
+
 #include <doctest/doctest.h>
 
 #include "thornhollow/discovery/source_follower.h"
@@ -24,7 +27,9 @@
 TEST_CASE_FIXTURE(follower_after_a_listing,
                   "source_follower/listed/watches_from_there")
 {
-  CHECK(mNext == source_call{ false, 10, duration::zero() });
+  CHECK_FALSE(mNext.mList);
+  CHECK(mNext.mAfter == 10);
+  CHECK(mNext.mPause == duration::zero());
   mNext = mFollower.OnWatched(
     source_changes{ { { "a", "2", 12 } }, 12 }, mMirror, mNews, mNow);
   CHECK(mNext.mAfter == 12);
@@ -44,7 +49,9 @@
   CHECK(mNext.mPause == duration::zero());
   // What was missed is never waited for.
   mNext = mFollower.OnWatched(history_gone{}, mMirror, mNews, mNow);
-  CHECK(mNext == source_call{ true, 15, duration::zero() });
+  CHECK(mNext.mList);
+  CHECK(mNext.mAfter == 15);
+  CHECK(mNext.mPause == duration::zero());
 }
 
 TEST_CASE_FIXTURE(follower_after_a_listing,
@@ -107,5 +114,151 @@
   CHECK(mFollower.InOutage(mNow + Milliseconds(1000)));
 }
 
+// The source fell silent for six seconds. All watches hung, were given up
+// within the silence and asked again into it, each for 22 s; the source had
+// been back for 12 s when a configuration came into force, everywhere at once.
+struct eight_followers_of_a_silent_source
+{
+  static constexpr int kFollowers = 8;
+
+  struct one
+  {
+    source_follower mFollower;
+    item_mirror mMirror;
+    source_call mCall;
+    time_point mEnds{};
+    // The source will answer when the call ends.
+    bool mAnswered = true;
+  };
+
+  std::vector<one> mAll;
+  time_point mStart = time_point() + Seconds(100);
+
+  explicit eight_followers_of_a_silent_source(std::uint64_t aSeed)
+  {
+    for (int each = 0; each < kFollowers; ++each) {
+      mAll.push_back({ source_follower(follower_settings{}, aSeed * 100 + each),
+                       {},
+                       {},
+                       {} });
+      one& its = mAll.back();
+      std::vector<item_change> news;
+      its.mFollower.SetInstances(kFollowers);
+      its.mCall = its.mFollower.OnListed(
+        source_listing{ {}, 10 }, its.mMirror, news, mStart);
+    }
+  }
+
+  // When somebody hears from the source what was written at `aWritten`, the
+  // source being silent from `aFrom` until `aUntil`.
+  time_point Heard(time_point aFrom, time_point aUntil, time_point aWritten)
+  {
+    for (one& each : mAll) {
+      Begin(each, mStart, aFrom, aUntil);
+    }
+    for (time_point now = mStart; now < mStart + Seconds(60);
+         now += Milliseconds(10)) {
+      bool fails = false;
+      for (one& each : mAll) {
+        fails = fails || each.mFollower.Failing();
+        const bool open = each.mAnswered && now >= each.mEnds - Waits(each);
+        if (now >= aWritten && open) {
+          return now;
+        }
+        if (now >= each.mEnds) {
+          End(each, now, aFrom, aUntil);
+        }
+      }
+      for (one& each : mAll) {
+        const auto probe =
+          fails ? each.mFollower.OnPeerFails(each.mMirror, now) : std::nullopt;
+        if (probe) {
+          each.mCall = *probe;
+          Begin(each, now, aFrom, aUntil);
+        }
+      }
+    }
+    return mStart + Seconds(60);
+  }
+
+private:
+  static duration Waits(const one& aOne)
+  {
+    return aOne.mCall.mList ? duration::zero() : aOne.mCall.mWait;
+  }
+
+  static void Begin(one& aOne,
+                    time_point aNow,
+                    time_point aFrom,
+                    time_point aTo)
+  {
+    const time_point asked = aNow + aOne.mCall.mPause;
+    const time_point due = asked + Waits(aOne);
+    aOne.mAnswered =
+      (asked < aFrom || asked >= aTo) && !(asked < aFrom && due >= aFrom);
+    aOne.mEnds = aOne.mAnswered ? due : due + aOne.mCall.mLimit;
+  }
+
+  static void End(one& aOne, time_point aNow, time_point aFrom, time_point aTo)
+  {
+    std::vector<item_change> news;
+    if (!aOne.mAnswered && aOne.mCall.mList) {
+      aOne.mCall = aOne.mFollower.OnListed(
+        source_failure{ "late" }, aOne.mMirror, news, aNow);
+    } else if (!aOne.mAnswered) {
+      aOne.mCall = aOne.mFollower.OnWatched(
+        source_failure{ "late" }, aOne.mMirror, news, aNow);
+    } else if (aOne.mCall.mList) {
+      aOne.mCall = aOne.mFollower.OnListed(
+        source_listing{ {}, 10 }, aOne.mMirror, news, aNow);
+    } else {
+      aOne.mCall = aOne.mFollower.OnWatched(
+        source_changes{ {}, 10 }, aOne.mMirror, news, aNow);
+    }
+    Begin(aOne, aNow, aFrom, aTo);
+  }
+};
+
+TEST_CASE(
+  "source_follower/silent_source/its_return_is_heard_of_within_a_second")
+{
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    eight_followers_of_a_silent_source condition(seed);
+    const time_point back = condition.mStart + Seconds(13);
+    const time_point written = back + Milliseconds(890);
+    const time_point result =
+      condition.Heard(condition.mStart + Seconds(7), back, written);
+    CHECK(result - written < Seconds(1));
+  }
+}
+
+TEST_CASE_FIXTURE(follower_after_a_listing,
+                  "source_follower/peer_fails/is_asked_anew_once_in_a_while")
+{
+  mNow += Seconds(2);
+  const auto result = mFollower.OnPeerFails(mMirror, mNow);
+  REQUIRE(result.has_value());
+  CHECK(result->mWait <= Milliseconds(500));
+  CHECK(result->mLimit <= Milliseconds(500));
+  CHECK_FALSE(mFollower.OnPeerFails(mMirror, mNow + Seconds(1)));
+  // Its own answer says more than a peer's failure.
+  mFollower.OnWatched(
+    source_changes{ {}, 10 }, mMirror, mNews, mNow + Seconds(4));
+  CHECK_FALSE(
+    mFollower.OnPeerFails(mMirror, mNow + Seconds(4) + Milliseconds(500)));
+}
+
+TEST_CASE_FIXTURE(follower_after_a_listing,
+                  "source_follower/failures/limits_leave_a_slow_source_time")
+{
+  duration longest{};
+  for (int call = 0; call < 6; ++call) {
+    mNext = mFollower.OnWatched(source_failure{}, mMirror, mNews, mNow);
+    longest = std::max(longest, mNext.mLimit);
+  }
+  CHECK(longest == Seconds(2));
+}
+
 } // namespace
 } // namespace thornhollow
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -186,6 +186,14 @@
   return aNow - aPeer.mHeard < mSettings.mFreshFor;
 }
 
+bool
+relay_peers::SourceFailsElsewhere(time_point aNow) const
+{
+  return std::ranges::any_of(mPeers, [&](const auto& aOne) {
+    return Fresh(aOne.second, aNow) && aOne.second.mHello.mSourceFails;
+  });
+}
+
 double
 relay_peers::ForEachFresh(time_point aNow) const
 {
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -165,6 +165,10 @@
   // Some addresses, to be told on.
   std::vector<std::string> SomePeers();
 
+  // Whether the source doesn't answer some other instance, by what was told a
+  // moment ago.
+  bool SourceFailsElsewhere(time_point aNow) const;
+
   // An instance that holds a later revision than `aMine` of either copy.
   std::optional<std::string> WhoKnowsMore(const known_revisions& aMine,
                                           time_point aNow) const;
--- a/thornhollow/platform/store_client.cc
+++ b/thornhollow/platform/store_client.cc
@@ -18,14 +18,7 @@
 namespace thornhollow::platform {
 namespace {
 
-// The store answers within a few milliseconds; at sixty times that it is still
-// in use.
-constexpr duration kCallTimeout = Seconds(2);
 constexpr duration kConnectTimeout = Milliseconds(500);
-// A longer wait makes fewer calls, each of which is paid for; a shorter one
-// finds a store that says nothing sooner, where connections stay up. Peers tell
-// of news meanwhile, so the wait may be long.
-constexpr duration kWatchWait = Seconds(20);
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusGone = 410;
 // Two pages of a megabyte at most, in base64 and JSON.
@@ -110,10 +103,12 @@
   listing_call(boost::asio::io_context& aIo,
                std::string aAddress,
                std::string aPrefix,
+               duration aLimit,
                std::function<void(list_outcome)> aDone)
     : mIo(aIo)
     , mAddress(std::move(aAddress))
     , mPrefix(std::move(aPrefix))
+    , mLimit(aLimit)
     , mDone(std::move(aDone))
   {
   }
@@ -126,7 +121,7 @@
     if (!aAfter.empty()) {
       call.mTarget += fmt::format("&after={}", aAfter);
     }
-    call.mTimeout = kCallTimeout;
+    call.mTimeout = mLimit;
     call.mConnectTimeout = kConnectTimeout;
     call.mMaxBytes = kMaxAnswerBytes;
     Fetch(
@@ -165,6 +160,8 @@
   boost::asio::io_context& mIo;
   std::string mAddress;
   std::string mPrefix;
+  // For each page.
+  duration mLimit;
   std::function<void(list_outcome)> mDone;
   source_listing mListing;
   bool mFirst = true;
@@ -212,15 +209,19 @@
 
 void
 store_client::List(const std::string& aPrefix,
+                   duration aLimit,
                    std::function<void(list_outcome)> aDone)
 {
-  std::make_shared<listing_call>(mIo, mAddress, aPrefix, std::move(aDone))
+  std::make_shared<listing_call>(
+    mIo, mAddress, aPrefix, aLimit, std::move(aDone))
     ->AskPage("");
 }
 
 void
 store_client::Watch(const std::string& aPrefix,
                     std::uint64_t aAfter,
+                    duration aWait,
+                    duration aLimit,
                     std::function<void(watch_outcome)> aDone)
 {
   fetch_call call;
@@ -228,8 +229,8 @@
   call.mTarget = fmt::format("/v1/kv-watch?path_prefix={}&after={}&wait_ms={}",
                              aPrefix,
                              aAfter,
-                             ToMilliseconds(kWatchWait));
-  call.mTimeout = kWatchWait + kCallTimeout;
+                             ToMilliseconds(aWait));
+  call.mTimeout = aWait + aLimit;
   call.mConnectTimeout = kConnectTimeout;
   call.mLongPoll = true;
   call.mMaxBytes = kMaxAnswerBytes;
--- a/thornhollow/platform/store_client.h
+++ b/thornhollow/platform/store_client.h
@@ -45,9 +45,12 @@
   }
 
   void List(const std::string& aPrefix,
+            duration aLimit,
             std::function<void(list_outcome)> aDone) override;
   void Watch(const std::string& aPrefix,
              std::uint64_t aAfter,
+             duration aWait,
+             duration aLimit,
              std::function<void(watch_outcome)> aDone) override;
 
 private:
