Of a clear overload only what engines can read is taken

Each of 83 instances hears another every few seconds and saw engines with room (expected 200 to 1,000 ms, seen over 2 s), took all, and 30 a second began in time without a late pause; 8,531 of 15,048 failed in the first 14 s.

Change: what is asked for, refused or not, is summed over all instances; from 1.5 times what the engines for bulk work read on, a request is taken with the likelihood that engines can read it, returning callers 1.5 times as likely.

--- a/thornhollow/policy/relay_admission.cc
+++ b/thornhollow/policy/relay_admission.cc
@@ -56,7 +56,8 @@
   const bool inTime = wait < aRequest.mTimeLeft;
   const bool calm = ToSeconds(seen) < longest * mSettings.mSeenPartOfTarget;
   const bool soon = aRequest.mReturns || ToSeconds(wait) <= longest;
-  if (!mSettings.mAdmit || calm || (inTime && soon)) {
+  const bool fits = calm || (inTime && soon);
+  if (!mSettings.mAdmit || (fits && !InExcess(aRequest, aRandom, aNow))) {
     return std::nullopt;
   }
   const duration backlog =
@@ -72,6 +73,20 @@
   };
 }
 
+bool
+relay_admission::InExcess(const admission_request& aRequest,
+                          std::mt19937_64& aRandom,
+                          time_point aNow) const
+{
+  if (aRequest.mOverload < mSettings.mClearOverload) {
+    return false;
+  }
+  const double more = aRequest.mReturns ? mSettings.mForReturning : 1;
+  std::uniform_real_distribution<double> chance(0, 1);
+  return chance(aRandom) * aRequest.mOverload >
+         more * PartFor(aRequest.mTeam, aNow);
+}
+
 double
 relay_admission::PartFor(const team_name& aTeam, time_point aNow) const
 {
--- a/thornhollow/policy/relay_admission.h
+++ b/thornhollow/policy/relay_admission.h
@@ -20,7 +20,14 @@
 // The wait is what placement expects of the best engine, by what this instance
 // and others have sent there. It is believed only while answers were seen to
 // begin late, as news of others' prompts is old. Who was refused before and
-// comes back is taken as long as its caller is served at all.
+// comes back is taken as long as its caller is served at all, but in a clear
+// overload.
+//
+// News of others' prompts is too old where ninety instances send thousands of
+// prompts a second: each saw engines with room, and of 2,000 prompts a second
+// 30 began in time, where engines could read 460 to 1,450. So once more is
+// asked for than `mClearOverload` times what engines can read, by sums over all
+// instances, no more than that part of it is taken.
 //
 // Teams: one that asks for more than its even part is refused at half of that
 // wait, one that asks for less at a quarter more. So a team that sends many
@@ -55,6 +62,11 @@
   // Part of their time for which engines read at the least: a full batch of
   // streams takes the other half.
   double mLeastReading = 0.5;
+  // From here on only the part that engines can read is taken: what is counted
+  // as work and what engines can do are known to a third or so.
+  double mClearOverload = 1.5;
+  // Who comes back is taken so much more often then.
+  double mForReturning = 1.5;
   // Of the longest wait, for teams above and below their even part: enough
   // apart for the queue of one not to reach the others' bound, nothing finer
   // was tried.
@@ -84,6 +96,8 @@
   duration mExpected{};
   // Its caller has asked before.
   bool mReturns = false;
+  // What is asked for over all instances, for each token that engines can read.
+  double mOverload = 0;
 
   friend bool operator==(const admission_request&,
                          const admission_request&) = default;
@@ -128,6 +142,10 @@
 
 private:
   double Rate(time_point aNow) const;
+  // Whether it is among those that can't be read.
+  bool InExcess(const admission_request& aRequest,
+                std::mt19937_64& aRandom,
+                time_point aNow) const;
   // Of the longest wait, what the team may have.
   double PartFor(const team_name& aTeam, time_point aNow) const;
   void ForgetIdleTeams(time_point aNow);
--- a/thornhollow/policy/relay_admission_test.cc
+++ b/thornhollow/policy/relay_admission_test.cc
@@ -248,6 +248,38 @@
   CHECK(Offer(team_name("office")));
 }
 
+// Ninety instances each saw engines with room, as news of the others' prompts
+// was seconds old, and took four times what engines could read: of 2,000
+// prompts a second 30 began in time.
+TEST_CASE_FIXTURE(engines_in_order,
+                  "relay_admission/clear_overload/only_what_fits_is_taken")
+{
+  int taken = 0;
+  int returned = 0;
+  for (int each = 0; each < 2'000; ++each) {
+    admission_request request = From(team_name("t" + std::to_string(each % 7)));
+    request.mExpected = Milliseconds(100);
+    request.mOverload = 4;
+    taken += mAdmission.Judge(request, mRandom, mNow) ? 0 : 1;
+    request.mReturns = true;
+    returned += mAdmission.Judge(request, mRandom, mNow) ? 0 : 1;
+    mNow += Milliseconds(1);
+  }
+  CHECK(taken > 400);
+  CHECK(taken < 650);
+  CHECK(returned > taken);
+}
+
+TEST_CASE_FIXTURE(engines_in_order,
+                  "relay_admission/overload_unclear/engines_decide")
+{
+  for (int each = 0; each < 500; ++each) {
+    admission_request request = From(team_name("office"));
+    request.mOverload = 1.4;
+    CHECK_FALSE(mAdmission.Judge(request, mRandom, mNow));
+  }
+}
+
 // Callers that had been refused came back as told, while the overload lasted,
 // and were refused once more: half a second of waiting for nothing.
 TEST_CASE_FIXTURE(engines_in_order,
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -40,8 +40,7 @@
 
 // Nothing is refused before engines have this part of what they can read to do:
 // a queue that is there all the same is a clump, and gone before who is sent
-// away for it comes back. What is refused isn't counted as work, so the rest is
-// for what that hides.
+// away for it comes back.
 constexpr double kFullFrom = 0.85;
 
 // Engines of one pool don't differ by more, whatever was seen of a few prompts.
@@ -102,24 +101,27 @@
 std::optional<admission_refusal>
 relay_pool::Admit(const relay_work& aWork, duration aTimeLeft, time_point aNow)
 {
-  if (!mEngines || SideOf(aWork) != engine_side::kBulk) {
-    return std::nullopt;
-  }
-  const double room = static_cast<double>(mBorder.Bulk()) * mReadPerSecond;
-  if (mBulkDemand < room * kFullFrom) {
+  if (!mEngines) {
     return std::nullopt;
   }
   const auto pick = Choose(aWork, {}, aNow);
   if (!pick) {
     return std::nullopt;
   }
+  // What is refused counts as asked for.
+  mMeter.OnAsked(KindOf(aWork), pick->mToRead, aNow);
+  const double room = static_cast<double>(mBorder.Bulk()) * mReadPerSecond;
+  if (!pick->mBulk || mBulkDemand < room * kFullFrom) {
+    return std::nullopt;
+  }
   return mAdmission.Judge(
     { .mTeam = aWork.mTeam,
       .mTokens = aWork.mPromptTokens - aWork.mSharedTokens,
       .mTarget = aWork.mTarget,
       .mTimeLeft = aTimeLeft,
       .mExpected = pick->mExpected,
-      .mReturns = aWork.mReturns },
+      .mReturns = aWork.mReturns,
+      .mOverload = mBulkDemand / room },
     mRandom,
     aNow);
 }
@@ -411,7 +413,7 @@
                    const relay_work& aWork,
                    time_point aNow)
 {
-  mMeter.OnSent(KindOf(aWork), aPick.mToRead, aNow);
+  mMeter.OnSent(KindOf(aWork), aNow);
   if (aPick.mBulk) {
     mAdmission.OnSent(aPick.mToRead);
   }
--- a/thornhollow/policy/relay_pool_test.cc
+++ b/thornhollow/policy/relay_pool_test.cc
@@ -321,7 +321,7 @@
 {
   int refused = 0;
   for (std::uint64_t session = 1; session <= 400; ++session) {
-    mPool.SetView(View(900'000, 20'000), mNow);
+    mPool.SetView(View(400'000, 20'000), mNow);
     const relay_work work = Work(session, true);
     if (const auto result = mPool.Admit(work, Seconds(15), mNow)) {
       ++refused;
--- a/thornhollow/policy/work_kind.cc
+++ b/thornhollow/policy/work_kind.cc
@@ -57,11 +57,10 @@
 }
 
 void
-work_meter::OnSent(const work_kind& aKind, double aTokens, time_point aNow)
+work_meter::OnAsked(const work_kind& aKind, double aTokens, time_point aNow)
 {
   mBegun = mBegun.value_or(aNow);
   if (counts* its = Of(aKind, aNow)) {
-    ++its->mOpen;
     its->mRequests.Add(1, aNow);
     its->mTokens.Add(aTokens, aNow);
     its->mSizes.Add(aTokens, aNow);
@@ -69,6 +68,14 @@
   }
 }
 
+void
+work_meter::OnSent(const work_kind& aKind, time_point aNow)
+{
+  if (counts* its = Of(aKind, aNow)) {
+    ++its->mOpen;
+  }
+}
+
 void
 work_meter::OnEnded(const work_kind& aKind)
 {
--- a/thornhollow/policy/work_kind.h
+++ b/thornhollow/policy/work_kind.h
@@ -2,7 +2,8 @@
 // arrives.
 //
 //   work_meter meter;
-//   meter.OnSent(KindOf(work), 3'600, now);
+//   meter.OnAsked(KindOf(work), 3'600, now);
+//   meter.OnSent(KindOf(work), now);
 //   meter.OnEnded(KindOf(work));
 //   demand_sums sums = meter.Demand(now);
 //   AddDemand(sums, others);                      // what other instances told
@@ -70,7 +71,7 @@
 void
 AddView(pool_view& aSums, const pool_view& aOthers, double aScale = 1);
 
-// Counts what this instance sends.
+// Counts what callers ask this instance for.
 class work_meter
 {
 public:
@@ -79,7 +80,9 @@
   // messages between instances.
   static constexpr std::size_t kMaxKinds = 6;
 
-  void OnSent(const work_kind& aKind, double aTokens, time_point aNow);
+  // A caller asks for it, and `aTokens` would have to be read.
+  void OnAsked(const work_kind& aKind, double aTokens, time_point aNow);
+  void OnSent(const work_kind& aKind, time_point aNow);
   void OnEnded(const work_kind& aKind);
 
   demand_sums Demand(time_point aNow) const;
--- a/thornhollow/policy/work_kind_test.cc
+++ b/thornhollow/policy/work_kind_test.cc
@@ -16,7 +16,8 @@
 TEST_CASE_FIXTURE(meter_of_two_kinds, "work_meter/steady_work/rates_and_sizes")
 {
   for (int each = 0; each < 1'000; ++each, mNow += Milliseconds(20)) {
-    mSubject.OnSent(mNote, each % 10 == 0 ? 1'550 : 750, mNow);
+    mSubject.OnAsked(mNote, each % 10 == 0 ? 1'550 : 750, mNow);
+    mSubject.OnSent(mNote, mNow);
   }
   const demand_sums result = mSubject.Demand(mNow);
   REQUIRE(result.size() == 1);
@@ -34,7 +35,7 @@
 TEST_CASE_FIXTURE(meter_of_two_kinds, "work_meter/first_second/rate_is_whole")
 {
   for (int each = 0; each < 50; ++each, mNow += Milliseconds(20)) {
-    mSubject.OnSent(mNote, 800, mNow);
+    mSubject.OnAsked(mNote, 800, mNow);
   }
   const demand_sums result = mSubject.Demand(mNow);
   CHECK(result.at(0).mRequests == doctest::Approx(50).epsilon(0.1));
@@ -43,14 +44,14 @@
 
 TEST_CASE_FIXTURE(meter_of_two_kinds, "work_meter/first_request/counts_for_few")
 {
-  mSubject.OnSent(mNote, 800, mNow);
+  mSubject.OnAsked(mNote, 800, mNow);
   CHECK(mSubject.Demand(mNow).at(0).mRequests < 3);
 }
 
 TEST_CASE_FIXTURE(meter_of_two_kinds, "work_meter/requests_end/none_is_open")
 {
-  mSubject.OnSent(mPlan, 9'000, mNow);
-  mSubject.OnSent(mPlan, 9'000, mNow);
+  mSubject.OnSent(mPlan, mNow);
+  mSubject.OnSent(mPlan, mNow);
   mSubject.OnEnded(mPlan);
   CHECK(mSubject.Demand(mNow).at(0).mOpen == 1);
   mSubject.OnEnded(mPlan);
@@ -64,14 +65,14 @@
 TEST_CASE_FIXTURE(meter_of_two_kinds, "work_meter/many_kinds/a_few_are_counted")
 {
   for (int each = 0; each < 300; ++each) {
-    mSubject.OnSent({ Milliseconds(100 + each), {} }, 500, mNow);
+    mSubject.OnAsked({ Milliseconds(100 + each), {} }, 500, mNow);
   }
   CHECK(mSubject.Demand(mNow).size() == work_meter::kMaxKinds);
   for (int each = 0; each < 300; ++each) {
     mSubject.OnEnded({ Milliseconds(100 + each), {} });
   }
   mNow += Seconds(60);
-  mSubject.OnSent(mNote, 700, mNow);
+  mSubject.OnAsked(mNote, 700, mNow);
   CHECK(mSubject.Demand(mNow).size() <= work_meter::kMaxKinds);
   CHECK(mSubject.Demand(mNow).back().mKind.mTarget == mNote.mTarget);
 }
