A first part that all sessions share counts as held by all engines

As a part of the session they were counted as to be read wherever a session hadn't been before: too long an expectation, too dear a move.

Change: the first of several shared parts that was asked for three times an engine within 20 s, over all instances, isn't counted as missing.

--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -105,6 +105,12 @@
     work.mSharedPrefix = CombineHash(work.mSharedPrefix, Hash64(part.mId));
   }
   work.mSharedTokens = std::min(work.mSharedTokens, work.mPromptTokens);
+  // With the last one two shared parts at the least.
+  if (aRequest.mParts.size() > 2) {
+    const prompt_part& first = aRequest.mParts.front();
+    work.mFirstPart = Hash64(first.mId);
+    work.mFirstPartTokens = std::min(first.mTokens, work.mSharedTokens);
+  }
   return work;
 }
 
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -117,6 +117,7 @@
   }
   // What is refused counts as asked for.
   mMeter.OnAsked(KindOf(aWork), pick->mToRead, aNow);
+  mPopular.OnAsked(aWork.mFirstPart, aNow);
   const double room = static_cast<double>(mBorder.Bulk()) * mReadPerSecond;
   if (!pick->mBulk || mBulkDemand < room * kFullFrom) {
     return std::nullopt;
@@ -275,6 +276,11 @@
   const auto first = FirstInOrder(aWork, aCandidates, kNearRanks);
   const double own =
     ReadCost(aWork.mPromptTokens - aWork.mSharedTokens, aWork.mSharedTokens);
+  const double session =
+    aWork.mSharedTokens -
+    (mPopular.HeldByAll(aWork.mFirstPart, aCandidates.size(), mInstances, aNow)
+       ? aWork.mFirstPartTokens
+       : 0);
   record* best = nullptr;
   double bestCost = 0;
   for (record* each : aCandidates) {
@@ -282,7 +288,7 @@
     const auto rank =
       static_cast<std::size_t>(std::ranges::find(first, each) - first.begin());
     const bool hasParts = holds || rank == 0;
-    const double missing = aWork.mSharedTokens * Absent(holds, rank);
+    const double missing = session * Absent(holds, rank);
     const double penalty =
       rank == first.size()
         ? mSettings.mMissPenalty
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -43,6 +43,7 @@
 #include "thornhollow/policy/engine_border.h"
 #include "thornhollow/policy/engine_sides.h"
 #include "thornhollow/policy/known_prefixes.h"
+#include "thornhollow/policy/popular_parts.h"
 #include "thornhollow/policy/prefix_affinity.h"
 #include "thornhollow/policy/read_pace.h"
 #include "thornhollow/policy/read_rate.h"
@@ -263,6 +264,7 @@
   // Nanoseconds for a token, in the mean over engines; 0: not known.
   double mMeanPace = 0;
   known_prefixes mSentByAny;
+  popular_parts mPopular;
   read_rate mReadRate;
   // The same over all instances.
   double mReadPerSecond;
--- a/thornhollow/policy/relay_work.h
+++ b/thornhollow/policy/relay_work.h
@@ -29,6 +29,10 @@
   std::uint32_t mSharedTokens = 0;
   // Hash of the shared parts; 0 where there are none.
   std::uint64_t mSharedPrefix = 0;
+  // The first of the shared parts, where there are several: other sessions may
+  // begin with it too. 0 where there is none.
+  std::uint64_t mFirstPart = 0;
+  std::uint32_t mFirstPartTokens = 0;
   // To the first event or the whole answer.
   duration mTarget{};
   // Between two events; zero: none is promised.
