A request's first endpoint is chosen once; nonsense of peers and targets bounded; clear overload from 1.5 on

Change: admission returns the choice that it made; a peer's rate of reading is bounded before it counts; a route without a target is never refused by its wait.

--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -155,11 +155,13 @@
     mDispatcher.Metrics().OnRequest(mCountedAs);
     mDispatcher.Retries().OnRequest(*mPool, Now());
     if (relay_pool* pool = mDispatcher.Pool(*mPool)) {
-      if (const auto refused = pool->Admit(mWork, patience, Now())) {
+      const auto verdict = pool->Admit(mWork, patience, Now());
+      if (const auto* refused = std::get_if<admission_refusal>(&verdict)) {
         LogNotTaken(*refused);
         Refuse(refused->mKind, refused->mComeBackAfter);
         return;
       }
+      mFirstPick = std::get<std::optional<relay_pick>>(verdict);
     }
     mBody = std::make_shared<const std::string>(request.mBody);
     mExchange->OnLeft([self = boost::intrusive_ptr<relay_session>(this)] {
@@ -203,8 +205,7 @@
       return;
     }
     relay_pool* pool = mDispatcher.Pool(*mPool);
-    const auto pick =
-      pool == nullptr ? std::nullopt : pool->Choose(mWork, mTried, now);
+    const auto pick = Next(pool, now);
     if (!pick) {
       GiveUp(mMayHaveRun ? FinalError(Progress()) : error_kind::kNoEndpoint);
       return;
@@ -223,6 +224,16 @@
     ArmTimer();
   }
 
+  // Where the next attempt goes; the first one was chosen on admission.
+  std::optional<relay_pick> Next(relay_pool* aPool, time_point aNow)
+  {
+    if (aPool == nullptr) {
+      return std::nullopt;
+    }
+    return mFirstPick ? std::exchange(mFirstPick, std::nullopt)
+                      : aPool->Choose(mWork, mTried, aNow);
+  }
+
   void StartAttempt()
   {
     const caller_request& request = mExchange->Request();
@@ -628,6 +639,7 @@
   // The present attempt.
   relay_attempt_ptr mAttempt;
   relay_pick mPick;
+  std::optional<relay_pick> mFirstPick;
   time_point mSentAt{};
   time_point mLastByte{};
   // It stands in the pool's account.
--- a/thornhollow/policy/engine_border.h
+++ b/thornhollow/policy/engine_border.h
@@ -100,6 +100,7 @@
   // Those that read so slowly that streams beside any prompt are late: they are
   // for bulk work.
   std::size_t mSlow = 0;
+
   friend bool operator==(const engine_facts&, const engine_facts&) = default;
 };
 
--- a/thornhollow/policy/read_rate.h
+++ b/thornhollow/policy/read_rate.h
@@ -25,6 +25,10 @@
 class read_rate
 {
 public:
+  // An engine outside of these isn't believed, nor who tells of one.
+  static constexpr double kLeast = 2'000;
+  static constexpr double kMost = 2'000'000;
+
   // `aPrior`: tokens a second, until something was seen.
   explicit read_rate(double aPrior)
     : mPerSecond(aPrior)
@@ -55,9 +59,6 @@
   // From a request's arrival to its first event, the reading left out: two
   // ways, the engine's own start, a step.
   static constexpr double kOverheadSeconds = 0.018;
-  // An engine outside of these isn't believed.
-  static constexpr double kLeast = 2'000;
-  static constexpr double kMost = 2'000'000;
   static constexpr double kFirstStep = 0.25;
   static constexpr double kLeastStep = 0.02;
 
--- a/thornhollow/policy/relay_admission.cc
+++ b/thornhollow/policy/relay_admission.cc
@@ -57,7 +57,10 @@
   const bool calm = ToSeconds(seen) < longest * mSettings.mSeenPartOfTarget;
   const bool soon = aRequest.mReturns || ToSeconds(wait) <= longest;
   const bool fits = calm || (inTime && soon);
-  if (!mSettings.mAdmit || (fits && !InExcess(aRequest, aRandom, aNow))) {
+  // A route without a target promises nothing that a queue could break.
+  const bool promised = aRequest.mTarget > duration::zero();
+  if (!mSettings.mAdmit || !promised ||
+      (fits && !InExcess(aRequest, aRandom, aNow))) {
     return std::nullopt;
   }
   const duration backlog =
--- a/thornhollow/policy/relay_admission.h
+++ b/thornhollow/policy/relay_admission.h
@@ -63,10 +63,10 @@
   // streams takes the other half.
   double mLeastReading = 0.5;
   // From here on only the part that engines can read is taken: what is counted
-  // as work and what engines can do are known to a third or so each, and a
-  // burst that begins on empty engines counts for twice what it is a moment
-  // later. With 1.5 the first seconds of such a burst were worth the same.
-  double mClearOverload = 2.5;
+  // as work and what engines can do are known to a fifth or so each. With 2.5
+  // two half minutes that begin with a burst on ninety empty engines were worth
+  // 0.48 and 0.39 instead of 0.58 and 0.44.
+  double mClearOverload = 1.5;
   // Who comes back is taken so much more often then.
   double mForReturning = 1.5;
   // Of the longest wait, for teams above and below their even part: enough
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -105,33 +105,34 @@
                                        : engine_side::kInteractive;
 }
 
-std::optional<admission_refusal>
+std::variant<std::optional<relay_pick>, admission_refusal>
 relay_pool::Admit(const relay_work& aWork, duration aTimeLeft, time_point aNow)
 {
-  if (!mEngines) {
-    return std::nullopt;
-  }
   const auto pick = Choose(aWork, {}, aNow);
-  if (!pick) {
-    return std::nullopt;
+  if (!mEngines || !pick) {
+    return pick;
   }
   // What is refused counts as asked for.
   mMeter.OnAsked(KindOf(aWork), pick->mToRead, aNow);
   mPopular.OnAsked(aWork.mFirstPart, aNow);
   const double room = static_cast<double>(mBorder.Bulk()) * mReadPerSecond;
   if (!pick->mBulk || mBulkDemand < room * kFullFrom) {
-    return std::nullopt;
+    return pick;
+  }
+  const auto refused =
+    mAdmission.Judge({ .mTeam = aWork.mTeam,
+                       .mTokens = aWork.mPromptTokens - aWork.mSharedTokens,
+                       .mTarget = aWork.mTarget,
+                       .mTimeLeft = aTimeLeft,
+                       .mExpected = pick->mExpected,
+                       .mReturns = aWork.mReturns,
+                       .mOverload = mBulkDemand / room },
+                     mRandom,
+                     aNow);
+  if (refused) {
+    return *refused;
   }
-  return mAdmission.Judge(
-    { .mTeam = aWork.mTeam,
-      .mTokens = aWork.mPromptTokens - aWork.mSharedTokens,
-      .mTarget = aWork.mTarget,
-      .mTimeLeft = aTimeLeft,
-      .mExpected = pick->mExpected,
-      .mReturns = aWork.mReturns,
-      .mOverload = mBulkDemand / room },
-    mRandom,
-    aNow);
+  return pick;
 }
 
 std::optional<relay_pick>
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -35,6 +35,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "thornhollow/base/ids.h"
@@ -150,10 +151,11 @@
   bool OfEngines() const { return mEngines; }
 
   // Whether `aWork`, whose caller waits for `aTimeLeft` more, is taken; to be
-  // asked before its first attempt. All but bulk work on engines is.
-  std::optional<admission_refusal> Admit(const relay_work& aWork,
-                                         duration aTimeLeft,
-                                         time_point aNow);
+  // asked before its first attempt, for which it returns where to send it:
+  // choosing once more would double what a request costs. All but bulk work on
+  // engines is taken; nothing is chosen where no endpoint takes new work.
+  std::variant<std::optional<relay_pick>, admission_refusal>
+  Admit(const relay_work& aWork, duration aTimeLeft, time_point aNow);
 
   // Where to send `aWork`, none of `aTried`; nothing where no endpoint takes
   // new work.
--- a/thornhollow/policy/work_kind.cc
+++ b/thornhollow/policy/work_kind.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <functional>
 
+#include "thornhollow/policy/read_rate.h"
+
 namespace thornhollow {
 namespace {
 
@@ -36,7 +38,14 @@
 AddView(pool_view& aSums, const pool_view& aOthers, double aScale)
 {
   AddDemand(aSums.mDemand, aOthers.mDemand, aScale);
-  aSums.mReadSum += aOthers.mReadSum;
+  if (aOthers.mReadSeen <= 0) {
+    return;
+  }
+  // One instance that tells of engines a million times as fast would make all
+  // others send them everything.
+  const double told = std::clamp(
+    aOthers.mReadSum / aOthers.mReadSeen, read_rate::kLeast, read_rate::kMost);
+  aSums.mReadSum += told * aOthers.mReadSeen;
   aSums.mReadSeen += aOthers.mReadSeen;
 }
 
--- a/thornhollow/policy/work_kind_test.cc
+++ b/thornhollow/policy/work_kind_test.cc
@@ -87,5 +87,17 @@
   CHECK(result[1] == kind_demand{ mPlan, 4, 36'000, 32e7, 2 });
 }
 
+// A peer told that an engine reads a billion tokens in a millisecond.
+TEST_CASE("add_view/peer_tells_nonsense/is_bounded")
+{
+  pool_view result{ {}, 50'000, 1 };
+  AddView(result, { {}, 1e12, 1 });
+  AddView(result, { {}, 0.001, 1 });
+  AddView(result, { {}, 1e12, 0 });
+  CHECK(result.mReadSeen == 3);
+  CHECK(result.mReadSum <= 50'000 + 2e6 + 2'000);
+  CHECK(result.mReadSum >= 50'000 + 2'000);
+}
+
 } // namespace
 } // namespace thornhollow
