One rounding of a part of the engines, one overhead of a first event

The border worked out a part of its engines four times over, and the overhead that reading leaves out stood in read_pace and in read_rate. Behaviour is the same: policy_test passes whole (177 cases); nothing else was run on this commit.

--- a/thornhollow/policy/engine_border.cc
+++ b/thornhollow/policy/engine_border.cc
@@ -38,6 +38,14 @@
                   slots > 0 ? open / slots : 0);
 }
 
+// The nearest whole number of engines to a part of them.
+std::size_t
+PartOf(double aPart, std::size_t aEngines)
+{
+  return static_cast<std::size_t>(
+    std::lround(aPart * static_cast<double>(aEngines)));
+}
+
 // The size of a prompt, weighted by size: what a token that is read belongs to.
 double
 WeightedTokens(const kind_demand& aKind)
@@ -65,11 +73,10 @@
   }
   if (mEngines != aFacts.mEngines) {
     mEngines = aFacts.mEngines;
-    mBulk = std::clamp<std::size_t>(
-      static_cast<std::size_t>(
-        std::lround(mPart * static_cast<double>(mEngines))),
-      mBulkKinds.empty() ? 1 : Least(),
-      mBulkKinds.empty() ? mEngines : mEngines - Least());
+    mBulk = std::clamp<std::size_t>(PartOf(mPart, mEngines),
+                                    mBulkKinds.empty() ? 1 : Least(),
+                                    mBulkKinds.empty() ? mEngines
+                                                       : mEngines - Least());
   }
   demand_sums arriving;
   std::ranges::copy_if(
@@ -140,11 +147,8 @@
   if (mBulkKinds.empty()) {
     mBulk = mEngines;
   } else if (mBulk == mEngines) {
-    mBulk =
-      std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(
-                                kFirstPart * static_cast<double>(mEngines))),
-                              LeastBulk(aFacts),
-                              mEngines - Least());
+    mBulk = std::clamp<std::size_t>(
+      PartOf(kFirstPart, mEngines), LeastBulk(aFacts), mEngines - Least());
   }
   Remember(aNow);
 }
@@ -230,8 +234,7 @@
 std::size_t
 engine_border::Least() const
 {
-  const auto part = static_cast<std::size_t>(
-    std::lround(mSettings.mLeastPart * static_cast<double>(mEngines)));
+  const std::size_t part = PartOf(mSettings.mLeastPart, mEngines);
   return std::min(std::max(part, mSettings.mLeast), mEngines / 2);
 }
 
@@ -244,9 +247,7 @@
 std::size_t
 engine_border::Step() const
 {
-  const auto step = static_cast<std::size_t>(
-    std::lround(mSettings.mStepPart * static_cast<double>(mEngines)));
-  return std::max<std::size_t>(step, 1);
+  return std::max<std::size_t>(PartOf(mSettings.mStepPart, mEngines), 1);
 }
 
 } // namespace thornhollow
--- a/thornhollow/policy/read_rate.h
+++ b/thornhollow/policy/read_rate.h
@@ -19,6 +19,7 @@
 #include <cstddef>
 
 #include "thornhollow/base/time.h"
+#include "thornhollow/policy/read_pace.h"
 
 namespace thornhollow {
 
@@ -38,7 +39,7 @@
   // An answer began after `aWait`, when its engine had read `aTokens`.
   void OnRead(double aTokens, duration aWait)
   {
-    const double seconds = ToSeconds(aWait) - kOverheadSeconds;
+    const double seconds = ToSeconds(aWait) - read_pace::kOverheadSeconds;
     if (aTokens < kLeastTokens || seconds <= 0) {
       return;
     }
@@ -56,9 +57,6 @@
 private:
   // Shorter readings tell more of the network than of the engine.
   static constexpr double kLeastTokens = 1'000;
-  // From a request's arrival to its first event, the reading left out: two
-  // ways, the engine's own start, a step.
-  static constexpr double kOverheadSeconds = 0.018;
   static constexpr double kFirstStep = 0.25;
   static constexpr double kLeastStep = 0.02;
 
