Metrics tell first how old the configuration is; an outage leaves a few log lines, with the answer's age

Change: version, revision and age of the source's last answer stand first on the page; one line for each reason in a series of failed calls, with how long the call was open and how old the last answer is; one line at the series' end. These tell a watch that hangs (old age, nothing logged) from a peer's news not taken and from a change held but not in force. Test: daemon.metrics_test (the page's first 1,000 bytes).

--- a/thornhollow/daemon/metrics.cc
+++ b/thornhollow/daemon/metrics.cc
@@ -72,6 +72,8 @@
       .first->second;
   }
 
+  // Registries write counters first, so that these gauges need their own.
+  prometheus::Registry mBeliefs;
   prometheus::Registry mRegistry;
   Family<Counter>& mRequests = BuildCounter()
                                  .Name("thornhollow_requests_total")
@@ -124,8 +126,18 @@
   Gauge& mVersion = BuildGauge()
                       .Name("thornhollow_configuration_version")
                       .Help("Platform version of the manifest in force")
-                      .Register(mRegistry)
+                      .Register(mBeliefs)
                       .Add({});
+  Family<Gauge>& mSourceRevisions =
+    BuildGauge()
+      .Name("thornhollow_source_revision")
+      .Help("Source revision up to which items are known, by what they are")
+      .Register(mBeliefs);
+  Family<Gauge>& mSourceAges =
+    BuildGauge()
+      .Name("thornhollow_source_answer_age_seconds")
+      .Help("Since the source itself last answered, by what was asked for")
+      .Register(mBeliefs);
   Counter& mConfigurationRefused =
     BuildCounter()
       .Name("thornhollow_configuration_refused_total")
@@ -202,6 +214,18 @@
   mFamilies->mConfigurationRefused.Increment();
 }
 
+void
+metrics::SetSource(std::string_view aWhat,
+                   std::uint64_t aRevision,
+                   std::optional<duration> aAnswerAge)
+{
+  const prometheus::Labels labels{ { "what", std::string(aWhat) } };
+  mFamilies->mSourceRevisions.Add(labels).Set(static_cast<double>(aRevision));
+  if (aAnswerAge) {
+    mFamilies->mSourceAges.Add(labels).Set(ToSeconds(*aAnswerAge));
+  }
+}
+
 void
 metrics::OnEvent(std::string_view aEvent)
 {
@@ -238,7 +262,9 @@
 std::string
 metrics::Page() const
 {
-  return prometheus::TextSerializer().Serialize(mFamilies->mRegistry.Collect());
+  const prometheus::TextSerializer text;
+  return text.Serialize(mFamilies->mBeliefs.Collect()) +
+         text.Serialize(mFamilies->mRegistry.Collect());
 }
 
 } // namespace thornhollow
--- a/thornhollow/daemon/metrics.h
+++ b/thornhollow/daemon/metrics.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -52,6 +53,11 @@
   void OnWastedTokens(std::uint64_t aTokens);
   void OnConfiguration(std::uint64_t aVersion);
   void OnConfigurationRefused();
+  // What is held of a source's items: up to which of its revisions, and how
+  // long ago the source itself last answered; nothing where it never did.
+  void SetSource(std::string_view aWhat,
+                 std::uint64_t aRevision,
+                 std::optional<duration> aAnswerAge);
   // Any other event worth a count, such as "peer_datagram_refused". Names are
   // constants of the program, so the set is bounded.
   void OnEvent(std::string_view aEvent);
@@ -63,7 +69,8 @@
   // What is held now, by pool; a pool that isn't named holds nothing.
   void SetHeld(const std::map<pool_name, held_requests>& aByPool);
 
-  // Prometheus' text format.
+  // Prometheus' text format. What the instance believes of its configuration
+  // stands first: a reader that keeps only a page's beginning has it.
   std::string Page() const;
 
 private:
--- a/thornhollow/daemon/metrics_test.cc
+++ b/thornhollow/daemon/metrics_test.cc
@@ -30,6 +30,23 @@
     std::string::npos);
 }
 
+// An instance handled requests by an old configuration for seconds. Of its
+// metrics only the first 4 kB had been kept, and all of them were counters of
+// refusals at zero.
+TEST_CASE_FIXTURE(fresh_metrics, "metrics/source_was_heard/stands_first")
+{
+  mMetrics.OnConfiguration(21);
+  mMetrics.SetSource("configuration", 29, Milliseconds(1'500));
+  mMetrics.SetSource("endpoints", 31, std::nullopt);
+  const std::string kept = mMetrics.Page().substr(0, 1'000);
+  CHECK(kept.find("thornhollow_configuration_version 21") != std::string::npos);
+  CHECK(kept.find("thornhollow_source_revision{what=\"configuration\"} 29") !=
+        std::string::npos);
+  CHECK(kept.find("thornhollow_source_answer_age_seconds"
+                  "{what=\"configuration\"} 1.5") != std::string::npos);
+  CHECK(kept.find("age_seconds{what=\"endpoints\"}") == std::string::npos);
+}
+
 TEST_CASE_FIXTURE(fresh_metrics, "metrics/pool_empties/goes_to_zero")
 {
   mMetrics.SetHeld({ { pool_name("dispatch"), { 3, 1 } } });
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -99,10 +99,7 @@
     , mOperators(
         aIo,
         OperatorServerLimits(),
-        [this](const caller_exchange_ptr& aOne) {
-          mMetrics.SetHeld(mDispatcher.HeldByPool());
-          aOne->Send(OperatorsPage(aOne->Request(), Status(), mMetrics));
-        },
+        [this](const caller_exchange_ptr& aOne) { AnswerOperators(aOne); },
         [this](error_kind aKind) {
           return mDispatcher.AnswerUnreadable(aKind);
         })
@@ -293,6 +290,16 @@
     aOne->Send(whole_reply{ known ? status : 404, {}, "text/plain", "" });
   }
 
+  void AnswerOperators(const caller_exchange_ptr& aOne)
+  {
+    const instance_status status = Status();
+    mMetrics.SetHeld(mDispatcher.HeldByPool());
+    for (const held_items& each : status.mHeld) {
+      mMetrics.SetSource(each.mWhat, each.mAt, each.mAge);
+    }
+    aOne->Send(OperatorsPage(aOne->Request(), status, mMetrics));
+  }
+
   static held_items HeldBy(const source_link& aLink, std::string aWhat)
   {
     return { std::move(aWhat),
--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -91,7 +91,8 @@
       mLog.Write(log_level::kWarning,
                  "source_lost",
                  { { "what", mWhat },
-                   { "at", static_cast<std::int64_t>(mMirror.At()) } });
+                   { "at", static_cast<std::int64_t>(mMirror.At()) },
+                   { "answer_age_ms", AnswerAgeMs() } });
       mListener.mOnLost();
     }
   }
@@ -126,6 +127,7 @@
 private:
   void Send(const source_call& aCall, std::uint64_t aRound)
   {
+    mSentAt = Now();
     if (aCall.mList) {
       mSource.List(
         mPrefix,
@@ -181,6 +183,7 @@
 
   void Apply(const std::vector<item_change>& aNews, const source_call& aNext)
   {
+    LogAnswerAfterFailures();
     NoteRegained();
     if (!aNews.empty()) {
       mListener.mOnNews(aNews);
@@ -196,7 +199,8 @@
                { { "what", mWhat },
                  { "from", static_cast<std::int64_t>(aBefore) },
                  { "at", static_cast<std::int64_t>(mMirror.At()) },
-                 { "changes", static_cast<std::int64_t>(aNews.size()) } });
+                 { "changes", static_cast<std::int64_t>(aNews.size()) },
+                 { "answer_age_ms", AnswerAgeMs() } });
     if (!aNews.empty()) {
       mListener.mOnNews(aNews);
     }
@@ -215,11 +219,40 @@
     mListener.mOnRegained();
   }
 
+  // One line for each reason in a series of failures: a line for each call of
+  // an outage pushes the seconds before it out of what is kept of a log.
   void LogFailure(const source_failure& aFailure)
   {
+    ++mFailedCalls;
+    if (mFailedCalls > 1 && aFailure.mDetail == mLastDetail) {
+      return;
+    }
+    mLastDetail = aFailure.mDetail;
     mLog.Write(log_level::kInfo,
                "source_call_failed",
-               { { "what", mWhat }, { "detail", aFailure.mDetail } });
+               { { "what", mWhat },
+                 { "detail", aFailure.mDetail },
+                 { "open_ms", ToMilliseconds(Now() - mSentAt) },
+                 { "answer_age_ms", AnswerAgeMs() } });
+  }
+
+  void LogAnswerAfterFailures()
+  {
+    if (mFailedCalls == 0 || mFollower.Failing()) {
+      return;
+    }
+    mLog.Write(log_level::kInfo,
+               "source_answers_again",
+               { { "what", mWhat },
+                 { "at", static_cast<std::int64_t>(mMirror.At()) },
+                 { "failed_calls", std::exchange(mFailedCalls, 0) } });
+  }
+
+  // -1: it never answered.
+  std::int64_t AnswerAgeMs() const
+  {
+    const auto answered = mFollower.Answered();
+    return answered ? ToMilliseconds(Now() - *answered) : -1;
   }
 
   item_source& mSource;
@@ -236,6 +269,10 @@
   // Tells an answer that is still wanted from one that came too late.
   std::uint64_t mRound = 0;
   bool mLost = false;
+  time_point mSentAt{};
+  // Calls that failed since the last answer, and why the last one did.
+  std::int64_t mFailedCalls = 0;
+  std::string mLastDetail;
 };
 
 source_link::source_link(boost::asio::io_context& aIo,
