--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -7,17 +7,14 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "thornhollow/fleet/copy_requests.h"
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/peer_transport.h"
 
 namespace thornhollow {
 namespace {
 
-// A peer is asked for its copy when this one has been behind for so long: the
-// source's own word takes a few milliseconds, and most are told by it.
-constexpr duration kBehindFor = Milliseconds(250);
-// Between two questions while still behind.
-constexpr duration kAskEvery = Milliseconds(250);
+// For a peer's answer with its copy.
 constexpr duration kAskLimit = Milliseconds(600);
 // Entries that leave a hello at 1,100 bytes at most: 18 for each, the rest for
 // addresses and demand.
@@ -156,22 +153,10 @@
   void AskIfBehind(time_point aNow)
   {
     const known_revisions mine = mListener.mKnown();
-    const auto from = mPeers.WhoKnowsMore(mine, aNow);
-    if (!from) {
-      mBehindSince.reset();
-      return;
-    }
-    if (!mBehindSince) {
-      mBehindSince = aNow;
-    }
-    // Who doesn't read the source is told of nothing by it.
-    const duration patience = mReads ? kBehindFor : duration::zero();
-    if (aNow - *mBehindSince < patience || aNow < mNextAsk) {
-      return;
+    if (const auto from = mRequests.Tick(mPeers, mine, mReads, aNow)) {
+      Ask(*from, { copied_items::kConfiguration, mine.mConfiguration });
+      Ask(*from, { copied_items::kEndpoints, mine.mEndpoints });
     }
-    mNextAsk = aNow + kAskEvery;
-    Ask(*from, { copied_items::kConfiguration, mine.mConfiguration });
-    Ask(*from, { copied_items::kEndpoints, mine.mEndpoints });
   }
 
   void Ask(const std::string& aFrom, const items_request& aRequest)
@@ -203,8 +188,7 @@
   peer_transport mTransport;
   std::size_t mAlive = 0;
   bool mReads = true;
-  std::optional<time_point> mBehindSince;
-  time_point mNextAsk{};
+  copy_requests mRequests{ copy_request_settings{} };
   std::size_t mWorkTurn = 0;
 };
 
