Failing test: a configuration is in force too late after a silence of its source

What callers saw: refused or served by an old route up to seconds after the change was acknowledged, at every instance.

--- /dev/null
+++ b/thornhollow/fleet/silent_source_test.cc
@@ -0,0 +1,133 @@
+#include <cmath>
+#include <cstdint>
+#include <random>
+
+#include <doctest/doctest.h>
+
+#include "thornhollow/fleet/testing/silent_source_fleet.h"
+
+namespace thornhollow {
+namespace {
+
+// Long enough for all to have met.
+constexpr duration kSettled = Seconds(15);
+
+// Callers were refused, or served by a route that had been changed, for 3.2 s
+// after the change was acknowledged, at every instance. A change that all heard
+// of at once had ended all watches and begun them together; the source fell
+// silent for two seconds and came back; a second change was acknowledged; no
+// watch ended before the third second after the first change, and it was given
+// up two seconds later.
+TEST_CASE("silent_source/silence_after_a_change_that_all_heard/"
+          "next_change_is_in_force_in_time")
+{
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    silent_source_fleet condition({ .mDomains = 3, .mPerDomain = 2 }, seed);
+    condition.Change(kSettled, followed::kConfiguration);
+    condition.Silence(kSettled + Milliseconds(50),
+                      kSettled + Milliseconds(2'050));
+    condition.Change(kSettled + Milliseconds(2'793), followed::kConfiguration);
+    condition.Run(kSettled + Seconds(10));
+    CHECK(ToSeconds(condition.Worst().mTook) <=
+          ToSeconds(silent_source_fleet::kInForceWithin));
+  }
+}
+
+// A fleet of any shape, with silences of 0.3 to 30 s that begin at any moment
+// after a change, changes while they last and up to two seconds after them.
+struct drawn_fleet
+{
+  std::mt19937_64 mRandom;
+  silent_source_fleet mFleet;
+  duration mAt = kSettled;
+
+  drawn_fleet(const fleet_shape& aShape, std::uint64_t aSeed)
+    : mRandom(aSeed)
+    , mFleet(aShape, aSeed)
+  {
+    if (mRandom() % 2 == 0) {
+      const auto domain = mRandom() % static_cast<unsigned>(aShape.mDomains);
+      mFleet.CutOff(static_cast<int>(domain), Between(0, 20));
+    }
+    const std::uint64_t silences = 1 + mRandom() % 3;
+    for (std::uint64_t each = 0; each < silences; ++each) {
+      DrawSilence();
+    }
+    mFleet.Run(mAt + Seconds(8));
+  }
+
+  duration Between(double aLeast, double aMost)
+  {
+    return FromSeconds(
+      std::uniform_real_distribution<double>(aLeast, aMost)(mRandom));
+  }
+
+  void DrawSilence()
+  {
+    mFleet.Change(mAt, followed::kConfiguration);
+    if (mRandom() % 2 == 0) {
+      mFleet.Change(mAt + Between(0, 2), followed::kEndpoints);
+    }
+    const duration from = mAt + Between(0, 8);
+    const double length = ToSeconds(Between(std::log(0.3), std::log(30)));
+    const duration until = from + FromSeconds(std::exp(length));
+    mFleet.Silence(from, until);
+    // In a series the first waits for the source's return.
+    mAt = until + (mRandom() % 2 == 0 ? Between(-0.3, 0.1) : Between(0, 2));
+    const std::uint64_t changes = 1 + mRandom() % 3;
+    for (std::uint64_t each = 0; each < changes; ++each) {
+      mFleet.Change(mAt, followed::kConfiguration);
+      mAt += Between(0.05, 1);
+    }
+    mAt = std::max(mAt, until) + Between(0, 6);
+  }
+};
+
+void
+CheckSeeds(const fleet_shape& aShape, std::uint64_t aSeeds)
+{
+  for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
+    const drawn_fleet condition(aShape, seed);
+    const change_delay result = condition.mFleet.Worst();
+    INFO("seed ", seed, ", acknowledged at ", ToSeconds(result.mAcknowledged));
+    CHECK(ToSeconds(result.mTook) <=
+          ToSeconds(silent_source_fleet::kInForceWithin));
+  }
+}
+
+TEST_CASE("silent_source/three_instances/every_change_is_in_force_in_time")
+{
+  CheckSeeds({ .mDomains = 3, .mPerDomain = 1 }, 60);
+}
+
+TEST_CASE("silent_source/eight_instances/every_change_is_in_force_in_time")
+{
+  CheckSeeds({ .mDomains = 4, .mPerDomain = 2 }, 60);
+}
+
+TEST_CASE("silent_source/source_is_slow/every_change_is_in_force_in_time")
+{
+  CheckSeeds({ .mDomains = 3, .mPerDomain = 2, .mLatency = Milliseconds(200) },
+             40);
+}
+
+TEST_CASE("silent_source/ninety_instances/every_change_is_in_force_in_time")
+{
+  CheckSeeds({ .mDomains = 3, .mPerDomain = 30 }, 4);
+}
+
+TEST_CASE("silent_source/420_instances/change_after_it_is_in_force_in_time")
+{
+  silent_source_fleet condition({ .mDomains = 11, .mPerDomain = 38 }, 1);
+  condition.Change(Seconds(6), followed::kConfiguration);
+  condition.CutOff(4, Seconds(6));
+  condition.Silence(Seconds(6) + Milliseconds(500), Seconds(8));
+  condition.Change(Seconds(8), followed::kConfiguration);
+  condition.Run(Seconds(13));
+  CHECK(ToSeconds(condition.Worst().mTook) <=
+        ToSeconds(silent_source_fleet::kInForceWithin));
+}
+
+} // namespace
+} // namespace thornhollow
