A silence of the store is seen within a second, whenever it begins and however short it is

What callers saw: refused or served by an old route more than two seconds after the change was acknowledged, at several instances (CONFIG 3 to 12 on two short silences; 10 s and more before watches ended one after the other). Cause: a watch that was open in a silence is never answered; the instance waited for it 4 to 8 s and 2 s more, all watches having begun together with the last change. Ruled out by logs: peers' news not taken, a change held but not in force. Change: watches end by rank, one a second in each failure domain; an overdue answer isn't waited for, a call is made beside it and the first answer counts; the process' other call, a peer's failure and a change that a peer knew first bring one too. Why it holds: whoever asks next asks anew within a second, without needing to know that there was a silence; nobody's time limit stands in the way; all others are told by it as before.

--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -245,11 +245,24 @@
       mSourceFailsUntil = aNow + kLeaveSourceFor;
     }
     mReads = mPeers.Reads(aNow);
+    const watch_turn turn = mPeers.Turn();
     for (source_link* each : { &mDocument, &mEndpoints }) {
       each->SetReading(mReads);
-      each->SetInstances(mPeers.Count(aNow));
-      if (mPeers.SourceFailsElsewhere(aNow)) {
-        each->OnPeerFails(aNow);
+      each->SetTurn(turn);
+    }
+    DoubtWatches(aNow);
+  }
+
+  void DoubtWatches(time_point aNow)
+  {
+    const bool peerFails = mPeers.SourceFailsElsewhere(aNow);
+    for (const auto& [link, other] : { std::pair(&mDocument, &mEndpoints),
+                                       std::pair(&mEndpoints, &mDocument) }) {
+      if (other->Failing()) {
+        link->OnDoubt(watch_doubt::kOtherCallFails, aNow);
+      }
+      if (peerFails) {
+        link->OnDoubt(watch_doubt::kPeerFails, aNow);
       }
     }
   }
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -243,6 +243,12 @@
   return mCore->Peers().Alive();
 }
 
+watch_turn
+relay_peer_link::Turn() const
+{
+  return mCore->Peers().Turn();
+}
+
 bool
 relay_peer_link::SourceFailsElsewhere(time_point aNow) const
 {
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -65,6 +65,8 @@
   // See fleet/relay_peers.h.
   std::size_t Count(time_point aNow) const;
   std::size_t Alive() const;
+  // This instance's turn among those of its domain that ask the source.
+  watch_turn Turn() const;
   bool SourceFailsElsewhere(time_point aNow) const;
   std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
   std::map<pool_name, pool_view> OthersViews(time_point aNow) const;
--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "thornhollow/discovery/source_follower.h"
 #include "thornhollow/net/clock.h"
 
 namespace thornhollow {
@@ -48,6 +47,7 @@
   void Ask(const source_call& aCall)
   {
     const std::uint64_t round = ++mRound;
+    mNewest.reset();
     mIdle = !mReads;
     if (mIdle) {
       return;
@@ -69,23 +69,25 @@
 
   void Restart() { Ask(mFollower.Start(mMirror)); }
 
-  void OnPeerFails(time_point aNow)
+  void OnDoubt(watch_doubt aWhy, time_point aNow)
   {
-    if (!mReads) {
+    // With no call on its way there is nothing to doubt: the next one is due.
+    if (!mReads || !mNewest) {
       return;
     }
-    if (const auto call = mFollower.OnPeerFails(mMirror, aNow)) {
-      Ask(*call);
+    if (const auto call = mFollower.OnDoubt(aWhy, mMirror, aNow)) {
+      LogBeside(Name(aWhy), aNow);
+      Send(*call, mRound);
     }
   }
 
-  void SetInstances(std::size_t aInstances)
-  {
-    mFollower.SetInstances(aInstances);
-  }
+  void SetTurn(const watch_turn& aTurn) { mFollower.SetTurn(aTurn); }
 
   void Tick(time_point aNow)
   {
+    if (mNewest && aNow >= mNewest->mOverdueAt) {
+      AskBesideOverdue(aNow);
+    }
     if (!mLost && mFollower.InOutage(aNow)) {
       mLost = true;
       mLog.Write(log_level::kWarning,
@@ -100,7 +102,7 @@
   void OnPeerListing(const std::vector<source_item>& aItems, std::uint64_t aAt)
   {
     if (const std::uint64_t before = mMirror.At(); aAt > before) {
-      TakePeersNews(mMirror.OnListing(aItems, aAt), before);
+      TakePeersNews(mMirror.OnListing(aItems, aAt), before, Now());
     }
   }
 
@@ -110,13 +112,15 @@
   {
     if (const std::uint64_t before = mMirror.At();
         aAt > before && aAsked == before && mMirror.Listed()) {
-      TakePeersNews(mMirror.OnPeerChanges(aChanges, aAsked, aAt), before);
+      TakePeersNews(
+        mMirror.OnPeerChanges(aChanges, aAsked, aAt), before, Now());
     }
   }
 
   void Stop()
   {
     ++mRound;
+    mNewest.reset();
     mTimer.cancel();
   }
 
@@ -125,16 +129,31 @@
   std::optional<time_point> Answered() const { return mFollower.Answered(); }
 
 private:
+  // A call on its way. Those of one round are beside each other: the first
+  // answer ends them all.
+  struct sent_call
+  {
+    std::uint64_t mRound = 0;
+    std::uint64_t mNumber = 0;
+    time_point mSentAt{};
+    // When the answer is due without news, and when it is overdue.
+    time_point mDueAt{};
+    time_point mOverdueAt{};
+  };
+
   void Send(const source_call& aCall, std::uint64_t aRound)
   {
-    mSentAt = Now();
+    const time_point now = Now();
+    const time_point due = now + aCall.mWait;
+    const sent_call sent{ aRound, ++mNumber, now, due, due + aCall.mPatience };
+    mNewest = sent;
     if (aCall.mList) {
       mSource.List(
         mPrefix,
         aCall.mLimit,
-        [weak = weak_from_this(), aRound](const list_outcome& aOutcome) {
+        [weak = weak_from_this(), sent](const list_outcome& aOutcome) {
           if (const auto self = weak.lock()) {
-            self->OnListed(aOutcome, aRound);
+            self->OnListed(aOutcome, sent);
           }
         });
       return;
@@ -144,40 +163,73 @@
       aCall.mAfter,
       aCall.mWait,
       aCall.mLimit,
-      [weak = weak_from_this(), aRound](const watch_outcome& aOutcome) {
+      [weak = weak_from_this(), sent](const watch_outcome& aOutcome) {
         if (const auto self = weak.lock()) {
-          self->OnWatched(aOutcome, aRound);
+          self->OnWatched(aOutcome, sent);
         }
       });
   }
 
-  void OnListed(const list_outcome& aOutcome, std::uint64_t aRound)
+  void AskBesideOverdue(time_point aNow)
+  {
+    const source_call next = mFollower.OnOverdue(mMirror, aNow);
+    if (mFollower.Failing()) {
+      LogFailure({ "overdue" }, *mNewest);
+    } else {
+      LogBeside("overdue", aNow);
+    }
+    Send(next, mRound);
+  }
+
+  // Whether the outcome decides what comes next. Another call of its round
+  // may still be answered where it failed and isn't the newest.
+  template<class outcome>
+  bool Counts(const outcome& aOutcome, const sent_call& aSent) const
+  {
+    const bool failed = std::holds_alternative<source_failure>(aOutcome);
+    return aSent.mRound == mRound &&
+           (!failed || (mNewest && mNewest->mNumber == aSent.mNumber));
+  }
+
+  void NoteTime(const sent_call& aSent, time_point aNow)
+  {
+    if (aNow > aSent.mDueAt) {
+      mFollower.NoteDelay(aNow - aSent.mDueAt);
+    }
+  }
+
+  void OnListed(const list_outcome& aOutcome, const sent_call& aSent)
   {
-    if (aRound != mRound) {
+    if (!Counts(aOutcome, aSent)) {
       return;
     }
+    const time_point now = Now();
     if (const auto* failed = std::get_if<source_failure>(&aOutcome)) {
-      LogFailure(*failed);
+      LogFailure(*failed, aSent);
+    } else {
+      NoteTime(aSent, now);
     }
     std::vector<item_change> news;
-    const source_call next = mFollower.OnListed(aOutcome, mMirror, news, Now());
+    const source_call next = mFollower.OnListed(aOutcome, mMirror, news, now);
     Apply(news, next);
   }
 
-  void OnWatched(const watch_outcome& aOutcome, std::uint64_t aRound)
+  void OnWatched(const watch_outcome& aOutcome, const sent_call& aSent)
   {
-    if (aRound != mRound) {
+    if (!Counts(aOutcome, aSent)) {
       return;
     }
+    const time_point now = Now();
     if (const auto* failed = std::get_if<source_failure>(&aOutcome)) {
-      LogFailure(*failed);
+      LogFailure(*failed, aSent);
     } else if (std::holds_alternative<history_gone>(aOutcome)) {
       mLog.Write(
         log_level::kInfo, "source_history_gone", { { "what", mWhat } });
+    } else {
+      NoteTime(aSent, now);
     }
     std::vector<item_change> news;
-    const source_call next =
-      mFollower.OnWatched(aOutcome, mMirror, news, Now());
+    const source_call next = mFollower.OnWatched(aOutcome, mMirror, news, now);
     Apply(news, next);
   }
 
@@ -192,7 +244,8 @@
   }
 
   void TakePeersNews(const std::vector<item_change>& aNews,
-                     std::uint64_t aBefore)
+                     std::uint64_t aBefore,
+                     time_point aNow)
   {
     mLog.Write(log_level::kInfo,
                "taken_from_peer",
@@ -202,6 +255,7 @@
                  { "changes", static_cast<std::int64_t>(aNews.size()) },
                  { "answer_age_ms", AnswerAgeMs() } });
     if (!aNews.empty()) {
+      OnDoubt(watch_doubt::kPeerKnewFirst, aNow);
       mListener.mOnNews(aNews);
     }
   }
@@ -221,7 +275,7 @@
 
   // One line for each reason in a series of failures: a line for each call of
   // an outage pushes the seconds before it out of what is kept of a log.
-  void LogFailure(const source_failure& aFailure)
+  void LogFailure(const source_failure& aFailure, const sent_call& aSent)
   {
     ++mFailedCalls;
     if (mFailedCalls > 1 && aFailure.mDetail == mLastDetail) {
@@ -232,7 +286,18 @@
                "source_call_failed",
                { { "what", mWhat },
                  { "detail", aFailure.mDetail },
-                 { "open_ms", ToMilliseconds(Now() - mSentAt) },
+                 { "open_ms", ToMilliseconds(Now() - aSent.mSentAt) },
+                 { "answer_age_ms", AnswerAgeMs() } });
+  }
+
+  // Another call is made though the newest one may still be answered.
+  void LogBeside(std::string_view aWhy, time_point aNow)
+  {
+    mLog.Write(log_level::kInfo,
+               "source_asked_again",
+               { { "what", mWhat },
+                 { "why", std::string(aWhy) },
+                 { "open_ms", ToMilliseconds(aNow - mNewest->mSentAt) },
                  { "answer_age_ms", AnswerAgeMs() } });
   }
 
@@ -269,7 +334,9 @@
   // Tells an answer that is still wanted from one that came too late.
   std::uint64_t mRound = 0;
   bool mLost = false;
-  time_point mSentAt{};
+  std::uint64_t mNumber = 0;
+  // The newest call on its way; none while a pause lasts.
+  std::optional<sent_call> mNewest;
   // Calls that failed since the last answer, and why the last one did.
   std::int64_t mFailedCalls = 0;
   std::string mLastDetail;
@@ -308,15 +375,15 @@
 }
 
 void
-source_link::OnPeerFails(time_point aNow)
+source_link::OnDoubt(watch_doubt aWhy, time_point aNow)
 {
-  mCore->OnPeerFails(aNow);
+  mCore->OnDoubt(aWhy, aNow);
 }
 
 void
-source_link::SetInstances(std::size_t aInstances)
+source_link::SetTurn(const watch_turn& aTurn)
 {
-  mCore->SetInstances(aInstances);
+  mCore->SetTurn(aTurn);
 }
 
 void
--- a/thornhollow/daemon/source_link.h
+++ b/thornhollow/daemon/source_link.h
@@ -17,6 +17,7 @@
 #include "thornhollow/daemon/json_log.h"
 #include "thornhollow/discovery/item_mirror.h"
 #include "thornhollow/discovery/item_source.h"
+#include "thornhollow/discovery/source_follower.h"
 
 namespace boost::asio {
 class io_context;
@@ -53,12 +54,11 @@
   // Whether the source is asked at all; what is on its way is still taken.
   // Peers tell of news meanwhile.
   void SetReading(bool aReads);
-  // The source doesn't answer a peer: asks anew where the answer on its way may
-  // never come either.
-  void OnPeerFails(time_point aNow);
-  // Instances that follow the source.
-  void SetInstances(std::size_t aInstances);
-  // Notices an outage. To be called every 100 ms.
+  // Asks beside the watch on its way, which may never be answered.
+  void OnDoubt(watch_doubt aWhy, time_point aNow);
+  // This instance's turn among those that ask the source.
+  void SetTurn(const watch_turn& aTurn);
+  // Notices overdue answers and an outage. To be called every 100 ms.
   void Tick(time_point aNow);
 
   // What a peer holds, or what it has seen change since a revision that this
--- a/thornhollow/discovery/source_follower.h
+++ b/thornhollow/discovery/source_follower.h
@@ -6,17 +6,22 @@
 //   Make(follower.OnWatched(outcome, mirror, now));
 //
 // Load this answers: an outage of the source with all instances asking it, and
-// its return. Failed calls come further and further apart, up to a bound, with
+// its return. Refused calls come further and further apart, up to a bound, with
 // jitter, so that the source isn't met by all at the same moment.
 //
-// Guards against a source that falls silent: open watches never answer, not
-// even once it is back, and what is asked into the silence doesn't either.
-// Where all instances waited for 20 s a configuration came into force 12 s late
-// on all of them, as nobody knew of it. So the instances' watches end one after
-// the other, a second apart, whatever their number; who waits in vain says so
-// to its peers, which then ask anew; and until an answer comes all ask for a
-// moment only. A watch for each second and 20 at the most are 4 calls a second
-// for 8 instances and 9 for 90, where 20 s alone were 0.8 and 9.
+// Guards against a source that falls silent for a moment: a watch that was open
+// then, and a call made then, is never answered, not even once the source is
+// back. It shows as a change that is acknowledged and in force nowhere, as all
+// wait. Three things hold it to less than two seconds, at any length of the
+// silence:
+//
+// - In each failure domain an instance's watch ends every second, in turn, also
+//   after a change that all heard of at once. So somebody asks anew.
+// - Nobody waits for an answer that is overdue: another call is made beside it,
+//   and the first answer to either is taken. A slow source is still heard.
+// - A reason to doubt a watch that is open brings such a call too: the same
+//   process' other call is overdue, a peer's failed, or a peer told of a change
+//   that this watch ought to have told of.
 #ifndef THORNHOLLOW_DISCOVERY_SOURCE_FOLLOWER_H_
 #define THORNHOLLOW_DISCOVERY_SOURCE_FOLLOWER_H_
 
@@ -24,6 +29,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <string_view>
 #include <vector>
 
 #include "thornhollow/base/time.h"
@@ -32,37 +38,76 @@
 
 namespace thornhollow {
 
+// Which of the instances that ask the source in a failure domain this one is.
+struct watch_turn
+{
+  // From 0, each once, and how many they are.
+  std::size_t mPlace = 0;
+  std::size_t mOf = 1;
+  // Above 0, 1 at the most: the domain's part of a turn, so that the domains
+  // don't ask at the same moment either.
+  double mPhase = 1;
+
+  friend bool operator==(const watch_turn&, const watch_turn&) = default;
+};
+
+// Why an open watch may never be answered.
+enum class watch_doubt : std::uint8_t
+{
+  // A call of the same process for other items is overdue or failed.
+  kOtherCallFails,
+  // A peer tells that the source fails there.
+  kPeerFails,
+  // A peer told of a change first, and not just now.
+  kPeerKnewFirst,
+};
+
+// For logs.
+std::string_view
+Name(watch_doubt aWhy);
+
 struct follower_settings
 {
-  // First pause after a failed call, doubled up to the longest. What the source
-  // publishes must be in force two seconds after an outage's end or so, and a
-  // call may take a moment: less than half a second leaves room for one failure
-  // more.
+  // First pause after a refused call, doubled up to the longest. What the
+  // source publishes must be in force two seconds after an outage's end or so,
+  // and a call may take a moment: less than half a second leaves room for one
+  // refusal more.
   duration mFirstPause = Milliseconds(100);
   duration mLongestPause = Milliseconds(400);
   // Between a watch that told of something and the next, so that what follows
-  // comes in one answer: calls are priced, and ninety engines that join one
-  // after the other were a call each for ninety instances. News that stands
-  // alone isn't delayed; other news by an eighth at most of the two seconds in
-  // which it must be known.
+  // comes in one answer: calls are priced, and engines that join one after the
+  // other would be a call each for every instance. News that stands alone isn't
+  // delayed; other news by an eighth at most of the two seconds in which it
+  // must be known.
   duration mGather = Milliseconds(250);
   // Failing for so long counts as an outage; a shorter one is a cut connection
   // or a refusal of one call, in which no lease lapses.
   duration mOutageAfter = Seconds(1);
-  // How long a watch waits: this much for each instance, within bounds.
-  duration mWaitForEach = Seconds(1);
-  duration mLeastWait = Seconds(4);
-  duration mMostWait = Seconds(20);
-  // After a failure, and when a peer tells of one: as long as it may take to
-  // notice that the source is back.
-  duration mShortWait = Milliseconds(300);
-  // An answer that is later than a call's wait and this isn't waited for; more
-  // with each failure, up to the most and from the first again, as a slow
-  // source needs more than a silent one should get.
-  duration mFirstLimit = Milliseconds(500);
-  duration mMostLimit = Seconds(2);
-  // Between two calls that peers' failures cause.
-  duration mProbeEvery = Seconds(3);
+  // A watch of each domain ends so often. Half of the time in which a change
+  // must be in force: the rest is for a late answer and for telling peers.
+  duration mTurnEvery = Seconds(1);
+  // A watch waits no longer than so many turns.
+  std::size_t mMostTurns = 20;
+  // A watch that is only to show whether the source answers.
+  duration mProbeWait = Milliseconds(1);
+  // An answer is overdue so much later than the longest delay seen lately,
+  // within bounds.
+  duration mPatienceMargin = Milliseconds(100);
+  duration mLeastPatience = Milliseconds(150);
+  duration mMostPatience = Milliseconds(800);
+  // While the source fails: between calls, for each instance of the domain,
+  // within bounds. A large fleet's calls stay below what the source bears.
+  duration mAskEveryForEach = Milliseconds(50);
+  duration mLeastAskEvery = Milliseconds(400);
+  duration mMostAskEvery = Seconds(1);
+  // Taken for the longest delay before any was seen.
+  duration mFirstDelay = Milliseconds(250);
+  // An answer later than this after it was due isn't waited for.
+  duration mLimit = Seconds(2);
+  // Between two calls for which the doubt is the same process' other call, or a
+  // peer's failure: many instances hear of that, for seconds.
+  duration mDoubtOwnEvery = Seconds(1);
+  duration mDoubtPeersEvery = Seconds(3);
 
   friend bool operator==(const follower_settings&,
                          const follower_settings&) = default;
@@ -75,9 +120,11 @@
   bool mList = true;
   std::uint64_t mAfter = 0;
   duration mPause{};
-  // How long a watch waits for changes.
+  // How long a watch waits for changes; zero for a listing.
   duration mWait{};
-  // After that long beyond the wait no answer is expected any more.
+  // After that long beyond the wait the answer is overdue, and `OnOverdue` is
+  // to be called; it is still taken up to the limit.
+  duration mPatience{};
   duration mLimit{};
 
   friend bool operator==(const source_call&, const source_call&) = default;
@@ -91,12 +138,18 @@
   // The first call, and the one after anything that makes an answer on its way
   // worthless, such as a pause of this process.
   source_call Start(const item_mirror& aMirror);
-  // The call to make in place of a watch on its way, as a peer's call failed;
+  // The answer to the newest call is overdue. Returns the call to make beside
+  // those on their way.
+  source_call OnOverdue(const item_mirror& aMirror, time_point aNow);
+  // The call to make beside a watch on its way that may never be answered;
   // nothing where that would tell no more than what is known.
-  std::optional<source_call> OnPeerFails(const item_mirror& aMirror,
-                                         time_point aNow);
-  // Instances that follow the source.
-  void SetInstances(std::size_t aInstances) { mInstances = aInstances; }
+  std::optional<source_call> OnDoubt(watch_doubt aWhy,
+                                     const item_mirror& aMirror,
+                                     time_point aNow);
+  // This instance's turn among those that ask the source.
+  void SetTurn(const watch_turn& aTurn);
+  // An answer came so long after it was due.
+  void NoteDelay(duration aDelay);
 
   // Takes the answer into `aMirror`, appends what changed to `aNews`, and
   // returns the next call.
@@ -118,12 +171,15 @@
 
   // The source has failed for longer than a moment.
   bool InOutage(time_point aNow) const;
-  // The last answer was a failure.
+  // Two answers in a row were overdue, or the last one was a failure.
   bool Failing() const { return mFailingSince.has_value(); }
 
 private:
-  duration LongWait();
+  duration LongWait() const;
+  duration Patience();
+  double Jitter();
   source_call AfterFailure(const item_mirror& aMirror, time_point aNow);
+  void NoteFailure(time_point aNow);
   void NoteAnswer(time_point aNow);
   void EndFailing();
 
@@ -132,11 +188,14 @@
   std::optional<time_point> mFailingSince;
   std::optional<time_point> mAnswered;
   duration mPause;
-  duration mLimit;
-  std::size_t mInstances = 1;
+  watch_turn mTurn;
+  // The last watch waited its whole turn in vain and the turn is the same.
+  bool mInTurn = false;
   // The next watch is a short one.
   bool mProbing = false;
-  std::optional<time_point> mProbed;
+  std::optional<time_point> mDoubted;
+  // Of the answers seen lately, the older the less it counts.
+  duration mLongestDelay;
   // The source forgot what the mirror is to be continued with, or was away.
   bool mMustList = false;
 };
--- a/thornhollow/discovery/source_follower_test.cc
+++ b/thornhollow/discovery/source_follower_test.cc
@@ -127,7 +127,7 @@
     item_mirror mMirror;
     source_call mCall;
     time_point mEnds{};
-    // The source will answer when the call ends.
+    // The source will answer when the call ends, else it is overdue then.
     bool mAnswered = true;
   };
 
@@ -143,7 +143,7 @@
                        {} });
       one& its = mAll.back();
       std::vector<item_change> news;
-      its.mFollower.SetInstances(kFollowers);
+      its.mFollower.SetTurn({ static_cast<std::size_t>(each), kFollowers, 1 });
       its.mCall = its.mFollower.OnListed(
         source_listing{ {}, 10 }, its.mMirror, news, mStart);
     }
@@ -171,7 +171,9 @@
       }
       for (one& each : mAll) {
         const auto probe =
-          fails ? each.mFollower.OnPeerFails(each.mMirror, now) : std::nullopt;
+          fails
+            ? each.mFollower.OnDoubt(watch_doubt::kPeerFails, each.mMirror, now)
+            : std::nullopt;
         if (probe) {
           each.mCall = *probe;
           Begin(each, now, aFrom, aUntil);
@@ -196,18 +198,14 @@
     const time_point due = asked + Waits(aOne);
     aOne.mAnswered =
       (asked < aFrom || asked >= aTo) && !(asked < aFrom && due >= aFrom);
-    aOne.mEnds = aOne.mAnswered ? due : due + aOne.mCall.mLimit;
+    aOne.mEnds = aOne.mAnswered ? due : due + aOne.mCall.mPatience;
   }
 
   static void End(one& aOne, time_point aNow, time_point aFrom, time_point aTo)
   {
     std::vector<item_change> news;
-    if (!aOne.mAnswered && aOne.mCall.mList) {
-      aOne.mCall = aOne.mFollower.OnListed(
-        source_failure{ "late" }, aOne.mMirror, news, aNow);
-    } else if (!aOne.mAnswered) {
-      aOne.mCall = aOne.mFollower.OnWatched(
-        source_failure{ "late" }, aOne.mMirror, news, aNow);
+    if (!aOne.mAnswered) {
+      aOne.mCall = aOne.mFollower.OnOverdue(aOne.mMirror, aNow);
     } else if (aOne.mCall.mList) {
       aOne.mCall = aOne.mFollower.OnListed(
         source_listing{ {}, 10 }, aOne.mMirror, news, aNow);
@@ -237,16 +235,102 @@
                   "source_follower/peer_fails/is_asked_anew_once_in_a_while")
 {
   mNow += Seconds(2);
-  const auto result = mFollower.OnPeerFails(mMirror, mNow);
+  const auto doubt = [this](duration aLater) {
+    return mFollower.OnDoubt(watch_doubt::kPeerFails, mMirror, mNow + aLater);
+  };
+  const auto result = doubt(duration::zero());
   REQUIRE(result.has_value());
   CHECK(result->mWait <= Milliseconds(500));
-  CHECK(result->mLimit <= Milliseconds(500));
-  CHECK_FALSE(mFollower.OnPeerFails(mMirror, mNow + Seconds(1)));
+  CHECK(result->mPatience <= Milliseconds(500));
+  CHECK_FALSE(doubt(Seconds(1)));
+  // Answered, it is still not asked again for a while.
+  mFollower.OnWatched(source_changes{ {}, 10 }, mMirror, mNews, mNow);
+  CHECK_FALSE(doubt(Milliseconds(2'900)));
+  CHECK(doubt(Seconds(3)));
   // Its own answer says more than a peer's failure.
   mFollower.OnWatched(
-    source_changes{ {}, 10 }, mMirror, mNews, mNow + Seconds(4));
-  CHECK_FALSE(
-    mFollower.OnPeerFails(mMirror, mNow + Seconds(4) + Milliseconds(500)));
+    source_changes{ {}, 10 }, mMirror, mNews, mNow + Seconds(7));
+  CHECK_FALSE(doubt(Seconds(7) + Milliseconds(500)));
+}
+
+TEST_CASE_FIXTURE(follower_after_a_listing,
+                  "source_follower/other_call_fails/asks_within_a_second")
+{
+  const auto doubt = [this](duration aLater) {
+    return mFollower.OnDoubt(
+      watch_doubt::kOtherCallFails, mMirror, mNow + aLater);
+  };
+  // Answered a moment ago: it knows as much.
+  CHECK_FALSE(doubt(Milliseconds(900)));
+  CHECK(doubt(Seconds(1)));
+}
+
+// A change reached an instance from a peer while its own watch hung: the next
+// change was in force two seconds late, as nothing had been made of that.
+TEST_CASE_FIXTURE(follower_after_a_listing,
+                  "source_follower/peer_knew_first/asks_beside_its_watch")
+{
+  const auto result =
+    mFollower.OnDoubt(watch_doubt::kPeerKnewFirst, mMirror, mNow);
+  REQUIRE(result.has_value());
+  CHECK(result->mPause == duration::zero());
+  CHECK(result->mWait <= Milliseconds(1));
+}
+
+TEST_CASE_FIXTURE(follower_after_a_listing,
+                  "source_follower/overdue_once/asks_beside_and_is_no_failure")
+{
+  mNext = mFollower.OnOverdue(mMirror, mNow);
+  CHECK(mNext.mPause == duration::zero());
+  CHECK(mNext.mWait <= Milliseconds(1));
+  CHECK_FALSE(mFollower.Failing());
+  mNext = mFollower.OnWatched(source_changes{ {}, 10 }, mMirror, mNews, mNow);
+  CHECK(mNext.mWait >= Seconds(1));
+  // Two in a row are a failure.
+  mFollower.OnOverdue(mMirror, mNow);
+  mNext = mFollower.OnOverdue(mMirror, mNow);
+  CHECK(mFollower.Failing());
+  CHECK(mNext.mPause == duration::zero());
+  CHECK(mNext.mPatience <= Milliseconds(500));
+}
+
+// A source that answers slowly was asked again and again, as if it were silent.
+TEST_CASE_FIXTURE(follower_after_a_listing,
+                  "source_follower/slow_answers/are_waited_for")
+{
+  mFollower.NoteDelay(Milliseconds(300));
+  CHECK(mFollower.Start(mMirror).mPatience == Milliseconds(400));
+  mFollower.NoteDelay(Seconds(5));
+  CHECK(mFollower.Start(mMirror).mPatience <= Milliseconds(800));
+  for (int answer = 0; answer < 10; ++answer) {
+    mFollower.NoteDelay(Milliseconds(4));
+  }
+  CHECK(mFollower.Start(mMirror).mPatience == Milliseconds(150));
+}
+
+// A change that all heard of began all watches together; the first of them
+// ended three seconds later, and a silence in between was seen by nobody.
+TEST_CASE("source_follower/news_for_all/watches_end_a_second_apart")
+{
+  constexpr std::size_t kInstances = 3;
+  for (std::size_t place = 0; place < kInstances; ++place) {
+    source_follower condition(follower_settings{}, place);
+    condition.SetTurn({ place, kInstances, 0.5 });
+    item_mirror mirror;
+    std::vector<item_change> news;
+    condition.OnListed(source_listing{ {}, 10 }, mirror, news, time_point());
+    source_call result = condition.OnWatched(
+      source_changes{ { { "a", "2", 12 } }, 12 }, mirror, news, time_point());
+    CHECK(ToSeconds(result.mWait) == static_cast<double>(place) + 0.5);
+    // From there on each waits a whole round.
+    result =
+      condition.OnWatched(source_changes{ {}, 12 }, mirror, news, time_point());
+    CHECK(result.mWait == Seconds(3));
+    // Others come or go: places are new.
+    condition.SetTurn({ place, kInstances + 1, 0.5 });
+    CHECK(ToSeconds(condition.Start(mirror).mWait) ==
+          static_cast<double>(place) + 0.5);
+  }
 }
 
 TEST_CASE_FIXTURE(follower_after_a_listing,
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "thornhollow/base/hash.h"
@@ -75,11 +76,39 @@
       ++ranked;
     }
   }
-  mReads = mSettings.mReaders == 0 || inDomain <= mSettings.mAllRead ||
-           ranked < mSettings.mReaders;
+  mReads = AllRead(inDomain) || ranked < mSettings.mReaders;
   return mReads;
 }
 
+watch_turn
+relay_peers::Turn() const
+{
+  std::set<domain_name> domains{ mOwnDomain };
+  std::size_t inDomain = 1;
+  std::size_t before = 0;
+  const std::uint64_t own = Hash64(mOwnAddress);
+  for (const auto& [address, each] : mPeers) {
+    domains.insert(each.mHello.mDomain);
+    if (each.mHello.mDomain == mOwnDomain) {
+      ++inDomain;
+      before += Hash64(address) > own ? 1 : 0;
+    }
+  }
+  const auto place = std::distance(domains.begin(), domains.find(mOwnDomain));
+  watch_turn turn;
+  turn.mOf = AllRead(inDomain) ? inDomain : mSettings.mReaders;
+  turn.mPlace = before % turn.mOf;
+  turn.mPhase =
+    static_cast<double>(place + 1) / static_cast<double>(domains.size());
+  return turn;
+}
+
+bool
+relay_peers::AllRead(std::size_t aInDomain) const
+{
+  return mSettings.mReaders == 0 || aInDomain <= mSettings.mAllRead;
+}
+
 std::vector<std::string>
 relay_peers::OwnDomain() const
 {
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -38,6 +38,7 @@
 
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
+#include "thornhollow/discovery/source_follower.h"
 #include "thornhollow/policy/work_kind.h"
 
 namespace thornhollow {
@@ -156,7 +157,11 @@
   // Whether this instance is to read the source. `aFails`: it doesn't answer
   // here.
   bool Reads(bool aFails, time_point aNow);
-  // The same, at once: this instance learnt of a newer revision.
+  // This instance's turn among those of its domain that read the source, by
+  // which their watches end one after the other.
+  watch_turn Turn() const;
+  // Addresses that are to be told at once: this instance learnt of a newer
+  // revision.
   std::vector<std::string> OnNews();
   // Takes what another one told; returns the address to answer, if any.
   std::optional<std::string> OnHello(const relay_hello& aHello,
@@ -197,6 +202,8 @@
   bool IsBetter(const peer& aLeft, const peer& aRight) const;
   std::vector<std::string> Draw();
   std::vector<std::string> OwnDomain() const;
+  // Whether all of a domain of so many read the source.
+  bool AllRead(std::size_t aInDomain) const;
   duration ForgetAfter() const;
   duration Interval() const;
   void Forget(time_point aNow);
--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -1,6 +1,8 @@
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -232,6 +234,56 @@
   CHECK_FALSE(Readers().empty());
 }
 
+// Three domains, of three, two and one instances, which all know each other.
+struct three_domains
+{
+  std::vector<std::pair<std::string, domain_name>> mAll = {
+    { "a1", domain_name("a") }, { "a2", domain_name("a") },
+    { "a3", domain_name("a") }, { "b1", domain_name("b") },
+    { "b2", domain_name("b") }, { "c1", domain_name("c") }
+  };
+
+  watch_turn TurnOf(const std::string& aAddress,
+                    const domain_name& aDomain,
+                    const relay_peer_settings& aSettings = {}) const
+  {
+    relay_peers peers(aSettings, aAddress, aDomain, {}, 1);
+    for (const auto& [address, domain] : mAll) {
+      relay_hello hello;
+      hello.mAddress = address;
+      hello.mDomain = domain;
+      peers.OnHello(hello, time_point());
+    }
+    return peers.Turn();
+  }
+};
+
+TEST_CASE_FIXTURE(three_domains, "relay_peers/turn/each_place_is_held_once")
+{
+  std::map<domain_name, std::set<std::size_t>> places;
+  std::map<domain_name, double> phases;
+  for (const auto& [address, domain] : mAll) {
+    const watch_turn result = TurnOf(address, domain);
+    CHECK(result.mPlace < result.mOf);
+    CHECK(places[domain].insert(result.mPlace).second);
+    phases[domain] = result.mPhase;
+  }
+  CHECK(places[domain_name("a")].size() == 3);
+  CHECK(TurnOf("a1", domain_name("a")).mOf == 3);
+  CHECK(TurnOf("c1", domain_name("c")) == watch_turn{ 0, 1, 1 });
+  // The domains share a turn out among themselves.
+  CHECK(phases[domain_name("a")] < phases[domain_name("b")]);
+  CHECK(phases[domain_name("b")] < phases[domain_name("c")]);
+}
+
+TEST_CASE_FIXTURE(three_domains, "relay_peers/turn/readers_alone_have_one")
+{
+  relay_peer_settings settings;
+  settings.mAllRead = 1;
+  settings.mReaders = 2;
+  CHECK(TurnOf("a1", domain_name("a"), settings).mOf == 2);
+}
+
 TEST_CASE_FIXTURE(hello_fleet, "relay_peers/nobody_heard/counts_as_unknown")
 {
   Add("a", { "gone" });
--- a/thornhollow/fleet/silent_source_test.cc
+++ b/thornhollow/fleet/silent_source_test.cc
@@ -17,7 +17,10 @@
 // of at once had ended all watches and begun them together; the source fell
 // silent for two seconds and came back; a second change was acknowledged; no
 // watch ended before the third second after the first change, and it was given
-// up two seconds later.
+// up two seconds later. Cause: an instance waits for an answer that will never
+// come, and nobody else asks meanwhile. Evidence, logs of late instances: their
+// watch of the configuration open for 6.9 s, the source's last answer to it 6 s
+// old, that to the watch of endpoints 0.9 s; the change taken from a peer.
 TEST_CASE("silent_source/silence_after_a_change_that_all_heard/"
           "next_change_is_in_force_in_time")
 {
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -156,7 +156,8 @@
     item_mirror mMirror;
     time_point mSendAt{};
     bool mToSend = true;
-    std::optional<open_call> mOpen;
+    // On their way beside each other, the newest last.
+    std::vector<open_call> mOpen;
   };
   struct instance
   {
@@ -223,7 +224,7 @@
   void Step(instance& aOne)
   {
     for (link& each : aOne.mLinks) {
-      if (each.mOpen && LookForAnswer(each)) {
+      if (LookForAnswers(each)) {
         Tell(aOne, aOne.mPeers->OnNews(), false);
       }
       if (each.mToSend && mNow >= each.mSendAt) {
@@ -239,7 +240,7 @@
 
   void Ask(link& aLink, const source_call& aCall)
   {
-    aLink.mOpen.reset();
+    aLink.mOpen.clear();
     aLink.mToSend = true;
     aLink.mSendAt = mNow + aCall.mPause;
     if (aCall.mPause <= duration::zero()) {
@@ -250,30 +251,65 @@
   void Send(link& aLink, const source_call& aCall)
   {
     aLink.mToSend = false;
-    aLink.mOpen = open_call{ aCall, mNow, false };
+    aLink.mOpen.push_back({ aCall, mNow, false });
     ++mCalls;
   }
 
   // Whether there was news.
-  bool LookForAnswer(link& aLink)
-  {
-    open_call& open = *aLink.mOpen;
-    const duration wait =
-      open.mCall.mList ? duration::zero() : open.mCall.mWait;
-    open.mLost = open.mLost || Silent(mNow, mNow);
-    if (open.mLost) {
-      if (mNow >= open.mSent + wait + open.mCall.mLimit) {
-        Fail(aLink, open.mCall);
+  bool LookForAnswers(link& aLink)
+  {
+    for (open_call& each : aLink.mOpen) {
+      each.mLost = each.mLost || Silent(mNow, mNow);
+      if (!each.mLost && IsAnswered(aLink, each)) {
+        NoteDelay(aLink, each);
+        return Answer(aLink, source_call(each.mCall));
       }
-      return false;
     }
+    std::erase_if(aLink.mOpen, [this](const open_call& aOne) {
+      return mNow >= Due(aOne) + aOne.mCall.mLimit;
+    });
+    return false;
+  }
+
+  static time_point Due(const open_call& aOpen)
+  {
+    return aOpen.mSent + aOpen.mCall.mWait;
+  }
+
+  bool IsAnswered(const link& aLink, const open_call& aOpen) const
+  {
     const bool news =
-      !open.mCall.mList && !After(aLink.mWhich, open.mCall.mAfter).empty();
-    if (mNow >= open.mSent + mShape.mLatency &&
-        (news || mNow >= open.mSent + mShape.mLatency + wait)) {
-      return Answer(aLink, open.mCall);
+      !aOpen.mCall.mList && !After(aLink.mWhich, aOpen.mCall.mAfter).empty();
+    return mNow >= (news ? aOpen.mSent : Due(aOpen)) + mShape.mLatency;
+  }
+
+  void NoteDelay(link& aLink, const open_call& aOpen)
+  {
+    if (mNow > Due(aOpen)) {
+      aLink.mFollower.NoteDelay(mNow - Due(aOpen));
+    }
+  }
+
+  // The daemon looks at each tick.
+  void AskBesideOverdue(link& aLink)
+  {
+    if (aLink.mOpen.empty()) {
+      return;
+    }
+    const open_call& newest = aLink.mOpen.back();
+    if (mNow >= Due(newest) + newest.mCall.mPatience) {
+      Send(aLink, aLink.mFollower.OnOverdue(aLink.mMirror, mNow));
+    }
+  }
+
+  void Doubt(link& aLink, watch_doubt aWhy)
+  {
+    if (aLink.mOpen.empty()) {
+      return;
+    }
+    if (const auto call = aLink.mFollower.OnDoubt(aWhy, aLink.mMirror, mNow)) {
+      Send(aLink, *call);
     }
-    return false;
   }
 
   std::vector<item_change> After(followed aWhich, std::uint64_t aAt) const
@@ -307,16 +343,6 @@
     return !news.empty();
   }
 
-  void Fail(link& aLink, const source_call& aCall)
-  {
-    std::vector<item_change> news;
-    const source_failure late{ "no answer" };
-    Ask(aLink,
-        aCall.mList
-          ? aLink.mFollower.OnListed(late, aLink.mMirror, news, mNow)
-          : aLink.mFollower.OnWatched(late, aLink.mMirror, news, mNow));
-  }
-
   void Tick(instance& aOne)
   {
     const auto fails = [](const link& aLink) {
@@ -327,11 +353,13 @@
     }
     aOne.mPeers->Reads(mNow < aOne.mSourceFailsUntil, mNow);
     for (link& each : aOne.mLinks) {
-      each.mFollower.SetInstances(aOne.mPeers->Count(mNow));
+      each.mFollower.SetTurn(aOne.mPeers->Turn());
+      AskBesideOverdue(each);
+      if (std::ranges::any_of(aOne.mLinks, fails)) {
+        Doubt(each, watch_doubt::kOtherCallFails);
+      }
       if (aOne.mPeers->SourceFailsElsewhere(mNow)) {
-        if (const auto call = each.mFollower.OnPeerFails(each.mMirror, mNow)) {
-          Ask(each, *call);
-        }
+        Doubt(each, watch_doubt::kPeerFails);
       }
     }
     Tell(aOne, aOne.mPeers->Tick(mNow), aOne.mPeers->Alive() == 0);
@@ -389,9 +417,11 @@
     bool news = false;
     for (std::size_t which = 0; which < aTo.mLinks.size(); ++which) {
       const item_mirror& its = from->mLinks[which].mMirror;
-      item_mirror& mirror = aTo.mLinks[which].mMirror;
-      if (its.At() > mirror.At()) {
-        news = !mirror.OnListing(its.Items(), its.At()).empty() || news;
+      link& link = aTo.mLinks[which];
+      if (its.At() > link.mMirror.At() &&
+          !link.mMirror.OnListing(its.Items(), its.At()).empty()) {
+        Doubt(link, watch_doubt::kPeerKnewFirst);
+        news = true;
       }
     }
     if (news) {
