--- a/thornhollow/config/config_follower_test.cc
+++ b/thornhollow/config/config_follower_test.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <random>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -145,6 +147,65 @@
   CHECK(mFleet.RunUntilInForce(2, kBound));
 }
 
+// An instance kept the old configuration for seconds after a new one had been
+// published. The platform had been silent for a moment: the watches that waited
+// there were never answered, nor were calls made in that moment, and the new
+// one came at its end. A domain that is cut off from the others has two readers
+// of its own, and nobody else to hear it from.
+struct silent_for_a_moment
+{
+  std::mt19937_64 mRandom;
+  follower_simulation mFleet;
+
+  explicit silent_for_a_moment(std::uint64_t aSeed)
+    : mRandom(aSeed)
+    , mFleet(aSeed)
+  {
+    mFleet.Publish(1, config_follower_fixture::Sample(1));
+    for (const char* domain : { "hall-a", "hall-b", "hall-c" }) {
+      mFleet.AddDomain(domain, 4);
+    }
+    for (const char* other : { "hall-b", "hall-c" }) {
+      mFleet.mCutDomains.insert({ "hall-a", other });
+      mFleet.mCutDomains.insert({ other, "hall-a" });
+    }
+    mFleet.RunFor(Seconds(12) + Between(0, 4));
+  }
+
+  duration Between(double aLeast, double aMost)
+  {
+    return FromSeconds(
+      std::uniform_real_distribution<double>(aLeast, aMost)(mRandom));
+  }
+
+  // Whether what is published at the silence's end is in force in time.
+  bool Result()
+  {
+    const double length = ToSeconds(Between(std::log(0.3), std::log(30)));
+    mFleet.FallSilent();
+    mFleet.RunFor(FromSeconds(std::exp(length)));
+    mFleet.mPlatform.mSilent = false;
+    mFleet.RunFor(Between(0, 0.3));
+    mFleet.Publish(2, config_follower_fixture::Sample(2));
+    return mFleet.RunUntilInForce(2, config_follower_fixture::kBound)
+      .has_value();
+  }
+};
+
+TEST_CASE("platform/silent for a moment/found in bound")
+{
+  // Those in which it took longer, and the first ones.
+  std::vector<std::uint64_t> seeds = { 555,  1737, 1795, 2077,
+                                       2120, 2141, 2829, 2831 };
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    seeds.push_back(seed);
+  }
+  for (const std::uint64_t seed : seeds) {
+    CAPTURE(seed);
+    CHECK(silent_for_a_moment(seed).Result());
+  }
+}
+
 TEST_CASE_FIXTURE(config_follower_fixture, "platform/slow/in force in bound")
 {
   mFleet.mPlatform.mDelay = Milliseconds(400);
--- a/thornhollow/config/internal/follower_simulation.h
+++ b/thornhollow/config/internal/follower_simulation.h
@@ -132,6 +132,14 @@
     }
   }
 
+  // The platform answers nothing until `mSilent` is taken back; watches that
+  // wait there now are never answered, not even then.
+  void FallSilent()
+  {
+    mPlatform.mSilent = true;
+    mWatches.clear();
+  }
+
   void PublishParts(const bundle& aBundle)
   {
     for (const bundle_part& part : aBundle.mParts) {
