The bundle's follower finds a short silence in time; its model tells different members, as membership does

The model drew the members that are told with repeats and the teller itself; membership::PushNews takes up to four different others. Change: the model does the same.

--- a/thornhollow/config/config_follower_test.cc
+++ b/thornhollow/config/config_follower_test.cc
@@ -194,7 +194,7 @@
 
 TEST_CASE("platform/silent for a moment/found in bound")
 {
-  // Those in which it took longer, and the first ones.
+  // Those in which one member was told last, and the first ones.
   std::vector<std::uint64_t> seeds = { 555,  1737, 1795, 2077,
                                        2120, 2141, 2829, 2831 };
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
--- a/thornhollow/config/internal/follower_simulation.h
+++ b/thornhollow/config/internal/follower_simulation.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -521,15 +522,20 @@
             });
   }
 
-  // Membership pushes news to a few members at once.
+  // Membership pushes news to a few other members of the domain at once.
   void Do(instance& aEach, const announce_version& /*aAnnounce*/)
   {
-    for (int each = 0; mPushes && each < kPushed; ++each) {
-      Ping(aEach, AnyOf(aEach.mDomain));
+    if (!mPushes) {
+      return;
     }
-    if (mPushes) {
-      PingOtherDomains(aEach);
+    std::vector<instance*> others = mByDomain.at(aEach.mDomain);
+    std::erase(others, &aEach);
+    std::vector<instance*> told;
+    std::ranges::sample(others, std::back_inserter(told), kPushed, mRandom);
+    for (instance* const each : told) {
+      Ping(aEach, *each);
     }
+    PingOtherDomains(aEach);
   }
 
   void Do(instance& aEach, const judge_bundle& aJudge)
