--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -46,6 +46,9 @@
 class Store:
     """Items with revisions, listed and watched."""
 
+    # A short wait, so that a refusal that begins meanwhile shows.
+    longest_wait_s = 0.3
+
     def __init__(self):
         self.items = {}
         self.at = 1
@@ -105,8 +108,7 @@
                 if key.startswith(prefix) and item["revision"] > after]
 
         with self.changed:
-            # A short wait, so that a refusal that begins meanwhile shows.
-            self.changed.wait_for(news, timeout=0.3)
+            self.changed.wait_for(news, timeout=self.longest_wait_s)
             if self.refuse:
                 return 503, {}
             return 200, {"events": news(), "at": self.at}
