The source's follower has settings of a name of its own

Two structures of one namespace were called follower_settings, in discovery/ and config/: a file that included both would not have been built, and two definitions of one name in a program are undefined behaviour. No change of behaviour.

--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -25,7 +25,7 @@
     , mWhat(std::move(aWhat))
     , mListener(std::move(aListener))
     , mLog(aLog)
-    , mFollower(follower_settings{}, std::random_device()())
+    , mFollower(source_follower_settings{}, std::random_device()())
     , mTimer(aIo)
   {
   }
--- a/thornhollow/discovery/source_follower.cc
+++ b/thornhollow/discovery/source_follower.cc
@@ -28,7 +28,7 @@
   return "unknown";
 }
 
-source_follower::source_follower(const follower_settings& aSettings,
+source_follower::source_follower(const source_follower_settings& aSettings,
                                  std::uint64_t aSeed)
   : mSettings(aSettings)
   , mRandom(aSeed)
--- a/thornhollow/discovery/source_follower.h
+++ b/thornhollow/discovery/source_follower.h
@@ -1,7 +1,7 @@
 // Decides which call to a source comes next, so that a mirror of one prefix
 // stays in step: a listing first, then watches, each after the last.
 //
-//   source_follower follower(follower_settings{}, seed);
+//   source_follower follower(source_follower_settings{}, seed);
 //   Make(follower.Start());
 //   Make(follower.OnWatched(outcome, mirror, now));
 //
@@ -66,7 +66,7 @@
 std::string_view
 Name(watch_doubt aWhy);
 
-struct follower_settings
+struct source_follower_settings
 {
   // First pause after a refused call, doubled up to the longest. What the
   // source publishes must be in force two seconds after an outage's end or so,
@@ -109,8 +109,8 @@
   duration mDoubtOwnEvery = Seconds(1);
   duration mDoubtPeersEvery = Seconds(3);
 
-  friend bool operator==(const follower_settings&,
-                         const follower_settings&) = default;
+  friend bool operator==(const source_follower_settings&,
+                         const source_follower_settings&) = default;
 };
 
 // The next call to the source.
@@ -133,7 +133,8 @@
 class source_follower
 {
 public:
-  source_follower(const follower_settings& aSettings, std::uint64_t aSeed);
+  source_follower(const source_follower_settings& aSettings,
+                  std::uint64_t aSeed);
 
   // The first call, and the one after anything that makes an answer on its way
   // worthless, such as a pause of this process.
@@ -183,7 +184,7 @@
   void NoteAnswer(time_point aNow);
   void EndFailing();
 
-  follower_settings mSettings;
+  source_follower_settings mSettings;
   std::mt19937_64 mRandom;
   std::optional<time_point> mFailingSince;
   std::optional<time_point> mAnswered;
--- a/thornhollow/discovery/source_follower_test.cc
+++ b/thornhollow/discovery/source_follower_test.cc
@@ -10,7 +10,7 @@
 
 struct follower_after_a_listing
 {
-  source_follower mFollower{ follower_settings{}, 1 };
+  source_follower mFollower{ source_follower_settings{}, 1 };
   item_mirror mMirror;
   std::vector<item_change> mNews;
   time_point mNow = time_point() + Seconds(10);
@@ -137,10 +137,11 @@
   explicit eight_followers_of_a_silent_source(std::uint64_t aSeed)
   {
     for (int each = 0; each < kFollowers; ++each) {
-      mAll.push_back({ source_follower(follower_settings{}, aSeed * 100 + each),
-                       {},
-                       {},
-                       {} });
+      mAll.push_back(
+        { source_follower(source_follower_settings{}, aSeed * 100 + each),
+          {},
+          {},
+          {} });
       one& its = mAll.back();
       std::vector<item_change> news;
       its.mFollower.SetTurn({ static_cast<std::size_t>(each), kFollowers, 1 });
@@ -314,7 +315,7 @@
 {
   constexpr std::size_t kInstances = 3;
   for (std::size_t place = 0; place < kInstances; ++place) {
-    source_follower condition(follower_settings{}, place);
+    source_follower condition(source_follower_settings{}, place);
     condition.SetTurn({ place, kInstances, 0.5 });
     item_mirror mirror;
     std::vector<item_change> news;
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -193,13 +193,13 @@
                   mStart + seed % 10 * kStep };
     for (const followed which :
          { followed::kConfiguration, followed::kEndpoints }) {
-      one.mLinks.push_back(
-        { which,
-          source_follower(follower_settings{}, seed * 2 + one.mLinks.size()),
-          {},
-          mStart,
-          true,
-          {} });
+      one.mLinks.push_back({ which,
+                             source_follower(source_follower_settings{},
+                                             seed * 2 + one.mLinks.size()),
+                             {},
+                             mStart,
+                             true,
+                             {} });
     }
     mInstances.push_back(std::move(one));
   }
