--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -19,8 +19,7 @@
 // that rank highest by a hash of their addresses, among those that were heard a
 // moment ago and that the source answers. The others hold what readers tell.
 // The list of endpoints changes every second or two on a site of 90 engines,
-// and a call to the source for each change and instance cost 0.15 of all that
-// such a site earned.
+// which would else be a call for each change and instance.
 //
 // Guards against a source that turns this instance away while it serves others:
 // it shows as a configuration that stays behind for this instance only. Peers
@@ -103,14 +102,13 @@
 struct relay_peer_settings
 {
   // Work at engines changes with each prompt, which takes tens of milliseconds
-  // to hundreds; at four hellos a second to each of five others an instance
-  // sends 4 KB a second.
+  // to hundreds.
   duration mInterval = Milliseconds(250);
   // Others told in an interval.
   std::size_t mFanout = 8;
   // From so many others on rounds come half as often: by then a hello is near a
   // datagram's 1,100 bytes, and 16 of them a second are the 18 KB/s that
-  // control may take at letter 1's 420 instances; 32 were 35 KB/s.
+  // control may take in a fleet of 420 instances.
   std::size_t mCrowd = 128;
   // Without a word for this long an instance counts as gone; longer the more
   // there are, as each is then heard less often: by this much for each
@@ -124,16 +122,15 @@
   // Addresses in one hello.
   std::size_t mTold = 6;
   // Instances of a failure domain that read the source, once it has more than
-  // `mAllRead`; 0: all read it. Two may be enough, so that one can fail unseen
-  // for as long as it takes to notice. Off: with two readers among thirty, a
-  // leaving endpoint got work for 3.2 to 3.5 s where three were allowed, in two
-  // of three hours with faults; with all reading, in none of eight.
+  // `mAllRead`; 0: all read it. Two or more, so that one can fail unseen for as
+  // long as it takes to notice. Off, as what readers tell comes later, and a
+  // leaving endpoint gets work until it is known.
   std::size_t mReaders = 0;
   std::size_t mAllRead = 6;
   // A reader tells every instance of its domain this often, or the next in rank
   // would take it for gone.
   duration mReaderInterval = Seconds(1);
-  // Instances held; letter 1's size is 420.
+  // Instances held; above the 420 of a large fleet.
   std::size_t mMaxPeers = 512;
   // The count of instances is the largest seen for this long, so that a bound
   // that is shared out isn't exceeded while some can't be heard.
@@ -185,8 +182,8 @@
   // Sums over the others, of what is fresh, scaled up to all where not all were
   // heard a moment ago; of paces the least.
   std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
-  // The same of the demand. Of ninety instances each hears another every 2.8 s;
-  // with what was told before, a burst showed after four seconds of its nine.
+  // The same of the demand. In a large fleet an instance hears another every
+  // few seconds; what was told before would hide a burst for as long.
   std::map<pool_name, pool_view> OthersViews(time_point aNow) const;
 
 private:
--- a/thornhollow/policy/engine_border.h
+++ b/thornhollow/policy/engine_border.h
@@ -8,31 +8,25 @@
 // Load pattern: long prompts beside streams that may not pause. An engine reads
 // prompts in chunks between the steps of all its streams, so while it has
 // prompts to read each event takes as many chunks as it has tokens. Streams
-// that promise shorter pauses are late then, if the reading lasts. Mixed on all
-// engines, 448 of 694 short streams of a calm hour kept their promise; kept
-// apart, 694 did (nine engines, measured with real processes).
+// that promise shorter pauses are late then, if the reading lasts.
 //
 // Kept apart are the longest kinds that make up a quarter of the reading, if a
 // few of their prompts in a row take longer to read than another kind's streams
 // may pause. Where no stream is in danger, or only one kind of work comes,
-// nothing is kept apart and no engine waits for work that doesn't come. On a
-// site where every route promises a first event within 600 ms this made 2,250
-// to 2,350 of 2,660 short streams of a heavy hour keep their pauses, instead of
-// 950 where only routes with a second to spare were kept apart.
+// nothing is kept apart and no engine waits for work that doesn't come. How
+// urgent a route is doesn't decide: where every route is, long prompts still
+// break short pauses.
 //
-// A fixed border is wrong in a burst: of nine engines, three left to bulk work
-// served 81 of 100 short streams and 35 of 100 long prompts, five 64 and 79. So
-// the border follows what arrives. It is worked out from sums over all
+// A fixed border is wrong in a burst, which is of one kind or the other. So the
+// border follows what arrives. It is worked out from sums over all
 // instances, so they agree on it without asking each other; and it moves only
 // where one side is too full, by a ninth of the engines at a time, no sooner
-// than `mHold` after the last move, so that it doesn't flap. Borders by
-// formulas for waits and pauses were worth less: they moved too often, and each
-// move breaks the streams on the engines that change sides.
+// than `mHold` after the last move, so that it doesn't flap: each move breaks
+// the streams on the engines that change sides.
 //
-// Grounds for the busy shares: the interactive side is to be busy 25% of the
-// time where the bulk one is busy 50%. With two of nine engines, 23% busy and
-// twice that in a burst, 411 of 696 short streams kept their pauses; with four,
-// 630 to 694.
+// The interactive side is to be busy 25% of the time where the bulk one is busy
+// 50%: a burst doubles either, and short streams pause on an engine that is
+// busy half of the time.
 #ifndef THORNHOLLOW_POLICY_ENGINE_BORDER_H_
 #define THORNHOLLOW_POLICY_ENGINE_BORDER_H_
 
--- a/thornhollow/policy/known_prefixes.h
+++ b/thornhollow/policy/known_prefixes.h
@@ -8,9 +8,8 @@
 // Load pattern: all engines are empty, as after a start of the whole site, and
 // a burst of long prompts comes. All instances send a session to the same
 // engine, so one that doesn't know the session takes its parts to be there; but
-// nobody had sent it yet. Counted as if they were there, the first prompts were
-// believed to take 50 ms each and took 160, queues of 1.3 s were thought to be
-// half as long, and half of the first seconds' long prompts began late.
+// nobody had sent it yet. Counted as if they were there, the first prompts take
+// a multiple of what is believed, and the queues before them begin late.
 //
 // Each of the other instances sees other requests of the same sessions, and
 // knows as large a part of them as this one does.
--- a/thornhollow/policy/popular_parts.h
+++ b/thornhollow/policy/popular_parts.h
@@ -7,8 +7,8 @@
 // Load pattern: prompts that begin with one of a few texts, the same for all
 // sessions, and go on with a session's own. Every engine reads each of the
 // texts within a moment and keeps it, as it is used all the time. Counted as a
-// part of the session, 2,500 of 6,300 shared tokens were expected to be read
-// again by whichever engine a session hadn't been sent to before.
+// part of the session, it is expected to be read again by whichever engine a
+// session hasn't been sent to before.
 #ifndef THORNHOLLOW_POLICY_POPULAR_PARTS_H_
 #define THORNHOLLOW_POLICY_POPULAR_PARTS_H_
 
--- a/thornhollow/policy/relay_admission.h
+++ b/thornhollow/policy/relay_admission.h
@@ -63,15 +63,12 @@
   // streams takes the other half.
   double mLeastReading = 0.5;
   // From here on only the part that engines can read is taken: what is counted
-  // as work and what engines can do are known to a fifth or so each. With 2.5
-  // two half minutes that begin with a burst on ninety empty engines were worth
-  // 0.48 and 0.39 instead of 0.58 and 0.44.
+  // as work and what engines can do are known to a fifth or so each.
   double mClearOverload = 1.5;
   // Who comes back is taken so much more often then.
   double mForReturning = 1.5;
   // Of the longest wait, for teams above and below their even part: enough
-  // apart for the queue of one not to reach the others' bound, nothing finer
-  // was tried.
+  // apart for the queue of one not to reach the others' bound.
   double mForMore = 0.5;
   double mForLess = 1.25;
   // Above this many times the even part a team counts as asking for more: two
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -333,9 +333,9 @@
 
 // What its open requests cost one more: each makes the events of all others
 // later, and once the slots are taken the request waits until one has ended.
-// Without it the short prompts of a burst all went to the one of two engines
-// that held most of their sessions: 70 requests on it with 64 slots, 15 on the
-// other.
+// Guards against a burst of short prompts that all go to the engine that holds
+// most of their sessions: its slots are taken, others' stay free, and the last
+// ones wait.
 double
 relay_pool::CrowdSeconds(const record& aRecord, const relay_work& aWork) const
 {
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -68,32 +68,24 @@
   // that for the one after, up to the whole. A session that one engine can't
   // serve thus spreads over the same few on every instance.
   double mMissStep = 8;
-  // Of its target, what a request loses at an engine whose slots are all taken:
-  // a guess, and 0.5 was worth the same.
+  // Of its target, what a request loses at an engine whose slots are all taken.
   double mCrowdPart = 0.1;
   // Shared parts of at least so many tokens are copied from an engine that is
-  // believed to hold them, where the chosen one isn't; 0: never. 4,900 tokens
-  // take 36 ms to copy and 80 to read, and the copy takes no time from streams.
-  // Gained 1 to 2 hundredths of what a calm hour's answers are worth to callers
-  // and 1 to 7 of a full one's (two deployments, two hours of each kind, with
-  // real processes). Shorter parts are read in a few milliseconds.
+  // believed to hold them, where the chosen one isn't; 0: never. A copy takes
+  // less time than reading and none from streams; shorter parts are read in a
+  // few milliseconds.
   std::uint32_t mCopyFromTokens = 256;
   // Bulk work passes over engines that still have interactive streams from
   // before they became bulk ones while the others would be busy reading for
-  // less than this part of the time. Without a bound full hours lost 3 to 5
-  // hundredths of that by the room that was missing.
+  // less than this part of the time: a full site needs the room.
   double mClearBelow = 0.6;
   // Slow from this multiple of the pool's fastest pace on, and no more below
   // the other: engines differ by 1.3.
   double mSlowFrom = 1.17;
   double mSlowUntil = 1.10;
   // Before that long after its first prompt an engine isn't judged: the first
-  // few waits hold other prompts' time. Until then slow engines have
-  // interactive streams, whose pauses break their promise: with 12 s a calm
-  // half minute's answers were worth 0.91 to callers in the mean of five draws,
-  // with 6 s 0.92 (0.88 and 0.93 in the worst). Of twelve equal engines none to
-  // four were taken for slow at times, at no cost that showed; with 4 s more
-  // were.
+  // few waits hold other prompts' time. Not longer, as slow engines have
+  // interactive streams until then, whose pauses break their promise.
   duration mJudgeAfter = Seconds(6);
   engine_border_settings mBorder;
   engine_sides_settings mSides;
--- a/thornhollow/policy/standing_queue.h
+++ b/thornhollow/policy/standing_queue.h
@@ -16,8 +16,7 @@
 //
 // Controlled delay in routers' packet queues rests on the same observation.
 //
-// Grounds for the figures: see docs/design/decisions_under_load.md; the window
-// was chosen by the scenario table.
+// Figures: docs/design/decisions_under_load.md.
 #ifndef THORNHOLLOW_POLICY_STANDING_QUEUE_H_
 #define THORNHOLLOW_POLICY_STANDING_QUEUE_H_
 
--- a/thornhollow/routing/routing_table.h
+++ b/thornhollow/routing/routing_table.h
@@ -67,11 +67,9 @@
 // first, and among equal ones by its effective tier.
 //
 // Load pattern: an engine out of places or memory interrupts the newest of the
-// least urgent requests, hundreds of times in the users' heaviest hour. Where
-// the rank is the team's tier, a driver's note or a short tag is interrupted
-// while another team's plan of many pages, which may wait, runs on: 11 to 35
-// times, with the route second 13 times in one run of eight. With the route
-// first it happened in none of seven, with 340 to 366 interruptions each.
+// least urgent requests. Where the rank is the team's tier, also with the route
+// second, a driver's note or a short tag is interrupted while another team's
+// plan of many pages, which may wait, runs on.
 std::uint32_t
 EngineRank(const route& aRoute, tier_number aTier);
 
