An instance that no longer reads the source asks no more; one late answer doesn't slow the next ones

Found in reading the mend: a watch that was overdue when another instance took over the reading was asked beside still, and its failure was told to peers; and an answer that was late by seconds, as after a process' pause, made the next ones be waited for 0.8 s. Patience is 0.6 s at the most now and one late answer counts for as much. The model of the fleet looks at less in each step.

--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -50,6 +50,7 @@
     mNewest.reset();
     mIdle = !mReads;
     if (mIdle) {
+      mFollower.StopAsking();
       return;
     }
     if (aCall.mPause <= duration::zero()) {
@@ -85,7 +86,7 @@
 
   void Tick(time_point aNow)
   {
-    if (mNewest && aNow >= mNewest->mOverdueAt) {
+    if (mReads && mNewest && aNow >= mNewest->mOverdueAt) {
       AskBesideOverdue(aNow);
     }
     if (!mLost && mFollower.InOutage(aNow)) {
@@ -181,8 +182,9 @@
     Send(next, mRound);
   }
 
-  // Whether the outcome decides what comes next. Another call of its round
-  // may still be answered where it failed and isn't the newest.
+  // Whether the outcome decides what comes next. The failure of a call that
+  // isn't its round's newest doesn't: it was logged when it was overdue, and
+  // another of the round may still be answered.
   template<class outcome>
   bool Counts(const outcome& aOutcome, const sent_call& aSent) const
   {
--- a/thornhollow/discovery/source_follower.cc
+++ b/thornhollow/discovery/source_follower.cc
@@ -97,7 +97,9 @@
 void
 source_follower::NoteDelay(duration aDelay)
 {
-  mLongestDelay = std::max(aDelay, mLongestDelay / 2);
+  // One answer that was late by far doesn't make the next ones be waited for.
+  mLongestDelay =
+    std::max(std::min(aDelay, mSettings.mMostPatience), mLongestDelay / 2);
 }
 
 // What ends all instances' watches at once, such as news, begins them together
--- a/thornhollow/discovery/source_follower.h
+++ b/thornhollow/discovery/source_follower.h
@@ -94,7 +94,7 @@
   // within bounds.
   duration mPatienceMargin = Milliseconds(100);
   duration mLeastPatience = Milliseconds(150);
-  duration mMostPatience = Milliseconds(800);
+  duration mMostPatience = Milliseconds(600);
   // While the source fails: between calls, for each instance of the domain,
   // within bounds. A large fleet's calls stay below what the source bears.
   duration mAskEveryForEach = Milliseconds(50);
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -100,6 +100,7 @@
       for (instance& each : mInstances) {
         Step(each);
       }
+      NoteHeld();
     }
   }
 
@@ -235,7 +236,6 @@
       aOne.mNextTick = mNow + kTickEvery;
       Tick(aOne);
     }
-    NoteHeld(aOne);
   }
 
   void Ask(link& aLink, const source_call& aCall)
@@ -352,13 +352,15 @@
       aOne.mSourceFailsUntil = mNow + kTellsOfFailure;
     }
     aOne.mPeers->Reads(mNow < aOne.mSourceFailsUntil, mNow);
+    const watch_turn turn = aOne.mPeers->Turn();
+    const bool peerFails = aOne.mPeers->SourceFailsElsewhere(mNow);
     for (link& each : aOne.mLinks) {
-      each.mFollower.SetTurn(aOne.mPeers->Turn());
+      each.mFollower.SetTurn(turn);
       AskBesideOverdue(each);
       if (std::ranges::any_of(aOne.mLinks, fails)) {
         Doubt(each, watch_doubt::kOtherCallFails);
       }
-      if (aOne.mPeers->SourceFailsElsewhere(mNow)) {
+      if (peerFails) {
         Doubt(each, watch_doubt::kPeerFails);
       }
     }
@@ -435,22 +437,22 @@
     return items.empty() ? 0 : items.front().mRevision;
   }
 
-  void NoteHeld(const instance& aOne)
+  void NoteHeld()
   {
-    if (&aOne != &mInstances.back()) {
-      return;
-    }
-    std::uint64_t all = Holds(aOne);
-    for (const instance& each : mInstances) {
-      all = std::min(all, Holds(each));
-    }
     for (change& each : mChanges) {
-      if (!each.mHeldByAll && each.mRevision <= all) {
+      if (!each.mHeldByAll && HeldByAll(each.mRevision)) {
         each.mHeldByAll = mNow;
       }
     }
   }
 
+  bool HeldByAll(std::uint64_t aRevision) const
+  {
+    return std::ranges::all_of(mInstances, [aRevision](const instance& aOne) {
+      return Holds(aOne) >= aRevision;
+    });
+  }
+
   fleet_shape mShape;
   time_point mStart = time_point() + Seconds(1'000);
   time_point mNow = mStart;
