--- a/thornhollow/fleet/silent_source_test.cc
+++ b/thornhollow/fleet/silent_source_test.cc
@@ -39,13 +39,14 @@
 
 // A fleet of any shape, with silences of 0.3 to 30 s that begin at any moment
 // after a change, changes while they last and up to two seconds after them.
+// With `aStops` one instance is gone shortly before or during each silence.
 struct drawn_fleet
 {
   std::mt19937_64 mRandom;
   silent_source_fleet mFleet;
   duration mAt = kSettled;
 
-  drawn_fleet(const fleet_shape& aShape, std::uint64_t aSeed)
+  drawn_fleet(const fleet_shape& aShape, std::uint64_t aSeed, bool aStops)
     : mRandom(aSeed)
     , mFleet(aShape, aSeed)
   {
@@ -54,7 +55,12 @@
       mFleet.CutOff(static_cast<int>(domain), Between(0, 20));
     }
     const std::uint64_t silences = 1 + mRandom() % 3;
+    const int instances = aShape.mDomains * aShape.mPerDomain;
     for (std::uint64_t each = 0; each < silences; ++each) {
+      if (aStops) {
+        const auto gone = mRandom() % static_cast<unsigned>(instances);
+        mFleet.Stop(static_cast<int>(gone), mAt + Between(-3, 8));
+      }
       DrawSilence();
     }
     mFleet.Run(mAt + Seconds(8));
@@ -88,10 +94,10 @@
 };
 
 void
-CheckSeeds(const fleet_shape& aShape, std::uint64_t aSeeds)
+CheckSeeds(const fleet_shape& aShape, std::uint64_t aSeeds, bool aStops = false)
 {
   for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
-    const drawn_fleet condition(aShape, seed);
+    const drawn_fleet condition(aShape, seed, aStops);
     const change_delay result = condition.mFleet.Worst();
     INFO("seed ", seed, ", acknowledged at ", ToSeconds(result.mAcknowledged));
     CHECK(ToSeconds(result.mTook) <=
@@ -109,6 +115,12 @@
   CheckSeeds({ .mDomains = 4, .mPerDomain = 2 }, 60);
 }
 
+// Whose turn it is may be gone.
+TEST_CASE("silent_source/instances_stop/every_change_is_in_force_in_time")
+{
+  CheckSeeds({ .mDomains = 3, .mPerDomain = 2 }, 60, true);
+}
+
 TEST_CASE("silent_source/source_is_slow/every_change_is_in_force_in_time")
 {
   CheckSeeds({ .mDomains = 3, .mPerDomain = 2, .mLatency = Milliseconds(200) },
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -91,6 +91,12 @@
     mCutFrom = mStart + aFrom;
   }
 
+  // The instance is gone from then on, without a word.
+  void Stop(int aInstance, duration aAt)
+  {
+    mInstances.at(static_cast<std::size_t>(aInstance)).mStopsAt = mStart + aAt;
+  }
+
   void Run(duration aUntil)
   {
     std::ranges::stable_sort(
@@ -170,6 +176,7 @@
     std::vector<link> mLinks;
     time_point mSourceFailsUntil{};
     time_point mNextTick{};
+    time_point mStopsAt = time_point::max();
   };
 
   void Add(int aDomain, int aEach, std::uint64_t aSeed)
@@ -205,6 +212,8 @@
     mInstances.push_back(std::move(one));
   }
 
+  bool Stopped(const instance& aOne) const { return mNow >= aOne.mStopsAt; }
+
   // Whether the source is silent at some moment of the two and between.
   bool Silent(time_point aFrom, time_point aUntil) const
   {
@@ -224,6 +233,9 @@
 
   void Step(instance& aOne)
   {
+    if (Stopped(aOne)) {
+      return;
+    }
     for (link& each : aOne.mLinks) {
       if (LookForAnswers(each)) {
         Tell(aOne, aOne.mPeers->OnNews(), false);
@@ -387,7 +399,7 @@
     const bool cut = mCutDomain && mNow >= mCutFrom &&
                      (found->mDomainIndex == *mCutDomain) !=
                        (aFrom.mDomainIndex == *mCutDomain);
-    return cut ? nullptr : &*found;
+    return cut || Stopped(*found) ? nullptr : &*found;
   }
 
   void Tell(instance& aOne, const std::vector<std::string>& aTo, bool aAsk)
@@ -448,8 +460,8 @@
 
   bool HeldByAll(std::uint64_t aRevision) const
   {
-    return std::ranges::all_of(mInstances, [aRevision](const instance& aOne) {
-      return Holds(aOne) >= aRevision;
+    return std::ranges::all_of(mInstances, [&](const instance& aOne) {
+      return Stopped(aOne) || Holds(aOne) >= aRevision;
     });
   }
 
