--- a/thornhollow/discovery/source_follower.h
+++ b/thornhollow/discovery/source_follower.h
@@ -58,7 +58,8 @@
   kOtherCallFails,
   // A peer tells that the source fails there.
   kPeerFails,
-  // A peer told of a change first, and not just now.
+  // A peer's copy had a change that this watch, open for longer than telling of
+  // it takes, hasn't told of.
   kPeerKnewFirst,
 };
 
@@ -75,10 +76,9 @@
   duration mFirstPause = Milliseconds(100);
   duration mLongestPause = Milliseconds(400);
   // Between a watch that told of something and the next, so that what follows
-  // comes in one answer: calls are priced, and engines that join one after the
-  // other would be a call each for every instance. News that stands alone isn't
-  // delayed; other news by an eighth at most of the two seconds in which it
-  // must be known.
+  // comes in one answer: engines that join one after the other would be a call
+  // each for every instance. News that stands alone isn't delayed; other news
+  // by an eighth at most of the two seconds in which it must be known.
   duration mGather = Milliseconds(250);
   // Failing for so long counts as an outage; a shorter one is a cut connection
   // or a refusal of one call, in which no lease lapses.
@@ -149,7 +149,7 @@
                                      time_point aNow);
   // This instance's turn among those that ask the source.
   void SetTurn(const watch_turn& aTurn);
-  // An answer came so long after it was due.
+  // An answer came so long after it was due: what later ones are allowed.
   void NoteDelay(duration aDelay);
 
   // Takes the answer into `aMirror`, appends what changed to `aNews`, and
@@ -194,6 +194,7 @@
   bool mInTurn = false;
   // The next watch is a short one.
   bool mProbing = false;
+  // The last call that a doubt brought.
   std::optional<time_point> mDoubted;
   // Of the answers seen lately, the older the less it counts.
   duration mLongestDelay;
