--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -103,20 +103,23 @@
         [this](error_kind aKind) {
           return mDispatcher.AnswerUnreadable(aKind);
         })
-    , mDocument(
-        aIo,
-        *mAdapter.mSource,
-        mAdapter.mDocumentPrefix,
-        "configuration",
-        { [this](const auto& aNews) { OnDocument(aNews); }, [] {}, [] {} },
-        aLog)
+    , mDocument(aIo,
+                *mAdapter.mSource,
+                mAdapter.mDocumentPrefix,
+                "configuration",
+                { [this](const auto& aNews) { OnDocument(aNews); },
+                  [] {},
+                  [] {},
+                  [] {} },
+                aLog)
     , mEndpoints(aIo,
                  *mAdapter.mSource,
                  mAdapter.mEndpointPrefix,
                  "endpoints",
                  { [this](const auto& aNews) { OnEndpoints(aNews); },
                    [this] { mRoster.OnSourceLost(); },
-                   [this] { mRoster.OnSourceRegained(Now()); } },
+                   [this] { mRoster.OnSourceRegained(Now()); },
+                   [this] { mRoster.OnSourceLeft(); } },
                  aLog)
     , mRoster(roster_settings{})
     , mPeers(aIo, aSettings, PeerListener(), aLog, mMetrics)
@@ -166,6 +169,10 @@
       return known_revisions{ mDocument.Mirror().At(),
                               mEndpoints.Mirror().At() };
     };
+    listener.mTold = [this] {
+      return known_revisions{ mDocument.Mirror().ChangedAt(),
+                              mEndpoints.Mirror().ChangedAt() };
+    };
     listener.mSourceFails = [this] { return Now() < mSourceFailsUntil; };
     listener.mWork = [this] { return OwnWork(); };
     listener.mDemand = [this] {
@@ -200,6 +207,9 @@
       return answer;
     }
     answer.mAt = mirror.At();
+    if (aAsked.mWhich == copied_items::kEndpoints) {
+      answer.mSourceBackFor = mRoster.RegainedFor(Now());
+    }
     if (auto changes = mirror.Since(aAsked.mAfter)) {
       answer.mChangesOnly = true;
       answer.mItems = std::move(*changes);
@@ -214,6 +224,10 @@
   void TakeCopy(const items_request& aAsked, const items_answer& aCopy)
   {
     source_link& link = LinkOf(aCopy.mWhich);
+    // Who reads the source has seen for itself whether it was away.
+    if (aCopy.mSourceBackFor && !mReads) {
+      mRoster.OnToldRegained(Now() - *aCopy.mSourceBackFor);
+    }
     if (aCopy.mChangesOnly) {
       link.OnPeerChanges(aCopy.mItems, aAsked.mAfter, aCopy.mAt);
       return;
@@ -245,9 +259,9 @@
       mSourceFailsUntil = aNow + kLeaveSourceFor;
     }
     mReads = mPeers.Reads(aNow);
-    const watch_turn turn = mPeers.Turn();
+    const watch_turn turn = mPeers.Turn(aNow);
     for (source_link* each : { &mDocument, &mEndpoints }) {
-      each->SetReading(mReads);
+      each->SetReading(mReads, mPeers.SourceFailsElsewhere(aNow));
       each->SetTurn(turn);
     }
     DoubtWatches(aNow);
@@ -267,17 +281,6 @@
     }
   }
 
-  // Who doesn't read the source doesn't see its outage. Several leases that end
-  // at once are taken for lapsed ones; endpoints that leave say so one by one.
-  void LookForLapse(const std::vector<item_change>& aNews)
-  {
-    const auto removed = std::ranges::count_if(
-      aNews, [](const item_change& aOne) { return !aOne.mValue.has_value(); });
-    if (!mReads && removed > 1) {
-      mRoster.OnSourceRegained(Now());
-    }
-  }
-
   // What the other instances told of engines' work and of the demand.
   void UsePeers(time_point aNow)
   {
@@ -388,7 +391,6 @@
 
   void OnEndpoints(const std::vector<item_change>& aNews)
   {
-    LookForLapse(aNews);
     for (const item_change& each : aNews) {
       if (each.mValue) {
         OnEntry(each);
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "thornhollow/fleet/copy_requests.h"
+#include "thornhollow/fleet/large_copies.h"
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/peer_transport.h"
 
@@ -68,7 +69,9 @@
   void Tick(time_point aNow)
   {
     const std::size_t before = mAlive;
-    Tell(mPeers.Tick(aNow), mPeers.Alive() == 0);
+    const hello_round round = mPeers.Tick(aNow);
+    Tell(round.mWhole, mPeers.Alive() == 0);
+    TellBriefly(round.mBrief);
     mAlive = mPeers.Alive();
     if (mAlive != before) {
       mLog.Write(log_level::kInfo,
@@ -79,15 +82,18 @@
     AskIfBehind(aNow);
   }
 
-  void OnNews() { Tell(mPeers.OnNews(), false); }
+  void OnNews() { TellBriefly(mPeers.OnNews()); }
 
   bool Reads(time_point aNow)
   {
-    const bool reads = mPeers.Reads(mListener.mSourceFails(), aNow);
-    if (reads != std::exchange(mReads, reads)) {
+    mReads = mPeers.Reads(aNow);
+    const bool behind = !mReads && mRequests.NeedsSource(aNow);
+    const bool reads = mReads || behind;
+    if (reads != std::exchange(mAsksSource, reads)) {
       mLog.Write(log_level::kInfo,
                  "source_reading",
                  { { "reads", std::int64_t{ reads } },
+                   { "behind_peers", std::int64_t{ behind } },
                    { "alive", static_cast<std::int64_t>(mPeers.Alive()) } });
     }
     return reads;
@@ -101,10 +107,8 @@
     if (aTo.empty()) {
       return;
     }
-    relay_hello hello;
-    hello.mAddress = mSettings.mPeerAddress;
-    hello.mDomain = mSettings.mDomain;
-    hello.mKnown = mListener.mKnown();
+    relay_hello hello = BriefHello();
+    hello.mBrief = false;
     hello.mPeers = mPeers.SomePeers();
     hello.mWork = mListener.mWork();
     if (hello.mWork.size() > kMostWork) {
@@ -119,8 +123,30 @@
     }
     hello.mDemand = mListener.mDemand();
     hello.mWantsAnswer = aWantAnswer;
+    Send(hello, aTo);
+  }
+
+  void TellBriefly(const std::vector<std::string>& aTo)
+  {
+    if (!aTo.empty()) {
+      Send(BriefHello(), aTo);
+    }
+  }
+
+  relay_hello BriefHello() const
+  {
+    relay_hello hello;
+    hello.mBrief = true;
+    hello.mAddress = mSettings.mPeerAddress;
+    hello.mDomain = mSettings.mDomain;
+    hello.mKnown = mListener.mTold();
     hello.mSourceFails = mListener.mSourceFails();
-    const std::string bytes = EncodeHello(hello);
+    return hello;
+  }
+
+  void Send(const relay_hello& aHello, const std::vector<std::string>& aTo)
+  {
+    const std::string bytes = EncodeHello(aHello);
     for (const std::string& each : aTo) {
       mTransport.SendDatagram(each, bytes);
       mMetrics.OnControlBytes("peers", bytes.size());
@@ -147,15 +173,34 @@
       mMetrics.OnEvent("peer_request_refused");
       return std::nullopt;
     }
-    return EncodeItemsAnswer(mListener.mOnAsked(*request));
+    const items_answer answer = mListener.mOnAsked(*request);
+    if (!mLargeCopies.Gives(CopyBytes(answer), Now())) {
+      mMetrics.OnEvent("peer_copy_put_off");
+      return EncodeItemsAnswer({ answer.mWhich, 0, false, {} });
+    }
+    return EncodeItemsAnswer(answer);
+  }
+
+  static std::size_t CopyBytes(const items_answer& aAnswer)
+  {
+    std::size_t bytes = 0;
+    for (const item_change& each : aAnswer.mItems) {
+      bytes += each.mKey.size() + each.mValue.value_or("").size();
+    }
+    return bytes;
   }
 
   void AskIfBehind(time_point aNow)
   {
     const known_revisions mine = mListener.mKnown();
     if (const auto from = mRequests.Tick(mPeers, mine, mReads, aNow)) {
-      Ask(*from, { copied_items::kConfiguration, mine.mConfiguration });
-      Ask(*from, { copied_items::kEndpoints, mine.mEndpoints });
+      if (from->mConfiguration) {
+        Ask(from->mAddress,
+            { copied_items::kConfiguration, mine.mConfiguration });
+      }
+      if (from->mEndpoints) {
+        Ask(from->mAddress, { copied_items::kEndpoints, mine.mEndpoints });
+      }
     }
   }
 
@@ -187,8 +232,11 @@
   relay_peers mPeers;
   peer_transport mTransport;
   std::size_t mAlive = 0;
+  // Reads the source for its domain, and asks it for whatever reason.
   bool mReads = true;
+  bool mAsksSource = true;
   copy_requests mRequests{ copy_request_settings{} };
+  large_copies mLargeCopies;
   std::size_t mWorkTurn = 0;
 };
 
@@ -244,9 +292,9 @@
 }
 
 watch_turn
-relay_peer_link::Turn() const
+relay_peer_link::Turn(time_point aNow) const
 {
-  return mCore->Peers().Turn();
+  return mCore->Peers().Turn(aNow);
 }
 
 bool
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -32,7 +32,9 @@
 
 struct relay_peer_listener
 {
+  // Up to which the copies here are complete, and of their last changes.
   std::function<known_revisions()> mKnown;
+  std::function<known_revisions()> mTold;
   // The source doesn't answer this instance.
   std::function<bool()> mSourceFails;
   std::function<std::vector<endpoint_work>()> mWork;
@@ -59,14 +61,14 @@
   result<void> Open();
   void Tick(time_point aNow);
   void OnNews();
-  // Whether this instance is to read the source.
+  // Whether this instance is to ask the source.
   bool Reads(time_point aNow);
 
   // See fleet/relay_peers.h.
   std::size_t Count(time_point aNow) const;
   std::size_t Alive() const;
   // This instance's turn among those of its domain that ask the source.
-  watch_turn Turn() const;
+  watch_turn Turn(time_point aNow) const;
   bool SourceFailsElsewhere(time_point aNow) const;
   std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
   std::map<pool_name, pool_view> OthersViews(time_point aNow) const;
--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -30,17 +30,20 @@
   {
   }
 
-  void SetReading(bool aReads)
+  void SetReading(bool aReads, bool aMayBeAway)
   {
     if (std::exchange(mReads, aReads) == aReads) {
       return;
     }
+    if (aReads && aMayBeAway) {
+      NoteLost();
+    }
     if (aReads && mIdle) {
       Restart();
     }
     if (!aReads) {
       mFollower.StopAsking();
-      NoteRegained();
+      NoteLeft();
     }
   }
 
@@ -89,14 +92,8 @@
     if (mReads && mNewest && aNow >= mNewest->mOverdueAt) {
       AskBesideOverdue(aNow);
     }
-    if (!mLost && mFollower.InOutage(aNow)) {
-      mLost = true;
-      mLog.Write(log_level::kWarning,
-                 "source_lost",
-                 { { "what", mWhat },
-                   { "at", static_cast<std::int64_t>(mMirror.At()) },
-                   { "answer_age_ms", AnswerAgeMs() } });
-      mListener.mOnLost();
+    if (mFollower.InOutage(aNow)) {
+      NoteLost();
     }
   }
 
@@ -262,17 +259,43 @@
     }
   }
 
+  void NoteLost()
+  {
+    if (std::exchange(mLost, true)) {
+      return;
+    }
+    mLog.Write(log_level::kWarning,
+               "source_lost",
+               { { "what", mWhat },
+                 { "at", static_cast<std::int64_t>(mMirror.At()) },
+                 { "answer_age_ms", AnswerAgeMs() } });
+    mListener.mOnLost();
+  }
+
   void NoteRegained()
   {
     if (!mLost || mFollower.Failing()) {
       return;
     }
     mLost = false;
+    LogState("source_regained");
+    mListener.mOnRegained();
+  }
+
+  void NoteLeft()
+  {
+    if (std::exchange(mLost, false)) {
+      LogState("source_left_to_peers");
+      mListener.mOnLeft();
+    }
+  }
+
+  void LogState(std::string_view aEvent)
+  {
     mLog.Write(
       log_level::kInfo,
-      "source_regained",
+      aEvent,
       { { "what", mWhat }, { "at", static_cast<std::int64_t>(mMirror.At()) } });
-    mListener.mOnRegained();
   }
 
   // One line for each reason in a series of failures: a line for each call of
@@ -389,9 +412,9 @@
 }
 
 void
-source_link::SetReading(bool aReads)
+source_link::SetReading(bool aReads, bool aMayBeAway)
 {
-  mCore->SetReading(aReads);
+  mCore->SetReading(aReads, aMayBeAway);
 }
 
 void
--- a/thornhollow/daemon/source_link.h
+++ b/thornhollow/daemon/source_link.h
@@ -32,6 +32,8 @@
   // The source began to fail for good, and answers again.
   std::function<void()> mOnLost;
   std::function<void()> mOnRegained;
+  // It failed and isn't asked any more: whether it answers again isn't known.
+  std::function<void()> mOnLeft;
 };
 
 class source_link
@@ -52,8 +54,10 @@
   // An answer on its way is worth nothing any more: asks anew at once.
   void Restart();
   // Whether the source is asked at all; what is on its way is still taken.
-  // Peers tell of news meanwhile.
-  void SetReading(bool aReads);
+  // Peers tell of news meanwhile. `aMayBeAway`: the source doesn't answer
+  // others, so that one that begins to ask it counts it as lost until its first
+  // answer.
+  void SetReading(bool aReads, bool aMayBeAway);
   // Asks beside the watch on its way, which may never be answered.
   void OnDoubt(watch_doubt aWhy, time_point aNow);
   // This instance's turn among those that ask the source.
--- a/thornhollow/discovery/endpoint_roster.cc
+++ b/thornhollow/discovery/endpoint_roster.cc
@@ -63,6 +63,30 @@
   }
 }
 
+void
+endpoint_roster::OnSourceLeft()
+{
+  mSourceLost = false;
+}
+
+void
+endpoint_roster::OnToldRegained(time_point aThen)
+{
+  if (!mRegained || aThen - *mRegained >= mSettings.mSameReturn) {
+    OnSourceRegained(aThen);
+  }
+}
+
+std::optional<duration>
+endpoint_roster::RegainedFor(time_point aNow) const
+{
+  if (mSourceLost || !mRegained ||
+      aNow - *mRegained >= mSettings.mReturnWindow) {
+    return std::nullopt;
+  }
+  return aNow - *mRegained;
+}
+
 roster_changes
 endpoint_roster::Tick(time_point aNow)
 {
@@ -82,6 +106,12 @@
   return changes;
 }
 
+bool
+endpoint_roster::Counts(const endpoint_name& aName) const
+{
+  return mRecords.contains(aName);
+}
+
 std::vector<listed_endpoint>
 endpoint_roster::Endpoints() const
 {
--- a/thornhollow/discovery/endpoint_roster.h
+++ b/thornhollow/discovery/endpoint_roster.h
@@ -12,6 +12,13 @@
 // is missing right after an outage keeps its endpoint for as long as a live one
 // needs to come back, and only then counts as gone.
 //
+// Guards against taking endpoints that leave for lapsed ones, where others read
+// the source: a copy from a peer holds the changes of some hundred
+// milliseconds, and the leaving of several endpoints in it looks like leases
+// that ended at once. It shows as work sent to endpoints seconds after they
+// left. So it isn't guessed from the number of removals: the peer tells when
+// the source came back.
+//
 // Guards against a restart under the same name: the new process holds and knows
 // nothing of before. It shows as a later start time, and is reported as the old
 // lifetime's end and a new one's beginning.
@@ -87,6 +94,10 @@
   // end; a tenth less, so that a removal that was real is acted on within two
   // seconds of the source's return as well.
   duration mReturnWindow = Milliseconds(1800);
+  // Two peers' words of one return differ by the time that they took to come;
+  // a return that is told of as later by less than this is the same one, or
+  // the window would grow with each word.
+  duration mSameReturn = Seconds(1);
 
   friend bool operator==(const roster_settings&,
                          const roster_settings&) = default;
@@ -108,12 +119,22 @@
   void OnSourceLost();
   // The source answers again.
   void OnSourceRegained(time_point aNow);
+  // The source isn't asked from here any more, whether it answers or not: peers
+  // tell what it lists, and when it came back from an outage.
+  void OnSourceLeft();
+  // A peer told that the source came back from an outage at `aThen`.
+  void OnToldRegained(time_point aThen);
+  // How long ago the source came back from an outage, for peers that don't ask
+  // it themselves; nothing once no lapsed entry can be missing for that reason.
+  std::optional<duration> RegainedFor(time_point aNow) const;
 
   // Removes what is missing for too long. To be called every 100 ms.
   roster_changes Tick(time_point aNow);
 
   // By name, those that still count though they are missing included.
   std::vector<listed_endpoint> Endpoints() const;
+  // Whether it is one of them.
+  bool Counts(const endpoint_name& aName) const;
 
 private:
   struct record
--- a/thornhollow/discovery/endpoint_roster_test.cc
+++ b/thornhollow/discovery/endpoint_roster_test.cc
@@ -28,6 +28,54 @@
   }
 };
 
+// Guards against leaving endpoints that get work on, where others read the
+// source and several leave within one copy.
+TEST_CASE_FIXTURE(roster_with_two,
+                  "endpoint_roster/two_removed_at_once/both_are_gone_at_once")
+{
+  CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow).size() == 1);
+  CHECK(mRoster.OnRemoved(endpoint_name("b"), mNow).size() == 1);
+}
+
+// Guards against dropping live endpoints where others read the source, whose
+// outage isn't seen here.
+TEST_CASE_FIXTURE(roster_with_two,
+                  "endpoint_roster/told_of_an_outage/lapsed_ones_count_on")
+{
+  mRoster.OnToldRegained(mNow - Milliseconds(300));
+  CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow).empty());
+  CHECK(mRoster.Counts(endpoint_name("a")));
+  mNow += Milliseconds(1'600);
+  CHECK(mRoster.Tick(mNow).size() == 1);
+}
+
+// Guards against a window that grows with each peer's word of one return.
+TEST_CASE_FIXTURE(roster_with_two,
+                  "endpoint_roster/told_twice_of_one_outage/window_stays")
+{
+  const time_point begun = mNow;
+  mRoster.OnToldRegained(begun);
+  CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow).empty());
+  for (int hop = 1; hop <= 5; ++hop) {
+    mRoster.OnToldRegained(begun + hop * Milliseconds(150));
+  }
+  CHECK(mRoster.RegainedFor(begun + Seconds(1)) == Seconds(1));
+  CHECK(mRoster.Tick(begun + Milliseconds(1'800)).size() == 1);
+  CHECK_FALSE(mRoster.RegainedFor(begun + Milliseconds(1'800)));
+}
+
+// Guards against a return that nobody saw: an instance that leaves a failing
+// source to others doesn't know when it answers again.
+TEST_CASE_FIXTURE(roster_with_two,
+                  "endpoint_roster/source_left_to_peers/no_return_is_told")
+{
+  mRoster.OnSourceLost();
+  CHECK_FALSE(mRoster.RegainedFor(mNow));
+  mRoster.OnSourceLeft();
+  CHECK_FALSE(mRoster.RegainedFor(mNow));
+  CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow).size() == 1);
+}
+
 TEST_CASE_FIXTURE(roster_with_two, "endpoint_roster/removed/is_gone_at_once")
 {
   const auto changes = mRoster.OnRemoved(endpoint_name("a"), mNow);
--- a/thornhollow/discovery/item_mirror.cc
+++ b/thornhollow/discovery/item_mirror.cc
@@ -34,6 +34,9 @@
     }
   }
   Remember(changes, mListed ? mAt : aAt, aAt, true);
+  if (!mListed || !changes.empty()) {
+    mChangedAt = aAt;
+  }
   mListed = true;
   mAt = aAt;
   return changes;
@@ -63,6 +66,8 @@
                   bool aEndsOnly)
 {
   std::vector<item_change> news;
+  // With removals of what wasn't held here: a peer may hold it.
+  std::vector<item_change> told;
   for (const item_change& each : aChanges) {
     if (each.mRevision <= mAt) {
       continue;
@@ -71,6 +76,7 @@
     if (found != mItems.end() && found->second.mRevision >= each.mRevision) {
       continue;
     }
+    told.push_back(each);
     if (each.mValue) {
       mItems[each.mKey] = { *each.mValue, each.mRevision };
     } else if (mItems.erase(each.mKey) == 0) {
@@ -78,8 +84,11 @@
     }
     news.push_back(each);
   }
-  Remember(news, mAt, aAt, aEndsOnly);
+  Remember(told, mAt, aAt, aEndsOnly);
   mAt = std::max(mAt, aAt);
+  if (!told.empty()) {
+    mChangedAt = mAt;
+  }
   return news;
 }
 
--- a/thornhollow/discovery/item_mirror.h
+++ b/thornhollow/discovery/item_mirror.h
@@ -68,6 +68,9 @@
   bool Listed() const { return mListed; }
   // The source's revision up to which the copy is complete; 0 before.
   std::uint64_t At() const { return mAt; }
+  // The same as of the last change that the copy took: a peer whose copy is
+  // complete up to there lacks nothing that is here.
+  std::uint64_t ChangedAt() const { return mChangedAt; }
   std::size_t size() const { return mItems.size(); }
   std::vector<source_item> Items() const;
 
@@ -87,6 +90,7 @@
 
   bool mListed = false;
   std::uint64_t mAt = 0;
+  std::uint64_t mChangedAt = 0;
   std::map<std::string, held> mItems;
 
   // Changes remembered: minutes of those of a large site.
--- a/thornhollow/discovery/item_mirror_test.cc
+++ b/thornhollow/discovery/item_mirror_test.cc
@@ -48,6 +48,35 @@
   CHECK(mMirror.Items() == std::vector<source_item>{ { "a", "3", 11 } });
 }
 
+// Guards against an item that a peer keeps for good: it came and went in one
+// step of this copy, and the peer had heard of its coming only.
+TEST_CASE_FIXTURE(mirror_with_two_items,
+                  "item_mirror/removal_of_what_is_not_held/is_told_to_peers")
+{
+  item_mirror peer;
+  peer.OnListing({ { "a", "1", 5 }, { "b", "2", 7 }, { "c", "4", 11 } }, 11);
+  CHECK(mMirror.OnChanges({ { "c", std::nullopt, 12 } }, 12).empty());
+  CHECK(mMirror.ChangedAt() == 12);
+  const auto since = mMirror.Since(peer.At());
+  REQUIRE(since.has_value());
+  CHECK(peer.OnPeerChanges(*since, 11, mMirror.At()).size() == 1);
+  CHECK(peer.Items() == mMirror.Items());
+}
+
+// Guards against questions for copies without news, each time that a reader's
+// watch ends.
+TEST_CASE_FIXTURE(mirror_with_two_items,
+                  "item_mirror/source_moves_on_without_news/last_change_stays")
+{
+  CHECK(mMirror.ChangedAt() == 10);
+  mMirror.OnChanges({}, 20);
+  mMirror.OnListing({ { "a", "1", 5 }, { "b", "2", 7 } }, 25);
+  CHECK(mMirror.At() == 25);
+  CHECK(mMirror.ChangedAt() == 10);
+  mMirror.OnChanges({ { "a", "3", 30 } }, 31);
+  CHECK(mMirror.ChangedAt() == 31);
+}
+
 TEST_CASE_FIXTURE(mirror_with_two_items,
                   "item_mirror/changes_since/make_another_copy_equal")
 {
--- a/thornhollow/fleet/copy_requests.h
+++ b/thornhollow/fleet/copy_requests.h
@@ -2,15 +2,21 @@
 //
 //   copy_requests requests(copy_request_settings{});
 //   if (const auto from = requests.Tick(peers, mine, reads, now)) {
-//     ... ask it for its copies ...
+//     ... ask it for the copies that it has later revisions of ...
 //   }
 //
 // Guards against news that reaches some instances only: the source turns this
 // one away, or its open watch will never answer. It shows as a copy that stays
 // behind a peer's for longer than the source's own word takes.
+//
+// Guards against peers that know but can't tell in time: a large copy that many
+// ask for, a peer's link that is full or cut. It shows as a copy that stays
+// behind though it is asked for again and again; the instance then asks the
+// source, as if nobody read it for all.
 #ifndef THORNHOLLOW_FLEET_COPY_REQUESTS_H_
 #define THORNHOLLOW_FLEET_COPY_REQUESTS_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -26,6 +32,10 @@
   duration mBehindFor = Milliseconds(250);
   // Between two questions while still behind.
   duration mAskEvery = Milliseconds(250);
+  // Behind the same revision for so long: two questions were in vain. Of the
+  // two seconds in which a change must be in force, the rest is for the
+  // source's answer and for reading it.
+  duration mAskSourceAfter = Milliseconds(700);
 
   friend bool operator==(const copy_request_settings&,
                          const copy_request_settings&) = default;
@@ -39,18 +49,26 @@
   {
   }
 
-  // The address of the peer to ask now, if any. To be called every 100 ms.
+  // The peer to ask now, if any, and for which copies. To be called every 100
+  // ms.
   // `aReads`: this instance asks the source itself; else it is told of nothing
   // by it, and asks a peer at once.
-  std::optional<std::string> Tick(const relay_peers& aPeers,
+  std::optional<better_copy> Tick(const relay_peers& aPeers,
                                   const known_revisions& aMine,
                                   bool aReads,
                                   time_point aNow);
 
+  // Whether peers were asked in vain for so long that this instance is to ask
+  // the source itself.
+  bool NeedsSource(time_point aNow) const;
+
 private:
   copy_request_settings mSettings;
+  // Since when a peer is known to hold `mBehindOf`.
   std::optional<time_point> mBehindSince;
+  known_revisions mBehindOf;
   time_point mNextAsk{};
+  std::uint64_t mAttempt = 0;
 };
 
 } // namespace thornhollow
--- a/thornhollow/fleet/copy_requests_test.cc
+++ b/thornhollow/fleet/copy_requests_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 const domain_name kHall("hall");
+const better_copy kConfiguration{ "peer", { 34, 34 }, true, false };
 
 // One peer, which knows revision 34 of both copies.
 struct one_peer_that_knows_more
@@ -23,7 +24,7 @@
     mPeers.OnHello(hello, mNow);
   }
 
-  std::optional<std::string> After(duration aLater,
+  std::optional<better_copy> After(duration aLater,
                                    const known_revisions& aMine,
                                    bool aReads)
   {
@@ -37,9 +38,9 @@
   const known_revisions mine{ 29, 34 };
   CHECK_FALSE(After(duration::zero(), mine, true));
   CHECK_FALSE(After(Milliseconds(200), mine, true));
-  CHECK(After(Milliseconds(300), mine, true) == "peer");
+  CHECK(After(Milliseconds(300), mine, true) == kConfiguration);
   CHECK_FALSE(After(Milliseconds(400), mine, true));
-  CHECK(After(Milliseconds(600), mine, true) == "peer");
+  CHECK(After(Milliseconds(600), mine, true) == kConfiguration);
 }
 
 TEST_CASE_FIXTURE(one_peer_that_knows_more,
@@ -53,7 +54,38 @@
 TEST_CASE_FIXTURE(one_peer_that_knows_more,
                   "copy_requests/no_reader_behind/asks_at_once")
 {
-  CHECK(After(duration::zero(), { 29, 34 }, false) == "peer");
+  CHECK(After(duration::zero(), { 29, 34 }, false) == kConfiguration);
+}
+
+// Guards against a configuration that comes into force seconds late, as the
+// peers that have it can't give it to all who ask.
+TEST_CASE_FIXTURE(one_peer_that_knows_more,
+                  "copy_requests/asked_in_vain/the_source_is_asked")
+{
+  const known_revisions mine{ 29, 34 };
+  After(duration::zero(), mine, false);
+  After(Milliseconds(600), mine, false);
+  CHECK_FALSE(mRequests.NeedsSource(mNow + Milliseconds(600)));
+  CHECK(mRequests.NeedsSource(mNow + Milliseconds(700)));
+  After(Milliseconds(700), { 34, 34 }, false);
+  CHECK_FALSE(mRequests.NeedsSource(mNow + Milliseconds(700)));
+}
+
+// Guards against instances that all ask the source in a series of changes, each
+// of which they hear of in time.
+TEST_CASE_FIXTURE(one_peer_that_knows_more,
+                  "copy_requests/behind_another_revision/the_time_begins_anew")
+{
+  After(duration::zero(), { 29, 34 }, false);
+  relay_hello hello;
+  hello.mAddress = "peer";
+  hello.mDomain = kHall;
+  hello.mKnown = { 36, 34 };
+  mPeers.OnHello(hello, mNow + Milliseconds(600));
+  After(Milliseconds(600), { 34, 34 }, false);
+  CHECK_FALSE(mRequests.NeedsSource(mNow + Milliseconds(800)));
+  After(Milliseconds(1'300), { 34, 34 }, false);
+  CHECK(mRequests.NeedsSource(mNow + Milliseconds(1'300)));
 }
 
 } // namespace
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -3,12 +3,25 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "thornhollow/base/hash.h"
 
 namespace thornhollow {
 
+namespace {
+
+void
+KeepOneOfEach(std::vector<std::string>& aAddresses)
+{
+  std::ranges::sort(aAddresses);
+  const auto repeated = std::ranges::unique(aAddresses);
+  aAddresses.erase(repeated.begin(), repeated.end());
+}
+
+} // namespace
+
 std::uint32_t
 WorkKey(const endpoint_name& aEndpoint)
 {
@@ -29,11 +42,12 @@
   std::erase(mSeeds, mOwnAddress);
 }
 
-std::vector<std::string>
+hello_round
 relay_peers::Tick(time_point aNow)
 {
   Forget(aNow);
-  std::vector<std::string> told;
+  hello_round round;
+  std::vector<std::string>& told = round.mWhole;
   if (aNow >= mNextSeeds) {
     mNextSeeds = aNow + mSettings.mSeedInterval;
     for (const std::string& seed : mSeeds) {
@@ -49,55 +63,76 @@
     mNextRound = aNow + Interval();
     std::ranges::move(Draw(), std::back_inserter(told));
   }
-  if (mReads && mSettings.mReaders > 0 && aNow >= mNextAsReader) {
+  if (mReadsForAll && aNow >= mNextAsReader) {
     mNextAsReader = aNow + mSettings.mReaderInterval;
-    std::ranges::move(OwnDomain(), std::back_inserter(told));
+    round.mBrief = OwnDomain();
   }
-  std::ranges::sort(told);
-  told.erase(std::unique(told.begin(), told.end()), told.end());
-  return told;
+  KeepOneOfEach(told);
+  std::erase_if(round.mBrief, [&](const std::string& aOne) {
+    return std::ranges::binary_search(told, aOne);
+  });
+  return round;
 }
 
-bool
-relay_peers::Reads(bool aFails, time_point aNow)
+relay_peers::above
+relay_peers::Above(time_point aNow) const
 {
-  std::size_t ranked = 0;
-  std::size_t inDomain = 1;
+  above found;
   const std::uint64_t own = Hash64(mOwnAddress);
   for (const auto& [address, each] : mPeers) {
     if (each.mHello.mDomain != mOwnDomain) {
       continue;
     }
-    ++inDomain;
-    const bool fit =
-      !each.mHello.mSourceFails && aNow - each.mHeard < mSettings.mForgetAfter;
-    // One that the source answers goes before this one where it fails here.
-    if (fit && (aFails || Hash64(address) > own)) {
-      ++ranked;
+    ++found.mInDomain;
+    if (Hash64(address) <= own) {
+      continue;
+    }
+    ++found.mKnown;
+    if (aNow - each.mHeard < mSettings.mReaderSilent) {
+      ++found.mHeard;
+      found.mAnswered += each.mHello.mSourceFails ? 0 : 1;
     }
   }
-  mReads = AllRead(inDomain) || ranked < mSettings.mReaders;
+  return found;
+}
+
+bool
+relay_peers::Reads(time_point aNow)
+{
+  const above found = Above(aNow);
+  const bool all = AllRead(found.mInDomain);
+  const bool missed = all || (found.mAnswered < mSettings.mReaders &&
+                              found.mHeard < mSettings.mMostReaders);
+  if (!missed) {
+    mMissedSince.reset();
+    mReads = false;
+    mReadsForAll = false;
+    return mReads;
+  }
+  if (!mMissedSince) {
+    mMissedSince = aNow;
+  }
+  const duration stagger =
+    std::min(mSettings.mStagger * static_cast<std::int64_t>(found.mKnown),
+             mSettings.mMostStagger);
+  mReads = mReads || all || aNow - *mMissedSince >= stagger;
+  mReadsForAll = mReads && !all;
   return mReads;
 }
 
 watch_turn
-relay_peers::Turn() const
+relay_peers::Turn(time_point aNow) const
 {
   std::set<domain_name> domains{ mOwnDomain };
-  std::size_t inDomain = 1;
-  std::size_t before = 0;
-  const std::uint64_t own = Hash64(mOwnAddress);
   for (const auto& [address, each] : mPeers) {
     domains.insert(each.mHello.mDomain);
-    if (each.mHello.mDomain == mOwnDomain) {
-      ++inDomain;
-      before += Hash64(address) > own ? 1 : 0;
-    }
   }
+  const above found = Above(aNow);
   const auto place = std::distance(domains.begin(), domains.find(mOwnDomain));
   watch_turn turn;
-  turn.mOf = AllRead(inDomain) ? inDomain : mSettings.mReaders;
-  turn.mPlace = before % turn.mOf;
+  const bool all = AllRead(found.mInDomain);
+  turn.mOf = all ? found.mInDomain : mSettings.mReaders;
+  turn.mPlace = (all ? found.mKnown : found.mHeard) % turn.mOf;
   turn.mPhase =
     static_cast<double>(place + 1) / static_cast<double>(domains.size());
   return turn;
@@ -132,7 +167,12 @@
 std::vector<std::string>
 relay_peers::OnNews()
 {
-  return mReads && mSettings.mReaders > 0 ? OwnDomain() : Draw();
+  std::vector<std::string> told = Draw();
+  if (mReadsForAll) {
+    std::ranges::move(OwnDomain(), std::back_inserter(told));
+    KeepOneOfEach(told);
+  }
+  return told;
 }
 
 std::optional<std::string>
@@ -145,7 +185,7 @@
   if (!known && mPeers.size() >= mSettings.mMaxPeers) {
     return std::nullopt;
   }
-  mPeers[aHello.mAddress] = { aHello, aNow };
+  Hear(mPeers[aHello.mAddress], aHello, aNow);
   mUnheard.erase(aHello.mAddress);
   for (const std::string& each : aHello.mPeers) {
     if (each != mOwnAddress && !mPeers.contains(each) &&
@@ -160,6 +200,21 @@
   return aHello.mWantsAnswer ? std::optional(aHello.mAddress) : std::nullopt;
 }
 
+void
+relay_peers::Hear(peer& aPeer, const relay_hello& aHello, time_point aNow)
+{
+  aPeer.mHeard = aNow;
+  if (!aHello.mBrief) {
+    aPeer.mHello = aHello;
+    aPeer.mToldWork = aNow;
+    return;
+  }
+  aPeer.mHello.mAddress = aHello.mAddress;
+  aPeer.mHello.mDomain = aHello.mDomain;
+  aPeer.mHello.mKnown = aHello.mKnown;
+  aPeer.mHello.mSourceFails = aHello.mSourceFails;
+}
+
 std::vector<std::string>
 relay_peers::SomePeers()
 {
@@ -172,8 +227,10 @@
   return all;
 }
 
-std::optional<std::string>
-relay_peers::WhoKnowsMore(const known_revisions& aMine, time_point aNow) const
+std::optional<better_copy>
+relay_peers::WhoKnowsMore(const known_revisions& aMine,
+                          std::uint64_t aAttempt,
+                          time_point aNow) const
 {
   const peer* best = nullptr;
   for (const auto& [address, each] : mPeers) {
@@ -181,21 +238,33 @@
     const bool more = its.mConfiguration > aMine.mConfiguration ||
                       its.mEndpoints > aMine.mEndpoints;
     const bool fresh = aNow - each.mHeard < mSettings.mFreshFor;
-    if (more && fresh && (best == nullptr || IsBetter(each, *best))) {
+    if (more && fresh && (best == nullptr || IsBetter(each, *best, aAttempt))) {
       best = &each;
     }
   }
-  return best == nullptr ? std::nullopt : std::optional(best->mHello.mAddress);
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  const known_revisions& its = best->mHello.mKnown;
+  return better_copy{ best->mHello.mAddress,
+                      its,
+                      its.mConfiguration > aMine.mConfiguration,
+                      its.mEndpoints > aMine.mEndpoints };
 }
 
-// The nearer one first, then the one that knows more.
+// The nearer one first, then the one that knows more, then another one for each
+// that asks and each time: a reader's news is told to its whole domain at once.
 bool
-relay_peers::IsBetter(const peer& aLeft, const peer& aRight) const
+relay_peers::IsBetter(const peer& aLeft,
+                      const peer& aRight,
+                      std::uint64_t aAttempt) const
 {
-  const auto rank = [this](const peer& aOne) {
-    return std::pair(aOne.mHello.mDomain == mOwnDomain,
-                     aOne.mHello.mKnown.mConfiguration +
-                       aOne.mHello.mKnown.mEndpoints);
+  const std::uint64_t turn = CombineHash(Hash64(mOwnAddress), aAttempt);
+  const auto rank = [&](const peer& aOne) {
+    return std::tuple(aOne.mHello.mDomain == mOwnDomain,
+                      aOne.mHello.mKnown.mConfiguration +
+                        aOne.mHello.mKnown.mEndpoints,
+                      CombineHash(turn, Hash64(aOne.mHello.mAddress)));
   };
   return rank(aLeft) > rank(aRight);
 }
@@ -212,14 +281,15 @@
 bool
 relay_peers::Fresh(const peer& aPeer, time_point aNow) const
 {
-  return aNow - aPeer.mHeard < mSettings.mFreshFor;
+  return aPeer.mToldWork && aNow - *aPeer.mToldWork < mSettings.mFreshFor;
 }
 
 bool
 relay_peers::SourceFailsElsewhere(time_point aNow) const
 {
   return std::ranges::any_of(mPeers, [&](const auto& aOne) {
-    return Fresh(aOne.second, aNow) && aOne.second.mHello.mSourceFails;
+    const peer& its = aOne.second;
+    return aNow - its.mHeard < mSettings.mFreshFor && its.mHello.mSourceFails;
   });
 }
 
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -2,7 +2,7 @@
 // engines lately.
 //
 //   relay_peers peers(relay_peer_settings{}, "10.0.0.1:7", domain, seeds, 1);
-//   Send(peers.Tick(now));                       // every 100 ms
+//   const auto [whole, brief] = peers.Tick(now);  // every 100 ms
 //   Send(peers.OnHello(hello, now));             // for each datagram
 //   if (const auto from = peers.WhoKnowsMore(mine, now)) { ... ask it ... }
 //
@@ -15,11 +15,14 @@
 // tells a bounded number of others, drawn at random; an unknown one that it
 // hears of is told next.
 //
-// In a large failure domain a few instances may read the source for all: those
-// that rank highest by a hash of their addresses, among those that were heard a
-// moment ago and that the source answers. The others hold what readers tell.
+// In a large failure domain a few instances read the source for all: those that
+// rank highest by a hash of their addresses. The others hold what readers tell.
 // The list of endpoints changes every second or two on a site of 90 engines,
-// which would else be a call for each change and instance.
+// which would else be a call for each change and instance. Readers tell their
+// whole domain often that they are there; whoever misses that of enough readers
+// above its rank reads too, those of a lower rank a little later, so that the
+// first ones' word reaches them before. A reader that the source doesn't answer
+// goes on asking, and one more instance reads beside it.
 //
 // Guards against a source that turns this instance away while it serves others:
 // it shows as a configuration that stays behind for this instance only. Peers
@@ -71,7 +74,8 @@
   friend bool operator==(const pool_demand&, const pool_demand&) = default;
 };
 
-// Source revisions up to which an instance's copies are complete.
+// Source revisions: up to which an instance's copies are complete, or, in what
+// it tells, of the last changes that they took.
 struct known_revisions
 {
   std::uint64_t mConfiguration = 0;
@@ -84,6 +88,9 @@
 // What an instance tells of itself.
 struct relay_hello
 {
+  // Without work, demand and peers, of which the last ones told hold on: tells
+  // many at once that it is there, and what it knows.
+  bool mBrief = false;
   // Where it listens, "ip:port".
   std::string mAddress;
   domain_name mDomain;
@@ -99,6 +106,27 @@
   friend bool operator==(const relay_hello&, const relay_hello&) = default;
 };
 
+// An instance that holds a later revision of some copy.
+struct better_copy
+{
+  std::string mAddress;
+  // What it told, and which of it is later.
+  known_revisions mKnown;
+  bool mConfiguration = false;
+  bool mEndpoints = false;
+
+  friend bool operator==(const better_copy&, const better_copy&) = default;
+};
+
+// Whom to tell, each once.
+struct hello_round
+{
+  std::vector<std::string> mWhole;
+  std::vector<std::string> mBrief;
+
+  friend bool operator==(const hello_round&, const hello_round&) = default;
+};
+
 struct relay_peer_settings
 {
   // Work at engines changes with each prompt, which takes tens of milliseconds
@@ -123,13 +151,21 @@
   std::size_t mTold = 6;
   // Instances of a failure domain that read the source, once it has more than
   // `mAllRead`; 0: all read it. Two or more, so that one can fail unseen for as
-  // long as it takes to notice. Off, as what readers tell comes later, and a
-  // leaving endpoint gets work until it is known.
-  std::size_t mReaders = 0;
+  // long as it takes to notice.
+  std::size_t mReaders = 2;
   std::size_t mAllRead = 6;
-  // A reader tells every instance of its domain this often, or the next in rank
-  // would take it for gone.
+  // So many of a domain read at the most while the source doesn't answer them:
+  // a source that is away for all need not hear from every instance.
+  std::size_t mMostReaders = 6;
+  // A reader tells every instance of its domain this often that it is there.
   duration mReaderInterval = Seconds(1);
+  // A reader that wasn't heard for this long counts as gone: two of its words
+  // may be lost.
+  duration mReaderSilent = Milliseconds(2'600);
+  // For each instance that ranks higher one waits so much longer before it
+  // begins to read, up to `mMostStagger`: a word takes less.
+  duration mStagger = Milliseconds(150);
+  duration mMostStagger = Seconds(3);
   // Instances held; above the 420 of a large fleet.
   std::size_t mMaxPeers = 512;
   // The count of instances is the largest seen for this long, so that a bound
@@ -150,15 +186,14 @@
               std::uint64_t aSeed);
 
   // Addresses that are to be told now.
-  std::vector<std::string> Tick(time_point aNow);
-  // Whether this instance is to read the source. `aFails`: it doesn't answer
-  // here.
-  bool Reads(bool aFails, time_point aNow);
+  hello_round Tick(time_point aNow);
+  // Whether this instance is to read the source. To be called every 100 ms.
+  bool Reads(time_point aNow);
   // This instance's turn among those of its domain that read the source, by
   // which their watches end one after the other.
-  watch_turn Turn() const;
-  // Addresses that are to be told at once: this instance learnt of a newer
-  // revision.
+  watch_turn Turn(time_point aNow) const;
+  // Addresses that are to be told briefly and at once: this instance learnt of
+  // a newer revision.
   std::vector<std::string> OnNews();
   // Takes what another one told; returns the address to answer, if any.
   std::optional<std::string> OnHello(const relay_hello& aHello,
@@ -171,8 +206,10 @@
   // moment ago.
   bool SourceFailsElsewhere(time_point aNow) const;
 
-  // An instance that holds a later revision than `aMine` of either copy.
-  std::optional<std::string> WhoKnowsMore(const known_revisions& aMine,
+  // An instance that holds a later revision than `aMine` of either copy; among
+  // equal ones another for each `aAttempt`.
+  std::optional<better_copy> WhoKnowsMore(const known_revisions& aMine,
+                                          std::uint64_t aAttempt,
                                           time_point aNow) const;
 
   // Instances that run, this one included; 0 while none was heard.
@@ -191,16 +228,33 @@
   {
     relay_hello mHello;
     time_point mHeard{};
+    // Its work and demand were told.
+    std::optional<time_point> mToldWork = std::nullopt;
   };
 
+  static void Hear(peer& aPeer, const relay_hello& aHello, time_point aNow);
+  // Whether its work and demand count.
   bool Fresh(const peer& aPeer, time_point aNow) const;
   // All others for each of those that were heard a moment ago; 0: none was.
   double ForEachFresh(time_point aNow) const;
-  bool IsBetter(const peer& aLeft, const peer& aRight) const;
+  bool IsBetter(const peer& aLeft,
+                const peer& aRight,
+                std::uint64_t aAttempt) const;
   std::vector<std::string> Draw();
   std::vector<std::string> OwnDomain() const;
   // Whether all of a domain of so many read the source.
   bool AllRead(std::size_t aInDomain) const;
+  // Of this instance's domain, those that rank above it.
+  struct above
+  {
+    std::size_t mInDomain = 1;
+    std::size_t mKnown = 0;
+    // Heard a moment ago, as readers are.
+    std::size_t mHeard = 0;
+    // Of these, the ones that the source answers.
+    std::size_t mAnswered = 0;
+  };
+  above Above(time_point aNow) const;
   duration ForgetAfter() const;
   duration Interval() const;
   void Forget(time_point aNow);
@@ -217,6 +271,10 @@
   time_point mNextSeeds{};
   time_point mNextAsReader{};
   bool mReads = true;
+  // It does, and others of its domain don't.
+  bool mReadsForAll = false;
+  // Since when too few readers were heard.
+  std::optional<time_point> mMissedSince;
   std::size_t mMost = 0;
   time_point mMostAt{};
 };
--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -31,7 +32,10 @@
       mSettings, aAddress, kHall, aSeeds, mPeers.size() + 1);
   }
 
-  void Deliver(const std::string& aFrom, const std::string& aTo, bool aAsk)
+  void Deliver(const std::string& aFrom,
+               const std::string& aTo,
+               bool aAsk,
+               bool aBrief = false)
   {
     if (!mPeers.contains(aTo) || mCutOff[aFrom] || mCutOff[aTo]) {
       return;
@@ -41,8 +45,11 @@
     hello.mDomain = kHall;
     hello.mSourceFails = mFails[aFrom];
     hello.mKnown = mKnown[aFrom];
-    hello.mPeers = mPeers[aFrom]->SomePeers();
-    hello.mWork = { { 1, 10, 0 } };
+    hello.mBrief = aBrief;
+    if (!aBrief) {
+      hello.mPeers = mPeers[aFrom]->SomePeers();
+      hello.mWork = { { 1, 10, 0 } };
+    }
     hello.mWantsAnswer = aAsk;
     if (const auto back = mPeers[aTo]->OnHello(hello, mNow)) {
       Deliver(aTo, *back, false);
@@ -54,11 +61,15 @@
     for (const time_point end = mNow + aLength; mNow < end;
          mNow += Milliseconds(100)) {
       for (auto& [address, peers] : mPeers) {
-        peers->Reads(mFails[address], mNow);
+        peers->Reads(mNow);
         const bool ask = peers->Alive() == 0;
-        for (const std::string& to : peers->Tick(mNow)) {
+        const hello_round round = peers->Tick(mNow);
+        for (const std::string& to : round.mWhole) {
           Deliver(address, to, ask);
         }
+        for (const std::string& to : round.mBrief) {
+          Deliver(address, to, false, true);
+        }
       }
     }
   }
@@ -84,11 +95,12 @@
   Add("a", { "b" });
   Add("b", {});
   Run(Seconds(2));
-  CHECK_FALSE(mPeers["a"]->WhoKnowsMore({ 0, 0 }, mNow).has_value());
+  CHECK_FALSE(mPeers["a"]->WhoKnowsMore({ 0, 0 }, 0, mNow).has_value());
   mKnown["b"] = { 5, 0 };
   Run(Seconds(1));
-  CHECK(mPeers["a"]->WhoKnowsMore({ 4, 9 }, mNow) == "b");
-  CHECK_FALSE(mPeers["a"]->WhoKnowsMore({ 5, 9 }, mNow).has_value());
+  CHECK(mPeers["a"]->WhoKnowsMore({ 4, 9 }, 0, mNow) ==
+        better_copy{ "b", { 5, 0 }, true, false });
+  CHECK_FALSE(mPeers["a"]->WhoKnowsMore({ 5, 9 }, 0, mNow).has_value());
 }
 
 TEST_CASE_FIXTURE(hello_fleet, "relay_peers/cut_off/counts_the_fleet_as_it_was")
@@ -156,7 +168,7 @@
   }
   std::size_t result = 0;
   for (int tick = 0; tick < 100; ++tick) {
-    result += subject.Tick(begun + tick * Milliseconds(100)).size();
+    result += subject.Tick(begun + tick * Milliseconds(100)).mWhole.size();
   }
   constexpr std::size_t kBytes = 1'100;
   constexpr std::size_t kSeconds = 10;
@@ -181,7 +193,7 @@
   {
     std::vector<std::string> readers;
     for (auto& [address, peers] : mPeers) {
-      if (peers->Reads(mFails[address], mNow) && !mCutOff[address]) {
+      if (peers->Reads(mNow) && !mCutOff[address]) {
         readers.push_back(address);
       }
     }
@@ -214,14 +226,66 @@
   CHECK(last != next);
 }
 
+// Guards against a domain in which nobody asks the source: each left a failing
+// one to others, which had left it too.
+TEST_CASE_FIXTURE(thirty_in_a_domain,
+                  "relay_peers/readers_turned_away/they_and_as_many_more_read")
+{
+  const std::vector<std::string> first = Readers();
+  for (const std::string& each : first) {
+    mFails[each] = true;
+  }
+  Run(Seconds(3));
+  const std::vector<std::string> result = Readers();
+  CHECK(result.size() == 4);
+  for (const std::string& each : first) {
+    CHECK(std::ranges::count(result, each) == 1);
+  }
+  mFails.clear();
+  Run(Seconds(3));
+  CHECK(Readers() == first);
+}
+
+// Guards against a silent source that all instances of a large fleet ask.
+TEST_CASE_FIXTURE(thirty_in_a_domain,
+                  "relay_peers/source_silent_for_all/few_ask_it")
+{
+  for (auto& [address, peers] : mPeers) {
+    mFails[address] = true;
+  }
+  for (int second = 0; second < 20; ++second) {
+    Run(Seconds(1));
+    CHECK(Readers().size() >= 2);
+    CHECK(Readers().size() <= mSettings.mMostReaders);
+  }
+}
+
+// Guards against work that vanishes from the sums with a reader's brief word.
+TEST_CASE_FIXTURE(hello_fleet,
+                  "relay_peers/brief_hello/work_told_before_counts")
+{
+  Add("a", { "b" });
+  Add("b", {});
+  Run(Seconds(1));
+  Deliver("b", "a", false, true);
+  CHECK(mPeers["a"]->OthersWork(mNow).at(1).mToRead == 10);
+  CHECK(mPeers["a"]->Alive() == 1);
+  // Nor does it make old work count as new.
+  relay_peers& subject = *mPeers["a"];
+  mNow += mSettings.mFreshFor;
+  Deliver("b", "a", false, true);
+  CHECK(subject.OthersWork(mNow).empty());
+}
+
 TEST_CASE_FIXTURE(hello_fleet, "relay_peers/no_readers_set/all_read")
 {
+  mSettings.mReaders = 0;
   for (int each = 0; each < 30; ++each) {
     Add("n" + std::to_string(each), { "n0" });
   }
   Run(Seconds(5));
   for (auto& [address, peers] : mPeers) {
-    CHECK(peers->Reads(false, mNow));
+    CHECK(peers->Reads(mNow));
   }
 }
 
@@ -254,7 +318,7 @@
       hello.mDomain = domain;
       peers.OnHello(hello, time_point());
     }
-    return peers.Turn();
+    return peers.Turn(time_point());
   }
 };
 
--- a/thornhollow/fleet/silent_source_test.cc
+++ b/thornhollow/fleet/silent_source_test.cc
@@ -1,5 +1,6 @@
 #include <cmath>
 #include <cstdint>
+#include <cstdlib>
 #include <random>
 
 #include <doctest/doctest.h>
@@ -93,9 +94,13 @@
   }
 };
 
+// More by hand: THORNHOLLOW_SEARCH_SEEDS.
 void
 CheckSeeds(const fleet_shape& aShape, std::uint64_t aSeeds, bool aStops = false)
 {
+  if (const char* more = std::getenv("THORNHOLLOW_SEARCH_SEEDS")) {
+    aSeeds = std::strtoull(more, nullptr, 10);
+  }
   for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
     const drawn_fleet condition(aShape, seed, aStops);
     const change_delay result = condition.mFleet.Worst();
@@ -144,5 +149,118 @@
         ToSeconds(silent_source_fleet::kInForceWithin));
 }
 
+// Fifteen of thirty endpoints leave, some at the same moment, in five seconds.
+void
+LeaveInSeries(silent_source_fleet& aFleet, std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  std::uniform_real_distribution<double> when(0, 5);
+  for (int each = 0; each < 30; ++each) {
+    aFleet.Join(Seconds(1), each);
+  }
+  for (int each = 0; each < 15; ++each) {
+    const duration at = kSettled + FromSeconds(when(random));
+    aFleet.Leave(each % 3 == 0 ? kSettled + Seconds(2) : at, each);
+  }
+}
+
+// Guards against endpoints that get work for seconds after they left, where
+// others read the source and several leave within one copy.
+TEST_CASE("silent_source/readers_and_leaving_endpoints/all_know_in_time")
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    silent_source_fleet condition(
+      { .mDomains = 3, .mPerDomain = 30, .mReaders = 2, .mLoss = 0.02 }, seed);
+    LeaveInSeries(condition, seed);
+    condition.Run(kSettled + Seconds(10));
+    CHECK(condition.Readers().size() == 6);
+    CHECK(ToSeconds(condition.WorstLeaving().mTook) <=
+          ToSeconds(silent_source_fleet::kInForceWithin));
+  }
+}
+
+// Guards against refusing everything after an outage: the leases of all
+// endpoints lapsed meanwhile, and those that don't read the source must hear
+// that from those that do.
+TEST_CASE("silent_source/readers_and_lapsed_endpoints/all_count_on")
+{
+  silent_source_fleet condition(
+    { .mDomains = 3, .mPerDomain = 30, .mReaders = 2 }, 1);
+  constexpr int kEndpoints = 20;
+  const duration back = kSettled + Seconds(6);
+  condition.Silence(kSettled, back);
+  for (int each = 0; each < kEndpoints; ++each) {
+    condition.Join(Seconds(1), each);
+    condition.Leave(back, each);
+    condition.Join(back + Milliseconds(800 + 40 * each), each);
+  }
+  for (duration at = kSettled; at < back + Seconds(5); at += Milliseconds(50)) {
+    condition.Run(at);
+    for (int each = 0; each < 90; ++each) {
+      REQUIRE(condition.EndpointsOf(each) == kEndpoints);
+    }
+  }
+}
+
+// Guards against a domain without news while nobody has taken the place of its
+// readers yet: instances of other domains tell it.
+TEST_CASE("silent_source/readers_of_a_domain_stop/next_change_is_in_time")
+{
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    CAPTURE(seed);
+    silent_source_fleet condition(
+      { .mDomains = 5, .mPerDomain = 39, .mReaders = 2, .mLoss = 0.02 }, seed);
+    condition.Run(kSettled);
+    for (const int each : condition.Readers()) {
+      if (each < 39) {
+        condition.Stop(each, kSettled);
+      }
+    }
+    condition.Change(kSettled + Milliseconds(100), followed::kConfiguration);
+    condition.Change(kSettled + Milliseconds(900), followed::kConfiguration);
+    condition.Run(kSettled + Seconds(6));
+    CHECK(condition.Readers().size() == 10);
+    CHECK(ToSeconds(condition.Worst().mTook) <=
+          ToSeconds(silent_source_fleet::kInForceWithin));
+  }
+}
+
+// Guards against a configuration of hundreds of kilobytes that none of those
+// who don't read the source gets in time: all ask the few that have it, and
+// each copy takes longer than anybody waits for it.
+TEST_CASE("silent_source/readers_and_a_large_document/it_is_in_force_in_time")
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(seed);
+    silent_source_fleet condition({ .mDomains = 3,
+                                    .mPerDomain = 30,
+                                    .mReaders = 2,
+                                    .mLoss = 0.02,
+                                    .mDocumentBytes = 500'000 },
+                                  seed);
+    LeaveInSeries(condition, seed);
+    condition.Change(kSettled, followed::kConfiguration);
+    condition.Change(kSettled + Seconds(3), followed::kConfiguration);
+    condition.Run(kSettled + Seconds(10));
+    CHECK(ToSeconds(condition.Worst().mTook) <=
+          ToSeconds(silent_source_fleet::kInForceWithin));
+    CHECK(ToSeconds(condition.WorstLeaving().mTook) <=
+          ToSeconds(silent_source_fleet::kInForceWithin));
+  }
+}
+
+TEST_CASE("silent_source/readers/every_change_is_in_force_in_time")
+{
+  CheckSeeds({ .mDomains = 3, .mPerDomain = 30, .mReaders = 2, .mLoss = 0.02 },
+             4);
+}
+
+TEST_CASE("silent_source/readers_that_stop/every_change_is_in_force_in_time")
+{
+  CheckSeeds(
+    { .mDomains = 3, .mPerDomain = 30, .mReaders = 2, .mLoss = 0.02 }, 4, true);
+}
+
 } // namespace
 } // namespace thornhollow
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -16,15 +16,19 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "thornhollow/discovery/endpoint_roster.h"
 #include "thornhollow/discovery/item_mirror.h"
 #include "thornhollow/discovery/source_follower.h"
 #include "thornhollow/fleet/copy_requests.h"
+#include "thornhollow/fleet/large_copies.h"
 #include "thornhollow/fleet/relay_peers.h"
 
 namespace thornhollow {
@@ -41,6 +45,16 @@
   int mPerDomain = 2;
   // An answer of the source takes so long.
   duration mLatency = Milliseconds(10);
+  // Instances of a domain that read the source for all; 0: all of them.
+  std::size_t mReaders = 0;
+  // Part of the hellos that are lost.
+  double mLoss = 0;
+  // From a question for a peer's copy to its answer, or to knowing that none
+  // comes.
+  duration mCopyTakes = Milliseconds(40);
+  // Of the configuration, and what an instance's link carries in a second.
+  double mDocumentBytes = 4'000;
+  double mLinkBytes = 2'500'000;
 
   friend bool operator==(const fleet_shape&, const fleet_shape&) = default;
 };
@@ -62,6 +76,7 @@
 
   silent_source_fleet(const fleet_shape& aShape, std::uint64_t aSeed)
     : mShape(aShape)
+    , mRandom(aSeed)
   {
     for (int domain = 0; domain < aShape.mDomains; ++domain) {
       for (int each = 0; each < aShape.mPerDomain; ++each) {
@@ -81,7 +96,19 @@
   // answers again.
   void Change(duration aAt, followed aWhich)
   {
-    mPlanned.emplace_back(mStart + aAt, aWhich);
+    mPlanned.push_back({ mStart + aAt, aWhich, "item", false });
+  }
+
+  // An endpoint joins, or leaves.
+  void Join(duration aAt, int aEndpoint)
+  {
+    mPlanned.push_back(
+      { mStart + aAt, followed::kEndpoints, NameOf(aEndpoint), false });
+  }
+  void Leave(duration aAt, int aEndpoint)
+  {
+    mPlanned.push_back(
+      { mStart + aAt, followed::kEndpoints, NameOf(aEndpoint), true });
   }
 
   // From then on the domain's instances reach the source and each other only.
@@ -99,8 +126,7 @@
 
   void Run(duration aUntil)
   {
-    std::ranges::stable_sort(
-      mPlanned, {}, &std::pair<time_point, followed>::first);
+    std::ranges::stable_sort(mPlanned, {}, &planned::mAt);
     for (; mNow < mStart + aUntil; mNow += kStep) {
       Publish();
       for (instance& each : mInstances) {
@@ -128,12 +154,53 @@
     return worst;
   }
 
+  // The longest time from the acknowledged leaving of an endpoint until no
+  // instance sends it work; one that some still do took until now.
+  change_delay WorstLeaving() const
+  {
+    change_delay worst;
+    for (const change& each : mChanges) {
+      if (each.mRemoved) {
+        const duration took = each.mHeldByAll.value_or(mNow) - each.mAt;
+        worst = std::max(worst,
+                         { each.mAt - mStart, took },
+                         [](const auto& aOne, const auto& aOther) {
+                           return aOne.mTook < aOther.mTook;
+                         });
+      }
+    }
+    return worst;
+  }
+
+  // Endpoints that the instance sends work to.
+  std::size_t EndpointsOf(int aInstance) const
+  {
+    return mInstances.at(static_cast<std::size_t>(aInstance))
+      .mRoster.Endpoints()
+      .size();
+  }
+
+  // Those that read the source now.
+  std::vector<int> Readers() const
+  {
+    std::vector<int> readers;
+    for (std::size_t each = 0; each < mInstances.size(); ++each) {
+      if (mInstances[each].mReads && !Stopped(mInstances[each])) {
+        readers.push_back(static_cast<int>(each));
+      }
+    }
+    return readers;
+  }
+
   // Calls to the source until now.
   std::size_t Calls() const { return mCalls; }
 
 private:
   static constexpr duration kStep = Milliseconds(10);
   static constexpr duration kTickEvery = Milliseconds(100);
+  // As the daemon does: nobody waits longer for a copy.
+  static constexpr duration kCopyLimit = Milliseconds(600);
+  static constexpr double kEndpointBytes = 300;
   // As the daemon does: what it tells its peers of the source.
   static constexpr duration kTellsOfFailure = Seconds(5);
 
@@ -142,13 +209,30 @@
     time_point mFrom{};
     time_point mUntil{};
   };
+  struct planned
+  {
+    time_point mAt{};
+    followed mWhich{};
+    std::string mKey;
+    bool mRemoved = false;
+  };
   struct change
   {
     followed mWhich{};
+    std::string mKey;
+    bool mRemoved = false;
     std::uint64_t mRevision = 0;
     time_point mAt{};
     std::optional<time_point> mHeldByAll;
   };
+  // A peer's answer on its way.
+  struct copy_on_its_way
+  {
+    std::string mFrom;
+    std::size_t mWhich = 0;
+    std::uint64_t mAsked = 0;
+    time_point mDue{};
+  };
   struct open_call
   {
     source_call mCall;
@@ -163,8 +247,12 @@
     item_mirror mMirror;
     time_point mSendAt{};
     bool mToSend = true;
+    // No call is on its way or due, as others read the source.
+    bool mIdle = false;
     // On their way beside each other, the newest last.
-    std::vector<open_call> mOpen;
+    std::vector<open_call> mOpen = {};
+    // The source has failed for longer than a moment.
+    bool mLost = false;
   };
   struct instance
   {
@@ -177,6 +265,14 @@
     time_point mSourceFailsUntil{};
     time_point mNextTick{};
     time_point mStopsAt = time_point::max();
+    endpoint_roster mRoster{ roster_settings{} };
+    // For its domain, and for whatever reason.
+    bool mReads = true;
+    bool mAsksSource = true;
+    std::vector<copy_on_its_way> mCopies = {};
+    large_copies mLargeCopies = large_copies{};
+    // Its link carries copies until then.
+    time_point mLinkFreeAt{};
   };
 
   void Add(int aDomain, int aEach, std::uint64_t aSeed)
@@ -185,11 +281,13 @@
       "10." + std::to_string(aDomain) + ".0." + std::to_string(aEach) + ":7";
     const domain_name domain("domain-" + std::to_string(aDomain));
     const std::uint64_t seed = aSeed * 10'000 + mInstances.size();
+    relay_peer_settings settings;
+    settings.mReaders = mShape.mReaders;
     instance one{ name,
                   domain,
                   aDomain,
                   std::make_unique<relay_peers>(
-                    relay_peer_settings{},
+                    settings,
                     name,
                     domain,
                     std::vector<std::string>{
@@ -205,9 +303,7 @@
                              source_follower(source_follower_settings{},
                                              seed * 2 + one.mLinks.size()),
                              {},
-                             mStart,
-                             true,
-                             {} });
+                             mStart });
     }
     mInstances.push_back(std::move(one));
   }
@@ -224,21 +320,29 @@
 
   void Publish()
   {
-    while (!mPlanned.empty() && mPlanned.front().first <= mNow &&
+    while (!mPlanned.empty() && mPlanned.front().mAt <= mNow &&
            !Silent(mNow, mNow)) {
-      mChanges.push_back({ mPlanned.front().second, ++mRevision, mNow, {} });
+      const planned& next = mPlanned.front();
+      mChanges.push_back(
+        { next.mWhich, next.mKey, next.mRemoved, ++mRevision, mNow, {} });
       mPlanned.erase(mPlanned.begin());
     }
   }
 
+  static std::string NameOf(int aEndpoint)
+  {
+    return "engine-" + std::to_string(aEndpoint);
+  }
+
   void Step(instance& aOne)
   {
     if (Stopped(aOne)) {
       return;
     }
+    TakeCopies(aOne);
     for (link& each : aOne.mLinks) {
-      if (LookForAnswers(each)) {
-        Tell(aOne, aOne.mPeers->OnNews(), false);
+      if (LookForAnswers(aOne, each)) {
+        TellBriefly(aOne, aOne.mPeers->OnNews());
       }
       if (each.mToSend && mNow >= each.mSendAt) {
         Send(each, each.mFollower.Start(each.mMirror));
@@ -250,9 +354,15 @@
     }
   }
 
-  void Ask(link& aLink, const source_call& aCall)
+  void Ask(const instance& aOne, link& aLink, const source_call& aCall)
   {
     aLink.mOpen.clear();
+    aLink.mIdle = !aOne.mAsksSource;
+    if (aLink.mIdle) {
+      aLink.mToSend = false;
+      aLink.mFollower.StopAsking();
+      return;
+    }
     aLink.mToSend = true;
     aLink.mSendAt = mNow + aCall.mPause;
     if (aCall.mPause <= duration::zero()) {
@@ -268,21 +378,46 @@
   }
 
   // Whether there was news.
-  bool LookForAnswers(link& aLink)
+  bool LookForAnswers(instance& aOne, link& aLink)
   {
     for (open_call& each : aLink.mOpen) {
       each.mLost = each.mLost || Silent(mNow, mNow);
       if (!each.mLost && IsAnswered(aLink, each)) {
         NoteDelay(aLink, each);
-        return Answer(aLink, source_call(each.mCall));
+        return Answer(aOne, aLink, source_call(each.mCall));
       }
     }
-    std::erase_if(aLink.mOpen, [this](const open_call& aOne) {
-      return mNow >= Due(aOne) + aOne.mCall.mLimit;
-    });
+    if (!aLink.mOpen.empty() && Expired(aLink.mOpen.back())) {
+      Fail(aOne, aLink);
+      return false;
+    }
+    std::erase_if(aLink.mOpen,
+                  [this](const open_call& aCall) { return Expired(aCall); });
     return false;
   }
 
+  bool Expired(const open_call& aCall) const
+  {
+    return mNow >= Due(aCall) + aCall.mCall.mLimit;
+  }
+
+  // The newest call is given up.
+  void Fail(const instance& aOne, link& aLink)
+  {
+    std::vector<item_change> none;
+    const source_failure failure{ "no answer" };
+    Ask(aOne,
+        aLink,
+        aLink.mOpen.back().mCall.mList
+          ? aLink.mFollower.OnListed(failure, aLink.mMirror, none, mNow)
+          : aLink.mFollower.OnWatched(failure, aLink.mMirror, none, mNow));
+  }
+
+  duration DocumentTakes() const
+  {
+    return FromSeconds(mShape.mDocumentBytes / mShape.mLinkBytes);
+  }
+
   static time_point Due(const open_call& aOpen)
   {
     return aOpen.mSent + aOpen.mCall.mWait;
@@ -292,7 +427,9 @@
   {
     const bool news =
       !aOpen.mCall.mList && !After(aLink.mWhich, aOpen.mCall.mAfter).empty();
-    return mNow >= (news ? aOpen.mSent : Due(aOpen)) + mShape.mLatency;
+    const bool document = news && aLink.mWhich == followed::kConfiguration;
+    return mNow >= (news ? aOpen.mSent : Due(aOpen)) + mShape.mLatency +
+                     (document ? DocumentTakes() : duration::zero());
   }
 
   void NoteDelay(link& aLink, const open_call& aOpen)
@@ -329,32 +466,71 @@
     std::vector<item_change> after;
     for (const change& each : mChanges) {
       if (each.mWhich == aWhich && each.mRevision > aAt) {
-        after.push_back(
-          { "item", std::to_string(each.mRevision), each.mRevision });
+        item_change told{ each.mKey, std::nullopt, each.mRevision };
+        if (!each.mRemoved) {
+          told.mValue = std::to_string(each.mRevision);
+        }
+        after.push_back(told);
       }
     }
     return after;
   }
 
-  bool Answer(link& aLink, const source_call& aCall)
+  source_listing Listing(followed aWhich) const
   {
-    std::vector<item_change> news;
-    const auto changes = After(aLink.mWhich, aCall.mList ? 0 : aCall.mAfter);
-    if (!aCall.mList) {
-      Ask(aLink,
-          aLink.mFollower.OnWatched(
-            source_changes{ changes, mRevision }, aLink.mMirror, news, mNow));
-      return !news.empty();
+    std::map<std::string, source_item> items;
+    for (const item_change& each : After(aWhich, 0)) {
+      items.erase(each.mKey);
+      if (each.mValue) {
+        items[each.mKey] = { each.mKey, *each.mValue, each.mRevision };
+      }
     }
     source_listing listing{ {}, mRevision };
-    if (!changes.empty()) {
-      const item_change& last = changes.back();
-      listing.mItems.push_back({ last.mKey, *last.mValue, last.mRevision });
+    for (const auto& [key, item] : items) {
+      listing.mItems.push_back(item);
+    }
+    return listing;
+  }
+
+  bool Answer(instance& aOne, link& aLink, const source_call& aCall)
+  {
+    std::vector<item_change> news;
+    const source_call next =
+      aCall.mList
+        ? aLink.mFollower.OnListed(
+            Listing(aLink.mWhich), aLink.mMirror, news, mNow)
+        : aLink.mFollower.OnWatched(
+            source_changes{ After(aLink.mWhich, aCall.mAfter), mRevision },
+            aLink.mMirror,
+            news,
+            mNow);
+    if (std::exchange(aLink.mLost, false) &&
+        aLink.mWhich == followed::kEndpoints) {
+      aOne.mRoster.OnSourceRegained(mNow);
     }
-    Ask(aLink, aLink.mFollower.OnListed(listing, aLink.mMirror, news, mNow));
+    Apply(aOne, aLink.mWhich, news);
+    Ask(aOne, aLink, next);
     return !news.empty();
   }
 
+  void Apply(instance& aOne,
+             followed aWhich,
+             const std::vector<item_change>& aNews)
+  {
+    if (aWhich != followed::kEndpoints) {
+      return;
+    }
+    for (const item_change& each : aNews) {
+      if (each.mValue) {
+        listed_endpoint entry;
+        entry.mName = endpoint_name(each.mKey);
+        aOne.mRoster.OnListed(entry, mNow);
+      } else {
+        aOne.mRoster.OnRemoved(endpoint_name(each.mKey), mNow);
+      }
+    }
+  }
+
   void Tick(instance& aOne)
   {
     const auto fails = [](const link& aLink) {
@@ -363,12 +539,25 @@
     if (std::ranges::any_of(aOne.mLinks, fails)) {
       aOne.mSourceFailsUntil = mNow + kTellsOfFailure;
     }
-    aOne.mPeers->Reads(mNow < aOne.mSourceFailsUntil, mNow);
-    const watch_turn turn = aOne.mPeers->Turn();
+    aOne.mReads = aOne.mPeers->Reads(mNow);
+    aOne.mAsksSource = aOne.mReads || aOne.mRequests.NeedsSource(mNow);
+    aOne.mRoster.Tick(mNow);
+    const watch_turn turn = aOne.mPeers->Turn(mNow);
     const bool peerFails = aOne.mPeers->SourceFailsElsewhere(mNow);
     for (link& each : aOne.mLinks) {
       each.mFollower.SetTurn(turn);
+      if (!aOne.mAsksSource) {
+        StopReading(aOne, each);
+        continue;
+      }
+      if (each.mIdle) {
+        if (peerFails) {
+          NoteLost(aOne, each);
+        }
+        Ask(aOne, each, each.mFollower.Start(each.mMirror));
+      }
       AskBesideOverdue(each);
+      NoteOutage(aOne, each);
       if (std::ranges::any_of(aOne.mLinks, fails)) {
         Doubt(each, watch_doubt::kOtherCallFails);
       }
@@ -376,11 +565,60 @@
         Doubt(each, watch_doubt::kPeerFails);
       }
     }
-    Tell(aOne, aOne.mPeers->Tick(mNow), aOne.mPeers->Alive() == 0);
+    const hello_round round = aOne.mPeers->Tick(mNow);
+    Tell(aOne, round.mWhole, aOne.mPeers->Alive() == 0);
+    TellBriefly(aOne, round.mBrief);
     const auto from =
-      aOne.mRequests.Tick(*aOne.mPeers, Known(aOne), true, mNow);
-    if (from) {
-      Copy(aOne, *from);
+      aOne.mRequests.Tick(*aOne.mPeers, Known(aOne), aOne.mReads, mNow);
+    if (from && from->mConfiguration) {
+      AskForCopy(aOne, from->mAddress, 0);
+    }
+    if (from && from->mEndpoints) {
+      AskForCopy(aOne, from->mAddress, 1);
+    }
+  }
+
+  // The answer waits for its turn on the peer's link.
+  void AskForCopy(instance& aOne, const std::string& aFrom, std::size_t aWhich)
+  {
+    instance* const from = Reached(aOne, aFrom);
+    if (from == nullptr) {
+      return;
+    }
+    const double bytes = aWhich == 0 ? mShape.mDocumentBytes : kEndpointBytes;
+    if (!from->mLargeCopies.Gives(static_cast<std::size_t>(bytes), mNow)) {
+      return;
+    }
+    from->mLinkFreeAt = std::max(from->mLinkFreeAt, mNow) +
+                        FromSeconds(bytes / mShape.mLinkBytes);
+    const time_point due = from->mLinkFreeAt + mShape.mCopyTakes;
+    if (due - mNow < kCopyLimit) {
+      const std::uint64_t asked = aOne.mLinks[aWhich].mMirror.At();
+      aOne.mCopies.push_back({ aFrom, aWhich, asked, due });
+    }
+  }
+
+  void StopReading(instance& aOne, link& aLink)
+  {
+    aLink.mFollower.StopAsking();
+    if (std::exchange(aLink.mLost, false) &&
+        aLink.mWhich == followed::kEndpoints) {
+      aOne.mRoster.OnSourceLeft();
+    }
+  }
+
+  void NoteOutage(instance& aOne, link& aLink)
+  {
+    if (!aLink.mLost && aLink.mFollower.InOutage(mNow)) {
+      NoteLost(aOne, aLink);
+    }
+  }
+
+  static void NoteLost(instance& aOne, link& aLink)
+  {
+    aLink.mLost = true;
+    if (aLink.mWhich == followed::kEndpoints) {
+      aOne.mRoster.OnSourceLost();
     }
   }
 
@@ -403,43 +641,89 @@
   }
 
   void Tell(instance& aOne, const std::vector<std::string>& aTo, bool aAsk)
+  {
+    relay_hello hello = BriefHello(aOne);
+    hello.mBrief = false;
+    hello.mPeers = aOne.mPeers->SomePeers();
+    hello.mWantsAnswer = aAsk;
+    Send(aOne, hello, aTo);
+  }
+
+  void TellBriefly(instance& aOne, const std::vector<std::string>& aTo)
+  {
+    Send(aOne, BriefHello(aOne), aTo);
+  }
+
+  relay_hello BriefHello(const instance& aOne) const
   {
     relay_hello hello;
+    hello.mBrief = true;
     hello.mAddress = aOne.mAddress;
     hello.mDomain = aOne.mDomain;
-    hello.mKnown = Known(aOne);
-    hello.mPeers = aOne.mPeers->SomePeers();
-    hello.mWantsAnswer = aAsk;
+    hello.mKnown = { aOne.mLinks[0].mMirror.ChangedAt(),
+                     aOne.mLinks[1].mMirror.ChangedAt() };
     hello.mSourceFails = mNow < aOne.mSourceFailsUntil;
+    return hello;
+  }
+
+  void Send(instance& aOne,
+            const relay_hello& aHello,
+            const std::vector<std::string>& aTo)
+  {
     for (const std::string& each : aTo) {
       instance* const to = Reached(aOne, each);
-      if (to == nullptr) {
+      if (to == nullptr || Lost()) {
         continue;
       }
-      if (const auto back = to->mPeers->OnHello(hello, mNow)) {
+      if (const auto back = to->mPeers->OnHello(aHello, mNow)) {
         Tell(*to, { *back }, false);
       }
     }
   }
 
-  void Copy(instance& aTo, const std::string& aFrom)
+  bool Lost()
   {
-    const instance* const from = Reached(aTo, aFrom);
+    return std::uniform_real_distribution<double>(0, 1)(mRandom) < mShape.mLoss;
+  }
+
+  void TakeCopies(instance& aOne)
+  {
+    std::vector<copy_on_its_way> due;
+    std::erase_if(aOne.mCopies, [&](const copy_on_its_way& aCopy) {
+      if (mNow >= aCopy.mDue) {
+        due.push_back(aCopy);
+      }
+      return mNow >= aCopy.mDue;
+    });
+    for (const copy_on_its_way& each : due) {
+      TakeCopy(aOne, each);
+    }
+  }
+
+  void TakeCopy(instance& aTo, const copy_on_its_way& aCopy)
+  {
+    const instance* const from = Reached(aTo, aCopy.mFrom);
     if (from == nullptr) {
       return;
     }
-    bool news = false;
-    for (std::size_t which = 0; which < aTo.mLinks.size(); ++which) {
-      const item_mirror& its = from->mLinks[which].mMirror;
-      link& link = aTo.mLinks[which];
-      if (its.At() > link.mMirror.At() &&
-          !link.mMirror.OnListing(its.Items(), its.At()).empty()) {
-        Doubt(link, watch_doubt::kPeerKnewFirst);
-        news = true;
+    const item_mirror& its = from->mLinks[aCopy.mWhich].mMirror;
+    link& link = aTo.mLinks[aCopy.mWhich];
+    if (its.At() <= aCopy.mAsked || its.At() <= link.mMirror.At()) {
+      return;
+    }
+    if (link.mWhich == followed::kEndpoints && !aTo.mAsksSource) {
+      if (const auto regained = from->mRoster.RegainedFor(mNow)) {
+        aTo.mRoster.OnToldRegained(mNow - *regained);
       }
     }
-    if (news) {
-      Tell(aTo, aTo.mPeers->OnNews(), false);
+    const auto changes = its.Since(aCopy.mAsked);
+    const auto taken =
+      changes ? link.mMirror.OnPeerChanges(*changes, aCopy.mAsked, its.At())
+              : link.mMirror.OnListing(its.Items(), its.At());
+    Apply(aTo, link.mWhich, taken);
+    if (!taken.empty()) {
+      Doubt(link, watch_doubt::kPeerKnewFirst);
+      TellBriefly(aTo, aTo.mPeers->OnNews());
     }
   }
 
@@ -452,24 +736,33 @@
   void NoteHeld()
   {
     for (change& each : mChanges) {
-      if (!each.mHeldByAll && HeldByAll(each.mRevision)) {
+      if (!each.mHeldByAll && HeldByAll(each)) {
         each.mHeldByAll = mNow;
       }
     }
   }
 
-  bool HeldByAll(std::uint64_t aRevision) const
+  bool HeldByAll(const change& aChange) const
   {
     return std::ranges::all_of(mInstances, [&](const instance& aOne) {
-      return Stopped(aOne) || Holds(aOne) >= aRevision;
+      return Stopped(aOne) || HeldBy(aOne, aChange);
     });
   }
 
+  static bool HeldBy(const instance& aOne, const change& aChange)
+  {
+    if (aChange.mRemoved) {
+      return !aOne.mRoster.Counts(endpoint_name(aChange.mKey));
+    }
+    return Holds(aOne) >= aChange.mRevision;
+  }
+
   fleet_shape mShape;
+  std::mt19937_64 mRandom;
   time_point mStart = time_point() + Seconds(1'000);
   time_point mNow = mStart;
   std::vector<span> mSilences;
-  std::vector<std::pair<time_point, followed>> mPlanned;
+  std::vector<planned> mPlanned;
   std::vector<change> mChanges;
   std::uint64_t mRevision = 1;
   std::optional<int> mCutDomain;
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -144,6 +144,7 @@
   out.__isset.demand = true;
   out.__set_wants_answer(aHello.mWantsAnswer);
   out.__set_source_fails(aHello.mSourceFails);
+  out.__set_brief(aHello.mBrief);
   return Write(out);
 }
 
@@ -186,6 +187,7 @@
   }
   hello.mWantsAnswer = in->wants_answer;
   hello.mSourceFails = in->source_fails;
+  hello.mBrief = in->brief;
   return hello;
 }
 
@@ -225,6 +227,10 @@
     out.items.push_back(item);
   }
   out.__isset.items = true;
+  if (aAnswer.mSourceBackFor) {
+    out.__set_source_back_for_ms(static_cast<std::int32_t>(
+      std::min(ToMilliseconds(*aAnswer.mSourceBackFor), kMostMilliseconds)));
+  }
   return Write(out);
 }
 
@@ -243,6 +249,9 @@
         each.removed ? std::nullopt : std::optional(each.value),
         Unsigned(each.revision) });
   }
+  if (in->__isset.source_back_for_ms) {
+    answer.mSourceBackFor = Span(in->source_back_for_ms);
+  }
   return answer;
 }
 
--- a/thornhollow/wire/relay_codec.h
+++ b/thornhollow/wire/relay_codec.h
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <vector>
 
+#include "thornhollow/base/time.h"
 #include "thornhollow/discovery/item_mirror.h"
 #include "thornhollow/fleet/relay_peers.h"
 
@@ -45,6 +46,9 @@
   bool mChangesOnly = false;
   // None of them is a removal where this is the whole copy.
   std::vector<item_change> mItems;
+  // How long ago the source came back from an outage in which leases may have
+  // lapsed; nothing: no such outage is known.
+  std::optional<duration> mSourceBackFor = std::nullopt;
 
   friend bool operator==(const items_answer&, const items_answer&) = default;
 };
--- a/thornhollow/wire/relay_codec_test.cc
+++ b/thornhollow/wire/relay_codec_test.cc
@@ -41,6 +41,9 @@
                              { { "k", std::string("\0x", 2), 4 },
                                { "l", std::nullopt, 5 } } };
   CHECK(DecodeItemsAnswer(EncodeItemsAnswer(answer)) == answer);
+  items_answer afterAnOutage = answer;
+  afterAnOutage.mSourceBackFor = Milliseconds(700);
+  CHECK(DecodeItemsAnswer(EncodeItemsAnswer(afterAnOutage)) == afterAnOutage);
 }
 
 TEST_CASE("relay_codec/full_hello/fits_a_datagram")
@@ -55,6 +58,19 @@
   CHECK(EncodeHello(hello).size() <= 1100);
 }
 
+// A reader tells 38 others of its domain each second; CAPACITY.md counts on it.
+TEST_CASE("relay_codec/brief_hello/is_small_and_comes_back_equal")
+{
+  relay_hello hello;
+  hello.mBrief = true;
+  hello.mAddress = "255.255.255.255:65535";
+  hello.mDomain = domain_name("a-failure-domain");
+  hello.mKnown = { 1'000'000, 1'000'000 };
+  hello.mSourceFails = true;
+  CHECK(EncodeHello(hello).size() <= 80);
+  CHECK(DecodeHello(EncodeHello(hello)) == hello);
+}
+
 TEST_CASE("relay_codec/random_bytes/are_no_message_or_a_bounded_one")
 {
   const std::string whole = EncodeHello(Hello());
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -143,6 +143,8 @@
   7: list<pool_demand> demand
   8: bool wants_answer
   9: bool source_fails
+  // Work, demand and peers are left out: those told before hold on.
+  10: bool brief
 }
 
 struct items_request {
@@ -163,4 +165,6 @@
   3: list<source_item> items
   // The items are what changed after the revision that was asked with.
   4: bool changes_only
+  // Since the source came back from an outage, if that is not long ago.
+  5: optional i32 source_back_for_ms
 }
