All instances know the same demand: sums that are passed on in a ring

Cause: each hears a tenth of the others in 1.2 s and scales that up, and after fourteen seconds knew 128 of 194 others.

Change: instances stand in a ring; each tells those 1, 2, 4, 8... places after it the sum over as many instances, up to itself (fleet/shared_sums). Eight messages of 280 bytes at the most each half a second at 195, nine at 420. Who was heard of but never heard is asked for an answer, so that all 195 meet in 14 s.

--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -175,13 +175,7 @@
     };
     listener.mSourceFails = [this] { return Now() < mSourceFailsUntil; };
     listener.mWork = [this] { return OwnWork(); };
-    listener.mDemand = [this] {
-      std::vector<pool_demand> told;
-      for (const auto& [pool, demand] : mDispatcher.OwnViews(Now())) {
-        told.push_back({ pool, demand });
-      }
-      return told;
-    };
+    listener.mDemand = [this] { return mDispatcher.OwnViews(Now()); };
     listener.mOnAsked = [this](const items_request& aAsked) {
       return CopyFor(aAsked);
     };
@@ -286,11 +280,8 @@
   {
     mDispatcher.SetPeers(mPeers.Count(aNow));
     mDispatcher.SetOthersWork(mPeers.OthersWork(aNow), aNow);
-    auto views = mDispatcher.OwnViews(aNow);
-    for (const auto& [pool, others] : mPeers.OthersViews(aNow)) {
-      AddView(views[pool], others);
-    }
-    mDispatcher.SetViews(views, aNow);
+    mDispatcher.SetViews(mPeers.AllViews(mDispatcher.OwnViews(aNow), aNow),
+                         aNow);
   }
 
   bool Ready() const
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -71,7 +71,9 @@
     const std::size_t before = mAlive;
     const hello_round round = mPeers.Tick(aNow);
     Tell(round.mWhole, mPeers.Alive() == 0);
-    TellBriefly(round.mBrief);
+    Send(BriefHello(false), round.mBrief);
+    Send(BriefHello(true), round.mAsked);
+    TellSums(aNow);
     mAlive = mPeers.Alive();
     if (mAlive != before) {
       mLog.Write(log_level::kInfo,
@@ -82,7 +84,7 @@
     AskIfBehind(aNow);
   }
 
-  void OnNews() { TellBriefly(mPeers.OnNews()); }
+  void OnNews() { Send(BriefHello(false), mPeers.OnNews()); }
 
   bool Reads(time_point aNow)
   {
@@ -107,7 +109,7 @@
     if (aTo.empty()) {
       return;
     }
-    relay_hello hello = BriefHello();
+    relay_hello hello = BriefHello(aWantAnswer);
     hello.mBrief = false;
     hello.mPeers = mPeers.SomePeers();
     hello.mWork = mListener.mWork();
@@ -121,31 +123,39 @@
         hello.mWork, std::ranges::greater(), &endpoint_work::mToRead);
       hello.mWork.resize(kMostWork);
     }
-    hello.mDemand = mListener.mDemand();
-    hello.mWantsAnswer = aWantAnswer;
+    for (const auto& [pool, view] : mListener.mDemand()) {
+      hello.mDemand.push_back({ pool, view });
+    }
     Send(hello, aTo);
   }
 
-  void TellBriefly(const std::vector<std::string>& aTo)
+  void TellSums(time_point aNow)
   {
-    if (!aTo.empty()) {
-      Send(BriefHello(), aTo);
+    for (const sums_to_tell& each :
+         mPeers.SumsToTell(mListener.mDemand(), aNow)) {
+      relay_hello hello = BriefHello(false);
+      hello.mSums = each.mSums;
+      Send(hello, { each.mAddress });
     }
   }
 
-  relay_hello BriefHello() const
+  relay_hello BriefHello(bool aWantAnswer) const
   {
     relay_hello hello;
     hello.mBrief = true;
     hello.mAddress = mSettings.mPeerAddress;
     hello.mDomain = mSettings.mDomain;
     hello.mKnown = mListener.mTold();
+    hello.mWantsAnswer = aWantAnswer;
     hello.mSourceFails = mListener.mSourceFails();
     return hello;
   }
 
   void Send(const relay_hello& aHello, const std::vector<std::string>& aTo)
   {
+    if (aTo.empty()) {
+      return;
+    }
     const std::string bytes = EncodeHello(aHello);
     for (const std::string& each : aTo) {
       mTransport.SendDatagram(each, bytes);
@@ -161,7 +171,11 @@
       return false;
     }
     if (const auto back = mPeers.OnHello(*hello, Now())) {
-      Tell({ *back }, false);
+      if (hello->mBrief) {
+        Send(BriefHello(false), { *back });
+      } else {
+        Tell({ *back }, false);
+      }
     }
     return true;
   }
@@ -310,9 +324,10 @@
 }
 
 std::map<pool_name, pool_view>
-relay_peer_link::OthersViews(time_point aNow) const
+relay_peer_link::AllViews(const std::map<pool_name, pool_view>& aOwn,
+                          time_point aNow) const
 {
-  return mCore->Peers().OthersViews(aNow);
+  return mCore->Peers().AllViews(aOwn, aNow);
 }
 
 } // namespace thornhollow
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -38,7 +38,7 @@
   // The source doesn't answer this instance.
   std::function<bool()> mSourceFails;
   std::function<std::vector<endpoint_work>()> mWork;
-  std::function<std::vector<pool_demand>()> mDemand;
+  std::function<std::map<pool_name, pool_view>()> mDemand;
   // The copy as a peer asks for it.
   std::function<items_answer(const items_request&)> mOnAsked;
   // What a peer answered to such a request.
@@ -71,7 +71,9 @@
   watch_turn Turn(time_point aNow) const;
   bool SourceFailsElsewhere(time_point aNow) const;
   std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
-  std::map<pool_name, pool_view> OthersViews(time_point aNow) const;
+  std::map<pool_name, pool_view> AllViews(
+    const std::map<pool_name, pool_view>& aOwn,
+    time_point aNow) const;
 
 private:
   class core;
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -38,6 +38,7 @@
   , mOwnDomain(std::move(aOwnDomain))
   , mSeeds(std::move(aSeeds))
   , mRandom(aSeed)
+  , mSums(aSettings.mSums)
 {
   std::erase(mSeeds, mOwnAddress);
 }
@@ -56,7 +57,7 @@
       }
     }
     for (const auto& [address, until] : mUnheard) {
-      told.push_back(address);
+      round.mAsked.push_back(address);
     }
   }
   if (aNow >= mNextRound) {
@@ -186,6 +187,9 @@
     return std::nullopt;
   }
   Hear(mPeers[aHello.mAddress], aHello, aNow);
+  if (aHello.mSums) {
+    mSums.OnTold(*aHello.mSums, aNow);
+  }
   mUnheard.erase(aHello.mAddress);
   for (const std::string& each : aHello.mPeers) {
     if (each != mOwnAddress && !mPeers.contains(each) &&
@@ -293,11 +297,17 @@
   });
 }
 
+std::size_t
+relay_peers::CountFresh(time_point aNow) const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    mPeers, [&](const auto& aOne) { return Fresh(aOne.second, aNow); }));
+}
+
 double
 relay_peers::ForEachFresh(time_point aNow) const
 {
-  const auto fresh = std::ranges::count_if(
-    mPeers, [&](const auto& aOne) { return Fresh(aOne.second, aNow); });
+  const std::size_t fresh = CountFresh(aNow);
   return fresh == 0
            ? 0
            : static_cast<double>(mPeers.size()) / static_cast<double>(fresh);
@@ -338,10 +348,17 @@
 }
 
 std::map<pool_name, pool_view>
-relay_peers::OthersViews(time_point aNow) const
+relay_peers::AllViews(const std::map<pool_name, pool_view>& aOwn,
+                      time_point aNow) const
 {
+  if (mPeers.size() >= mSettings.mSumsFrom) {
+    const summed_views all = mSums.All(aOwn, Ring(), aNow);
+    if (all.mInstances > CountFresh(aNow)) {
+      return Scaled(all);
+    }
+  }
   const double scale = ForEachFresh(aNow);
-  std::map<pool_name, pool_view> sum;
+  std::map<pool_name, pool_view> sum = aOwn;
   for (const auto& [address, each] : mPeers) {
     if (!Fresh(each, aNow)) {
       continue;
@@ -353,6 +370,48 @@
   return sum;
 }
 
+std::map<pool_name, pool_view>
+relay_peers::Scaled(const summed_views& aSums) const
+{
+  const double scale = static_cast<double>(mPeers.size() + 1) /
+                       static_cast<double>(aSums.mInstances);
+  std::map<pool_name, pool_view> scaled;
+  for (const auto& [pool, view] : aSums.mViews) {
+    AddView(scaled[pool], view, scale);
+  }
+  return scaled;
+}
+
+std::vector<sums_to_tell>
+relay_peers::SumsToTell(const std::map<pool_name, pool_view>& aOwn,
+                        time_point aNow)
+{
+  if (mPeers.size() < mSettings.mSumsFrom) {
+    return {};
+  }
+  return mSums.Round(aOwn, Ring(), aNow);
+}
+
+instance_ring
+relay_peers::Ring() const
+{
+  std::vector<std::pair<domain_name, std::string>> all;
+  all.reserve(mPeers.size() + 1);
+  all.emplace_back(mOwnDomain, mOwnAddress);
+  for (const auto& [address, each] : mPeers) {
+    all.emplace_back(each.mHello.mDomain, address);
+  }
+  std::ranges::sort(all);
+  instance_ring ring;
+  for (auto& [domain, address] : all) {
+    if (address == mOwnAddress) {
+      ring.mOwn = ring.mAddresses.size();
+    }
+    ring.mAddresses.push_back(std::move(address));
+  }
+  return ring;
+}
+
 std::vector<std::string>
 relay_peers::Draw()
 {
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -41,6 +41,7 @@
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
 #include "thornhollow/discovery/source_follower.h"
+#include "thornhollow/fleet/shared_sums.h"
 #include "thornhollow/policy/work_kind.h"
 
 namespace thornhollow {
@@ -99,6 +100,8 @@
   std::vector<std::string> mPeers;
   std::vector<endpoint_work> mWork;
   std::vector<pool_demand> mDemand;
+  // Sums over many instances, in place of the rest.
+  std::optional<told_sums> mSums = std::nullopt;
   bool mWantsAnswer = false;
   // The source doesn't answer this instance.
   bool mSourceFails = false;
@@ -123,6 +126,8 @@
 {
   std::vector<std::string> mWhole;
   std::vector<std::string> mBrief;
+  // Briefly too, and they are to answer: they were heard of but never heard.
+  std::vector<std::string> mAsked;
 
   friend bool operator==(const hello_round&, const hello_round&) = default;
 };
@@ -166,6 +171,10 @@
   // begins to read, up to `mMostStagger`: a word takes less.
   duration mStagger = Milliseconds(150);
   duration mMostStagger = Seconds(3);
+  // From so many others on the demand is known by sums that all pass on, as
+  // only a part of the others is heard in a moment.
+  std::size_t mSumsFrom = 16;
+  shared_sums_settings mSums;
   // Instances held; above the 420 of a large fleet.
   std::size_t mMaxPeers = 512;
   // The count of instances is the largest seen for this long, so that a bound
@@ -192,6 +201,11 @@
   // This instance's turn among those of its domain that read the source, by
   // which their watches end one after the other.
   watch_turn Turn(time_point aNow) const;
+  // Sums that are to be told now, each to one other. `aOwn`: what is asked for
+  // here.
+  std::vector<sums_to_tell> SumsToTell(
+    const std::map<pool_name, pool_view>& aOwn,
+    time_point aNow);
   // Addresses that are to be told briefly and at once: this instance learnt of
   // a newer revision.
   std::vector<std::string> OnNews();
@@ -219,9 +233,12 @@
   // Sums over the others, of what is fresh, scaled up to all where not all were
   // heard a moment ago; of paces the least.
   std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
-  // The same of the demand. In a large fleet an instance hears another every
-  // few seconds; what was told before would hide a burst for as long.
-  std::map<pool_name, pool_view> OthersViews(time_point aNow) const;
+  // Demand over all instances, `aOwn` included, scaled up in the same way: by
+  // the sums that all pass on, or by those heard a moment ago where these are
+  // more.
+  std::map<pool_name, pool_view> AllViews(
+    const std::map<pool_name, pool_view>& aOwn,
+    time_point aNow) const;
 
 private:
   struct peer
@@ -235,6 +252,11 @@
   static void Hear(peer& aPeer, const relay_hello& aHello, time_point aNow);
   // Whether its work and demand count.
   bool Fresh(const peer& aPeer, time_point aNow) const;
+  std::size_t CountFresh(time_point aNow) const;
+  // All instances, those of one domain beside each other.
+  instance_ring Ring() const;
+  // As if all had been heard.
+  std::map<pool_name, pool_view> Scaled(const summed_views& aSums) const;
   // All others for each of those that were heard a moment ago; 0: none was.
   double ForEachFresh(time_point aNow) const;
   bool IsBetter(const peer& aLeft,
@@ -265,6 +287,7 @@
   std::vector<std::string> mSeeds;
   std::mt19937_64 mRandom;
   std::map<std::string, peer> mPeers;
+  shared_sums mSums;
   // Heard of but never heard from, and until when to try.
   std::map<std::string, time_point> mUnheard;
   time_point mNextRound{};
--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -52,7 +52,7 @@
     }
     hello.mWantsAnswer = aAsk;
     if (const auto back = mPeers[aTo]->OnHello(hello, mNow)) {
-      Deliver(aTo, *back, false);
+      Deliver(aTo, *back, false, aBrief);
     }
   }
 
@@ -70,6 +70,9 @@
         for (const std::string& to : round.mBrief) {
           Deliver(address, to, false, true);
         }
+        for (const std::string& to : round.mAsked) {
+          Deliver(address, to, true, true);
+        }
       }
     }
   }
@@ -87,6 +90,19 @@
   }
 }
 
+// Guards against sums over a part of the fleet: of 195 instances each knew of
+// 128 after fourteen seconds.
+TEST_CASE_FIXTURE(hello_fleet, "relay_peers/many_start_at_once/all_meet_soon")
+{
+  for (int each = 0; each < 195; ++each) {
+    Add("n" + std::to_string(each), { "n0", "n1", "n2" });
+  }
+  Run(Seconds(14));
+  for (const auto& [address, peers] : mPeers) {
+    CHECK(peers->Alive() == 194);
+  }
+}
+
 TEST_CASE_FIXTURE(hello_fleet,
                   "relay_peers/behind_the_others/knows_whom_to_ask")
 {
@@ -142,7 +158,7 @@
     hear(each, 1'000);
   }
   const auto tokens = [&] {
-    return subject.OthersViews(now).at(pool).mDemand.at(0).mTokens;
+    return subject.AllViews({}, now).at(pool).mDemand.at(0).mTokens;
   };
   CHECK(tokens() == doctest::Approx(89'000));
   now += Seconds(2);
@@ -151,7 +167,7 @@
   }
   CHECK(tokens() == doctest::Approx(267'000));
   now += Seconds(2);
-  CHECK(subject.OthersViews(now).empty());
+  CHECK(subject.AllViews({}, now).empty());
 }
 
 // At letter 1's 420 instances the hellos alone took 35 KB/s of an instance,
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -568,6 +568,9 @@
     const hello_round round = aOne.mPeers->Tick(mNow);
     Tell(aOne, round.mWhole, aOne.mPeers->Alive() == 0);
     TellBriefly(aOne, round.mBrief);
+    relay_hello asks = BriefHello(aOne);
+    asks.mWantsAnswer = true;
+    Send(aOne, asks, round.mAsked);
     const auto from =
       aOne.mRequests.Tick(*aOne.mPeers, Known(aOne), aOne.mReads, mNow);
     if (from && from->mConfiguration) {
@@ -676,7 +679,7 @@
         continue;
       }
       if (const auto back = to->mPeers->OnHello(aHello, mNow)) {
-        Tell(*to, { *back }, false);
+        TellBriefly(*to, { *back });
       }
     }
   }
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -47,6 +47,8 @@
 // No fleet reads or streams more; a forged figure beyond it would attract or
 // repel all work.
 constexpr double kMostTold = 1e12;
+// Above the 420 of a large fleet.
+constexpr double kMostInstances = 4'096;
 // Targets and pauses of more than a day.
 constexpr std::int64_t kMostMilliseconds = 86'400'000;
 
@@ -96,6 +98,85 @@
            Bounded(aTold.open) };
 }
 
+wire::pool_demand
+Told(const pool_name& aPool, const pool_view& aView)
+{
+  wire::pool_demand told;
+  told.__set_pool(aPool.Text());
+  for (const kind_demand& each : aView.mDemand) {
+    told.kinds.push_back(Told(each));
+  }
+  told.__isset.kinds = true;
+  const double seen = std::clamp(Sane(aView.mReadSeen), 0.0, kMostInstances);
+  told.__set_read_per_s(seen > 0 ? Rounded(aView.mReadSum / seen) : 0);
+  if (seen > 1) {
+    told.__set_read_seen(static_cast<std::int32_t>(seen));
+  }
+  return told;
+}
+
+pool_view
+Heard(const wire::pool_demand& aTold)
+{
+  pool_view view;
+  for (const wire::kind_demand& each : aTold.kinds) {
+    AddDemand(view.mDemand, { Heard(each) });
+  }
+  if (const double read = Bounded(aTold.read_per_s); read > 0) {
+    const double seen =
+      aTold.__isset.read_seen
+        ? std::clamp<double>(aTold.read_seen, 1, kMostInstances)
+        : 1;
+    view.mReadSum = read * seen;
+    view.mReadSeen = seen;
+  }
+  return view;
+}
+
+wire::summed_views
+Told(const summed_views& aSums)
+{
+  wire::summed_views told;
+  told.__set_instances(static_cast<std::int32_t>(aSums.mInstances));
+  for (const auto& [pool, view] : aSums.mViews) {
+    told.demand.push_back(Told(pool, view));
+  }
+  told.__isset.demand = true;
+  return told;
+}
+
+summed_views
+Heard(const wire::summed_views& aTold)
+{
+  summed_views sums;
+  sums.mInstances = static_cast<std::size_t>(
+    std::clamp<double>(aTold.instances, 0, kMostInstances));
+  for (const wire::pool_demand& each : aTold.demand) {
+    if (each.pool.size() <= kMaxTextBytes) {
+      AddView(sums.mViews[pool_name(each.pool)], Heard(each));
+    }
+  }
+  return sums;
+}
+
+wire::told_sums
+Told(const told_sums& aSums)
+{
+  wire::told_sums told;
+  told.__set_level(static_cast<std::int32_t>(aSums.mLevel));
+  told.__set_run(Told(aSums.mRun));
+  told.__set_rest(Told(aSums.mRest));
+  return told;
+}
+
+told_sums
+Heard(const wire::told_sums& aTold)
+{
+  return { static_cast<std::size_t>(std::max(aTold.level, 0)),
+           Heard(aTold.run),
+           Heard(aTold.rest) };
+}
+
 std::optional<copied_items>
 Which(std::int32_t aKind)
 {
@@ -132,19 +213,15 @@
   }
   out.__isset.work = true;
   for (const pool_demand& each : aHello.mDemand) {
-    wire::pool_demand demand;
-    demand.__set_pool(each.mPool.Text());
-    for (const kind_demand& kind : each.mView.mDemand) {
-      demand.kinds.push_back(Told(kind));
-    }
-    demand.__isset.kinds = true;
-    demand.__set_read_per_s(Rounded(each.mView.mReadSum));
-    out.demand.push_back(demand);
+    out.demand.push_back(Told(each.mPool, each.mView));
   }
   out.__isset.demand = true;
   out.__set_wants_answer(aHello.mWantsAnswer);
   out.__set_source_fails(aHello.mSourceFails);
   out.__set_brief(aHello.mBrief);
+  if (aHello.mSums) {
+    out.__set_sums(Told(*aHello.mSums));
+  }
   return Write(out);
 }
 
@@ -174,20 +251,15 @@
   }
   for (const wire::pool_demand& each : in->demand) {
     if (each.pool.size() <= kMaxTextBytes) {
-      pool_demand demand{ pool_name(each.pool), {} };
-      for (const wire::kind_demand& kind : each.kinds) {
-        AddDemand(demand.mView.mDemand, { Heard(kind) });
-      }
-      if (const double read = Bounded(each.read_per_s); read > 0) {
-        demand.mView.mReadSum = read;
-        demand.mView.mReadSeen = 1;
-      }
-      hello.mDemand.push_back(std::move(demand));
+      hello.mDemand.push_back({ pool_name(each.pool), Heard(each) });
     }
   }
   hello.mWantsAnswer = in->wants_answer;
   hello.mSourceFails = in->source_fails;
   hello.mBrief = in->brief;
+  if (in->__isset.sums) {
+    hello.mSums = Heard(in->sums);
+  }
   return hello;
 }
 
--- a/thornhollow/wire/relay_codec_test.cc
+++ b/thornhollow/wire/relay_codec_test.cc
@@ -58,6 +58,28 @@
   CHECK(EncodeHello(hello).size() <= 1100);
 }
 
+TEST_CASE("relay_codec/sums/come_back_equal_and_are_small")
+{
+  pool_view view;
+  AddDemand(
+    view.mDemand,
+    { { { Seconds(2), Seconds(1) }, 123, 1e6, 9e9, 900 },
+      { { Milliseconds(300), Milliseconds(250) }, 101, 6e4, 6e7, 150 },
+      { { Milliseconds(400), Milliseconds(400) }, 185, 3e5, 6e8, 40 } });
+  view.mReadSum = 66'000.0 * 128;
+  view.mReadSeen = 128;
+  relay_hello hello;
+  hello.mBrief = true;
+  hello.mAddress = "255.255.255.255:65535";
+  hello.mDomain = domain_name("a-failure-domain");
+  const summed_views sums{ 128, { { pool_name("a-pool-of-engines"), view } } };
+  hello.mSums = { 7, sums, sums };
+  CHECK(EncodeHello(hello).size() <= 280);
+  const auto result = DecodeHello(EncodeHello(hello));
+  REQUIRE(result.has_value());
+  CHECK(result->mSums == hello.mSums);
+}
+
 // A reader tells 38 others of its domain each second; CAPACITY.md counts on it.
 TEST_CASE("relay_codec/brief_hello/is_small_and_comes_back_equal")
 {
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -131,6 +131,20 @@
   // 2 and 3 were two sums over all kinds.
   4: list<kind_demand> kinds
   5: i64 read_per_s
+  // How many instances saw that, in the mean; not told: one.
+  6: optional i32 read_seen
+}
+
+// Of so many instances.
+struct summed_views {
+  1: i32 instances
+  2: list<pool_demand> demand
+}
+
+struct told_sums {
+  1: i32 level
+  2: summed_views run
+  3: summed_views rest
 }
 
 struct relay_hello {
@@ -145,6 +159,8 @@
   9: bool source_fails
   // Work, demand and peers are left out: those told before hold on.
   10: bool brief
+  // Beside `brief` only.
+  11: optional told_sums sums
 }
 
 struct items_request {
