Slots decide where they are short: interactive work gets engines first, bulk work is refused

Cause: nothing counted the wait for a slot. Both sides of the border were filled alike beyond their slots, and admission went by prompt tokens alone.

Change: slots that interactive work takes beyond its share count six times in the border; the wait for a slot of sound engines, by what is open over all instances, counts for bulk admission; while it lasts who comes back isn't put first.

Test: fleet.heavy_load_test, 195 instances before 84 engines in virtual time, with the product's placement, admission and hellos.

--- /dev/null
+++ b/thornhollow/fleet/heavy_load_test.cc
@@ -0,0 +1,101 @@
+#include <doctest/doctest.h>
+
+#include "thornhollow/fleet/testing/relay_load_fleet.h"
+
+namespace thornhollow {
+namespace {
+
+constexpr std::size_t kPlans = 0;
+constexpr std::size_t kBriefs = 1;
+constexpr std::size_t kTags = 2;
+
+// 195 instances before 84 engines with twelve slots each: long answers to long
+// prompts that may begin after two seconds, streams that may not pause, and
+// short urgent answers.
+load_shape
+ManyBeforeSmallEngines()
+{
+  load_shape shape;
+  shape.mInstances = 195;
+  shape.mEngines = 84;
+  shape.mKinds = { { .mPerSecond = 123,
+                     .mTarget = Seconds(2),
+                     .mPause = Seconds(1),
+                     .mPatience = Seconds(12),
+                     .mRank = 2,
+                     .mOwnTokens = 6'610,
+                     .mSharedTokens = 5'382,
+                     .mSessions = 449,
+                     .mAnswerTokens = 385,
+                     .mSpread = 0.9 },
+                   { .mPerSecond = 101,
+                     .mTarget = Milliseconds(300),
+                     .mPause = Milliseconds(250),
+                     .mPatience = Seconds(12),
+                     .mRank = 0,
+                     .mOwnTokens = 430,
+                     .mSharedTokens = 198,
+                     .mSessions = 479,
+                     .mAnswerTokens = 294,
+                     .mSpread = 0.6 },
+                   { .mPerSecond = 185,
+                     .mTarget = Milliseconds(400),
+                     .mPause = Milliseconds(400),
+                     .mPatience = Seconds(3),
+                     .mRank = 1,
+                     .mOwnTokens = 1'230,
+                     .mSharedTokens = 568,
+                     .mSessions = 1'317,
+                     .mAnswerTokens = 22,
+                     .mSpread = 0.8 } };
+  return shape;
+}
+
+struct many_before_small_engines
+{
+  relay_load_fleet mFleet{ ManyBeforeSmallEngines(), 1 };
+
+  void Load(double aPlans, double aBriefs, double aTags, duration aFor)
+  {
+    mFleet.Set(kPlans, aPlans);
+    mFleet.Set(kBriefs, aBriefs);
+    mFleet.Set(kTags, aTags);
+    mFleet.Run(aFor);
+  }
+
+  // Nobody asks any more; what is open ends, or its callers leave.
+  void End(duration aLongest) { Load(0, 0, 0, aLongest); }
+};
+
+// Guards against a burst of long prompts, of a third more than the slots of all
+// engines can hold, that takes the urgent kinds down with it.
+TEST_CASE_FIXTURE(many_before_small_engines,
+                  "heavy_load/burst_of_long_answers/urgent_kinds_are_served")
+{
+  Load(2.4, 1.6, 1.6, Seconds(7));
+  Load(1.2, 2.7, 1.6, Seconds(4));
+  End(Seconds(12));
+  CHECK(mFleet.Got(kBriefs).InTime() >= 0.75);
+  CHECK(mFleet.Got(kTags).InTime() >= 0.5);
+  // What can't be served in time is told so; few wait in vain.
+  const load_result& plans = mFleet.Got(kPlans);
+  CHECK(plans.mGivenUp + plans.mDeclined <= plans.mAsked / 20);
+  CHECK(plans.mRefused > 0);
+}
+
+TEST_CASE_FIXTURE(many_before_small_engines,
+                  "heavy_load/usual_load/nearly_all_in_time_and_none_refused")
+{
+  Load(1, 1, 1, Seconds(2));
+  mFleet.Count();
+  Load(1, 1, 1, Seconds(3));
+  End(Seconds(6));
+  for (const std::size_t kind : { kPlans, kBriefs, kTags }) {
+    CAPTURE(kind);
+    CHECK(mFleet.Got(kind).mRefused == 0);
+    CHECK(mFleet.Got(kind).InTime() >= 0.9);
+  }
+}
+
+} // namespace
+} // namespace thornhollow
--- a/thornhollow/policy/engine_border.cc
+++ b/thornhollow/policy/engine_border.cc
@@ -17,12 +17,22 @@
 // Kinds of which less comes than this many requests a second don't count.
 constexpr double kLeastRequests = 0.05;
 
-// How full so many engines are with these kinds: 1 where they read for `aBusy`
-// of the time, or have as many requests as they should.
+// When a side counts as full.
+struct side_bounds
+{
+  // Part of the time for which its engines read.
+  double mBusy = 0;
+  // What each hundredth of its slots beyond `kSlotsInUse` counts for, as
+  // compared to one before.
+  double mBeyondSlots = 1;
+};
+
+// How full so many engines are with these kinds: 1 where they read for as long,
+// or have as many requests, as they should.
 double
 Full(std::span<const kind_demand> aKinds,
      std::size_t aEngines,
-     double aBusy,
+     const side_bounds& aBounds,
      const engine_facts& aFacts)
 {
   double tokens = 0;
@@ -34,8 +44,10 @@
   const auto engines = static_cast<double>(aEngines);
   const double slots =
     engines * static_cast<double>(aFacts.mSlots) * kSlotsInUse;
-  return std::max(tokens / (engines * aFacts.mReadPerSecond * aBusy),
-                  slots > 0 ? open / slots : 0);
+  const double taken = slots > 0 ? open / slots : 0;
+  const double beyond = std::max(taken - 1, 0.0);
+  return std::max(tokens / (engines * aFacts.mReadPerSecond * aBounds.mBusy),
+                  std::min(taken, 1.0) + beyond * aBounds.mBeyondSlots);
 }
 
 // The nearest whole number of engines to a part of them.
@@ -196,11 +208,12 @@
                        std::size_t aBulk,
                        const engine_facts& aFacts) const
 {
-  return std::max(Full(aApart.mBulk, aBulk, mSettings.mBulkBusy, aFacts),
-                  Full(aApart.mInteractive,
-                       mEngines - aBulk,
-                       mSettings.mInteractiveBusy,
-                       aFacts));
+  const side_bounds bulk{ mSettings.mBulkBusy, 1 };
+  const side_bounds interactive{ mSettings.mInteractiveBusy,
+                                 mSettings.mBeyondSlots };
+  return std::max(
+    Full(aApart.mBulk, aBulk, bulk, aFacts),
+    Full(aApart.mInteractive, mEngines - aBulk, interactive, aFacts));
 }
 
 std::size_t
--- a/thornhollow/policy/engine_border.h
+++ b/thornhollow/policy/engine_border.h
@@ -24,6 +24,10 @@
 // than `mHold` after the last move, so that it doesn't flap: each move breaks
 // the streams on the engines that change sides.
 //
+// Engines that run few requests at a time are short of slots before they are
+// busy reading. Both sides are then filled alike up to a share of their slots;
+// beyond it the interactive side gets engines first.
+//
 // The interactive side is to be busy 25% of the time where the bulk one is busy
 // 50%: a burst doubles either, and short streams pause on an engine that is
 // busy half of the time.
@@ -65,6 +69,11 @@
   // Busy shares at which both sides count as equally loaded.
   double mBulkBusy = 0.5;
   double mInteractiveBusy = 0.25;
+  // Slots that interactive work takes beyond the share that it should count for
+  // so many times as much. Its first event is due long before a stream gives a
+  // slot back, so that a short queue makes all of it late; bulk work can wait a
+  // little, and what is too much of it is refused.
+  double mBeyondSlots = 6;
   // No move while the fuller side is no fuller than this part of its busy
   // share: each one mixes the work of both sides on one engine until the
   // streams there have ended.
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -116,19 +116,24 @@
   mMeter.OnAsked(KindOf(aWork), pick->mToRead, aNow);
   mPopular.OnAsked(aWork.mFirstPart, aNow);
   const double room = static_cast<double>(mBorder.Bulk()) * mReadPerSecond;
-  if (!pick->mBulk || mBulkDemand < room * kFullFrom) {
+  const duration forSlot = SlotWait();
+  const bool full =
+    mBulkDemand >= room * kFullFrom || forSlot > duration::zero();
+  if (!pick->mBulk || !full) {
     return pick;
   }
-  const auto refused =
-    mAdmission.Judge({ .mTeam = aWork.mTeam,
-                       .mTokens = aWork.mPromptTokens - aWork.mSharedTokens,
-                       .mTarget = aWork.mTarget,
-                       .mTimeLeft = aTimeLeft,
-                       .mExpected = pick->mExpected,
-                       .mReturns = aWork.mReturns,
-                       .mOverload = mBulkDemand / room },
-                     mRandom,
-                     aNow);
+  // While slots are short who comes back isn't put first: the target has passed
+  // for most of them, and others' would pass as well.
+  const auto refused = mAdmission.Judge(
+    { .mTeam = aWork.mTeam,
+      .mTokens = aWork.mPromptTokens - aWork.mSharedTokens,
+      .mTarget = aWork.mTarget,
+      .mTimeLeft = aTimeLeft,
+      .mExpected = pick->mExpected + forSlot,
+      .mReturns = aWork.mReturns && forSlot <= duration::zero(),
+      .mOverload = mBulkDemand / room },
+    mRandom,
+    aNow);
   if (refused) {
     return *refused;
   }
@@ -204,9 +209,10 @@
                       static_cast<double>(std::max<std::size_t>(size(), 1));
   const auto bulk = static_cast<std::size_t>(
     std::lround(part * static_cast<double>(sound.size())));
+  mBulkSound = sound.empty() ? size() : bulk;
   const std::size_t most = sound.empty() ? 0 : sound.size() - 1;
   mAdmission.SetCapacity(
-    static_cast<double>(sound.empty() ? size() : bulk) * ReadPerSecond() /
+    static_cast<double>(mBulkSound) * ReadPerSecond() /
     static_cast<double>(std::max<std::size_t>(mInstances, 1)));
   mSides.Observe(
     std::move(sound),
@@ -348,6 +354,16 @@
   return ToSeconds(aWork.mTarget) * mSettings.mCrowdPart * taken * taken;
 }
 
+// Until bulk work finds a free slot, by what is open over all instances: of
+// single engines too little is known.
+duration
+relay_pool::SlotWait() const
+{
+  const auto slots = static_cast<double>(mBulkSound * mSlots);
+  return FromSeconds(ToSeconds(mBulkHold.WaitFor(mBulkOpen, slots)) *
+                     mSettings.mUnevenQueues);
+}
+
 // Another engine that is believed to hold the shared parts; nothing where
 // `aChosen` is believed to.
 const relay_pool::record*
@@ -455,6 +471,7 @@
 {
   if (aPick.mBulk) {
     mAdmission.OnStarted(aPick.mToRead, aWait, aNow);
+    mBulkHold.OnBegun(aWait);
   }
   if (record* found = Find(aPick)) {
     found->mToRead -= std::min<std::uint64_t>(found->mToRead, aPick.mToRead);
@@ -484,6 +501,9 @@
     mAdmission.OnLost(aPick.mToRead);
   }
   mMeter.OnEnded(KindOf(aWork));
+  if (aPick.mBulk && aHow == attempt_end::kCompleted) {
+    mBulkHold.OnEnded(aLength);
+  }
   record* found = Find(aPick);
   if (found == nullptr) {
     return;
@@ -586,8 +606,10 @@
                   aNow);
   AssignSides(aView.mDemand, aNow);
   mBulkDemand = 0;
+  mBulkOpen = 0;
   for (const kind_demand& each : aView.mDemand) {
     mBulkDemand += mBorder.IsBulk(each.mKind) ? each.mTokens : 0;
+    mBulkOpen += mBorder.IsBulk(each.mKind) ? each.mOpen : 0;
   }
 }
 
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -21,6 +21,11 @@
 // alone would leave an engine with a popular session overloaded while others
 // idle: the penalty is less for the next engines of the session's rank.
 //
+// Engines that run few requests at a time are out of slots before they are busy
+// reading. Long prompts are then refused by the wait for a slot, as it follows
+// from what is open over all instances and from how long an answer takes; else
+// they wait at engines until their callers leave.
+//
 // On which side of the border an engine is follows from its name's hash, but
 // slow ones are on the bulk side first.
 //
@@ -50,6 +55,7 @@
 #include "thornhollow/policy/read_rate.h"
 #include "thornhollow/policy/relay_admission.h"
 #include "thornhollow/policy/relay_work.h"
+#include "thornhollow/policy/slot_hold.h"
 #include "thornhollow/policy/work_kind.h"
 
 namespace thornhollow {
@@ -70,6 +76,9 @@
   double mMissStep = 8;
   // Of its target, what a request loses at an engine whose slots are all taken.
   double mCrowdPart = 0.1;
+  // The queue for slots is uneven: where the mean engine has a short one, an
+  // instance's request waits so many times as long at the one it is sent to.
+  double mUnevenQueues = 4;
   // Shared parts of at least so many tokens are copied from an engine that is
   // believed to hold them, where the chosen one isn't; 0: never. A copy takes
   // less time than reading and none from streams; shorter parts are read in a
@@ -231,6 +240,7 @@
                        relay_pick& aPick);
   double Absent(bool aSentThere, std::size_t aRank) const;
   double CrowdSeconds(const record& aRecord, const relay_work& aWork) const;
+  duration SlotWait() const;
   const record* Holder(const relay_work& aWork,
                        const prefix_affinity::holders& aHolders,
                        const record& aChosen,
@@ -255,6 +265,11 @@
   std::size_t mInstances = 1;
   // Prompt tokens a second for bulk work, over all instances.
   double mBulkDemand = 0;
+  // Engines that take it and are sound.
+  std::size_t mBulkSound = 0;
+  // Requests of it at engines, over all instances.
+  double mBulkOpen = 0;
+  slot_hold mBulkHold;
   // Nanoseconds for a token, in the mean over engines; 0: not known.
   double mMeanPace = 0;
   known_prefixes mSentByAny;
