Where all instances read the source they tell its last answer again

Readers of a large domain go on telling the last change; the time for which a reader waits for its own answer isn't begun anew by each of a series of changes.

--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -169,7 +169,7 @@
       return known_revisions{ mDocument.Mirror().At(),
                               mEndpoints.Mirror().At() };
     };
-    listener.mTold = [this] {
+    listener.mChanged = [this] {
       return known_revisions{ mDocument.Mirror().ChangedAt(),
                               mEndpoints.Mirror().ChangedAt() };
     };
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -145,7 +145,10 @@
     hello.mBrief = true;
     hello.mAddress = mSettings.mPeerAddress;
     hello.mDomain = mSettings.mDomain;
-    hello.mKnown = mListener.mTold();
+    // Where all read the source, a later answer shows those whose own is late
+    // that it has answered; where few do, it would bring questions in vain.
+    hello.mKnown =
+      mPeers.AllReadHere() ? mListener.mKnown() : mListener.mChanged();
     hello.mWantsAnswer = aWantAnswer;
     hello.mSourceFails = mListener.mSourceFails();
     return hello;
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -34,7 +34,7 @@
 {
   // Up to which the copies here are complete, and of their last changes.
   std::function<known_revisions()> mKnown;
-  std::function<known_revisions()> mTold;
+  std::function<known_revisions()> mChanged;
   // The source doesn't answer this instance.
   std::function<bool()> mSourceFails;
   std::function<std::vector<endpoint_work>()> mWork;
--- a/thornhollow/fleet/copy_requests.cc
+++ b/thornhollow/fleet/copy_requests.cc
@@ -11,12 +11,16 @@
   auto from = aPeers.WhoKnowsMore(aMine, mAttempt, aNow);
   if (!from) {
     mBehindSince.reset();
+    mInVainSince.reset();
     return std::nullopt;
   }
+  if (!mBehindSince) {
+    mBehindSince = aNow;
+  }
   const bool reached = aMine.mConfiguration >= mBehindOf.mConfiguration &&
                        aMine.mEndpoints >= mBehindOf.mEndpoints;
-  if (!mBehindSince || reached) {
-    mBehindSince = aNow;
+  if (!mInVainSince || reached) {
+    mInVainSince = aNow;
     mBehindOf = from->mKnown;
   }
   const duration patience = aReads ? mSettings.mBehindFor : duration::zero();
@@ -31,7 +35,7 @@
 bool
 copy_requests::NeedsSource(time_point aNow) const
 {
-  return mBehindSince && aNow - *mBehindSince >= mSettings.mAskSourceAfter;
+  return mInVainSince && aNow - *mInVainSince >= mSettings.mAskSourceAfter;
 }
 
 } // namespace thornhollow
--- a/thornhollow/fleet/copy_requests.h
+++ b/thornhollow/fleet/copy_requests.h
@@ -64,8 +64,10 @@
 
 private:
   copy_request_settings mSettings;
-  // Since when a peer is known to hold `mBehindOf`.
+  // Since when some peer has known more at each look.
   std::optional<time_point> mBehindSince;
+  // Since when a peer is known to hold `mBehindOf`, which isn't held here.
+  std::optional<time_point> mInVainSince;
   known_revisions mBehindOf;
   time_point mNextAsk{};
   std::uint64_t mAttempt = 0;
--- a/thornhollow/fleet/copy_requests_test.cc
+++ b/thornhollow/fleet/copy_requests_test.cc
@@ -71,6 +71,23 @@
   CHECK_FALSE(mRequests.NeedsSource(mNow + Milliseconds(700)));
 }
 
+// Guards against a series of changes of which each waits anew: a reader that is
+// always behind by the last one knows already that its source is late.
+TEST_CASE_FIXTURE(one_peer_that_knows_more,
+                  "copy_requests/reader_behind_in_a_series/asks_on")
+{
+  After(duration::zero(), { 29, 34 }, true);
+  CHECK(After(Milliseconds(300), { 29, 34 }, true) == kConfiguration);
+  relay_hello hello;
+  hello.mAddress = "peer";
+  hello.mDomain = kHall;
+  hello.mKnown = { 36, 34 };
+  mPeers.OnHello(hello, mNow + Milliseconds(500));
+  const auto result = After(Milliseconds(600), { 34, 34 }, true);
+  REQUIRE(result.has_value());
+  CHECK(result->mKnown.mConfiguration == 36);
+}
+
 // Guards against instances that all ask the source in a series of changes, each
 // of which they hear of in time.
 TEST_CASE_FIXTURE(one_peer_that_knows_more,
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -16,8 +16,8 @@
 KeepOneOfEach(std::vector<std::string>& aAddresses)
 {
   std::ranges::sort(aAddresses);
-  const auto repeated = std::ranges::unique(aAddresses);
-  aAddresses.erase(repeated.begin(), repeated.end());
+  aAddresses.erase(std::unique(aAddresses.begin(), aAddresses.end()),
+                   aAddresses.end());
 }
 
 } // namespace
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -198,6 +198,8 @@
   hello_round Tick(time_point aNow);
   // Whether this instance is to read the source. To be called every 100 ms.
   bool Reads(time_point aNow);
+  // Whether all of this instance's domain read the source, by the last look.
+  bool AllReadHere() const { return mReads && !mReadsForAll; }
   // This instance's turn among those of its domain that read the source, by
   // which their watches end one after the other.
   watch_turn Turn(time_point aNow) const;
--- /dev/null
+++ b/thornhollow/fleet/testing/silent_source.h
@@ -0,0 +1,140 @@
+// For tests: a source of two kinds of items, in virtual time, that falls silent
+// now and then.
+//
+//   silent_source source;
+//   source.Silence(from, until);
+//   source.Plan(at, followed::kEndpoints, "engine-7", true);
+//   source.Publish(now);
+//   const auto changes = source.After(followed::kEndpoints, 3);
+//
+#ifndef THORNHOLLOW_FLEET_TESTING_SILENT_SOURCE_H_
+#define THORNHOLLOW_FLEET_TESTING_SILENT_SOURCE_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "thornhollow/base/time.h"
+#include "thornhollow/discovery/item_mirror.h"
+#include "thornhollow/discovery/item_source.h"
+
+namespace thornhollow {
+
+enum class followed : std::uint8_t
+{
+  kConfiguration,
+  kEndpoints,
+};
+
+// One that was acknowledged.
+struct source_change
+{
+  followed mWhich{};
+  std::string mKey;
+  bool mRemoved = false;
+  std::uint64_t mRevision = 0;
+  time_point mAt{};
+  // For whoever watches it: when all held it.
+  std::optional<time_point> mHeldByAll = std::nullopt;
+};
+
+class silent_source
+{
+public:
+  void Silence(time_point aFrom, time_point aUntil)
+  {
+    mSilences.push_back({ aFrom, aUntil });
+  }
+
+  // A change at that moment, or as soon as the source answers again.
+  void Plan(time_point aAt, followed aWhich, std::string aKey, bool aRemoves)
+  {
+    const auto after =
+      std::ranges::upper_bound(mPlanned, aAt, {}, &planned::mAt);
+    mPlanned.insert(after, { aAt, aWhich, std::move(aKey), aRemoves });
+  }
+
+  // Does what was planned until now.
+  void Publish(time_point aNow)
+  {
+    while (!mPlanned.empty() && mPlanned.front().mAt <= aNow &&
+           !Silent(aNow, aNow)) {
+      const planned& next = mPlanned.front();
+      mChanges.push_back(
+        { next.mWhich, next.mKey, next.mRemoved, ++mRevision, aNow });
+      mPlanned.erase(mPlanned.begin());
+    }
+  }
+
+  // Whether it is silent at some moment of the two and between.
+  bool Silent(time_point aFrom, time_point aUntil) const
+  {
+    return std::ranges::any_of(mSilences, [&](const span& aOne) {
+      return aOne.mFrom <= aUntil && aFrom < aOne.mUntil;
+    });
+  }
+
+  std::uint64_t At() const { return mRevision; }
+  const std::vector<source_change>& Changes() const { return mChanges; }
+  std::vector<source_change>& Changes() { return mChanges; }
+
+  // What a watch after that revision is answered with.
+  std::vector<item_change> After(followed aWhich, std::uint64_t aAt) const
+  {
+    std::vector<item_change> after;
+    for (const source_change& each : mChanges) {
+      if (each.mWhich == aWhich && each.mRevision > aAt) {
+        item_change told{ each.mKey, std::nullopt, each.mRevision };
+        if (!each.mRemoved) {
+          told.mValue = std::to_string(each.mRevision);
+        }
+        after.push_back(told);
+      }
+    }
+    return after;
+  }
+
+  source_listing Listing(followed aWhich) const
+  {
+    std::map<std::string, source_item> items;
+    for (const item_change& each : After(aWhich, 0)) {
+      items.erase(each.mKey);
+      if (each.mValue) {
+        items[each.mKey] = { each.mKey, *each.mValue, each.mRevision };
+      }
+    }
+    source_listing listing{ {}, mRevision };
+    for (const auto& [key, item] : items) {
+      listing.mItems.push_back(item);
+    }
+    return listing;
+  }
+
+private:
+  struct span
+  {
+    time_point mFrom{};
+    time_point mUntil{};
+  };
+  struct planned
+  {
+    time_point mAt{};
+    followed mWhich{};
+    std::string mKey;
+    bool mRemoved = false;
+  };
+
+  std::vector<span> mSilences;
+  // By time.
+  std::vector<planned> mPlanned;
+  std::vector<source_change> mChanges;
+  std::uint64_t mRevision = 1;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_FLEET_TESTING_SILENT_SOURCE_H_
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -30,15 +30,10 @@
 #include "thornhollow/fleet/copy_requests.h"
 #include "thornhollow/fleet/large_copies.h"
 #include "thornhollow/fleet/relay_peers.h"
+#include "thornhollow/fleet/testing/silent_source.h"
 
 namespace thornhollow {
 
-enum class followed : std::uint8_t
-{
-  kConfiguration,
-  kEndpoints,
-};
-
 struct fleet_shape
 {
   int mDomains = 3;
@@ -89,26 +84,24 @@
   // is asked and what waits there is never answered, not even afterwards.
   void Silence(duration aFrom, duration aUntil)
   {
-    mSilences.push_back({ mStart + aFrom, mStart + aUntil });
+    mSource.Silence(mStart + aFrom, mStart + aUntil);
   }
 
   // A change of one item, acknowledged at that moment, or as soon as the source
   // answers again.
   void Change(duration aAt, followed aWhich)
   {
-    mPlanned.push_back({ mStart + aAt, aWhich, "item", false });
+    mSource.Plan(mStart + aAt, aWhich, "item", false);
   }
 
   // An endpoint joins, or leaves.
   void Join(duration aAt, int aEndpoint)
   {
-    mPlanned.push_back(
-      { mStart + aAt, followed::kEndpoints, NameOf(aEndpoint), false });
+    mSource.Plan(mStart + aAt, followed::kEndpoints, NameOf(aEndpoint), false);
   }
   void Leave(duration aAt, int aEndpoint)
   {
-    mPlanned.push_back(
-      { mStart + aAt, followed::kEndpoints, NameOf(aEndpoint), true });
+    mSource.Plan(mStart + aAt, followed::kEndpoints, NameOf(aEndpoint), true);
   }
 
   // From then on the domain's instances reach the source and each other only.
@@ -126,9 +119,8 @@
 
   void Run(duration aUntil)
   {
-    std::ranges::stable_sort(mPlanned, {}, &planned::mAt);
     for (; mNow < mStart + aUntil; mNow += kStep) {
-      Publish();
+      mSource.Publish(mNow);
       for (instance& each : mInstances) {
         Step(each);
       }
@@ -141,9 +133,9 @@
   change_delay Worst() const
   {
     change_delay worst;
-    for (const change& each : mChanges) {
+    for (const source_change& each : mSource.Changes()) {
       if (each.mWhich != followed::kConfiguration ||
-          Silent(each.mAt, each.mAt + kInForceWithin)) {
+          mSource.Silent(each.mAt, each.mAt + kInForceWithin)) {
         continue;
       }
       const duration took = each.mHeldByAll.value_or(mNow) - each.mAt;
@@ -159,7 +151,7 @@
   change_delay WorstLeaving() const
   {
     change_delay worst;
-    for (const change& each : mChanges) {
+    for (const source_change& each : mSource.Changes()) {
       if (each.mRemoved) {
         const duration took = each.mHeldByAll.value_or(mNow) - each.mAt;
         worst = std::max(worst,
@@ -204,27 +196,6 @@
   // As the daemon does: what it tells its peers of the source.
   static constexpr duration kTellsOfFailure = Seconds(5);
 
-  struct span
-  {
-    time_point mFrom{};
-    time_point mUntil{};
-  };
-  struct planned
-  {
-    time_point mAt{};
-    followed mWhich{};
-    std::string mKey;
-    bool mRemoved = false;
-  };
-  struct change
-  {
-    followed mWhich{};
-    std::string mKey;
-    bool mRemoved = false;
-    std::uint64_t mRevision = 0;
-    time_point mAt{};
-    std::optional<time_point> mHeldByAll;
-  };
   // A peer's answer on its way.
   struct copy_on_its_way
   {
@@ -310,25 +281,6 @@
 
   bool Stopped(const instance& aOne) const { return mNow >= aOne.mStopsAt; }
 
-  // Whether the source is silent at some moment of the two and between.
-  bool Silent(time_point aFrom, time_point aUntil) const
-  {
-    return std::ranges::any_of(mSilences, [&](const span& aOne) {
-      return aOne.mFrom <= aUntil && aFrom < aOne.mUntil;
-    });
-  }
-
-  void Publish()
-  {
-    while (!mPlanned.empty() && mPlanned.front().mAt <= mNow &&
-           !Silent(mNow, mNow)) {
-      const planned& next = mPlanned.front();
-      mChanges.push_back(
-        { next.mWhich, next.mKey, next.mRemoved, ++mRevision, mNow, {} });
-      mPlanned.erase(mPlanned.begin());
-    }
-  }
-
   static std::string NameOf(int aEndpoint)
   {
     return "engine-" + std::to_string(aEndpoint);
@@ -381,7 +333,7 @@
   bool LookForAnswers(instance& aOne, link& aLink)
   {
     for (open_call& each : aLink.mOpen) {
-      each.mLost = each.mLost || Silent(mNow, mNow);
+      each.mLost = each.mLost || mSource.Silent(mNow, mNow);
       if (!each.mLost && IsAnswered(aLink, each)) {
         NoteDelay(aLink, each);
         return Answer(aOne, aLink, source_call(each.mCall));
@@ -425,8 +377,8 @@
 
   bool IsAnswered(const link& aLink, const open_call& aOpen) const
   {
-    const bool news =
-      !aOpen.mCall.mList && !After(aLink.mWhich, aOpen.mCall.mAfter).empty();
+    const bool news = !aOpen.mCall.mList &&
+                      !mSource.After(aLink.mWhich, aOpen.mCall.mAfter).empty();
     const bool document = news && aLink.mWhich == followed::kConfiguration;
     return mNow >= (news ? aOpen.mSent : Due(aOpen)) + mShape.mLatency +
                      (document ? DocumentTakes() : duration::zero());
@@ -461,49 +413,18 @@
     }
   }
 
-  std::vector<item_change> After(followed aWhich, std::uint64_t aAt) const
-  {
-    std::vector<item_change> after;
-    for (const change& each : mChanges) {
-      if (each.mWhich == aWhich && each.mRevision > aAt) {
-        item_change told{ each.mKey, std::nullopt, each.mRevision };
-        if (!each.mRemoved) {
-          told.mValue = std::to_string(each.mRevision);
-        }
-        after.push_back(told);
-      }
-    }
-    return after;
-  }
-
-  source_listing Listing(followed aWhich) const
-  {
-    std::map<std::string, source_item> items;
-    for (const item_change& each : After(aWhich, 0)) {
-      items.erase(each.mKey);
-      if (each.mValue) {
-        items[each.mKey] = { each.mKey, *each.mValue, each.mRevision };
-      }
-    }
-    source_listing listing{ {}, mRevision };
-    for (const auto& [key, item] : items) {
-      listing.mItems.push_back(item);
-    }
-    return listing;
-  }
-
   bool Answer(instance& aOne, link& aLink, const source_call& aCall)
   {
     std::vector<item_change> news;
     const source_call next =
-      aCall.mList
-        ? aLink.mFollower.OnListed(
-            Listing(aLink.mWhich), aLink.mMirror, news, mNow)
-        : aLink.mFollower.OnWatched(
-            source_changes{ After(aLink.mWhich, aCall.mAfter), mRevision },
-            aLink.mMirror,
-            news,
-            mNow);
+      aCall.mList ? aLink.mFollower.OnListed(
+                      mSource.Listing(aLink.mWhich), aLink.mMirror, news, mNow)
+                  : aLink.mFollower.OnWatched(
+                      source_changes{ mSource.After(aLink.mWhich, aCall.mAfter),
+                                      mSource.At() },
+                      aLink.mMirror,
+                      news,
+                      mNow);
     if (std::exchange(aLink.mLost, false) &&
         aLink.mWhich == followed::kEndpoints) {
       aOne.mRoster.OnSourceRegained(mNow);
@@ -663,8 +584,10 @@
     hello.mBrief = true;
     hello.mAddress = aOne.mAddress;
     hello.mDomain = aOne.mDomain;
-    hello.mKnown = { aOne.mLinks[0].mMirror.ChangedAt(),
-                     aOne.mLinks[1].mMirror.ChangedAt() };
+    hello.mKnown = aOne.mPeers->AllReadHere()
+                     ? Known(aOne)
+                     : known_revisions{ aOne.mLinks[0].mMirror.ChangedAt(),
+                                        aOne.mLinks[1].mMirror.ChangedAt() };
     hello.mSourceFails = mNow < aOne.mSourceFailsUntil;
     return hello;
   }
@@ -738,21 +661,21 @@
 
   void NoteHeld()
   {
-    for (change& each : mChanges) {
+    for (source_change& each : mSource.Changes()) {
       if (!each.mHeldByAll && HeldByAll(each)) {
         each.mHeldByAll = mNow;
       }
     }
   }
 
-  bool HeldByAll(const change& aChange) const
+  bool HeldByAll(const source_change& aChange) const
   {
     return std::ranges::all_of(mInstances, [&](const instance& aOne) {
       return Stopped(aOne) || HeldBy(aOne, aChange);
     });
   }
 
-  static bool HeldBy(const instance& aOne, const change& aChange)
+  static bool HeldBy(const instance& aOne, const source_change& aChange)
   {
     if (aChange.mRemoved) {
       return !aOne.mRoster.Counts(endpoint_name(aChange.mKey));
@@ -764,10 +687,7 @@
   std::mt19937_64 mRandom;
   time_point mStart = time_point() + Seconds(1'000);
   time_point mNow = mStart;
-  std::vector<span> mSilences;
-  std::vector<planned> mPlanned;
-  std::vector<change> mChanges;
-  std::uint64_t mRevision = 1;
+  silent_source mSource;
   std::optional<int> mCutDomain;
   time_point mCutFrom{};
   std::vector<instance> mInstances;
