A large copy's transfer is waited for; a call that was just made isn't doubted

Each call beside brings the document over the same link again: five were on their way for one change.

Change: patience and limit grow by the time that all that is held takes at 1 MB/s, from 64 KB on; a call younger than 200 ms isn't doubted but for news that a peer knew first. Small copies are waited for as before, to the nanosecond.

--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -11,6 +11,13 @@
 
 namespace thornhollow {
 
+namespace {
+
+// A call isn't doubted before: answers take a few milliseconds.
+constexpr duration kDoubtedAfter = Milliseconds(200);
+
+} // namespace
+
 class source_link::core : public std::enable_shared_from_this<core>
 {
 public:
@@ -76,7 +83,10 @@
   void OnDoubt(watch_doubt aWhy, time_point aNow)
   {
     // With no call on its way there is nothing to doubt: the next one is due.
-    if (!mReads || !mNewest) {
+    // Nor is there with one that was made a moment ago, which tells the same.
+    const bool justMade = mNewest && aNow - mNewest->mSentAt < kDoubtedAfter &&
+                          aWhy != watch_doubt::kPeerKnewFirst;
+    if (!mReads || !mNewest || justMade) {
       return;
     }
     if (const auto call = mFollower.OnDoubt(aWhy, mMirror, aNow)) {
--- a/thornhollow/discovery/item_mirror.cc
+++ b/thornhollow/discovery/item_mirror.cc
@@ -37,6 +37,7 @@
   if (!mListed || !changes.empty()) {
     mChangedAt = aAt;
   }
+  CountBytes();
   mListed = true;
   mAt = aAt;
   return changes;
@@ -88,10 +89,20 @@
   mAt = std::max(mAt, aAt);
   if (!told.empty()) {
     mChangedAt = mAt;
+    CountBytes();
   }
   return news;
 }
 
+void
+item_mirror::CountBytes()
+{
+  mBytes = 0;
+  for (const auto& [key, item] : mItems) {
+    mBytes += item.mValue.size();
+  }
+}
+
 std::optional<std::vector<item_change>>
 item_mirror::Since(std::uint64_t aAfter) const
 {
--- a/thornhollow/discovery/item_mirror.h
+++ b/thornhollow/discovery/item_mirror.h
@@ -72,6 +72,8 @@
   // complete up to there lacks nothing that is here.
   std::uint64_t ChangedAt() const { return mChangedAt; }
   std::size_t size() const { return mItems.size(); }
+  // Of all values together.
+  std::size_t Bytes() const { return mBytes; }
   std::vector<source_item> Items() const;
 
   // What changed after revision `aAfter`, the latest last; nothing where that
@@ -91,11 +93,13 @@
   bool mListed = false;
   std::uint64_t mAt = 0;
   std::uint64_t mChangedAt = 0;
+  std::size_t mBytes = 0;
   std::map<std::string, held> mItems;
 
   // Changes remembered: minutes of those of a large site.
   static constexpr std::size_t kRemembered = 256;
   // Of a step from `aBefore` of which both ends are known only, or each change.
+  void CountBytes();
   void Remember(const std::vector<item_change>& aChanges,
                 std::uint64_t aBefore,
                 std::uint64_t aAfter,
--- a/thornhollow/discovery/source_follower.h
+++ b/thornhollow/discovery/source_follower.h
@@ -100,6 +100,12 @@
   duration mAskEveryForEach = Milliseconds(50);
   duration mLeastAskEvery = Milliseconds(400);
   duration mMostAskEvery = Seconds(1);
+  // A whole copy comes at this rate at the least, on a link of 20 Mbit/s beside
+  // callers' answers: an answer may take so much longer. Each call made beside
+  // one that is being answered would load the same link once more.
+  double mCopyBytesPerSecond = 1'000'000;
+  // Smaller ones come within the margin above.
+  std::size_t mLargeCopyBytes = 65'536;
   // Taken for the longest delay before any was seen.
   duration mFirstDelay = Milliseconds(250);
   // An answer later than this after it was due isn't waited for.
@@ -178,6 +184,8 @@
 private:
   duration LongWait() const;
   duration Patience();
+  // For all that is held to come once more.
+  duration CopyTime(const item_mirror& aMirror) const;
   double Jitter();
   source_call AfterFailure(const item_mirror& aMirror, time_point aNow);
   void NoteFailure(time_point aNow);
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -2,7 +2,7 @@
 // engines lately.
 //
 //   relay_peers peers(relay_peer_settings{}, "10.0.0.1:7", domain, seeds, 1);
-//   const auto [whole, brief] = peers.Tick(now);  // every 100 ms
+//   const auto [whole, brief, asked] = peers.Tick(now);  // every 100 ms
 //   Send(peers.OnHello(hello, now));             // for each datagram
 //   if (const auto from = peers.WhoKnowsMore(mine, now)) { ... ask it ... }
 //
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -193,6 +193,7 @@
   // As the daemon does: nobody waits longer for a copy.
   static constexpr duration kCopyLimit = Milliseconds(600);
   static constexpr double kEndpointBytes = 300;
+  static constexpr duration kDoubtedAfter = Milliseconds(200);
   // As the daemon does: what it tells its peers of the source.
   static constexpr duration kTellsOfFailure = Seconds(5);
 
@@ -405,7 +406,10 @@
 
   void Doubt(link& aLink, watch_doubt aWhy)
   {
-    if (aLink.mOpen.empty()) {
+    const bool justMade = !aLink.mOpen.empty() &&
+                          mNow - aLink.mOpen.back().mSent < kDoubtedAfter &&
+                          aWhy != watch_doubt::kPeerKnewFirst;
+    if (aLink.mOpen.empty() || justMade) {
       return;
     }
     if (const auto call = aLink.mFollower.OnDoubt(aWhy, aLink.mMirror, mNow)) {
