--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -30,10 +30,10 @@
 // From then on a stopping instance takes only what it can answer whole before
 // its end: a long answer would be cut, and another instance can give it.
 constexpr duration kRefuseAfter = Milliseconds(2'500);
-// An instance that the source didn't answer leaves it to others for this long,
-// where there are enough: longer than most refusals, short enough that a site's
-// readers are soon the same again.
-constexpr duration kLeaveSourceFor = Seconds(5);
+// An instance that the source didn't answer tells its peers so for this long,
+// and one more of its domain reads: longer than most refusals, short enough
+// that a site's readers are soon the same again.
+constexpr duration kTellsOfFailure = Seconds(5);
 // Left of the drain's grace for the process's own end.
 constexpr duration kEndReserve = Milliseconds(400);
 
@@ -250,7 +250,7 @@
   void ChooseReading(time_point aNow)
   {
     if (mDocument.Failing() || mEndpoints.Failing()) {
-      mSourceFailsUntil = aNow + kLeaveSourceFor;
+      mSourceFailsUntil = aNow + kTellsOfFailure;
     }
     mReads = mPeers.Reads(aNow);
     const watch_turn turn = mPeers.Turn(aNow);
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -352,7 +352,7 @@
                       time_point aNow) const
 {
   if (mPeers.size() >= mSettings.mSumsFrom) {
-    const summed_views all = mSums.All(aOwn, Ring(), aNow);
+    const summed_views all = mSums.All(aOwn, mPeers.size() + 1, aNow);
     if (all.mInstances > CountFresh(aNow)) {
       return Scaled(all);
     }
--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -90,8 +90,8 @@
   }
 }
 
-// Guards against sums over a part of the fleet: of 195 instances each knew of
-// 128 after fourteen seconds.
+// Guards against sums over a part of the fleet, as instances know too few
+// others.
 TEST_CASE_FIXTURE(hello_fleet, "relay_peers/many_start_at_once/all_meet_soon")
 {
   for (int each = 0; each < 195; ++each) {
--- a/thornhollow/fleet/shared_sums.cc
+++ b/thornhollow/fleet/shared_sums.cc
@@ -93,10 +93,10 @@
 
 summed_views
 shared_sums::All(const std::map<pool_name, pool_view>& aOwn,
-                 const instance_ring& aRing,
+                 std::size_t aInstances,
                  time_point aNow) const
 {
-  return Levels(aOwn, aRing.mAddresses.size(), aNow).back().mRest;
+  return Levels(aOwn, aInstances, aNow).back().mRest;
 }
 
 } // namespace thornhollow
--- a/thornhollow/fleet/shared_sums.h
+++ b/thornhollow/fleet/shared_sums.h
@@ -4,7 +4,7 @@
 //   shared_sums sums(shared_sums_settings{});
 //   for (const sums_to_tell& each : sums.Round(own, ring, now)) { Send(each); }
 //   sums.OnTold(told, now);
-//   if (const summed_views all = sums.All(own, ring, now); all.mInstances > 0)
+//   if (const summed_views all = sums.All(own, 195, now); all.mInstances > 0)
 //   {
 //     ...
 //   }
@@ -99,10 +99,10 @@
                                   time_point aNow);
   void OnTold(const told_sums& aSums, time_point aNow);
 
-  // Over all instances that the ring has, this one included, as far as they
-  // were told of.
+  // Over all of so many instances in the ring, this one included, as far as
+  // they were told of.
   summed_views All(const std::map<pool_name, pool_view>& aOwn,
-                   const instance_ring& aRing,
+                   std::size_t aInstances,
                    time_point aNow) const;
 
 private:
--- a/thornhollow/fleet/shared_sums_test.cc
+++ b/thornhollow/fleet/shared_sums_test.cc
@@ -68,7 +68,7 @@
 
   summed_views Of(std::size_t aInstance) const
   {
-    return mSums[aInstance].All(Own(aInstance), RingOf(aInstance), mNow);
+    return mSums[aInstance].All(Own(aInstance), mSums.size(), mNow);
   }
 
   static double Requests(const summed_views& aSums)
