Process tests: each test process holds the ports that it gives out

Reproduced by playing the test 16 at once, six times each: 5 of 96 runs failed (1 of 60 with ten at once), three with the same line, two as "not back in time". With the daemon's exit code in the message all three were exit code 3: the address can't be had. Cause: the harness gave out ports that were free a moment ago, from the range of outgoing connections. A peer that tries to reach a killed instance, or a test beside this one, had the port when the daemon was started (again). Ruled out: the readers of the store and copies between peers; the daemon had ended before it asked anybody. Its line about it came on the standard output, where the harness took it for the line of addresses and waited on.

--- a/thornhollow/testing/process/harness.py
+++ b/thornhollow/testing/process/harness.py
@@ -9,12 +9,14 @@
 hanging for ever, no verdict depends on it.
 """
 
+import atexit
 import hashlib
 import http.client
 import itertools
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -52,15 +54,16 @@
         guard.start()
         line = self.process.stdout.readline()
         guard.cancel()
-        if not line:
+        # A daemon that logs to its output says there why it can't start.
+        self.addresses = json.loads(line or "{}")
+        if "event" in self.addresses or not line:
             self.process.wait()
             self.process.stdout.close()
             error = (PortTaken if self.process.returncode == CANNOT_LISTEN
                      else RuntimeError)
             raise error(
                 f"{self.name} ended with {self.process.returncode} before it "
-                f"was ready: {self.log()}")
-        self.addresses = json.loads(line)
+                f"was ready: {line}{self.log()}")
 
     @property
     def address(self):
@@ -203,11 +206,36 @@
     raise AssertionError(f"did not happen: {what}")
 
 
+# Below the ports that the system gives to outgoing connections.
+PORTS = range(10_000, 32_000)
+# Names of this process' ports, held until it ends.
+_claims = []
+atexit.register(lambda: [claim.close() for claim in _claims])
+
+
 def free_port():
-    """A port that was free a moment ago, for programs that need to be told."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port for a program that needs to be told one, this process' own.
+
+    One that is merely free can be had meanwhile by an outgoing connection or a
+    test beside this one: the program, or one that is started again there, then
+    ends with "address in use". These can't, as outgoing connections have ports
+    of their own and each of these is held by one test process.
+    """
+    for _ in range(len(PORTS)):
+        port = random.choice(PORTS)
+        claim = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+        try:
+            # An abstract name: the system lets one process hold it, and frees
+            # it however the process ends.
+            claim.bind(f"\0thornhollow-test-port-{port}")
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))
+        except OSError:
+            claim.close()
+            continue
+        _claims.append(claim)
+        return port
+    raise RuntimeError("no port for a test could be had")
 
 
 class ProcessTest(unittest.TestCase):
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -235,18 +235,22 @@
 
 class RelayDaemon(harness.Program):
 
-    def __init__(self, source, name="n1", seeds=""):
+    def __init__(self, source, name="n1", seeds="", caller=None):
         self.ready_address = harness.address_on_loopback()
         self.peers = harness.address_on_loopback()
         self.operators = harness.address_on_loopback()
         settings = SETTINGS.format(
-            name=name, caller=harness.address_on_loopback(),
+            name=name, caller=caller or harness.address_on_loopback(),
             ready=self.ready_address, peers=self.peers, seeds=seeds,
             operators=self.operators, source=source)
         self.folder = tempfile.TemporaryDirectory()
         self.settings = pathlib.Path(self.folder.name, "settings.yaml")
         self.settings.write_text(settings)
-        self.start()
+        try:
+            self.start()
+        except RuntimeError:
+            self.folder.cleanup()
+            raise
 
     def start(self):
         """Again after `kill`: at the same addresses, knowing nothing."""
@@ -271,6 +275,24 @@
         except OSError:
             return False
 
+    def wait_ready(self):
+        """Fails with what the daemon says of itself where it stays unready."""
+        try:
+            harness.wait_until(self.ready, "the daemon is ready")
+        except AssertionError as failure:
+            raise AssertionError(f"{failure}: {self.story()}") from None
+
+    def story(self):
+        """Its exit code, status page and first log lines, for a failed wait."""
+        code = self.process.poll()
+        page = None
+        if code is None:
+            try:
+                page = harness.call(self.operators, "GET", "/status")[2]
+            except OSError as failure:
+                page = repr(failure)
+        return f"exit code {code}, status {page}, log {self.lines[:40]}"
+
     def kill(self):
         if self.running():
             self.process.kill()
@@ -304,7 +326,7 @@
             self.store.put("op/config", document(1))
         daemon = RelayDaemon(self.store.server.address, **options)
         self.addCleanup(daemon.stop)
-        harness.wait_until(daemon.ready, "the daemon is ready")
+        daemon.wait_ready()
         return daemon
 
     def headers(self, request, stream=False, key="k1"):
