Endpoints of failure domains out of reach are passed over

Cause: each attempt chose by engine; one in five engines is the domain's own, so three attempts in a row, 300 ms each, met the cut and the request was given up, while the domain's own engines idled. Ruled out: the store (instances held the endpoints' entries), the retry budget (none of these had been sent), the health of single engines (each was tried once). Change: policy/domain_reach. An endpoint that gives no sign casts doubt on its domain until an instance of it is heard again; two other domains in doubt at once cast doubt on all that weren't heard since. In virtual time, an instance of a domain cut off, 20 requests: 8 (drop) and 7 (reset) refused before, none after.

--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -268,6 +268,29 @@
   }
 }
 
+void
+relay_dispatcher::OnPeerHeard(const domain_name& aDomain, time_point aNow)
+{
+  for (auto& [name, pool] : mPools) {
+    pool.OnPeerHeard(aDomain, aNow);
+  }
+}
+
+void
+relay_dispatcher::OnUnreached(const relay_pick& aPick, time_point aNow)
+{
+  bool isNew = false;
+  for (auto& [name, pool] : mPools) {
+    isNew = pool.OnUnreached(aPick, aNow) || isNew;
+  }
+  if (isNew) {
+    mLog.Write(log_level::kInfo,
+               "domain_doubted",
+               { { "domain", aPick.mDomain.Text() },
+                 { "endpoint", aPick.mEndpoint.Text() } });
+  }
+}
+
 std::map<pool_name, held_requests>
 relay_dispatcher::HeldByPool() const
 {
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -83,6 +83,9 @@
                      time_point aNow);
   void SetViews(const std::map<pool_name, pool_view>& aDemand, time_point aNow);
 
+  // Another instance was heard.
+  void OnPeerHeard(const domain_name& aDomain, time_point aNow);
+
   // For sessions.
   boost::asio::io_context& Io() { return mIo; }
   const relay_names& Names() const { return mNames; }
@@ -90,6 +93,8 @@
   metrics& Metrics() { return mMetrics; }
   endpoint_connections& Connections() { return mConnections; }
   relay_pool* Pool(const pool_name& aName);
+  // An endpoint gave no sign, as if it were out of reach.
+  void OnUnreached(const relay_pick& aPick, time_point aNow);
   shared_retry_budget& Retries() { return mRetries; }
   void OnSessionBegin() { ++mSessions; }
   void OnSessionEnd() { --mSessions; }
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -176,6 +176,9 @@
     listener.mSourceFails = [this] { return Now() < mSourceFailsUntil; };
     listener.mWork = [this] { return OwnWork(); };
     listener.mDemand = [this] { return mDispatcher.OwnViews(Now()); };
+    listener.mOnHeard = [this](const domain_name& aDomain) {
+      mDispatcher.OnPeerHeard(aDomain, Now());
+    };
     listener.mOnAsked = [this](const items_request& aAsked) {
       return CopyFor(aAsked);
     };
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -173,6 +173,7 @@
       mMetrics.OnEvent("peer_datagram_refused");
       return false;
     }
+    mListener.mOnHeard(hello->mDomain);
     if (const auto back = mPeers.OnHello(*hello, Now())) {
       if (hello->mBrief) {
         Send(BriefHello(false), { *back });
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -39,6 +39,8 @@
   std::function<bool()> mSourceFails;
   std::function<std::vector<endpoint_work>()> mWork;
   std::function<std::map<pool_name, pool_view>()> mDemand;
+  // An instance of the failure domain was heard.
+  std::function<void(const domain_name&)> mOnHeard;
   // The copy as a peer asks for it.
   std::function<items_answer(const items_request&)> mOnAsked;
   // What a peer answered to such a request.
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -433,6 +433,10 @@
       mAttempt->Abandon();
     }
     EndAttempt(HealthOutcome(aFailure));
+    if (aFailure == attempt_failure::kNotSent ||
+        aFailure == attempt_failure::kSilent) {
+      mDispatcher.OnUnreached(mPick, Now());
+    }
     mEvents.DropUnfinished();
     const relay_step step = NextStep(progress);
     // What never arrived anywhere adds no work to any endpoint.
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -62,6 +63,7 @@
   : mSettings(aSettings)
   , mEngines(aEngines)
   , mOwnDomain(std::move(aOwnDomain))
+  , mReach(domain_reach_settings{}, mOwnDomain)
   , mRandom(aSeed)
   , mAffinity(aSettings.mAffinity)
   , mBorder(aSettings.mBorder)
@@ -157,6 +159,7 @@
                             : ChoosePlain(candidates);
   pick.mEndpoint = chosen->mEndpoint.mName;
   pick.mAddress = chosen->mEndpoint.mAddress;
+  pick.mDomain = chosen->mEndpoint.mDomain;
   pick.mLifetime = chosen->mEndpoint.mLifetime;
   pick.mBulk = SideOf(aWork) == engine_side::kBulk;
   return pick;
@@ -189,9 +192,25 @@
   if (sound.empty()) {
     return doubtful;
   }
+  sound = WithinReach(std::move(sound), aNow);
   return mEngines ? OfSide(aWork, sound, aNow) : sound;
 }
 
+// Those whose failure domains aren't in doubt; all where that leaves none.
+std::vector<relay_pool::record*>
+relay_pool::WithinReach(std::vector<record*> aSound, time_point aNow) const
+{
+  if (!mReach.AnyDoubted(aNow)) {
+    return aSound;
+  }
+  std::vector<record*> within;
+  within.reserve(aSound.size());
+  std::ranges::copy_if(aSound, std::back_inserter(within), [&](record* aOne) {
+    return !mReach.Doubted(aOne->mEndpoint.mDomain, aNow);
+  });
+  return within.empty() ? std::move(aSound) : within;
+}
+
 void
 relay_pool::AssignSides(const demand_sums& aDemand, time_point aNow)
 {
@@ -473,6 +492,7 @@
     mAdmission.OnStarted(aPick.mToRead, aWait, aNow);
     mBulkHold.OnBegun(aWait);
   }
+  mReach.OnAnswered(aPick.mDomain, aNow);
   if (record* found = Find(aPick)) {
     found->mToRead -= std::min<std::uint64_t>(found->mToRead, aPick.mToRead);
     found->mHealth.OnFirstToken(aWait, aNow);
@@ -500,6 +520,9 @@
   if (aPick.mBulk && !aBegun) {
     mAdmission.OnLost(aPick.mToRead);
   }
+  if (aHow == attempt_end::kDeclined) {
+    mReach.OnAnswered(aPick.mDomain, aNow);
+  }
   mMeter.OnEnded(KindOf(aWork));
   if (aPick.mBulk && aHow == attempt_end::kCompleted) {
     mBulkHold.OnEnded(aLength);
@@ -522,6 +545,18 @@
   found->mHealth.OnEnded(aHow, aLength, mayLeave, aNow);
 }
 
+bool
+relay_pool::OnUnreached(const relay_pick& aPick, time_point aNow)
+{
+  return mReach.OnUnreached(aPick.mDomain, aNow);
+}
+
+void
+relay_pool::OnPeerHeard(const domain_name& aDomain, time_point aNow)
+{
+  mReach.OnPeerHeard(aDomain, aNow);
+}
+
 void
 relay_pool::SetOthers(const relay_load& aLoad, time_point aNow)
 {
@@ -616,6 +651,7 @@
 void
 relay_pool::OnClockGap(time_point aNow)
 {
+  mReach.Forget();
   for (auto& [name, each] : mRecords) {
     each.mHealth.OnClockGap(aNow);
     each.mOthersToRead = 0;
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -29,6 +29,9 @@
 // On which side of the border an engine is follows from its name's hash, but
 // slow ones are on the bulk side first.
 //
+// Endpoints of failure domains that seem out of reach are passed over as long
+// as others are left, see policy/domain_reach.h.
+//
 // Plain services have places instead: the endpoint with the fewest requests of
 // this instance is taken, one of its own failure domain before others.
 #ifndef THORNHOLLOW_POLICY_RELAY_POOL_H_
@@ -45,6 +48,7 @@
 
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
+#include "thornhollow/policy/domain_reach.h"
 #include "thornhollow/policy/endpoint_health.h"
 #include "thornhollow/policy/engine_border.h"
 #include "thornhollow/policy/engine_sides.h"
@@ -180,6 +184,12 @@
                duration aLength,
                time_point aNow);
 
+  // The endpoint gave no sign, as if it were out of reach; `OnEnded` is called
+  // as well. Returns whether its failure domain came into doubt by that.
+  bool OnUnreached(const relay_pick& aPick, time_point aNow);
+  // Another instance of the failure domain was heard.
+  void OnPeerHeard(const domain_name& aDomain, time_point aNow);
+
   // What other instances said of it, in sums, and in the least of their paces,
   // 0 where they said none.
   void SetOthers(const relay_load& aLoad, time_point aNow);
@@ -224,6 +234,8 @@
   std::vector<record*> Candidates(const relay_work& aWork,
                                   const std::vector<endpoint_name>& aTried,
                                   time_point aNow);
+  std::vector<record*> WithinReach(std::vector<record*> aSound,
+                                   time_point aNow) const;
   void JudgePaces(time_point aNow);
   void MeasurePaces(time_point aNow);
   std::size_t SlowEngines() const;
@@ -255,6 +267,7 @@
   relay_pool_settings mSettings;
   bool mEngines;
   domain_name mOwnDomain;
+  domain_reach mReach;
   std::mt19937_64 mRandom;
   std::map<endpoint_name, record> mRecords;
   std::uint32_t mNextNumber = 0;
--- a/thornhollow/policy/relay_pool_test.cc
+++ b/thornhollow/policy/relay_pool_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -386,5 +387,109 @@
   CHECK(pool.Choose(work, {}, now)->mEndpoint == endpoint_name("far"));
 }
 
+// Four domains with ten engines each, as an instance of the first sees them
+// while its domain is cut off: the others' engines can't be reached, and of
+// their instances nothing is heard.
+struct domain_cut_off
+{
+  static constexpr int kDomains = 4;
+  // As many connections are tried for a request.
+  static constexpr std::size_t kTries = 3;
+
+  relay_pool mPool{ relay_pool_settings{}, true, Domain(0), 1 };
+  time_point mNow = time_point() + Seconds(100);
+  duration mUnreachedAfter = Milliseconds(300);
+  int mServed = 0;
+  int mServedAtOnce = 0;
+  int mRefused = 0;
+
+  domain_cut_off()
+  {
+    for (int each = 0; each < 10 * kDomains; ++each) {
+      const std::string name = "e" + std::to_string(each);
+      mPool.Put({ endpoint_name(name), name, Domain(each % kDomains), 1 });
+    }
+    mPool.SetView(View(50'000, 20'000), mNow);
+    HearAll();
+    mNow += Milliseconds(100);
+  }
+
+  static domain_name Domain(int aNumber)
+  {
+    return domain_name("domain-" + std::to_string(aNumber));
+  }
+
+  void HearAll()
+  {
+    for (int each = 0; each < kDomains; ++each) {
+      mPool.OnPeerHeard(Domain(each), mNow);
+    }
+  }
+
+  void Ask(std::uint64_t aSession)
+  {
+    const relay_work work = Work(aSession, aSession % 3 == 0);
+    std::vector<endpoint_name> tried;
+    while (tried.size() < kTries) {
+      const auto pick = mPool.Choose(work, tried, mNow);
+      REQUIRE(pick.has_value());
+      mPool.OnSent(*pick, work, mNow);
+      if (pick->mDomain == Domain(0)) {
+        const duration wait = Milliseconds(40);
+        mPool.OnFirstByte(*pick, work, wait, mNow);
+        mPool.OnEnded(
+          *pick, work, attempt_end::kCompleted, true, wait, mNow + wait);
+        ++mServed;
+        mServedAtOnce += tried.empty() ? 1 : 0;
+        return;
+      }
+      tried.push_back(pick->mEndpoint);
+      mNow += mUnreachedAfter;
+      mPool.OnEnded(
+        *pick, work, attempt_end::kFailed, false, mUnreachedAfter, mNow);
+      mPool.OnUnreached(*pick, mNow);
+    }
+    ++mRefused;
+  }
+
+  void AskMany()
+  {
+    for (std::uint64_t each = 1; each <= 20; ++each) {
+      Ask(each);
+      mNow += Milliseconds(200);
+    }
+  }
+};
+
+// Guards against refusing whoever calls in a domain that is cut off, as three
+// engines beyond the cut were tried, while its own engines idle.
+TEST_CASE_FIXTURE(domain_cut_off, "relay_pool/cut_drops/own_domain_serves")
+{
+  AskMany();
+  CHECK(mRefused == 0);
+  CHECK(mServedAtOnce >= 18);
+}
+
+TEST_CASE_FIXTURE(domain_cut_off, "relay_pool/cut_resets/own_domain_serves")
+{
+  mUnreachedAfter = Milliseconds(2);
+  AskMany();
+  CHECK(mRefused == 0);
+  CHECK(mServedAtOnce >= 18);
+}
+
+// Guards against leaving the engines beyond a cut idle once it is over.
+TEST_CASE_FIXTURE(domain_cut_off, "relay_pool/cut_over/all_domains_serve")
+{
+  AskMany();
+  HearAll();
+  std::set<domain_name> sentTo;
+  for (std::uint64_t each = 1; each <= 40; ++each) {
+    const auto pick = mPool.Choose(Work(each, false), {}, mNow);
+    sentTo.insert(pick->mDomain);
+  }
+  CHECK(sentTo.size() == kDomains);
+}
+
 } // namespace
 } // namespace thornhollow
--- a/thornhollow/policy/relay_work.h
+++ b/thornhollow/policy/relay_work.h
@@ -56,6 +56,7 @@
 {
   endpoint_name mEndpoint;
   std::string mAddress;
+  domain_name mDomain;
   // Tells processes of one name apart.
   std::uint64_t mLifetime = 0;
   // Prompt tokens that the engine is believed to have to read.
