--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -24,8 +24,10 @@
 // Endpoints are a few milliseconds away; a first packet that was lost comes
 // again only after a second, and another endpoint answers sooner.
 constexpr duration kConnectTimeout = Milliseconds(300);
-// Connections that can't be made before the request is given up.
-constexpr std::uint32_t kMaxUnsent = 3;
+// A request is given up after so many connections that couldn't be made,
+constexpr std::uint32_t kMaxUnsent = 6;
+// or after this long in such attempts: three that nobody refuses.
+constexpr duration kMaxUnsentTime = Milliseconds(800);
 // How long ago a kept connection may have been used last. A request that may
 // run once only isn't put on one that may be about to close, since it could not
 // be told from one that ran.
@@ -426,7 +428,10 @@
     LogAttempt(aFailure, aDetail);
     mAttempts = progress.mAttempts;
     mMayHaveRun = progress.mMayHaveRun;
-    mUnsent += aFailure == attempt_failure::kNotSent ? 1 : 0;
+    if (aFailure == attempt_failure::kNotSent) {
+      ++mUnsent;
+      mUnsentTime += Now() - mSentAt;
+    }
     if (aClose) {
       mAttempt->Close();
     } else {
@@ -442,7 +447,7 @@
     // What never arrived anywhere adds no work to any endpoint.
     const bool firstArrival = progress.mAttempts == 0;
     const bool paid = std::exchange(mPaid, false) || firstArrival;
-    const bool allowed = step != relay_step::kGiveUp && mUnsent < kMaxUnsent &&
+    const bool allowed = step != relay_step::kGiveUp && MayConnectAgain() &&
                          (paid || mDispatcher.Retries().Spend(*mPool, Now()));
     if (!allowed) {
       GiveUp(FinalError(progress));
@@ -452,6 +457,13 @@
     Try();
   }
 
+  // Guards against refusing a request within milliseconds because some of many
+  // endpoints crashed: their hosts refuse connections at once.
+  bool MayConnectAgain() const
+  {
+    return mUnsent < kMaxUnsent && mUnsentTime < kMaxUnsentTime;
+  }
+
   // Settles the attempt's account with the pool, once.
   void EndAttempt(attempt_end aHow)
   {
@@ -658,6 +670,7 @@
   std::vector<endpoint_name> mTried;
   std::uint32_t mAttempts = 0;
   std::uint32_t mUnsent = 0;
+  duration mUnsentTime{};
   bool mMayHaveRun = false;
   // The next retry is taken from the budget already.
   bool mPaid = false;
--- a/thornhollow/testing/process/relay_test.py
+++ b/thornhollow/testing/process/relay_test.py
@@ -61,6 +61,16 @@
         self.assertEqual(len(free.ran), 6)
         self.assertEqual(busy.ran, [])
 
+    def test_several_engines_crashed_another_one_answers(self):
+        # Refused after three of them, while others were sound.
+        engines = [self.engine(f"i-{number}") for number in range(6)]
+        daemon = self.daemon()
+        for each in engines[:-1]:
+            each.server.stop()
+        for number in range(3):
+            status, _, body = self.ask(daemon, "/o/x", f"r{number}")
+            self.assertEqual((status, body), (200, b"body of i-5"))
+
     def test_all_decline_says_not_run(self):
         for name in ("i-1", "i-2"):
             self.engine(name).mode = "decline"
