--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -386,7 +386,7 @@
 relay_peers::SumsToTell(const std::map<pool_name, pool_view>& aOwn,
                         time_point aNow)
 {
-  if (mPeers.size() < mSettings.mSumsFrom) {
+  if (mPeers.size() < mSettings.mSumsFrom || !mSums.Due(aNow)) {
     return {};
   }
   return mSums.Round(aOwn, Ring(), aNow);
--- a/thornhollow/fleet/shared_sums.cc
+++ b/thornhollow/fleet/shared_sums.cc
@@ -66,7 +66,7 @@
                    time_point aNow)
 {
   const std::size_t instances = aRing.mAddresses.size();
-  if (aNow < mNextRound || instances < 2) {
+  if (!Due(aNow) || instances < 2) {
     return {};
   }
   mNextRound = aNow + mSettings.mInterval;
--- a/thornhollow/fleet/shared_sums.h
+++ b/thornhollow/fleet/shared_sums.h
@@ -93,6 +93,8 @@
 public:
   explicit shared_sums(const shared_sums_settings& aSettings);
 
+  // Whether a round is due: the ring is needed only then.
+  bool Due(time_point aNow) const { return aNow >= mNextRound; }
   // What to tell now, nothing between two rounds. `aOwn`: this instance's part.
   std::vector<sums_to_tell> Round(const std::map<pool_name, pool_view>& aOwn,
                                   const instance_ring& aRing,
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -30,39 +30,11 @@
 #include "thornhollow/fleet/copy_requests.h"
 #include "thornhollow/fleet/large_copies.h"
 #include "thornhollow/fleet/relay_peers.h"
+#include "thornhollow/fleet/testing/fleet_shape.h"
 #include "thornhollow/fleet/testing/silent_source.h"
 
 namespace thornhollow {
 
-struct fleet_shape
-{
-  int mDomains = 3;
-  int mPerDomain = 2;
-  // An answer of the source takes so long.
-  duration mLatency = Milliseconds(10);
-  // Instances of a domain that read the source for all; 0: all of them.
-  std::size_t mReaders = 0;
-  // Part of the hellos that are lost.
-  double mLoss = 0;
-  // From a question for a peer's copy to its answer, or to knowing that none
-  // comes.
-  duration mCopyTakes = Milliseconds(40);
-  // Of the configuration, and what an instance's link carries in a second.
-  double mDocumentBytes = 4'000;
-  double mLinkBytes = 2'500'000;
-
-  friend bool operator==(const fleet_shape&, const fleet_shape&) = default;
-};
-
-// How long a change took until every instance held it or a newer one.
-struct change_delay
-{
-  duration mAcknowledged{};
-  duration mTook{};
-
-  friend bool operator==(const change_delay&, const change_delay&) = default;
-};
-
 class silent_source_fleet
 {
 public:
