--- a/thornhollow/policy/relay_admission.h
+++ b/thornhollow/policy/relay_admission.h
@@ -30,9 +30,8 @@
 // instances, no more than that part of it is taken.
 //
 // Tiers: while a lower one is asked for, a tier whose own answers begin soon is
-// taken, whatever the lower ones wait: engines serve it first. Else two in
-// three of the first tier's prompts were refused for a queue that they don't
-// stand in.
+// taken, whatever the lower ones wait: engines serve it first. Else it would be
+// refused for a queue that it doesn't stand in.
 //
 // Teams: one that asks for more than its even part is refused at half of that
 // wait, one that asks for less at a quarter more. So a team that sends many
