--- a/thornhollow/policy/domain_reach.cc
+++ b/thornhollow/policy/domain_reach.cc
@@ -13,36 +13,49 @@
 {
 }
 
+domain_reach::domain*
+domain_reach::Known(const domain_name& aName)
+{
+  if (mDomains.size() >= mSettings.mMostDomains && !mDomains.contains(aName)) {
+    return nullptr;
+  }
+  return &mDomains[aName];
+}
+
 bool
 domain_reach::OnUnreached(const domain_name& aDomain, time_point aNow)
 {
-  domain& its = mDomains[aDomain];
+  domain* its = Known(aDomain);
   // Attempts that were on their way are part of the same doubt.
-  const bool isNew = !Lasts(its, aNow);
-  if (isNew) {
-    ++its.mDoubts;
-    its.mDoubtedAt = aNow;
+  if (its == nullptr || Lasts(*its, aNow)) {
+    return false;
   }
-  return isNew;
+  ++its->mDoubts;
+  its->mDoubtedAt = aNow;
+  return true;
 }
 
 void
 domain_reach::OnAnswered(const domain_name& aDomain, time_point aNow)
 {
-  domain& its = mDomains[aDomain];
-  its.mHeardAt = aNow;
-  its.mDoubtedAt.reset();
-  its.mDoubts = 0;
+  if (domain* its = Known(aDomain)) {
+    its->mHeardAt = aNow;
+    its->mDoubtedAt.reset();
+    its->mDoubts = 0;
+  }
 }
 
 void
 domain_reach::OnPeerHeard(const domain_name& aDomain, time_point aNow)
 {
-  domain& its = mDomains[aDomain];
-  its.mHeardAt = aNow;
-  its.mPeerHeard = true;
-  if (its.mDoubts <= mSettings.mEndedByWords) {
-    its.mDoubtedAt.reset();
+  domain* its = Known(aDomain);
+  if (its == nullptr) {
+    return;
+  }
+  its->mHeardAt = aNow;
+  its->mPeerHeard = true;
+  if (its->mDoubts <= mSettings.mEndedByWords) {
+    its->mDoubtedAt.reset();
   }
 }
 
--- a/thornhollow/policy/domain_reach.h
+++ b/thornhollow/policy/domain_reach.h
@@ -22,6 +22,7 @@
 #ifndef THORNHOLLOW_POLICY_DOMAIN_REACH_H_
 #define THORNHOLLOW_POLICY_DOMAIN_REACH_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -39,6 +40,9 @@
   duration mHeardFor = Seconds(5);
   // Doubts in a row that an instance's words end.
   std::uint32_t mEndedByWords = 3;
+  // Domains known; what comes of more isn't noted. Names come in messages, and
+  // forged ones must not fill the memory.
+  std::size_t mMostDomains = 64;
 
   friend bool operator==(const domain_reach_settings&,
                          const domain_reach_settings&) = default;
@@ -72,6 +76,8 @@
     bool mPeerHeard = false;
   };
 
+  // Nothing where there is no room for it.
+  domain* Known(const domain_name& aName);
   bool Lasts(const domain& aDomain, time_point aNow) const;
   std::optional<time_point> CutOffAt(time_point aNow) const;
 
--- a/thornhollow/policy/domain_reach_test.cc
+++ b/thornhollow/policy/domain_reach_test.cc
@@ -1,3 +1,5 @@
+#include <string>
+
 #include <doctest/doctest.h>
 
 #include "thornhollow/policy/domain_reach.h"
@@ -118,6 +120,18 @@
   CHECK_FALSE(reach.Doubted(kYard, now + Seconds(1)));
 }
 
+// Guards against forged messages, each with a name of its own, that fill the
+// memory: known domains are judged on, others aren't noted.
+TEST_CASE_FIXTURE(four_domains_heard, "domain_reach/many_names/few_are_noted")
+{
+  for (int each = 0; each < 10'000; ++each) {
+    mReach.OnPeerHeard(domain_name("d" + std::to_string(each)), mNow);
+  }
+  CHECK_FALSE(mReach.OnUnreached(domain_name("d9999"), mNow));
+  CHECK(mReach.OnUnreached(kYard, mNow));
+  CHECK(Doubted(kYard));
+}
+
 TEST_CASE_FIXTURE(four_domains_heard, "domain_reach/stood_still/forgotten")
 {
   mReach.OnUnreached(kYard, mNow);
