Failing test: large documents on narrow links never arrive; leaving endpoints get work for seconds

What callers saw: requests handled by a version five seconds older than the newest, and requests at endpoints that had left 3.2 to 3.7 s before, where 77 of 83 instances have links of 10 Mbit/s and documents of 1,400 to 4,200 routes came one after the other.

The model of a fleet in virtual time now shares an instance's link between all that comes and goes on it, sends each version that a watch missed, refuses copies over the transport's limit, and lets calls that nobody waits for come all the same, as the daemon does.

--- /dev/null
+++ b/thornhollow/fleet/knowledge_spread_test.cc
@@ -0,0 +1,63 @@
+#include <cstdint>
+
+#include <doctest/doctest.h>
+
+#include "thornhollow/fleet/testing/leaving_series.h"
+#include "thornhollow/fleet/testing/silent_source_fleet.h"
+
+namespace thornhollow {
+namespace {
+
+// Long enough for all to have met.
+constexpr duration kSettled = Seconds(15);
+// In force everywhere, where the source's answer itself takes most of a second.
+constexpr duration kOnNarrowLinks = Seconds(3);
+
+// Guards against a configuration that stays old for long while its answers come
+// slowly: each is given up and asked for again beside the last.
+TEST_CASE("knowledge_spread/readers_and_documents_on_narrow_links/"
+          "they_are_in_force_in_time")
+{
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    CAPTURE(seed);
+    silent_source_fleet condition({ .mDomains = 3,
+                                    .mPerDomain = 28,
+                                    .mReaders = 2,
+                                    .mLoss = 0.02,
+                                    .mDocumentBytes = 800'000,
+                                    .mLinkBytes = 1'250'000 },
+                                  seed);
+    LeaveInSeries(condition, kSettled, seed);
+    for (const duration after :
+         { Seconds(0), Milliseconds(1'500), Seconds(4), Milliseconds(4'600) }) {
+      condition.Change(kSettled + after, followed::kConfiguration);
+    }
+    condition.Run(kSettled + Seconds(25));
+    CHECK(ToSeconds(condition.Worst().mTook) <= ToSeconds(kOnNarrowLinks));
+    CHECK(ToSeconds(condition.WorstLeaving().mTook) <=
+          ToSeconds(silent_source_fleet::kInForceWithin));
+  }
+}
+
+// Guards against endpoints that get work for seconds after they left, as an
+// instance that the source doesn't answer makes others take leaving for leases
+// that lapsed in an outage.
+TEST_CASE("knowledge_spread/source_fails_one_reader/leaving_is_known_in_time")
+{
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    CAPTURE(seed);
+    silent_source_fleet condition(
+      { .mDomains = 3, .mPerDomain = 28, .mReaders = 2, .mLoss = 0.02 }, seed);
+    LeaveInSeries(condition, kSettled, seed);
+    condition.Run(kSettled - Seconds(1));
+    condition.TurnAway(condition.Readers().front(),
+                       kSettled - Seconds(1),
+                       kSettled + Seconds(3));
+    condition.Run(kSettled + Seconds(12));
+    CHECK(ToSeconds(condition.WorstLeaving().mTook) <=
+          ToSeconds(silent_source_fleet::kInForceWithin));
+  }
+}
+
+} // namespace
+} // namespace thornhollow
--- a/thornhollow/fleet/silent_source_test.cc
+++ b/thornhollow/fleet/silent_source_test.cc
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include "thornhollow/fleet/testing/leaving_series.h"
 #include "thornhollow/fleet/testing/silent_source_fleet.h"
 
 namespace thornhollow {
@@ -149,21 +150,6 @@
         ToSeconds(silent_source_fleet::kInForceWithin));
 }
 
-// Fifteen of thirty endpoints leave, some at the same moment, in five seconds.
-void
-LeaveInSeries(silent_source_fleet& aFleet, std::uint64_t aSeed)
-{
-  std::mt19937_64 random(aSeed);
-  std::uniform_real_distribution<double> when(0, 5);
-  for (int each = 0; each < 30; ++each) {
-    aFleet.Join(Seconds(1), each);
-  }
-  for (int each = 0; each < 15; ++each) {
-    const duration at = kSettled + FromSeconds(when(random));
-    aFleet.Leave(each % 3 == 0 ? kSettled + Seconds(2) : at, each);
-  }
-}
-
 // Guards against endpoints that get work for seconds after they left, where
 // others read the source and several leave within one copy.
 TEST_CASE("silent_source/readers_and_leaving_endpoints/all_know_in_time")
@@ -172,7 +158,7 @@
     CAPTURE(seed);
     silent_source_fleet condition(
       { .mDomains = 3, .mPerDomain = 30, .mReaders = 2, .mLoss = 0.02 }, seed);
-    LeaveInSeries(condition, seed);
+    LeaveInSeries(condition, kSettled, seed);
     condition.Run(kSettled + Seconds(10));
     CHECK(condition.Readers().size() == 6);
     CHECK(ToSeconds(condition.WorstLeaving().mTook) <=
@@ -239,7 +225,7 @@
                                     .mLoss = 0.02,
                                     .mDocumentBytes = 500'000 },
                                   seed);
-    LeaveInSeries(condition, seed);
+    LeaveInSeries(condition, kSettled, seed);
     condition.Change(kSettled, followed::kConfiguration);
     condition.Change(kSettled + Seconds(3), followed::kConfiguration);
     condition.Run(kSettled + Seconds(10));
--- a/thornhollow/fleet/testing/fleet_shape.h
+++ b/thornhollow/fleet/testing/fleet_shape.h
@@ -25,9 +25,12 @@
   // From a question for a peer's copy to its answer, or to knowing that none
   // comes.
   duration mCopyTakes = Milliseconds(40);
-  // Of the configuration, and what an instance's link carries in a second.
+  // Of the configuration, and what an instance's link carries in a second, each
+  // way. All that comes or goes on it at the same time has an even part.
   double mDocumentBytes = 4'000;
   double mLinkBytes = 2'500'000;
+  // The source encodes each byte of the configuration as so many.
+  double mSourceEncoding = 4.0 / 3;
 
   friend bool operator==(const fleet_shape&, const fleet_shape&) = default;
 };
--- a/thornhollow/fleet/testing/silent_source.h
+++ b/thornhollow/fleet/testing/silent_source.h
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -45,6 +46,9 @@
 class silent_source
 {
 public:
+  static constexpr std::uint64_t kNewest =
+    std::numeric_limits<std::uint64_t>::max();
+
   void Silence(time_point aFrom, time_point aUntil)
   {
     mSilences.push_back({ aFrom, aUntil });
@@ -82,12 +86,16 @@
   const std::vector<source_change>& Changes() const { return mChanges; }
   std::vector<source_change>& Changes() { return mChanges; }
 
-  // What a watch after that revision is answered with.
-  std::vector<item_change> After(followed aWhich, std::uint64_t aAt) const
+  // What a watch after that revision is answered with, by what was known at
+  // `aUntil`.
+  std::vector<item_change> After(followed aWhich,
+                                 std::uint64_t aAt,
+                                 std::uint64_t aUntil = kNewest) const
   {
     std::vector<item_change> after;
     for (const source_change& each : mChanges) {
-      if (each.mWhich == aWhich && each.mRevision > aAt) {
+      if (each.mWhich == aWhich && each.mRevision > aAt &&
+          each.mRevision <= aUntil) {
         item_change told{ each.mKey, std::nullopt, each.mRevision };
         if (!each.mRemoved) {
           told.mValue = std::to_string(each.mRevision);
@@ -98,16 +106,16 @@
     return after;
   }
 
-  source_listing Listing(followed aWhich) const
+  source_listing Listing(followed aWhich, std::uint64_t aUntil = kNewest) const
   {
     std::map<std::string, source_item> items;
-    for (const item_change& each : After(aWhich, 0)) {
+    for (const item_change& each : After(aWhich, 0, aUntil)) {
       items.erase(each.mKey);
       if (each.mValue) {
         items[each.mKey] = { each.mKey, *each.mValue, each.mRevision };
       }
     }
-    source_listing listing{ {}, mRevision };
+    source_listing listing{ {}, std::min(mRevision, aUntil) };
     for (const auto& [key, item] : items) {
       listing.mItems.push_back(item);
     }
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -16,6 +16,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -83,6 +84,15 @@
     mCutFrom = mStart + aFrom;
   }
 
+  // What the instance asks the source meanwhile, and what waits there for it,
+  // is never answered.
+  void TurnAway(int aInstance, duration aFrom, duration aUntil)
+  {
+    instance& one = mInstances.at(static_cast<std::size_t>(aInstance));
+    one.mTurnedAwayFrom = mStart + aFrom;
+    one.mTurnedAwayUntil = mStart + aUntil;
+  }
+
   // The instance is gone from then on, without a word.
   void Stop(int aInstance, duration aAt)
   {
@@ -93,6 +103,7 @@
   {
     for (; mNow < mStart + aUntil; mNow += kStep) {
       mSource.Publish(mNow);
+      MoveBytes();
       for (instance& each : mInstances) {
         Step(each);
       }
@@ -165,17 +176,24 @@
   // As the daemon does: nobody waits longer for a copy.
   static constexpr duration kCopyLimit = Milliseconds(600);
   static constexpr double kEndpointBytes = 300;
+  // A longer answer of a peer is refused.
+  static constexpr double kMostCopyBytes = 1'048'576 + 4'096;
   static constexpr duration kDoubtedAfter = Milliseconds(200);
   // As the daemon does: what it tells its peers of the source.
   static constexpr duration kTellsOfFailure = Seconds(5);
 
-  // A peer's answer on its way.
+  // A peer's answer on its way: as of when it began to come.
   struct copy_on_its_way
   {
     std::string mFrom;
     std::size_t mWhich = 0;
     std::uint64_t mAsked = 0;
-    time_point mDue{};
+    std::vector<item_change> mChanges;
+    std::optional<std::vector<source_item>> mItems;
+    std::uint64_t mAt = 0;
+    std::optional<duration> mSourceBackFor;
+    time_point mAskedAt{};
+    double mBytesLeft = 0;
   };
   struct open_call
   {
@@ -183,6 +201,10 @@
     time_point mSent{};
     // Waited at the source while that was silent.
     bool mLost = false;
+    // Once the answer has begun to come: what is left of it, and up to which
+    // revision it tells.
+    std::optional<double> mBytesLeft = std::nullopt;
+    std::uint64_t mTellsUpTo = 0;
   };
   struct link
   {
@@ -195,6 +217,8 @@
     bool mIdle = false;
     // On their way beside each other, the newest last.
     std::vector<open_call> mOpen = {};
+    // Of earlier rounds: nobody waits for them, and they come all the same.
+    std::vector<open_call> mGivenUp = {};
     // The source has failed for longer than a moment.
     bool mLost = false;
   };
@@ -209,14 +233,17 @@
     time_point mSourceFailsUntil{};
     time_point mNextTick{};
     time_point mStopsAt = time_point::max();
+    time_point mTurnedAwayFrom{};
+    time_point mTurnedAwayUntil{};
     endpoint_roster mRoster{ roster_settings{} };
     // For its domain, and for whatever reason.
     bool mReads = true;
     bool mAsksSource = true;
     std::vector<copy_on_its_way> mCopies = {};
     large_copies mLargeCopies = large_copies{};
-    // Its link carries copies until then.
-    time_point mLinkFreeAt{};
+    // What its link carries at the moment.
+    std::size_t mComing = 0;
+    std::size_t mGoing = 0;
   };
 
   void Add(int aDomain, int aEach, std::uint64_t aSeed)
@@ -281,6 +308,7 @@
 
   void Ask(const instance& aOne, link& aLink, const source_call& aCall)
   {
+    std::ranges::move(aLink.mOpen, std::back_inserter(aLink.mGivenUp));
     aLink.mOpen.clear();
     aLink.mIdle = !aOne.mAsksSource;
     if (aLink.mIdle) {
@@ -305,12 +333,17 @@
   // Whether there was news.
   bool LookForAnswers(instance& aOne, link& aLink)
   {
-    for (open_call& each : aLink.mOpen) {
-      each.mLost = each.mLost || mSource.Silent(mNow, mNow);
-      if (!each.mLost && IsAnswered(aLink, each)) {
-        NoteDelay(aLink, each);
-        return Answer(aOne, aLink, source_call(each.mCall));
-      }
+    LookAt(aOne, aLink, aLink.mGivenUp);
+    LookAt(aOne, aLink, aLink.mOpen);
+    std::erase_if(aLink.mGivenUp, [this](const open_call& aCall) {
+      return Came(aCall) || Expired(aCall);
+    });
+    if (const auto came = std::ranges::find_if(aLink.mOpen, Came);
+        came != aLink.mOpen.end()) {
+      const open_call answered = *came;
+      aLink.mOpen.erase(came);
+      NoteDelay(aLink, answered);
+      return Answer(aOne, aLink, answered);
     }
     if (!aLink.mOpen.empty() && Expired(aLink.mOpen.back())) {
       Fail(aOne, aLink);
@@ -321,6 +354,77 @@
     return false;
   }
 
+  // Answers begin to come, or never will.
+  void LookAt(const instance& aOne,
+              const link& aLink,
+              std::vector<open_call>& aCalls)
+  {
+    const bool away =
+      mNow >= aOne.mTurnedAwayFrom && mNow < aOne.mTurnedAwayUntil;
+    for (open_call& each : aCalls) {
+      each.mLost = each.mLost || away || mSource.Silent(mNow, mNow);
+      if (!each.mLost && !each.mBytesLeft && Begins(aLink, each)) {
+        each.mBytesLeft = AnswerBytes(aLink, each);
+        each.mTellsUpTo = mSource.At();
+      }
+    }
+  }
+
+  static bool Came(const open_call& aCall)
+  {
+    return !aCall.mLost && aCall.mBytesLeft && *aCall.mBytesLeft <= 0;
+  }
+
+  // Of each link, what comes and goes at the same time has an even part.
+  void MoveBytes()
+  {
+    for (instance& each : mInstances) {
+      each.mComing = 0;
+      each.mGoing = 0;
+    }
+    ForEachTransfer([](instance& aTo, instance* aFrom, double&) {
+      ++aTo.mComing;
+      if (aFrom != nullptr) {
+        ++aFrom->mGoing;
+      }
+    });
+    const double carried = mShape.mLinkBytes * ToSeconds(kStep);
+    ForEachTransfer([carried](instance& aTo, instance* aFrom, double& aLeft) {
+      const std::size_t sharing =
+        std::max(aTo.mComing, aFrom == nullptr ? 0 : aFrom->mGoing);
+      aLeft -= carried / static_cast<double>(sharing);
+    });
+  }
+
+  // Calls `aDo` with the instance that it comes to, the one that gives it, null
+  // for the source, and what is left of it.
+  template<class action>
+  void ForEachTransfer(const action& aDo)
+  {
+    for (instance& each : mInstances) {
+      for (link& its : each.mLinks) {
+        for (std::vector<open_call>* calls : { &its.mOpen, &its.mGivenUp }) {
+          for (open_call& call : *calls) {
+            if (!call.mLost && call.mBytesLeft && *call.mBytesLeft > 0) {
+              aDo(each, nullptr, *call.mBytesLeft);
+            }
+          }
+        }
+      }
+      for (copy_on_its_way& copy : each.mCopies) {
+        instance* const from = Reached(each, copy.mFrom);
+        if (from != nullptr && Begun(copy) && copy.mBytesLeft > 0) {
+          aDo(each, from, copy.mBytesLeft);
+        }
+      }
+    }
+  }
+
+  bool Begun(const copy_on_its_way& aCopy) const
+  {
+    return mNow >= aCopy.mAskedAt + mShape.mCopyTakes;
+  }
+
   bool Expired(const open_call& aCall) const
   {
     return mNow >= Due(aCall) + aCall.mCall.mLimit;
@@ -338,23 +442,30 @@
           : aLink.mFollower.OnWatched(failure, aLink.mMirror, none, mNow));
   }
 
-  duration DocumentTakes() const
-  {
-    return FromSeconds(mShape.mDocumentBytes / mShape.mLinkBytes);
-  }
-
   static time_point Due(const open_call& aOpen)
   {
     return aOpen.mSent + aOpen.mCall.mWait;
   }
 
-  bool IsAnswered(const link& aLink, const open_call& aOpen) const
+  bool Begins(const link& aLink, const open_call& aOpen) const
   {
     const bool news = !aOpen.mCall.mList &&
                       !mSource.After(aLink.mWhich, aOpen.mCall.mAfter).empty();
-    const bool document = news && aLink.mWhich == followed::kConfiguration;
-    return mNow >= (news ? aOpen.mSent : Due(aOpen)) + mShape.mLatency +
-                     (document ? DocumentTakes() : duration::zero());
+    return mNow >= (news ? aOpen.mSent : Due(aOpen)) + mShape.mLatency;
+  }
+
+  // A listing has the newest configuration, a watch each one since.
+  double AnswerBytes(const link& aLink, const open_call& aOpen) const
+  {
+    if (aLink.mWhich != followed::kConfiguration) {
+      return 0;
+    }
+    const std::size_t documents =
+      aOpen.mCall.mList
+        ? mSource.Listing(aLink.mWhich).mItems.size()
+        : mSource.After(aLink.mWhich, aOpen.mCall.mAfter).size();
+    return static_cast<double>(documents) * mShape.mDocumentBytes *
+           mShape.mSourceEncoding;
   }
 
   void NoteDelay(link& aLink, const open_call& aOpen)
@@ -389,18 +500,21 @@
     }
   }
 
-  bool Answer(instance& aOne, link& aLink, const source_call& aCall)
+  bool Answer(instance& aOne, link& aLink, const open_call& aOpen)
   {
+    const source_call& call = aOpen.mCall;
+    const std::uint64_t upTo = aOpen.mTellsUpTo;
     std::vector<item_change> news;
     const source_call next =
-      aCall.mList ? aLink.mFollower.OnListed(
-                      mSource.Listing(aLink.mWhich), aLink.mMirror, news, mNow)
-                  : aLink.mFollower.OnWatched(
-                      source_changes{ mSource.After(aLink.mWhich, aCall.mAfter),
-                                      mSource.At() },
-                      aLink.mMirror,
-                      news,
-                      mNow);
+      call.mList
+        ? aLink.mFollower.OnListed(
+            mSource.Listing(aLink.mWhich, upTo), aLink.mMirror, news, mNow)
+        : aLink.mFollower.OnWatched(
+            source_changes{ mSource.After(aLink.mWhich, call.mAfter, upTo),
+                            upTo },
+            aLink.mMirror,
+            news,
+            mNow);
     if (std::exchange(aLink.mLost, false) &&
         aLink.mWhich == followed::kEndpoints) {
       aOne.mRoster.OnSourceRegained(mNow);
@@ -478,23 +592,40 @@
     }
   }
 
-  // The answer waits for its turn on the peer's link.
+  // The peer answers as the daemon does.
   void AskForCopy(instance& aOne, const std::string& aFrom, std::size_t aWhich)
   {
     instance* const from = Reached(aOne, aFrom);
     if (from == nullptr) {
       return;
     }
-    const double bytes = aWhich == 0 ? mShape.mDocumentBytes : kEndpointBytes;
-    if (!from->mLargeCopies.Gives(static_cast<std::size_t>(bytes), mNow)) {
+    const item_mirror& its = from->mLinks[aWhich].mMirror;
+    copy_on_its_way copy;
+    copy.mFrom = aFrom;
+    copy.mWhich = aWhich;
+    copy.mAsked = aOne.mLinks[aWhich].mMirror.At();
+    copy.mAt = its.At();
+    copy.mAskedAt = mNow;
+    if (copy.mAt <= copy.mAsked) {
       return;
     }
-    from->mLinkFreeAt = std::max(from->mLinkFreeAt, mNow) +
-                        FromSeconds(bytes / mShape.mLinkBytes);
-    const time_point due = from->mLinkFreeAt + mShape.mCopyTakes;
-    if (due - mNow < kCopyLimit) {
-      const std::uint64_t asked = aOne.mLinks[aWhich].mMirror.At();
-      aOne.mCopies.push_back({ aFrom, aWhich, asked, due });
+    std::size_t items = 0;
+    if (auto changes = its.Since(copy.mAsked)) {
+      copy.mChanges = std::move(*changes);
+      items = copy.mChanges.size();
+    } else {
+      copy.mItems = its.Items();
+      items = copy.mItems->size();
+    }
+    const double each = aWhich == 0 ? mShape.mDocumentBytes : kEndpointBytes;
+    copy.mBytesLeft = each * static_cast<double>(items);
+    if (aWhich == 1) {
+      copy.mSourceBackFor = from->mRoster.RegainedFor(mNow);
+    }
+    if (copy.mBytesLeft <= kMostCopyBytes &&
+        from->mLargeCopies.Gives(static_cast<std::size_t>(copy.mBytesLeft),
+                                 mNow)) {
+      aOne.mCopies.push_back(std::move(copy));
     }
   }
 
@@ -590,38 +721,33 @@
 
   void TakeCopies(instance& aOne)
   {
-    std::vector<copy_on_its_way> due;
-    std::erase_if(aOne.mCopies, [&](const copy_on_its_way& aCopy) {
-      if (mNow >= aCopy.mDue) {
-        due.push_back(aCopy);
+    std::vector<copy_on_its_way> came;
+    std::erase_if(aOne.mCopies, [&](copy_on_its_way& aCopy) {
+      const bool whole = Begun(aCopy) && aCopy.mBytesLeft <= 0;
+      const bool late = mNow - aCopy.mAskedAt >= kCopyLimit;
+      if (whole && !late && Reached(aOne, aCopy.mFrom) != nullptr) {
+        came.push_back(std::move(aCopy));
       }
-      return mNow >= aCopy.mDue;
+      return whole || late;
     });
-    for (const copy_on_its_way& each : due) {
+    for (const copy_on_its_way& each : came) {
       TakeCopy(aOne, each);
     }
   }
 
   void TakeCopy(instance& aTo, const copy_on_its_way& aCopy)
   {
-    const instance* const from = Reached(aTo, aCopy.mFrom);
-    if (from == nullptr) {
-      return;
-    }
-    const item_mirror& its = from->mLinks[aCopy.mWhich].mMirror;
     link& link = aTo.mLinks[aCopy.mWhich];
-    if (its.At() <= aCopy.mAsked || its.At() <= link.mMirror.At()) {
-      return;
+    if (aCopy.mSourceBackFor && !aTo.mAsksSource) {
+      aTo.mRoster.OnToldRegained(mNow - *aCopy.mSourceBackFor);
     }
-    if (link.mWhich == followed::kEndpoints && !aTo.mAsksSource) {
-      if (const auto regained = from->mRoster.RegainedFor(mNow)) {
-        aTo.mRoster.OnToldRegained(mNow - *regained);
-      }
+    if (aCopy.mAt <= link.mMirror.At()) {
+      return;
     }
-    const auto changes = its.Since(aCopy.mAsked);
     const auto taken =
-      changes ? link.mMirror.OnPeerChanges(*changes, aCopy.mAsked, its.At())
-              : link.mMirror.OnListing(its.Items(), its.At());
+      aCopy.mItems
+        ? link.mMirror.OnListing(*aCopy.mItems, aCopy.mAt)
+        : link.mMirror.OnPeerChanges(aCopy.mChanges, aCopy.mAsked, aCopy.mAt);
     Apply(aTo, link.mWhich, taken);
     if (!taken.empty()) {
       Doubt(link, watch_doubt::kPeerKnewFirst);
