Endpoints that leave aren't taken for lapsed leases where the source fails one instance only

What callers saw: requests reached endpoints 3.2 to 3.7 s after the acknowledgement that they leave (DRAIN).

Cause: an entry that is missing after an outage of the source keeps its endpoint for 1.8 s, as its lease may have lapsed. What counted as an outage was a failing call of the instance itself, or the mere word of a peer that its own calls fail; each such return began the window anew, also of entries that were waiting, and was told to peers with copies, so that a domain put real removals off with one instance whose answers were late. In our own trace an instance at revision 125 held the removal of revision 124 for 4.7 s. Class: the health of a shared service is judged by one's own path to it.

Change: hellos tell how long ago the source last answered the teller. Only a time of failing calls in which it answered nobody for two seconds is an outage, and only that opens the window. Removals that are put off leave a line in the log.

Ruled out: that the removal wasn't among the changes (revisions and copies are compared in knowledge_spread and knowledge_search; none was missing).

The roster's test of a source that was left to peers is replaced by three: a failing source tells of no return; a source that fails here only; a quiet one. Each asks the same removal at once.

--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -103,24 +103,20 @@
         [this](error_kind aKind) {
           return mDispatcher.AnswerUnreadable(aKind);
         })
-    , mDocument(aIo,
-                *mAdapter.mSource,
-                mAdapter.mDocumentPrefix,
-                "configuration",
-                { [this](const auto& aNews) { OnDocument(aNews); },
-                  [] {},
-                  [] {},
-                  [] {} },
-                aLog)
-    , mEndpoints(aIo,
-                 *mAdapter.mSource,
-                 mAdapter.mEndpointPrefix,
-                 "endpoints",
-                 { [this](const auto& aNews) { OnEndpoints(aNews); },
-                   [this] { mRoster.OnSourceLost(); },
-                   [this] { mRoster.OnSourceRegained(Now()); },
-                   [this] { mRoster.OnSourceLeft(); } },
-                 aLog)
+    , mDocument(
+        aIo,
+        *mAdapter.mSource,
+        mAdapter.mDocumentPrefix,
+        "configuration",
+        [this](const auto& aNews) { OnDocument(aNews); },
+        aLog)
+    , mEndpoints(
+        aIo,
+        *mAdapter.mSource,
+        mAdapter.mEndpointPrefix,
+        "endpoints",
+        [this](const auto& aNews) { OnEndpoints(aNews); },
+        aLog)
     , mRoster(roster_settings{})
     , mPeers(aIo, aSettings, PeerListener(), aLog, mMetrics)
     , mTimer(aIo)
@@ -174,6 +170,7 @@
                               mEndpoints.Mirror().ChangedAt() };
     };
     listener.mSourceFails = [this] { return Now() < mSourceFailsUntil; };
+    listener.mSourceAnswered = [this] { return SourceAnswered(); };
     listener.mWork = [this] { return OwnWork(); };
     listener.mDemand = [this] { return mDispatcher.OwnViews(Now()); };
     listener.mOnHeard = [this](const domain_name& aDomain) {
@@ -255,15 +252,34 @@
     if (mDocument.Failing() || mEndpoints.Failing()) {
       mSourceFailsUntil = aNow + kTellsOfFailure;
     }
+    NoteSource();
+    if (Now() < mSourceFailsUntil || mPeers.SourceFailsElsewhere(aNow)) {
+      mRoster.OnSourceFails(aNow);
+    }
     mReads = mPeers.Reads(aNow);
     const watch_turn turn = mPeers.Turn(aNow);
     for (source_link* each : { &mDocument, &mEndpoints }) {
-      each->SetReading(mReads, mPeers.SourceFailsElsewhere(aNow));
+      each->SetReading(mReads);
       each->SetTurn(turn);
     }
     DoubtWatches(aNow);
   }
 
+  // When the source itself last answered this instance.
+  std::optional<time_point> SourceAnswered() const
+  {
+    return std::max(mDocument.Answered(), mEndpoints.Answered());
+  }
+
+  void NoteSource()
+  {
+    for (const auto& each : { SourceAnswered(), mPeers.SourceAnswered() }) {
+      if (each) {
+        mRoster.OnSourceAnswered(*each);
+      }
+    }
+  }
+
   void DoubtWatches(time_point aNow)
   {
     const bool peerFails = mPeers.SourceFailsElsewhere(aNow);
@@ -385,12 +401,12 @@
 
   void OnEndpoints(const std::vector<item_change>& aNews)
   {
+    NoteSource();
     for (const item_change& each : aNews) {
       if (each.mValue) {
         OnEntry(each);
       } else {
-        mDispatcher.Apply(
-          mRoster.OnRemoved(mAdapter.mEndpointName(each.mKey), Now()));
+        OnEntryRemoved(mAdapter.mEndpointName(each.mKey));
       }
     }
     mPeers.OnNews();
@@ -418,7 +434,21 @@
     mLog.Write(log_level::kWarning,
                "endpoint_entry_refused",
                { { "key", aKey }, { "detail", aWhy } });
-    mDispatcher.Apply(mRoster.OnRemoved(mAdapter.mEndpointName(aKey), Now()));
+    OnEntryRemoved(mAdapter.mEndpointName(aKey));
+  }
+
+  void OnEntryRemoved(const endpoint_name& aName)
+  {
+    const time_point now = Now();
+    mDispatcher.Apply(mRoster.OnRemoved(aName, now));
+    if (mRoster.Counts(aName)) {
+      const auto returned = mRoster.RegainedFor(now);
+      mLog.Write(log_level::kInfo,
+                 "endpoint_removal_put_off",
+                 { { "endpoint", aName.Text() },
+                   { "source_back_for_ms",
+                     ToMilliseconds(returned.value_or(now - now)) } });
+    }
   }
 
   void Tick()
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -17,6 +17,8 @@
 
 // For a peer's answer with its copy.
 constexpr duration kAskLimit = Milliseconds(600);
+// An older answer of the source says nothing of whether it is away.
+constexpr duration kTellsOfAnswer = Seconds(10);
 // Entries that leave a hello at 1,100 bytes at most: 18 for each, the rest for
 // addresses and demand.
 constexpr std::size_t kMostWork = 44;
@@ -151,6 +153,11 @@
       mPeers.AllReadHere() ? mListener.mKnown() : mListener.mChanged();
     hello.mWantsAnswer = aWantAnswer;
     hello.mSourceFails = mListener.mSourceFails();
+    if (const auto answered = mListener.mSourceAnswered()) {
+      if (const duration age = Now() - *answered; age < kTellsOfAnswer) {
+        hello.mSourceAnswerAge = age;
+      }
+    }
     return hello;
   }
 
@@ -321,6 +328,12 @@
   return mCore->Peers().SourceFailsElsewhere(aNow);
 }
 
+std::optional<time_point>
+relay_peer_link::SourceAnswered() const
+{
+  return mCore->Peers().SourceAnswered();
+}
+
 std::map<std::uint32_t, endpoint_work>
 relay_peer_link::OthersWork(time_point aNow) const
 {
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -37,6 +37,8 @@
   std::function<known_revisions()> mChanged;
   // The source doesn't answer this instance.
   std::function<bool()> mSourceFails;
+  // When it last answered this instance.
+  std::function<std::optional<time_point>()> mSourceAnswered;
   std::function<std::vector<endpoint_work>()> mWork;
   std::function<std::map<pool_name, pool_view>()> mDemand;
   // An instance of the failure domain was heard.
@@ -72,6 +74,7 @@
   // This instance's turn among those of its domain that ask the source.
   watch_turn Turn(time_point aNow) const;
   bool SourceFailsElsewhere(time_point aNow) const;
+  std::optional<time_point> SourceAnswered() const;
   std::map<std::uint32_t, endpoint_work> OthersWork(time_point aNow) const;
   std::map<pool_name, pool_view> AllViews(
     const std::map<pool_name, pool_view>& aOwn,
--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -25,26 +25,23 @@
        item_source& aSource,
        std::string aPrefix,
        std::string aWhat,
-       source_link_listener aListener,
+       news_handler aOnNews,
        json_log& aLog)
     : mSource(aSource)
     , mPrefix(std::move(aPrefix))
     , mWhat(std::move(aWhat))
-    , mListener(std::move(aListener))
+    , mOnNews(std::move(aOnNews))
     , mLog(aLog)
     , mFollower(source_follower_settings{}, std::random_device()())
     , mTimer(aIo)
   {
   }
 
-  void SetReading(bool aReads, bool aMayBeAway)
+  void SetReading(bool aReads)
   {
     if (std::exchange(mReads, aReads) == aReads) {
       return;
     }
-    if (aReads && aMayBeAway) {
-      NoteLost();
-    }
     if (aReads && mIdle) {
       Restart();
     }
@@ -247,7 +244,7 @@
     LogAnswerAfterFailures();
     NoteRegained();
     if (!aNews.empty()) {
-      mListener.mOnNews(aNews);
+      mOnNews(aNews);
     }
     Ask(aNext);
   }
@@ -265,7 +262,7 @@
                  { "answer_age_ms", AnswerAgeMs() } });
     if (!aNews.empty()) {
       OnDoubt(watch_doubt::kPeerKnewFirst, aNow);
-      mListener.mOnNews(aNews);
+      mOnNews(aNews);
     }
   }
 
@@ -279,7 +276,6 @@
                { { "what", mWhat },
                  { "at", static_cast<std::int64_t>(mMirror.At()) },
                  { "answer_age_ms", AnswerAgeMs() } });
-    mListener.mOnLost();
   }
 
   void NoteRegained()
@@ -289,14 +285,12 @@
     }
     mLost = false;
     LogState("source_regained");
-    mListener.mOnRegained();
   }
 
   void NoteLeft()
   {
     if (std::exchange(mLost, false)) {
       LogState("source_left_to_peers");
-      mListener.mOnLeft();
     }
   }
 
@@ -358,7 +352,7 @@
   item_source& mSource;
   std::string mPrefix;
   std::string mWhat;
-  source_link_listener mListener;
+  news_handler mOnNews;
   json_log& mLog;
   item_mirror mMirror;
   source_follower mFollower;
@@ -381,13 +375,13 @@
                          item_source& aSource,
                          std::string aPrefix,
                          std::string aWhat,
-                         source_link_listener aListener,
+                         news_handler aOnNews,
                          json_log& aLog)
   : mCore(std::make_shared<core>(aIo,
                                  aSource,
                                  std::move(aPrefix),
                                  std::move(aWhat),
-                                 std::move(aListener),
+                                 std::move(aOnNews),
                                  aLog))
 {
 }
@@ -422,9 +416,9 @@
 }
 
 void
-source_link::SetReading(bool aReads, bool aMayBeAway)
+source_link::SetReading(bool aReads)
 {
-  mCore->SetReading(aReads, aMayBeAway);
+  mCore->SetReading(aReads);
 }
 
 void
@@ -460,6 +454,12 @@
   return mCore->Failing();
 }
 
+std::optional<time_point>
+source_link::Answered() const
+{
+  return mCore->Answered();
+}
+
 std::optional<duration>
 source_link::AnswerAge(time_point aNow) const
 {
--- a/thornhollow/daemon/source_link.h
+++ b/thornhollow/daemon/source_link.h
@@ -1,7 +1,7 @@
 // Keeps one prefix of a source mirrored: makes the calls that the follower
 // decides on, and hands on what changed.
 //
-//   source_link link(io, source, "servers/", "endpoints", listener, log);
+//   source_link link(io, source, "servers/", "endpoints", onNews, log);
 //   link.Start();
 //
 #ifndef THORNHOLLOW_DAEMON_SOURCE_LINK_H_
@@ -25,16 +25,8 @@
 
 namespace thornhollow {
 
-struct source_link_listener
-{
-  // Changes of the mirror, in order.
-  std::function<void(const std::vector<item_change>&)> mOnNews;
-  // The source began to fail for good, and answers again.
-  std::function<void()> mOnLost;
-  std::function<void()> mOnRegained;
-  // It failed and isn't asked any more: whether it answers again isn't known.
-  std::function<void()> mOnLeft;
-};
+// Changes of the mirror, in order.
+using news_handler = std::function<void(const std::vector<item_change>&)>;
 
 class source_link
 {
@@ -44,7 +36,7 @@
               item_source& aSource,
               std::string aPrefix,
               std::string aWhat,
-              source_link_listener aListener,
+              news_handler aOnNews,
               json_log& aLog);
   source_link(const source_link&) = delete;
   source_link& operator=(const source_link&) = delete;
@@ -54,10 +46,8 @@
   // An answer on its way is worth nothing any more: asks anew at once.
   void Restart();
   // Whether the source is asked at all; what is on its way is still taken.
-  // Peers tell of news meanwhile. `aMayBeAway`: the source doesn't answer
-  // others, so that one that begins to ask it counts it as lost until its first
-  // answer.
-  void SetReading(bool aReads, bool aMayBeAway);
+  // Peers tell of news meanwhile.
+  void SetReading(bool aReads);
   // Asks beside the watch on its way, which may never be answered.
   void OnDoubt(watch_doubt aWhy, time_point aNow);
   // This instance's turn among those that ask the source.
@@ -76,7 +66,9 @@
   const item_mirror& Mirror() const;
   // The source's last answer was a failure.
   bool Failing() const;
-  // How long ago the source itself last answered; nothing before it did.
+  // When the source itself last answered, and how long ago; nothing before it
+  // did.
+  std::optional<time_point> Answered() const;
   std::optional<duration> AnswerAge(time_point aNow) const;
 
 private:
--- a/thornhollow/discovery/endpoint_roster.cc
+++ b/thornhollow/discovery/endpoint_roster.cc
@@ -32,67 +32,82 @@
   if (found == mRecords.end()) {
     return {};
   }
-  const bool maybeLapsed =
-    mSourceLost || (mRegained && aNow - *mRegained < mSettings.mReturnWindow);
   // An endpoint that had said that it leaves does not come back.
-  if (!maybeLapsed || found->second.mEntry.mDraining) {
+  if (!JustReturned(aNow) || found->second.mEntry.mDraining) {
     mRecords.erase(found);
     return { endpoint_gone{ aName } };
   }
   if (!found->second.mGoneAt) {
-    found->second.mGoneAt = mRegained.value_or(aNow) + mSettings.mReturnWindow;
+    found->second.mGoneAt = *mRegained + mSettings.mReturnWindow;
   }
   return {};
 }
 
 void
-endpoint_roster::OnSourceLost()
+endpoint_roster::OnSourceFails(time_point aNow)
 {
-  mSourceLost = true;
+  mFails = mFails || !mAnswered || aNow > *mAnswered;
 }
 
 void
-endpoint_roster::OnSourceRegained(time_point aNow)
+endpoint_roster::OnSourceAnswered(time_point aThen)
 {
-  mSourceLost = false;
-  mRegained = aNow;
-  for (auto& [name, each] : mRecords) {
-    if (each.mGoneAt) {
-      each.mGoneAt = aNow + mSettings.mReturnWindow;
-    }
+  if (mAnswered && aThen <= *mAnswered) {
+    return;
+  }
+  if (SourceAway(aThen)) {
+    OnReturned(aThen);
   }
+  mAnswered = aThen;
+  mFails = false;
+}
+
+bool
+endpoint_roster::SourceAway(time_point aNow) const
+{
+  return mFails && mAnswered && aNow - *mAnswered >= mSettings.mLeastAbsence;
 }
 
 void
-endpoint_roster::OnSourceLeft()
+endpoint_roster::OnReturned(time_point aThen)
 {
-  mSourceLost = false;
+  mRegained = aThen;
+  for (auto& [name, each] : mRecords) {
+    if (each.mGoneAt) {
+      each.mGoneAt = aThen + mSettings.mReturnWindow;
+    }
+  }
 }
 
 void
 endpoint_roster::OnToldRegained(time_point aThen)
 {
   if (!mRegained || aThen - *mRegained >= mSettings.mSameReturn) {
-    OnSourceRegained(aThen);
+    OnReturned(aThen);
   }
 }
 
 std::optional<duration>
 endpoint_roster::RegainedFor(time_point aNow) const
 {
-  if (mSourceLost || !mRegained ||
-      aNow - *mRegained >= mSettings.mReturnWindow) {
+  if (SourceAway(aNow) || !JustReturned(aNow)) {
     return std::nullopt;
   }
   return aNow - *mRegained;
 }
 
+bool
+endpoint_roster::JustReturned(time_point aNow) const
+{
+  return mRegained && aNow - *mRegained < mSettings.mReturnWindow;
+}
+
 roster_changes
 endpoint_roster::Tick(time_point aNow)
 {
   roster_changes changes;
   // While the source is away nobody can register again.
-  if (mSourceLost) {
+  if (SourceAway(aNow)) {
     return changes;
   }
   for (auto at = mRecords.begin(); at != mRecords.end();) {
--- a/thornhollow/discovery/endpoint_roster.h
+++ b/thornhollow/discovery/endpoint_roster.h
@@ -1,6 +1,7 @@
 // The endpoints that may get work, as the source lists them.
 //
 //   endpoint_roster roster(roster_settings{});
+//   roster.OnSourceAnswered(now);
 //   Apply(roster.OnListed(entry, now));
 //   Apply(roster.OnRemoved(endpoint_name("i-7"), now));
 //   Apply(roster.Tick(now));
@@ -12,12 +13,13 @@
 // is missing right after an outage keeps its endpoint for as long as a live one
 // needs to come back, and only then counts as gone.
 //
-// Guards against taking endpoints that leave for lapsed ones, where others read
-// the source: a copy from a peer holds the changes of some hundred
-// milliseconds, and the leaving of several endpoints in it looks like leases
-// that ended at once. It shows as work sent to endpoints seconds after they
-// left. So it isn't guessed from the number of removals: the peer tells when
-// the source came back.
+// Guards against taking endpoints that leave for lapsed ones. It shows as work
+// sent to endpoints seconds after they left. That several leave at once says
+// nothing: a copy from a peer holds the changes of some hundred milliseconds.
+// Nor does it that the source doesn't answer this instance, or some other: that
+// may be their own path, and leases lapse only where the source is away for
+// all. So an outage is a time of failing calls in which it answered nobody, by
+// what all tell; who has seen its end tells peers with their copies.
 //
 // Guards against a restart under the same name: the new process holds and knows
 // nothing of before. It shows as a later start time, and is reported as the old
@@ -98,6 +100,10 @@
   // a return that is told of as later by less than this is the same one, or
   // the window would grow with each word.
   duration mSameReturn = Seconds(1);
+  // Without an answer to anybody for so long leases may lapse: each is renewed
+  // several times in the time for which it holds. Where nothing changes peers
+  // tell of an answer every second, and a word of theirs may be lost.
+  duration mLeastAbsence = Seconds(2);
 
   friend bool operator==(const roster_settings&,
                          const roster_settings&) = default;
@@ -115,15 +121,15 @@
   // The source lists no endpoint of this name any more.
   roster_changes OnRemoved(const endpoint_name& aName, time_point aNow);
 
-  // The source does not answer, and leases may lapse unseen.
-  void OnSourceLost();
-  // The source answers again.
-  void OnSourceRegained(time_point aNow);
-  // The source isn't asked from here any more, whether it answers or not: peers
-  // tell what it lists, and when it came back from an outage.
-  void OnSourceLeft();
+  // A call to the source fails, here or, by its word, at some peer.
+  void OnSourceFails(time_point aNow);
+  // The source answered this instance or some other at that moment; to be told
+  // before what it answered with.
+  void OnSourceAnswered(time_point aThen);
   // A peer told that the source came back from an outage at `aThen`.
   void OnToldRegained(time_point aThen);
+  // Whether the source is away for all, as far as is known.
+  bool SourceAway(time_point aNow) const;
   // How long ago the source came back from an outage, for peers that don't ask
   // it themselves; nothing once no lapsed entry can be missing for that reason.
   std::optional<duration> RegainedFor(time_point aNow) const;
@@ -145,8 +151,14 @@
   };
 
   roster_settings mSettings;
+  // The source came back from an outage at that moment.
+  void OnReturned(time_point aThen);
+  bool JustReturned(time_point aNow) const;
+
   std::map<endpoint_name, record> mRecords;
-  bool mSourceLost = false;
+  // A call has failed since the last answer to anybody.
+  bool mFails = false;
+  std::optional<time_point> mAnswered;
   std::optional<time_point> mRegained;
 };
 
--- a/thornhollow/discovery/endpoint_roster_test.cc
+++ b/thornhollow/discovery/endpoint_roster_test.cc
@@ -23,6 +23,7 @@
 
   roster_with_two()
   {
+    mRoster.OnSourceAnswered(mNow);
     mRoster.OnListed(Entry("a"), mNow);
     mRoster.OnListed(Entry("b"), mNow);
   }
@@ -64,18 +65,56 @@
   CHECK_FALSE(mRoster.RegainedFor(begun + Milliseconds(1'800)));
 }
 
-// Guards against a return that nobody saw: an instance that leaves a failing
-// source to others doesn't know when it answers again.
+// Guards against a return that nobody saw: an instance whose own calls fail
+// doesn't know when the source answers again.
 TEST_CASE_FIXTURE(roster_with_two,
-                  "endpoint_roster/source_left_to_peers/no_return_is_told")
+                  "endpoint_roster/source_fails/no_return_is_told")
 {
-  mRoster.OnSourceLost();
-  CHECK_FALSE(mRoster.RegainedFor(mNow));
-  mRoster.OnSourceLeft();
+  mRoster.OnSourceFails(mNow + Seconds(1));
+  CHECK_FALSE(mRoster.RegainedFor(mNow + Seconds(1)));
+  CHECK_FALSE(mRoster.RegainedFor(mNow + Seconds(9)));
+  CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow + Seconds(9)).size() == 1);
+}
+
+// Guards against endpoints that get work for seconds after they left, as the
+// source didn't answer this instance while it answered others.
+TEST_CASE_FIXTURE(roster_with_two,
+                  "endpoint_roster/source_fails_here_only/removed_is_gone")
+{
+  for (int each = 0; each < 20; ++each) {
+    mNow += Milliseconds(500);
+    mRoster.OnSourceFails(mNow);
+    mRoster.OnSourceAnswered(mNow - Milliseconds(300));
+    CHECK_FALSE(mRoster.SourceAway(mNow));
+  }
+  mRoster.OnSourceAnswered(mNow);
   CHECK_FALSE(mRoster.RegainedFor(mNow));
   CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow).size() == 1);
 }
 
+// Guards against taking a quiet source for one that was away.
+TEST_CASE_FIXTURE(roster_with_two,
+                  "endpoint_roster/no_answer_for_long_and_no_failure/no_outage")
+{
+  mNow += Seconds(30);
+  CHECK_FALSE(mRoster.SourceAway(mNow));
+  mRoster.OnSourceAnswered(mNow);
+  CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow).size() == 1);
+}
+
+// Guards against a window that begins anew with each short failure after it.
+TEST_CASE_FIXTURE(roster_with_two,
+                  "endpoint_roster/fails_again_after_an_outage/window_stays")
+{
+  mRoster.OnSourceFails(mNow + Seconds(1));
+  mNow += Seconds(5);
+  mRoster.OnSourceAnswered(mNow);
+  CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow).empty());
+  mRoster.OnSourceFails(mNow + Milliseconds(700));
+  mRoster.OnSourceAnswered(mNow + Milliseconds(1'300));
+  CHECK(mRoster.Tick(mNow + Milliseconds(1'800)).size() == 1);
+}
+
 TEST_CASE_FIXTURE(roster_with_two, "endpoint_roster/removed/is_gone_at_once")
 {
   const auto changes = mRoster.OnRemoved(endpoint_name("a"), mNow);
@@ -90,9 +129,10 @@
   // Callers get 503 for a second after each outage of the source: the leases
   // lapsed meanwhile, the first listing afterwards is empty, and the endpoints,
   // which never stopped serving, register again a moment later.
-  mRoster.OnSourceLost();
+  mRoster.OnSourceFails(mNow + Seconds(1));
   mNow += Seconds(5);
-  mRoster.OnSourceRegained(mNow);
+  CHECK(mRoster.SourceAway(mNow));
+  mRoster.OnSourceAnswered(mNow);
   CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow).empty());
   CHECK(mRoster.OnRemoved(endpoint_name("b"), mNow).empty());
   mNow += Seconds(1);
@@ -111,7 +151,9 @@
   listed_endpoint leaving = Entry("a");
   leaving.mDraining = true;
   mRoster.OnListed(leaving, mNow);
-  mRoster.OnSourceLost();
+  mRoster.OnSourceFails(mNow + Seconds(1));
+  mNow += Seconds(5);
+  mRoster.OnSourceAnswered(mNow);
   CHECK(mRoster.OnRemoved(endpoint_name("a"), mNow).size() == 1);
 }
 
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -187,6 +187,10 @@
     return std::nullopt;
   }
   Hear(mPeers[aHello.mAddress], aHello, aNow);
+  if (aHello.mSourceAnswerAge) {
+    const time_point then = aNow - *aHello.mSourceAnswerAge;
+    mSourceAnswered = std::max(mSourceAnswered.value_or(then), then);
+  }
   if (aHello.mSums) {
     mSums.OnTold(*aHello.mSums, aNow);
   }
@@ -217,6 +221,7 @@
   aPeer.mHello.mDomain = aHello.mDomain;
   aPeer.mHello.mKnown = aHello.mKnown;
   aPeer.mHello.mSourceFails = aHello.mSourceFails;
+  aPeer.mHello.mSourceAnswerAge = aHello.mSourceAnswerAge;
 }
 
 std::vector<std::string>
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -105,6 +105,8 @@
   bool mWantsAnswer = false;
   // The source doesn't answer this instance.
   bool mSourceFails = false;
+  // How long ago it last did; nothing: that is long ago.
+  std::optional<duration> mSourceAnswerAge = std::nullopt;
 
   friend bool operator==(const relay_hello&, const relay_hello&) = default;
 };
@@ -222,6 +224,9 @@
   // moment ago.
   bool SourceFailsElsewhere(time_point aNow) const;
 
+  // When the source last answered some other instance, by what was told.
+  std::optional<time_point> SourceAnswered() const { return mSourceAnswered; }
+
   // An instance that holds a later revision than `aMine` of either copy; among
   // equal ones another for each `aAttempt`.
   std::optional<better_copy> WhoKnowsMore(const known_revisions& aMine,
@@ -302,6 +307,7 @@
   std::optional<time_point> mMissedSince;
   std::size_t mMost = 0;
   time_point mMostAt{};
+  std::optional<time_point> mSourceAnswered;
 };
 
 } // namespace thornhollow
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -219,8 +219,6 @@
     std::vector<open_call> mOpen = {};
     // Of earlier rounds: nobody waits for them, and they come all the same.
     std::vector<open_call> mGivenUp = {};
-    // The source has failed for longer than a moment.
-    bool mLost = false;
   };
   struct instance
   {
@@ -515,10 +513,6 @@
             aLink.mMirror,
             news,
             mNow);
-    if (std::exchange(aLink.mLost, false) &&
-        aLink.mWhich == followed::kEndpoints) {
-      aOne.mRoster.OnSourceRegained(mNow);
-    }
     Apply(aOne, aLink.mWhich, news);
     Ask(aOne, aLink, next);
     return !news.empty();
@@ -531,6 +525,7 @@
     if (aWhich != followed::kEndpoints) {
       return;
     }
+    NoteSource(aOne);
     for (const item_change& each : aNews) {
       if (each.mValue) {
         listed_endpoint entry;
@@ -550,25 +545,25 @@
     if (std::ranges::any_of(aOne.mLinks, fails)) {
       aOne.mSourceFailsUntil = mNow + kTellsOfFailure;
     }
+    const bool peerFails = aOne.mPeers->SourceFailsElsewhere(mNow);
+    NoteSource(aOne);
+    if (mNow < aOne.mSourceFailsUntil || peerFails) {
+      aOne.mRoster.OnSourceFails(mNow);
+    }
     aOne.mReads = aOne.mPeers->Reads(mNow);
     aOne.mAsksSource = aOne.mReads || aOne.mRequests.NeedsSource(mNow);
     aOne.mRoster.Tick(mNow);
     const watch_turn turn = aOne.mPeers->Turn(mNow);
-    const bool peerFails = aOne.mPeers->SourceFailsElsewhere(mNow);
     for (link& each : aOne.mLinks) {
       each.mFollower.SetTurn(turn);
       if (!aOne.mAsksSource) {
-        StopReading(aOne, each);
+        each.mFollower.StopAsking();
         continue;
       }
       if (each.mIdle) {
-        if (peerFails) {
-          NoteLost(aOne, each);
-        }
         Ask(aOne, each, each.mFollower.Start(each.mMirror));
       }
       AskBesideOverdue(each);
-      NoteOutage(aOne, each);
       if (std::ranges::any_of(aOne.mLinks, fails)) {
         Doubt(each, watch_doubt::kOtherCallFails);
       }
@@ -629,27 +624,19 @@
     }
   }
 
-  void StopReading(instance& aOne, link& aLink)
+  static std::optional<time_point> SourceAnswered(const instance& aOne)
   {
-    aLink.mFollower.StopAsking();
-    if (std::exchange(aLink.mLost, false) &&
-        aLink.mWhich == followed::kEndpoints) {
-      aOne.mRoster.OnSourceLeft();
-    }
+    return std::max(aOne.mLinks[0].mFollower.Answered(),
+                    aOne.mLinks[1].mFollower.Answered());
   }
 
-  void NoteOutage(instance& aOne, link& aLink)
+  static void NoteSource(instance& aOne)
   {
-    if (!aLink.mLost && aLink.mFollower.InOutage(mNow)) {
-      NoteLost(aOne, aLink);
-    }
-  }
-
-  static void NoteLost(instance& aOne, link& aLink)
-  {
-    aLink.mLost = true;
-    if (aLink.mWhich == followed::kEndpoints) {
-      aOne.mRoster.OnSourceLost();
+    for (const auto& each :
+         { SourceAnswered(aOne), aOne.mPeers->SourceAnswered() }) {
+      if (each) {
+        aOne.mRoster.OnSourceAnswered(*each);
+      }
     }
   }
 
@@ -696,6 +683,9 @@
                      : known_revisions{ aOne.mLinks[0].mMirror.ChangedAt(),
                                         aOne.mLinks[1].mMirror.ChangedAt() };
     hello.mSourceFails = mNow < aOne.mSourceFailsUntil;
+    if (const auto answered = SourceAnswered(aOne)) {
+      hello.mSourceAnswerAge = mNow - *answered;
+    }
     return hello;
   }
 
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -222,6 +222,10 @@
   if (aHello.mSums) {
     out.__set_sums(Told(*aHello.mSums));
   }
+  if (aHello.mSourceAnswerAge) {
+    out.__set_source_answer_age_ms(static_cast<std::int32_t>(
+      std::min(ToMilliseconds(*aHello.mSourceAnswerAge), kMostMilliseconds)));
+  }
   return Write(out);
 }
 
@@ -260,6 +264,9 @@
   if (in->__isset.sums) {
     hello.mSums = Heard(in->sums);
   }
+  if (in->__isset.source_answer_age_ms) {
+    hello.mSourceAnswerAge = Span(in->source_answer_age_ms);
+  }
   return hello;
 }
 
--- a/thornhollow/wire/relay_codec_test.cc
+++ b/thornhollow/wire/relay_codec_test.cc
@@ -27,6 +27,7 @@
                         1 } } };
   hello.mWantsAnswer = true;
   hello.mSourceFails = true;
+  hello.mSourceAnswerAge = Milliseconds(1'250);
   return hello;
 }
 
@@ -89,6 +90,7 @@
   hello.mDomain = domain_name("a-failure-domain");
   hello.mKnown = { 1'000'000, 1'000'000 };
   hello.mSourceFails = true;
+  hello.mSourceAnswerAge = Milliseconds(1'250);
   CHECK(EncodeHello(hello).size() <= 80);
   CHECK(DecodeHello(EncodeHello(hello)) == hello);
 }
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -161,6 +161,8 @@
   10: bool brief
   // Beside `brief` only.
   11: optional told_sums sums
+  // Since the source last answered the teller.
+  12: optional i32 source_answer_age_ms
 }
 
 struct items_request {
