--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -8,7 +8,7 @@
   libclang-rt-14-dev
   libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev
   libthrift-dev prometheus-cpp-dev libgflags-dev libfmt-dev doctest-dev
-  libyaml-cpp-dev libxxhash-dev libssl-dev libbenchmark-dev librapidcheck-dev
+  libyaml-cpp-dev libxxhash-dev libssl-dev zlib1g-dev libbenchmark-dev librapidcheck-dev
 )
 
 missing=()
--- a/thornhollow/config/relay_settings.cc
+++ b/thornhollow/config/relay_settings.cc
@@ -95,6 +95,9 @@
   read.mSourceReaders = static_cast<std::uint32_t>(fields.Whole(
     "source_readers",
     { .mLeast = 0, .mMost = 64, .mDefault = read.mSourceReaders }));
+  read.mLinkMegabits = fields.Number(
+    "link_megabits",
+    { .mLeast = 0.1, .mMost = 1e6, .mDefault = read.mLinkMegabits });
   read.mMaxConnections = static_cast<std::uint32_t>(fields.Whole(
     "max_connections",
     { .mLeast = 1, .mMost = 65'535, .mDefault = read.mMaxConnections }));
--- a/thornhollow/config/relay_settings.h
+++ b/thornhollow/config/relay_settings.h
@@ -85,6 +85,8 @@
   // Instances of a failure domain that read the source for all of it; 0: every
   // instance reads it.
   std::uint32_t mSourceReaders = 2;
+  // What the instance's link carries, in Mbit/s.
+  double mLinkMegabits = 20;
   shared_retry_settings mRetries;
   // After SIGTERM, requests in progress are cut when this has passed.
   duration mDrainGrace = Seconds(30);
--- a/thornhollow/daemon/peer_link.cc
+++ b/thornhollow/daemon/peer_link.cc
@@ -100,7 +100,7 @@
     mTransport.Exchange(
       address.value_or(std::string()),
       mSealer.Seal(aPeer, EncodeStream(aRequest)),
-      aLimit,
+      { .mTimeout = aLimit },
       [weak = weak_from_this(), aPeer, done = std::move(aDone)](
         const std::optional<std::string>& aBytes) {
         const auto self = weak.lock();
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -15,10 +15,14 @@
 namespace thornhollow {
 namespace {
 
-// For a peer's answer with its copy.
+// For the beginning of a peer's answer with its copy.
 constexpr duration kAskLimit = Milliseconds(600);
 // An older answer of the source says nothing of whether it is away.
 constexpr duration kTellsOfAnswer = Seconds(10);
+// Between two parts of a peer's answer: a lost packet comes again within.
+constexpr duration kMostPause = Milliseconds(600);
+// From this size on copies are sent compressed.
+constexpr std::size_t kPackFromBytes = 4'096;
 // Entries that leave a hello at 1,100 bytes at most: 18 for each, the rest for
 // addresses and demand.
 constexpr std::size_t kMostWork = 44;
@@ -31,11 +35,27 @@
   return settings;
 }
 
+std::uint32_t
+WholeMegabits(const relay_settings& aSettings)
+{
+  return static_cast<std::uint32_t>(std::max(aSettings.mLinkMegabits, 1.0));
+}
+
 relay_peer_settings
 PeerSettings(const relay_settings& aSettings)
 {
   relay_peer_settings settings;
   settings.mReaders = aSettings.mSourceReaders;
+  settings.mLinkMegabits = WholeMegabits(aSettings);
+  return settings;
+}
+
+large_copy_settings
+CopySettings(const relay_settings& aSettings)
+{
+  constexpr double kBytesPerMegabit = 125'000;
+  large_copy_settings settings;
+  settings.mLinkBytesPerSecond = aSettings.mLinkMegabits * kBytesPerMegabit;
   return settings;
 }
 
@@ -152,6 +172,7 @@
     hello.mKnown =
       mPeers.AllReadHere() ? mListener.mKnown() : mListener.mChanged();
     hello.mWantsAnswer = aWantAnswer;
+    hello.mLinkMegabits = WholeMegabits(mSettings);
     hello.mSourceFails = mListener.mSourceFails();
     if (const auto answered = mListener.mSourceAnswered()) {
       if (const duration age = Now() - *answered; age < kTellsOfAnswer) {
@@ -199,11 +220,29 @@
       return std::nullopt;
     }
     const items_answer answer = mListener.mOnAsked(*request);
-    if (!mLargeCopies.Gives(CopyBytes(answer), Now())) {
+    std::string bytes = Encoded(*request, answer);
+    if (!mLargeCopies.Gives(bytes.size(), Now())) {
       mMetrics.OnEvent("peer_copy_put_off");
       return EncodeItemsAnswer({ answer.mWhich, 0, false, {} });
     }
-    return EncodeItemsAnswer(answer);
+    return bytes;
+  }
+
+  // All who ask for a large copy ask for the same one.
+  std::string Encoded(const items_request& aRequest,
+                      const items_answer& aAnswer)
+  {
+    if (!aRequest.mTakesPacked || CopyBytes(aAnswer) < kPackFromBytes) {
+      return EncodeItemsAnswer(aAnswer);
+    }
+    const packed_copy wanted{
+      aRequest.mWhich, aRequest.mAfter, aAnswer.mAt, aAnswer.mSourceBackFor, {}
+    };
+    if (!mPacked.IsSame(wanted)) {
+      mPacked = wanted;
+      mPacked.mBytes = EncodeItemsAnswer(aAnswer, item_packing::kPacked);
+    }
+    return mPacked.mBytes;
   }
 
   static std::size_t CopyBytes(const items_answer& aAnswer)
@@ -231,25 +270,77 @@
 
   void Ask(const std::string& aFrom, const items_request& aRequest)
   {
+    exchange_limits limits;
+    limits.mTimeout = kAskLimit;
+    limits.mMostPause = kMostPause;
+    limits.mOnBytes = [weak = weak_from_this(), aRequest](std::size_t) {
+      if (const auto self = weak.lock()) {
+        self->mRequests.OnBytes(aRequest.mWhich, Now());
+      }
+    };
     mTransport.Exchange(aFrom,
                         EncodeItemsRequest(aRequest),
-                        kAskLimit,
-                        [weak = weak_from_this(),
-                         aRequest](const std::optional<std::string>& aBytes) {
-                          const auto self = weak.lock();
-                          if (!self || !aBytes) {
-                            return;
-                          }
-                          if (const auto answer = DecodeItemsAnswer(*aBytes)) {
-                            self->mMetrics.OnControlBytes("peers",
-                                                          aBytes->size());
-                            self->mListener.mOnCopy(aRequest, *answer);
-                          } else {
-                            self->mMetrics.OnEvent("peer_answer_refused");
+                        std::move(limits),
+                        [weak = weak_from_this(), aFrom, aRequest](
+                          const std::optional<std::string>& aBytes) {
+                          if (const auto self = weak.lock()) {
+                            self->OnAnswer(aFrom, aRequest, aBytes);
                           }
                         });
   }
 
+  void OnAnswer(const std::string& aFrom,
+                const items_request& aRequest,
+                const std::optional<std::string>& aBytes)
+  {
+    mRequests.OnEnded(aRequest.mWhich);
+    if (!aBytes) {
+      LogNoCopy(aFrom, aRequest, "no_answer");
+      return;
+    }
+    mMetrics.OnControlBytes("peers", aBytes->size());
+    const auto answer = DecodeItemsAnswer(*aBytes);
+    if (!answer) {
+      mMetrics.OnEvent("peer_answer_refused");
+      LogNoCopy(aFrom, aRequest, "unreadable");
+      return;
+    }
+    if (answer->mAt <= aRequest.mAfter) {
+      mRequests.OnPutOff();
+    }
+    mListener.mOnCopy(aRequest, *answer);
+  }
+
+  void LogNoCopy(const std::string& aFrom,
+                 const items_request& aRequest,
+                 const char* aWhy)
+  {
+    mLog.Write(
+      log_level::kInfo,
+      "no_copy_from_peer",
+      { { "peer", aFrom },
+        { "configuration",
+          std::int64_t{ aRequest.mWhich == copied_items::kConfiguration } },
+        { "after", static_cast<std::int64_t>(aRequest.mAfter) },
+        { "why", aWhy } });
+  }
+
+  // The large copy that was given last.
+  struct packed_copy
+  {
+    copied_items mWhich = copied_items::kConfiguration;
+    std::uint64_t mAfter = 0;
+    std::uint64_t mAt = 0;
+    std::optional<duration> mSourceBackFor;
+    std::string mBytes;
+
+    bool IsSame(const packed_copy& aOther) const
+    {
+      return mWhich == aOther.mWhich && mAfter == aOther.mAfter &&
+             mAt == aOther.mAt && mSourceBackFor == aOther.mSourceBackFor;
+    }
+  };
+
   relay_settings mSettings;
   relay_peer_listener mListener;
   json_log& mLog;
@@ -261,7 +352,8 @@
   bool mReads = true;
   bool mAsksSource = true;
   copy_requests mRequests{ copy_request_settings{} };
-  large_copies mLargeCopies;
+  large_copies mLargeCopies{ CopySettings(mSettings) };
+  packed_copy mPacked;
   std::size_t mWorkTurn = 0;
 };
 
--- a/thornhollow/daemon/source_link.cc
+++ b/thornhollow/daemon/source_link.cc
@@ -7,17 +7,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "thornhollow/discovery/call_round.h"
 #include "thornhollow/net/clock.h"
 
 namespace thornhollow {
 
-namespace {
-
-// A call isn't doubted before: answers take a few milliseconds.
-constexpr duration kDoubtedAfter = Milliseconds(200);
-
-} // namespace
-
 class source_link::core : public std::enable_shared_from_this<core>
 {
 public:
@@ -54,7 +48,7 @@
   void Ask(const source_call& aCall)
   {
     const std::uint64_t round = ++mRound;
-    mNewest.reset();
+    mOpen.End();
     mIdle = !mReads;
     if (mIdle) {
       mFollower.StopAsking();
@@ -79,11 +73,7 @@
 
   void OnDoubt(watch_doubt aWhy, time_point aNow)
   {
-    // With no call on its way there is nothing to doubt: the next one is due.
-    // Nor is there with one that was made a moment ago, which tells the same.
-    const bool justMade = mNewest && aNow - mNewest->mSentAt < kDoubtedAfter &&
-                          aWhy != watch_doubt::kPeerKnewFirst;
-    if (!mReads || !mNewest || justMade) {
+    if (!mReads || !mOpen.MayBeDoubted(aWhy, aNow)) {
       return;
     }
     if (const auto call = mFollower.OnDoubt(aWhy, mMirror, aNow)) {
@@ -96,7 +86,7 @@
 
   void Tick(time_point aNow)
   {
-    if (mReads && mNewest && aNow >= mNewest->mOverdueAt) {
+    if (mReads && mOpen.Overdue(aNow)) {
       AskBesideOverdue(aNow);
     }
     if (mFollower.InOutage(aNow)) {
@@ -125,7 +115,7 @@
   void Stop()
   {
     ++mRound;
-    mNewest.reset();
+    mOpen.End();
     mTimer.cancel();
   }
 
@@ -141,21 +131,26 @@
     std::uint64_t mRound = 0;
     std::uint64_t mNumber = 0;
     time_point mSentAt{};
-    // When the answer is due without news, and when it is overdue.
+    // When the answer is due without news.
     time_point mDueAt{};
-    time_point mOverdueAt{};
   };
 
   void Send(const source_call& aCall, std::uint64_t aRound)
   {
     const time_point now = Now();
-    const time_point due = now + aCall.mWait;
-    const sent_call sent{ aRound, ++mNumber, now, due, due + aCall.mPatience };
-    mNewest = sent;
+    const sent_call sent{ aRound, ++mNumber, now, now + aCall.mWait };
+    mOpen.OnSent(aCall, now);
+    answer_progress onBytes = [weak = weak_from_this(),
+                               aRound](std::size_t aBytes) {
+      if (const auto self = weak.lock()) {
+        self->OnBytes(aRound, aBytes);
+      }
+    };
     if (aCall.mList) {
       mSource.List(
         mPrefix,
         aCall.mLimit,
+        std::move(onBytes),
         [weak = weak_from_this(), sent](const list_outcome& aOutcome) {
           if (const auto self = weak.lock()) {
             self->OnListed(aOutcome, sent);
@@ -168,6 +163,7 @@
       aCall.mAfter,
       aCall.mWait,
       aCall.mLimit,
+      std::move(onBytes),
       [weak = weak_from_this(), sent](const watch_outcome& aOutcome) {
         if (const auto self = weak.lock()) {
           self->OnWatched(aOutcome, sent);
@@ -175,11 +171,19 @@
       });
   }
 
+  void OnBytes(std::uint64_t aRound, std::size_t aBytes)
+  {
+    if (aRound == mRound) {
+      mOpen.OnBytes(Now());
+      mBytesCame = aBytes;
+    }
+  }
+
   void AskBesideOverdue(time_point aNow)
   {
     const source_call next = mFollower.OnOverdue(mMirror, aNow);
     if (mFollower.Failing()) {
-      LogFailure({ "overdue" }, *mNewest);
+      LogFailure({ "overdue" }, mOpen.OpenFor(aNow));
     } else {
       LogBeside("overdue", aNow);
     }
@@ -193,8 +197,7 @@
   bool Counts(const outcome& aOutcome, const sent_call& aSent) const
   {
     const bool failed = std::holds_alternative<source_failure>(aOutcome);
-    return aSent.mRound == mRound &&
-           (!failed || (mNewest && mNewest->mNumber == aSent.mNumber));
+    return aSent.mRound == mRound && (!failed || mNumber == aSent.mNumber);
   }
 
   void NoteTime(const sent_call& aSent, time_point aNow)
@@ -211,7 +214,7 @@
     }
     const time_point now = Now();
     if (const auto* failed = std::get_if<source_failure>(&aOutcome)) {
-      LogFailure(*failed, aSent);
+      LogFailure(*failed, now - aSent.mSentAt);
     } else {
       NoteTime(aSent, now);
     }
@@ -227,7 +230,7 @@
     }
     const time_point now = Now();
     if (const auto* failed = std::get_if<source_failure>(&aOutcome)) {
-      LogFailure(*failed, aSent);
+      LogFailure(*failed, now - aSent.mSentAt);
     } else if (std::holds_alternative<history_gone>(aOutcome)) {
       mLog.Write(
         log_level::kInfo, "source_history_gone", { { "what", mWhat } });
@@ -304,7 +307,7 @@
 
   // One line for each reason in a series of failures: a line for each call of
   // an outage pushes the seconds before it out of what is kept of a log.
-  void LogFailure(const source_failure& aFailure, const sent_call& aSent)
+  void LogFailure(const source_failure& aFailure, duration aOpenFor)
   {
     ++mFailedCalls;
     if (mFailedCalls > 1 && aFailure.mDetail == mLastDetail) {
@@ -315,7 +318,8 @@
                "source_call_failed",
                { { "what", mWhat },
                  { "detail", aFailure.mDetail },
-                 { "open_ms", ToMilliseconds(Now() - aSent.mSentAt) },
+                 { "open_ms", ToMilliseconds(aOpenFor) },
+                 { "bytes", static_cast<std::int64_t>(mBytesCame) },
                  { "answer_age_ms", AnswerAgeMs() } });
   }
 
@@ -326,7 +330,8 @@
                "source_asked_again",
                { { "what", mWhat },
                  { "why", std::string(aWhy) },
-                 { "open_ms", ToMilliseconds(aNow - mNewest->mSentAt) },
+                 { "open_ms", ToMilliseconds(mOpen.OpenFor(aNow)) },
+                 { "bytes", static_cast<std::int64_t>(mBytesCame) },
                  { "answer_age_ms", AnswerAgeMs() } });
   }
 
@@ -363,9 +368,12 @@
   // Tells an answer that is still wanted from one that came too late.
   std::uint64_t mRound = 0;
   bool mLost = false;
+  // Of the newest call.
   std::uint64_t mNumber = 0;
-  // The newest call on its way; none while a pause lasts.
-  std::optional<sent_call> mNewest;
+  // Those on their way; none while a pause lasts.
+  call_round mOpen;
+  // Of the answer that came last, whole or not.
+  std::size_t mBytesCame = 0;
   // Calls that failed since the last answer, and why the last one did.
   std::int64_t mFailedCalls = 0;
   std::string mLastDetail;
--- a/thornhollow/discovery/item_mirror.cc
+++ b/thornhollow/discovery/item_mirror.cc
@@ -37,7 +37,6 @@
   if (!mListed || !changes.empty()) {
     mChangedAt = aAt;
   }
-  CountBytes();
   mListed = true;
   mAt = aAt;
   return changes;
@@ -89,20 +88,10 @@
   mAt = std::max(mAt, aAt);
   if (!told.empty()) {
     mChangedAt = mAt;
-    CountBytes();
   }
   return news;
 }
 
-void
-item_mirror::CountBytes()
-{
-  mBytes = 0;
-  for (const auto& [key, item] : mItems) {
-    mBytes += item.mValue.size();
-  }
-}
-
 std::optional<std::vector<item_change>>
 item_mirror::Since(std::uint64_t aAfter) const
 {
@@ -136,7 +125,12 @@
   if (aEndsOnly && aBefore + 1 < aAfter) {
     mJumps.emplace_back(aBefore, aAfter);
   }
-  mLately.insert(mLately.end(), aChanges.begin(), aChanges.end());
+  for (const item_change& each : aChanges) {
+    std::erase_if(mLately, [&each](const item_change& aEarlier) {
+      return aEarlier.mKey == each.mKey;
+    });
+    mLately.push_back(each);
+  }
   while (mLately.size() > kRemembered) {
     mLatelyAfter = std::max(mLatelyAfter, mLately.front().mRevision);
     mLately.pop_front();
--- a/thornhollow/discovery/item_mirror.h
+++ b/thornhollow/discovery/item_mirror.h
@@ -72,15 +72,15 @@
   // complete up to there lacks nothing that is here.
   std::uint64_t ChangedAt() const { return mChangedAt; }
   std::size_t size() const { return mItems.size(); }
-  // Of all values together.
-  std::size_t Bytes() const { return mBytes; }
   std::vector<source_item> Items() const;
 
-  // What changed after revision `aAfter`, the latest last; nothing where that
-  // is longer ago than the copy remembers, or lies inside a step of which it
-  // knows both ends only. A peer at such a revision may hold an item that had
-  // come and was gone again in that step: it kept it for good, and sent
-  // requests to an engine that no longer was.
+  // What changed after revision `aAfter`, of each item only the last change,
+  // the latest last: a configuration of hundreds of kilobytes of which three
+  // versions were missed is told once. Nothing where that is longer ago than
+  // the copy remembers, or lies inside a step of which it knows both ends only.
+  // A peer at such a revision may hold an item that had come and was gone again
+  // in that step: it kept it for good, and sent requests to an engine that no
+  // longer was.
   std::optional<std::vector<item_change>> Since(std::uint64_t aAfter) const;
 
 private:
@@ -93,13 +93,11 @@
   bool mListed = false;
   std::uint64_t mAt = 0;
   std::uint64_t mChangedAt = 0;
-  std::size_t mBytes = 0;
   std::map<std::string, held> mItems;
 
   // Changes remembered: minutes of those of a large site.
   static constexpr std::size_t kRemembered = 256;
   // Of a step from `aBefore` of which both ends are known only, or each change.
-  void CountBytes();
   void Remember(const std::vector<item_change>& aChanges,
                 std::uint64_t aBefore,
                 std::uint64_t aAfter,
@@ -108,6 +106,7 @@
                                 std::uint64_t aAt,
                                 bool aEndsOnly);
 
+  // Of each item the last change, the latest last.
   std::deque<item_change> mLately;
   // All changes after this revision are remembered.
   std::uint64_t mLatelyAfter = 0;
--- a/thornhollow/discovery/item_mirror_test.cc
+++ b/thornhollow/discovery/item_mirror_test.cc
@@ -97,13 +97,28 @@
                   "item_mirror/more_changes_than_remembered/gives_none")
 {
   for (std::uint64_t revision = 11; revision < 400; ++revision) {
-    mMirror.OnChanges({ { "a", std::to_string(revision), revision } },
+    mMirror.OnChanges({ { "item-" + std::to_string(revision), "", revision } },
                       revision);
   }
   CHECK_FALSE(mMirror.Since(20).has_value());
   CHECK(mMirror.Since(390)->size() == 9);
 }
 
+// Guards against a peer that gets each version of a large document that it
+// missed, and against memory that grows with each of them.
+TEST_CASE_FIXTURE(mirror_with_two_items,
+                  "item_mirror/item_changed_often/its_last_change_is_told")
+{
+  for (std::uint64_t revision = 11; revision < 400; ++revision) {
+    mMirror.OnChanges({ { "a", std::to_string(revision), revision } },
+                      revision);
+  }
+  const std::vector<item_change> result{ { "a", "399", 399 } };
+  CHECK(mMirror.Since(10) == result);
+  CHECK(mMirror.Since(390) == result);
+  CHECK(mMirror.Since(399)->empty());
+}
+
 TEST_CASE("item_mirror/random_answers/never_go_back_and_end_equal")
 {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
--- a/thornhollow/discovery/item_source.h
+++ b/thornhollow/discovery/item_source.h
@@ -6,6 +6,7 @@
 #ifndef THORNHOLLOW_DISCOVERY_ITEM_SOURCE_H_
 #define THORNHOLLOW_DISCOVERY_ITEM_SOURCE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -49,6 +50,9 @@
                          const source_failure&) = default;
 };
 
+// Called while an answer comes, with the bytes that have come so far.
+using answer_progress = std::function<void(std::size_t aBytes)>;
+
 using list_outcome = std::variant<source_listing, source_failure>;
 using watch_outcome =
   std::variant<source_changes, history_gone, source_failure>;
@@ -61,19 +65,21 @@
   item_source& operator=(const item_source&) = delete;
   virtual ~item_source() = default;
 
-  // `aDone` is called once, later; with a failure where no answer came within
-  // `aLimit`.
+  // `aDone` is called once, later; with a failure where nothing of an answer
+  // came for `aLimit`.
   virtual void List(const std::string& aPrefix,
                     duration aLimit,
+                    answer_progress aOnBytes,
                     std::function<void(list_outcome)> aDone) = 0;
 
   // Waits for changes after revision `aAfter`, for `aWait` at the most. `aDone`
-  // is called once, later; with a failure where no answer came within `aLimit`
-  // beyond it.
+  // is called once, later; with a failure where nothing of an answer came for
+  // `aLimit` beyond it.
   virtual void Watch(const std::string& aPrefix,
                      std::uint64_t aAfter,
                      duration aWait,
                      duration aLimit,
+                     answer_progress aOnBytes,
                      std::function<void(watch_outcome)> aDone) = 0;
 };
 
--- a/thornhollow/discovery/source_follower.cc
+++ b/thornhollow/discovery/source_follower.cc
@@ -46,21 +46,11 @@
   if (!call.mList) {
     call.mWait = Failing() || mProbing ? mSettings.mProbeWait : LongWait();
   }
-  call.mPatience = Patience() + CopyTime(aMirror);
-  call.mLimit = mSettings.mLimit + CopyTime(aMirror);
+  call.mPatience = Patience();
+  call.mLimit = mSettings.mLimit;
   return call;
 }
 
-duration
-source_follower::CopyTime(const item_mirror& aMirror) const
-{
-  if (aMirror.Bytes() < mSettings.mLargeCopyBytes) {
-    return duration::zero();
-  }
-  return FromSeconds(static_cast<double>(aMirror.Bytes()) /
-                     mSettings.mCopyBytesPerSecond);
-}
-
 source_call
 source_follower::OnOverdue(const item_mirror& aMirror, time_point aNow)
 {
--- a/thornhollow/discovery/source_follower.h
+++ b/thornhollow/discovery/source_follower.h
@@ -17,8 +17,9 @@
 //
 // - In each failure domain an instance's watch ends every second, in turn, also
 //   after a change that all heard of at once. So somebody asks anew.
-// - Nobody waits for an answer that is overdue: another call is made beside it,
-//   and the first answer to either is taken. A slow source is still heard.
+// - Nobody waits for an answer that is overdue and of which nothing comes:
+//   another call is made beside it, and the first answer to either is taken. A
+//   slow source is still heard.
 // - A reason to doubt a watch that is open brings such a call too: the same
 //   process' other call is overdue, a peer's failed, or a peer told of a change
 //   that this watch ought to have told of.
@@ -100,15 +101,10 @@
   duration mAskEveryForEach = Milliseconds(50);
   duration mLeastAskEvery = Milliseconds(400);
   duration mMostAskEvery = Seconds(1);
-  // A whole copy comes at this rate at the least, on a link of 20 Mbit/s beside
-  // callers' answers: an answer may take so much longer. Each call made beside
-  // one that is being answered would load the same link once more.
-  double mCopyBytesPerSecond = 1'000'000;
-  // Smaller ones come within the margin above.
-  std::size_t mLargeCopyBytes = 65'536;
   // Taken for the longest delay before any was seen.
   duration mFirstDelay = Milliseconds(250);
-  // An answer later than this after it was due isn't waited for.
+  // An answer of which nothing came for so long after it was due, or after its
+  // last part, isn't waited for.
   duration mLimit = Seconds(2);
   // Between two calls for which the doubt is the same process' other call, or a
   // peer's failure: many instances hear of that, for seconds.
@@ -128,8 +124,9 @@
   duration mPause{};
   // How long a watch waits for changes; zero for a listing.
   duration mWait{};
-  // After that long beyond the wait the answer is overdue, and `OnOverdue` is
-  // to be called; it is still taken up to the limit.
+  // Where nothing of the answer came after that long beyond the wait it is
+  // overdue, and `OnOverdue` is to be called; it is still taken up to the
+  // limit. See `call_round`.
   duration mPatience{};
   duration mLimit{};
 
@@ -184,8 +181,6 @@
 private:
   duration LongWait() const;
   duration Patience();
-  // For all that is held to come once more.
-  duration CopyTime(const item_mirror& aMirror) const;
   double Jitter();
   source_call AfterFailure(const item_mirror& aMirror, time_point aNow);
   void NoteFailure(time_point aNow);
--- a/thornhollow/fleet/copy_requests.h
+++ b/thornhollow/fleet/copy_requests.h
@@ -3,6 +3,7 @@
 //   copy_requests requests(copy_request_settings{});
 //   if (const auto from = requests.Tick(peers, mine, reads, now)) {
 //     ... ask it for the copies that it has later revisions of ...
+//     ... requests.OnBytes(which, now) for each part of an answer ...
 //   }
 //
 // Guards against news that reaches some instances only: the source turns this
@@ -13,9 +14,15 @@
 // ask for, a peer's link that is full or cut. It shows as a copy that stays
 // behind though it is asked for again and again; the instance then asks the
 // source, as if nobody read it for all.
+//
+// Guards against a large copy that never comes whole on a narrow link, as it is
+// asked for once more while it comes: one of which a part came a moment ago is
+// waited for, and isn't in vain.
 #ifndef THORNHOLLOW_FLEET_COPY_REQUESTS_H_
 #define THORNHOLLOW_FLEET_COPY_REQUESTS_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,6 +32,13 @@
 
 namespace thornhollow {
 
+// Which copy is asked for.
+enum class copied_items : std::uint8_t
+{
+  kConfiguration,
+  kEndpoints,
+};
+
 struct copy_request_settings
 {
   // Behind for so long: the source's own word takes a few milliseconds, and
@@ -36,6 +50,8 @@
   // two seconds in which a change must be in force, the rest is for the
   // source's answer and for reading it.
   duration mAskSourceAfter = Milliseconds(700);
+  // Between two parts of an answer: a lost packet comes again within.
+  duration mMostPause = Milliseconds(600);
 
   friend bool operator==(const copy_request_settings&,
                          const copy_request_settings&) = default;
@@ -58,19 +74,31 @@
                                   bool aReads,
                                   time_point aNow);
 
+  // A part of a peer's answer came, and the answer's end.
+  void OnBytes(copied_items aWhich, time_point aNow);
+  void OnEnded(copied_items aWhich);
+  // The peer has given as many large copies as it may: another one is asked at
+  // the next look.
+  void OnPutOff() { mNextAsk = time_point{}; }
+
   // Whether peers were asked in vain for so long that this instance is to ask
   // the source itself.
   bool NeedsSource(time_point aNow) const;
 
 private:
+  bool Coming(copied_items aWhich, time_point aNow) const;
+
   copy_request_settings mSettings;
   // Since when some peer has known more at each look.
   std::optional<time_point> mBehindSince;
-  // Since when a peer is known to hold `mBehindOf`, which isn't held here.
+  // Since when a peer is known to hold `mBehindOf`, which isn't held here, and
+  // no copy comes.
   std::optional<time_point> mInVainSince;
   known_revisions mBehindOf;
   time_point mNextAsk{};
   std::uint64_t mAttempt = 0;
+  // When the last part came of a copy that isn't whole, by which one it is.
+  std::array<std::optional<time_point>, 2> mLastBytes;
 };
 
 } // namespace thornhollow
--- a/thornhollow/fleet/large_copies.h
+++ b/thornhollow/fleet/large_copies.h
@@ -1,20 +1,20 @@
 // How many large copies an instance gives to its peers at a time.
 //
-//   large_copies given;
+//   large_copies given(settings);
 //   if (!given.Gives(bytes, now)) { ... tell the peer to ask another ... }
 //
 // Load this answers: a configuration of hundreds of kilobytes of which one or
 // two instances of a failure domain know first, and which all others ask them
-// for at once. Each copy then takes longer than anybody waits for it, is asked
-// for again, and none arrives. So a few are given, and those who got them give
-// it on.
+// for at once. Each copy then takes as long as all of them together. So they
+// are given about one after the other, as fast as the instance's link carries
+// them, and those who got one give it on.
 #ifndef THORNHOLLOW_FLEET_LARGE_COPIES_H_
 #define THORNHOLLOW_FLEET_LARGE_COPIES_H_
 
+#include <algorithm>
 #include <cstddef>
 
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/faded_rate.h"
 
 namespace thornhollow {
 
@@ -23,13 +23,11 @@
   // Smaller ones are always given: the news of an endpoint that leaves has a
   // few hundred.
   std::size_t mLargeFromBytes = 16'384;
-  // None is given while more than this was given a second lately: a quarter of
-  // what a link of 20 Mbit/s carries, beside the callers' answers.
-  double mMostPerSecond = 600'000;
-  double mMemorySeconds = 1;
-
-  friend bool operator==(const large_copy_settings&,
-                         const large_copy_settings&) = default;
+  double mLinkBytesPerSecond = 2'500'000;
+  // The rest is for callers' answers.
+  double mPartForCopies = 0.8;
+  // None is given while those before it take longer than this.
+  duration mMostQueued = Milliseconds(250);
 };
 
 class large_copies
@@ -37,7 +35,6 @@
 public:
   explicit large_copies(const large_copy_settings& aSettings = {})
     : mSettings(aSettings)
-    , mGiven(aSettings.mMemorySeconds)
   {
   }
 
@@ -47,16 +44,20 @@
     if (aBytes < mSettings.mLargeFromBytes) {
       return true;
     }
-    if (mGiven.PerSecond(aNow) > mSettings.mMostPerSecond) {
+    if (mBusyUntil - aNow > mSettings.mMostQueued) {
       return false;
     }
-    mGiven.Add(static_cast<double>(aBytes), aNow);
+    const double carried =
+      mSettings.mLinkBytesPerSecond * mSettings.mPartForCopies;
+    mBusyUntil = std::max(mBusyUntil, aNow) +
+                 FromSeconds(static_cast<double>(aBytes) / carried);
     return true;
   }
 
 private:
   large_copy_settings mSettings;
-  faded_rate mGiven;
+  // The copies that were given are sent by then.
+  time_point mBusyUntil{};
 };
 
 } // namespace thornhollow
--- a/thornhollow/fleet/large_copies_test.cc
+++ b/thornhollow/fleet/large_copies_test.cc
@@ -26,6 +26,26 @@
   CHECK(mGiven.Gives(kDocument, mNow));
 }
 
+// Guards against a copy that takes a second where only few can have it, as the
+// instance's link is narrower than most.
+TEST_CASE("large_copies/links/are_used_as_far_as_they_carry")
+{
+  for (const double bytesPerSecond : { 1'250'000.0, 25'000'000.0 }) {
+    large_copy_settings settings;
+    settings.mLinkBytesPerSecond = bytesPerSecond;
+    large_copies condition(settings);
+    double given = 0;
+    for (int tick = 0; tick < 100; ++tick) {
+      const time_point now = time_point() + tick * Milliseconds(100);
+      for (int each = 0; each < 30; ++each) {
+        given += condition.Gives(kDocument, now) ? kDocument : 0;
+      }
+    }
+    CHECK(given >= bytesPerSecond * 10 * 0.7);
+    CHECK(given <= bytesPerSecond * 10 * 0.9);
+  }
+}
+
 // Guards against news of leaving endpoints that wait behind a configuration.
 TEST_CASE_FIXTURE(nothing_given_yet, "large_copies/small_ones/are_always_given")
 {
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -79,13 +79,13 @@
 relay_peers::Above(time_point aNow) const
 {
   above found;
-  const std::uint64_t own = Hash64(mOwnAddress);
+  const reader_rank own = RankOf(mSettings.mLinkMegabits, mOwnAddress);
   for (const auto& [address, each] : mPeers) {
     if (each.mHello.mDomain != mOwnDomain) {
       continue;
     }
     ++found.mInDomain;
-    if (Hash64(address) <= own) {
+    if (RankOf(each.mHello.mLinkMegabits, address) <= own) {
       continue;
     }
     ++found.mKnown;
@@ -97,6 +97,12 @@
   return found;
 }
 
+relay_peers::reader_rank
+relay_peers::RankOf(std::uint32_t aLinkMegabits, const std::string& aAddress)
+{
+  return { aLinkMegabits, Hash64(aAddress) };
+}
+
 bool
 relay_peers::Reads(time_point aNow)
 {
@@ -222,6 +228,7 @@
   aPeer.mHello.mKnown = aHello.mKnown;
   aPeer.mHello.mSourceFails = aHello.mSourceFails;
   aPeer.mHello.mSourceAnswerAge = aHello.mSourceAnswerAge;
+  aPeer.mHello.mLinkMegabits = aHello.mLinkMegabits;
 }
 
 std::vector<std::string>
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -15,14 +15,15 @@
 // tells a bounded number of others, drawn at random; an unknown one that it
 // hears of is told next.
 //
-// In a large failure domain a few instances read the source for all: those that
-// rank highest by a hash of their addresses. The others hold what readers tell.
-// The list of endpoints changes every second or two on a site of 90 engines,
-// which would else be a call for each change and instance. Readers tell their
-// whole domain often that they are there; whoever misses that of enough readers
-// above its rank reads too, those of a lower rank a little later, so that the
-// first ones' word reaches them before. A reader that the source doesn't answer
-// goes on asking, and one more instance reads beside it.
+// In a large failure domain a few instances read the source for all: those with
+// the widest links, among equal ones by a hash of their addresses. The others
+// hold what readers tell. The list of endpoints changes every second or two on
+// a site of 90 engines, which would else be a call for each change and
+// instance. Readers tell their whole domain often that they are there; whoever
+// misses that of enough readers above its rank reads too, those of a lower rank
+// a little later, so that the first ones' word reaches them before. A reader
+// that the source doesn't answer goes on asking, and one more instance reads
+// beside it.
 //
 // Guards against a source that turns this instance away while it serves others:
 // it shows as a configuration that stays behind for this instance only. Peers
@@ -36,6 +37,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "thornhollow/base/ids.h"
@@ -107,6 +109,8 @@
   bool mSourceFails = false;
   // How long ago it last did; nothing: that is long ago.
   std::optional<duration> mSourceAnswerAge = std::nullopt;
+  // What its link carries, in Mbit/s; 0: not told.
+  std::uint32_t mLinkMegabits = 0;
 
   friend bool operator==(const relay_hello&, const relay_hello&) = default;
 };
@@ -136,6 +140,8 @@
 
 struct relay_peer_settings
 {
+  // What this instance's link carries.
+  std::uint32_t mLinkMegabits = 0;
   // Work at engines changes with each prompt, which takes tens of milliseconds
   // to hundreds.
   duration mInterval = Milliseconds(250);
@@ -284,6 +290,10 @@
     std::size_t mAnswered = 0;
   };
   above Above(time_point aNow) const;
+  // The higher one reads first.
+  using reader_rank = std::pair<std::uint32_t, std::uint64_t>;
+  static reader_rank RankOf(std::uint32_t aLinkMegabits,
+                            const std::string& aAddress);
   duration ForgetAfter() const;
   duration Interval() const;
   void Forget(time_point aNow);
--- a/thornhollow/fleet/testing/fleet_shape.h
+++ b/thornhollow/fleet/testing/fleet_shape.h
@@ -29,6 +29,8 @@
   // way. All that comes or goes on it at the same time has an even part.
   double mDocumentBytes = 4'000;
   double mLinkBytes = 2'500'000;
+  // Copies of peers have this part of their size on the link.
+  double mPacking = 0.2;
   // The source encodes each byte of the configuration as so many.
   double mSourceEncoding = 4.0 / 3;
 
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -25,6 +25,7 @@
 #include <utility>
 #include <vector>
 
+#include "thornhollow/discovery/call_round.h"
 #include "thornhollow/discovery/endpoint_roster.h"
 #include "thornhollow/discovery/item_mirror.h"
 #include "thornhollow/discovery/source_follower.h"
@@ -173,12 +174,11 @@
 private:
   static constexpr duration kStep = Milliseconds(10);
   static constexpr duration kTickEvery = Milliseconds(100);
-  // As the daemon does: nobody waits longer for a copy.
+  // As the daemon does: nobody waits longer for a part of a copy.
   static constexpr duration kCopyLimit = Milliseconds(600);
   static constexpr double kEndpointBytes = 300;
   // A longer answer of a peer is refused.
   static constexpr double kMostCopyBytes = 1'048'576 + 4'096;
-  static constexpr duration kDoubtedAfter = Milliseconds(200);
   // As the daemon does: what it tells its peers of the source.
   static constexpr duration kTellsOfFailure = Seconds(5);
 
@@ -193,6 +193,7 @@
     std::uint64_t mAt = 0;
     std::optional<duration> mSourceBackFor;
     time_point mAskedAt{};
+    time_point mLastBytes{};
     double mBytesLeft = 0;
   };
   struct open_call
@@ -205,6 +206,7 @@
     // revision it tells.
     std::optional<double> mBytesLeft = std::nullopt;
     std::uint64_t mTellsUpTo = 0;
+    time_point mLastBytes{};
   };
   struct link
   {
@@ -217,6 +219,7 @@
     bool mIdle = false;
     // On their way beside each other, the newest last.
     std::vector<open_call> mOpen = {};
+    call_round mRound = call_round{};
     // Of earlier rounds: nobody waits for them, and they come all the same.
     std::vector<open_call> mGivenUp = {};
   };
@@ -274,6 +277,9 @@
                              {},
                              mStart });
     }
+    large_copy_settings copies;
+    copies.mLinkBytesPerSecond = mShape.mLinkBytes;
+    one.mLargeCopies = large_copies(copies);
     mInstances.push_back(std::move(one));
   }
 
@@ -308,6 +314,7 @@
   {
     std::ranges::move(aLink.mOpen, std::back_inserter(aLink.mGivenUp));
     aLink.mOpen.clear();
+    aLink.mRound.End();
     aLink.mIdle = !aOne.mAsksSource;
     if (aLink.mIdle) {
       aLink.mToSend = false;
@@ -325,6 +332,7 @@
   {
     aLink.mToSend = false;
     aLink.mOpen.push_back({ aCall, mNow, false });
+    aLink.mRound.OnSent(aCall, mNow);
     ++mCalls;
   }
 
@@ -333,6 +341,11 @@
   {
     LookAt(aOne, aLink, aLink.mGivenUp);
     LookAt(aOne, aLink, aLink.mOpen);
+    if (std::ranges::any_of(aLink.mOpen, [this](const open_call& aCall) {
+          return aCall.mLastBytes == mNow;
+        })) {
+      aLink.mRound.OnBytes(mNow);
+    }
     std::erase_if(aLink.mGivenUp, [this](const open_call& aCall) {
       return Came(aCall) || Expired(aCall);
     });
@@ -365,6 +378,9 @@
         each.mBytesLeft = AnswerBytes(aLink, each);
         each.mTellsUpTo = mSource.At();
       }
+      if (!each.mLost && each.mBytesLeft) {
+        each.mLastBytes = mNow;
+      }
     }
   }
 
@@ -425,7 +441,7 @@
 
   bool Expired(const open_call& aCall) const
   {
-    return mNow >= Due(aCall) + aCall.mCall.mLimit;
+    return mNow >= std::max(Due(aCall), aCall.mLastBytes) + aCall.mCall.mLimit;
   }
 
   // The newest call is given up.
@@ -476,21 +492,14 @@
   // The daemon looks at each tick.
   void AskBesideOverdue(link& aLink)
   {
-    if (aLink.mOpen.empty()) {
-      return;
-    }
-    const open_call& newest = aLink.mOpen.back();
-    if (mNow >= Due(newest) + newest.mCall.mPatience) {
+    if (aLink.mRound.Overdue(mNow)) {
       Send(aLink, aLink.mFollower.OnOverdue(aLink.mMirror, mNow));
     }
   }
 
   void Doubt(link& aLink, watch_doubt aWhy)
   {
-    const bool justMade = !aLink.mOpen.empty() &&
-                          mNow - aLink.mOpen.back().mSent < kDoubtedAfter &&
-                          aWhy != watch_doubt::kPeerKnewFirst;
-    if (aLink.mOpen.empty() || justMade) {
+    if (!aLink.mRound.MayBeDoubted(aWhy, mNow)) {
       return;
     }
     if (const auto call = aLink.mFollower.OnDoubt(aWhy, aLink.mMirror, mNow)) {
@@ -613,13 +622,14 @@
       items = copy.mItems->size();
     }
     const double each = aWhich == 0 ? mShape.mDocumentBytes : kEndpointBytes;
-    copy.mBytesLeft = each * static_cast<double>(items);
+    copy.mBytesLeft = each * static_cast<double>(items) * mShape.mPacking;
     if (aWhich == 1) {
       copy.mSourceBackFor = from->mRoster.RegainedFor(mNow);
     }
-    if (copy.mBytesLeft <= kMostCopyBytes &&
-        from->mLargeCopies.Gives(static_cast<std::size_t>(copy.mBytesLeft),
-                                 mNow)) {
+    if (!from->mLargeCopies.Gives(static_cast<std::size_t>(copy.mBytesLeft),
+                                  mNow)) {
+      aOne.mRequests.OnPutOff();
+    } else if (copy.mBytesLeft <= kMostCopyBytes) {
       aOne.mCopies.push_back(std::move(copy));
     }
   }
@@ -713,9 +723,17 @@
   {
     std::vector<copy_on_its_way> came;
     std::erase_if(aOne.mCopies, [&](copy_on_its_way& aCopy) {
-      const bool whole = Begun(aCopy) && aCopy.mBytesLeft <= 0;
-      const bool late = mNow - aCopy.mAskedAt >= kCopyLimit;
-      if (whole && !late && Reached(aOne, aCopy.mFrom) != nullptr) {
+      if (Begun(aCopy) && Reached(aOne, aCopy.mFrom) != nullptr) {
+        aCopy.mLastBytes = mNow;
+        aOne.mRequests.OnBytes(WhichOf(aCopy), mNow);
+      }
+      const bool whole = aCopy.mLastBytes == mNow && aCopy.mBytesLeft <= 0;
+      const bool late =
+        mNow - std::max(aCopy.mAskedAt, aCopy.mLastBytes) >= kCopyLimit;
+      if (whole || late) {
+        aOne.mRequests.OnEnded(WhichOf(aCopy));
+      }
+      if (whole) {
         came.push_back(std::move(aCopy));
       }
       return whole || late;
@@ -725,6 +743,12 @@
     }
   }
 
+  static copied_items WhichOf(const copy_on_its_way& aCopy)
+  {
+    return aCopy.mWhich == 0 ? copied_items::kConfiguration
+                             : copied_items::kEndpoints;
+  }
+
   void TakeCopy(instance& aTo, const copy_on_its_way& aCopy)
   {
     link& link = aTo.mLinks[aCopy.mWhich];
--- a/thornhollow/net/http_fetch.cc
+++ b/thornhollow/net/http_fetch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -52,6 +53,35 @@
   return version;
 }
 
+using answer_parser = http::response_parser<http::string_body>;
+
+// Returns the bytes that were read; whether the answer is whole, `aWrong` says.
+asio::awaitable<std::size_t>
+ReadAnswer(beast::tcp_stream& aStream,
+           answer_parser& aParser,
+           const fetch_call& aCall,
+           error_code& aWrong)
+{
+  const auto latest = std::chrono::steady_clock::now() + aCall.mLongest;
+  beast::flat_buffer buffer;
+  std::size_t bytes = 0;
+  while (!aParser.is_done()) {
+    bytes +=
+      co_await http::async_read_some(aStream, buffer, aParser, Into(aWrong));
+    if (aWrong) {
+      co_return bytes;
+    }
+    if (aCall.mOnBytes) {
+      aCall.mOnBytes(bytes);
+    }
+    if (aCall.mMostPause > duration::zero()) {
+      const auto left = latest - std::chrono::steady_clock::now();
+      aStream.expires_after(std::min<duration>(aCall.mMostPause, left));
+    }
+  }
+  co_return bytes;
+}
+
 asio::awaitable<fetch_outcome>
 Exchange(asio::io_context& aIo, const fetch_call& aCall)
 {
@@ -79,10 +109,10 @@
   if (wrong) {
     co_return std::nullopt;
   }
-  beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
+  answer_parser parser;
+  parser.eager(true);
   parser.body_limit(aCall.mMaxBytes);
-  bytes += co_await http::async_read(stream, buffer, parser, Into(wrong));
+  bytes += co_await ReadAnswer(stream, parser, aCall, wrong);
   if (wrong) {
     co_return std::nullopt;
   }
--- a/thornhollow/net/http_fetch.h
+++ b/thornhollow/net/http_fetch.h
@@ -33,6 +33,13 @@
   // The answer may take long, as that of a long poll: a connection that went
   // silent meanwhile is found by probes, within about three seconds.
   bool mLongPoll = false;
+  // Where above zero, `mTimeout` holds up to the answer's first bytes; then no
+  // pause between two parts is longer than this, and the whole exchange no
+  // longer than `mLongest`.
+  duration mMostPause{};
+  duration mLongest = Seconds(20);
+  // Called with the bytes that have come, while more of the answer is to.
+  std::function<void(std::size_t aBytes)> mOnBytes = nullptr;
   // Bytes of the answer's body at most.
   std::size_t mMaxBytes = std::size_t{ 2 } << 20U;
 };
--- a/thornhollow/net/peer_transport.cc
+++ b/thornhollow/net/peer_transport.cc
@@ -70,8 +70,13 @@
   kTooLong,
 };
 
+// Calls `aOnBytes` with the bytes so far for each part that comes.
+template<class progress>
 asio::awaitable<frame_end>
-ReadFrame(beast::tcp_stream& aStream, std::string& aInto, std::size_t aMaxBytes)
+ReadFrame(beast::tcp_stream& aStream,
+          std::string& aInto,
+          std::size_t aMaxBytes,
+          const progress& aOnBytes)
 {
   frame_head head{};
   error_code wrong;
@@ -85,8 +90,16 @@
     co_return frame_end::kTooLong;
   }
   aInto.resize(size);
-  co_await asio::async_read(aStream, asio::buffer(aInto), Into(wrong));
-  co_return wrong ? frame_end::kBroken : frame_end::kWhole;
+  std::size_t came = 0;
+  while (came < size) {
+    came +=
+      co_await aStream.async_read_some(asio::buffer(aInto) + came, Into(wrong));
+    if (wrong) {
+      co_return frame_end::kBroken;
+    }
+    aOnBytes(came);
+  }
+  co_return frame_end::kWhole;
 }
 
 asio::awaitable<bool>
@@ -122,7 +135,7 @@
   void SendDatagram(const std::string& aAddress, std::string_view aBytes);
   void Exchange(std::string aAddress,
                 std::string aRequest,
-                duration aTimeout,
+                exchange_limits aLimits,
                 answer_handler aDone);
 
   peer_transport_settings mSettings;
@@ -141,6 +154,7 @@
   {
     std::string mAddress;
     std::string mRequest;
+    exchange_limits mLimits;
     steady_clock::time_point mDeadline;
   };
 
@@ -320,8 +334,8 @@
   std::string request;
   while (!mClosed) {
     aStream.expires_after(mSettings.mServeLimit);
-    const frame_end end =
-      co_await ReadFrame(aStream, request, mSettings.mMaxRequestBytes);
+    const frame_end end = co_await ReadFrame(
+      aStream, request, mSettings.mMaxRequestBytes, [](std::size_t) {});
     if (mClosed || end == frame_end::kBroken) {
       co_return;
     }
@@ -343,13 +357,14 @@
 void
 peer_transport::shared::Exchange(std::string aAddress,
                                  std::string aRequest,
-                                 duration aTimeout,
+                                 exchange_limits aLimits,
                                  answer_handler aDone)
 {
   ++mCounters.mExchanges;
-  call made{ std::move(aAddress),
-             std::move(aRequest),
-             steady_clock::now() + aTimeout };
+  const auto deadline = steady_clock::now() + aLimits.mTimeout;
+  call made{
+    std::move(aAddress), std::move(aRequest), std::move(aLimits), deadline
+  };
   const auto self = shared_from_this();
   asio::co_spawn(mIo,
                  RunExchange(std::move(made), std::move(aDone)),
@@ -414,9 +429,17 @@
     co_return std::nullopt;
   }
   mCounters.mBytesOut += kHeadBytes + aCall.mRequest.size();
+  const auto onBytes = [&](std::size_t aBytes) {
+    if (aCall.mLimits.mMostPause > duration::zero()) {
+      aStream.expires_after(aCall.mLimits.mMostPause);
+    }
+    if (aCall.mLimits.mOnBytes) {
+      aCall.mLimits.mOnBytes(aBytes);
+    }
+  };
   std::string answer;
   const frame_end end =
-    co_await ReadFrame(aStream, answer, mSettings.mMaxAnswerBytes);
+    co_await ReadFrame(aStream, answer, mSettings.mMaxAnswerBytes, onBytes);
   if (end == frame_end::kTooLong) {
     ++mCounters.mGarbage;
   }
@@ -539,10 +562,11 @@
 void
 peer_transport::Exchange(const std::string& aAddress,
                          std::string aRequest,
-                         duration aTimeout,
+                         exchange_limits aLimits,
                          answer_handler aDone)
 {
-  mShared->Exchange(aAddress, std::move(aRequest), aTimeout, std::move(aDone));
+  mShared->Exchange(
+    aAddress, std::move(aRequest), std::move(aLimits), std::move(aDone));
 }
 
 const peer_counters&
--- a/thornhollow/net/peer_transport.h
+++ b/thornhollow/net/peer_transport.h
@@ -69,6 +69,18 @@
   std::function<std::optional<std::string>(std::string_view aBytes)> mOnRequest;
 };
 
+struct exchange_limits
+{
+  // For the whole answer, connecting included.
+  duration mTimeout{};
+  // Where above zero, `mTimeout` holds up to the answer's first bytes, and no
+  // pause between two parts of it is longer than this: a large answer on a
+  // narrow link is slow, not lost.
+  duration mMostPause{};
+  // Called with the bytes of the answer that have come so far.
+  std::function<void(std::size_t aBytes)> mOnBytes = nullptr;
+};
+
 // Totals since the start.
 struct peer_counters
 {
@@ -110,13 +122,12 @@
   void SendDatagram(const std::string& aAddress, std::string_view aBytes);
 
   // Sends a request and hands its answer to `aDone`, or nothing where no whole
-  // answer came within `aTimeout`, connecting included. The peer may have
-  // handled the request all the same, and, where a used connection broke,
-  // twice: requests must be idempotent. `aDone` is called once, never from
-  // here.
+  // answer came within the limits. The peer may have handled the request all
+  // the same, and, where a used connection broke, twice: requests must be
+  // idempotent. `aDone` is called once, never from here.
   void Exchange(const std::string& aAddress,
                 std::string aRequest,
-                duration aTimeout,
+                exchange_limits aLimits,
                 answer_handler aDone);
 
   const peer_counters& Counters() const;
--- a/thornhollow/platform/store_client.cc
+++ b/thornhollow/platform/store_client.cc
@@ -104,11 +104,13 @@
                std::string aAddress,
                std::string aPrefix,
                duration aLimit,
+               answer_progress aOnBytes,
                std::function<void(list_outcome)> aDone)
     : mIo(aIo)
     , mAddress(std::move(aAddress))
     , mPrefix(std::move(aPrefix))
     , mLimit(aLimit)
+    , mOnBytes(std::move(aOnBytes))
     , mDone(std::move(aDone))
   {
   }
@@ -122,6 +124,8 @@
       call.mTarget += fmt::format("&after={}", aAfter);
     }
     call.mTimeout = mLimit;
+    call.mMostPause = mLimit;
+    call.mOnBytes = mOnBytes;
     call.mConnectTimeout = kConnectTimeout;
     call.mMaxBytes = kMaxAnswerBytes;
     Fetch(
@@ -160,8 +164,9 @@
   boost::asio::io_context& mIo;
   std::string mAddress;
   std::string mPrefix;
-  // For each page.
+  // Without a part of an answer.
   duration mLimit;
+  answer_progress mOnBytes;
   std::function<void(list_outcome)> mDone;
   source_listing mListing;
   bool mFirst = true;
@@ -210,10 +215,11 @@
 void
 store_client::List(const std::string& aPrefix,
                    duration aLimit,
+                   answer_progress aOnBytes,
                    std::function<void(list_outcome)> aDone)
 {
   std::make_shared<listing_call>(
-    mIo, mAddress, aPrefix, aLimit, std::move(aDone))
+    mIo, mAddress, aPrefix, aLimit, std::move(aOnBytes), std::move(aDone))
     ->AskPage("");
 }
 
@@ -222,6 +228,7 @@
                     std::uint64_t aAfter,
                     duration aWait,
                     duration aLimit,
+                    answer_progress aOnBytes,
                     std::function<void(watch_outcome)> aDone)
 {
   fetch_call call;
@@ -231,6 +238,8 @@
                              aAfter,
                              ToMilliseconds(aWait));
   call.mTimeout = aWait + aLimit;
+  call.mMostPause = aLimit;
+  call.mOnBytes = std::move(aOnBytes);
   call.mConnectTimeout = kConnectTimeout;
   call.mLongPoll = true;
   call.mMaxBytes = kMaxAnswerBytes;
--- a/thornhollow/platform/store_client.h
+++ b/thornhollow/platform/store_client.h
@@ -46,11 +46,13 @@
 
   void List(const std::string& aPrefix,
             duration aLimit,
+            answer_progress aOnBytes,
             std::function<void(list_outcome)> aDone) override;
   void Watch(const std::string& aPrefix,
              std::uint64_t aAfter,
              duration aWait,
              duration aLimit,
+             answer_progress aOnBytes,
              std::function<void(watch_outcome)> aDone) override;
 
 private:
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -6,6 +6,7 @@
 #include <thornhollow_types.h>
 
 #include "thornhollow/wire/internal/compact.h"
+#include "thornhollow/wire/packing.h"
 
 namespace thornhollow {
 namespace {
@@ -47,6 +48,8 @@
 // No fleet reads or streams more; a forged figure beyond it would attract or
 // repel all work.
 constexpr double kMostTold = 1e12;
+// Of a link, in Mbit/s: a hundred times that of a large instance.
+constexpr std::uint32_t kMostMegabits = 10'000'000;
 // Above the 420 of a large fleet.
 constexpr double kMostInstances = 4'096;
 // Targets and pauses of more than a day.
@@ -177,6 +180,48 @@
            Heard(aTold.rest) };
 }
 
+std::vector<wire::source_item>
+ToldItems(const std::vector<item_change>& aItems)
+{
+  std::vector<wire::source_item> told;
+  told.reserve(aItems.size());
+  for (const item_change& each : aItems) {
+    wire::source_item item;
+    item.__set_key(each.mKey);
+    item.__set_value(each.mValue.value_or(std::string()));
+    item.__set_removed(!each.mValue.has_value());
+    item.__set_revision(Signed(each.mRevision));
+    told.push_back(std::move(item));
+  }
+  return told;
+}
+
+std::vector<item_change>
+HeardItems(const std::vector<wire::source_item>& aTold)
+{
+  std::vector<item_change> heard;
+  heard.reserve(aTold.size());
+  for (const wire::source_item& each : aTold) {
+    heard.push_back({ each.key,
+                      each.removed ? std::nullopt : std::optional(each.value),
+                      Unsigned(each.revision) });
+  }
+  return heard;
+}
+
+std::optional<wire::items_answer>
+UnpackItems(const wire::items_answer& aTold)
+{
+  // No deflated byte stands for more.
+  constexpr std::uint64_t kMostPacking = 1'032;
+  const std::uint64_t size = Unsigned(aTold.unpacked_bytes);
+  if (size > kMostUnpackedBytes || size > aTold.packed.size() * kMostPacking) {
+    return std::nullopt;
+  }
+  const auto bytes = Unpack(aTold.packed, size);
+  return bytes ? Read<wire::items_answer>(*bytes, kMaxItems) : std::nullopt;
+}
+
 std::optional<copied_items>
 Which(std::int32_t aKind)
 {
@@ -222,6 +267,10 @@
   if (aHello.mSums) {
     out.__set_sums(Told(*aHello.mSums));
   }
+  if (aHello.mLinkMegabits > 0) {
+    out.__set_link_megabits(static_cast<std::int32_t>(
+      std::min<std::uint32_t>(aHello.mLinkMegabits, kMostMegabits)));
+  }
   if (aHello.mSourceAnswerAge) {
     out.__set_source_answer_age_ms(static_cast<std::int32_t>(
       std::min(ToMilliseconds(*aHello.mSourceAnswerAge), kMostMilliseconds)));
@@ -264,6 +313,10 @@
   if (in->__isset.sums) {
     hello.mSums = Heard(in->sums);
   }
+  if (in->__isset.link_megabits) {
+    hello.mLinkMegabits =
+      static_cast<std::uint32_t>(std::max(in->link_megabits, 0));
+  }
   if (in->__isset.source_answer_age_ms) {
     hello.mSourceAnswerAge = Span(in->source_answer_age_ms);
   }
@@ -276,6 +329,7 @@
   wire::items_request out;
   out.__set_kind(static_cast<std::int32_t>(aRequest.mWhich));
   out.__set_after(Signed(aRequest.mAfter));
+  out.__set_takes_packed(aRequest.mTakesPacked);
   return Write(out);
 }
 
@@ -287,25 +341,25 @@
   if (!which) {
     return std::nullopt;
   }
-  return items_request{ *which, Unsigned(in->after) };
+  return items_request{ *which, Unsigned(in->after), in->takes_packed };
 }
 
 std::string
-EncodeItemsAnswer(const items_answer& aAnswer)
+EncodeItemsAnswer(const items_answer& aAnswer, item_packing aPacking)
 {
   wire::items_answer out;
   out.__set_kind(static_cast<std::int32_t>(aAnswer.mWhich));
   out.__set_at(Signed(aAnswer.mAt));
   out.__set_changes_only(aAnswer.mChangesOnly);
-  for (const item_change& each : aAnswer.mItems) {
-    wire::source_item item;
-    item.__set_key(each.mKey);
-    item.__set_value(each.mValue.value_or(std::string()));
-    item.__set_removed(!each.mValue.has_value());
-    item.__set_revision(Signed(each.mRevision));
-    out.items.push_back(item);
+  if (aPacking == item_packing::kPacked) {
+    wire::items_answer inner;
+    inner.__set_items(ToldItems(aAnswer.mItems));
+    const std::string bytes = Write(inner);
+    out.__set_packed(Pack(bytes));
+    out.__set_unpacked_bytes(static_cast<std::int32_t>(bytes.size()));
+  } else {
+    out.__set_items(ToldItems(aAnswer.mItems));
   }
-  out.__isset.items = true;
   if (aAnswer.mSourceBackFor) {
     out.__set_source_back_for_ms(static_cast<std::int32_t>(
       std::min(ToMilliseconds(*aAnswer.mSourceBackFor), kMostMilliseconds)));
@@ -322,11 +376,14 @@
     return std::nullopt;
   }
   items_answer answer{ *which, Unsigned(in->at), in->changes_only, {} };
-  for (const wire::source_item& each : in->items) {
-    answer.mItems.push_back(
-      { each.key,
-        each.removed ? std::nullopt : std::optional(each.value),
-        Unsigned(each.revision) });
+  if (in->__isset.packed) {
+    const auto inner = UnpackItems(*in);
+    if (!inner) {
+      return std::nullopt;
+    }
+    answer.mItems = HeardItems(inner->items);
+  } else {
+    answer.mItems = HeardItems(in->items);
   }
   if (in->__isset.source_back_for_ms) {
     answer.mSourceBackFor = Span(in->source_back_for_ms);
--- a/thornhollow/wire/relay_codec.h
+++ b/thornhollow/wire/relay_codec.h
@@ -5,10 +5,11 @@
 //   if (const auto again = DecodeHello(bytes)) { ... }
 //
 // Decoding takes any bytes: what is no message is nothing, and no more memory
-// is taken than the bytes are long.
+// is taken than the bytes are long, or than packed ones can stand for.
 #ifndef THORNHOLLOW_WIRE_RELAY_CODEC_H_
 #define THORNHOLLOW_WIRE_RELAY_CODEC_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,22 +18,18 @@
 
 #include "thornhollow/base/time.h"
 #include "thornhollow/discovery/item_mirror.h"
+#include "thornhollow/fleet/copy_requests.h"
 #include "thornhollow/fleet/relay_peers.h"
 
 namespace thornhollow {
 
-// Which copy is asked for.
-enum class copied_items : std::uint8_t
-{
-  kConfiguration,
-  kEndpoints,
-};
-
 // Asks for a copy, if it is later than revision `mAfter`.
 struct items_request
 {
   copied_items mWhich = copied_items::kConfiguration;
   std::uint64_t mAfter = 0;
+  // `item_packing::kPacked` is understood.
+  bool mTakesPacked = true;
 
   friend bool operator==(const items_request&, const items_request&) = default;
 };
@@ -53,6 +50,10 @@
   friend bool operator==(const items_answer&, const items_answer&) = default;
 };
 
+// Of packed items before they were, at the most: a few of the largest
+// configurations that a source holds.
+inline constexpr std::size_t kMostUnpackedBytes = std::size_t{ 4 } << 20U;
+
 std::string
 EncodeHello(const relay_hello& aHello);
 std::optional<relay_hello>
@@ -63,8 +64,18 @@
 std::optional<items_request>
 DecodeItemsRequest(std::string_view aBytes);
 
+// How the items of an answer are written.
+enum class item_packing : std::uint8_t
+{
+  kPlain,
+  // Compressed.
+  kPacked,
+};
+
 std::string
-EncodeItemsAnswer(const items_answer& aAnswer);
+EncodeItemsAnswer(const items_answer& aAnswer,
+                  item_packing aPacking = item_packing::kPlain);
+// Items of up to `kMostUnpackedBytes` together.
 std::optional<items_answer>
 DecodeItemsAnswer(std::string_view aBytes);
 
--- a/thornhollow/wire/relay_codec_test.cc
+++ b/thornhollow/wire/relay_codec_test.cc
@@ -28,6 +28,7 @@
   hello.mWantsAnswer = true;
   hello.mSourceFails = true;
   hello.mSourceAnswerAge = Milliseconds(1'250);
+  hello.mLinkMegabits = 10'000;
   return hello;
 }
 
@@ -42,6 +43,8 @@
                              { { "k", std::string("\0x", 2), 4 },
                                { "l", std::nullopt, 5 } } };
   CHECK(DecodeItemsAnswer(EncodeItemsAnswer(answer)) == answer);
+  CHECK(DecodeItemsAnswer(EncodeItemsAnswer(answer, item_packing::kPacked)) ==
+        answer);
   items_answer afterAnOutage = answer;
   afterAnOutage.mSourceBackFor = Milliseconds(700);
   CHECK(DecodeItemsAnswer(EncodeItemsAnswer(afterAnOutage)) == afterAnOutage);
@@ -91,6 +94,7 @@
   hello.mKnown = { 1'000'000, 1'000'000 };
   hello.mSourceFails = true;
   hello.mSourceAnswerAge = Milliseconds(1'250);
+  hello.mLinkMegabits = 10'000;
   CHECK(EncodeHello(hello).size() <= 80);
   CHECK(DecodeHello(EncodeHello(hello)) == hello);
 }
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -163,11 +163,15 @@
   11: optional told_sums sums
   // Since the source last answered the teller.
   12: optional i32 source_answer_age_ms
+  // What the teller's link carries, in Mbit/s.
+  13: optional i32 link_megabits
 }
 
 struct items_request {
   1: i32 kind
   2: i64 after
+  // `packed` of the answer is understood.
+  3: bool takes_packed
 }
 
 struct source_item {
@@ -185,4 +189,8 @@
   4: bool changes_only
   // Since the source came back from an outage, if that is not long ago.
   5: optional i32 source_back_for_ms
+  // In place of `items`: the same, as an items_answer with nothing else,
+  // compressed, and its size before.
+  6: optional binary packed
+  7: optional i32 unpacked_bytes
 }
