Tests of slow and stopped answers, of the widest links, of what is told of the source; the fleet's model in two files

A transfer that takes longer than its time limit arrives whole, one that stops in its middle or is endless ends in time: at the transport and at HTTP calls, with sockets. Where links differ the widest read the source.

--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -24,10 +24,12 @@
   std::map<std::string, bool> mCutOff;
   // Whom the source turns away.
   std::map<std::string, bool> mFails;
+  std::map<std::string, std::uint32_t> mMegabits;
   time_point mNow = time_point() + Seconds(100);
 
   void Add(const std::string& aAddress, const std::vector<std::string>& aSeeds)
   {
+    mSettings.mLinkMegabits = mMegabits[aAddress];
     mPeers[aAddress] = std::make_unique<relay_peers>(
       mSettings, aAddress, kHall, aSeeds, mPeers.size() + 1);
   }
@@ -44,6 +46,7 @@
     hello.mAddress = aFrom;
     hello.mDomain = kHall;
     hello.mSourceFails = mFails[aFrom];
+    hello.mLinkMegabits = mMegabits[aFrom];
     hello.mKnown = mKnown[aFrom];
     hello.mBrief = aBrief;
     if (!aBrief) {
@@ -222,6 +225,43 @@
   CHECK(Readers().size() == 2);
 }
 
+// Guards against a domain that waits for a large configuration on the link of
+// its smallest instance.
+TEST_CASE_FIXTURE(hello_fleet, "relay_peers/links_differ/the_widest_read")
+{
+  mSettings.mReaders = 2;
+  for (int each = 0; each < 30; ++each) {
+    const std::string address = "n" + std::to_string(each);
+    mMegabits[address] = each == 11 || each == 23 ? 200 : 10;
+    Add(address, { "n0", "n1" });
+  }
+  Run(Seconds(10));
+  for (auto& [address, peers] : mPeers) {
+    CHECK(peers->Reads(mNow) == (mMegabits[address] == 200));
+  }
+}
+
+// Guards against a leaving endpoint that is taken for a lapsed lease, as the
+// source doesn't answer the instance that tells of it.
+TEST_CASE("relay_peers/source_answers_some/its_latest_answer_is_known")
+{
+  relay_peers subject(relay_peer_settings{}, "me", kHall, {}, 1);
+  const time_point now = time_point() + Seconds(100);
+  CHECK_FALSE(subject.SourceAnswered().has_value());
+  relay_hello hello;
+  hello.mDomain = kHall;
+  for (const int age : { 700, 200, 900 }) {
+    hello.mAddress = "n" + std::to_string(age);
+    hello.mSourceAnswerAge = Milliseconds(age);
+    subject.OnHello(hello, now);
+  }
+  hello.mAddress = "turned-away";
+  hello.mSourceAnswerAge.reset();
+  hello.mSourceFails = true;
+  subject.OnHello(hello, now);
+  CHECK(subject.SourceAnswered() == now - Milliseconds(200));
+}
+
 TEST_CASE_FIXTURE(thirty_in_a_domain,
                   "relay_peers/readers_die_or_are_turned_away/others_read")
 {
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -33,6 +33,7 @@
 #include "thornhollow/fleet/large_copies.h"
 #include "thornhollow/fleet/relay_peers.h"
 #include "thornhollow/fleet/testing/fleet_shape.h"
+#include "thornhollow/fleet/testing/modelled_instance.h"
 #include "thornhollow/fleet/testing/silent_source.h"
 
 namespace thornhollow {
@@ -104,7 +105,11 @@
   {
     for (; mNow < mStart + aUntil; mNow += kStep) {
       mSource.Publish(mNow);
-      MoveBytes();
+      MoveBytes(mInstances,
+                mShape.mLinkBytes * ToSeconds(kStep),
+                [this](const instance& aTo, const copy_on_its_way& aCopy) {
+                  return Begun(aCopy) ? Reached(aTo, aCopy.mFrom) : nullptr;
+                });
       for (instance& each : mInstances) {
         Step(each);
       }
@@ -182,70 +187,8 @@
   // As the daemon does: what it tells its peers of the source.
   static constexpr duration kTellsOfFailure = Seconds(5);
 
-  // A peer's answer on its way: as of when it began to come.
-  struct copy_on_its_way
-  {
-    std::string mFrom;
-    std::size_t mWhich = 0;
-    std::uint64_t mAsked = 0;
-    std::vector<item_change> mChanges;
-    std::optional<std::vector<source_item>> mItems;
-    std::uint64_t mAt = 0;
-    std::optional<duration> mSourceBackFor;
-    time_point mAskedAt{};
-    time_point mLastBytes{};
-    double mBytesLeft = 0;
-  };
-  struct open_call
-  {
-    source_call mCall;
-    time_point mSent{};
-    // Waited at the source while that was silent.
-    bool mLost = false;
-    // Once the answer has begun to come: what is left of it, and up to which
-    // revision it tells.
-    std::optional<double> mBytesLeft = std::nullopt;
-    std::uint64_t mTellsUpTo = 0;
-    time_point mLastBytes{};
-  };
-  struct link
-  {
-    followed mWhich{};
-    source_follower mFollower;
-    item_mirror mMirror;
-    time_point mSendAt{};
-    bool mToSend = true;
-    // No call is on its way or due, as others read the source.
-    bool mIdle = false;
-    // On their way beside each other, the newest last.
-    std::vector<open_call> mOpen = {};
-    call_round mRound = call_round{};
-    // Of earlier rounds: nobody waits for them, and they come all the same.
-    std::vector<open_call> mGivenUp = {};
-  };
-  struct instance
-  {
-    std::string mAddress;
-    domain_name mDomain;
-    int mDomainIndex = 0;
-    std::unique_ptr<relay_peers> mPeers;
-    copy_requests mRequests{ copy_request_settings{} };
-    std::vector<link> mLinks;
-    time_point mSourceFailsUntil{};
-    time_point mNextTick{};
-    time_point mStopsAt = time_point::max();
-    time_point mTurnedAwayFrom{};
-    time_point mTurnedAwayUntil{};
-    endpoint_roster mRoster{ roster_settings{} };
-    // For its domain, and for whatever reason.
-    bool mReads = true;
-    bool mAsksSource = true;
-    std::vector<copy_on_its_way> mCopies = {};
-    large_copies mLargeCopies = large_copies{};
-    // What its link carries at the moment.
-    std::size_t mComing = 0;
-    std::size_t mGoing = 0;
-  };
+  using instance = modelled_instance;
+  using link = modelled_link;
 
   void Add(int aDomain, int aEach, std::uint64_t aSeed)
   {
@@ -389,51 +332,6 @@
     return !aCall.mLost && aCall.mBytesLeft && *aCall.mBytesLeft <= 0;
   }
 
-  // Of each link, what comes and goes at the same time has an even part.
-  void MoveBytes()
-  {
-    for (instance& each : mInstances) {
-      each.mComing = 0;
-      each.mGoing = 0;
-    }
-    ForEachTransfer([](instance& aTo, instance* aFrom, double&) {
-      ++aTo.mComing;
-      if (aFrom != nullptr) {
-        ++aFrom->mGoing;
-      }
-    });
-    const double carried = mShape.mLinkBytes * ToSeconds(kStep);
-    ForEachTransfer([carried](instance& aTo, instance* aFrom, double& aLeft) {
-      const std::size_t sharing =
-        std::max(aTo.mComing, aFrom == nullptr ? 0 : aFrom->mGoing);
-      aLeft -= carried / static_cast<double>(sharing);
-    });
-  }
-
-  // Calls `aDo` with the instance that it comes to, the one that gives it, null
-  // for the source, and what is left of it.
-  template<class action>
-  void ForEachTransfer(const action& aDo)
-  {
-    for (instance& each : mInstances) {
-      for (link& its : each.mLinks) {
-        for (std::vector<open_call>* calls : { &its.mOpen, &its.mGivenUp }) {
-          for (open_call& call : *calls) {
-            if (!call.mLost && call.mBytesLeft && *call.mBytesLeft > 0) {
-              aDo(each, nullptr, *call.mBytesLeft);
-            }
-          }
-        }
-      }
-      for (copy_on_its_way& copy : each.mCopies) {
-        instance* const from = Reached(each, copy.mFrom);
-        if (from != nullptr && Begun(copy) && copy.mBytesLeft > 0) {
-          aDo(each, from, copy.mBytesLeft);
-        }
-      }
-    }
-  }
-
   bool Begun(const copy_on_its_way& aCopy) const
   {
     return mNow >= aCopy.mAskedAt + mShape.mCopyTakes;
@@ -634,22 +532,6 @@
     }
   }
 
-  static std::optional<time_point> SourceAnswered(const instance& aOne)
-  {
-    return std::max(aOne.mLinks[0].mFollower.Answered(),
-                    aOne.mLinks[1].mFollower.Answered());
-  }
-
-  static void NoteSource(instance& aOne)
-  {
-    for (const auto& each :
-         { SourceAnswered(aOne), aOne.mPeers->SourceAnswered() }) {
-      if (each) {
-        aOne.mRoster.OnSourceAnswered(*each);
-      }
-    }
-  }
-
   static known_revisions Known(const instance& aOne)
   {
     return { aOne.mLinks[0].mMirror.At(), aOne.mLinks[1].mMirror.At() };
--- /dev/null
+++ b/thornhollow/net/http_fetch_test.cc
@@ -0,0 +1,109 @@
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include "thornhollow/net/http_fetch.h"
+
+namespace thornhollow {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Answers one call with a body of ten bytes, one every 150 ms.
+struct slow_server
+{
+  asio::io_context mIo;
+  tcp::acceptor mListener{ mIo, { asio::ip::make_address("127.0.0.1"), 0 } };
+  tcp::socket mCaller{ mIo };
+  asio::steady_timer mTimer{ mIo };
+  int mBodyBytes = 10;
+
+  slow_server()
+  {
+    mListener.async_accept(mCaller, [this](const auto&) {
+      Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+      SendBody();
+    });
+  }
+
+  void Send(const std::string& aBytes)
+  {
+    asio::write(mCaller, asio::buffer(aBytes));
+  }
+
+  void SendBody()
+  {
+    if (mBodyBytes-- == 0) {
+      return;
+    }
+    mTimer.expires_after(Milliseconds(150));
+    mTimer.async_wait([this](const auto&) {
+      Send("x");
+      SendBody();
+    });
+  }
+
+  fetch_outcome Ask(fetch_call aCall)
+  {
+    aCall.mAddress =
+      "127.0.0.1:" + std::to_string(mListener.local_endpoint().port());
+    aCall.mTarget = "/";
+    std::optional<fetch_outcome> outcome;
+    Fetch(mIo, aCall, [&outcome](fetch_outcome aOutcome) {
+      outcome = std::move(aOutcome);
+    });
+    while (!outcome) {
+      mIo.run_one();
+    }
+    return *outcome;
+  }
+};
+
+// Guards against a large document that never comes whole, as its transfer takes
+// longer than an answer is waited for.
+TEST_CASE_FIXTURE(slow_server, "http_fetch/slow_answer/is_waited_for")
+{
+  fetch_call call;
+  call.mTimeout = Seconds(1);
+  call.mMostPause = Seconds(1);
+  std::size_t parts = 0;
+  call.mOnBytes = [&parts](std::size_t) { ++parts; };
+  const auto result = Ask(call);
+  REQUIRE(result.has_value());
+  CHECK(result->mBody == "xxxxxxxxxx");
+  CHECK(parts > 1);
+}
+
+TEST_CASE_FIXTURE(slow_server, "http_fetch/no_pause_given/time_limit_is_whole")
+{
+  fetch_call call;
+  call.mTimeout = Seconds(1);
+  CHECK_FALSE(Ask(call).has_value());
+}
+
+// Guards against waiting for good for an answer that stopped in its middle, or
+// that comes byte by byte for ever.
+TEST_CASE_FIXTURE(slow_server, "http_fetch/answer_that_stops/ends_in_time")
+{
+  mBodyBytes = 5;
+  fetch_call call;
+  call.mMostPause = Milliseconds(100);
+  CHECK_FALSE(Ask(call).has_value());
+}
+
+TEST_CASE_FIXTURE(slow_server, "http_fetch/too_long_in_all/ends_in_time")
+{
+  fetch_call call;
+  call.mMostPause = Seconds(1);
+  call.mLongest = Milliseconds(600);
+  CHECK_FALSE(Ask(call).has_value());
+}
+
+} // namespace
+} // namespace thornhollow
--- a/thornhollow/net/peer_transport_test.cc
+++ b/thornhollow/net/peer_transport_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
@@ -57,9 +58,16 @@
   std::optional<std::string> Ask(const std::string& aTo,
                                  const std::string& aRequest,
                                  duration aTimeout = kAmple)
+  {
+    return Ask(aTo, aRequest, exchange_limits{ .mTimeout = aTimeout });
+  }
+
+  std::optional<std::string> Ask(const std::string& aTo,
+                                 const std::string& aRequest,
+                                 const exchange_limits& aLimits)
   {
     std::optional<std::optional<std::string>> outcome;
-    mLeft->Exchange(aTo, aRequest, { .mTimeout = aTimeout }, [&](auto aAnswer) {
+    mLeft->Exchange(aTo, aRequest, aLimits, [&](auto aAnswer) {
       outcome = std::move(aAnswer);
     });
     RunTill([&] { return outcome.has_value(); });
@@ -159,6 +167,72 @@
   CHECK(second.is_open());
 }
 
+// Sends a frame of `kPieces` bytes, one every 150 ms.
+struct slow_sender
+{
+  static constexpr std::size_t kPieces = 10;
+
+  explicit slow_sender(tcp::socket& aTo)
+    : mTo(aTo)
+    , mTimer(aTo.get_executor())
+  {
+  }
+
+  void SendNext(std::size_t aUpTo)
+  {
+    asio::write(mTo, asio::buffer(mFrame.data() + mSent, 1));
+    if (++mSent == aUpTo) {
+      return;
+    }
+    mTimer.expires_after(Milliseconds(150));
+    mTimer.async_wait([this, aUpTo](const auto&) { SendNext(aUpTo); });
+  }
+
+  tcp::socket& mTo;
+  asio::steady_timer mTimer;
+  std::string mFrame = std::string("\0\0\0\x0a", 4) + std::string(kPieces, 'x');
+  std::size_t mSent = 0;
+};
+
+// Guards against a large copy that never comes whole, as its transfer takes
+// longer than an answer is waited for.
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/slow_answer/is_waited_for")
+{
+  tcp::acceptor listener(mIo, { asio::ip::make_address("127.0.0.1"), 0 });
+  tcp::socket peer(mIo);
+  slow_sender condition(peer);
+  listener.async_accept(
+    peer, [&](const auto&) { condition.SendNext(condition.mFrame.size()); });
+  std::size_t parts = 0;
+  exchange_limits limits;
+  limits.mTimeout = Seconds(1);
+  limits.mMostPause = Seconds(1);
+  limits.mOnBytes = [&parts](std::size_t) { ++parts; };
+  const auto result =
+    Ask("127.0.0.1:" + std::to_string(listener.local_endpoint().port()),
+        "one",
+        limits);
+  CHECK(result == std::string(slow_sender::kPieces, 'x'));
+  CHECK(parts > 1);
+}
+
+// Guards against waiting for good for an answer that stopped in its middle.
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/answer_that_stops/ends_in_time")
+{
+  tcp::acceptor listener(mIo, { asio::ip::make_address("127.0.0.1"), 0 });
+  tcp::socket peer(mIo);
+  slow_sender condition(peer);
+  listener.async_accept(peer, [&](const auto&) { condition.SendNext(6); });
+  exchange_limits limits;
+  limits.mTimeout = Seconds(1);
+  limits.mMostPause = Milliseconds(100);
+  CHECK_FALSE(
+    Ask("127.0.0.1:" + std::to_string(listener.local_endpoint().port()),
+        "one",
+        limits)
+      .has_value());
+}
+
 TEST_CASE_FIXTURE(two_daemons, "peer_transport/nobody_listens/fails")
 {
   const std::string right = mRight->LocalAddress();
