--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -447,7 +447,7 @@
                  "endpoint_removal_put_off",
                  { { "endpoint", aName.Text() },
                    { "source_back_for_ms",
-                     ToMilliseconds(returned.value_or(now - now)) } });
+                     ToMilliseconds(returned.value_or(duration::zero())) } });
     }
   }
 
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -228,21 +228,22 @@
     return bytes;
   }
 
-  // All who ask for a large copy ask for the same one.
+  // All who ask for a large copy ask for the same items.
   std::string Encoded(const items_request& aRequest,
                       const items_answer& aAnswer)
   {
     if (!aRequest.mTakesPacked || CopyBytes(aAnswer) < kPackFromBytes) {
       return EncodeItemsAnswer(aAnswer);
     }
-    const packed_copy wanted{
-      aRequest.mWhich, aRequest.mAfter, aAnswer.mAt, aAnswer.mSourceBackFor, {}
-    };
-    if (!mPacked.IsSame(wanted)) {
-      mPacked = wanted;
-      mPacked.mBytes = EncodeItemsAnswer(aAnswer, item_packing::kPacked);
+    std::vector<item_version> versions;
+    for (const item_change& each : aAnswer.mItems) {
+      versions.emplace_back(each.mKey, each.mRevision);
+    }
+    if (mPackedVersions != versions) {
+      mPacked = PackItems(aAnswer.mItems);
+      mPackedVersions = std::move(versions);
     }
-    return mPacked.mBytes;
+    return EncodeItemsAnswer(aAnswer, mPacked);
   }
 
   static std::size_t CopyBytes(const items_answer& aAnswer)
@@ -325,21 +326,8 @@
         { "why", aWhy } });
   }
 
-  // The large copy that was given last.
-  struct packed_copy
-  {
-    copied_items mWhich = copied_items::kConfiguration;
-    std::uint64_t mAfter = 0;
-    std::uint64_t mAt = 0;
-    std::optional<duration> mSourceBackFor;
-    std::string mBytes;
-
-    bool IsSame(const packed_copy& aOther) const
-    {
-      return mWhich == aOther.mWhich && mAfter == aOther.mAfter &&
-             mAt == aOther.mAt && mSourceBackFor == aOther.mSourceBackFor;
-    }
-  };
+  // Key and revision.
+  using item_version = std::pair<std::string, std::uint64_t>;
 
   relay_settings mSettings;
   relay_peer_listener mListener;
@@ -353,7 +341,9 @@
   bool mAsksSource = true;
   copy_requests mRequests{ copy_request_settings{} };
   large_copies mLargeCopies{ CopySettings(mSettings) };
-  packed_copy mPacked;
+  // The items that were packed last, and what tells whether they are the same.
+  packed_items mPacked;
+  std::vector<item_version> mPackedVersions;
   std::size_t mWorkTurn = 0;
 };
 
--- a/thornhollow/net/http_fetch.cc
+++ b/thornhollow/net/http_fetch.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -62,7 +63,7 @@
            const fetch_call& aCall,
            error_code& aWrong)
 {
-  const auto latest = std::chrono::steady_clock::now() + aCall.mLongest;
+  std::optional<std::chrono::steady_clock::time_point> latest;
   beast::flat_buffer buffer;
   std::size_t bytes = 0;
   while (!aParser.is_done()) {
@@ -75,8 +76,9 @@
       aCall.mOnBytes(bytes);
     }
     if (aCall.mMostPause > duration::zero()) {
-      const auto left = latest - std::chrono::steady_clock::now();
-      aStream.expires_after(std::min<duration>(aCall.mMostPause, left));
+      const auto now = std::chrono::steady_clock::now();
+      latest = latest.value_or(now + aCall.mLongest);
+      aStream.expires_at(std::min(now + aCall.mMostPause, *latest));
     }
   }
   co_return bytes;
--- a/thornhollow/net/http_fetch.h
+++ b/thornhollow/net/http_fetch.h
@@ -34,8 +34,8 @@
   // silent meanwhile is found by probes, within about three seconds.
   bool mLongPoll = false;
   // Where above zero, `mTimeout` holds up to the answer's first bytes; then no
-  // pause between two parts is longer than this, and the whole exchange no
-  // longer than `mLongest`.
+  // pause between two parts is longer than this, and all of them come within
+  // `mLongest`.
   duration mMostPause{};
   duration mLongest = Seconds(20);
   // Called with the bytes that have come, while more of the answer is to.
--- a/thornhollow/net/http_fetch_test.cc
+++ b/thornhollow/net/http_fetch_test.cc
@@ -23,12 +23,16 @@
   tcp::socket mCaller{ mIo };
   asio::steady_timer mTimer{ mIo };
   int mBodyBytes = 10;
+  duration mBeginsAfter{};
 
   slow_server()
   {
     mListener.async_accept(mCaller, [this](const auto&) {
-      Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
-      SendBody();
+      mTimer.expires_after(mBeginsAfter);
+      mTimer.async_wait([this](const auto&) {
+        Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+        SendBody();
+      });
     });
   }
 
@@ -80,6 +84,18 @@
   CHECK(parts > 1);
 }
 
+// Guards against a large answer to a long poll that is given up for the time in
+// which there was nothing to tell.
+TEST_CASE_FIXTURE(slow_server, "http_fetch/long_poll/its_wait_does_not_count")
+{
+  mBeginsAfter = Seconds(3);
+  fetch_call call;
+  call.mTimeout = Seconds(30);
+  call.mMostPause = Seconds(1);
+  call.mLongest = Seconds(3);
+  CHECK(Ask(call).has_value());
+}
+
 TEST_CASE_FIXTURE(slow_server, "http_fetch/no_pause_given/time_limit_is_whole")
 {
   fetch_call call;
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -196,6 +196,20 @@
   return told;
 }
 
+wire::items_answer
+ToldWithoutItems(const items_answer& aAnswer)
+{
+  wire::items_answer told;
+  told.__set_kind(static_cast<std::int32_t>(aAnswer.mWhich));
+  told.__set_at(Signed(aAnswer.mAt));
+  told.__set_changes_only(aAnswer.mChangesOnly);
+  if (aAnswer.mSourceBackFor) {
+    told.__set_source_back_for_ms(static_cast<std::int32_t>(
+      std::min(ToMilliseconds(*aAnswer.mSourceBackFor), kMostMilliseconds)));
+  }
+  return told;
+}
+
 std::vector<item_change>
 HeardItems(const std::vector<wire::source_item>& aTold)
 {
@@ -344,26 +358,29 @@
   return items_request{ *which, Unsigned(in->after), in->takes_packed };
 }
 
+packed_items
+PackItems(const std::vector<item_change>& aItems)
+{
+  wire::items_answer items;
+  items.__set_items(ToldItems(aItems));
+  const std::string bytes = Write(items);
+  return { Pack(bytes), bytes.size() };
+}
+
 std::string
-EncodeItemsAnswer(const items_answer& aAnswer, item_packing aPacking)
+EncodeItemsAnswer(const items_answer& aAnswer)
 {
-  wire::items_answer out;
-  out.__set_kind(static_cast<std::int32_t>(aAnswer.mWhich));
-  out.__set_at(Signed(aAnswer.mAt));
-  out.__set_changes_only(aAnswer.mChangesOnly);
-  if (aPacking == item_packing::kPacked) {
-    wire::items_answer inner;
-    inner.__set_items(ToldItems(aAnswer.mItems));
-    const std::string bytes = Write(inner);
-    out.__set_packed(Pack(bytes));
-    out.__set_unpacked_bytes(static_cast<std::int32_t>(bytes.size()));
-  } else {
-    out.__set_items(ToldItems(aAnswer.mItems));
-  }
-  if (aAnswer.mSourceBackFor) {
-    out.__set_source_back_for_ms(static_cast<std::int32_t>(
-      std::min(ToMilliseconds(*aAnswer.mSourceBackFor), kMostMilliseconds)));
-  }
+  wire::items_answer out = ToldWithoutItems(aAnswer);
+  out.__set_items(ToldItems(aAnswer.mItems));
+  return Write(out);
+}
+
+std::string
+EncodeItemsAnswer(const items_answer& aAnswer, const packed_items& aItems)
+{
+  wire::items_answer out = ToldWithoutItems(aAnswer);
+  out.__set_packed(aItems.mBytes);
+  out.__set_unpacked_bytes(static_cast<std::int32_t>(aItems.mUnpackedBytes));
   return Write(out);
 }
 
--- a/thornhollow/wire/relay_codec.h
+++ b/thornhollow/wire/relay_codec.h
@@ -28,7 +28,7 @@
 {
   copied_items mWhich = copied_items::kConfiguration;
   std::uint64_t mAfter = 0;
-  // `item_packing::kPacked` is understood.
+  // `packed_items` are understood.
   bool mTakesPacked = true;
 
   friend bool operator==(const items_request&, const items_request&) = default;
@@ -64,17 +64,24 @@
 std::optional<items_request>
 DecodeItemsRequest(std::string_view aBytes);
 
-// How the items of an answer are written.
-enum class item_packing : std::uint8_t
+// The items of an answer, compressed: made once for all who ask.
+struct packed_items
 {
-  kPlain,
-  // Compressed.
-  kPacked,
+  std::string mBytes;
+  // Of the items before.
+  std::size_t mUnpackedBytes = 0;
+
+  friend bool operator==(const packed_items&, const packed_items&) = default;
 };
 
+packed_items
+PackItems(const std::vector<item_change>& aItems);
+
+std::string
+EncodeItemsAnswer(const items_answer& aAnswer);
+// `aItems` in place of the answer's own.
 std::string
-EncodeItemsAnswer(const items_answer& aAnswer,
-                  item_packing aPacking = item_packing::kPlain);
+EncodeItemsAnswer(const items_answer& aAnswer, const packed_items& aItems);
 // Items of up to `kMostUnpackedBytes` together.
 std::optional<items_answer>
 DecodeItemsAnswer(std::string_view aBytes);
