A listing is remembered in one pass over what is remembered; one pause between two parts of a copy

Read once more: each change of a listing scanned all that the mirror remembers, so that the first listing of a large site cost the square of its endpoints; the earlier changes of its items go in one pass now, and the last change of each is kept in the same order as before. The pause that a peer's answer may have stood in copy_requests and in the link. Behaviour is the same: no test is changed.

--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -19,8 +19,6 @@
 constexpr duration kAskLimit = Milliseconds(600);
 // An older answer of the source says nothing of whether it is away.
 constexpr duration kTellsOfAnswer = Seconds(10);
-// Between two parts of a peer's answer: a lost packet comes again within.
-constexpr duration kMostPause = Milliseconds(600);
 // From this size on copies are sent compressed.
 constexpr std::size_t kPackFromBytes = 4'096;
 // Entries that leave a hello at 1,100 bytes at most: 18 for each, the rest for
@@ -273,7 +271,7 @@
   {
     exchange_limits limits;
     limits.mTimeout = kAskLimit;
-    limits.mMostPause = kMostPause;
+    limits.mMostPause = copy_request_settings{}.mMostPause;
     limits.mOnBytes = [weak = weak_from_this(), aRequest](std::size_t) {
       if (const auto self = weak.lock()) {
         self->mRequests.OnBytes(aRequest.mWhich, Now());
--- a/thornhollow/discovery/item_mirror.cc
+++ b/thornhollow/discovery/item_mirror.cc
@@ -1,7 +1,9 @@
 #include "thornhollow/discovery/item_mirror.h"
 
 #include <algorithm>
+#include <ranges>
 #include <set>
+#include <string_view>
 
 namespace thornhollow {
 
@@ -125,12 +127,17 @@
   if (aEndsOnly && aBefore + 1 < aAfter) {
     mJumps.emplace_back(aBefore, aAfter);
   }
-  for (const item_change& each : aChanges) {
-    std::erase_if(mLately, [&each](const item_change& aEarlier) {
-      return aEarlier.mKey == each.mKey;
-    });
-    mLately.push_back(each);
+  std::set<std::string_view> changed;
+  std::vector<item_change> last;
+  for (const item_change& each : std::views::reverse(aChanges)) {
+    if (changed.insert(each.mKey).second) {
+      last.push_back(each);
+    }
   }
+  std::erase_if(mLately, [&changed](const item_change& aEarlier) {
+    return changed.contains(aEarlier.mKey);
+  });
+  mLately.insert(mLately.end(), last.rbegin(), last.rend());
   while (mLately.size() > kRemembered) {
     mLatelyAfter = std::max(mLatelyAfter, mLately.front().mRevision);
     mLately.pop_front();
