--- a/thornhollow/discovery/item_mirror.cc
+++ b/thornhollow/discovery/item_mirror.cc
@@ -1,7 +1,6 @@
 #include "thornhollow/discovery/item_mirror.h"
 
 #include <algorithm>
-#include <ranges>
 #include <set>
 #include <string_view>
 
@@ -129,9 +128,9 @@
   }
   std::set<std::string_view> changed;
   std::vector<item_change> last;
-  for (const item_change& each : std::views::reverse(aChanges)) {
-    if (changed.insert(each.mKey).second) {
-      last.push_back(each);
+  for (auto each = aChanges.rbegin(); each != aChanges.rend(); ++each) {
+    if (changed.insert(each->mKey).second) {
+      last.push_back(*each);
     }
   }
   std::erase_if(mLately, [&changed](const item_change& aEarlier) {
