Log lines of relayed requests name the request's content

A repeat of a request has an identifier of its own, so no line told that eleven submissions at seven instances were one request. The fingerprint (hash of method, target, team and body) stands in attempt_failed and request_done: grep for it leads from a request's identifier to all endpoints that failed under its content.

--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -13,6 +13,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "thornhollow/base/hash.h"
+#include "thornhollow/base/request_fingerprint.h"
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/relay_attempt.h"
 #include "thornhollow/request/event_splitter.h"
@@ -164,6 +165,10 @@
       return;
     }
     mProfile.mTeam = mTeam == nullptr ? team_name() : mTeam->mName;
+    mFingerprint = FingerprintOf({ .mMethod = request.mMethod,
+                                   .mTarget = request.mTarget,
+                                   .mTeam = mProfile.mTeam.Text(),
+                                   .mBody = request.mBody });
     mProfile.mDeadline = mExchange->Arrival() + timeout;
     mProfile.mIsRetry =
       ToSeconds(timeout) < ToSeconds(mRoute->mTimeout) * kRetryTimeoutFraction;
@@ -637,6 +642,7 @@
       log_level::kInfo,
       "attempt_failed",
       { { "request", mRelayRequest.mId.Text() },
+        { "fingerprint", Text(mFingerprint) },
         { "why", std::string(Name(aFailure)) },
         { "detail", aDetail },
         { "endpoint", mPick.mEndpoint.Text() },
@@ -653,6 +659,7 @@
       log_level::kInfo,
       "request_done",
       { { "request", mRelayRequest.mId.Text() },
+        { "fingerprint", Text(mFingerprint) },
         { "outcome", std::string(aOutcome) },
         { "status", std::int64_t{ mStatus } },
         { "route", mRoute == nullptr ? "" : mRoute->mName },
@@ -683,6 +690,7 @@
   const routed_team* mTeam = nullptr;
   const pool_name* mPool = nullptr;
   request_profile mProfile;
+  request_fingerprint mFingerprint;
   class_name mMetricsClass;
   std::shared_ptr<const std::string> mBody;
 
