--- a/thornhollow/testing/fake_engine.cc
+++ b/thornhollow/testing/fake_engine.cc
@@ -154,6 +154,7 @@
   mStreams[run] = { .mExchange = aExchange,
                     .mId = id,
                     .mFaults = faults,
+                    .mEndsEngine = mFaults.EndsEndpoint(aRequest.mBody),
                     .mResumed = taken.mResumeFrom > 0 };
   aExchange->OnClosed([this, run] {
     mCore.CancelRun(run);
@@ -226,6 +227,7 @@
   }
   json::object totals = RecordJson(total);
   totals["declined"] = mFaults.Declined();
+  totals["ended"] = mFaults.Ended();
   return json::serialize(
     json::object{ { "requests", requests }, { "totals", totals } });
 }
@@ -248,6 +250,10 @@
   mStepScheduled = false;
   for (const emitted_token& token : mCore.Step(mLoop.Now())) {
     const auto found = mStreams.find(token.mRun);
+    if (found != mStreams.end() && found->second.mEndsEngine) {
+      End();
+      return;
+    }
     if (found != mStreams.end() && !Deliver(found->second, token)) {
       found->second.mExchange->OnClosed(nullptr);
       mStreams.erase(found);
@@ -257,6 +263,16 @@
   ScheduleStep();
 }
 
+void
+fake_engine::End()
+{
+  for (auto& [run, ended] : std::exchange(mStreams, {})) {
+    ended.mExchange->OnClosed(nullptr);
+    mCore.CancelRun(run);
+  }
+  mFaults.EndEndpoint();
+}
+
 bool
 fake_engine::Deliver(stream& aStream, const emitted_token& aToken)
 {
--- a/thornhollow/testing/fake_engine.h
+++ b/thornhollow/testing/fake_engine.h
@@ -34,6 +34,8 @@
     exchange_ptr mExchange;
     std::string mId;
     misbehaviour mFaults;
+    // Whether this run ends the engine with its first token.
+    bool mEndsEngine = false;
     bool mResumed = false;
     bool mBegun = false;
     std::uint32_t mSent = 0;
@@ -51,6 +53,8 @@
   // False when the stream ended.
   bool Deliver(stream& aStream, const emitted_token& aToken);
   void Begin(stream& aStream);
+  // Drops all runs, as a crash of the engine does.
+  void End();
   // True when a fault ended the stream.
   bool BreakStream(stream& aStream);
 
--- a/thornhollow/testing/fake_platform_main.cc
+++ b/thornhollow/testing/fake_platform_main.cc
@@ -61,8 +61,8 @@
   return testing::ServeStandIn(
     loop,
     platform.Handler(),
-    [&platform](std::function<void(bool)> aSwitch) {
-      platform.OnRefuse(std::move(aSwitch));
+    [&platform](testing::listener_control aListener) {
+      platform.OnRefuse(std::move(aListener.mRefuse));
     },
     FLAGS_listen,
     FLAGS_control);
--- a/thornhollow/testing/fake_service.cc
+++ b/thornhollow/testing/fake_service.cc
@@ -75,6 +75,10 @@
     aExchange->Cut();
     return;
   }
+  if (mFaults.EndsEndpoint(aRequest.mBody)) {
+    mFaults.EndEndpoint();
+    return;
+  }
   const std::string echoed = faults.mWrongIdHeader ? id + "-other" : id;
   const std::string body = BodyFor(aRequest, echoed);
   mLoop.After(
@@ -97,7 +101,8 @@
                   { "bodies", CountsJson(mRunsOfBody) },
                   { "totals",
                     json::object{ { "runs", mRuns },
-                                  { "declined", mFaults.Declined() } } } });
+                                  { "declined", mFaults.Declined() },
+                                  { "ended", mFaults.Ended() } } } });
 }
 
 } // namespace thornhollow::testing
--- a/thornhollow/testing/fault_switch.cc
+++ b/thornhollow/testing/fault_switch.cc
@@ -6,9 +6,25 @@
 namespace thornhollow::testing {
 
 void
-fault_switch::OnRefuse(std::function<void(bool)> aCallback)
+fault_switch::SetListener(listener_control aListener)
 {
-  mOnRefuse = std::move(aCallback);
+  mListener = std::move(aListener);
+}
+
+bool
+fault_switch::EndsEndpoint(std::string_view aBody) const
+{
+  return !mMode.mEndOn.empty() &&
+         aBody.find(mMode.mEndOn) != std::string_view::npos;
+}
+
+void
+fault_switch::EndEndpoint()
+{
+  ++mEnded;
+  if (mListener.mEnd) {
+    mListener.mEnd(Milliseconds(mMode.mBackAfterMs));
+  }
 }
 
 void
@@ -21,8 +37,8 @@
     return;
   }
   mMode = *mode;
-  if (mOnRefuse) {
-    mOnRefuse(mMode.mRefuse);
+  if (mListener.mRefuse) {
+    mListener.mRefuse(mMode.mRefuse);
   }
   aExchange->Answer(200, {}, "{}");
 }
--- a/thornhollow/testing/fault_switch.h
+++ b/thornhollow/testing/fault_switch.h
@@ -10,17 +10,26 @@
 
 #include <cstdint>
 #include <functional>
+#include <string_view>
 
 #include "thornhollow/testing/http_server.h"
 #include "thornhollow/testing/misbehaviour.h"
 
 namespace thornhollow::testing {
 
+// What faults do to the listener for requests.
+struct listener_control
+{
+  // Refuses new connections, or accepts them again.
+  std::function<void(bool)> mRefuse;
+  // Resets all connections and refuses new ones for the given time.
+  std::function<void(duration)> mEnd;
+};
+
 class fault_switch
 {
 public:
-  // Called when the mode `refuse` is switched, with its new value.
-  void OnRefuse(std::function<void(bool)> aCallback);
+  void SetListener(listener_control aListener);
 
   // Answers POST /test/mode.
   void SetMode(const http_request& aRequest, const exchange_ptr& aExchange);
@@ -38,10 +47,18 @@
 
   std::uint64_t Declined() const { return mDeclined; }
 
+  // Whether a request with this body ends the endpoint that runs it.
+  bool EndsEndpoint(std::string_view aBody) const;
+  // Ends the endpoint and brings it back later.
+  void EndEndpoint();
+  // How often the endpoint has ended.
+  std::uint64_t Ended() const { return mEnded; }
+
 private:
   misbehaviour mMode;
   std::uint64_t mDeclined = 0;
-  std::function<void(bool)> mOnRefuse;
+  std::uint64_t mEnded = 0;
+  listener_control mListener;
 };
 
 } // namespace thornhollow::testing
--- a/thornhollow/testing/http_server.cc
+++ b/thornhollow/testing/http_server.cc
@@ -100,6 +100,15 @@
     mSocket.close(ignored);
   }
 
+  // The peer gets a reset at once; whatever waits to be sent is dropped.
+  void Reset()
+  {
+    error_code ignored;
+    mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+    mSocket.close(ignored);
+    mWake.cancel();
+  }
+
 private:
   // False when the connection can't carry another request.
   asio::awaitable<bool> Exchange(http_request aRequest)
@@ -114,7 +123,7 @@
     mHandler(aRequest, exchange);
     bool usable = false;
     bool ended = false;
-    while (!ended && !exchange->Closed()) {
+    while (!ended && !exchange->Closed() && mSocket.is_open()) {
       if (exchange->Pending().empty()) {
         mWake.expires_at(asio::steady_timer::time_point::max());
         error_code ignored;
@@ -346,6 +355,9 @@
       }
       const auto served =
         std::make_shared<session>(std::move(socket), mHandler);
+      std::erase_if(mSessions,
+                    [](const auto& aEntry) { return aEntry.expired(); });
+      mSessions.push_back(served);
       asio::co_spawn(
         mAcceptor.get_executor(),
         [served] { return served->Serve(); },
@@ -356,6 +368,7 @@
   tcp::acceptor mAcceptor;
   http_handler mHandler;
   std::string mAddress;
+  std::vector<std::weak_ptr<session>> mSessions;
 };
 
 http_server::http_server(event_loop& aLoop, http_handler aHandler)
@@ -388,6 +401,16 @@
   mState->mAcceptor.close(ignored);
 }
 
+void
+http_server::ResetConnections()
+{
+  for (const auto& each : std::exchange(mState->mSessions, {})) {
+    if (const auto served = each.lock()) {
+      served->Reset();
+    }
+  }
+}
+
 result<std::string>
 http_server::ListenAgain()
 {
--- a/thornhollow/testing/http_server.h
+++ b/thornhollow/testing/http_server.h
@@ -156,6 +156,8 @@
   result<std::string> Listen(const std::string& aAddress);
   // Stops to listen: new connections are refused, established ones go on.
   void StopListening();
+  // Resets all established connections, as the end of the process does.
+  void ResetConnections();
   // Listens again on the address in use; does nothing while listening.
   result<std::string> ListenAgain();
 
--- a/thornhollow/testing/misbehaviour.cc
+++ b/thornhollow/testing/misbehaviour.cc
@@ -24,6 +24,8 @@
     { "slow_factor", Field(&misbehaviour::mSlowFactor) },
     { "delay_ms", Field(&misbehaviour::mDelayMs) },
     { "refuse", Field(&misbehaviour::mRefuse) },
+    { "end_on", Field(&misbehaviour::mEndOn) },
+    { "back_after_ms", Field(&misbehaviour::mBackAfterMs) },
     { "times", Field(&misbehaviour::mTimes) },
   };
   return kFields;
--- a/thornhollow/testing/misbehaviour.h
+++ b/thornhollow/testing/misbehaviour.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "thornhollow/base/result.h"
@@ -46,6 +47,11 @@
   std::uint32_t mDelayMs = 0;
   // Closes the listening socket.
   bool mRefuse = false;
+  // A request whose body contains this text ends the endpoint that runs it, as
+  // a crash does: all connections are reset and new ones are refused, until the
+  // endpoint is back after `mBackAfterMs`. Not counted against `mTimes`.
+  std::string mEndOn;
+  std::uint32_t mBackAfterMs = 1'000;
   // Requests that these faults still apply to; without limit where absent.
   std::optional<std::uint32_t> mTimes;
 
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -12,8 +12,10 @@
 import http.server
 import json
 import pathlib
+import socket
 import tempfile
 import threading
+import time
 import unittest
 import urllib.parse
 
@@ -26,14 +28,27 @@
 
 class Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
+    # After the end of an endpoint its address is used again.
+    allow_reuse_address = True
     # With the default of 5 some of a dozen connections that come at once wait
     # for as long as their makers do.
     request_queue_size = 128
 
-    def __init__(self, handler):
-        super().__init__(("127.0.0.1", 0), handler)
+    def __init__(self, handler, port=0):
+        super().__init__(("127.0.0.1", port), handler)
         self.address = f"127.0.0.1:{self.server_port}"
-        threading.Thread(target=self.serve_forever, daemon=True).start()
+        self.connections = set()
+        threading.Thread(target=self.serve_forever, args=(0.02,),
+                         daemon=True).start()
+
+    def get_request(self):
+        connection, address = super().get_request()
+        self.connections.add(connection)
+        return connection, address
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
 
     def handle_error(self, request, client_address):
         """A caller that leaves is no error of the stand-in."""
@@ -42,6 +57,16 @@
         self.shutdown()
         self.server_close()
 
+    def end(self):
+        """Stops as a crash does: connections are closed at once."""
+        self.socket.close()
+        for each in list(self.connections):
+            try:
+                each.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self.shutdown()
+
 
 class Store:
     """Items with revisions, listed and watched."""
@@ -125,6 +150,18 @@
         self.ran = []
         self.headers = []
         self.release = threading.Event()
+        # A body that contains this text is answered this much later.
+        self.slow_on = None
+        self.slow_s = 0.3
+        # A body that contains this text ends the engine that runs it. It is
+        # back after `back_after_s` as a new lifetime: another name at the same
+        # address, while its old entry expires only `expires_after_s` later.
+        self.end_on = None
+        self.back_after_s = 1.0
+        self.expires_after_s = 0.5
+        self.store = None
+        self.ended = []
+        self.over = threading.Event()
         engine = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -134,15 +171,37 @@
                 pass
 
             def do_POST(self):
-                self.rfile.read(int(self.headers.get("Content-Length", 0)))
-                engine.serve(self)
+                body = self.rfile.read(
+                    int(self.headers.get("Content-Length", 0)))
+                engine.serve(self, body)
 
             do_GET = do_POST
 
-        self.server = Server(Handler)
+        self.handler = Handler
+        self.server = Server(Handler, harness.free_port())
         self.address = self.server.address
 
-    def serve(self, call):
+    def end(self, request):
+        self.ended.append((time.monotonic(), request))
+        self.server.end()
+        threading.Thread(target=self._come_back, args=(self.name,),
+                         daemon=True).start()
+
+    def _come_back(self, old):
+        if not self.over.wait(self.expires_after_s):
+            self.store.delete(f"servers/{old}")
+        if self.over.wait(self.back_after_s - self.expires_after_s):
+            return
+        self.name = f"{old}+"
+        self.server = Server(self.handler, self.server.server_port)
+        self.store.put(f"servers/{self.name}", self.entry())
+
+    def stop(self):
+        self.over.set()
+        self.release.set()
+        self.server.stop()
+
+    def serve(self, call, body):
         self.headers.append(dict(call.headers))
         expected = call.headers.get("X-Expected-Instance")
         if expected != self.name:
@@ -150,6 +209,12 @@
         if self.mode == "decline":
             return self.whole(call, 503, b"", signed=False, not_run=True)
         self.ran.append(call.headers[ID])
+        if self.end_on and self.end_on in body:
+            # Others that run here end with it.
+            time.sleep(0.05)
+            return self.end(call.headers[ID])
+        if self.slow_on and self.slow_on in body:
+            time.sleep(self.slow_s)
         if self.mode == "hang":
             self.release.wait(harness.LIMIT_SECONDS)
         if self.mode == "error":
@@ -315,8 +380,8 @@
 
     def engine(self, name, **options):
         engine = Engine(name, **options)
-        self.addCleanup(engine.server.stop)
-        self.addCleanup(engine.release.set)
+        engine.store = self.store
+        self.addCleanup(engine.stop)
         self.store.put(f"servers/{name}", engine.entry())
         return engine
 
@@ -337,6 +402,7 @@
             made["X-Prompt-Prefix"] = "5c:800,91:410,e4:250"
         return made
 
-    def ask(self, daemon, path, request="r1", stream=False, key="k1"):
-        return harness.call(daemon.address, "POST", path, b"body",
+    def ask(self, daemon, path, request="r1", stream=False, key="k1",
+            body=b"body"):
+        return harness.call(daemon.address, "POST", path, body,
                             self.headers(request, stream, key))
--- a/thornhollow/testing/process/stand_ins_test.py
+++ b/thornhollow/testing/process/stand_ins_test.py
@@ -94,6 +94,30 @@
         self.assertNotEqual(stream.headers["x-request-id"], "r1")
         self.assertNotIn("r1", {e["id"] for e in stream})
 
+    def test_marked_request_ends_the_engine_and_others_with_it(self):
+        engine = self.start("fake-engine", "--mean_tokens=0")
+        engine.mode(end_on="marked", back_after_ms=300)
+        other = self.stream(engine.address, "/v1/chat/completions",
+                            {"model": "m", "max_tokens": 4000,
+                             "messages": [{"role": "user", "content": "a"}]},
+                            {"X-Request-Id": "other"})
+        with self.assertRaises((OSError, harness.http.client.HTTPException)):
+            self.stream(engine.address, "/v1/chat/completions",
+                        {"model": "m", "max_tokens": 4,
+                         "messages": [{"role": "user", "content": "marked"}]},
+                        {"X-Request-Id": "r1"})
+        list(other)
+        self.assertEqual(other.ended, "broken")
+        self.assertEqual(engine.runs()["totals"]["ended"], 1)
+        harness.wait_until(lambda: self.answers(engine), "it is back")
+
+    @staticmethod
+    def answers(engine):
+        try:
+            return harness.call(engine.address, "GET", "/v1/load")[0] == 200
+        except OSError:
+            return False
+
     def test_unknown_mode_is_refused(self):
         engine = self.start_engine()
         with self.assertRaises(AssertionError):
@@ -125,6 +149,32 @@
             self.assertEqual(service.runs()["requests"].get(fault, 0), expected)
 
 
+    def test_marked_call_ends_the_service_which_is_back_later(self):
+        service = self.start("fake-service", "--work_ms=5000")
+        service.mode(end_on="marked", back_after_ms=300)
+        beside = harness.Background(
+            self.failure, lambda: self.call_service(service, "beside"))
+        harness.wait_until(lambda: service.runs()["totals"]["runs"] == 1,
+                           "the other call runs")
+        self.assertTrue(
+            self.failure(lambda: self.call_service(service, "r1", "marked")))
+        self.assertTrue(beside.result())
+        with self.assertRaises(ConnectionRefusedError):
+            self.call_service(service, "r2")
+        self.assertEqual(service.runs()["totals"]["ended"], 1)
+        harness.wait_until(
+            lambda: not self.failure(lambda: harness.call(
+                service.address, "GET", "/test/runs")), "it is back")
+
+    @staticmethod
+    def failure(call):
+        try:
+            call()
+        except (OSError, harness.http.client.HTTPException) as failure:
+            return failure
+        return None
+
+
 class FakePlatform(harness.ProcessTest):
 
     PATH = "/v1/values/thornhollow/manifest"
--- a/thornhollow/testing/stand_in.cc
+++ b/thornhollow/testing/stand_in.cc
@@ -7,7 +7,7 @@
 int
 ServeStandIn(event_loop& aLoop,
              const http_handler& aHandler,
-             const std::function<void(std::function<void(bool)>)>& aBind,
+             const std::function<void(listener_control)>& aBind,
              const std::string& aListen,
              const std::string& aControl)
 {
@@ -20,13 +20,18 @@
       stderr, "can't listen on %s\n", (listening ? aControl : aListen).c_str());
     return 1;
   }
-  aBind([&requests](bool aRefuse) {
+  const auto refuse = [&requests](bool aRefuse) {
     if (aRefuse) {
       requests.StopListening();
     } else if (!requests.ListenAgain()) {
       std::fprintf(stderr, "can't listen again\n");
     }
-  });
+  };
+  aBind({ refuse, [&aLoop, &requests, refuse](duration aBackAfter) {
+           requests.StopListening();
+           requests.ResetConnections();
+           aLoop.After(aBackAfter, [refuse] { refuse(false); });
+         } });
   PrintListening(*listening, *controlled);
   aLoop.Run();
   return 0;
--- a/thornhollow/testing/stand_in.h
+++ b/thornhollow/testing/stand_in.h
@@ -7,18 +7,18 @@
 #include <string>
 #include <utility>
 
+#include "thornhollow/testing/fault_switch.h"
 #include "thornhollow/testing/http_server.h"
 
 namespace thornhollow::testing {
 
 // Serves `aHandler` on both addresses until the process ends; prints the ready
-// line first. `aBind` receives the function that closes (true) or reopens
-// (false) the listener for requests. Returns an exit code when an address
-// can't be had.
+// line first. `aBind` receives the control of the listener for requests.
+// Returns an exit code when an address can't be had.
 int
 ServeStandIn(event_loop& aLoop,
              const http_handler& aHandler,
-             const std::function<void(std::function<void(bool)>)>& aBind,
+             const std::function<void(listener_control)>& aBind,
              const std::string& aListen,
              const std::string& aControl);
 
@@ -33,8 +33,8 @@
   return ServeStandIn(
     aLoop,
     aEndpoint.Handler(),
-    [&aEndpoint](std::function<void(bool)> aSwitch) {
-      aEndpoint.Faults().OnRefuse(std::move(aSwitch));
+    [&aEndpoint](listener_control aListener) {
+      aEndpoint.Faults().SetListener(std::move(aListener));
     },
     aListen,
     aControl);
