--- /dev/null
+++ b/thornhollow/base/endpoint_hash.h
@@ -0,0 +1,27 @@
+// Short identification of endpoints in messages between instances.
+//
+//   message.mEndpoint = EndpointHash(endpoint_name("i-1"));
+//
+#ifndef THORNHOLLOW_BASE_ENDPOINT_HASH_H_
+#define THORNHOLLOW_BASE_ENDPOINT_HASH_H_
+
+#include <cstdint>
+
+#include "thornhollow/base/hash.h"
+#include "thornhollow/base/ids.h"
+
+namespace thornhollow {
+
+// The low 32 bits of the hash of an endpoint's name. Among a thousand endpoints
+// the probability of a collision is about one in ten thousand.
+using endpoint_hash = std::uint32_t;
+
+inline endpoint_hash
+EndpointHash(const endpoint_name& aEndpoint)
+{
+  return static_cast<endpoint_hash>(Hash64(aEndpoint.Text()));
+}
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_BASE_ENDPOINT_HASH_H_
--- a/thornhollow/base/error.h
+++ b/thornhollow/base/error.h
@@ -69,6 +69,8 @@
   kDeadlineExpiredWaiting,
   kNoEndpoint,
   kRetryBudgetSpent,
+  kRequestEndsEndpoints,
+  kSuspectHeld,
 
   // The same idempotency key elsewhere.
   kKeyHeldElsewhere,
--- a/thornhollow/base/request_fingerprint.h
+++ b/thornhollow/base/request_fingerprint.h
@@ -18,8 +18,12 @@
 
 namespace thornhollow {
 
-// Hash of a request's content. Equal for all submissions of one team with the
+// Digest of a request's content. Equal for all submissions of one team with the
 // same method, target and body, at every instance.
+//
+// 64 bits of an HMAC-SHA256 keyed with the team: nobody can craft a request
+// that another team's request is taken for, and messages and log lines that
+// hold the digest do not reveal the body.
 struct request_fingerprint
 {
   std::uint64_t mValue = 0;
@@ -33,7 +37,7 @@
   // NOLINTEND(modernize-use-nullptr)
 };
 
-// What `FingerprintOf` hashes; refers to the caller's texts.
+// What `FingerprintOf` digests; refers to the caller's texts.
 struct request_content
 {
   std::string_view mMethod;
--- a/thornhollow/daemon/control_plane.cc
+++ b/thornhollow/daemon/control_plane.cc
@@ -156,6 +156,23 @@
     return mLink.PeerPressure();
   }
 
+  void SendCrashReport(const std::vector<instance_name>& aTo,
+                       const crash_report& aReport)
+  {
+    mLink.SendCrashReport(aTo, aReport);
+  }
+
+  std::vector<instance_name> OtherInstances() const
+  {
+    std::vector<instance_name> others;
+    for (const listed_instance& each : mLink.Known()) {
+      if (each.mName != mSettings.mName) {
+        others.push_back(each.mName);
+      }
+    }
+    return others;
+  }
+
   void Drain() { mLink.Drain(); }
   void Leave() { mLink.Leave(); }
 
@@ -184,6 +201,9 @@
       const bytes_ptr held = mKeeper.Held(aDigest);
       return held == nullptr ? std::nullopt : std::optional(held->mText);
     };
+    listener.mCrashDigest = mListener.mCrashDigest;
+    listener.mOnCrashDigest = mListener.mOnCrashDigest;
+    listener.mOnCrashReport = mListener.mOnCrashReport;
     listener.mOnMembers = [this] { OnMembers(); };
     listener.mOnEndpointLeaving = [this](const endpoint_name& aEndpoint,
                                          time_point aUntil) {
@@ -456,6 +476,19 @@
   return mCore->PeerPressure();
 }
 
+void
+control_plane::SendCrashReport(const std::vector<instance_name>& aTo,
+                               const crash_report& aReport)
+{
+  mCore->SendCrashReport(aTo, aReport);
+}
+
+std::vector<instance_name>
+control_plane::OtherInstances() const
+{
+  return mCore->OtherInstances();
+}
+
 void
 control_plane::Drain()
 {
--- a/thornhollow/daemon/control_plane.h
+++ b/thornhollow/daemon/control_plane.h
@@ -24,6 +24,7 @@
 #include "thornhollow/daemon/json_log.h"
 #include "thornhollow/daemon/key_gate.h"
 #include "thornhollow/daemon/metrics.h"
+#include "thornhollow/policy/crash_report.h"
 #include "thornhollow/policy/endpoint_states.h"
 #include "thornhollow/policy/pool_pressure.h"
 
@@ -38,6 +39,10 @@
   std::function<void(catalog_ptr)> mInForce;
   std::function<void(const endpoint_state_change&)> mEndpointState;
   key_listener mKeys;
+  // Exchange of reports of suspected requests, as in peer_link.h.
+  std::function<std::uint64_t()> mCrashDigest;
+  std::function<void(const instance_name&, std::uint64_t)> mOnCrashDigest;
+  std::function<void(const crash_report&)> mOnCrashReport;
   // Receives the entry instances of this failure domain, including this one.
   std::function<void(const std::vector<instance_name>&)> mRouters;
   // Called every 100 ms.
@@ -72,6 +77,12 @@
   void ReportPressure(const std::vector<pool_pressure>& aPressures);
   std::vector<pool_pressure> PeerPressure() const;
 
+  // Sends a report of suspected requests to instances, and returns the names of
+  // all others that are known.
+  void SendCrashReport(const std::vector<instance_name>& aTo,
+                       const crash_report& aReport);
+  std::vector<instance_name> OtherInstances() const;
+
   // Announces that this instance accepts no new work. The instance still
   // answers peers.
   void Drain();
--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -114,6 +114,7 @@
     , mDrain(aIo, mCallers, aLog)
   {
     mRouter.SetKeyGate(&mControl.Keys());
+    mRouter.Crashes().SetPeers(CrashGuardPeers());
     mRouter.OnEndpointLeaving([this](const endpoint_name& aEndpoint) {
       mControl.OnEndpointLeaving(aEndpoint);
     });
@@ -170,6 +171,14 @@
                                      error_kind aKind) {
       mRouter.OnKeyRefused(aSubmission, aKind);
     };
+    listener.mCrashDigest = [this] { return mRouter.Crashes().Digest(); };
+    listener.mOnCrashDigest = [this](const instance_name& aPeer,
+                                     std::uint64_t aDigest) {
+      mRouter.Crashes().OnDigest(aPeer.Text(), aDigest);
+    };
+    listener.mOnCrashReport = [this](const crash_report& aReport) {
+      mRouter.Crashes().OnReport(aReport);
+    };
     listener.mRouters = [this](const std::vector<instance_name>& aRouters) {
       mRouter.SetRouters(mSettings.mName, aRouters);
     };
@@ -182,6 +191,28 @@
     return listener;
   }
 
+  // Instances are addressed by their names here.
+  crash_guard_peers CrashGuardPeers()
+  {
+    crash_guard_peers peers;
+    peers.mAddresses = [this] {
+      std::vector<std::string> names;
+      for (const instance_name& each : mControl.OtherInstances()) {
+        names.push_back(each.Text());
+      }
+      return names;
+    };
+    peers.mSend = [this](const std::vector<std::string>& aTo,
+                         const crash_report& aReport) {
+      std::vector<instance_name> names;
+      for (const std::string& each : aTo) {
+        names.emplace_back(each);
+      }
+      mControl.SendCrashReport(names, aReport);
+    };
+    return peers;
+  }
+
   instance_status Status() const
   {
     instance_status status;
--- a/thornhollow/daemon/live_request.h
+++ b/thornhollow/daemon/live_request.h
@@ -11,6 +11,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include "thornhollow/base/request_fingerprint.h"
 #include "thornhollow/daemon/intake.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/endpoint_attempt.h"
@@ -57,6 +58,14 @@
   intake mIntake;
   caller_exchange_ptr mExchange;
   boost::intrusive_ptr<endpoint_attempt> mAttempt;
+  request_fingerprint mFingerprint;
+  // Whether the current attempt's request is being sent, and whether the
+  // endpoint has produced output for it.
+  bool mSending = false;
+  bool mHasOutput = false;
+  // Since when the request waits for another submission of the same content,
+  // see `crash_guard::BeforeSend`.
+  std::optional<time_point> mHeldSince;
   // Whether the current attempt uses its class's minimum share.
   bool mUsesMinimumShare = false;
   // Endpoint of the current or last attempt.
--- a/thornhollow/daemon/peer_link.cc
+++ b/thornhollow/daemon/peer_link.cc
@@ -121,6 +121,21 @@
     Apply(mMembers.OnEndpointLeaving(aEndpoint, kLeavingGossipDuration, Now()));
   }
 
+  void SendCrashReport(const std::vector<instance_name>& aTo,
+                       const crash_report& aReport)
+  {
+    gossip_message message;
+    message.mKind = gossip_kind::kPush;
+    message.mDomain = mSettings.mDomain;
+    message.mSender = mMembers.Self();
+    message.mCrashes = aReport;
+    for (const instance_name& each : aTo) {
+      if (const auto address = AddressOf(each)) {
+        SendGossip(each, *address, message);
+      }
+    }
+  }
+
   void ReportPressure(const std::vector<pool_pressure>& aPressures)
   {
     for (const pool_pressure& each : aPressures) {
@@ -210,6 +225,7 @@
                   gossip_message aMessage)
   {
     aMessage.mPlatformAge = mListener.mOwnHint().mPlatformAge;
+    aMessage.mCrashDigest = mListener.mCrashDigest();
     mTransport.SendDatagram(aAddress,
                             mSealer.Seal(aTo, EncodeGossip(aMessage)));
   }
@@ -248,6 +264,12 @@
     mListener.mOnHint(
       opened->mSender,
       { message->mConfigurationVersion, message->mPlatformAge });
+    if (message->mCrashes) {
+      mListener.mOnCrashReport(*message->mCrashes);
+    }
+    if (message->mCrashDigest) {
+      mListener.mOnCrashDigest(opened->mSender, *message->mCrashDigest);
+    }
     return true;
   }
 
@@ -465,6 +487,13 @@
   mCore->ReportEndpointLeaving(aEndpoint);
 }
 
+void
+peer_link::SendCrashReport(const std::vector<instance_name>& aTo,
+                           const crash_report& aReport)
+{
+  mCore->SendCrashReport(aTo, aReport);
+}
+
 void
 peer_link::ReportPressure(const std::vector<pool_pressure>& aPressures)
 {
--- a/thornhollow/daemon/peer_link.h
+++ b/thornhollow/daemon/peer_link.h
@@ -57,6 +57,10 @@
   std::function<claim_answer(const claim_request&)> mOnClaim;
   // Returns the bytes of a part or manifest held here, or nullopt.
   std::function<std::optional<std::string>(const std::string& aDigest)> mOnPart;
+  // Returns the digest to send to peers, see `crash_suspects::Digest`.
+  std::function<std::uint64_t()> mCrashDigest;
+  std::function<void(const instance_name&, std::uint64_t)> mOnCrashDigest;
+  std::function<void(const crash_report&)> mOnCrashReport;
   // Called when a member was added, removed or changed.
   std::function<void()> mOnMembers;
   // Called when a peer reports that an endpoint is leaving: no new work may be
@@ -101,6 +105,10 @@
   // Notifies peers that endpoint `aEndpoint` is leaving.
   void ReportEndpointLeaving(const endpoint_name& aEndpoint);
 
+  // Sends a report of suspected requests to known instances.
+  void SendCrashReport(const std::vector<instance_name>& aTo,
+                       const crash_report& aReport);
+
   // `ReportPressure` reports to peers which tiers of each pool wait too long at
   // this instance (the pool's pressure); call it repeatedly while requests wait
   // too long. `PeerPressure` returns the highest pressure that peers reported
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -80,9 +80,14 @@
   , mLog(aLog)
   , mMetrics(aMetrics)
   , mConnections(aIo, endpoint_connection_settings{})
+  , mCrashes(aIo, aLog, aMetrics)
   , mRetries(RetryBudgetSettings(aSettings))
   , mGenerator(std::random_device()())
 {
+  mCrashes.OnSpareConnection([this](const endpoint_process& aWhere,
+                                    endpoint_connection_ptr aConnection) {
+    mConnections.GiveBack(aWhere, std::move(aConnection), std::nullopt);
+  });
 }
 
 relay_dispatcher::~relay_dispatcher() = default;
@@ -249,6 +254,37 @@
     mNextConnectionCheck = aNow + kConnectionCheckInterval;
     mConnections.Tick(aNow);
   }
+  mCrashes.Tick(aNow);
+  UpdateReserved(aNow);
+}
+
+std::optional<relay_pick>
+relay_dispatcher::Choose(relay_pool& aPool,
+                         const request_profile& aRequest,
+                         const std::vector<endpoint_name>& aTried,
+                         time_point aNow)
+{
+  UpdateReserved(aNow);
+  return aPool.Choose(aRequest, aTried, aNow);
+}
+
+// Tells the pools which endpoints are reserved for trials.
+void
+relay_dispatcher::UpdateReserved(time_point aNow)
+{
+  const std::uint64_t changes = mCrashes.ReservationChanges();
+  if (std::exchange(mReservationChanges, changes) == changes) {
+    return;
+  }
+  std::map<pool_name, std::set<endpoint_name>> reserved;
+  for (const auto& [name, each] : mEndpoints) {
+    if (mCrashes.IsReserved(EndpointHash(name), aNow)) {
+      reserved[each.mEntry.mPool].insert(name);
+    }
+  }
+  for (auto& [name, pool] : mPools) {
+    pool.SetReserved(std::move(reserved[name]));
+  }
 }
 
 void
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -23,6 +23,7 @@
 #include "thornhollow/base/error.h"
 #include "thornhollow/base/ids.h"
 #include "thornhollow/config/relay_settings.h"
+#include "thornhollow/daemon/crash_guard.h"
 #include "thornhollow/daemon/json_log.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/discovery/endpoint_roster.h"
@@ -100,6 +101,13 @@
   metrics& Metrics() { return mMetrics; }
   endpoint_connections& Connections() { return mConnections; }
   relay_pool* Pool(const pool_name& aName);
+  crash_guard& Crashes() { return mCrashes; }
+  // Chooses an endpoint in the pool that is not in `aTried`; nothing if there
+  // is none.
+  std::optional<relay_pick> Choose(relay_pool& aPool,
+                                   const request_profile& aRequest,
+                                   const std::vector<endpoint_name>& aTried,
+                                   time_point aNow);
   // Records that a connection attempt to an endpoint failed, or that the
   // endpoint stopped responding. Informs all pools, as the endpoint's whole
   // failure domain may be unreachable.
@@ -115,6 +123,7 @@
 
 private:
   duration RetryDelay();
+  void UpdateReserved(time_point aNow);
   void AddEndpoint(const listed_endpoint& aEndpoint);
   void UpdateEndpoint(const listed_endpoint& aEndpoint);
   void RemoveEndpoint(const endpoint_name& aName);
@@ -137,6 +146,7 @@
   json_log& mLog;
   metrics& mMetrics;
   endpoint_connections mConnections;
+  crash_guard mCrashes;
   shared_retry_budget mRetries;
   std::mt19937_64 mGenerator;
   routing_table_ptr mTable;
@@ -151,6 +161,8 @@
   std::optional<time_point> mShutdownAt;
   time_point mRefuseFrom{};
   time_point mNextConnectionCheck{};
+  // `crash_guard::ReservationChanges` as of the last `UpdateReserved`.
+  std::uint64_t mReservationChanges = 0;
 };
 
 } // namespace thornhollow
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -132,6 +132,11 @@
     , mTimer(aIo)
     , mDrain(aIo, mCallers, aLog)
   {
+    mDispatcher.Crashes().SetPeers({ [this] { return mPeers.Addresses(); },
+                                     [this](const std::vector<std::string>& aTo,
+                                            const crash_report& aReport) {
+                                       mPeers.SendCrashReport(aTo, aReport);
+                                     } });
   }
 
   result<listening_addresses> Start()
@@ -187,6 +192,14 @@
     callbacks.mOnMessage = [this](const domain_name& aDomain) {
       mDispatcher.OnPeerMessage(aDomain, Now());
     };
+    callbacks.mCrashDigest = [this] { return mDispatcher.Crashes().Digest(); };
+    callbacks.mOnCrashDigest = [this](const std::string& aPeer,
+                                      std::uint64_t aDigest) {
+      mDispatcher.Crashes().OnDigest(aPeer, aDigest);
+    };
+    callbacks.mOnCrashReport = [this](const crash_report& aReport) {
+      mDispatcher.Crashes().OnReport(aReport);
+    };
     callbacks.mOnItemsRequest = [this](const items_request& aRequest) {
       return MakeCopy(aRequest);
     };
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -24,7 +24,7 @@
 constexpr std::size_t kMinCompressedBytes = 4'096;
 // Maximum load entries in a hello, which limits it to 1,100 bytes: 18 bytes for
 // each entry, the rest for addresses and demand.
-constexpr std::size_t kMaxWorkEntries = 44;
+constexpr std::size_t kMaxWorkEntries = 43;
 
 peer_transport_settings
 TransportSettings(const relay_settings& aSettings)
@@ -107,6 +107,14 @@
 
   void OnItemsChanged() { Send(BriefHello(false), mPeers.OnNewRevision()); }
 
+  void SendCrashReport(const std::vector<std::string>& aTo,
+                       const crash_report& aReport)
+  {
+    relay_hello hello = BriefHello(false);
+    hello.mCrashes = aReport;
+    Send(hello, aTo);
+  }
+
   bool ShouldReadSource(time_point aNow)
   {
     mIsReader = mPeers.Reads(aNow);
@@ -179,6 +187,7 @@
     hello.mWantsAnswer = aWantAnswer;
     hello.mLinkMegabits = WholeMegabits(mSettings);
     hello.mSourceFails = mCallbacks.mSourceFails();
+    hello.mCrashDigest = mCallbacks.mCrashDigest();
     if (const auto answered = mCallbacks.mSourceAnswered()) {
       if (const duration age = Now() - *answered; age < kMaxAnswerAge) {
         hello.mSourceAnswerAge = age;
@@ -207,6 +216,12 @@
       return false;
     }
     mCallbacks.mOnMessage(hello->mDomain);
+    if (hello->mCrashes) {
+      mCallbacks.mOnCrashReport(*hello->mCrashes);
+    }
+    if (hello->mCrashDigest) {
+      mCallbacks.mOnCrashDigest(hello->mAddress, *hello->mCrashDigest);
+    }
     if (const auto replyTo = mPeers.OnHello(*hello, Now())) {
       if (hello->mBrief) {
         Send(BriefHello(false), { *replyTo });
@@ -388,6 +403,19 @@
   mCore->OnItemsChanged();
 }
 
+void
+relay_peer_link::SendCrashReport(const std::vector<std::string>& aTo,
+                                 const crash_report& aReport)
+{
+  mCore->SendCrashReport(aTo, aReport);
+}
+
+std::vector<std::string>
+relay_peer_link::Addresses() const
+{
+  return mCore->Peers().Addresses();
+}
+
 bool
 relay_peer_link::ShouldReadSource(time_point aNow)
 {
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -16,6 +16,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "thornhollow/base/result.h"
 #include "thornhollow/base/time.h"
@@ -48,6 +50,11 @@
   // Called when a message from an instance in the given failure domain was
   // received.
   std::function<void(const domain_name&)> mOnMessage;
+  // Returns the digest to send to peers, see `crash_suspects::Digest`.
+  std::function<std::uint64_t()> mCrashDigest;
+  // Called with the digest of the peer at the given address.
+  std::function<void(const std::string&, std::uint64_t)> mOnCrashDigest;
+  std::function<void(const crash_report&)> mOnCrashReport;
   // Returns the copy that a peer requests.
   std::function<items_answer(const items_request&)> mOnItemsRequest;
   // Called when a peer answered a request for a copy.
@@ -70,6 +77,11 @@
   result<void> Open();
   void Tick(time_point aNow);
   void OnItemsChanged();
+  // Sends a report of suspected requests.
+  void SendCrashReport(const std::vector<std::string>& aTo,
+                       const crash_report& aReport);
+  // Addresses of all live peers.
+  std::vector<std::string> Addresses() const;
   // Whether this instance should read the source itself. Call every 100 ms.
   bool ShouldReadSource(time_point aNow);
 
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -67,6 +67,12 @@
 // until complete.
 constexpr std::size_t kMaxBufferedAnswerBytes = std::size_t{ 8 } << 20U;
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } << 20U;
+// A request that has to wait for another submission of the same content, since
+// an endpoint ended under it, asks again after `kSuspectWaitInterval`, and is
+// given up after `kMaxSuspectWait`: a run that has produced nothing by then
+// waits in an engine's queue.
+constexpr duration kSuspectWaitInterval = Milliseconds(10);
+constexpr duration kMaxSuspectWait = Seconds(1);
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusRedirect = 300;
 constexpr unsigned kStatusServerError = 500;
@@ -141,6 +147,7 @@
     , mExchange(std::move(aExchange))
     , mTable(aDispatcher.Table())
     , mTimer(aDispatcher.Io())
+    , mTicket(aDispatcher.Crashes().NextTicket())
     , mEvents(kMaxEventBytes)
   {
     mDispatcher.OnSessionBegin();
@@ -174,6 +181,10 @@
       ToSeconds(timeout) < ToSeconds(mRoute->mTimeout) * kRetryTimeoutFraction;
     mMetricsClass = MetricsClass(*mRoute, mProfile.mTier);
     mDispatcher.Metrics().OnRequest(mMetricsClass);
+    if (mDispatcher.Crashes().IsRejected(mFingerprint, Now())) {
+      RejectSuspect();
+      return;
+    }
     mDispatcher.Retries().OnRequest(*mPool, Now());
     if (relay_pool* pool = mDispatcher.Pool(*mPool)) {
       const auto verdict = pool->Admit(mProfile, timeout, Now());
@@ -182,7 +193,7 @@
         Refuse(refused->mKind, refused->mRetryAfter);
         return;
       }
-      mAdmittedPick = std::get<std::optional<relay_pick>>(verdict);
+      mPlannedPick = std::get<std::optional<relay_pick>>(verdict);
     }
     mBody = std::make_shared<const std::string>(request.mBody);
     mExchange->OnLeft([self = boost::intrusive_ptr<relay_session>(this)] {
@@ -233,6 +244,9 @@
       GiveUp(mMayHaveRun ? FinalError(Progress()) : error_kind::kNoEndpoint);
       return;
     }
+    if (!MaySend(*pick, pool->size(), now)) {
+      return;
+    }
     mPick = *pick;
     mTriedEndpoints.push_back(pick->mEndpoint);
     mSentAt = now;
@@ -247,6 +261,46 @@
     ArmTimer();
   }
 
+  // Whether the request may be sent to the endpoint now. If not, the request
+  // waits or has been ended.
+  bool MaySend(const relay_pick& aPick, std::size_t aPoolSize, time_point aNow)
+  {
+    const send_decision decision =
+      mDispatcher.Crashes().BeforeSend(SuspectAttempt(aPick, aPoolSize), aNow);
+    if (decision.mVerdict == send_verdict::kSend) {
+      mHeldSince.reset();
+      return true;
+    }
+    if (decision.mVerdict == send_verdict::kReject) {
+      RejectSuspect();
+      return false;
+    }
+    if (!mHeldSince) {
+      mHeldSince = aNow;
+    }
+    if (aNow - *mHeldSince >= kMaxSuspectWait) {
+      GiveUp(mMayHaveRun ? FinalError(Progress()) : error_kind::kSuspectHeld);
+      return false;
+    }
+    if (decision.mKeepEndpoint) {
+      mPlannedPick = aPick;
+    }
+    mTimer.expires_after(kSuspectWaitInterval);
+    mTimer.async_wait([self = boost::intrusive_ptr<relay_session>(this)](
+                        const boost::system::error_code& aError) {
+      if (!aError && !self->mDone) {
+        self->StartNextAttempt();
+      }
+    });
+    return false;
+  }
+
+  suspect_attempt SuspectAttempt(const relay_pick& aPick,
+                                 std::size_t aPoolSize) const
+  {
+    return { mFingerprint, mTicket, EndpointHash(aPick.mEndpoint), aPoolSize };
+  }
+
   // Returns the endpoint of the next attempt. The endpoint of the first attempt
   // was chosen when the request was admitted.
   std::optional<relay_pick> NextEndpoint(relay_pool* aPool, time_point aNow)
@@ -254,8 +308,9 @@
     if (aPool == nullptr) {
       return std::nullopt;
     }
-    return mAdmittedPick ? std::exchange(mAdmittedPick, std::nullopt)
-                         : aPool->Choose(mProfile, mTriedEndpoints, aNow);
+    return mPlannedPick
+             ? std::exchange(mPlannedPick, std::nullopt)
+             : mDispatcher.Choose(*aPool, mProfile, mTriedEndpoints, aNow);
   }
 
   void SendAttempt()
@@ -383,6 +438,7 @@
       return;
     }
     const time_point now = Now();
+    mDispatcher.Crashes().OnOutput(mFingerprint, mTicket, now);
     if (relay_pool* pool = mDispatcher.Pool(*mPool)) {
       pool->OnFirstByte(mPick, mProfile, now - mSentAt, now);
     }
@@ -418,6 +474,7 @@
   void OnAnswerEnd()
   {
     EndAttempt(attempt_end::kCompleted);
+    mDispatcher.Crashes().OnOutput(mFingerprint, mTicket, Now());
     if (mStream.value_or(false)) {
       Forward(mEvents.TakeAll());
       if (!mAnswerBegun) {
@@ -466,22 +523,56 @@
       mAttempt->Abandon();
     }
     EndAttempt(ToAttemptEnd(aFailure));
+    mTimer.cancel();
+    if (!MayHaveEndedEndpoint(aFailure)) {
+      AfterFailure(aFailure, progress);
+      return;
+    }
+    const relay_pool* pool = mDispatcher.Pool(*mPool);
+    mDispatcher.Crashes().OnAttemptLost(
+      { mRelayRequest.mId,
+        SuspectAttempt(mPick, pool->size()),
+        mPick.mEndpoint,
+        { mPick.mAddress, mPick.mLifetime } },
+      [self = boost::intrusive_ptr<relay_session>(this), aFailure, progress](
+        bool /*aEnded*/) {
+        if (!self->mDone) {
+          self->AfterFailure(aFailure, progress);
+        }
+      });
+  }
+
+  // Whether the endpoint's process may have ended under the request. The end of
+  // an endpoint that is leaving is expected, and one that has produced output
+  // for the request was not ended by it.
+  bool MayHaveEndedEndpoint(attempt_failure aFailure) const
+  {
+    const relay_pool* pool = mDispatcher.Pool(*mPool);
+    return (aFailure == attempt_failure::kLost ||
+            aFailure == attempt_failure::kBroken) &&
+           !mFirstByteReceived && pool != nullptr && pool->IsInService(mPick);
+  }
+
+  // Makes another attempt or gives up.
+  void AfterFailure(attempt_failure aFailure, const relay_progress& aProgress)
+  {
+    mDispatcher.Crashes().OnSendEnded(mFingerprint, mTicket, Now());
     if (aFailure == attempt_failure::kNotSent ||
         aFailure == attempt_failure::kSilent) {
       mDispatcher.OnUnreachable(mPick, Now());
     }
     mEvents.DropUnfinished();
-    const relay_step step = NextStep(progress);
+    const relay_step step = NextStep(aProgress);
     // A request that has not reached any endpoint has caused no load yet, so
     // its next attempt is not charged to the retry budget.
-    const bool firstArrival = progress.mAttempts == 0;
+    const bool firstArrival = aProgress.mAttempts == 0;
     const bool retryCharged =
       std::exchange(mRetryCharged, false) || firstArrival;
     const bool allowed =
       step != relay_step::kGiveUp && MayRetryUnsent() &&
       (retryCharged || mDispatcher.Retries().Spend(*mPool, Now()));
     if (!allowed) {
-      GiveUp(FinalError(progress));
+      GiveUp(FinalError(aProgress));
       return;
     }
     mDispatcher.Metrics().OnRetry(ErrorOf(aFailure));
@@ -574,6 +665,18 @@
                : error_kind::kDeadlineUnmeetable);
   }
 
+  // Ends a request that ends the endpoints that run it.
+  void RejectSuspect()
+  {
+    mDispatcher.Crashes().OnRejected(mRelayRequest.mId, mFingerprint);
+    if (mMayHaveRun) {
+      GiveUp(FinalError(Progress()));
+      return;
+    }
+    Refuse(error_kind::kRequestEndsEndpoints,
+           mDispatcher.Crashes().RejectionTime(mFingerprint, Now()));
+  }
+
   // Ends the request with an error response to the caller.
   void GiveUp(error_kind aKind)
   {
@@ -614,6 +717,7 @@
   {
     mDone = true;
     mTimer.cancel();
+    mDispatcher.Crashes().OnSendEnded(mFingerprint, mTicket, Now());
     mExchange->OnLeft(nullptr);
     LogOutcome(aOutcome);
     if (aOutcome == "answered") {
@@ -691,13 +795,18 @@
   const pool_name* mPool = nullptr;
   request_profile mProfile;
   request_fingerprint mFingerprint;
+  // Identifies this submission among those of the same content.
+  std::uint64_t mTicket;
+  // Since when the request waits for another submission of the same content.
+  std::optional<time_point> mHeldSince;
   class_name mMetricsClass;
   std::shared_ptr<const std::string> mBody;
 
   // The current attempt.
   relay_attempt_ptr mAttempt;
   relay_pick mPick;
-  std::optional<relay_pick> mAdmittedPick;
+  // Endpoint of the next attempt, if it has been chosen already.
+  std::optional<relay_pick> mPlannedPick;
   time_point mSentAt{};
   time_point mLastByte{};
   // Whether the attempt is counted as in flight in the pool.
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -12,11 +12,13 @@
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
 
+#include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/hash.h"
 #include "thornhollow/daemon/caller_reply.h"
 #include "thornhollow/daemon/intake.h"
 #include "thornhollow/daemon/live_request.h"
 #include "thornhollow/net/clock.h"
+#include "thornhollow/policy/endpoint_reservations.h"
 
 namespace thornhollow {
 namespace {
@@ -33,6 +35,13 @@
 constexpr int kFirstByteTargetMultiple = 8;
 constexpr duration kMinFirstByteTimeout = Seconds(2);
 
+// A request that has to wait for another submission of the same content, since
+// an endpoint ended under it, asks again after `kSuspectWaitInterval`, and is
+// refused after `kMaxSuspectWait`: a run that has produced nothing by then
+// waits in an engine's queue.
+constexpr duration kSuspectWaitInterval = Milliseconds(10);
+constexpr duration kMaxSuspectWait = Seconds(1);
+
 // Name under which peer pressure is recorded: gossip provides only the highest
 // pressure of all peers for each pool, not which peer reported it.
 const instance_name kAllPeers("peers");
@@ -53,6 +62,7 @@
     , mRandom(std::random_device()())
     , mScheduler(aSettings.mScheduler, mRandom())
     , mSchedulerTimer(aIo)
+    , mCrashes(aIo, aLog, aMetrics)
   {
   }
 
@@ -93,9 +103,11 @@
 
   void OnEndpointState(const endpoint_name& aEndpoint, endpoint_state aState)
   {
-    Apply(mScheduler.OnEndpointState(aEndpoint, aState, Now()));
+    ApplyStates(mReservations.OnState(aEndpoint, aState));
   }
 
+  crash_guard& Crashes() { return mCrashes; }
+
   void SetKeyGate(key_gate* aGate) { mKeys = aGate; }
 
   void OnKeyRun(ticket aTicket)
@@ -110,7 +122,7 @@
     if (previousStage == key_stage::kClaiming) {
       Apply(mScheduler.Submit(ItemFor(live), Now()));
     } else if (previousStage == key_stage::kConfirming) {
-      DispatchEvent(aTicket, attempt_granted{ live.mConfirmingEndpoint });
+      Grant(live, live.mConfirmingEndpoint);
     }
   }
 
@@ -121,8 +133,8 @@
       return;
     }
     if (found->second->mKeyStage == key_stage::kConfirming) {
-      Apply(
-        mScheduler.OnAttemptEnded(aTicket, attempt_end::kCancelled, 0, Now()));
+      RefuseStarted(aTicket, { aKind, duration{} });
+      return;
     }
     DispatchEvent(aTicket, schedule_refused{ aKind, duration{} });
   }
@@ -138,7 +150,12 @@
     mScheduler.SetRouters(aOwn, aRouters);
   }
 
-  void Tick() { Apply(mScheduler.Tick(Now())); }
+  void Tick()
+  {
+    mCrashes.Tick(Now());
+    UpdateReserved();
+    Apply(mScheduler.Tick(Now()));
+  }
 
   std::vector<pool_pressure> Pressure() const
   {
@@ -189,6 +206,11 @@
     const ticket number = ++mLastTicket;
     auto live = live_request_ptr(new live_request(
       mIo, number, std::move(facts), std::move(aIntake), std::move(aExchange)));
+    const intake& read = live->mIntake;
+    live->mFingerprint = FingerprintOf({ .mMethod = read.mMethod,
+                                         .mTarget = read.mPath,
+                                         .mTeam = read.mTeam.Text(),
+                                         .mBody = read.mBody });
     mLive.emplace(number, live);
     mMetrics.OnRequest(live->mIntake.mClass);
     live->mExchange->OnLeft(
@@ -288,7 +310,145 @@
       mKeys->BeforeSend(aStart.mTicket);
       return;
     }
-    DispatchEvent(aStart.mTicket, attempt_granted{ aStart.mEndpoint });
+    Grant(live, aStart.mEndpoint);
+  }
+
+  // Sends the request to the endpoint whose slot it holds, unless it has ended
+  // endpoints before.
+  void Grant(live_request& aLive, const endpoint_name& aEndpoint)
+  {
+    const time_point now = Now();
+    const ticket number = aLive.mTicket;
+    const send_decision decision =
+      mCrashes.BeforeSend(SuspectAttempt(aLive, aEndpoint), now);
+    UpdateReserved();
+    if (decision.mVerdict == send_verdict::kSend) {
+      aLive.mHeldSince.reset();
+      DispatchEvent(number, attempt_granted{ aEndpoint });
+      return;
+    }
+    if (decision.mVerdict == send_verdict::kReject) {
+      mCrashes.OnRejected(aLive.mId, aLive.mFingerprint);
+      RefuseStarted(number,
+                    { error_kind::kRequestEndsEndpoints,
+                      mCrashes.RejectionTime(aLive.mFingerprint, now) });
+      return;
+    }
+    if (!aLive.mHeldSince) {
+      aLive.mHeldSince = now;
+    }
+    if (now - *aLive.mHeldSince >= kMaxSuspectWait) {
+      RefuseStarted(number, { error_kind::kSuspectHeld, duration{} });
+      return;
+    }
+    const auto timer =
+      std::make_shared<boost::asio::steady_timer>(mIo, kSuspectWaitInterval);
+    timer->async_wait([this, timer, number, aEndpoint](const error_code&) {
+      if (const auto found = mLive.find(number); found != mLive.end()) {
+        const live_request_ptr live = found->second;
+        Grant(*live, aEndpoint);
+      }
+    });
+  }
+
+  // Refuses a request that holds a slot and has not been sent.
+  void RefuseStarted(ticket aTicket, const schedule_refused& aRefusal)
+  {
+    Apply(
+      mScheduler.OnAttemptEnded(aTicket, attempt_end::kCancelled, 0, Now()));
+    DispatchEvent(aTicket, aRefusal);
+  }
+
+  suspect_attempt SuspectAttempt(const live_request& aLive,
+                                 const endpoint_name& aEndpoint) const
+  {
+    const auto& declared = mCatalog->Declared().mEndpoints;
+    const auto poolSize =
+      std::ranges::count_if(declared, [&](const endpoint& aEntry) {
+        return std::ranges::count(aEntry.mPools, aLive.mIntake.mPool) > 0;
+      });
+    return { aLive.mFingerprint,
+             aLive.mTicket,
+             EndpointHash(aEndpoint),
+             static_cast<std::size_t>(poolSize) };
+  }
+
+  // Keeps new requests off endpoints that are reserved for trials, as long as
+  // another endpoint serves each of their pools.
+  void UpdateReserved()
+  {
+    const std::uint64_t changes = mCrashes.ReservationChanges();
+    if (mCatalog == nullptr ||
+        std::exchange(mReservationChanges, changes) == changes) {
+      return;
+    }
+    std::map<pool_name, std::size_t> serving;
+    for (const endpoint_status& each : mScheduler.Endpoints(Now())) {
+      const endpoint* declared = mCatalog->EndpointByName(each.mName.Text());
+      if (declared == nullptr || !mReservations.IsLive(each.mName) ||
+          each.mHealth != health_state::kHealthy) {
+        continue;
+      }
+      for (const pool_name& pool : declared->mPools) {
+        ++serving[pool];
+      }
+    }
+    std::set<endpoint_name> reserved;
+    for (const endpoint& each : mCatalog->Declared().mEndpoints) {
+      const bool isSpare =
+        std::ranges::all_of(each.mPools, [&](const pool_name& aPool) {
+          return serving[aPool] > 1;
+        });
+      if (isSpare && mCrashes.IsReserved(EndpointHash(each.mName), Now())) {
+        reserved.insert(each.mName);
+      }
+    }
+    ApplyStates(mReservations.SetReserved(std::move(reserved)));
+  }
+
+  void ApplyStates(const endpoint_state_changes& aChanges)
+  {
+    for (const endpoint_state_change& each : aChanges) {
+      Apply(mScheduler.OnEndpointState(each.mEndpoint, each.mState, Now()));
+    }
+  }
+
+  // Handles an event of the request's attempt. A broken connection is first
+  // checked for the end of the endpoint's process.
+  void OnAttemptEvent(ticket aTicket, const request_event& aEvent)
+  {
+    const auto found = mLive.find(aTicket);
+    if (found == mLive.end()) {
+      return;
+    }
+    live_request& live = *found->second;
+    const bool isLost = std::holds_alternative<connection_lost>(aEvent);
+    if (std::holds_alternative<sending_begun>(aEvent)) {
+      live.mSending = true;
+    } else if (std::holds_alternative<token_received>(aEvent) ||
+               std::holds_alternative<answer_received>(aEvent)) {
+      RecordOutput(live);
+    }
+    const endpoint* where = mCatalog->EndpointByName(live.mEndpoint.Text());
+    if (!isLost || !live.mSending || live.mHasOutput || where == nullptr ||
+        !mReservations.IsLive(live.mEndpoint)) {
+      DispatchEvent(aTicket, aEvent);
+      return;
+    }
+    mCrashes.OnAttemptLost({ live.mId,
+                             SuspectAttempt(live, live.mEndpoint),
+                             live.mEndpoint,
+                             { where->mAddress, 0 } },
+                           [this, aTicket, aEvent](bool /*aEnded*/) {
+                             DispatchEvent(aTicket, aEvent);
+                           });
+  }
+
+  void RecordOutput(live_request& aLive)
+  {
+    if (!std::exchange(aLive.mHasOutput, true)) {
+      mCrashes.OnOutput(aLive.mFingerprint, aLive.mTicket, Now());
+    }
   }
 
   void Execute(const refuse& aRefuse)
@@ -325,6 +485,7 @@
     const ticket number = aLive.mTicket;
     aLive.mTimer.cancel();
     aLive.mExchange->OnLeft(nullptr);
+    mCrashes.OnSendEnded(aLive.mFingerprint, number, Now());
     mLive.erase(number);
     if (aLive.mKeyStage != key_stage::kNone) {
       mKeys->OnEnded(number, aLive.mMachine.Ran());
@@ -391,6 +552,8 @@
       return;
     }
     aLive.mEndpoint = aAction.mEndpoint;
+    aLive.mSending = false;
+    aLive.mHasOutput = false;
     endpoint_call call;
     call.mAttempt = aAction.mAttempt;
     call.mId = aLive.mId;
@@ -409,7 +572,7 @@
       StartAttempt(mIo,
                    std::move(call),
                    [this, number = aLive.mTicket](const request_event& aEvent) {
-                     DispatchEvent(number, aEvent);
+                     OnAttemptEvent(number, aEvent);
                    });
   }
 
@@ -431,6 +594,7 @@
     if (aAction.mHow == attempt_end::kDeclinedLeaving && mOnLeaving) {
       mOnLeaving(aLive.mEndpoint);
     }
+    mCrashes.OnSendEnded(aLive.mFingerprint, aLive.mTicket, Now());
     Apply(mScheduler.OnAttemptEnded(
       aLive.mTicket, aAction.mHow, aAction.mTokens, Now()));
   }
@@ -442,6 +606,8 @@
                "retry",
                { { "reason", std::string(Name(aAction.mReason)) },
                  { "class", aLive.mIntake.mClass.Text() },
+                 { "endpoint", aLive.mEndpoint.Text() },
+                 { "fingerprint", Text(aLive.mFingerprint) },
                  { "request_id", aLive.mId.Text() } });
     Apply(mScheduler.Resubmit(aLive.mTicket, Now()));
   }
@@ -565,6 +731,10 @@
   scheduler mScheduler;
   boost::asio::steady_timer mSchedulerTimer;
   std::optional<time_point> mSchedulerDue;
+  crash_guard mCrashes;
+  endpoint_reservations mReservations;
+  // `crash_guard::ReservationChanges` as of the last `UpdateReserved`.
+  std::uint64_t mReservationChanges = 0;
   key_gate* mKeys = nullptr;
   std::function<void(const endpoint_name&)> mOnLeaving;
   catalog_ptr mCatalog;
@@ -609,6 +779,12 @@
   mCore->OnEndpointLeaving(std::move(aListener));
 }
 
+crash_guard&
+router::Crashes()
+{
+  return mCore->Crashes();
+}
+
 void
 router::PutInForce(catalog_ptr aCatalog)
 {
--- a/thornhollow/daemon/router.h
+++ b/thornhollow/daemon/router.h
@@ -19,6 +19,7 @@
 #include "thornhollow/base/ids.h"
 #include "thornhollow/config/catalog.h"
 #include "thornhollow/config/settings.h"
+#include "thornhollow/daemon/crash_guard.h"
 #include "thornhollow/daemon/json_log.h"
 #include "thornhollow/daemon/key_gate.h"
 #include "thornhollow/daemon/metrics.h"
@@ -70,6 +71,9 @@
   void OnLoadReport(const endpoint_name& aEndpoint, const load_report& aReport);
   void OnEndpointState(const endpoint_name& aEndpoint, endpoint_state aState);
 
+  // Keeps requests that end endpoints from doing so again.
+  crash_guard& Crashes();
+
   // Returns the endpoints that this instance uses, with their estimated state.
   std::vector<endpoint_status> Endpoints() const;
 
--- a/thornhollow/fleet/gossip_size.h
+++ b/thornhollow/fleet/gossip_size.h
@@ -48,7 +48,7 @@
     kMaxSealOverhead + aMessage.mSender.mName.Text().size();
   const std::size_t names =
     aMessage.mDomain.Text().size() + aMessage.mTarget.Text().size() + 6;
-  const std::size_t numbers = 2 + 11 + 11 + 11;
+  const std::size_t numbers = 2 + 11 + 11 + 11 + 11;
   const std::size_t lists = 9;
   return seal + names + numbers + lists + 2 + MaxEntrySize(aMessage.mSender);
 }
--- a/thornhollow/fleet/peer_messages.h
+++ b/thornhollow/fleet/peer_messages.h
@@ -20,6 +20,7 @@
 #include "thornhollow/base/time.h"
 #include "thornhollow/config/config_word.h"
 #include "thornhollow/config/declarations.h"
+#include "thornhollow/policy/crash_report.h"
 #include "thornhollow/policy/pool_pressure.h"
 
 namespace thornhollow {
@@ -119,6 +120,10 @@
   // exists, as far as the sender knows; unset if the message does not say. See
   // config_hint.
   std::optional<duration> mPlatformAge;
+  // A report of suspected requests, and the digest of the sender's sightings,
+  // see `crash_suspects::Digest`; unset if the message has none.
+  std::optional<crash_report> mCrashes = std::nullopt;
+  std::optional<std::uint64_t> mCrashDigest = std::nullopt;
 
   friend bool operator==(const gossip_message&,
                          const gossip_message&) = default;
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -22,12 +22,6 @@
 
 } // namespace
 
-std::uint32_t
-EndpointHash(const endpoint_name& aEndpoint)
-{
-  return static_cast<std::uint32_t>(Hash64(aEndpoint.Text()));
-}
-
 relay_peers::relay_peers(const relay_peer_settings& aSettings,
                          std::string aOwnAddress,
                          domain_name aOwnDomain,
@@ -234,12 +228,20 @@
 }
 
 std::vector<std::string>
-relay_peers::SamplePeers()
+relay_peers::Addresses() const
 {
   std::vector<std::string> all;
+  all.reserve(mPeers.size());
   for (const auto& [address, each] : mPeers) {
     all.push_back(address);
   }
+  return all;
+}
+
+std::vector<std::string>
+relay_peers::SamplePeers()
+{
+  std::vector<std::string> all = Addresses();
   std::ranges::shuffle(all, mRandom);
   all.resize(std::min(all.size(), mSettings.mAddressesPerHello));
   return all;
@@ -441,10 +443,7 @@
 std::vector<std::string>
 relay_peers::DrawRecipients()
 {
-  std::vector<std::string> all;
-  for (const auto& [address, each] : mPeers) {
-    all.push_back(address);
-  }
+  std::vector<std::string> all = Addresses();
   if (all.size() > mSettings.mFanout) {
     std::ranges::shuffle(all, mRandom);
     all.resize(mSettings.mFanout);
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -41,10 +41,12 @@
 #include <utility>
 #include <vector>
 
+#include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
 #include "thornhollow/discovery/source_follower.h"
 #include "thornhollow/fleet/demand_aggregation.h"
+#include "thornhollow/policy/crash_report.h"
 #include "thornhollow/policy/workload_kind.h"
 
 namespace thornhollow {
@@ -54,8 +56,8 @@
 // time per token, and the requests in flight.
 struct reported_load
 {
-  // See `EndpointHash`.
-  std::uint32_t mEndpoint = 0;
+  // Endpoints with the same hash share one estimate of their load.
+  endpoint_hash mEndpoint = 0;
   std::uint64_t mPrefillTokens = 0;
   // Lowest observed prefill time per prompt token, in nanoseconds; 0 if not
   // observed.
@@ -66,12 +68,6 @@
   friend bool operator==(const reported_load&, const reported_load&) = default;
 };
 
-// Hash that identifies an endpoint in messages. Among a thousand endpoints the
-// probability of a collision is about one in ten thousand; endpoints with the
-// same hash share one estimate of their load.
-std::uint32_t
-EndpointHash(const endpoint_name& aEndpoint);
-
 struct pool_demand
 {
   pool_name mPool;
@@ -118,6 +114,12 @@
   std::optional<duration> mSourceAnswerAge = std::nullopt;
   // Link capacity in Mbit/s; 0 if not reported.
   std::uint32_t mLinkMegabits = 0;
+  // A report of suspected requests. A hello with this member has no loads,
+  // demand or peers.
+  std::optional<crash_report> mCrashes = std::nullopt;
+  // Digest of the sender's sightings, see `crash_suspects::Digest`; unset if
+  // the sender does not report it.
+  std::optional<std::uint64_t> mCrashDigest = std::nullopt;
 
   friend bool operator==(const relay_hello&, const relay_hello&) = default;
 };
@@ -247,6 +249,9 @@
   std::optional<std::string> OnHello(const relay_hello& aHello,
                                      time_point aNow);
 
+  // Addresses of all live peers.
+  std::vector<std::string> Addresses() const;
+
   // Returns a random sample of peer addresses for a hello.
   std::vector<std::string> SamplePeers();
 
--- /dev/null
+++ b/thornhollow/policy/crash_report.h
@@ -0,0 +1,85 @@
+// What instances tell each other about requests that are suspected of ending
+// the endpoints that run them.
+//
+//   crash_report report = suspects.NextReport(kMaxBytes, now);
+//   Send(peer, report);
+//
+// Times are told as ages, so that no clocks need to agree; an age only grows as
+// a report is passed on.
+#ifndef THORNHOLLOW_POLICY_CRASH_REPORT_H_
+#define THORNHOLLOW_POLICY_CRASH_REPORT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "thornhollow/base/endpoint_hash.h"
+#include "thornhollow/base/request_fingerprint.h"
+#include "thornhollow/base/time.h"
+
+namespace thornhollow {
+
+// A request was open at an endpoint when the endpoint's process ended.
+struct crash_sighting
+{
+  endpoint_hash mEndpoint = 0;
+  // Time since the process ended.
+  duration mAge{};
+  request_fingerprint mRequest;
+  // Whether the request ran there as a trial: all instances kept other new
+  // requests off the endpoint.
+  bool mTrial = false;
+
+  friend bool operator==(const crash_sighting&,
+                         const crash_sighting&) = default;
+};
+
+// A suspected request runs, or is about to run, at an endpoint.
+struct suspect_run
+{
+  request_fingerprint mRequest;
+  endpoint_hash mEndpoint = 0;
+  // The instance that sends the request; differs for each process.
+  std::uint64_t mInstance = 0;
+  // Increases with each run of the instance, so that a late message about an
+  // earlier run is told from the present one.
+  std::uint32_t mNumber = 0;
+  // For how long the report is valid unless repeated; zero: the run has ended.
+  duration mRemaining{};
+  // Whether other instances keep new requests off the endpoint meanwhile.
+  bool mReserves = false;
+  // Whether the request has been sent; before, the run is only announced.
+  bool mStarted = false;
+
+  friend bool operator==(const suspect_run&, const suspect_run&) = default;
+};
+
+// An endpoint has produced output for a suspected request, so that the
+// endpoints that ended before were not ended by this request.
+struct suspect_clearance
+{
+  request_fingerprint mRequest;
+  // Time since the output.
+  duration mAge{};
+
+  friend bool operator==(const suspect_clearance&,
+                         const suspect_clearance&) = default;
+};
+
+// One message.
+struct crash_report
+{
+  std::vector<crash_sighting> mSightings;
+  std::vector<suspect_run> mRuns;
+  std::vector<suspect_clearance> mClearances;
+
+  bool empty() const
+  {
+    return mSightings.empty() && mRuns.empty() && mClearances.empty();
+  }
+
+  friend bool operator==(const crash_report&, const crash_report&) = default;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_POLICY_CRASH_REPORT_H_
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -183,6 +183,15 @@
            aRecord.mHealth.Allowance(kUnlimited, aRecord.mInFlight, aNow);
 }
 
+bool
+relay_pool::IsInService(const relay_pick& aPick) const
+{
+  const auto found = mRecords.find(aPick.mEndpoint);
+  return found != mRecords.end() &&
+         found->second.mEndpoint.mLifetime == aPick.mLifetime &&
+         !found->second.mEndpoint.mDraining;
+}
+
 std::vector<relay_pool::record*>
 relay_pool::Candidates(const request_profile& aRequest,
                        const std::vector<endpoint_name>& aTried,
@@ -194,7 +203,9 @@
     if (each.mEndpoint.mDraining || std::ranges::count(aTried, name) > 0) {
       continue;
     }
-    (TakesNewWork(each, aNow) ? healthy : unhealthy).push_back(&each);
+    const bool isFree =
+      mReservedEndpoints.empty() || !mReservedEndpoints.contains(name);
+    (isFree && TakesNewWork(each, aNow) ? healthy : unhealthy).push_back(&each);
   }
   // If no healthy endpoint is left, unhealthy endpoints are tried: an attempt
   // at one may succeed, while a refusal is certain to fail the request.
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -48,7 +48,9 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -183,6 +185,15 @@
   std::variant<std::optional<relay_pick>, admission_refusal>
   Admit(const request_profile& aRequest, duration aTimeLeft, time_point aNow);
 
+  // Sets the endpoints that receive no new requests for now as long as others
+  // are left.
+  void SetReserved(std::set<endpoint_name> aReserved)
+  {
+    mReservedEndpoints = std::move(aReserved);
+  }
+  // Whether the endpoint of the attempt is still listed and not leaving.
+  bool IsInService(const relay_pick& aPick) const;
+
   // Chooses an endpoint for `aRequest` that is not in `aTried`. Returns nothing
   // if no endpoint is available.
   std::optional<relay_pick> Choose(const request_profile& aRequest,
@@ -305,6 +316,7 @@
   domain_reachability mReach;
   std::mt19937_64 mRandom;
   std::map<endpoint_name, record> mRecords;
+  std::set<endpoint_name> mReservedEndpoints;
   std::uint32_t mNextNumber = 0;
   prefix_affinity mAffinity;
   engine_partition mPartition;
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -59,6 +59,9 @@
 
     def end(self):
         """Stops as a crash does: connections are closed at once."""
+        # Closing alone would leave it listening until the server's thread, which
+        # waits for it, has returned.
+        self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
         for each in list(self.connections):
             try:
--- a/thornhollow/wire/codec.cc
+++ b/thornhollow/wire/codec.cc
@@ -10,6 +10,7 @@
 #include <thornhollow_types.h>
 
 #include "thornhollow/wire/internal/compact.h"
+#include "thornhollow/wire/internal/crash_codec.h"
 
 namespace thornhollow {
 namespace {
@@ -362,6 +363,12 @@
   if (aMessage.mPlatformAge) {
     out.__set_platform_age_ms(ToMilliseconds(*aMessage.mPlatformAge));
   }
+  if (aMessage.mCrashes) {
+    out.__set_crashes(wire_internal::ToWire(*aMessage.mCrashes));
+  }
+  if (aMessage.mCrashDigest) {
+    out.__set_crash_digest(Signed(*aMessage.mCrashDigest));
+  }
   AppendTo(out.pressures, aMessage.mPressures);
   AppendTo(out.leaving, aMessage.mLeaving);
   return Write(out);
@@ -394,6 +401,12 @@
   if (read->__isset.platform_age_ms) {
     out.mPlatformAge = PlatformAge(read->platform_age_ms);
   }
+  if (read->__isset.crashes) {
+    out.mCrashes = wire_internal::FromWire(read->crashes);
+  }
+  if (read->__isset.crash_digest) {
+    out.mCrashDigest = Unsigned(read->crash_digest);
+  }
   AppendKnown(out.mPressures, read->pressures);
   AppendKnown(out.mLeaving, read->leaving);
   return out;
--- /dev/null
+++ b/thornhollow/wire/internal/crash_codec.cc
@@ -0,0 +1,123 @@
+#include "thornhollow/wire/internal/crash_codec.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace thornhollow::wire_internal {
+namespace {
+
+constexpr std::int64_t kMaxMilliseconds = 86'400'000;
+constexpr std::size_t kFingerprintBytes = 8;
+constexpr unsigned kBitsPerByte = 8;
+
+std::int32_t
+ToWireMilliseconds(duration aLength)
+{
+  return static_cast<std::int32_t>(
+    std::clamp<std::int64_t>(ToMilliseconds(aLength), 0, kMaxMilliseconds));
+}
+
+duration
+FromWireMilliseconds(std::int32_t aMilliseconds)
+{
+  return Milliseconds(
+    std::clamp<std::int64_t>(aMilliseconds, 0, kMaxMilliseconds));
+}
+
+void
+Append(std::string& aBytes, request_fingerprint aRequest)
+{
+  for (std::size_t at = 0; at < kFingerprintBytes; ++at) {
+    aBytes += static_cast<char>(aRequest.mValue >> (kBitsPerByte * at) & 0xFFU);
+  }
+}
+
+void
+Read(const wire::endpoint_end& aEnd,
+     const std::string& aBytes,
+     bool aTrial,
+     std::vector<crash_sighting>& aOut)
+{
+  for (std::size_t from = 0; from + kFingerprintBytes <= aBytes.size();
+       from += kFingerprintBytes) {
+    request_fingerprint request;
+    for (std::size_t at = kFingerprintBytes; at > 0; --at) {
+      request.mValue = request.mValue << kBitsPerByte |
+                       static_cast<unsigned char>(aBytes[from + at - 1]);
+    }
+    aOut.push_back({ static_cast<endpoint_hash>(aEnd.endpoint),
+                     FromWireMilliseconds(aEnd.age_ms),
+                     request,
+                     aTrial });
+  }
+}
+
+} // namespace
+
+wire::crash_report
+ToWire(const crash_report& aReport)
+{
+  wire::crash_report out;
+  // Sightings of one end have one age, so that it is sent once.
+  std::map<std::pair<endpoint_hash, duration>, wire::endpoint_end> ends;
+  for (const crash_sighting& each : aReport.mSightings) {
+    wire::endpoint_end& end = ends[{ each.mEndpoint, each.mAge }];
+    end.__set_endpoint(static_cast<std::int32_t>(each.mEndpoint));
+    end.__set_age_ms(ToWireMilliseconds(each.mAge));
+    Append(each.mTrial ? end.trials : end.suspects, each.mRequest);
+    end.__isset.trials = true;
+    end.__isset.suspects = true;
+  }
+  for (auto& [key, end] : ends) {
+    out.ends.push_back(std::move(end));
+  }
+  for (const suspect_run& each : aReport.mRuns) {
+    wire::suspect_run run;
+    run.__set_request(static_cast<std::int64_t>(each.mRequest.mValue));
+    run.__set_endpoint(static_cast<std::int32_t>(each.mEndpoint));
+    run.__set_instance(static_cast<std::int64_t>(each.mInstance));
+    run.__set_number(static_cast<std::int32_t>(each.mNumber));
+    run.__set_remaining_ms(ToWireMilliseconds(each.mRemaining));
+    run.__set_reserves(each.mReserves);
+    run.__set_started(each.mStarted);
+    out.runs.push_back(run);
+  }
+  for (const suspect_clearance& each : aReport.mClearances) {
+    wire::suspect_clearance clearance;
+    clearance.__set_request(static_cast<std::int64_t>(each.mRequest.mValue));
+    clearance.__set_age_ms(ToWireMilliseconds(each.mAge));
+    out.clearances.push_back(clearance);
+  }
+  out.__isset.ends = true;
+  out.__isset.runs = true;
+  out.__isset.clearances = true;
+  return out;
+}
+
+crash_report
+FromWire(const wire::crash_report& aReport)
+{
+  crash_report report;
+  for (const wire::endpoint_end& each : aReport.ends) {
+    Read(each, each.suspects, false, report.mSightings);
+    Read(each, each.trials, true, report.mSightings);
+  }
+  for (const wire::suspect_run& each : aReport.runs) {
+    report.mRuns.push_back(
+      { { static_cast<std::uint64_t>(each.request) },
+        static_cast<endpoint_hash>(each.endpoint),
+        static_cast<std::uint64_t>(each.instance),
+        static_cast<std::uint32_t>(std::max(each.number, 0)),
+        FromWireMilliseconds(each.remaining_ms),
+        each.reserves,
+        each.started });
+  }
+  for (const wire::suspect_clearance& each : aReport.clearances) {
+    report.mClearances.push_back({ { static_cast<std::uint64_t>(each.request) },
+                                   FromWireMilliseconds(each.age_ms) });
+  }
+  return report;
+}
+
+} // namespace thornhollow::wire_internal
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -6,6 +6,7 @@
 #include <thornhollow_types.h>
 
 #include "thornhollow/wire/internal/compact.h"
+#include "thornhollow/wire/internal/crash_codec.h"
 #include "thornhollow/wire/packing.h"
 
 namespace thornhollow {
@@ -286,6 +287,12 @@
     out.__set_link_megabits(static_cast<std::int32_t>(
       std::min<std::uint32_t>(aHello.mLinkMegabits, kMostMegabits)));
   }
+  if (aHello.mCrashes) {
+    out.__set_crashes(wire_internal::ToWire(*aHello.mCrashes));
+  }
+  if (aHello.mCrashDigest) {
+    out.__set_crash_digest(Signed(*aHello.mCrashDigest));
+  }
   if (aHello.mSourceAnswerAge) {
     out.__set_source_answer_age_ms(static_cast<std::int32_t>(
       std::min(ToMilliseconds(*aHello.mSourceAnswerAge), kMostMilliseconds)));
@@ -334,6 +341,12 @@
     hello.mLinkMegabits =
       static_cast<std::uint32_t>(std::max(in->link_megabits, 0));
   }
+  if (in->__isset.crashes) {
+    hello.mCrashes = wire_internal::FromWire(in->crashes);
+  }
+  if (in->__isset.crash_digest) {
+    hello.mCrashDigest = static_cast<std::uint64_t>(in->crash_digest);
+  }
   if (in->__isset.source_answer_age_ms) {
     hello.mSourceAnswerAge = Span(in->source_answer_age_ms);
   }
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -42,6 +42,39 @@
   3: i64 platform_age_ms
 }
 
+// The end of an endpoint's process, and what was open there.
+struct endpoint_end {
+  // The lowest 32 bits of the hash of the endpoint's name.
+  1: i32 endpoint
+  2: i32 age_ms
+  // Eight bytes for each request, the lowest first; those that ran there as a
+  // trial stand in `trials` alone.
+  3: binary suspects
+  4: binary trials
+}
+
+struct suspect_run {
+  1: i64 request
+  2: i32 endpoint
+  3: i64 instance
+  4: i32 number
+  // 0: ended.
+  5: i32 remaining_ms
+  6: bool reserves
+  7: bool started
+}
+
+struct suspect_clearance {
+  1: i64 request
+  2: i32 age_ms
+}
+
+struct crash_report {
+  1: list<endpoint_end> ends
+  2: list<suspect_run> runs
+  3: list<suspect_clearance> clearances
+}
+
 struct gossip_message {
   1: i32 kind
   2: i64 exchange
@@ -54,6 +87,8 @@
   9: list<leaving_endpoint> leaving
   // 10 was a word on each datagram.
   11: optional i64 platform_age_ms
+  12: optional crash_report crashes
+  13: optional i64 crash_digest
 }
 
 struct claim_request {
@@ -165,6 +200,9 @@
   12: optional i32 source_answer_age_ms
   // What the teller's link carries, in Mbit/s.
   13: optional i32 link_megabits
+  // Beside `brief` only.
+  14: optional crash_report crashes
+  15: optional i64 crash_digest
 }
 
 struct items_request {
