Suspects' messages are bounded from the start; ends at one moment; tests of gossip, messages, soak

crash_gossip read its allowance before it was set: how many messages it might send depended on the heap.

The soak has requests that end engines; innocent ones must never be told that they do.

--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -205,6 +205,7 @@
     peers.mSend = [this](const std::vector<std::string>& aTo,
                          const crash_report& aReport) {
       std::vector<instance_name> names;
+      names.reserve(aTo.size());
       for (const std::string& each : aTo) {
         names.emplace_back(each);
       }
--- a/thornhollow/fleet/crash_gossip.cc
+++ b/thornhollow/fleet/crash_gossip.cc
@@ -12,6 +12,7 @@
   : mSettings(aSettings)
   , mSuspects(aSuspects)
   , mRandom(aSeed)
+  , mAllowance(aSettings.mMaxBurst)
 {
 }
 
--- a/thornhollow/fleet/testing/crash_fleet.h
+++ b/thornhollow/fleet/testing/crash_fleet.h
@@ -35,6 +35,8 @@
   std::size_t mEndpoints = 12;
   // Fraction of messages between instances that are lost, 0 to 1.
   double mLossRate = 0.02;
+  // Whether instances ask `crash_suspects` before they send.
+  bool mAsks = true;
 };
 
 struct crash_fleet_result
@@ -357,9 +359,9 @@
 
   // The life of a submission.
 
-  void Submit(submission aSubmission, std::size_t aInstance)
+  void Submit(const submission& aSubmission, std::size_t aInstance)
   {
-    auto one = std::make_shared<submission>(std::move(aSubmission));
+    auto one = std::make_shared<submission>(aSubmission);
     one->mTicket = ++mNextTicket;
     one->mInstance = aInstance;
     Attempt(one, std::nullopt);
@@ -374,7 +376,8 @@
     }
     endpoint& where = mEndpoints[*chosen];
     const suspect_attempt attempt = AttemptOf(*aOne, where.mName);
-    const send_decision decision = suspects.BeforeSend(attempt, mNow);
+    const send_decision decision =
+      mShape.mAsks ? suspects.BeforeSend(attempt, mNow) : send_decision{};
     Flush(aOne->mInstance);
     if (decision.mVerdict == send_verdict::kReject) {
       mResult.mRejected += aOne->mCulprit ? 0 : 1;
@@ -445,10 +448,12 @@
 
   endpoint* Find(endpoint_hash aName)
   {
-    const auto found = std::ranges::find_if(mEndpoints, [&](const endpoint& a) {
-      return a.mName == aName && a.mIsUp;
-    });
-    return found == mEndpoints.end() ? nullptr : &*found;
+    for (endpoint& each : mEndpoints) {
+      if (each.mName == aName && each.mIsUp) {
+        return &each;
+      }
+    }
+    return nullptr;
   }
 
   void EndUnderCulprit(endpoint_hash aName, std::size_t aCulprit)
--- a/thornhollow/policy/crash_suspects.cc
+++ b/thornhollow/policy/crash_suspects.cc
@@ -123,13 +123,7 @@
 crash_suspects::EndedUnder(request_fingerprint aRequest) const
 {
   const auto found = mByRequest.find(aRequest);
-  if (found == mByRequest.end()) {
-    return 0;
-  }
-  return static_cast<std::size_t>(
-    std::ranges::count_if(found->second, [&](crash_number aNumber) {
-      return !MayBeCoincidence(mCrashes.at(aNumber), aRequest);
-    }));
+  return found == mByRequest.end() ? 0 : found->second.size();
 }
 
 void
@@ -327,11 +321,12 @@
   }
   if (!all.empty()) {
     // If there is more than fits, each call tells another part.
-    std::ranges::rotate(
-      all, all.begin() + static_cast<std::ptrdiff_t>(aTurn % all.size()));
+    std::rotate(all.begin(),
+                all.begin() + static_cast<std::ptrdiff_t>(aTurn % all.size()),
+                all.end());
   }
   // Whoever has missed these may send a request that is rejected elsewhere.
-  std::ranges::stable_partition(all, [&](const item_key& aKey) {
+  std::stable_partition(all.begin(), all.end(), [&](const item_key& aKey) {
     const auto* key = std::get_if<sighting_key>(&aKey);
     return key != nullptr && IsRejected(key->mRequest, aNow);
   });
@@ -646,15 +641,17 @@
 {
   double evidence = 0;
   bool isConclusive = false;
+  std::size_t separate = 0;
   std::size_t unexplained = 0;
   time_point lastTrial{};
   crash_rejection rejection{ aRequest, {} };
   for (const crash_number each : mByRequest.at(aRequest)) {
     const crash& ended = mCrashes.at(each);
+    rejection.mEndpoints.push_back(ended.mEndpoint);
     if (MayBeCoincidence(ended, aRequest)) {
       continue;
     }
-    rejection.mEndpoints.push_back(ended.mEndpoint);
+    ++separate;
     if (IsExplained(ended, aRequest)) {
       continue;
     }
@@ -665,11 +662,9 @@
       lastTrial = std::max(lastTrial, ended.mAt);
     }
   }
-  // Without a conclusive trial, ends for which there is another explanation
-  // don't count.
-  const std::size_t ends =
-    isConclusive ? rejection.mEndpoints.size() : unexplained;
-  if (evidence < kConclusive || ends < mSettings.mMaxEnded) {
+  const bool enough = isConclusive ? separate >= mSettings.mMinSeparateEnds
+                                   : unexplained >= mSettings.mMaxEnded;
+  if (evidence < kConclusive || !enough) {
     mRejectedUntil.erase(aRequest);
     return;
   }
--- a/thornhollow/policy/crash_suspects.h
+++ b/thornhollow/policy/crash_suspects.h
@@ -24,14 +24,15 @@
 //   or more   all instances keep other new requests off it, so that its end
 //             tells which request ended it
 //
-// A request is rejected if three endpoints have ended under it and a trial is
-// among these. A trial that is not conclusive, as another suspect was open
-// there, counts for half of one, and then only ends count that no rejected
-// request explains. Ends of several endpoints at the same time have a common
-// cause and don't count. The first output of any run clears a suspect. So
-// neither a storm of such requests nor crashes for other reasons get an
-// innocent request rejected: it would have to meet a crash in its trial, which
-// ends with its first output.
+// A request is rejected if three endpoints have ended under it and the last run
+// was a trial. Ends of several endpoints at the same moment have a common
+// cause: such an end is no evidence, and only one of the three may be of this
+// kind. A trial is not conclusive if another suspect was open there; then a
+// second one is needed, and only ends count that no rejected request explains.
+// The first output of any run clears a suspect. So neither a storm of such
+// requests nor crashes for other reasons get an innocent request rejected: it
+// would have to meet a crash of its endpoint alone in its trial, which ends
+// with its first output.
 //
 // A rejection lapses after a time, as engines are mended; one more trial that
 // ends an endpoint renews it.
@@ -60,6 +61,9 @@
 {
   // Endpoints that may end under a request before it is rejected.
   std::size_t mMaxEnded = 3;
+  // Minimum number of these that did not end together with several others, the
+  // trial among them.
+  std::size_t mMinSeparateEnds = 2;
   // Sightings of one endpoint within this time are sightings of one end. Longer
   // than a report takes, shorter than a process needs to start and end again.
   duration mSameEndWindow = Milliseconds(1'500);
@@ -157,8 +161,7 @@
   bool IsRejected(request_fingerprint aRequest, time_point aNow) const;
   // Until when the request is rejected, if it is.
   std::optional<time_point> RejectedUntil(request_fingerprint aRequest) const;
-  // Number of endpoints that ended under the request since it was last cleared,
-  // but for those that ended together with several others.
+  // Number of endpoints that ended under the request since it was last cleared.
   std::size_t EndedUnder(request_fingerprint aRequest) const;
 
   // The endpoint has produced output for the request.
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -164,6 +164,7 @@
         self.expires_after_s = 0.5
         self.store = None
         self.ended = []
+        self.is_down = False
         self.over = threading.Event()
         engine = self
 
@@ -186,6 +187,7 @@
 
     def end(self, request):
         self.ended.append((time.monotonic(), request))
+        self.is_down = True
         self.server.end()
         threading.Thread(target=self._come_back, args=(self.name,),
                          daemon=True).start()
@@ -198,6 +200,7 @@
         self.name = f"{old}+"
         self.server = Server(self.handler, self.server.server_port)
         self.store.put(f"servers/{self.name}", self.entry())
+        self.is_down = False
 
     def stop(self):
         self.over.set()
--- a/thornhollow/wire/relay_codec_test.cc
+++ b/thornhollow/wire/relay_codec_test.cc
@@ -1,8 +1,12 @@
 #include <cmath>
+#include <cstdint>
 #include <random>
+#include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
+#include "thornhollow/fleet/crash_gossip.h"
 #include "thornhollow/wire/relay_codec.h"
 
 namespace thornhollow {
@@ -50,6 +54,62 @@
   CHECK(DecodeItemsAnswer(EncodeItemsAnswer(afterAnOutage)) == afterAnOutage);
 }
 
+crash_report
+Crashes()
+{
+  return { { { 0xfedcba98, Milliseconds(120), { 0xfedcba9876543210 }, false },
+             { 0xfedcba98, Milliseconds(120), { 5 }, true },
+             { 7, Milliseconds(0), { 5 }, false } },
+           { { { 5 }, 7, 0xffffffffffffffff, 9, Seconds(2), true, true } },
+           { { { 6 }, Milliseconds(30) } } };
+}
+
+TEST_CASE("relay_codec/crash_report/comes_back_as_it_was")
+{
+  relay_hello hello = Hello();
+  hello.mCrashes = Crashes();
+  hello.mCrashDigest = 0xfedcba9876543210;
+  const auto read = DecodeHello(EncodeHello(hello));
+  REQUIRE(read);
+  CHECK(read->mCrashDigest == hello.mCrashDigest);
+  REQUIRE(read->mCrashes);
+  // Sightings are grouped by endpoint, and trials come last.
+  CHECK(read->mCrashes->mSightings ==
+        std::vector<crash_sighting>{ hello.mCrashes->mSightings[2],
+                                     hello.mCrashes->mSightings[0],
+                                     hello.mCrashes->mSightings[1] });
+  CHECK(read->mCrashes->mRuns == hello.mCrashes->mRuns);
+  CHECK(read->mCrashes->mClearances == hello.mCrashes->mClearances);
+}
+
+// Guards against a report that is larger than `NextReport` counts and is lost
+// with its datagram.
+TEST_CASE("relay_codec/largest_crash_report/fits_a_datagram")
+{
+  crash_suspects suspects(crash_suspects_settings{}, ~std::uint64_t{ 0 });
+  const time_point now{ Seconds(1'000) };
+  constexpr std::uint64_t kLargest = ~std::uint64_t{ 0 };
+  for (std::uint64_t each = 0; each < 400; ++each) {
+    suspects.OnEndpointEnded({ { kLargest - each },
+                               each,
+                               static_cast<endpoint_hash>(kLargest - each / 3),
+                               9 },
+                             now - Seconds(500),
+                             now);
+    suspects.BeforeSend({ { kLargest - each }, each, 1, 9 }, now);
+  }
+  while (suspects.HasNews(now)) {
+    relay_hello hello;
+    hello.mBrief = true;
+    hello.mAddress = "255.255.255.255:65535";
+    hello.mDomain = domain_name(std::string(32, 'd'));
+    hello.mCrashes =
+      suspects.NextReport(crash_gossip_settings{}.mMaxReportBytes, now);
+    hello.mCrashDigest = kLargest;
+    CHECK(EncodeHello(hello).size() <= 1'000);
+  }
+}
+
 TEST_CASE("relay_codec/full_hello/fits_a_datagram")
 {
   relay_hello hello = Hello();
