A run that began before the ends is no trial

What callers would have seen: a content that many submit (a look-up) is rejected for ten minutes, because endpoints crash one after the other while submissions of it are open at several. Cause: a run that was announced late, as it had been sent before the first end, counted as a trial once two endpoints had ended; it had reserved nothing. Found by reading. Whether a run is a trial is now what it was announced as. The new case of policy.crash_suspects_test failed before (rejected after the third end) and passes.

--- a/thornhollow/policy/crash_suspects.cc
+++ b/thornhollow/policy/crash_suspects.cc
@@ -80,17 +80,16 @@
                           bool aTrial,
                           time_point aNow)
 {
-  const bool reserves = aTrial && aAttempt.mPoolSize > 1;
   if (aOwn == nullptr || aOwn->mEndpoint != aAttempt.mEndpoint ||
-      aOwn->mReserves != reserves) {
+      aOwn->mTrial != aTrial) {
     EndOwnRun(aAttempt.mRequest, aNow, true);
-    if (reserves && !CanReserve(aAttempt, aNow)) {
+    if (aTrial && !CanReserve(aAttempt, aNow)) {
       return { send_verdict::kWait };
     }
-    Announce(aAttempt, reserves, false, aNow);
+    Announce(aAttempt, aTrial, false, aNow);
     return { send_verdict::kWait, true };
   }
-  if (reserves && !HasPrecedence(aAttempt, aNow)) {
+  if (aTrial && !HasPrecedence(aAttempt, aNow)) {
     EndOwnRun(aAttempt.mRequest, aNow, true);
     return { send_verdict::kWait };
   }
@@ -153,8 +152,7 @@
   const run* own = OwnRun(aAttempt.mRequest);
   const bool isMine = own != nullptr && own->mTicket == aAttempt.mTicket &&
                       own->mEndpoint == aAttempt.mEndpoint && own->mStarted;
-  const bool trial =
-    isMine && (own->mReserves || EndedUnder(aAttempt.mRequest) > 1);
+  const bool trial = isMine && own->mTrial;
   if (isMine) {
     // The sighting tells other instances that the run has ended.
     EndOwnRun(aAttempt.mRequest, aNow, false);
@@ -708,6 +706,9 @@
 crash_suspects::CanReserve(const suspect_attempt& aAttempt,
                            time_point aNow) const
 {
+  if (aAttempt.mPoolSize <= 1) {
+    return true;
+  }
   std::set<endpoint_hash> reserved;
   for (const auto& [request, runs] : mRuns) {
     for (const auto& [instance, each] : runs) {
@@ -743,14 +744,15 @@
 
 void
 crash_suspects::Announce(const suspect_attempt& aAttempt,
-                         bool aReserves,
+                         bool aTrial,
                          bool aStarted,
                          time_point aNow)
 {
   run& own = mRuns[aAttempt.mRequest][mInstance];
   own = { .mEndpoint = aAttempt.mEndpoint,
           .mNumber = mNextRun++,
-          .mReserves = aReserves,
+          .mReserves = aTrial && aAttempt.mPoolSize > 1,
+          .mTrial = aTrial,
           .mUntil = aNow + mSettings.mRunValidity,
           .mTicket = aAttempt.mTicket,
           .mStarted = aStarted,
--- a/thornhollow/policy/crash_suspects.h
+++ b/thornhollow/policy/crash_suspects.h
@@ -224,6 +224,8 @@
     std::uint32_t mNumber = 0;
     bool mReserves = false;
     bool mEnded = false;
+    // Of own runs: whether this is a trial.
+    bool mTrial = false;
     // When the report expires, unless repeated.
     time_point mUntil{};
     // Of own runs.
@@ -315,7 +317,7 @@
   bool CanReserve(const suspect_attempt& aAttempt, time_point aNow) const;
   bool HasPrecedence(const suspect_attempt& aAttempt, time_point aNow) const;
   void Announce(const suspect_attempt& aAttempt,
-                bool aReserves,
+                bool aTrial,
                 bool aStarted,
                 time_point aNow);
   void EndOwnRun(request_fingerprint aRequest, time_point aNow, bool aTell);
--- a/thornhollow/policy/crash_suspects_test.cc
+++ b/thornhollow/policy/crash_suspects_test.cc
@@ -248,6 +248,22 @@
   CHECK_FALSE(mInstances[1].IsRejected(kBystander, mNow));
 }
 
+// Guards against a popular content that is rejected because endpoints crash one
+// after the other while submissions of it are open at several.
+TEST_CASE_FIXTURE(suspects_of_instances,
+                  "crash_suspects/sent_before_all_ends/third_is_no_trial")
+{
+  for (endpoint_hash each = 1; each <= 3; ++each) {
+    REQUIRE(Send(0, Attempt(kBystander, each, each)) == send_verdict::kSend);
+  }
+  for (endpoint_hash each = 1; each <= 3; ++each) {
+    End(0, Attempt(kBystander, each, each));
+    Advance(Milliseconds(300));
+  }
+  CHECK(mInstances[0].EndedUnder(kBystander) == 3);
+  CHECK_FALSE(mInstances[0].IsRejected(kBystander, mNow));
+}
+
 // Guards against an innocent request that is rejected for ends that another
 // one brought about.
 TEST_CASE_FIXTURE(suspects_of_instances,
