Failed connections to endpoints are counted

The incident's metrics couldn't tell an instance that reaches no endpoint from one whose requests are retried: a request that gives up isn't in retries_total. No logic changes.

--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -516,6 +516,7 @@
     if (aFailure == attempt_failure::kNotSent) {
       ++mUnsent;
       mUnsentTime += Now() - mSentAt;
+      mDispatcher.Metrics().OnEvent("endpoint_connect_failed");
     }
     if (aClose) {
       mAttempt->Close();
