--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -57,18 +57,111 @@
         self.shutdown()
         self.server_close()
 
-    def end(self):
-        """Stops as a crash does: connections are closed at once."""
+    def refuse(self):
+        """Accepts nothing more; open connections live on."""
         # Closing alone would leave it listening until the server's thread, which
         # waits for it, has returned.
         self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
+        self.shutdown()
+
+    def end(self):
+        """Stops as a crash does: connections are closed at once."""
+        self.refuse()
         for each in list(self.connections):
             try:
                 each.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
-        self.shutdown()
+
+
+class Path:
+    """The network between one instance and one engine, with an address of its
+    own. While it is cut, `mode` says how that shows:
+
+    reset   connections are reset, new ones refused
+    hang    nothing passes, and new connections are never made
+    alone   open connections live on, new ones are refused
+    """
+
+    def __init__(self, handler):
+        self.handler = handler
+        self.passing = threading.Event()
+        self.passing.set()
+        self.blocked = []
+        self._listen(harness.free_port())
+
+    def _listen(self, port):
+        self.server = Server(self.handler, port)
+        self.server.path = self
+        self.address = self.server.address
+
+    def cut(self, mode):
+        if mode == "hang":
+            self.passing.clear()
+            self.server.refuse()
+            self._block()
+        elif mode == "alone":
+            self.server.refuse()
+        else:
+            self.server.end()
+
+    def _block(self):
+        """Listens and never accepts: the system drops the packets that would
+        open further connections."""
+        host, port = self.address.rsplit(":", 1)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(0)
+        self.blocked = [listener]
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+            self.blocked.append(filler)
+
+    def heal(self):
+        for each in self.blocked:
+            each.close()
+        self.blocked = []
+        self._listen(int(self.address.rsplit(":", 1)[1]))
+        self.passing.set()
+
+    def stop(self):
+        for each in self.blocked:
+            each.close()
+        self.passing.set()
+        if self.server.socket.fileno() >= 0:
+            self.server.stop()
+
+
+class StoreView:
+    """The store as one instance sees it: each engine at the address of the path
+    between the two."""
+
+    def __init__(self, store):
+        self.store = store
+        self.paths = {}
+        view = self
+
+        class Handler(store.handler):
+            def answer(self, path, asked):
+                status, body = store.answer(path, asked)
+                for part in ("entries", "events"):
+                    if part in body:
+                        body[part] = [view.seen(item) for item in body[part]]
+                return status, body
+
+        self.server = Server(Handler)
+
+    def seen(self, item):
+        path = self.paths.get(item["key"].removeprefix("servers/"))
+        if path is None or "value" not in item:
+            return item
+        entry = json.loads(base64.b64decode(item["value"]))
+        text = json.dumps({**entry, "address": path.address}).encode()
+        return {**item, "value": base64.b64encode(text).decode()}
 
 
 class Store:
@@ -90,16 +183,20 @@
             def log_message(self, *_):
                 pass
 
+            def answer(self, path, asked):
+                return store.answer(path, asked)
+
             def do_GET(self):
                 path, _, query = self.path.partition("?")
                 asked = dict(urllib.parse.parse_qsl(query))
-                status, body = store.answer(path, asked)
+                status, body = self.answer(path, asked)
                 text = json.dumps(body).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(text)))
                 self.end_headers()
                 self.wfile.write(text)
 
+        self.handler = Handler
         self.server = Server(Handler)
 
     def put(self, key, value):
@@ -208,6 +305,12 @@
         self.server.stop()
 
     def serve(self, call, body):
+        path = getattr(call.server, "path", None)
+        if path and not path.passing.is_set():
+            # What a cut held up is lost when its sender resets the connection.
+            path.passing.wait()
+            call.close_connection = True
+            return None
         self.headers.append(dict(call.headers))
         expected = call.headers.get("X-Expected-Instance")
         if expected != self.name:
@@ -250,6 +353,8 @@
         self.head(call, 200, True, {"Content-Type": "text/event-stream",
                                     "Transfer-Encoding": "chunked"})
         for event in range(first, self.events + 1):
+            if path := getattr(call.server, "path", None):
+                path.passing.wait()
             text = f"id: {event}\ndata: e{event}\n\n".encode()
             if self.mode == "cut" and first == 1 and event == 2:
                 # In the middle of an event, without the stream's end.
