--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -77,9 +77,9 @@
 // A request that could not be sent to this many endpoints is forwarded to
 // another instance if one reaches the pool.
 constexpr std::uint32_t kForwardAfterUnsent = 2;
-// Maximum number of instances to which one request is forwarded: the first may
-// have stopped or lost contact since its last report.
-constexpr std::size_t kMaxForwards = 2;
+// Maximum number of instances to which one request is forwarded: some may have
+// stopped or lost contact since their last reports, and refuse at once.
+constexpr std::size_t kMaxForwards = 4;
 // Added to the silence timeout of a forwarded request. The other instance has
 // the same timeout and retries first.
 constexpr duration kForwardSilenceMargin = Milliseconds(400);
--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -419,5 +419,52 @@
   CHECK(mPeers["a"]->Count(mNow) == 0);
 }
 
+struct instance_with_three_peers
+{
+  relay_peers mPeers{ relay_peer_settings{}, "10.0.0.9:7", kHall, {}, 1 };
+  const pool_name mPool{ "engines" };
+  time_point mNow = time_point() + Seconds(100);
+
+  void Hear(const std::string& aAddress, std::vector<pool_contact> aContacts)
+  {
+    relay_hello hello;
+    hello.mAddress = aAddress;
+    hello.mDomain = kHall;
+    hello.mForwarding = { 9, 5, std::move(aContacts) };
+    mPeers.OnHello(hello, mNow);
+  }
+
+  std::vector<std::string> Found() const
+  {
+    std::vector<std::string> found;
+    for (const forward_peer& each : mPeers.ForwardPeers(mPool, mNow)) {
+      found.push_back(each.mAddress);
+    }
+    return found;
+  }
+};
+
+TEST_CASE_FIXTURE(instance_with_three_peers,
+                  "relay_peers/forward_peers/those_in_contact_go_first")
+{
+  Hear("10.0.0.1:7", { { PoolHash(mPool), true } });
+  Hear("10.0.0.2:7", { { PoolHash(mPool), false } });
+  Hear("10.0.0.3:7", {});
+  CHECK(Found() == std::vector<std::string>{ "10.0.0.1:9" });
+  CHECK(mPeers.CutOffPeers(mPool, mNow) == 1);
+  mNow += Seconds(2);
+  CHECK(Found().empty());
+}
+
+// Guards against requests refused by an instance whose peers had no requests of
+// their own and so no evidence.
+TEST_CASE_FIXTURE(instance_with_three_peers,
+                  "relay_peers/forward_peers/without_evidence_any_but_cut_off")
+{
+  Hear("10.0.0.2:7", { { PoolHash(mPool), false } });
+  Hear("10.0.0.3:7", { { PoolHash(pool_name("others")), true } });
+  CHECK(Found() == std::vector<std::string>{ "10.0.0.3:9" });
+}
+
 } // namespace
 } // namespace thornhollow
--- a/thornhollow/policy/endpoint_contact.cc
+++ b/thornhollow/policy/endpoint_contact.cc
@@ -41,7 +41,9 @@
 void
 endpoint_contact::OnAnswer(bool aNewConnection, time_point aNow)
 {
-  mUnansweredSince = aNow;
+  if (mUnansweredSince) {
+    mUnansweredSince = aNow;
+  }
   if (aNewConnection) {
     OnConnected(aNow);
   }
@@ -118,9 +120,9 @@
   if (mState == contact_state::kReached || aNow < mNextProbe) {
     return 0;
   }
-  mNextProbe = aNow + (mState == contact_state::kLost && mSuccesses == 0
-                         ? mSettings.mProbeInterval
-                         : mSettings.mReturnProbeInterval);
+  mNextProbe =
+    aNow + (mState == contact_state::kLost ? mSettings.mProbeInterval
+                                           : mSettings.mReturnProbeInterval);
   return 1;
 }
 
@@ -145,6 +147,9 @@
     return;
   }
   mSuccesses = aConnected ? mSuccesses + 1 : 0;
+  if (aConnected) {
+    mNextProbe = std::min(mNextProbe, aNow + mSettings.mReturnProbeInterval);
+  }
   if (mSuccesses >= mNeededSuccesses) {
     SetState(contact_state::kReturning, aNow);
   }
--- /dev/null
+++ b/thornhollow/request/forwarding_headers_test.cc
@@ -0,0 +1,93 @@
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "thornhollow/request/forwarding_headers.h"
+
+namespace thornhollow {
+namespace {
+
+struct callers_request
+{
+  relay_names mNames;
+  std::vector<header_field> mFields = {
+    { "Host", "a.example" },
+    { "X-Request-Id", "r1" },
+    { "Authorization", "Bearer secret" },
+    { "X-Deadline-Ms", "1500" },
+    { "Last-Event-Id", "4" },
+    { "Connection", "keep-alive, X-Hop" },
+    { "X-Hop", "1" },
+    { "thornhollow-forwarded", "7,7" },
+  };
+  std::vector<header_field> mSent =
+    ForwardHeaders(mNames, mFields, Milliseconds(900), "12", { 1, 32 });
+
+  std::string_view Sent(std::string_view aName) const
+  {
+    return HeaderValue(mSent, aName);
+  }
+};
+
+TEST_CASE_FIXTURE(callers_request,
+                  "forwarding_headers/forwarded/token_stays_and_time_shrinks")
+{
+  CHECK(Sent("Authorization") == "Bearer secret");
+  CHECK(Sent("X-Request-Id") == "r1");
+  CHECK(Sent("X-Deadline-Ms") == "900");
+  CHECK(Sent("Last-Event-Id") == "12");
+  CHECK(Sent("X-Hop").empty());
+  CHECK(ReadRelayRequest(mNames, mSent).mResumeAfter == "12");
+}
+
+// Guards against a caller that marks its own request as forwarded.
+TEST_CASE_FIXTURE(callers_request,
+                  "forwarding_headers/callers_own_mark/is_replaced")
+{
+  CHECK(ReadForwardingFacts(mSent) == forwarding_facts{ 1, 32 });
+}
+
+TEST_CASE_FIXTURE(callers_request,
+                  "forwarding_headers/endpoints/do_not_see_the_mark")
+{
+  const auto sent = AttemptHeaders(mNames, mSent, {});
+  CHECK(HeaderValue(sent, kForwardingHeader).empty());
+  CHECK(HeaderValue(sent, "Authorization").empty());
+}
+
+TEST_CASE("forwarding_headers/malformed_mark/is_refused")
+{
+  for (const char* each :
+       { "", ",", "1", "1,", ",2", "a,b", "-1,2", "1,2,3" }) {
+    CHECK_FALSE(
+      ReadForwardingFacts({ { std::string(kForwardingHeader), each } }));
+  }
+  CHECK_FALSE(ReadForwardingFacts({}));
+}
+
+TEST_CASE("forwarding_headers/errors/come_back_as_they_were")
+{
+  for (const error_kind each : AllErrorKinds()) {
+    const std::vector<header_field> fields{
+      { std::string(kForwardingErrorHeader), std::string(Name(each)) }
+    };
+    CHECK(ReadForwardingError(fields) == each);
+    CHECK(AnswerHeaders(fields).empty());
+  }
+  CHECK_FALSE(ReadForwardingError({}));
+  CHECK_FALSE(
+    ReadForwardingError({ { std::string(kForwardingErrorHeader), "other" } }));
+}
+
+TEST_CASE("forwarding_headers/retry_after/is_read_with_fractions")
+{
+  CHECK(ReadRetryAfter({ { "Retry-After", "0.250" } }) == Milliseconds(250));
+  CHECK(ReadRetryAfter({ { "Retry-After", "2" } }) == Seconds(2));
+  for (const char* each : { "", "soon", "-1", "nan", "1e9" }) {
+    CHECK_FALSE(ReadRetryAfter({ { "Retry-After", each } }));
+  }
+}
+
+} // namespace
+} // namespace thornhollow
