A second of silence repeats nothing

What callers would have seen: a look-up with a short target was sent to a second endpoint 0.6 s after the first fell silent, though a sound endpoint may be silent for a second or so and go on; its failure domain was doubted. Cause: the least silence timeout. It is 1.3 s now, as for streams. process.relay_engine_silence_test failed before (two runs instead of one; domain_doubted) and passes.

--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -52,13 +52,13 @@
 constexpr duration kPeerSilenceOnce = Seconds(8);
 // A repeatable request that is not a stream is sent to another endpoint if no
 // bytes are received for this multiple of its route's target, but not before
-// `kMinSilenceTimeout`, in which an engine can process a prompt of medium
-// length.
+// `kMinSilenceTimeout`. A sound endpoint may be silent for a second and go on,
+// and what it runs must not be repeated for that.
 constexpr int kSilenceTargetFactor = 4;
-constexpr duration kMinSilenceTimeout = Milliseconds(600);
+constexpr duration kMinSilenceTimeout = Milliseconds(1'300);
 // A repeatable stream that sends no bytes for this long is resumed at another
 // endpoint, before its caller leaves after two seconds without an event.
-constexpr duration kStreamSilenceTimeout = Milliseconds(1'300);
+constexpr duration kStreamSilenceTimeout = kMinSilenceTimeout;
 // A request whose timeout is below this fraction of its route's timeout counts
 // as a retry: the caller has spent the rest on an earlier attempt. Refused
 // callers are told to wait at least a tenth of most timeouts before they retry,
