One time decides when a silent connection ends

TCP_USER_TIMEOUT also ends an idle connection whose probes aren't answered, whatever their count. The store's long polls had 2 s beside 3 s of probes, callers' connections 10 s beside 11 s. The number of probes now follows from the one time (2 s, as it was in effect, and 11 s). net.silence_test compares what the socket holds; on the limits before it would have failed for these two. Boost.Asio and Beast set none themselves; Thrift opens no socket here.

--- a/thornhollow/net/http_fetch.cc
+++ b/thornhollow/net/http_fetch.cc
@@ -36,10 +36,9 @@
 using net_internal::Into;
 
 constexpr net_internal::silence_limits kLongPollSilence = {
-  .mUnacknowledgedMs = 2'000,
+  .mGiveUpSeconds = 2,
   .mProbeAfterSeconds = 1,
   .mProbeIntervalSeconds = 1,
-  .mProbes = 2,
 };
 
 std::optional<std::uint64_t>
--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -40,18 +40,14 @@
 using request_parser = http::request_parser<http::string_body>;
 
 constexpr unsigned kHttp11 = 11;
-// Data that the caller's end doesn't acknowledge for this long ends the
-// connection. Something between the ends can lose track of a connection; then
+// A caller's end that acknowledges no data, or answers no probe, for this long
+// is gone. Something between the ends can lose track of a connection; then
 // nothing is ever answered on it, and without this limit a stream's tokens
 // would be computed for nobody.
-constexpr int kUnacknowledgedMs = 10'000;
-// A connection without traffic is probed, so that one that went silent while
-// its request waits is found too: 5 s + 3 probes 2 s apart.
 constexpr silence_limits kCallerSilence = {
-  .mUnacknowledgedMs = kUnacknowledgedMs,
+  .mGiveUpSeconds = 11,
   .mProbeAfterSeconds = 5,
   .mProbeIntervalSeconds = 2,
-  .mProbes = 3,
 };
 
 std::string
--- a/thornhollow/net/relay_attempt.cc
+++ b/thornhollow/net/relay_attempt.cc
@@ -55,10 +55,9 @@
 {
   const auto seconds =
     static_cast<int>(std::max(2.0, std::round(ToSeconds(aSilence))));
-  return { .mUnacknowledgedMs = seconds * 1'000,
+  return { .mGiveUpSeconds = seconds,
            .mProbeAfterSeconds = 1,
-           .mProbeIntervalSeconds = 1,
-           .mProbes = seconds - 1 };
+           .mProbeIntervalSeconds = 1 };
 }
 
 class attempt final : public relay_attempt
