--- a/thornhollow/daemon/metrics.cc
+++ b/thornhollow/daemon/metrics.cc
@@ -139,6 +139,17 @@
       .Name("thornhollow_source_answer_age_seconds")
       .Help("Since the source itself last answered, by what was asked for")
       .Register(mLeadingRegistry);
+  Gauge& mLostPools = BuildGauge()
+                        .Name("thornhollow_pools_out_of_contact")
+                        .Help("Pools whose endpoints this instance can't reach")
+                        .Register(mLeadingRegistry)
+                        .Add({});
+  Gauge& mForwarded =
+    BuildGauge()
+      .Name("thornhollow_forwarded_requests")
+      .Help("Requests that other instances serve for this one now")
+      .Register(mLeadingRegistry)
+      .Add({});
   Counter& mConfigurationRefused =
     BuildCounter()
       .Name("thornhollow_configuration_refused_total")
@@ -227,6 +238,13 @@
   }
 }
 
+void
+metrics::SetContact(std::size_t aLostPools, std::size_t aForwarded)
+{
+  mFamilies->mLostPools.Set(static_cast<double>(aLostPools));
+  mFamilies->mForwarded.Set(static_cast<double>(aForwarded));
+}
+
 void
 metrics::OnEvent(std::string_view aEvent)
 {
--- a/thornhollow/daemon/metrics.h
+++ b/thornhollow/daemon/metrics.h
@@ -62,6 +62,9 @@
   void SetSource(std::string_view aWhat,
                  std::uint64_t aRevision,
                  std::optional<duration> aAnswerAge);
+  // Sets the number of pools whose endpoints this instance cannot reach, and of
+  // the requests that other instances serve for it now.
+  void SetContact(std::size_t aLostPools, std::size_t aForwarded);
   // Counts an event that has no metric of its own, such as
   // "peer_datagram_refused". Event names must be constants in the program, so
   // that the number of label values is bounded.
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -396,6 +396,8 @@
   {
     const instance_status status = Status();
     mMetrics.SetHeld(mDispatcher.HeldByPool());
+    mMetrics.SetContact(mDispatcher.Reach().LostPools(),
+                        mDispatcher.Reach().Forwarded());
     for (const held_items& each : status.mHeld) {
       mMetrics.SetSource(each.mWhat, each.mAt, each.mAge);
     }
