--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -253,6 +253,8 @@
         # A body that contains this text is answered this much later.
         self.slow_on = None
         self.slow_s = 0.3
+        # Between two events of a stream.
+        self.event_gap_s = 0
         # A body that contains this text ends the engine that runs it. It is
         # back after `back_after_s` as a new lifetime: another name at the same
         # address, while its old entry expires only `expires_after_s` later.
@@ -365,6 +367,7 @@
                 return
             call.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
             call.wfile.flush()
+            time.sleep(self.event_gap_s)
         call.wfile.write(b"0\r\n\r\n")
 
     def entry(self, state="ready", service="engines"):
