--- a/thornhollow/fleet/testing/cut_off_fleet.h
+++ b/thornhollow/fleet/testing/cut_off_fleet.h
@@ -239,7 +239,9 @@
 
   void CountLoad(const instance& aInstance)
   {
-    if (aInstance.mCutOff || mNow < mCutAt + kAtFirst || mNow >= mHealAt) {
+    const bool counts =
+      mNow >= mCutAt && mNow - mCutAt >= kAtFirst && mNow < mHealAt;
+    if (aInstance.mCutOff || !counts) {
       return;
     }
     mResult.mMostInProgress =
