One reader of numbers, one list of end-to-end headers

Forwarding had its own copy of relay_headers' number reader, which stood in http_fetch and intake as well: now base/parse_number. Headers that concern one connection were left out in two places, and forwarding called AnswerHeaders on a request for it: EndToEndHeaders serves requests, answers and forwarded requests; so does TimeLeftHeader for the time left. No behaviour changes.

--- a/thornhollow/base/header_field.h
+++ b/thornhollow/base/header_field.h
@@ -6,6 +6,7 @@
 #define THORNHOLLOW_BASE_HEADER_FIELD_H_
 
 #include <algorithm>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,15 @@
   return found == aFields.end() ? std::string_view() : found->mValue;
 }
 
+// Whether `aName` is one of `aNames`, but for the case of letters.
+inline bool
+IsAnyOf(std::string_view aName, std::initializer_list<std::string_view> aNames)
+{
+  return std::ranges::any_of(aNames, [aName](std::string_view aOther) {
+    return EqualsIgnoreCase(aName, aOther);
+  });
+}
+
 } // namespace thornhollow
 
 #endif // THORNHOLLOW_BASE_HEADER_FIELD_H_
--- a/thornhollow/daemon/intake.cc
+++ b/thornhollow/daemon/intake.cc
@@ -1,7 +1,6 @@
 #include "thornhollow/daemon/intake.h"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <string_view>
 
@@ -11,6 +10,7 @@
 #include <fmt/format.h>
 
 #include "thornhollow/base/hash.h"
+#include "thornhollow/base/parse_number.h"
 #include "thornhollow/config/token.h"
 
 namespace thornhollow {
@@ -47,15 +47,13 @@
   if (text.empty()) {
     return aDeclared;
   }
-  std::int64_t milliseconds = 0;
-  const char* last = text.data() + text.size();
-  const auto [end, error] = std::from_chars(text.data(), last, milliseconds);
-  if (error != std::errc() || end != last || milliseconds <= 0 ||
-      milliseconds > ToMilliseconds(aDeclared)) {
-    const bool longer = error == std::errc() && end == last && milliseconds > 0;
-    return longer ? std::optional(aDeclared) : std::nullopt;
+  const auto milliseconds = ParseNumber<std::int64_t>(text);
+  if (!milliseconds || *milliseconds <= 0) {
+    return std::nullopt;
   }
-  return Milliseconds(milliseconds);
+  return *milliseconds > ToMilliseconds(aDeclared)
+           ? aDeclared
+           : Milliseconds(*milliseconds);
 }
 
 // Returns the concatenated text of all messages.
--- a/thornhollow/net/http_fetch.cc
+++ b/thornhollow/net/http_fetch.cc
@@ -1,7 +1,6 @@
 #include "thornhollow/net/http_fetch.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -21,6 +20,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "thornhollow/base/parse_number.h"
 #include "thornhollow/net/address.h"
 #include "thornhollow/net/internal/awaitable.h"
 #include "thornhollow/net/internal/silence.h"
@@ -41,18 +41,6 @@
   .mProbeIntervalSeconds = 1,
 };
 
-std::optional<std::uint64_t>
-ReadVersion(std::string_view aText)
-{
-  std::uint64_t version = 0;
-  const char* last = aText.data() + aText.size();
-  const auto [end, wrong] = std::from_chars(aText.data(), last, version);
-  if (wrong != std::errc() || end != last || aText.empty()) {
-    return std::nullopt;
-  }
-  return version;
-}
-
 using answer_parser = http::response_parser<http::string_body>;
 
 // Returns the bytes that were read; whether the answer is whole, `aWrong` says.
@@ -120,7 +108,8 @@
   fetch_answer answer;
   answer.mHttpStatus = parser.get().result_int();
   const auto version = parser.get()["X-Version"];
-  answer.mVersion = ReadVersion({ version.data(), version.size() });
+  answer.mVersion =
+    ParseNumber<std::uint64_t>({ version.data(), version.size() });
   answer.mBody = std::move(parser.get().body());
   answer.mExchangedBytes = bytes;
   co_return answer;
--- a/thornhollow/request/forwarding_headers.cc
+++ b/thornhollow/request/forwarding_headers.cc
@@ -1,7 +1,8 @@
 #include "thornhollow/request/forwarding_headers.h"
 
 #include <algorithm>
-#include <charconv>
+
+#include "thornhollow/base/parse_number.h"
 
 namespace thornhollow {
 namespace {
@@ -11,19 +12,6 @@
 // Longer delays than this are not sent by any instance.
 constexpr double kMaxRetryAfterSeconds = 3'600;
 
-template<class number>
-std::optional<number>
-ParseNumber(std::string_view aText)
-{
-  number value{};
-  const char* last = aText.data() + aText.size();
-  const auto [end, error] = std::from_chars(aText.data(), last, value);
-  if (error != std::errc() || end != last || aText.empty()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 } // namespace
 
 std::vector<header_field>
@@ -34,17 +22,17 @@
                const forwarding_facts& aFacts)
 {
   std::vector<header_field> sent;
-  for (header_field& each : AnswerHeaders(aFields)) {
-    const bool replaced = EqualsIgnoreCase(each.mName, aNames.mTimeLeft) ||
-                          EqualsIgnoreCase(each.mName, aNames.mResumeAfter) ||
-                          EqualsIgnoreCase(each.mName, kForwardingHeader);
-    if (!replaced) {
+  for (header_field& each : EndToEndHeaders(aFields)) {
+    const bool left = IsAnyOf(each.mName,
+                              { aNames.mTimeLeft,
+                                aNames.mResumeAfter,
+                                kForwardingHeader,
+                                kForwardingErrorHeader });
+    if (!left) {
       sent.push_back(std::move(each));
     }
   }
-  sent.push_back(
-    { aNames.mTimeLeft,
-      std::to_string(std::max<std::int64_t>(ToMilliseconds(aTimeLeft), 1)) });
+  sent.push_back(TimeLeftHeader(aNames, aTimeLeft));
   if (!aResumeAfter.empty()) {
     sent.push_back({ aNames.mResumeAfter, aResumeAfter });
   }
--- a/thornhollow/request/relay_headers.cc
+++ b/thornhollow/request/relay_headers.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <initializer_list>
+#include <iterator>
 
+#include "thornhollow/base/parse_number.h"
 #include "thornhollow/request/forwarding_headers.h"
 
 namespace thornhollow {
@@ -17,6 +17,9 @@
 // More parts than this are not looked at; the first ones are the shared ones.
 constexpr std::size_t kMaxParts = 64;
 
+// Headers that the router adds to a request, at most.
+constexpr std::size_t kMaxAddedHeaders = 6;
+
 // Headers that concern one connection only, and those that the sender of the
 // next hop writes itself.
 constexpr std::array<std::string_view, 11> kHopHeaders = {
@@ -25,19 +28,6 @@
   "Expect",     "Proxy-Authorization", "Proxy-Authenticate"
 };
 
-template<class number>
-std::optional<number>
-ParseWhole(std::string_view aText)
-{
-  number value = 0;
-  const char* last = aText.data() + aText.size();
-  const auto [end, wrong] = std::from_chars(aText.data(), last, value);
-  if (wrong != std::errc() || end != last || aText.empty()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 std::string_view
 Trimmed(std::string_view aText)
 {
@@ -60,14 +50,6 @@
   return Trimmed(item);
 }
 
-bool
-IsAnyOf(std::string_view aName, std::initializer_list<std::string_view> aNames)
-{
-  return std::ranges::any_of(aNames, [aName](std::string_view aOther) {
-    return EqualsIgnoreCase(aName, aOther);
-  });
-}
-
 // Whether the header concerns this connection only; `Connection` itself may
 // name further ones.
 bool
@@ -93,7 +75,7 @@
   while (!aText.empty() && parts.size() < kMaxParts) {
     std::string_view item = TakeItem(aText, ',');
     const std::string_view id = TakeItem(item, ':');
-    const auto tokens = ParseWhole<std::uint32_t>(item);
+    const auto tokens = ParseNumber<std::uint32_t>(item);
     if (id.empty() || !tokens) {
       break;
     }
@@ -138,7 +120,7 @@
   while (!aValue.empty()) {
     std::string_view item = TakeItem(aValue, ',');
     if (EqualsIgnoreCase(TakeItem(item, '='), "timeout")) {
-      if (const auto seconds = ParseWhole<std::uint32_t>(item)) {
+      if (const auto seconds = ParseNumber<std::uint32_t>(item)) {
         return Seconds(*seconds);
       }
     }
@@ -161,7 +143,7 @@
     ReadToken(aNames.mTokenScheme, HeaderValue(aFields, "Authorization"));
   if (const std::string_view left = HeaderValue(aFields, aNames.mTimeLeft);
       !left.empty()) {
-    if (const auto milliseconds = ParseWhole<std::uint32_t>(left)) {
+    if (const auto milliseconds = ParseNumber<std::uint32_t>(left)) {
       read.mTimeLeft = Milliseconds(*milliseconds);
     } else {
       read.mId = request_id();
@@ -169,35 +151,49 @@
   }
   std::string_view counts = HeaderValue(aFields, aNames.mTokenCounts);
   read.mPromptTokens =
-    ParseWhole<std::uint32_t>(TakeItem(counts, ',')).value_or(0);
+    ParseNumber<std::uint32_t>(TakeItem(counts, ',')).value_or(0);
   read.mMaxOutputTokens =
-    ParseWhole<std::uint32_t>(TakeItem(counts, ',')).value_or(0);
+    ParseNumber<std::uint32_t>(TakeItem(counts, ',')).value_or(0);
   read.mLengthHint =
-    ParseWhole<std::uint32_t>(HeaderValue(aFields, aNames.mLengthHint));
+    ParseNumber<std::uint32_t>(HeaderValue(aFields, aNames.mLengthHint));
   read.mParts = ReadParts(HeaderValue(aFields, aNames.mPromptParts));
   read.mResumeAfter = HeaderValue(aFields, aNames.mResumeAfter);
   return read;
 }
 
+std::vector<header_field>
+EndToEndHeaders(const std::vector<header_field>& aFields)
+{
+  const std::string_view connection = HeaderValue(aFields, "Connection");
+  std::vector<header_field> kept;
+  kept.reserve(aFields.size() + kMaxAddedHeaders);
+  std::ranges::copy_if(aFields,
+                       std::back_inserter(kept),
+                       [connection](const header_field& aField) {
+                         return !ConcernsHop(aField.mName, connection);
+                       });
+  return kept;
+}
+
+header_field
+TimeLeftHeader(const relay_names& aNames, duration aTimeLeft)
+{
+  return { aNames.mTimeLeft,
+           std::to_string(
+             std::max<std::int64_t>(ToMilliseconds(aTimeLeft), 1)) };
+}
+
 std::vector<header_field>
 AttemptHeaders(const relay_names& aNames,
                const std::vector<header_field>& aFields,
                const attempt_facts& aFacts)
 {
-  const std::string_view connection = HeaderValue(aFields, "Connection");
-  std::vector<header_field> sent;
-  sent.reserve(aFields.size() + 6);
-  for (const header_field& each : aFields) {
-    if (!ConcernsHop(each.mName, connection) &&
-        !SetByRouter(aNames, each.mName)) {
-      sent.push_back(each);
-    }
-  }
+  std::vector<header_field> sent = EndToEndHeaders(aFields);
+  std::erase_if(sent, [&](const header_field& aField) {
+    return SetByRouter(aNames, aField.mName);
+  });
   sent.push_back({ aNames.mExpectedEndpoint, aFacts.mEndpoint.Text() });
-  // Never beyond what is left: an endpoint would work on for nobody.
-  sent.push_back({ aNames.mTimeLeft,
-                   std::to_string(std::max<std::int64_t>(
-                     ToMilliseconds(aFacts.mTimeLeft), 1)) });
+  sent.push_back(TimeLeftHeader(aNames, aFacts.mTimeLeft));
   if (!aFacts.mTeam.empty()) {
     sent.push_back({ aNames.mTeam, aFacts.mTeam.Text() });
   }
@@ -216,15 +212,10 @@
 std::vector<header_field>
 AnswerHeaders(const std::vector<header_field>& aFields)
 {
-  const std::string_view connection = HeaderValue(aFields, "Connection");
-  std::vector<header_field> sent;
-  sent.reserve(aFields.size());
-  for (const header_field& each : aFields) {
-    if (!ConcernsHop(each.mName, connection) &&
-        !EqualsIgnoreCase(each.mName, kForwardingErrorHeader)) {
-      sent.push_back(each);
-    }
-  }
+  std::vector<header_field> sent = EndToEndHeaders(aFields);
+  std::erase_if(sent, [](const header_field& aField) {
+    return EqualsIgnoreCase(aField.mName, kForwardingErrorHeader);
+  });
   return sent;
 }
 
--- a/thornhollow/request/relay_headers.h
+++ b/thornhollow/request/relay_headers.h
@@ -107,6 +107,15 @@
   friend bool operator==(const attempt_facts&, const attempt_facts&) = default;
 };
 
+// The headers but for those that concern one connection only.
+std::vector<header_field>
+EndToEndHeaders(const std::vector<header_field>& aFields);
+
+// Tells an endpoint or another instance how long the caller still waits, at
+// least 1 ms. Never beyond what is left: an endpoint would work on for nobody.
+header_field
+TimeLeftHeader(const relay_names& aNames, duration aTimeLeft);
+
 // The caller's headers but for those that concern one connection, its token and
 // what only the router sets; then what the router sets.
 std::vector<header_field>
