The guard itself draws the endpoints that confirm an end

Both interfaces wrote the same draw of a few other endpoints; now each only lists its addresses, and crash_guard draws. No behaviour changes. process.crashing_request_test, process.relay_crashing_request_test and process.relay_cut_off_test pass.

--- a/thornhollow/daemon/crash_guard.cc
+++ b/thornhollow/daemon/crash_guard.cc
@@ -1,6 +1,8 @@
 #include "thornhollow/daemon/crash_guard.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 #include <memory>
 #include <random>
 #include <utility>
@@ -19,6 +21,8 @@
 // How long the result of a probe holds: connections to one process break within
 // milliseconds of each other, and a process takes longer to start again.
 constexpr duration kProbeValidity = Seconds(1);
+// Other endpoints that are probed to confirm an end.
+constexpr std::ptrdiff_t kMaxOtherProbes = 4;
 // Items gather for this long between two messages.
 constexpr duration kReportInterval = Milliseconds(5);
 
@@ -39,6 +43,7 @@
   , mMetrics(aMetrics)
   , mSuspects(crash_suspects_settings{}, RandomNumber())
   , mGossip(crash_gossip_settings{}, mSuspects, RandomNumber())
+  , mRandom(RandomNumber())
   , mTimer(aIo)
 {
 }
@@ -146,9 +151,7 @@
 void
 crash_guard::ConfirmEnd(const endpoint_process& aProcess)
 {
-  const std::vector<std::string> others = mOtherEndpoints
-                                            ? mOtherEndpoints(aProcess.mAddress)
-                                            : std::vector<std::string>();
+  const std::vector<std::string> others = DrawOthers(aProcess.mAddress);
   if (others.empty()) {
     OnProbed(aProcess, true);
     return;
@@ -170,6 +173,19 @@
   }
 }
 
+// Draws a few endpoints other than the one at `aAddress`.
+std::vector<std::string>
+crash_guard::DrawOthers(const std::string& aAddress)
+{
+  std::vector<std::string> others =
+    mEndpoints ? mEndpoints() : std::vector<std::string>();
+  std::erase(others, aAddress);
+  std::vector<std::string> drawn;
+  std::ranges::sample(
+    others, std::back_inserter(drawn), kMaxOtherProbes, mRandom);
+  return drawn;
+}
+
 void
 crash_guard::OnProbed(const endpoint_process& aProcess, bool aEnded)
 {
--- a/thornhollow/daemon/crash_guard.h
+++ b/thornhollow/daemon/crash_guard.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -52,21 +53,25 @@
 class crash_guard
 {
 public:
+  // A request that has to wait for another submission of the same content,
+  // since an endpoint ended under it, asks again after `kWaitInterval`, and is
+  // given up after `kMaxWait`: a run that has produced nothing by then waits in
+  // an engine's queue.
+  static constexpr duration kWaitInterval = Milliseconds(10);
+  static constexpr duration kMaxWait = Seconds(1);
+
   // `aLog` and `aMetrics` must outlive the guard.
   crash_guard(boost::asio::io_context& aIo, json_log& aLog, metrics& aMetrics);
 
   void SetPeers(crash_guard_peers aPeers) { mPeers = std::move(aPeers); }
-  // Returns addresses of some endpoints other than the given one. An endpoint
-  // whose host refuses connections counts as ended only if one of these accepts
-  // a connection: an instance that is cut off from the endpoints sees each of
-  // them break its connections and refuse new ones, and would have the requests
-  // of that moment rejected everywhere. Without other endpoints, a refusal
-  // alone counts.
-  void SetOtherEndpoints(
-    std::function<std::vector<std::string>(const std::string& aAddress)>
-      aOthers)
+  // Returns the addresses of all endpoints. One whose host refuses connections
+  // counts as ended only if one of a few others accepts a connection: an
+  // instance that is cut off from the endpoints sees each of them break its
+  // connections and refuse new ones, and would have the requests of that moment
+  // rejected everywhere. Without other endpoints, a refusal alone counts.
+  void SetEndpoints(std::function<std::vector<std::string>()> aAddresses)
   {
-    mOtherEndpoints = std::move(aOthers);
+    mEndpoints = std::move(aAddresses);
   }
   // Takes the connection of a probe that the endpoint accepted.
   void OnSpareConnection(std::function<void(const endpoint_process&,
@@ -131,6 +136,7 @@
 
   void ProbeLost(const endpoint_process& aProcess);
   void ConfirmEnd(const endpoint_process& aProcess);
+  std::vector<std::string> DrawOthers(const std::string& aAddress);
   void OnProbed(const endpoint_process& aProcess, bool aEnded);
   void Record(const lost_attempt& aLost, time_point aEndedAt);
   void SendReports();
@@ -141,10 +147,11 @@
   metrics& mMetrics;
   crash_suspects mSuspects;
   crash_gossip mGossip;
+  std::mt19937_64 mRandom;
   crash_guard_peers mPeers;
   std::function<void(const endpoint_process&, endpoint_connection_ptr)>
     mOnSpareConnection;
-  std::function<std::vector<std::string>(const std::string&)> mOtherEndpoints;
+  std::function<std::vector<std::string>()> mEndpoints;
   std::map<endpoint_process, probed_process> mProbed;
   boost::asio::steady_timer mTimer;
   bool mTimerArmed = false;
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -95,8 +95,7 @@
     mConnections.GiveBack(aWhere, std::move(aConnection), std::nullopt);
   };
   mCrashes.OnSpareConnection(keep);
-  mCrashes.SetOtherEndpoints(
-    [this](const std::string& aAddress) { return OtherEndpoints(aAddress); });
+  mCrashes.SetEndpoints([this] { return EndpointAddresses(); });
   mReach.OnSpareConnection(keep);
   mReach.SetEndpoints(
     [this](const pool_name& aPool) { return ProbeTargets(aPool); });
@@ -343,20 +342,14 @@
   return targets;
 }
 
-// Returns the addresses of a few endpoints of any pool, drawn at random.
 std::vector<std::string>
-relay_dispatcher::OtherEndpoints(const std::string& aAddress)
+relay_dispatcher::EndpointAddresses() const
 {
-  constexpr std::size_t kCount = 4;
-  std::vector<std::string> others;
+  std::vector<std::string> addresses;
   for (const auto& [name, each] : mEndpoints) {
-    if (each.mEntry.mAddress != aAddress) {
-      others.push_back(each.mEntry.mAddress);
-    }
+    addresses.push_back(each.mEntry.mAddress);
   }
-  std::ranges::shuffle(others, mGenerator);
-  others.resize(std::min(others.size(), kCount));
-  return others;
+  return addresses;
 }
 
 forwarding_report
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -142,7 +142,7 @@
   void RemoveEndpoint(const endpoint_name& aName);
   relay_pool& GetOrCreatePool(const pool_name& aName);
   endpoint_reach::target_list ProbeTargets(const pool_name& aPool) const;
-  std::vector<std::string> OtherEndpoints(const std::string& aAddress);
+  std::vector<std::string> EndpointAddresses() const;
   void LogSlowChange(const relay_load& aLoad);
   bool IsEnginePool(const pool_name& aName) const;
 
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -35,13 +35,6 @@
 constexpr int kFirstByteTargetMultiple = 8;
 constexpr duration kMinFirstByteTimeout = Seconds(2);
 
-// A request that has to wait for another submission of the same content, since
-// an endpoint ended under it, asks again after `kSuspectWaitInterval`, and is
-// refused after `kMaxSuspectWait`: a run that has produced nothing by then
-// waits in an engine's queue.
-constexpr duration kSuspectWaitInterval = Milliseconds(10);
-constexpr duration kMaxSuspectWait = Seconds(1);
-
 // Name under which peer pressure is recorded: gossip provides only the highest
 // pressure of all peers for each pool, not which peer reported it.
 const instance_name kAllPeers("peers");
@@ -64,8 +57,7 @@
     , mSchedulerTimer(aIo)
     , mCrashes(aIo, aLog, aMetrics)
   {
-    mCrashes.SetOtherEndpoints(
-      [this](const std::string& aAddress) { return OtherEndpoints(aAddress); });
+    mCrashes.SetEndpoints([this] { return EndpointAddresses(); });
   }
 
   void PutInForce(catalog_ptr aCatalog)
@@ -339,12 +331,12 @@
     if (!aLive.mHeldSince) {
       aLive.mHeldSince = now;
     }
-    if (now - *aLive.mHeldSince >= kMaxSuspectWait) {
+    if (now - *aLive.mHeldSince >= crash_guard::kMaxWait) {
       RefuseStarted(number, { error_kind::kSuspectHeld, duration{} });
       return;
     }
-    const auto timer =
-      std::make_shared<boost::asio::steady_timer>(mIo, kSuspectWaitInterval);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(
+      mIo, crash_guard::kWaitInterval);
     timer->async_wait([this, timer, number, aEndpoint](const error_code&) {
       if (const auto found = mLive.find(number); found != mLive.end()) {
         const live_request_ptr live = found->second;
@@ -361,19 +353,13 @@
     DispatchEvent(aTicket, aRefusal);
   }
 
-  // Returns the addresses of a few endpoints of any pool, drawn at random.
-  std::vector<std::string> OtherEndpoints(const std::string& aAddress)
+  std::vector<std::string> EndpointAddresses() const
   {
-    constexpr std::size_t kCount = 4;
-    std::vector<std::string> others;
+    std::vector<std::string> addresses;
     for (const endpoint& each : mCatalog->Declared().mEndpoints) {
-      if (each.mAddress != aAddress) {
-        others.push_back(each.mAddress);
-      }
+      addresses.push_back(each.mAddress);
     }
-    std::ranges::shuffle(others, mRandom);
-    others.resize(std::min(others.size(), kCount));
-    return others;
+    return addresses;
   }
 
   suspect_attempt SuspectAttempt(const live_request& aLive,
