An attempt begins in one place, whether at an endpoint or another instance

ResetAttempt for both; mMayForward was the opposite of mIsForwarded, and that a request was forwarded before follows from the instances tried; the choice between the final error and 'not run' stood three times (GiveUpUnsent). No behaviour changes.

--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -68,12 +68,6 @@
 // until complete.
 constexpr std::size_t kMaxBufferedAnswerBytes = std::size_t{ 8 } << 20U;
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } << 20U;
-// A request that has to wait for another submission of the same content, since
-// an endpoint ended under it, asks again after `kSuspectWaitInterval`, and is
-// given up after `kMaxSuspectWait`: a run that has produced nothing by then
-// waits in an engine's queue.
-constexpr duration kSuspectWaitInterval = Milliseconds(10);
-constexpr duration kMaxSuspectWait = Seconds(1);
 // A request that could not be sent to this many endpoints is forwarded to
 // another instance if one reaches the pool.
 constexpr std::uint32_t kForwardAfterUnsent = 2;
@@ -216,16 +210,15 @@
     if (!mIsForwarded) {
       mDispatcher.Retries().OnRequest(*mPool, Now());
     }
-    mMayForward = !mIsForwarded;
-    mForwardNow =
-      mMayForward && mDispatcher.Reach().ShouldForward(*mPool, Now());
+    mForwardFirst =
+      !mIsForwarded && mDispatcher.Reach().ShouldForward(*mPool, Now());
     if (mIsForwarded && mDispatcher.Reach().IsConfirmedLost(*mPool, Now())) {
       Refuse(error_kind::kNoEndpoint);
       return;
     }
     // The instance to which the request is forwarded decides on its admission.
     relay_pool* pool = mDispatcher.Pool(*mPool);
-    if (pool != nullptr && !mForwardNow) {
+    if (pool != nullptr && !mForwardFirst) {
       const auto verdict = pool->Admit(mProfile, timeout, Now());
       if (const auto* refused = std::get_if<admission_refusal>(&verdict)) {
         LogRejected(*refused);
@@ -295,13 +288,13 @@
       return;
     }
     if (mDispatcher.Reach().IsConfirmedLost(*mPool, now)) {
-      GiveUp(mMayHaveRun ? FinalError(Progress()) : error_kind::kNoEndpoint);
+      GiveUpUnsent(error_kind::kNoEndpoint);
       return;
     }
     relay_pool* pool = mDispatcher.Pool(*mPool);
     const auto pick = NextEndpoint(pool, now);
     if (!pick) {
-      GiveUp(mMayHaveRun ? FinalError(Progress()) : error_kind::kNoEndpoint);
+      GiveUpUnsent(error_kind::kNoEndpoint);
       return;
     }
     if (!MaySend(*pick, pool->size(), now)) {
@@ -309,12 +302,7 @@
     }
     mPick = *pick;
     mTriedEndpoints.push_back(pick->mEndpoint);
-    mSentAt = now;
-    mLastByte = now;
-    mFirstByteReceived = false;
-    mStream.reset();
-    mStatus = 0;
-    mBufferedAnswer.clear();
+    ResetAttempt(now);
     pool->OnSent(mPick, mProfile, now);
     mDispatcher.Reach().OnSent(*mPool, now);
     mChargedToPool = true;
@@ -322,11 +310,25 @@
     ArmTimer();
   }
 
+  // Forgets what is known of the attempt before.
+  void ResetAttempt(time_point aNow)
+  {
+    mSentAt = aNow;
+    mLastByte = aNow;
+    mFirstByteReceived = false;
+    mStream.reset();
+    mStatus = 0;
+    mBufferedAnswer.clear();
+  }
+
   // Whether the next attempt goes to another instance rather than an endpoint.
+  // A request that was forwarded stays with other instances while some are
+  // left.
   bool ShouldForward(time_point aNow)
   {
-    return mMayForward && mTriedPeers.size() < kMaxForwards &&
-           (mForwardNow || mUnsent >= kForwardAfterUnsent ||
+    return !mIsForwarded && mTriedPeers.size() < kMaxForwards &&
+           (mForwardFirst || !mTriedPeers.empty() ||
+            mUnsent >= kForwardAfterUnsent ||
             mDispatcher.Reach().ShouldForward(*mPool, aNow));
   }
 
@@ -338,17 +340,11 @@
     if (!peer) {
       return false;
     }
-    mForwardNow = true;
     mPeer = *peer;
     mTriedPeers.push_back(mPeer);
     mPick = relay_pick();
     mPlannedPick.reset();
-    mSentAt = aNow;
-    mLastByte = aNow;
-    mFirstByteReceived = false;
-    mStream.reset();
-    mStatus = 0;
-    mBufferedAnswer.clear();
+    ResetAttempt(aNow);
     mDispatcher.Metrics().OnEvent("request_forwarded");
     mDispatcher.Reach().OnForwarded(mPeer);
     SendToPeer();
@@ -392,14 +388,14 @@
     if (!mHeldSince) {
       mHeldSince = aNow;
     }
-    if (aNow - *mHeldSince >= kMaxSuspectWait) {
-      GiveUp(mMayHaveRun ? FinalError(Progress()) : error_kind::kSuspectHeld);
+    if (aNow - *mHeldSince >= crash_guard::kMaxWait) {
+      GiveUpUnsent(error_kind::kSuspectHeld);
       return false;
     }
     if (decision.mKeepEndpoint) {
       mPlannedPick = aPick;
     }
-    mTimer.expires_after(kSuspectWaitInterval);
+    mTimer.expires_after(crash_guard::kWaitInterval);
     mTimer.async_wait([self = boost::intrusive_ptr<relay_session>(this)](
                         const boost::system::error_code& aError) {
       if (!aError && !self->mDone) {
@@ -869,6 +865,13 @@
            mDispatcher.Crashes().RejectionTime(mFingerprint, Now()));
   }
 
+  // Ends a request of which no attempt is in progress: with `aKind`, unless an
+  // earlier attempt may have run it.
+  void GiveUpUnsent(error_kind aKind)
+  {
+    GiveUp(mMayHaveRun ? FinalError(Progress()) : aKind);
+  }
+
   // Ends the request with an error response to the caller.
   void GiveUp(error_kind aKind)
   {
@@ -1026,9 +1029,8 @@
   std::vector<endpoint_name> mTriedEndpoints;
   // Instances to which the request was forwarded so far.
   std::vector<std::string> mTriedPeers;
-  bool mMayForward = false;
-  // Whether the request, once forwarded, is not sent to endpoints any more.
-  bool mForwardNow = false;
+  // Whether the first attempt goes to another instance, if there is one.
+  bool mForwardFirst = false;
   std::uint32_t mAttempts = 0;
   std::uint32_t mUnsent = 0;
   duration mUnsentTime{};
