Endpoints are counted for probes only when one may be due

No behaviour changes. policy.endpoint_contact_test, fleet.endpoint_cut_test, fleet.relay_peers_test and the process tests of relaying pass.

--- a/thornhollow/daemon/endpoint_reach.cc
+++ b/thornhollow/daemon/endpoint_reach.cc
@@ -31,11 +31,17 @@
 {
 }
 
+endpoint_contact&
+endpoint_reach::Contact(const pool_name& aPool)
+{
+  return mContacts.try_emplace(aPool, endpoint_contact_settings{})
+    .first->second;
+}
+
 void
 endpoint_reach::OnSent(const pool_name& aPool, time_point aNow)
 {
-  mContacts.try_emplace(aPool, endpoint_contact_settings{})
-    .first->second.OnSent(aNow);
+  Contact(aPool).OnSent(aNow);
 }
 
 void
@@ -43,45 +49,36 @@
                          bool aNewConnection,
                          time_point aNow)
 {
-  if (const auto found = mContacts.find(aPool); found != mContacts.end()) {
-    found->second.OnAnswer(aNewConnection, aNow);
-  }
+  Contact(aPool).OnAnswer(aNewConnection, aNow);
 }
 
 void
 endpoint_reach::OnEnded(const pool_name& aPool)
 {
-  if (const auto found = mContacts.find(aPool); found != mContacts.end()) {
-    found->second.OnEnded();
-  }
+  Contact(aPool).OnEnded();
 }
 
 void
 endpoint_reach::OnConnectFailed(const pool_name& aPool, time_point aNow)
 {
-  if (const auto found = mContacts.find(aPool); found != mContacts.end()) {
-    const contact_state before = found->second.State();
-    found->second.OnConnectFailed(aNow);
-    LogChange(aPool, before);
-    ProbeIfDue(aPool, aNow);
-  }
+  endpoint_contact& contact = Contact(aPool);
+  const contact_state before = contact.State();
+  contact.OnConnectFailed(aNow);
+  LogChange(aPool, before);
+  ProbeIfDue(aPool, aNow);
 }
 
 void
 endpoint_reach::OnTrouble(const pool_name& aPool, time_point aNow)
 {
-  if (const auto found = mContacts.find(aPool); found != mContacts.end()) {
-    found->second.OnTrouble();
-    ProbeIfDue(aPool, aNow);
-  }
+  Contact(aPool).OnTrouble();
+  ProbeIfDue(aPool, aNow);
 }
 
 void
 endpoint_reach::OnEndpointJoined(const pool_name& aPool)
 {
-  if (const auto found = mContacts.find(aPool); found != mContacts.end()) {
-    found->second.OnEndpointJoined();
-  }
+  Contact(aPool).OnEndpointJoined();
 }
 
 void
@@ -97,20 +94,18 @@
 bool
 endpoint_reach::ShouldForward(const pool_name& aPool, time_point aNow)
 {
-  const auto found = mContacts.find(aPool);
-  if (found == mContacts.end() ||
-      found->second.State() == contact_state::kReached) {
+  const endpoint_contact& contact = Contact(aPool);
+  if (contact.State() == contact_state::kReached) {
     return false;
   }
   std::uniform_real_distribution<double> uniform(0, 1);
-  return found->second.ShouldForward(uniform(mRandom), aNow);
+  return contact.ShouldForward(uniform(mRandom), aNow);
 }
 
 bool
-endpoint_reach::IsConfirmedLost(const pool_name& aPool, time_point aNow) const
+endpoint_reach::IsConfirmedLost(const pool_name& aPool, time_point aNow)
 {
-  const auto found = mContacts.find(aPool);
-  return found != mContacts.end() && found->second.IsConfirmedLost(aNow);
+  return Contact(aPool).IsConfirmedLost(aNow);
 }
 
 std::optional<std::string>
@@ -153,7 +148,10 @@
 void
 endpoint_reach::ProbeIfDue(const pool_name& aPool, time_point aNow)
 {
-  endpoint_contact& contact = mContacts.at(aPool);
+  endpoint_contact& contact = Contact(aPool);
+  if (!contact.MayProbe(aNow)) {
+    return;
+  }
   const contact_state before = contact.State();
   target_list all = mEndpoints(aPool);
   const std::size_t due = contact.TakeProbes(all.size(), aNow);
@@ -172,7 +170,7 @@
         if (accepts && mOnSpareConnection) {
           mOnSpareConnection(process, std::move(aProbe.mConnection));
         }
-        endpoint_contact& probed = mContacts.at(aPool);
+        endpoint_contact& probed = Contact(aPool);
         const contact_state state = probed.State();
         probed.OnProbed(accepts, Now());
         LogChange(aPool, state);
@@ -198,7 +196,7 @@
 void
 endpoint_reach::LogChange(const pool_name& aPool, contact_state aBefore)
 {
-  const contact_state state = mContacts.at(aPool).State();
+  const contact_state state = Contact(aPool).State();
   if (state == aBefore) {
     return;
   }
--- a/thornhollow/daemon/endpoint_reach.h
+++ b/thornhollow/daemon/endpoint_reach.h
@@ -82,7 +82,7 @@
 
   // Whether a new request to the pool should be forwarded.
   bool ShouldForward(const pool_name& aPool, time_point aNow);
-  bool IsConfirmedLost(const pool_name& aPool, time_point aNow) const;
+  bool IsConfirmedLost(const pool_name& aPool, time_point aNow);
   // An instance that takes a request to the pool; nullopt if there is none but
   // those in `aTried`.
   std::optional<std::string> ChoosePeer(const pool_name& aPool,
@@ -100,6 +100,8 @@
   void Tick(time_point aNow);
 
 private:
+  // The belief about the pool, which begins as in contact.
+  endpoint_contact& Contact(const pool_name& aPool);
   void ProbeIfDue(const pool_name& aPool, time_point aNow);
   target_list DrawTargets(target_list aAll, std::size_t aCount);
   void LogChange(const pool_name& aPool, contact_state aBefore);
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -358,6 +358,9 @@
     return HasFreshLoad(other, aNow) &&
            Reports(other.mHello.mForwarding, pool, false);
   });
+  if (reported == 0) {
+    return 0;
+  }
   return static_cast<std::size_t>(static_cast<double>(reported) *
                                   FreshLoadScale(aNow));
 }
--- a/thornhollow/policy/endpoint_contact.cc
+++ b/thornhollow/policy/endpoint_contact.cc
@@ -96,16 +96,18 @@
   return unanswered || (mCheckWanted && aNow >= mNextCheck);
 }
 
+bool
+endpoint_contact::MayProbe(time_point aNow) const
+{
+  return mState != contact_state::kReached || IsCheckDue(aNow);
+}
+
 std::size_t
 endpoint_contact::TakeProbes(std::size_t aAvailable, time_point aNow)
 {
   if (mState == contact_state::kReturning && DirectFraction(aNow) >= 1) {
     SetState(contact_state::kReached, aNow);
   }
-  if (mState == contact_state::kReached &&
-      aNow - mStateSince >= mSettings.mStableTime) {
-    mNeededSuccesses = 1;
-  }
   if (aAvailable == 0) {
     return 0;
   }
@@ -158,9 +160,13 @@
 void
 endpoint_contact::EndCheck(time_point aNow)
 {
-  if (!mCheckConnected) {
-    SetState(contact_state::kLost, aNow);
+  if (mCheckConnected) {
+    return;
+  }
+  if (aNow - mStateSince >= mSettings.mStableTime) {
+    mNeededSuccesses = 1;
   }
+  SetState(contact_state::kLost, aNow);
 }
 
 void
--- a/thornhollow/policy/endpoint_contact.h
+++ b/thornhollow/policy/endpoint_contact.h
@@ -99,6 +99,9 @@
   // An endpoint joined the pool: while contact is lost, it is probed at once.
   void OnEndpointJoined();
 
+  // Whether `TakeProbes` may have something to do, so that a caller need not
+  // count endpoints for it on a calm day.
+  bool MayProbe(time_point aNow) const;
   // Returns the number of endpoints, at most `aAvailable`, to be probed now,
   // each with a new connection; 0: none. The result of each probe must be
   // reported with `OnProbed`. To be called after each event and every 100 ms.
