--- a/thornhollow/testing/process/relay_brittle_engines_test.py
+++ b/thornhollow/testing/process/relay_brittle_engines_test.py
@@ -70,14 +70,7 @@
             self.addCleanup(engine.stop)
             self.store.put(f"servers/{engine.name}", engine.entry())
             self.engines.append(engine)
-        self.fleet = []
-        for number in range(INSTANCES):
-            seeds = ", ".join(each.peers for each in self.fleet)
-            self.fleet.append(self.daemon(name=f"n{number}", seeds=seeds))
-        harness.wait_until(
-            lambda: all(any(line["alive"] == INSTANCES - 1
-                            for line in daemon.events("peers_changed"))
-                        for daemon in self.fleet), "all know each other")
+        self.fleet = self.daemons_that_know_each_other(INSTANCES)
 
     def arrive(self, per_second, seconds):
         """Requests at a steady rate, whatever becomes of them; how many were
--- a/thornhollow/testing/process/relay_crashing_request_test.py
+++ b/thornhollow/testing/process/relay_crashing_request_test.py
@@ -28,18 +28,7 @@
         for engine in self.engines:
             engine.end_on = b"marked"
             engine.slow_on = b"slow"
-        seeds = ""
-        self.fleet = []
-        for number in range(instances):
-            daemon = self.daemon(name=f"n{number}", seeds=seeds)
-            seeds = seeds or daemon.peers
-            self.fleet.append(daemon)
-        self.seeds = seeds
-        harness.wait_until(
-            lambda: instances == 1 or all(
-                any(line["alive"] == instances - 1
-                    for line in daemon.events("peers_changed"))
-                for daemon in self.fleet), "all know each other")
+        self.fleet = self.daemons_that_know_each_other(instances)
 
     def submit(self, daemon, path, body):
         """A new submission of this content; its status, or how it broke."""
--- a/thornhollow/testing/process/relay_forwarding_test.py
+++ b/thornhollow/testing/process/relay_forwarding_test.py
@@ -2,7 +2,6 @@
 that took it reaches no endpoint."""
 
 import http.client
-import threading
 import time
 import unittest
 
@@ -116,44 +115,31 @@
     def test_carrier_that_dies_leaves_an_order_unrepeated(self):
         self.begin_with_cut()
         self.hold()
-        answer = {}
-
-        def order():
-            answer["status"] = self.ask(self.cut_off, "/o/x", "d1")[0]
-
-        thread = threading.Thread(target=order)
-        thread.start()
+        order = harness.Background(self.ask, self.cut_off, "/o/x", "d1")
         self.running("d1")
-        self.kill_carrier("d1")
-        thread.join(harness.LIMIT_SECONDS)
-        self.assertEqual(answer["status"], 502)
+        self.kill_carrier()
+        self.assertEqual(order.result()[0], 502)
         self.assertEqual(self.runs("d1"), 1)
 
-    def kill_carrier(self, request):
-        """Ends the instance whose engine connection runs the request."""
+    def kill_carrier(self):
+        """Ends the instance that serves the one request in progress."""
         for daemon in self.fleet[1:]:
             page = harness.call(daemon.operators, "GET", "/status")[2]
             if b'"in_progress":1' in page.replace(b" ", b""):
                 daemon.kill()
                 # The next one may serve the request by now.
                 return
+        self.fail("no instance serves the request")
 
     def test_look_up_is_repeated_by_another_when_the_carrier_dies(self):
         self.begin_with_cut(4)
         self.hold()
-        answer = {}
-
-        def look_up():
-            answer["status"] = self.ask(self.cut_off, "/l/x", "e1")[0]
-
-        thread = threading.Thread(target=look_up)
-        thread.start()
+        look_up = harness.Background(self.ask, self.cut_off, "/l/x", "e1")
         self.running("e1")
         for engine in self.engines:
             engine.mode = ""
-        self.kill_carrier("e1")
-        thread.join(harness.LIMIT_SECONDS)
-        self.assertEqual(answer["status"], 200)
+        self.kill_carrier()
+        self.assertEqual(look_up.result()[0], 200)
         self.assertEqual(self.runs("e1"), 2)
 
     def test_stream_whose_carrier_dies_does_not_look_complete(self):
@@ -166,7 +152,7 @@
                            self.headers("s1", stream=True))
         answer = connection.getresponse()
         self.assertIn(b"id: 1", answer.read1())
-        self.kill_carrier("s1")
+        self.kill_carrier()
         with self.assertRaises((http.client.IncompleteRead, OSError)):
             while answer.read1():
                 pass
--- a/thornhollow/testing/process/relay_restart_test.py
+++ b/thornhollow/testing/process/relay_restart_test.py
@@ -24,18 +24,7 @@
         super().setUp()
         for number in range(3):
             self.engine(f"i-{number}")
-        self.daemons = []
-        for number in range(INSTANCES):
-            seeds = ", ".join(each.peers for each in self.daemons[:3])
-            self.daemons.append(self.daemon(name=f"n{number}", seeds=seeds))
-        harness.wait_until(self.all_know_each_other,
-                           "instances hear each other")
-
-    def all_know_each_other(self):
-        return all(
-            any(line["alive"] == INSTANCES - 1
-                for line in each.events("peers_changed"))
-            for each in self.daemons)
+        self.daemons = self.daemons_that_know_each_other(INSTANCES)
 
     def restart(self, some):
         """Times until ready and until served, of the slowest."""
--- a/thornhollow/testing/process/relay_silence_test.py
+++ b/thornhollow/testing/process/relay_silence_test.py
@@ -72,15 +72,7 @@
         self.addCleanup(self.store.server.stop)
         self.addCleanup(self.store.ended.set)
         self.engine("i-1")
-        self.daemons = []
-        for number in range(INSTANCES):
-            seeds = ", ".join(each.peers for each in self.daemons)
-            self.daemons.append(self.daemon(name=f"n{number}", seeds=seeds))
-        harness.wait_until(
-            lambda: all(any(line["alive"] == INSTANCES - 1
-                            for line in each.events("peers_changed"))
-                        for each in self.daemons),
-            "instances hear each other")
+        self.daemons = self.daemons_that_know_each_other(INSTANCES)
 
     def publish(self, version):
         self.store.put("op/config", relay_site.document(version, tenants=[
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -24,6 +24,8 @@
 ID = "X-Attempt-Id"
 SIGNATURE = "X-Response-Signature"
 NOT_RUN = "X-Not-Executed"
+# Instances that the platform names to each one.
+MOST_SEEDS = 3
 
 
 class Server(http.server.ThreadingHTTPServer):
@@ -488,6 +490,14 @@
         self.folder.cleanup()
 
 
+def know_each_other(daemons):
+    """Whether each has heard all others at one time since its start."""
+    others = len(daemons) - 1
+    return others == 0 or all(
+        any(line["alive"] == others for line in each.events("peers_changed"))
+        for each in daemons)
+
+
 class RelayTest(unittest.TestCase):
 
     def setUp(self):
@@ -510,6 +520,15 @@
         daemon.wait_ready()
         return daemon
 
+    def daemons_that_know_each_other(self, count):
+        daemons = []
+        for number in range(count):
+            seeds = ", ".join(each.peers for each in daemons[:MOST_SEEDS])
+            daemons.append(self.daemon(name=f"n{number}", seeds=seeds))
+        harness.wait_until(lambda: know_each_other(daemons),
+                           "instances hear each other")
+        return daemons
+
     def headers(self, request, stream=False, key="k1"):
         made = {"Host": "a.example", ID: request, "X-Deadline-Ms": "15000",
                 "Authorization": f"Token {key}"}
