--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -318,6 +318,7 @@
     mFirstByteReceived = false;
     mStream.reset();
     mStatus = 0;
+    mFraming.reset();
     mBufferedAnswer.clear();
   }
 
@@ -531,6 +532,7 @@
       return;
     }
     mStatus = aHead.mStatus;
+    mFraming = aHead.mFraming;
     mStream = success && IsStream(mRoute->mKind);
     if (!mAnswerBegun) {
       mHeaders = AnswerHeaders(aHead.mHeaders);
@@ -637,6 +639,9 @@
       mDispatcher.Crashes().OnOutput(mFingerprint, mTicket, Now());
     }
     EndAttempt(attempt_end::kCompleted);
+    if (mFraming == answer_framing::kConnection) {
+      mDispatcher.Metrics().OnEvent("answer_ended_with_connection");
+    }
     if (mStream.value_or(false)) {
       Forward(mEvents.TakeAll());
       if (!mAnswerBegun) {
@@ -980,6 +985,7 @@
         { "backlog", static_cast<std::int64_t>(mPick.mBacklogTokens) },
         { "expected_ms", ToMilliseconds(mPick.mExpectedWait) },
         { "longest_pause_ms", ToMilliseconds(mLongestPause) },
+        { "framing", mFraming ? std::string(Name(*mFraming)) : "" },
         { "first_byte_ms", ToMilliseconds(mFirstByte.value_or(duration{})) },
         { "total_ms", ToMilliseconds(now - mExchange->Arrival()) },
         { "configuration",
@@ -1022,6 +1028,8 @@
   // Whether the answer is a stream; unset until its head arrives.
   std::optional<bool> mStream;
   unsigned mStatus = 0;
+  // How the endpoint framed the answer; unset until its head arrives.
+  std::optional<answer_framing> mFraming;
   std::string mBufferedAnswer;
 
   // Endpoints tried by the attempts of the request so far. The members from
--- a/thornhollow/net/relay_attempt.cc
+++ b/thornhollow/net/relay_attempt.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -60,6 +61,16 @@
            .mProbeIntervalSeconds = 1 };
 }
 
+answer_framing
+FramingOf(const answer_parser& aParser)
+{
+  if (aParser.chunked()) {
+    return answer_framing::kChunks;
+  }
+  return aParser.need_eof() ? answer_framing::kConnection
+                            : answer_framing::kLength;
+}
+
 class attempt final : public relay_attempt
 {
 public:
@@ -227,6 +238,7 @@
     told.mStatus = head.result_int();
     told.mHeaders = net_internal::ToHeaderFields(head);
     told.mMarks = ReadAnswerMarks(mNames, told.mStatus, told.mHeaders);
+    told.mFraming = FramingOf(aParser);
     mIdleLimit = told.mMarks.mIdleLimit;
     const std::string& echoed = told.mMarks.mRequestId;
     if (!echoed.empty() && echoed != mCall.mId.Text()) {
@@ -297,8 +309,18 @@
   bool mReused = false;
 };
 
+constexpr std::array<std::string_view, 3> kFramingNames = { "length",
+                                                            "chunks",
+                                                            "connection" };
+
 } // namespace
 
+std::string_view
+Name(answer_framing aFraming)
+{
+  return kFramingNames[static_cast<std::size_t>(aFraming)];
+}
+
 relay_attempt_ptr
 StartRelayAttempt(endpoint_connections& aConnections,
                   const relay_names& aNames,
--- a/thornhollow/net/relay_attempt.h
+++ b/thornhollow/net/relay_attempt.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -50,12 +51,26 @@
   duration mSilence = Seconds(2);
 };
 
+// What tells where an answer's body ends.
+enum class answer_framing : std::uint8_t
+{
+  kLength,
+  kChunks,
+  // The end of the connection.
+  kConnection,
+};
+
+// "length" and so on; for log lines.
+std::string_view
+Name(answer_framing aFraming);
+
 // The answer's head, as the endpoint sent it.
 struct relay_answer_head
 {
   unsigned mStatus = 0;
   std::vector<header_field> mHeaders;
   answer_marks mMarks;
+  answer_framing mFraming = answer_framing::kLength;
 };
 struct relay_answer_bytes
 {
