Stand-ins whose answers end with their connection, and a test of them that fails

process.relay_broken_off_test: on the code as it is 16 cases of four tests fail (streams broken off inside an event or before the first one, resumable or not, direct and by way of another instance, HTTP/1.1 and 1.0): each reaches its caller as complete. Streams that are reset, and whole answers of each kind, pass.

--- /dev/null
+++ b/thornhollow/testing/process/relay_broken_off_test.py
@@ -0,0 +1,122 @@
+"""Answers with neither a length nor chunks, which end with their connection:
+one that was broken off must not reach its caller framed as complete, and a
+whole one must reach it."""
+
+import http.client
+import unittest
+
+import cut_off_site
+import harness
+import relay_site
+
+EVENTS = 3
+WHOLE_STREAM = b"".join(relay_site.event_text(number)
+                        for number in range(1, EVENTS + 1))
+STREAM = "/p/x"
+RESUMABLE = "/s/x"
+LOOK_UP = "/l/x"
+ORDER = "/o/x"
+
+
+class Answer:
+    """What a caller read, and whether its framing says that it is complete."""
+
+    def __init__(self, daemon, path, headers, version):
+        connection = harness.connect(daemon.address)
+        if version == "1.0":
+            connection._http_vsn = 10
+            connection._http_vsn_str = "HTTP/1.0"
+        self.body = b""
+        try:
+            connection.request("POST", path, b"body", headers)
+            answer = connection.getresponse()
+            self.status = answer.status
+            self.has_framing = (answer.chunked
+                                or answer.length is not None)
+            while part := answer.read1():
+                self.body += part
+            # A length that isn't reached ends without an error here.
+            self.complete = not answer.length
+        except (OSError, http.client.HTTPException):
+            self.complete = False
+        finally:
+            connection.close()
+
+
+class BrokenOff(cut_off_site.CutOffTest):
+
+    def site(self, broken_off=""):
+        self.begin(2)
+        for engine in self.engines:
+            engine.ends_with_connection = True
+            engine.broken_off = broken_off
+
+    def ways(self):
+        """An instance that reaches the engines, and then one that asks by way
+        of the other."""
+        yield self.fleet[1], "direct"
+        daemon = self.fleet[0]
+        self.cut([daemon], "reset")
+        yield daemon, "by way of another"
+
+    def answers(self, *paths):
+        """Each path's answer by each way and version, and the case's name."""
+        for daemon, way in self.ways():
+            for path in paths:
+                for version in ("1.1", "1.0"):
+                    case = f"{path} {version} {way}"
+                    headers = self.headers(case.replace(" ", "-"),
+                                           cut_off_site.KINDS[path])
+                    yield Answer(daemon, path, headers, version), case
+
+    def test_stream_broken_off_inside_an_event_not_complete(self):
+        self.site("inside")
+        for answer, case in self.answers(STREAM):
+            with self.subTest(case):
+                self.assertFalse(answer.complete, answer.body)
+
+    def test_stream_reset_between_events_not_complete(self):
+        self.site("reset")
+        for answer, case in self.answers(STREAM):
+            with self.subTest(case):
+                self.assertFalse(answer.complete, answer.body)
+
+    def test_stream_without_an_event_not_complete(self):
+        self.site("head")
+        for answer, case in self.answers(STREAM):
+            with self.subTest(case):
+                self.assertTrue(not answer.complete or answer.status >= 500)
+
+    def resumable_comes_whole(self, broken_off):
+        self.site(broken_off)
+        for answer, case in self.answers(RESUMABLE):
+            with self.subTest(case):
+                self.assertTrue(answer.complete)
+                self.assertEqual(answer.body, WHOLE_STREAM)
+
+    def test_resumable_stream_without_an_event_comes_whole(self):
+        self.resumable_comes_whole("head")
+
+    def test_resumable_stream_broken_off_inside_an_event_comes_whole(self):
+        self.resumable_comes_whole("inside")
+
+    def test_resumable_stream_reset_comes_whole(self):
+        self.resumable_comes_whole("reset")
+
+    def test_whole_answer_of_each_kind_comes_whole(self):
+        self.site()
+        for answer, case in self.answers(STREAM, RESUMABLE, LOOK_UP, ORDER):
+            with self.subTest(case):
+                self.assertTrue(answer.complete)
+                self.assertTrue(answer.body == WHOLE_STREAM
+                                or answer.body.startswith(b"body of i-"))
+
+    def test_reset_answer_of_a_look_up_or_an_order_not_delivered(self):
+        self.site("reset")
+        for answer, case in self.answers(LOOK_UP, ORDER):
+            with self.subTest(case):
+                self.assertGreaterEqual(answer.status, 500)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -11,8 +11,10 @@
 import base64
 import http.server
 import json
+import os
 import pathlib
 import socket
+import struct
 import tempfile
 import threading
 import time
@@ -24,6 +26,7 @@
 ID = "X-Attempt-Id"
 SIGNATURE = "X-Response-Signature"
 NOT_RUN = "X-Not-Executed"
+FRAMING = ("Content-Length", "Transfer-Encoding")
 # Instances that the platform names to each one.
 MOST_SEEDS = 3
 
@@ -241,6 +244,10 @@
             return 200, {"events": news(), "at": self.at}
 
 
+def event_text(number):
+    return f"id: {number}\ndata: e{number}\n\n".encode()
+
+
 class Engine:
     """Streams events, or answers whole; counts what it ran."""
 
@@ -257,6 +264,12 @@
         self.slow_s = 0.3
         # Between two events of a stream.
         self.event_gap_s = 0
+        # Answers have neither a length nor chunks and end with their
+        # connection; `broken_off` tells how one that isn't resumed ends early:
+        # "" (not at all), "head" (after the head), "inside" and "between"
+        # events, or "reset". All but the last close the connection in order.
+        self.ends_with_connection = False
+        self.broken_off = ""
         # A body that contains this text ends the engine that runs it. It is
         # back after `back_after_s` as a new lifetime: another name at the same
         # address, while its old entry expires only `expires_after_s` later.
@@ -342,35 +355,62 @@
         if signed:
             call.send_header(SIGNATURE, self.name)
         for name, value in more.items():
-            call.send_header(name, value)
+            if not (self.ends_with_connection and name in FRAMING):
+                call.send_header(name, value)
+        if self.ends_with_connection:
+            call.close_connection = True
         call.end_headers()
 
+    def reset(self, call):
+        """Ends the connection as the end of its process may: by a reset."""
+        call.wfile.flush()
+        call.connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        os.close(call.connection.detach())
+
+    def break_off(self, call, sent, rest):
+        """Ends the answer after `sent`, or within the `rest` of it."""
+        if self.broken_off == "inside":
+            sent += rest[:len(rest) // 2]
+        call.wfile.write(b"" if self.broken_off == "head" else sent)
+        call.wfile.flush()
+        if self.broken_off == "reset":
+            self.reset(call)
+
     def whole(self, call, status, body, signed=True, not_run=False):
         more = {"Content-Length": str(len(body))}
         if not_run:
             more[NOT_RUN] = "1"
         self.head(call, status, signed, more)
+        if self.broken_off:
+            return self.break_off(call, b"", body)
         call.wfile.write(body)
+        return None
 
     def stream(self, call):
         first = int(call.headers.get("Last-Event-Id", 0)) + 1
         self.head(call, 200, True, {"Content-Type": "text/event-stream",
                                     "Transfer-Encoding": "chunked"})
+        if self.broken_off and first == 1:
+            return self.break_off(call, event_text(1), event_text(2))
         for event in range(first, self.events + 1):
             if path := getattr(call.server, "path", None):
                 path.passing.wait()
-            text = f"id: {event}\ndata: e{event}\n\n".encode()
+            text = event_text(event)
             if self.mode == "cut" and first == 1 and event == 2:
                 # In the middle of an event, without the stream's end.
                 call.wfile.write(b"5\r\n" + text[:5] + b"\r\n")
                 call.wfile.flush()
                 call.close_connection = True
                 call.connection.shutdown(2)
-                return
-            call.wfile.write(b"%x\r\n%s\r\n" % (len(text), text))
+                return None
+            call.wfile.write(text if self.ends_with_connection
+                             else b"%x\r\n%s\r\n" % (len(text), text))
             call.wfile.flush()
             time.sleep(self.event_gap_s)
-        call.wfile.write(b"0\r\n\r\n")
+        if not self.ends_with_connection:
+            call.wfile.write(b"0\r\n\r\n")
+        return None
 
     def entry(self, state="ready", service="engines"):
         return {"service": service, "address": self.address, "zone": "hall",
