--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -12,11 +12,11 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include "thornhollow/base/hash.h"
 #include "thornhollow/base/request_fingerprint.h"
+#include "thornhollow/daemon/relay_profile.h"
+#include "thornhollow/daemon/relayed_answer.h"
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/relay_attempt.h"
-#include "thornhollow/request/event_splitter.h"
 #include "thornhollow/request/forwarding_headers.h"
 #include "thornhollow/request/relay_retry.h"
 
@@ -64,10 +64,6 @@
 // callers are told to wait at least a tenth of most timeouts before they retry,
 // so a retry has at most this fraction left.
 constexpr double kRetryTimeoutFraction = 0.9;
-// Maximum size in bytes of an answer that is not streamed, which is buffered
-// until complete.
-constexpr std::size_t kMaxBufferedAnswerBytes = std::size_t{ 8 } << 20U;
-constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } << 20U;
 // A request that could not be sent to this many endpoints is forwarded to
 // another instance if one reaches the pool.
 constexpr std::uint32_t kForwardAfterUnsent = 2;
@@ -113,44 +109,6 @@
   }
 }
 
-// Metrics are grouped by tier and kind instead of by route, since routes change
-// with each configuration.
-class_name
-MetricsClass(const route& aRoute, tier_number aTier)
-{
-  const char* kind = IsStream(aRoute.mKind) ? "stream" : "whole";
-  return class_name("tier" + std::to_string(aTier) + "_" + kind);
-}
-
-request_profile
-ProfileOf(const relay_request& aRequest, const route& aRoute, tier_number aTier)
-{
-  request_profile profile;
-  profile.mTier = aTier;
-  profile.mPromptTokens = aRequest.mPromptTokens;
-  profile.mEnginePriority = EnginePriority(aRoute, aTier);
-  profile.mTarget = aRoute.mTarget;
-  profile.mPause = aRoute.mEventGapTarget;
-  // The last part of the prompt is specific to this request; the other parts
-  // are shared with other requests.
-  for (std::size_t at = 0; at + 1 < aRequest.mParts.size(); ++at) {
-    const prompt_part& part = aRequest.mParts[at];
-    profile.mSharedTokens += part.mTokens;
-    profile.mSharedPrefix =
-      CombineHash(profile.mSharedPrefix, Hash64(part.mId));
-  }
-  profile.mSharedTokens =
-    std::min(profile.mSharedTokens, profile.mPromptTokens);
-  // With more than two parts, at least two are shared, so the first one is a
-  // shorter prefix that more requests may share than the whole shared prefix.
-  if (aRequest.mParts.size() > 2) {
-    const prompt_part& first = aRequest.mParts.front();
-    profile.mFirstBlock = Hash64(first.mId);
-    profile.mFirstBlockTokens = std::min(first.mTokens, profile.mSharedTokens);
-  }
-  return profile;
-}
-
 class relay_session
   : public boost::intrusive_ref_counter<relay_session,
                                         boost::thread_unsafe_counter>
@@ -166,7 +124,7 @@
     , mTable(aDispatcher.Table())
     , mTimer(aDispatcher.Io())
     , mTicket(aDispatcher.Crashes().NextTicket())
-    , mEvents(kMaxEventBytes)
+    , mAnswer(mExchange, aForwarded)
   {
     mDispatcher.OnSessionBegin();
   }
@@ -316,11 +274,7 @@
     mSentAt = aNow;
     mLastByte = aNow;
     mFirstByteReceived = false;
-    mStream.reset();
-    mStatus = 0;
-    mFraming.reset();
-    mMarkedOpenEnded = false;
-    mBufferedAnswer.clear();
+    mAnswer.BeginAttempt();
   }
 
   // Whether the next attempt goes to another instance rather than an endpoint.
@@ -369,8 +323,8 @@
   // The last event that the caller has of a stream.
   const std::string& ResumeAfter() const
   {
-    return mEvents.LastId().empty() ? mRelayRequest.mResumeAfter
-                                    : mEvents.LastId();
+    return mAnswer.LastEventId().empty() ? mRelayRequest.mResumeAfter
+                                         : mAnswer.LastEventId();
   }
 
   // Whether the request may be sent to the endpoint now. If not, the request
@@ -512,7 +466,7 @@
                 true);
       return;
     }
-    if (!success && mAnswerBegun) {
+    if (!success && mAnswer.Begun()) {
       OnFailure(
         attempt_failure::kFailed, "endpoint did not resume the stream", true);
       return;
@@ -532,13 +486,9 @@
                 false);
       return;
     }
-    mStatus = aHead.mStatus;
-    mFraming = aHead.mFraming;
-    mMarkedOpenEnded = IsAtPeer() && ReadForwardingOpenEnded(aHead.mHeaders);
-    mStream = success && IsStream(mRoute->mKind);
-    if (!mAnswerBegun) {
-      mHeaders = AnswerHeaders(aHead.mHeaders);
-    }
+    mAnswer.OnHead(aHead,
+                   { success && IsStream(mRoute->mKind),
+                     IsAtPeer() && ReadForwardingOpenEnded(aHead.mHeaders) });
   }
 
   // The other instance itself ended the request, rather than an endpoint.
@@ -558,7 +508,7 @@
       StartNextAttempt();
       return;
     }
-    if (mMayHaveRun || mAnswerBegun) {
+    if (mMayHaveRun || mAnswer.Begun()) {
       GiveUp(FinalError(Progress(attempt_failure::kDeclined)));
       return;
     }
@@ -578,21 +528,11 @@
   void OnBytes(const std::string& aBytes)
   {
     RecordFirstByte();
-    if (!mStream.value_or(false)) {
-      mBufferedAnswer += aBytes;
-      if (mBufferedAnswer.size() > kMaxBufferedAnswerBytes) {
-        OnFailure(
-          attempt_failure::kGarbled, "answer exceeds the size limit", true);
-      }
-      return;
-    }
-    mEvents.Feed(aBytes);
-    if (mEvents.Overflowed()) {
-      OnFailure(
-        attempt_failure::kGarbled, "event exceeds the size limit", true);
+    if (const auto fault = mAnswer.OnBytes(aBytes, Now())) {
+      OnFailure(attempt_failure::kGarbled, std::string(*fault), true);
       return;
     }
-    Forward(mEvents.TakeWhole());
+    RecordPause();
   }
 
   void RecordFirstByte()
@@ -612,62 +552,16 @@
     }
   }
 
-  void Forward(std::string aText)
-  {
-    if (aText.empty()) {
-      return;
-    }
-    BeginStream();
-    RecordPause();
-    mExchange->Send(stream_text{ std::move(aText) });
-  }
-
-  // The endpoint's framing, also where another instance asked it.
-  answer_framing Framing() const
-  {
-    return mMarkedOpenEnded ? answer_framing::kConnection
-                            : mFraming.value_or(answer_framing::kConnection);
-  }
-
-  bool IsOpenEnded() const { return Framing() == answer_framing::kConnection; }
-
-  void BeginStream()
-  {
-    if (std::exchange(mAnswerBegun, true)) {
-      return;
-    }
-    mBegunOpenEnded = IsOpenEnded();
-    MarkIfForwarded();
-    mExchange->Send(
-      stream_head{ mHeaders, mStatus, true, mBegunOpenEnded && !mIsForwarded });
-  }
-
-  // Tells the forwarding instance that the answer is open-ended.
-  void MarkIfForwarded()
-  {
-    if (mIsForwarded && IsOpenEnded()) {
-      mHeaders.push_back({ std::string(kForwardingOpenEndedHeader), "1" });
-    }
-  }
-
   void RecordPause()
   {
-    const time_point now = Now();
-    if (mLastEvent) {
-      const duration pause = now - *mLastEvent;
-      mLongestPause = std::max(mLongestPause, pause);
-      mDispatcher.Metrics().OnTokenGap(mMetricsClass, pause);
+    if (const auto pause = mAnswer.LastPause()) {
+      mDispatcher.Metrics().OnTokenGap(mMetricsClass, *pause);
     }
-    mLastEvent = now;
   }
 
   void OnAnswerEnd()
   {
-    const bool isStream = mStream.value_or(false);
-    const answer_end end =
-      isStream ? JudgeStreamEnd(Framing(), mEvents, mFirstByteReceived)
-               : JudgeEnd(Framing());
-    if (IsBrokenOff(end)) {
+    if (const answer_end end = mAnswer.JudgeEnd(); IsBrokenOff(end)) {
       OnFailure(attempt_failure::kBroken, std::string(Describe(end)), true);
       return;
     }
@@ -675,35 +569,16 @@
       mDispatcher.Crashes().OnOutput(mFingerprint, mTicket, Now());
     }
     EndAttempt(attempt_end::kCompleted);
-    if (IsOpenEnded()) {
+    if (mAnswer.IsOpenEnded()) {
       mDispatcher.Metrics().OnEvent("answer_ended_with_connection");
     }
-    if (isStream) {
-      EndStream();
-    } else {
-      MarkIfForwarded();
-      mExchange->Send(whole_reply{ mStatus,
-                                   mHeaders,
-                                   "",
-                                   mBufferedAnswer,
-                                   IsOpenEnded() && !mIsForwarded });
-      Finish("answered");
-    }
-  }
-
-  void EndStream()
-  {
-    Forward(mEvents.TakeAll());
-    BeginStream();
-    // The stream's end is told to the caller by a last chunk, which this end
-    // can't vouch for: another endpoint's part before it was framed.
-    if (IsOpenEnded() && !mBegunOpenEnded) {
+    if (!mAnswer.SendEnd(Now())) {
       LogFailedAttempt(attempt_failure::kBroken,
                        "resumed stream ended with its connection");
       GiveUp(error_kind::kStreamBroken);
       return;
     }
-    mExchange->Send(stream_end{});
+    RecordPause();
     Finish("answered");
   }
 
@@ -716,7 +591,7 @@
     const bool sent = (mChargedToPool || IsAtPeer()) && Sent();
     progress.mAttempts = mAttempts + (sent ? 1 : 0);
     progress.mMaxAttempts = mRoute->mMaxAttempts;
-    progress.mAnswerBegun = mAnswerBegun;
+    progress.mAnswerBegun = mAnswer.Begun();
     progress.mMayHaveRun = mMayHaveRun || (!CertainlyNotRun(aFailure) && sent);
     return progress;
   }
@@ -801,7 +676,7 @@
   void AfterFailure(attempt_failure aFailure, const relay_progress& aProgress)
   {
     mDispatcher.Crashes().OnSendEnded(mFingerprint, mTicket, Now());
-    mEvents.DropUnfinished();
+    mAnswer.DropUnfinished();
     const relay_step step = NextStep(aProgress);
     // A request that has not reached any endpoint has caused no load yet, so
     // its next attempt is not charged to the retry budget.
@@ -933,9 +808,9 @@
   // Ends the request with an error response to the caller.
   void GiveUp(error_kind aKind)
   {
-    if (mAnswerBegun) {
+    if (mAnswer.Begun()) {
       mDispatcher.Metrics().OnRefused(error_kind::kStreamBroken);
-      mExchange->Send(stream_abort{});
+      mAnswer.SendAbort();
       Finish("broken");
       return;
     }
@@ -948,7 +823,7 @@
     mDispatcher.Metrics().OnRefused(aKind);
     whole_reply reply =
       mDispatcher.Refusal(aKind, mRelayRequest.mId, aRetryAfter);
-    mStatus = reply.mHttpStatus;
+    mRefusalStatus = reply.mHttpStatus;
     if (mIsForwarded) {
       reply.mHeaders.push_back(
         { std::string(kForwardingErrorHeader), std::string(Name(aKind)) });
@@ -978,7 +853,7 @@
     mExchange->OnLeft(nullptr);
     LogOutcome(aOutcome);
     if (aOutcome == "answered") {
-      mDispatcher.Metrics().OnCompleted(mMetricsClass, mEvents.Events());
+      mDispatcher.Metrics().OnCompleted(mMetricsClass, mAnswer.Events());
     }
   }
 
@@ -1011,7 +886,18 @@
         { "reused", std::int64_t{ mAttempt && mAttempt->Reused() } },
         { "after_ms", ToMilliseconds(now - mSentAt) },
         { "expected_ms", ToMilliseconds(mPick.mExpectedWait) },
-        { "begun", std::int64_t{ mAnswerBegun } } });
+        { "begun", std::int64_t{ mAnswer.Begun() } } });
+  }
+
+  unsigned Status() const
+  {
+    return mRefusalStatus != 0 ? mRefusalStatus : mAnswer.Status();
+  }
+
+  std::string FramingText() const
+  {
+    const auto framing = mAnswer.ReceivedFraming();
+    return framing ? std::string(Name(*framing)) : "";
   }
 
   void LogOutcome(std::string_view aOutcome)
@@ -1023,7 +909,7 @@
       { { "request", mRelayRequest.mId.Text() },
         { "fingerprint", Text(mFingerprint) },
         { "outcome", std::string(aOutcome) },
-        { "status", std::int64_t{ mStatus } },
+        { "status", std::int64_t{ Status() } },
         { "route", mRoute == nullptr ? "" : mRoute->mName },
         { "team", mTeam == nullptr ? "" : mTeam->mName.Text() },
         { "tier", std::int64_t{ mProfile.mTier } },
@@ -1037,8 +923,8 @@
         { "side", mPick.mBulk ? "bulk" : "interactive" },
         { "backlog", static_cast<std::int64_t>(mPick.mBacklogTokens) },
         { "expected_ms", ToMilliseconds(mPick.mExpectedWait) },
-        { "longest_pause_ms", ToMilliseconds(mLongestPause) },
-        { "framing", mFraming ? std::string(Name(*mFraming)) : "" },
+        { "longest_pause_ms", ToMilliseconds(mAnswer.LongestPause()) },
+        { "framing", FramingText() },
         { "first_byte_ms", ToMilliseconds(mFirstByte.value_or(duration{})) },
         { "total_ms", ToMilliseconds(now - mExchange->Arrival()) },
         { "configuration",
@@ -1078,16 +964,6 @@
   // Whether the attempt is counted as in flight in the pool.
   bool mChargedToPool = false;
   bool mFirstByteReceived = false;
-  // Whether the answer is a stream; unset until its head arrives.
-  std::optional<bool> mStream;
-  unsigned mStatus = 0;
-  // How the endpoint framed the answer; unset until its head arrives.
-  std::optional<answer_framing> mFraming;
-  // Whether another instance says that the endpoint told the end of its answer
-  // by closing its connection.
-  bool mMarkedOpenEnded = false;
-  std::string mBufferedAnswer;
-
   // Endpoints tried by the attempts of the request so far. The members from
   // `mTriedEndpoints` on hold state over all attempts.
   std::vector<endpoint_name> mTriedEndpoints;
@@ -1101,15 +977,10 @@
   bool mMayHaveRun = false;
   // Whether the next retry has already been charged to the retry budget.
   bool mRetryCharged = false;
-  event_splitter mEvents;
-  std::vector<header_field> mHeaders;
-  // Whether part of the answer has been sent to the caller.
-  bool mAnswerBegun = false;
-  // Whether that part told the caller that the answer ends with the connection.
-  bool mBegunOpenEnded = false;
+  relayed_answer mAnswer;
+  // The HTTP status of this instance's own error response; 0 if there is none.
+  unsigned mRefusalStatus = 0;
   std::optional<duration> mFirstByte;
-  std::optional<time_point> mLastEvent;
-  duration mLongestPause{};
   bool mDone = false;
 };
 
--- /dev/null
+++ b/thornhollow/daemon/relayed_answer.h
@@ -0,0 +1,109 @@
+// The answer to a relayed request on its way to the caller: the parts that
+// attempts bring, framed for the caller as the endpoints framed theirs.
+//
+//   relayed_answer answer(exchange, false);
+//   answer.BeginAttempt();
+//   answer.OnHead(head, { .mIsStream = true });
+//   answer.OnBytes(bytes, now);
+//   if (IsBrokenOff(answer.JudgeEnd())) { ... } else { answer.SendEnd(now); }
+//
+// A stream is sent as its events become whole, and may be continued by a later
+// attempt; any other answer is held back until its end.
+#ifndef THORNHOLLOW_DAEMON_RELAYED_ANSWER_H_
+#define THORNHOLLOW_DAEMON_RELAYED_ANSWER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "thornhollow/base/header_field.h"
+#include "thornhollow/base/time.h"
+#include "thornhollow/net/caller_server.h"
+#include "thornhollow/net/relay_attempt.h"
+#include "thornhollow/request/answer_end.h"
+#include "thornhollow/request/event_splitter.h"
+
+namespace thornhollow {
+
+// What the session knows of an answer beside its head.
+struct answer_traits
+{
+  bool mIsStream = false;
+  // Whether another instance says that the endpoint told the end of its answer
+  // by closing its connection.
+  bool mMarkedOpenEnded = false;
+};
+
+class relayed_answer
+{
+public:
+  // `aIsForwarded`: the exchange is with another instance.
+  relayed_answer(caller_exchange_ptr aExchange, bool aIsForwarded);
+
+  // Forgets what is known of the attempt before, but not what was sent.
+  void BeginAttempt();
+  // Drops a part of an event, before the stream is continued elsewhere.
+  void DropUnfinished() { mEvents.DropUnfinished(); }
+
+  void OnHead(const relay_answer_head& aHead, const answer_traits& aTraits);
+  // Sends what of a stream has become whole. Returns the fault of an answer
+  // that exceeds a size limit, for logs.
+  std::optional<std::string_view> OnBytes(const std::string& aBytes,
+                                          time_point aNow);
+
+  // What the end of the present attempt's answer says, if it ended in order.
+  answer_end JudgeEnd() const;
+  // Sends the end. False if it can't be told to the caller, to whom an earlier
+  // attempt's framing promised a last chunk, which this end can't vouch for.
+  bool SendEnd(time_point aNow);
+  // Ends a stream of which a part was sent so that it doesn't look complete.
+  void SendAbort();
+
+  // Whether part of the answer has been sent.
+  bool Begun() const { return mBegun; }
+  // Of the last event of a stream that was sent; empty if there is none.
+  const std::string& LastEventId() const { return mEvents.LastId(); }
+  std::uint64_t Events() const { return mEvents.Events(); }
+  // The endpoint's status; 0 until the attempt's head arrives.
+  unsigned Status() const { return mStatus; }
+  // As the attempt's answer came; unset until its head arrives.
+  std::optional<answer_framing> ReceivedFraming() const { return mFraming; }
+  bool IsOpenEnded() const { return Framing() == answer_framing::kConnection; }
+  // Between two parts of a stream that were sent. The last one is unset unless
+  // the last call of `OnBytes` or `SendEnd` sent a part after another.
+  std::optional<duration> LastPause() const { return mLastPause; }
+  duration LongestPause() const { return mLongestPause; }
+
+private:
+  answer_framing Framing() const;
+  void SendEvents(std::string aText, time_point aNow);
+  void SendStreamHead();
+  void MarkIfForwarded();
+
+  caller_exchange_ptr mExchange;
+  bool mIsForwarded;
+
+  // Of the present attempt.
+  unsigned mStatus = 0;
+  answer_traits mTraits;
+  std::optional<answer_framing> mFraming;
+  bool mHasBytes = false;
+  std::string mHeldBack;
+
+  // Over all attempts.
+  event_splitter mEvents;
+  std::vector<header_field> mHeaders;
+  bool mBegun = false;
+  // Whether the part that was sent told the caller that the answer ends with
+  // the connection.
+  bool mBegunOpenEnded = false;
+  std::optional<time_point> mLastSent;
+  std::optional<duration> mLastPause;
+  duration mLongestPause{};
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_DAEMON_RELAYED_ANSWER_H_
