Log lines and counters tell what endpoints say of themselves in answers

Nothing heeds them yet: no decision changes. policy/endpoint_notices keeps the words, for one process of an endpoint; a list that still shows it as live doesn't undo them.

--- a/thornhollow/base/endpoint_hash.h
+++ b/thornhollow/base/endpoint_hash.h
@@ -22,6 +22,17 @@
   return static_cast<endpoint_hash>(Hash64(aEndpoint.Text()));
 }
 
+// Identifies one process of an endpoint. `aStartedMs`: when it was started, as
+// the source lists it; 0 if it is not listed.
+using endpoint_process_hash = std::uint64_t;
+
+inline endpoint_process_hash
+EndpointProcessHash(const endpoint_name& aEndpoint, std::int64_t aStartedMs)
+{
+  return CombineHash(Hash64(aEndpoint.Text()),
+                     static_cast<std::uint64_t>(aStartedMs));
+}
+
 } // namespace thornhollow
 
 #endif // THORNHOLLOW_BASE_ENDPOINT_HASH_H_
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -272,6 +272,7 @@
     mNextConnectionCheck = aNow + kConnectionCheckInterval;
     mConnections.Tick(aNow);
   }
+  mNotices.Tick(aNow);
   mCrashes.Tick(aNow);
   mReach.Tick(aNow);
   UpdateReserved(aNow);
@@ -306,6 +307,31 @@
   }
 }
 
+void
+relay_dispatcher::OnAnswerMarks(const relay_pick& aPick,
+                                const answer_marks& aMarks,
+                                time_point aNow)
+{
+  const auto found = mEndpoints.find(aPick.mEndpoint);
+  if (found == mEndpoints.end() || found->second.mLifetime != aPick.mLifetime) {
+    return;
+  }
+  const endpoint_process_hash process = ProcessHash(found->second.mEntry);
+  if (aMarks.mLeaving && mNotices.OnLeaving(process, aNow)) {
+    mMetrics.OnEvent("endpoint_says_leaving");
+    mLog.Write(log_level::kInfo,
+               "endpoint_says_leaving",
+               { { "endpoint", aPick.mEndpoint.Text() }, { "by", "answer" } });
+  }
+  if (aMarks.mRest && mNotices.OnRest(process, *aMarks.mRest, aNow)) {
+    mMetrics.OnEvent("endpoint_asks_rest");
+    mLog.Write(log_level::kInfo,
+               "endpoint_asks_rest",
+               { { "endpoint", aPick.mEndpoint.Text() },
+                 { "rest_ms", ToMilliseconds(*aMarks.mRest) } });
+  }
+}
+
 void
 relay_dispatcher::SetShutdown(time_point aShutdownAt, time_point aRefuseFrom)
 {
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <vector>
 
+#include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/error.h"
 #include "thornhollow/base/ids.h"
 #include "thornhollow/config/relay_settings.h"
@@ -31,6 +32,7 @@
 #include "thornhollow/fleet/relay_peers.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/endpoint_connections.h"
+#include "thornhollow/policy/endpoint_notices.h"
 #include "thornhollow/policy/relay_pool.h"
 #include "thornhollow/policy/shared_retry_budget.h"
 #include "thornhollow/request/relay_headers.h"
@@ -125,6 +127,10 @@
   // endpoint stopped responding. Informs all pools, as the endpoint's whole
   // failure domain may be unreachable.
   void OnUnreachable(const relay_pick& aPick, time_point aNow);
+  // Takes what an endpoint said of itself with an answer to the attempt.
+  void OnAnswerMarks(const relay_pick& aPick,
+                     const answer_marks& aMarks,
+                     time_point aNow);
   shared_retry_budget& Retries() { return mRetries; }
   void OnSessionBegin() { ++mSessions; }
   void OnSessionEnd() { --mSessions; }
@@ -153,6 +159,10 @@
     std::uint64_t mLifetime = 0;
   };
 
+  static endpoint_process_hash ProcessHash(const listed_endpoint& aEndpoint)
+  {
+    return EndpointProcessHash(aEndpoint.mName, aEndpoint.mStartedMs);
+  }
   static relay_endpoint ToPoolEndpoint(const known_endpoint& aKnown);
 
   boost::asio::io_context& mIo;
@@ -163,6 +173,7 @@
   endpoint_connections mConnections;
   crash_guard mCrashes;
   endpoint_reach mReach;
+  endpoint_notices mNotices;
   shared_retry_budget mRetries;
   std::mt19937_64 mGenerator;
   routing_table_ptr mTable;
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -452,6 +452,9 @@
       OnPeerRefused(*refused, ReadRetryAfter(aHead.mHeaders));
       return;
     }
+    if (!IsAtPeer()) {
+      mDispatcher.OnAnswerMarks(mPick, aHead.mMarks, Now());
+    }
     const bool success =
       aHead.mStatus >= kStatusOk && aHead.mStatus < kStatusRedirect;
     if (aHead.mMarks.mNotRun) {
--- a/thornhollow/platform/wire_names.cc
+++ b/thornhollow/platform/wire_names.cc
@@ -22,6 +22,7 @@
                         "X-Kv-Backup",
                         "Kv-From",
                         "X-Expected-Version" };
+  names.mLeaving = "Server-Leaving";
   names.mNotRun = "X-Not-Executed";
   names.mSignature = "X-Response-Signature";
   return names;
--- a/thornhollow/request/relay_headers.cc
+++ b/thornhollow/request/relay_headers.cc
@@ -12,6 +12,9 @@
 
 // An endpoint of another process has this address: it did not run the request.
 constexpr unsigned kStatusMisdirected = 421;
+constexpr unsigned kStatusUnavailable = 503;
+// A longer rest, which may be a mistake in the endpoint, counts as this.
+constexpr double kMaxRestSeconds = 3'600;
 // Longer identifiers are refused: they stand in logs and in tables.
 constexpr std::size_t kMaxIdBytes = 200;
 // More parts than this are not looked at; the first ones are the shared ones.
@@ -128,6 +131,17 @@
   return std::nullopt;
 }
 
+// Seconds, possibly with fractions; dates and anything else count as absent.
+std::optional<duration>
+ReadRest(std::string_view aValue)
+{
+  const auto seconds = ParseNumber<double>(aValue);
+  if (!seconds || !(*seconds >= 0)) {
+    return std::nullopt;
+  }
+  return FromSeconds(std::min(*seconds, kMaxRestSeconds));
+}
+
 } // namespace
 
 relay_request
@@ -229,6 +243,10 @@
   marks.mRequestId = HeaderValue(aFields, aNames.mRequestId);
   marks.mNotRun = aStatus == kStatusMisdirected ||
                   !HeaderValue(aFields, aNames.mNotRun).empty();
+  marks.mLeaving = !HeaderValue(aFields, aNames.mLeaving).empty();
+  if (aStatus == kStatusUnavailable) {
+    marks.mRest = ReadRest(HeaderValue(aFields, "Retry-After"));
+  }
   marks.mSigned = !HeaderValue(aFields, aNames.mSignature).empty();
   marks.mIdleLimit = ReadIdleLimit(HeaderValue(aFields, "Keep-Alive"));
   return marks;
--- a/thornhollow/request/relay_headers.h
+++ b/thornhollow/request/relay_headers.h
@@ -50,6 +50,8 @@
 
   // In answers: there where the request was not run.
   std::string mNotRun = "X-Not-Run";
+  // In answers: there where the endpoint is about to leave.
+  std::string mLeaving = "X-Leaving";
   // In answers: proves that an endpoint made them.
   std::string mSignature = "X-Signature";
 
@@ -135,6 +137,11 @@
   // The endpoint says that it did not run the request. Nothing else says so.
   bool mNotRun = false;
   bool mSigned = false;
+  // The endpoint says that it is about to leave.
+  bool mLeaving = false;
+  // For how long the endpoint wants no requests from this instance; nothing
+  // where it has not refused for that.
+  std::optional<duration> mRest;
   // How long an idle connection stays open; nothing where it isn't stated.
   std::optional<duration> mIdleLimit;
 
--- a/thornhollow/request/relay_headers_test.cc
+++ b/thornhollow/request/relay_headers_test.cc
@@ -113,6 +113,37 @@
   CHECK(ReadAnswerMarks(names, 200, { { "x-signature", "s" } }).mSigned);
 }
 
+TEST_CASE("relay_headers/leaving/is_read_from_any_answer")
+{
+  const relay_names names;
+  const std::vector<header_field> said = { { names.mLeaving, "1" } };
+  CHECK(ReadAnswerMarks(names, 200, said).mLeaving);
+  CHECK(ReadAnswerMarks(names, 503, said).mLeaving);
+  CHECK_FALSE(ReadAnswerMarks(names, 200, {}).mLeaving);
+}
+
+// A time that can't be read keeps an endpoint out for ever, or a date is taken
+// for seconds.
+TEST_CASE("relay_headers/rest/is_read_from_a_refusal_alone")
+{
+  const relay_names names;
+  const auto rest = [&](unsigned aStatus, const char* aText) {
+    return ReadAnswerMarks(names, aStatus, { { "Retry-After", aText } }).mRest;
+  };
+  CHECK(rest(503, "3") == Seconds(3));
+  CHECK(rest(503, "0.25") == Milliseconds(250));
+  CHECK(rest(503, "0") == duration::zero());
+  CHECK(rest(503, "1e9") == Seconds(3'600));
+  for (const char* none :
+       { "-1", "nan", "soon", "", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+    CAPTURE(none);
+    CHECK_FALSE(rest(503, none));
+  }
+  for (const unsigned other : { 200U, 429U, 500U, 502U }) {
+    CHECK_FALSE(rest(other, "3"));
+  }
+}
+
 TEST_CASE("relay_headers/random_values/never_fail")
 {
   const relay_names names;
