--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -26,6 +26,7 @@
 ID = "X-Attempt-Id"
 SIGNATURE = "X-Response-Signature"
 NOT_RUN = "X-Not-Executed"
+LEAVING = "Server-Leaving"
 FRAMING = ("Content-Length", "Transfer-Encoding")
 # Instances that the platform names to each one.
 MOST_SEEDS = 3
@@ -258,6 +259,12 @@
         self.mode = ""
         self.ran = []
         self.headers = []
+        # When each request arrived, also those that it refused: (time, id).
+        self.arrived = []
+        # All answers say that it leaves.
+        self.says_leaving = False
+        # A refusal names this time, in seconds, in which it wants nothing.
+        self.rest_s = None
         self.release = threading.Event()
         # A body that contains this text is answered this much later.
         self.slow_on = None
@@ -333,6 +340,7 @@
             call.close_connection = True
             return None
         self.headers.append(dict(call.headers))
+        self.arrived.append((time.monotonic(), call.headers[ID]))
         expected = call.headers.get("X-Expected-Instance")
         if expected != self.name:
             return self.whole(call, 421, b"", signed=False)
@@ -358,6 +366,8 @@
         call.send_header(ID, call.headers[ID])
         if signed:
             call.send_header(SIGNATURE, self.name)
+        if self.says_leaving:
+            call.send_header(LEAVING, "1")
         for name, value in more.items():
             if not (self.is_open_ended(call) and name in FRAMING):
                 call.send_header(name, value)
@@ -396,6 +406,8 @@
         more = {"Content-Length": str(len(body))}
         if not_run:
             more[NOT_RUN] = "1"
+        if not_run and self.rest_s is not None:
+            more["Retry-After"] = str(self.rest_s)
         self.head(call, status, signed, more)
         if self.breaks_off(call):
             return self.break_off(call, b"", body)
