An endpoint that says in an answer that it leaves gets no new work from any instance

Cause: what was known of an endpoint's leaving came from the source's list alone; answers were handed on with that header unread. Class: a belief has one source, though the endpoint's own word is at hand, earlier and truer.

Change: each answer's word, whatever its status, goes into endpoint_notices, for that process of the endpoint; placement, probes and requests that waited with a chosen endpoint heed it beside the list, and a list that says 'ready' doesn't undo it.

The test's wait for contact read an event that need not come when a cut is short; it asks how the last request went instead.

--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -211,14 +211,14 @@
 }
 
 relay_endpoint
-relay_dispatcher::ToPoolEndpoint(const known_endpoint& aKnown)
+relay_dispatcher::ToPoolEndpoint(const known_endpoint& aKnown) const
 {
   const listed_endpoint& entry = aKnown.mEntry;
   return { entry.mName,
            entry.mAddress,
            entry.mDomain,
            aKnown.mLifetime,
-           entry.mDraining };
+           IsLeaving(aKnown) };
 }
 
 bool
@@ -307,22 +307,16 @@
   }
 }
 
-void
+std::optional<endpoint_process_hash>
 relay_dispatcher::OnAnswerMarks(const relay_pick& aPick,
                                 const answer_marks& aMarks,
                                 time_point aNow)
 {
   const auto found = mEndpoints.find(aPick.mEndpoint);
   if (found == mEndpoints.end() || found->second.mLifetime != aPick.mLifetime) {
-    return;
+    return std::nullopt;
   }
   const endpoint_process_hash process = ProcessHash(found->second.mEntry);
-  if (aMarks.mLeaving && mNotices.OnLeaving(process, aNow)) {
-    mMetrics.OnEvent("endpoint_says_leaving");
-    mLog.Write(log_level::kInfo,
-               "endpoint_says_leaving",
-               { { "endpoint", aPick.mEndpoint.Text() }, { "by", "answer" } });
-  }
   if (aMarks.mRest && mNotices.OnRest(process, *aMarks.mRest, aNow)) {
     mMetrics.OnEvent("endpoint_asks_rest");
     mLog.Write(log_level::kInfo,
@@ -330,6 +324,43 @@
                { { "endpoint", aPick.mEndpoint.Text() },
                  { "rest_ms", ToMilliseconds(*aMarks.mRest) } });
   }
+  if (!aMarks.mLeaving) {
+    return std::nullopt;
+  }
+  TakeLeaving(process, "answer", aNow);
+  return process;
+}
+
+void
+relay_dispatcher::OnLeavingReported(
+  const std::vector<endpoint_process_hash>& aProcesses,
+  time_point aNow)
+{
+  for (const endpoint_process_hash each : aProcesses) {
+    TakeLeaving(each, "peer", aNow);
+  }
+}
+
+void
+relay_dispatcher::TakeLeaving(endpoint_process_hash aProcess,
+                              std::string_view aBy,
+                              time_point aNow)
+{
+  if (!mNotices.OnLeaving(aProcess, aNow)) {
+    return;
+  }
+  mMetrics.OnEvent("endpoint_says_leaving");
+  for (const auto& [name, known] : mEndpoints) {
+    if (ProcessHash(known.mEntry) == aProcess) {
+      GetOrCreatePool(known.mEntry.mPool).Put(ToPoolEndpoint(known));
+      mLog.Write(log_level::kInfo,
+                 "endpoint_says_leaving",
+                 { { "endpoint", name.Text() }, { "by", std::string(aBy) } });
+    }
+  }
+  if (mOnNewLeaving) {
+    mOnNewLeaving(aProcess);
+  }
 }
 
 void
@@ -360,7 +391,7 @@
 {
   endpoint_reach::target_list targets;
   for (const auto& [name, each] : mEndpoints) {
-    if (each.mEntry.mPool == aPool && !each.mEntry.mDraining) {
+    if (each.mEntry.mPool == aPool && !IsLeaving(each)) {
       targets.push_back(
         { { each.mEntry.mAddress, each.mLifetime }, each.mEntry.mDomain });
     }
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -12,12 +12,15 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "thornhollow/base/endpoint_hash.h"
@@ -108,6 +111,21 @@
   // `aPort`: where it takes them.
   forwarding_report Forwarding(std::uint16_t aPort, time_point aNow) const;
 
+  // Processes of endpoints that said that they leave, as told by peers or with
+  // an answer that came by way of one.
+  void OnLeavingReported(const std::vector<endpoint_process_hash>& aProcesses,
+                         time_point aNow);
+  std::vector<endpoint_process_hash> LatelyLeaving(std::size_t aMaxCount,
+                                                   time_point aNow) const
+  {
+    return mNotices.LatelyLeaving(aMaxCount, aNow);
+  }
+  // `aListener` is called with each process of which it is new that it leaves.
+  void OnNewLeaving(std::function<void(endpoint_process_hash)> aListener)
+  {
+    mOnNewLeaving = std::move(aListener);
+  }
+
   // The member functions from `Io` to `Refusal` are used by relay sessions.
   boost::asio::io_context& Io() { return mIo; }
   const relay_names& Names() const { return mNames; }
@@ -128,9 +146,10 @@
   // failure domain may be unreachable.
   void OnUnreachable(const relay_pick& aPick, time_point aNow);
   // Takes what an endpoint said of itself with an answer to the attempt.
-  void OnAnswerMarks(const relay_pick& aPick,
-                     const answer_marks& aMarks,
-                     time_point aNow);
+  // Returns the endpoint's process if it said that it leaves.
+  std::optional<endpoint_process_hash> OnAnswerMarks(const relay_pick& aPick,
+                                                     const answer_marks& aMarks,
+                                                     time_point aNow);
   shared_retry_budget& Retries() { return mRetries; }
   void OnSessionBegin() { ++mSessions; }
   void OnSessionEnd() { --mSessions; }
@@ -163,7 +182,17 @@
   {
     return EndpointProcessHash(aEndpoint.mName, aEndpoint.mStartedMs);
   }
-  static relay_endpoint ToPoolEndpoint(const known_endpoint& aKnown);
+  // Whether it leaves, by the source's list or by its own word.
+  bool IsLeaving(const known_endpoint& aKnown) const
+  {
+    return aKnown.mEntry.mDraining ||
+           mNotices.IsLeaving(ProcessHash(aKnown.mEntry));
+  }
+  // Does nothing if it is known already.
+  void TakeLeaving(endpoint_process_hash aProcess,
+                   std::string_view aBy,
+                   time_point aNow);
+  relay_endpoint ToPoolEndpoint(const known_endpoint& aKnown) const;
 
   boost::asio::io_context& mIo;
   relay_settings mSettings;
@@ -174,6 +203,7 @@
   crash_guard mCrashes;
   endpoint_reach mReach;
   endpoint_notices mNotices;
+  std::function<void(endpoint_process_hash)> mOnNewLeaving;
   shared_retry_budget mRetries;
   std::mt19937_64 mGenerator;
   routing_table_ptr mTable;
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -170,6 +170,9 @@
                                             const crash_report& aReport) {
                                        mPeers.SendCrashReport(aTo, aReport);
                                      } });
+    mDispatcher.OnNewLeaving([this](endpoint_process_hash aProcess) {
+      mPeers.SpreadLeaving(aProcess);
+    });
   }
 
   result<listening_addresses> Start()
@@ -242,6 +245,13 @@
     callbacks.mOnCrashReport = [this](const crash_report& aReport) {
       mDispatcher.Crashes().OnReport(aReport);
     };
+    callbacks.mLatelyLeaving = [this](std::size_t aMaxCount) {
+      return mDispatcher.LatelyLeaving(aMaxCount, Now());
+    };
+    callbacks.mOnLeaving =
+      [this](const std::vector<endpoint_process_hash>& aProcesses) {
+        mDispatcher.OnLeavingReported(aProcesses, Now());
+      };
     callbacks.mOnItemsRequest = [this](const items_request& aRequest) {
       return MakeCopy(aRequest);
     };
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -9,6 +9,7 @@
 
 #include "thornhollow/fleet/copy_requests.h"
 #include "thornhollow/fleet/large_copy_limiter.h"
+#include "thornhollow/fleet/leaving_gossip.h"
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/peer_transport.h"
 
@@ -25,6 +26,10 @@
 // Maximum load entries in a hello, which limits it to 1,100 bytes: 18 bytes for
 // each entry, the rest for addresses, demand and contacts.
 constexpr std::size_t kMaxWorkEntries = 39;
+// Maximum leaving endpoints in a hello, and the load entries that give way to
+// them: they take 11 bytes each.
+constexpr std::size_t kMaxLeavingInHello = 6;
+constexpr std::size_t kWorkEntriesForLeaving = 4;
 
 peer_transport_settings
 TransportSettings(const relay_settings& aSettings)
@@ -77,6 +82,7 @@
              aSettings.mDomain,
              aSettings.mPeerSeeds,
              std::random_device()())
+    , mLeaving(leaving_gossip_settings{}, std::random_device()())
     , mTransport(
         aIo,
         TransportSettings(aSettings),
@@ -95,6 +101,7 @@
     Send(BriefHello(false), round.mBrief);
     Send(BriefHello(true), round.mProbed);
     SendSums(aNow);
+    SendLeaving(aNow);
     mAlive = mPeers.Alive();
     if (mAlive != before) {
       mLog.Write(log_level::kInfo,
@@ -115,6 +122,12 @@
     Send(hello, aTo);
   }
 
+  void SpreadLeaving(endpoint_process_hash aProcess)
+  {
+    mLeaving.OnNew(aProcess);
+    SendLeaving(Now());
+  }
+
   bool ShouldReadSource(time_point aNow)
   {
     mIsReader = mPeers.Reads(aNow);
@@ -143,7 +156,10 @@
     hello.mPeers = mPeers.SamplePeers();
     hello.mForwarding = mCallbacks.mForwarding();
     hello.mLoads = mCallbacks.mWork();
-    if (hello.mLoads.size() > kMaxWorkEntries) {
+    hello.mLeaving = mCallbacks.mLatelyLeaving(kMaxLeavingInHello);
+    const std::size_t maxEntries =
+      kMaxWorkEntries - (hello.mLeaving.empty() ? 0 : kWorkEntriesForLeaving);
+    if (hello.mLoads.size() > maxEntries) {
       // Entries with the most queued prefill come first. The rotation varies
       // which of the entries without queued work are kept, so that the prefill
       // speed of each endpoint is reported eventually.
@@ -154,7 +170,7 @@
                   hello.mLoads.end());
       std::ranges::stable_sort(
         hello.mLoads, std::ranges::greater(), &reported_load::mPrefillTokens);
-      hello.mLoads.resize(kMaxWorkEntries);
+      hello.mLoads.resize(maxEntries);
     }
     for (const auto& [pool, view] : mCallbacks.mDemand()) {
       hello.mDemand.push_back({ pool, view });
@@ -162,6 +178,16 @@
     Send(hello, aTo);
   }
 
+  void SendLeaving(time_point aNow)
+  {
+    for (const outgoing_leaving& each :
+         mLeaving.Due(mPeers.Addresses(), aNow)) {
+      relay_hello hello = BriefHello(false);
+      hello.mLeaving = each.mProcesses;
+      Send(hello, each.mTo);
+    }
+  }
+
   void SendSums(time_point aNow)
   {
     for (const outgoing_aggregation& each :
@@ -220,6 +246,9 @@
     if (hello->mCrashes) {
       mCallbacks.mOnCrashReport(*hello->mCrashes);
     }
+    if (!hello->mLeaving.empty()) {
+      mCallbacks.mOnLeaving(hello->mLeaving);
+    }
     if (hello->mCrashDigest) {
       mCallbacks.mOnCrashDigest(hello->mAddress, *hello->mCrashDigest);
     }
@@ -357,6 +386,7 @@
   json_log& mLog;
   metrics& mMetrics;
   relay_peers mPeers;
+  leaving_gossip mLeaving;
   peer_transport mTransport;
   std::size_t mAlive = 0;
   // Whether this instance reads the source for its domain, and whether it reads
@@ -411,6 +441,12 @@
   mCore->SendCrashReport(aTo, aReport);
 }
 
+void
+relay_peer_link::SpreadLeaving(endpoint_process_hash aProcess)
+{
+  mCore->SpreadLeaving(aProcess);
+}
+
 std::vector<std::string>
 relay_peer_link::Addresses() const
 {
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -56,6 +56,10 @@
   // Called with the digest of the peer at the given address.
   std::function<void(const std::string&, std::uint64_t)> mOnCrashDigest;
   std::function<void(const crash_report&)> mOnCrashReport;
+  // Returns processes of endpoints that lately said that they leave.
+  std::function<std::vector<endpoint_process_hash>(std::size_t)> mLatelyLeaving;
+  // Called with those that a peer has told.
+  std::function<void(const std::vector<endpoint_process_hash>&)> mOnLeaving;
   // Returns the copy that a peer requests.
   std::function<items_answer(const items_request&)> mOnItemsRequest;
   // Called when a peer answered a request for a copy.
@@ -81,6 +85,8 @@
   // Sends a report of suspected requests.
   void SendCrashReport(const std::vector<std::string>& aTo,
                        const crash_report& aReport);
+  // Spreads that an endpoint's process said that it leaves.
+  void SpreadLeaving(endpoint_process_hash aProcess);
   // Addresses of all live peers.
   std::vector<std::string> Addresses() const;
   // Whether this instance should read the source itself. Call every 100 ms.
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -374,9 +374,12 @@
     if (aPool == nullptr) {
       return std::nullopt;
     }
-    return mPlannedPick
-             ? std::exchange(mPlannedPick, std::nullopt)
-             : mDispatcher.Choose(*aPool, mProfile, mTriedEndpoints, aNow);
+    // The endpoint may have left while the request waited.
+    if (const auto planned = std::exchange(mPlannedPick, std::nullopt);
+        planned && aPool->IsInService(*planned)) {
+      return planned;
+    }
+    return mDispatcher.Choose(*aPool, mProfile, mTriedEndpoints, aNow);
   }
 
   void SendAttempt()
@@ -452,9 +455,7 @@
       OnPeerRefused(*refused, ReadRetryAfter(aHead.mHeaders));
       return;
     }
-    if (!IsAtPeer()) {
-      mDispatcher.OnAnswerMarks(mPick, aHead.mMarks, Now());
-    }
+    const auto leaving = TakeMarks(aHead);
     const bool success =
       aHead.mStatus >= kStatusOk && aHead.mStatus < kStatusRedirect;
     if (aHead.mMarks.mNotRun) {
@@ -492,6 +493,22 @@
     mAnswer.OnHead(aHead,
                    { success && IsStream(mRoute->mKind),
                      IsAtPeer() && ReadForwardingOpenEnded(aHead.mHeaders) });
+    if (leaving && mIsForwarded) {
+      mAnswer.AddHeader(ForwardingLeavingHeader(*leaving));
+    }
+  }
+
+  // Takes what the endpoint says of itself. Returns its process if it leaves.
+  std::optional<endpoint_process_hash> TakeMarks(const relay_answer_head& aHead)
+  {
+    if (!IsAtPeer()) {
+      return mDispatcher.OnAnswerMarks(mPick, aHead.mMarks, Now());
+    }
+    const auto leaving = ReadForwardingLeaving(aHead.mHeaders);
+    if (leaving) {
+      mDispatcher.OnLeavingReported({ *leaving }, Now());
+    }
+    return leaving;
   }
 
   // The other instance itself ended the request, rather than an endpoint.
--- a/thornhollow/daemon/relayed_answer.cc
+++ b/thornhollow/daemon/relayed_answer.cc
@@ -45,6 +45,14 @@
   }
 }
 
+void
+relayed_answer::AddHeader(header_field aField)
+{
+  if (!mBegun) {
+    mHeaders.push_back(std::move(aField));
+  }
+}
+
 std::optional<std::string_view>
 relayed_answer::OnBytes(const std::string& aBytes, time_point aNow)
 {
--- a/thornhollow/daemon/relayed_answer.h
+++ b/thornhollow/daemon/relayed_answer.h
@@ -48,6 +48,8 @@
   void DropUnfinished() { mEvents.DropUnfinished(); }
 
   void OnHead(const relay_answer_head& aHead, const answer_traits& aTraits);
+  // Adds a header of our own; to be called after `OnHead`.
+  void AddHeader(header_field aField);
   // Sends what of a stream has become whole. Returns the fault of an answer
   // that exceeds a size limit, for logs.
   std::optional<std::string_view> OnBytes(const std::string& aBytes,
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -162,6 +162,8 @@
   std::optional<std::uint64_t> mCrashDigest = std::nullopt;
   // Only full hellos have it.
   forwarding_report mForwarding = {};
+  // Processes of endpoints that said in an answer that they leave.
+  std::vector<endpoint_process_hash> mLeaving = {};
 
   friend bool operator==(const relay_hello&, const relay_hello&) = default;
 };
--- a/thornhollow/policy/endpoint_notices.cc
+++ b/thornhollow/policy/endpoint_notices.cc
@@ -1,13 +1,16 @@
 #include "thornhollow/policy/endpoint_notices.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace thornhollow {
 
 bool
 endpoint_notices::OnLeaving(endpoint_process_hash aProcess, time_point aNow)
 {
-  return mLeaving.insert_or_assign(aProcess, aNow).second;
+  return mLeaving.size() < kMaxLeaving &&
+         mLeaving.try_emplace(aProcess, aNow).second;
 }
 
 bool
@@ -21,6 +24,24 @@
   return begins && until > aNow;
 }
 
+std::vector<endpoint_process_hash>
+endpoint_notices::LatelyLeaving(std::size_t aMaxCount, time_point aNow) const
+{
+  std::vector<std::pair<time_point, endpoint_process_hash>> lately;
+  for (const auto& [process, since] : mLeaving) {
+    if (aNow - since < kToldFor) {
+      lately.emplace_back(since, process);
+    }
+  }
+  std::ranges::sort(lately, std::greater());
+  lately.resize(std::min(lately.size(), aMaxCount));
+  std::vector<endpoint_process_hash> processes;
+  for (const auto& [since, process] : lately) {
+    processes.push_back(process);
+  }
+  return processes;
+}
+
 time_point
 endpoint_notices::RestUntil(endpoint_process_hash aProcess) const
 {
--- a/thornhollow/policy/endpoint_notices.h
+++ b/thornhollow/policy/endpoint_notices.h
@@ -20,7 +20,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <vector>
 
 #include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/time.h"
@@ -33,6 +33,11 @@
   // An endpoint that leaves exits within a minute as a rule; its entry in the
   // list, should it be late, is gone within ten.
   static constexpr duration kLeavingRetention = Seconds(600);
+  // More are not kept; above the 850 endpoints of a large fleet.
+  static constexpr std::size_t kMaxLeaving = 4'096;
+  // For how long a process is told to peers that may not have heard of it.
+  static constexpr duration kToldFor = Seconds(60);
+
   // The process said that it leaves, or a peer passed that on. Returns whether
   // that is new.
   bool OnLeaving(endpoint_process_hash aProcess, time_point aNow);
@@ -45,6 +50,10 @@
   {
     return mLeaving.contains(aProcess);
   }
+  // Processes that were not known to be leaving until lately, the newest first
+  // and at most `aMaxCount`, for peers that have started since.
+  std::vector<endpoint_process_hash> LatelyLeaving(std::size_t aMaxCount,
+                                                   time_point aNow) const;
   // The end of the present rest, or of one that is over; `time_point()` if
   // there was none lately.
   time_point RestUntil(endpoint_process_hash aProcess) const;
@@ -53,7 +62,7 @@
   void Tick(time_point aNow);
 
 private:
-  // When each was last said.
+  // Since when each is known.
   std::map<endpoint_process_hash, time_point> mLeaving;
   std::map<endpoint_process_hash, time_point> mRests;
 };
--- a/thornhollow/request/forwarding_headers.cc
+++ b/thornhollow/request/forwarding_headers.cc
@@ -74,6 +74,19 @@
   return !HeaderValue(aFields, kForwardingOpenEndedHeader).empty();
 }
 
+header_field
+ForwardingLeavingHeader(endpoint_process_hash aProcess)
+{
+  return { std::string(kForwardingLeavingHeader), std::to_string(aProcess) };
+}
+
+std::optional<endpoint_process_hash>
+ReadForwardingLeaving(const std::vector<header_field>& aFields)
+{
+  return ParseNumber<endpoint_process_hash>(
+    HeaderValue(aFields, kForwardingLeavingHeader));
+}
+
 std::optional<duration>
 ReadRetryAfter(const std::vector<header_field>& aFields)
 {
--- a/thornhollow/request/forwarding_headers.h
+++ b/thornhollow/request/forwarding_headers.h
@@ -18,6 +18,7 @@
 #include <string_view>
 #include <vector>
 
+#include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/error.h"
 #include "thornhollow/base/header_field.h"
 #include "thornhollow/base/time.h"
@@ -36,6 +37,11 @@
 inline constexpr std::string_view kForwardingOpenEndedHeader =
   "Thornhollow-Open-Ended";
 
+// Names the process of the endpoint that made the answer, if it said that it
+// leaves. Never sent to callers.
+inline constexpr std::string_view kForwardingLeavingHeader =
+  "Thornhollow-Leaving";
+
 // What the forwarding instance tells the receiving one.
 struct forwarding_facts
 {
@@ -70,6 +76,13 @@
 bool
 ReadForwardingOpenEnded(const std::vector<header_field>& aFields);
 
+header_field
+ForwardingLeavingHeader(endpoint_process_hash aProcess);
+
+// Empty unless the header is there and well-formed.
+std::optional<endpoint_process_hash>
+ReadForwardingLeaving(const std::vector<header_field>& aFields);
+
 // The `Retry-After` header in seconds, possibly with fractions; empty if there
 // is none.
 std::optional<duration>
--- a/thornhollow/request/forwarding_headers_test.cc
+++ b/thornhollow/request/forwarding_headers_test.cc
@@ -90,6 +90,15 @@
   CHECK(AnswerHeaders(marked).empty());
 }
 
+TEST_CASE("forwarding_headers/leaving_endpoint/is_read_and_never_passed_on")
+{
+  constexpr endpoint_process_hash kProcess = 0xfedc'ba98'7654'3210;
+  const std::vector<header_field> told = { ForwardingLeavingHeader(kProcess) };
+  CHECK(ReadForwardingLeaving(told) == kProcess);
+  CHECK(AnswerHeaders(told).empty());
+  CHECK_FALSE(ReadForwardingLeaving({ { told.front().mName, "soon" } }));
+}
+
 TEST_CASE("forwarding_headers/retry_after/is_read_with_fractions")
 {
   CHECK(ReadRetryAfter({ { "Retry-After", "0.250" } }) == Milliseconds(250));
--- a/thornhollow/request/relay_headers.cc
+++ b/thornhollow/request/relay_headers.cc
@@ -229,7 +229,9 @@
   std::vector<header_field> sent = EndToEndHeaders(aFields);
   std::erase_if(sent, [](const header_field& aField) {
     return IsAnyOf(aField.mName,
-                   { kForwardingErrorHeader, kForwardingOpenEndedHeader });
+                   { kForwardingErrorHeader,
+                     kForwardingOpenEndedHeader,
+                     kForwardingLeavingHeader });
   });
   return sent;
 }
--- a/thornhollow/testing/process/relay_leaving_word_test.py
+++ b/thornhollow/testing/process/relay_leaving_word_test.py
@@ -82,7 +82,8 @@
         # Requests go to the engines directly again.
         harness.wait_until(
             lambda: self.ask_any(cut_off, "heal") and
-            cut_off.events("endpoint_contact")[-1]["state"] == "reached",
+            any(line["request"].startswith("heal") and not line["via"]
+                for line in cut_off.events("request_done")),
             "contact is back")
         self.ask_all([cut_off], "same", 0.5)
         self.assertEqual(self.arrivals(leaver, "same"), [])
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -331,6 +331,10 @@
     out.__set_crash_digest(Signed(*aHello.mCrashDigest));
   }
   SetForwarding(out, aHello.mForwarding);
+  for (const endpoint_process_hash each : aHello.mLeaving) {
+    out.leaving.push_back(static_cast<std::int64_t>(each));
+  }
+  out.__isset.leaving = !out.leaving.empty();
   if (aHello.mSourceAnswerAge) {
     out.__set_source_answer_age_ms(static_cast<std::int32_t>(
       std::min(ToMilliseconds(*aHello.mSourceAnswerAge), kMostMilliseconds)));
@@ -386,6 +390,9 @@
     hello.mCrashDigest = static_cast<std::uint64_t>(in->crash_digest);
   }
   hello.mForwarding = GetForwarding(*in);
+  for (const std::int64_t each : in->leaving) {
+    hello.mLeaving.push_back(static_cast<endpoint_process_hash>(each));
+  }
   if (in->__isset.source_answer_age_ms) {
     hello.mSourceAnswerAge = Span(in->source_answer_age_ms);
   }
--- a/thornhollow/wire/relay_codec_test.cc
+++ b/thornhollow/wire/relay_codec_test.cc
@@ -125,6 +125,32 @@
   CHECK(EncodeHello(hello).size() <= 1100);
 }
 
+TEST_CASE("relay_codec/leaving_endpoints/come_back_equal_and_fit_a_datagram")
+{
+  relay_hello hello;
+  hello.mBrief = true;
+  hello.mAddress = "255.255.255.255:65535";
+  hello.mDomain = domain_name(std::string(32, 'd'));
+  // As many as a message has, each of the greatest length.
+  hello.mLeaving.assign(60, std::uint64_t{ 1 } << 63U);
+  CHECK(EncodeHello(hello).size() <= 1'000);
+  const auto result = DecodeHello(EncodeHello(hello));
+  REQUIRE(result.has_value());
+  CHECK(result->mLeaving == hello.mLeaving);
+}
+
+TEST_CASE("relay_codec/full_hello_with_leaving_endpoints/fits_a_datagram")
+{
+  relay_hello hello = Hello();
+  hello.mPeers.assign(6, "255.255.255.255:65535");
+  // What an instance sends at most (relay_peer_link.cc).
+  hello.mLoads.assign(35, { 0x7edcba98, 200'000, 30'000, 64 });
+  hello.mLeaving.assign(6, std::uint64_t{ 1 } << 63U);
+  hello.mForwarding = { 65'535, 2'048, {} };
+  hello.mForwarding.mContacts.assign(8, { 0x7edcba98, true });
+  CHECK(EncodeHello(hello).size() <= 1100);
+}
+
 TEST_CASE("relay_codec/sums/come_back_equal_and_are_small")
 {
   pool_view view;
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -216,6 +216,8 @@
   // Requests in progress at the teller.
   17: optional i32 in_progress
   18: optional list<pool_contact> contacts
+  // Hashes of endpoints' processes that said in an answer that they leave.
+  19: optional list<i64> leaving
 }
 
 struct items_request {
