An endpoint that asked for rest gets nothing from that instance until it is over

Cause: a refusal counted for the one request alone. Retry-After of endpoints wasn't read; and an endpoint that refuses within a millisecond has nothing in flight, so that placement takes it for the least loaded. Class: a refusal is taken for an event of a request rather than a state of the endpoint.

Ruled out: sound endpoints were full (they served the same requests at the next attempt); repeats of refused requests piling up (first attempts do it too).

Change: a 503 with Retry-After begins a rest of that process of the endpoint, for this instance; the latest end of all that it asked for counts, an hour at most. Each choice heeds it: first, retry, resumed, requests that waited with a chosen endpoint, and the fallbacks for when no other is left. Bulk admission and sides count awake endpoints. All rest: refused at once, Retry-After is the time left. The return is spread over half a second and begins with one request, then four; no other instance is asked as a way around a rest, since it may be told the same.

--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -214,11 +214,9 @@
 relay_dispatcher::ToPoolEndpoint(const known_endpoint& aKnown) const
 {
   const listed_endpoint& entry = aKnown.mEntry;
-  return { entry.mName,
-           entry.mAddress,
-           entry.mDomain,
-           aKnown.mLifetime,
-           IsLeaving(aKnown) };
+  return { entry.mName,       entry.mAddress,
+           entry.mDomain,     aKnown.mLifetime,
+           IsLeaving(aKnown), mNotices.RestUntil(ProcessHash(entry)) };
 }
 
 bool
@@ -272,7 +270,9 @@
     mNextConnectionCheck = aNow + kConnectionCheckInterval;
     mConnections.Tick(aNow);
   }
-  mNotices.Tick(aNow);
+  for (const endpoint_process_hash each : mNotices.Tick(aNow)) {
+    LogRestOver(each);
+  }
   mCrashes.Tick(aNow);
   mReach.Tick(aNow);
   UpdateReserved(aNow);
@@ -317,12 +317,8 @@
     return std::nullopt;
   }
   const endpoint_process_hash process = ProcessHash(found->second.mEntry);
-  if (aMarks.mRest && mNotices.OnRest(process, *aMarks.mRest, aNow)) {
-    mMetrics.OnEvent("endpoint_asks_rest");
-    mLog.Write(log_level::kInfo,
-               "endpoint_asks_rest",
-               { { "endpoint", aPick.mEndpoint.Text() },
-                 { "rest_ms", ToMilliseconds(*aMarks.mRest) } });
+  if (aMarks.mRest) {
+    TakeRest(found->second, *aMarks.mRest, aNow);
   }
   if (!aMarks.mLeaving) {
     return std::nullopt;
@@ -331,6 +327,29 @@
   return process;
 }
 
+void
+relay_dispatcher::TakeRest(const known_endpoint& aKnown,
+                           duration aRest,
+                           time_point aNow)
+{
+  if (mNotices.OnRest(ProcessHash(aKnown.mEntry), aRest, aNow)) {
+    mMetrics.OnEvent("endpoint_asks_rest");
+    mLog.Write(log_level::kInfo,
+               "endpoint_asks_rest",
+               { { "endpoint", aKnown.mEntry.mName.Text() },
+                 { "rest_ms", ToMilliseconds(aRest) } });
+  }
+  GetOrCreatePool(aKnown.mEntry.mPool).Put(ToPoolEndpoint(aKnown));
+}
+
+std::optional<duration>
+relay_dispatcher::RestLeft(const pool_name& aPool, time_point aNow)
+{
+  const relay_pool* pool = Pool(aPool);
+  const auto left = pool == nullptr ? std::nullopt : pool->RestLeft(aNow);
+  return left ? std::optional(*left + RetryDelay()) : std::nullopt;
+}
+
 void
 relay_dispatcher::OnLeavingReported(
   const std::vector<endpoint_process_hash>& aProcesses,
@@ -363,6 +382,18 @@
   }
 }
 
+void
+relay_dispatcher::LogRestOver(endpoint_process_hash aProcess)
+{
+  for (const auto& [name, known] : mEndpoints) {
+    if (ProcessHash(known.mEntry) == aProcess) {
+      mLog.Write(log_level::kInfo,
+                 "endpoint_rest_over",
+                 { { "endpoint", name.Text() } });
+    }
+  }
+}
+
 void
 relay_dispatcher::SetShutdown(time_point aShutdownAt, time_point aRefuseFrom)
 {
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -141,6 +141,9 @@
                                    const request_profile& aRequest,
                                    const std::vector<endpoint_name>& aTried,
                                    time_point aNow);
+  // When a caller should come back to whom no endpoint of the pool could be
+  // given because all rest; nothing if that is not the reason.
+  std::optional<duration> RestLeft(const pool_name& aPool, time_point aNow);
   // Records that a connection attempt to an endpoint failed, or that the
   // endpoint stopped responding. Informs all pools, as the endpoint's whole
   // failure domain may be unreachable.
@@ -192,6 +195,8 @@
   void TakeLeaving(endpoint_process_hash aProcess,
                    std::string_view aBy,
                    time_point aNow);
+  void TakeRest(const known_endpoint& aKnown, duration aRest, time_point aNow);
+  void LogRestOver(endpoint_process_hash aProcess);
   relay_endpoint ToPoolEndpoint(const known_endpoint& aKnown) const;
 
   boost::asio::io_context& mIo;
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -374,9 +374,9 @@
     if (aPool == nullptr) {
       return std::nullopt;
     }
-    // The endpoint may have left while the request waited.
+    // The endpoint may have left, or asked for rest, while the request waited.
     if (const auto planned = std::exchange(mPlannedPick, std::nullopt);
-        planned && aPool->IsInService(*planned)) {
+        planned && aPool->AcceptsNew(*planned, aNow)) {
       return planned;
     }
     return mDispatcher.Choose(*aPool, mProfile, mTriedEndpoints, aNow);
@@ -841,6 +841,11 @@
               std::optional<duration> aRetryAfter = std::nullopt)
   {
     mDispatcher.Metrics().OnRefused(aKind);
+    const bool noneTook = aKind == error_kind::kNoEndpoint ||
+                          aKind == error_kind::kEndpointDeclined;
+    if (!aRetryAfter && noneTook && mPool != nullptr) {
+      aRetryAfter = mDispatcher.RestLeft(*mPool, Now());
+    }
     whole_reply reply =
       mDispatcher.Refusal(aKind, mRelayRequest.mId, aRetryAfter);
     mRefusalStatus = reply.mHttpStatus;
--- a/thornhollow/policy/endpoint_notices.cc
+++ b/thornhollow/policy/endpoint_notices.cc
@@ -49,14 +49,21 @@
   return found == mRests.end() ? time_point() : found->second;
 }
 
-void
+std::vector<endpoint_process_hash>
 endpoint_notices::Tick(time_point aNow)
 {
   std::erase_if(mLeaving, [aNow](const auto& aEntry) {
     return aNow - aEntry.second >= kLeavingRetention;
   });
-  std::erase_if(mRests,
-                [aNow](const auto& aEntry) { return aEntry.second <= aNow; });
+  std::vector<endpoint_process_hash> over;
+  std::erase_if(mRests, [&](const auto& aEntry) {
+    if (aEntry.second > aNow) {
+      return false;
+    }
+    over.push_back(aEntry.first);
+    return true;
+  });
+  return over;
 }
 
 } // namespace thornhollow
--- a/thornhollow/policy/endpoint_notices.h
+++ b/thornhollow/policy/endpoint_notices.h
@@ -58,8 +58,9 @@
   // there was none lately.
   time_point RestUntil(endpoint_process_hash aProcess) const;
 
-  // Forgets what is over. To be called now and then.
-  void Tick(time_point aNow);
+  // Forgets what is over. To be called now and then. Returns the processes
+  // whose rests have ended.
+  std::vector<endpoint_process_hash> Tick(time_point aNow);
 
 private:
   // Since when each is known.
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -58,6 +58,10 @@
 // pool. Larger measured ratios result from small samples.
 constexpr double kMaxSpeedRatio = 2.5;
 
+// Instances that an endpoint asked for the same rest return to it spread over
+// this time.
+constexpr duration kMaxRestSpread = Milliseconds(500);
+
 } // namespace
 
 relay_pool::relay_pool(const relay_pool_settings& aSettings,
@@ -85,14 +89,28 @@
   if (found != mRecords.end() &&
       found->second.mEndpoint.mLifetime == aEndpoint.mLifetime) {
     found->second.mEndpoint = aEndpoint;
+    ExtendRest(found->second);
     return;
   }
   Remove(aEndpoint.mName);
-  mRecords.emplace(aEndpoint.mName,
-                   record{ aEndpoint,
-                           mNextNumber++,
-                           Hash64(aEndpoint.mName.Text()),
-                           endpoint_health(HealthSettings(mEngines)) });
+  const auto added =
+    mRecords.emplace(aEndpoint.mName,
+                     record{ aEndpoint,
+                             mNextNumber++,
+                             Hash64(aEndpoint.mName.Text()),
+                             endpoint_health(HealthSettings(mEngines)) });
+  ExtendRest(added.first->second);
+}
+
+void
+relay_pool::ExtendRest(record& aRecord)
+{
+  if (aRecord.mEndpoint.mRestUntil == time_point()) {
+    return;
+  }
+  std::uniform_real_distribution<double> spread(0, ToSeconds(kMaxRestSpread));
+  aRecord.mRest.Extend(aRecord.mEndpoint.mRestUntil,
+                       FromSeconds(spread(mRandom)));
 }
 
 void
@@ -123,8 +141,8 @@
   // Requests count towards the demand whether they are admitted or refused.
   mMeter.OnRequest(KindOf(aRequest), pick->mPrefillTokens, aNow);
   mPopularBlocks.OnRequested(aRequest.mFirstBlock, aNow);
-  const double capacity =
-    static_cast<double>(mPartition.BulkEngines()) * mPrefillTokensPerSecond;
+  const double capacity = static_cast<double>(mPartition.BulkEngines()) *
+                          mPrefillTokensPerSecond * mAwakeFraction;
   const duration slotWait = SlotWait();
   const bool saturated = mBulkDemand >= capacity * kSaturationThreshold ||
                          slotWait > duration::zero();
@@ -178,7 +196,7 @@
 relay_pool::TakesNewWork(const record& aRecord, time_point aNow) const
 {
   constexpr std::uint32_t kUnlimited = 1U << 20U;
-  return !aRecord.mEndpoint.mDraining &&
+  return !aRecord.mEndpoint.mDraining && aRecord.mRest.MaySend(aNow) &&
          aRecord.mInFlight <
            aRecord.mHealth.Allowance(kUnlimited, aRecord.mInFlight, aNow);
 }
@@ -192,6 +210,30 @@
          !found->second.mEndpoint.mDraining;
 }
 
+bool
+relay_pool::AcceptsNew(const relay_pick& aPick, time_point aNow) const
+{
+  return IsInService(aPick) &&
+         mRecords.find(aPick.mEndpoint)->second.mRest.IsOver(aNow);
+}
+
+std::optional<duration>
+relay_pool::RestLeft(time_point aNow) const
+{
+  std::optional<duration> left;
+  for (const auto& [name, each] : mRecords) {
+    if (each.mEndpoint.mDraining) {
+      continue;
+    }
+    if (each.mRest.IsOver(aNow)) {
+      return std::nullopt;
+    }
+    const duration own = each.mRest.Until() - aNow;
+    left = std::min(left.value_or(own), own);
+  }
+  return left;
+}
+
 std::vector<relay_pool::record*>
 relay_pool::Candidates(const request_profile& aRequest,
                        const std::vector<endpoint_name>& aTried,
@@ -200,7 +242,8 @@
   std::vector<record*> healthy;
   std::vector<record*> unhealthy;
   for (auto& [name, each] : mRecords) {
-    if (each.mEndpoint.mDraining || std::ranges::count(aTried, name) > 0) {
+    if (each.mEndpoint.mDraining || !each.mRest.MaySendInNeed(aNow) ||
+        std::ranges::count(aTried, name) > 0) {
       continue;
     }
     const bool isFree =
@@ -237,8 +280,10 @@
 relay_pool::AssignSides(const demand_by_kind& aDemand, time_point aNow)
 {
   std::vector<side_candidate> healthy;
+  std::size_t awake = 0;
   for (auto& [name, each] : mRecords) {
     each.mHealth.Update(aNow);
+    awake += each.mRest.IsOver(aNow) ? 1 : 0;
     if (TakesNewWork(each, aNow)) {
       healthy.push_back({ each.mNumber, each.mSlow, each.mRank });
     }
@@ -251,7 +296,9 @@
     static_cast<double>(std::max<std::size_t>(size(), 1));
   const auto bulk = static_cast<std::size_t>(
     std::lround(bulkFraction * static_cast<double>(healthy.size())));
-  mHealthyBulkEngines = healthy.empty() ? size() : bulk;
+  mAwakeFraction = static_cast<double>(awake) /
+                   static_cast<double>(std::max<std::size_t>(size(), 1));
+  mHealthyBulkEngines = healthy.empty() ? awake : bulk;
   const std::size_t maxBulk = healthy.empty() ? 0 : healthy.size() - 1;
   mAdmission.SetCapacity(
     static_cast<double>(mHealthyBulkEngines) * PrefillTokensPerSecond() /
@@ -514,6 +561,7 @@
   }
   ++found->mInFlight;
   found->mPrefillTokens += aPick.mPrefillTokens;
+  found->mRest.OnSent();
   found->mHealth.OnSent(aNow);
   if (aRequest.mSharedPrefix != 0) {
     mPrefixReuse.OnSent(aPick.mKnownPrefix);
@@ -535,6 +583,7 @@
   if (record* found = Find(aPick)) {
     found->mPrefillTokens -=
       std::min<std::uint64_t>(found->mPrefillTokens, aPick.mPrefillTokens);
+    found->mRest.OnStarted(aNow - aWait);
     found->mHealth.OnFirstToken(aWait, aNow);
     // A prefix that was estimated as not cached may in fact be cached because
     // of another instance's requests. The measured time would then be too short
@@ -579,6 +628,7 @@
   if (!aStarted) {
     found->mPrefillTokens -=
       std::min<std::uint64_t>(found->mPrefillTokens, aPick.mPrefillTokens);
+    found->mRest.OnFailed(aNow - aLength);
   }
   // At most half of the pool's endpoints are ejected for failures. If more
   // fail, the endpoints themselves are unlikely to be the cause.
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -58,6 +58,7 @@
 #include "thornhollow/base/time.h"
 #include "thornhollow/policy/domain_reachability.h"
 #include "thornhollow/policy/endpoint_health.h"
+#include "thornhollow/policy/endpoint_rest.h"
 #include "thornhollow/policy/engine_partition.h"
 #include "thornhollow/policy/engine_sides.h"
 #include "thornhollow/policy/popular_prefix_blocks.h"
@@ -138,6 +139,8 @@
   domain_name mDomain;
   std::uint64_t mLifetime = 0;
   bool mDraining = false;
+  // Until when the endpoint wants no requests from this instance.
+  time_point mRestUntil{};
 
   friend bool operator==(const relay_endpoint&,
                          const relay_endpoint&) = default;
@@ -193,6 +196,11 @@
   }
   // Whether the endpoint of the attempt is still listed and not leaving.
   bool IsInService(const relay_pick& aPick) const;
+  // The same, and it doesn't rest.
+  bool AcceptsNew(const relay_pick& aPick, time_point aNow) const;
+  // How long until the first of the endpoints accepts new requests; nothing
+  // unless all that don't leave rest.
+  std::optional<duration> RestLeft(time_point aNow) const;
 
   // Chooses an endpoint for `aRequest` that is not in `aTried`. Returns nothing
   // if no endpoint is available.
@@ -261,6 +269,7 @@
     // sessions; every instance computes the same value.
     std::uint64_t mRank = 0;
     endpoint_health mHealth;
+    endpoint_rest mRest = {};
     std::uint32_t mInFlight = 0;
     std::uint64_t mPrefillTokens = 0;
     std::uint64_t mRemotePrefillTokens = 0;
@@ -274,6 +283,7 @@
   };
 
   record* Find(const relay_pick& aPick);
+  void ExtendRest(record& aRecord);
   bool TakesNewWork(const record& aRecord, time_point aNow) const;
   std::vector<record*> Candidates(const request_profile& aRequest,
                                   const std::vector<endpoint_name>& aTried,
@@ -323,6 +333,8 @@
   engine_sides mSides;
   relay_admission mAdmission;
   std::size_t mInstances = 1;
+  // Fraction of the endpoints that don't rest.
+  double mAwakeFraction = 1;
   // Demand of bulk requests over all instances, in prompt tokens per second.
   double mBulkDemand = 0;
   // Number of healthy engines on the bulk side of the partition.
--- a/thornhollow/policy/relay_pool_test.cc
+++ b/thornhollow/policy/relay_pool_test.cc
@@ -240,6 +240,98 @@
   }
 }
 
+relay_endpoint
+Resting(const std::string& aName, time_point aUntil)
+{
+  relay_endpoint endpoint = Endpoint(aName);
+  endpoint.mRestUntil = aUntil;
+  return endpoint;
+}
+
+// A resting endpoint was the last one that an earlier attempt hadn't tried, or
+// the only one that no failure had ejected.
+TEST_CASE_FIXTURE(pool_of_nine_engines,
+                  "relay_pool/no_other_endpoint_left/resting_one_not_chosen")
+{
+  const time_point until = mNow + Seconds(3);
+  mPool.Put(Resting("e0", until));
+  std::vector<endpoint_name> tried;
+  for (int each = 1; each < 9; ++each) {
+    tried.emplace_back("e" + std::to_string(each));
+  }
+  for (const bool isLong : { false, true }) {
+    CHECK_FALSE(mPool.Choose(Work(1, isLong), tried, mNow));
+    CHECK_FALSE(mPool.Choose(Work(1, isLong), tried, until - Milliseconds(1)));
+    CHECK(mPool.Choose(Work(1, isLong), tried, until + Seconds(1)));
+  }
+}
+
+TEST_CASE_FIXTURE(pool_of_nine_engines,
+                  "relay_pool/all_rest/none_chosen_and_time_left_is_told")
+{
+  for (int each = 0; each < 9; ++each) {
+    mPool.Put(Resting("e" + std::to_string(each), mNow + Seconds(2 + each)));
+  }
+  CHECK_FALSE(mPool.Choose(Work(1, false), {}, mNow));
+  const auto left = mPool.RestLeft(mNow);
+  REQUIRE(left.has_value());
+  CHECK(*left >= Seconds(2));
+  CHECK(*left <= Seconds(3));
+  // One that doesn't rest, or leaves, changes the picture.
+  mPool.Put(Endpoint("e9"));
+  CHECK_FALSE(mPool.RestLeft(mNow));
+  relay_endpoint leaving = Endpoint("e9");
+  leaving.mDraining = true;
+  mPool.Put(leaving);
+  CHECK(mPool.RestLeft(mNow));
+}
+
+TEST_CASE_FIXTURE(pool_of_nine_engines,
+                  "relay_pool/planned_endpoint_rests_meanwhile/not_accepted")
+{
+  const auto pick = mPool.Choose(Work(1, true), {}, mNow);
+  REQUIRE(pick.has_value());
+  CHECK(mPool.AcceptsNew(*pick, mNow));
+  mPool.Put(Resting(pick->mEndpoint.Text(), mNow + Seconds(1)));
+  CHECK_FALSE(mPool.AcceptsNew(*pick, mNow));
+}
+
+TEST_CASE_FIXTURE(pool_of_nine_engines, "relay_pool/new_lifetime/does_not_rest")
+{
+  mPool.Put(Resting("e0", mNow + Seconds(60)));
+  relay_endpoint again = Endpoint("e0");
+  again.mLifetime = 2;
+  mPool.Put(again);
+  relay_pick pick;
+  pick.mEndpoint = again.mName;
+  pick.mLifetime = 1;
+  CHECK_FALSE(mPool.AcceptsNew(pick, mNow));
+  pick.mLifetime = 2;
+  CHECK(mPool.AcceptsNew(pick, mNow));
+}
+
+// Work was admitted for capacity that rests, and had nowhere to go.
+TEST_CASE_FIXTURE(pool_of_nine_engines,
+                  "relay_pool/a_third_rests/less_bulk_work_is_admitted")
+{
+  const auto refusedOf = [this](int aResting) {
+    for (int each = 0; each < aResting; ++each) {
+      mPool.Put(Resting("e" + std::to_string(each), mNow + Seconds(60)));
+    }
+    int refused = 0;
+    for (int step = 0; step < 40; ++step) {
+      mNow += Milliseconds(100);
+      mPool.SetView(View(400'000, 20'000), mNow);
+      for (std::uint64_t each = 0; each < 5; ++each) {
+        refused += Refused(Work(each, true)) ? 1 : 0;
+      }
+    }
+    return refused;
+  };
+  const int allAwake = refusedOf(0);
+  CHECK(refusedOf(3) > allAwake);
+}
+
 TEST_CASE_FIXTURE(pool_of_nine_engines,
                   "relay_pool/new_lifetime/old_answers_change_nothing")
 {
