--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -426,6 +426,9 @@
     }
     live_request& live = *found->second;
     const bool isLost = std::holds_alternative<connection_lost>(aEvent);
+    if (const auto* notice = std::get_if<endpoint_notice>(&aEvent)) {
+      TakeNotice(live.mEndpoint, *notice);
+    }
     if (std::holds_alternative<sending_begun>(aEvent)) {
       live.mSending = true;
     } else if (std::holds_alternative<token_received>(aEvent) ||
@@ -447,6 +450,14 @@
                            });
   }
 
+  void TakeNotice(const endpoint_name& aEndpoint,
+                  const endpoint_notice& aNotice)
+  {
+    if (aNotice.mLeaving && mOnLeaving) {
+      mOnLeaving(aEndpoint);
+    }
+  }
+
   void RecordOutput(live_request& aLive)
   {
     if (!std::exchange(aLive.mHasOutput, true)) {
--- a/thornhollow/net/endpoint_attempt.cc
+++ b/thornhollow/net/endpoint_attempt.cc
@@ -23,6 +23,7 @@
 #include "thornhollow/net/internal/awaitable.h"
 #include "thornhollow/net/internal/http_fields.h"
 #include "thornhollow/net/sse_parser.h"
+#include "thornhollow/request/relay_headers.h"
 
 namespace thornhollow {
 namespace {
@@ -79,6 +80,7 @@
       Emit(connection_lost{ attempt });
       co_return;
     }
+    EmitNotice();
     if (DeclinedByProtocol()) {
       Emit(endpoint_declined{ attempt, Header("X-Leaving") == "yes" });
     } else if (AnswersAnotherRequest()) {
@@ -116,6 +118,17 @@
 
   bool IsServerError() const { return mParser.get().result_int() >= 500; }
 
+  void EmitNotice()
+  {
+    const bool leaving = Header("X-Leaving") == "yes";
+    const auto rest = Status() == http::status::service_unavailable
+                        ? ReadRest(Header("Retry-After"))
+                        : std::nullopt;
+    if (leaving || rest) {
+      Emit(endpoint_notice{ mCall.mAttempt, leaving, rest });
+    }
+  }
+
   // Only the protocol's own word counts as "not run"; a bare 503 may come from
   // something between the two ends after the request was handed on.
   bool DeclinedByProtocol() const
--- a/thornhollow/request/relay_headers.cc
+++ b/thornhollow/request/relay_headers.cc
@@ -131,17 +131,6 @@
   return std::nullopt;
 }
 
-// Seconds, possibly with fractions; dates and anything else count as absent.
-std::optional<duration>
-ReadRest(std::string_view aValue)
-{
-  const auto seconds = ParseNumber<double>(aValue);
-  if (!seconds || !(*seconds >= 0)) {
-    return std::nullopt;
-  }
-  return FromSeconds(std::min(*seconds, kMaxRestSeconds));
-}
-
 } // namespace
 
 relay_request
@@ -236,6 +225,16 @@
   return sent;
 }
 
+std::optional<duration>
+ReadRest(std::string_view aValue)
+{
+  const auto seconds = ParseNumber<double>(aValue);
+  if (!seconds || !(*seconds >= 0)) {
+    return std::nullopt;
+  }
+  return FromSeconds(std::min(*seconds, kMaxRestSeconds));
+}
+
 answer_marks
 ReadAnswerMarks(const relay_names& aNames,
                 unsigned aStatus,
--- a/thornhollow/request/relay_headers.h
+++ b/thornhollow/request/relay_headers.h
@@ -148,6 +148,11 @@
   friend bool operator==(const answer_marks&, const answer_marks&) = default;
 };
 
+// For how long a refusal's `Retry-After` asks for rest: seconds, possibly with
+// fractions, an hour at most. Dates and anything else count as absent.
+std::optional<duration>
+ReadRest(std::string_view aValue);
+
 answer_marks
 ReadAnswerMarks(const relay_names& aNames,
                 unsigned aStatus,
--- a/thornhollow/request/request_machine.h
+++ b/thornhollow/request/request_machine.h
@@ -81,6 +81,17 @@
 {
   attempt_number mAttempt = 0;
 };
+// What the endpoint says of itself with the head of an answer. The request goes
+// on as if it had not been said.
+struct endpoint_notice
+{
+  attempt_number mAttempt = 0;
+  // It is about to leave.
+  bool mLeaving = false;
+  // For how long it wants no requests; nothing where it has not refused for
+  // that.
+  std::optional<duration> mRest;
+};
 // The endpoint said by protocol that it did not run the request.
 struct endpoint_declined
 {
@@ -137,6 +148,7 @@
                                    schedule_refused,
                                    connect_failed,
                                    sending_begun,
+                                   endpoint_notice,
                                    endpoint_declined,
                                    token_received,
                                    stream_finished,
@@ -276,6 +288,7 @@
   void On(const endpoint_declined& aEvent);
   void On(const token_received& aEvent);
   void On(const stream_finished& aEvent);
+  void On(const endpoint_notice& /*aEvent*/) {}
   void On(const answer_received& aEvent);
   void On(const connection_lost& aEvent);
   void On(const answer_unreadable& aEvent);
--- a/thornhollow/testing/fake_service.cc
+++ b/thornhollow/testing/fake_service.cc
@@ -94,7 +94,11 @@
                        "\r\n\r\n" + body);
         return;
       }
-      aExchange->Answer(200, { kJson, { "X-Request-Id", echoed } }, body);
+      std::vector<http_header> headers{ kJson, { "X-Request-Id", echoed } };
+      if (faults.mSaysLeaving) {
+        headers.push_back({ "X-Leaving", "yes" });
+      }
+      aExchange->Answer(200, std::move(headers), body);
     });
 }
 
--- a/thornhollow/testing/fault_switch.cc
+++ b/thornhollow/testing/fault_switch.cc
@@ -59,20 +59,27 @@
     return true;
   }
   if (aFaults.mDecline || aFaults.mLeaving) {
-    Decline(aExchange, aFaults.mLeaving);
+    Decline(aExchange, aFaults.mLeaving, aFaults.mRestMs);
     return true;
   }
   return false;
 }
 
 void
-fault_switch::Decline(const exchange_ptr& aExchange, bool aLeaving)
+fault_switch::Decline(const exchange_ptr& aExchange,
+                      bool aLeaving,
+                      std::optional<std::uint32_t> aRestMs)
 {
   ++mDeclined;
   std::vector<http_header> headers{ { "X-Request-Ran", "no" } };
   if (aLeaving) {
     headers.push_back({ "X-Leaving", "yes" });
   }
+  if (aRestMs) {
+    constexpr double kMillisecondsPerSecond = 1'000;
+    headers.push_back(
+      { "Retry-After", std::to_string(*aRestMs / kMillisecondsPerSecond) });
+  }
   aExchange->Answer(503, std::move(headers), {});
 }
 
--- a/thornhollow/testing/fault_switch.h
+++ b/thornhollow/testing/fault_switch.h
@@ -43,7 +43,9 @@
   bool FailsBeforeRun(const misbehaviour& aFaults,
                       const exchange_ptr& aExchange);
   // Answers that the request was not run, and counts it.
-  void Decline(const exchange_ptr& aExchange, bool aLeaving);
+  void Decline(const exchange_ptr& aExchange,
+               bool aLeaving,
+               std::optional<std::uint32_t> aRestMs = std::nullopt);
 
   std::uint64_t Declined() const { return mDeclined; }
 
--- a/thornhollow/testing/misbehaviour.cc
+++ b/thornhollow/testing/misbehaviour.cc
@@ -22,6 +22,8 @@
     { "wrong_id_events", Field(&misbehaviour::mWrongIdEvents) },
     { "resume_offset", Field(&misbehaviour::mResumeOffset) },
     { "slow_factor", Field(&misbehaviour::mSlowFactor) },
+    { "rest_ms", Field(&misbehaviour::mRestMs) },
+    { "says_leaving", Field(&misbehaviour::mSaysLeaving) },
     { "open_ended", Field(&misbehaviour::mOpenEnded) },
     { "delay_ms", Field(&misbehaviour::mDelayMs) },
     { "refuse", Field(&misbehaviour::mRefuse) },
--- a/thornhollow/testing/misbehaviour.h
+++ b/thornhollow/testing/misbehaviour.h
@@ -21,6 +21,10 @@
   bool mDecline = false;
   // The same with X-Leaving: yes; load reports say that it leaves.
   bool mLeaving = false;
+  // Refusals name this time, in milliseconds, in which it wants nothing.
+  std::optional<std::uint32_t> mRestMs;
+  // A plain service's answers have X-Leaving: yes.
+  bool mSaysLeaving = false;
   // Runs nothing and answers this status, silent about whether it ran.
   std::optional<unsigned> mErrorStatus;
   // Takes the request, runs nothing, never answers.
--- /dev/null
+++ b/thornhollow/testing/process/endpoint_words_test.py
@@ -0,0 +1,44 @@
+"""What endpoints say of themselves in answers holds on the own interface too:
+one that leaves gets no new work."""
+
+import time
+import unittest
+
+import harness
+
+
+class EndpointWords(harness.SiteTest):
+
+    def setUp(self):
+        super().setUp()
+        self.speaker = self.service("lookups", "s1")
+        self.other = self.service("lookups", "s2")
+        self.daemon = self.site()
+
+    def ask(self):
+        answer = harness.ask(self.daemon.address, "/lookups", {"item": "cots"})
+        self.assertEqual(answer.status, 200, answer)
+
+    def arrived(self):
+        totals = self.speaker.runs()["totals"]
+        return totals["runs"] + totals["declined"]
+
+    def ask_until_arrived(self):
+        before = self.arrived()
+        self.ask_until(lambda: self.arrived() > before, "it is asked", self.ask)
+
+    def arrivals_while_asking(self, seconds):
+        before = self.arrived()
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.ask()
+        return self.arrived() - before
+
+    def test_says_in_an_answer_that_it_leaves_no_new_work(self):
+        self.speaker.mode(says_leaving=True)
+        self.ask_until_arrived()
+        self.assertEqual(self.arrivals_while_asking(1.0), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
