Own interface: an endpoint that asked for rest gets no new work until it is over

process.endpoint_words_test: callers of a look-up got 503 before; since then all are served and the resting service gets 0 requests in its rest. A unit case for the table of endpoints. The return is bounded by the concurrency limit, which a refusal lowers already.

--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -456,6 +456,15 @@
     if (aNotice.mLeaving && mOnLeaving) {
       mOnLeaving(aEndpoint);
     }
+    if (aNotice.mRest) {
+      const time_point now = Now();
+      mScheduler.OnEndpointRest(aEndpoint, now + *aNotice.mRest, now);
+      mMetrics.OnEvent("endpoint_asks_rest");
+      mLog.Write(log_level::kInfo,
+                 "endpoint_asks_rest",
+                 { { "endpoint", aEndpoint.Text() },
+                   { "rest_ms", ToMilliseconds(*aNotice.mRest) } });
+    }
   }
 
   void RecordOutput(live_request& aLive)
--- a/thornhollow/policy/endpoint_table.cc
+++ b/thornhollow/policy/endpoint_table.cc
@@ -161,11 +161,9 @@
       continue;
     }
     // An endpoint with requests in flight is kept until these requests end, so
-    // that they are counted. An endpoint that reported that it is leaving is
-    // kept until the report expires, so that it gets no work if it is declared
-    // again in the meantime.
-    if (each->mRecord.InFlight() == 0 &&
-        !each->mRecord.LeavingReportExpiry(aNow)) {
+    // that they are counted. An endpoint that wants no new work is kept for so
+    // long, so that it gets none if it is declared again in the meantime.
+    if (each->mRecord.InFlight() == 0 && !each->mRecord.NoNewWorkUntil(aNow)) {
       mNumbers.erase(each->mRecord.Declared().mName);
       mAffinity.RemoveEndpoint(number);
       each.reset();
@@ -494,6 +492,17 @@
   }
 }
 
+void
+endpoint_table::Rest(const endpoint_name& aEndpoint,
+                     time_point aUntil,
+                     time_point aNow)
+{
+  if (entry* found = Find(aEndpoint)) {
+    found->mRecord.Rest(aUntil);
+    Refresh(*found, aNow);
+  }
+}
+
 void
 endpoint_table::OnClockGap(time_point aNow)
 {
@@ -631,7 +640,7 @@
 endpoint_table::ScheduleRecheck(entry& aEntry, time_point aNow)
 {
   const endpoint_record& record = aEntry.mRecord;
-  std::optional<time_point> at = record.LeavingReportExpiry(aNow);
+  std::optional<time_point> at = record.NoNewWorkUntil(aNow);
   if (!at && record.AcceptsNewWork(aNow)) {
     at = record.Health().NextProbe(record.InFlight());
   }
--- a/thornhollow/policy/endpoint_table.h
+++ b/thornhollow/policy/endpoint_table.h
@@ -137,6 +137,8 @@
   void SetState(const endpoint_name& aEndpoint,
                 endpoint_state aState,
                 time_point aNow);
+  // The endpoint wants no new work from this router until `aUntil`.
+  void Rest(const endpoint_name& aEndpoint, time_point aUntil, time_point aNow);
 
   // To be called after this process was paused (clock_gap.h). Until something
   // new is received from an endpoint, the endpoint gets at most one more
--- a/thornhollow/policy/endpoint_table_test.cc
+++ b/thornhollow/policy/endpoint_table_test.cc
@@ -191,6 +191,25 @@
   CHECK_FALSE(mTable.Serves(pool_name("m")));
 }
 
+// An endpoint that had asked for rest was the next request's first choice, as
+// it had nothing in flight.
+TEST_CASE_FIXTURE(table_fixture,
+                  "endpoint_table/asks_for_rest/no_new_work_until_it_is_over")
+{
+  Declare(2, 4);
+  const time_point until = mNow + Seconds(3);
+  mTable.Rest(Name(0), until, mNow);
+  mTable.Rest(Name(0), mNow + Seconds(1), mNow);
+  for (int each = 0; each < 4; ++each) {
+    CHECK(Send(Item()) == Name(1));
+  }
+  CHECK_FALSE(Send(Item()));
+  mNow = until - Milliseconds(1);
+  CHECK_FALSE(Send(Item()));
+  mNow = until;
+  CHECK(Send(Item()) == Name(0));
+}
+
 TEST_CASE_FIXTURE(table_fixture,
                   "endpoint_table/endpoint_falls_silent/no_new_work_after_3_s")
 {
--- a/thornhollow/policy/internal/endpoint_record.cc
+++ b/thornhollow/policy/internal/endpoint_record.cc
@@ -179,17 +179,24 @@
 endpoint_record::AcceptsNewWork(time_point aNow) const
 {
   return mIsDeclared && mState == endpoint_state::kLive &&
-         !LeavingReportExpiry(aNow).has_value();
+         !NoNewWorkUntil(aNow).has_value();
 }
 
 std::optional<time_point>
-endpoint_record::LeavingReportExpiry(time_point aNow) const
+endpoint_record::NoNewWorkUntil(time_point aNow) const
 {
-  if (!mLeavingReportedAt ||
-      aNow - *mLeavingReportedAt >= mSettings.mLeavingReportLifetime) {
-    return std::nullopt;
+  time_point until = mRestUntil;
+  if (mLeavingReportedAt) {
+    until =
+      std::max(until, *mLeavingReportedAt + mSettings.mLeavingReportLifetime);
   }
-  return *mLeavingReportedAt + mSettings.mLeavingReportLifetime;
+  return until > aNow ? std::optional(until) : std::nullopt;
+}
+
+void
+endpoint_record::Rest(time_point aUntil)
+{
+  mRestUntil = std::max(mRestUntil, aUntil);
 }
 
 // The concurrency limit applies to all routers together, so the estimated
--- a/thornhollow/policy/internal/endpoint_record.h
+++ b/thornhollow/policy/internal/endpoint_record.h
@@ -78,13 +78,17 @@
                       time_point aNow);
   void OnReport(const load_report& aReport, time_point aNow);
   void SetState(endpoint_state aState, time_point aNow);
+  // The endpoint wants no new work until `aUntil`, or longer if it asked for
+  // that before.
+  void Rest(time_point aUntil);
   void OnClockGap(time_point aNow);
   void Update(time_point aNow) { mHealth.Update(aNow); }
 
   bool AcceptsNewWork(time_point aNow) const;
-  // When the endpoint's own report that it is leaving expires; empty without
-  // such a report.
-  std::optional<time_point> LeavingReportExpiry(time_point aNow) const;
+  // Until when the endpoint wants no new work, by its own word: its report that
+  // it is leaving expires then, or the rest that it asked for ends. Empty
+  // without such a word.
+  std::optional<time_point> NoNewWorkUntil(time_point aNow) const;
   // Maximum number of this router's requests that may be in flight at the
   // endpoint now.
   std::uint32_t Capacity(time_point aNow) const;
@@ -137,6 +141,7 @@
   bool mIsDeclared = true;
   endpoint_state mState = endpoint_state::kLive;
   std::optional<time_point> mLeavingReportedAt;
+  time_point mRestUntil{};
   // Number of this router's requests in flight at the endpoint when this
   // process was last paused; cleared when something new is received from the
   // endpoint.
--- a/thornhollow/policy/scheduler.cc
+++ b/thornhollow/policy/scheduler.cc
@@ -194,6 +194,14 @@
   return out;
 }
 
+void
+scheduler::OnEndpointRest(const endpoint_name& aEndpoint,
+                          time_point aUntil,
+                          time_point aNow)
+{
+  mEndpoints.Rest(aEndpoint, aUntil, aNow);
+}
+
 std::vector<pool_pressure>
 scheduler::Pressure(time_point aNow) const
 {
--- a/thornhollow/policy/scheduler.h
+++ b/thornhollow/policy/scheduler.h
@@ -109,6 +109,11 @@
                             endpoint_state aState,
                             time_point aNow);
 
+  // The endpoint wants no new work from this instance until `aUntil`.
+  void OnEndpointRest(const endpoint_name& aEndpoint,
+                      time_point aUntil,
+                      time_point aNow);
+
   // Load of each pool on this instance, to be sent to the other instances.
   std::vector<pool_pressure> Pressure(time_point aNow) const;
   // Handles the load of a pool that instance `aFrom` reported.
--- a/thornhollow/testing/process/endpoint_words_test.py
+++ b/thornhollow/testing/process/endpoint_words_test.py
@@ -1,11 +1,13 @@
 """What endpoints say of themselves in answers holds on the own interface too:
-one that leaves gets no new work."""
+one that leaves, or wants rest, gets no new work."""
 
 import time
 import unittest
 
 import harness
 
+REST_S = 2.0
+
 
 class EndpointWords(harness.SiteTest):
 
@@ -39,6 +41,13 @@
         self.ask_until_arrived()
         self.assertEqual(self.arrivals_while_asking(1.0), 0)
 
+    def test_asks_for_rest_gets_nothing_until_it_is_over(self):
+        self.speaker.mode(decline=True, rest_ms=int(REST_S * 1000))
+        self.ask_until_arrived()
+        self.assertEqual(self.arrivals_while_asking(REST_S - 0.5), 0)
+        self.speaker.mode()
+        self.ask_until_arrived()
+
 
 if __name__ == "__main__":
     unittest.main()
