--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -375,7 +375,7 @@
       return std::nullopt;
     }
     // The endpoint may have left, or asked for rest, while the request waited.
-    if (const auto planned = std::exchange(mPlannedPick, std::nullopt);
+    if (auto planned = std::exchange(mPlannedPick, std::nullopt);
         planned && aPool->AcceptsNew(*planned, aNow)) {
       return planned;
     }
--- a/thornhollow/policy/endpoint_notices.cc
+++ b/thornhollow/policy/endpoint_notices.cc
@@ -36,6 +36,7 @@
   std::ranges::sort(lately, std::greater());
   lately.resize(std::min(lately.size(), aMaxCount));
   std::vector<endpoint_process_hash> processes;
+  processes.reserve(lately.size());
   for (const auto& [since, process] : lately) {
     processes.push_back(process);
   }
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -254,6 +254,8 @@
 
     def __init__(self, name, events=3):
         self.name = name
+        # Another value tells another process under the same name.
+        self.born = 1
         self.events = events
         # "", "decline", "error", "cut" (what isn't continued), "hang".
         self.mode = ""
@@ -409,7 +411,9 @@
         if not_run and self.rest_s is not None:
             more["Retry-After"] = str(self.rest_s)
         self.head(call, status, signed, more)
-        if self.breaks_off(call):
+        # Nobody can tell that a body without framing lacks its end unless the
+        # connection is reset.
+        if self.broken_off == "reset" and self.breaks_off(call):
             return self.break_off(call, b"", body)
         call.wfile.write(body)
         return None
@@ -442,7 +446,7 @@
     def entry(self, state="ready", service="engines"):
         return {"service": service, "address": self.address, "zone": "hall",
                 "version": "v1", "slots": 8, "state": state,
-                "cold_remaining_ms": 0, "sequence_number": 1, "born": 1}
+                "cold_remaining_ms": 0, "sequence_number": 1, "born": self.born}
 
 
 def document(version, **changes):
