A stream that another instance broke off isn't sent beyond its route's attempts

Callers were served; endpoints saw a third run of a stream whose route allows two: an instance that forwards counted the other instance as one attempt, though that one had resumed the stream itself before it gave up.

process.relay_broken_off_test, resumable_stream_by_way_of_another: three runs before, two since.

The soak's stand-ins: how an answer ends is chosen once for each answer, and one that is resumed breaks off after its own first event, not after event 1.

--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -611,6 +611,11 @@
     const bool sent = (mChargedToPool || IsAtPeer()) && Sent();
     progress.mAttempts = mAttempts + (sent ? 1 : 0);
     progress.mMaxAttempts = mRoute->mMaxAttempts;
+    // Another instance that breaks off a stream has resumed it as often as the
+    // route allows.
+    if (IsAtPeer() && aFailure == attempt_failure::kBroken) {
+      progress.mAttempts = std::max(progress.mAttempts, mRoute->mMaxAttempts);
+    }
     progress.mAnswerBegun = mAnswer.Begun();
     progress.mMayHaveRun = mMayHaveRun || (!CertainlyNotRun(aFailure) && sent);
     return progress;
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -245,6 +245,10 @@
             return 200, {"events": news(), "at": self.at}
 
 
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+
 def event_text(number):
     return f"id: {number}\ndata: e{number}\n\n".encode()
 
@@ -341,6 +345,7 @@
             path.passing.wait()
             call.close_connection = True
             return None
+        self.choose_end(call)
         self.headers.append(dict(call.headers))
         self.arrived.append((time.monotonic(), call.headers[ID]))
         expected = call.headers.get("X-Expected-Instance")
@@ -371,22 +376,22 @@
         if self.says_leaving:
             call.send_header(LEAVING, "1")
         for name, value in more.items():
-            if not (self.is_open_ended(call) and name in FRAMING):
+            if not (call.is_open_ended and name in FRAMING):
                 call.send_header(name, value)
-        if self.is_open_ended(call):
+        if call.is_open_ended:
             call.close_connection = True
         call.end_headers()
 
-    def is_open_ended(self, call):
-        return self.ends_with_connection or (
+    def choose_end(self, call):
+        """How this answer ends, whatever is set for later ones meanwhile."""
+        request = call.headers[ID]
+        call.is_open_ended = self.ends_with_connection or (
             self.resumed_end_with_connection
             and "Last-Event-Id" in call.headers)
-
-    def breaks_off(self, call):
-        request = call.headers[ID]
         first = request not in self.broken_requests
-        self.broken_requests.add(request)
-        return bool(self.broken_off) and first
+        call.broken_off = self.broken_off if first else ""
+        if call.broken_off:
+            self.broken_requests.add(request)
 
     def reset(self, call):
         """Ends the connection as the end of its process may: by a reset."""
@@ -397,11 +402,14 @@
 
     def break_off(self, call, sent, rest):
         """Ends the answer after `sent`, or within the `rest` of it."""
-        if self.broken_off == "inside":
+        if call.broken_off == "inside":
             sent += rest[:len(rest) // 2]
-        call.wfile.write(b"" if self.broken_off == "head" else sent)
+        if call.broken_off == "head":
+            sent = b""
+        call.wfile.write(sent if call.is_open_ended else chunk(sent))
         call.wfile.flush()
-        if self.broken_off == "reset":
+        call.close_connection = True
+        if call.broken_off == "reset":
             self.reset(call)
 
     def whole(self, call, status, body, signed=True, not_run=False):
@@ -413,7 +421,7 @@
         self.head(call, status, signed, more)
         # Nobody can tell that a body without framing lacks its end unless the
         # connection is reset.
-        if self.broken_off == "reset" and self.breaks_off(call):
+        if call.broken_off == "reset":
             return self.break_off(call, b"", body)
         call.wfile.write(body)
         return None
@@ -422,8 +430,9 @@
         first = int(call.headers.get("Last-Event-Id", 0)) + 1
         self.head(call, 200, True, {"Content-Type": "text/event-stream",
                                     "Transfer-Encoding": "chunked"})
-        if self.breaks_off(call):
-            return self.break_off(call, event_text(1), event_text(2))
+        if call.broken_off:
+            return self.break_off(call, event_text(first),
+                                  event_text(first + 1))
         for event in range(first, self.events + 1):
             if path := getattr(call.server, "path", None):
                 path.passing.wait()
@@ -435,11 +444,10 @@
                 call.close_connection = True
                 call.connection.shutdown(2)
                 return None
-            call.wfile.write(text if self.is_open_ended(call)
-                             else b"%x\r\n%s\r\n" % (len(text), text))
+            call.wfile.write(text if call.is_open_ended else chunk(text))
             call.wfile.flush()
             time.sleep(self.event_gap_s)
-        if not self.is_open_ended(call):
+        if not call.is_open_ended:
             call.wfile.write(b"0\r\n\r\n")
         return None
 
