Log lines and counters tell software versions, and streams that are taken up

Counters tell streams that went on within one answer at the same or another version, and streams that are taken up. No decision changes.

--- a/thornhollow/base/ids.h
+++ b/thornhollow/base/ids.h
@@ -59,6 +59,9 @@
 using pool_name = name_of<struct pool_tag>;
 // An entry instance of thornhollow.
 using instance_name = name_of<struct instance_tag>;
+// A version of an endpoint's software, as the source lists it. Versions are
+// equal or not; they have no order.
+using software_version = name_of<struct software_version_tag>;
 // A request, unique over the whole system; echoed by endpoints.
 using request_id = name_of<struct request_tag>;
 
--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -201,6 +201,9 @@
   // The HTTP status of this instance's own error response; 0 if there is none.
   unsigned mRefusalStatus = 0;
   std::optional<duration> mFirstByte;
+  // Version of the endpoint that brought the first event that the caller got;
+  // empty until then.
+  software_version mBegunVersion;
   bool mDone = false;
 };
 
--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -77,6 +77,11 @@
               false);
     return;
   }
+  if (mAnswer.Begun()) {
+    mDispatcher.Metrics().OnEvent(mPick.mVersion == mBegunVersion
+                                    ? "stream_resumed_same_version"
+                                    : "stream_resumed_other_version");
+  }
   mAnswer.OnHead(aHead,
                  { success && IsStream(mRoute->mKind),
                    IsAtPeer() && ReadForwardingOpenEnded(aHead.mHeaders) });
@@ -140,6 +145,9 @@
     OnFailure(attempt_failure::kGarbled, std::string(*fault), true);
     return;
   }
+  if (mAnswer.Begun() && mBegunVersion.empty()) {
+    mBegunVersion = mPick.mVersion;
+  }
   RecordPause();
 }
 
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -173,6 +173,7 @@
              { { "endpoint", aEndpoint.mName.Text() },
                { "pool", aEndpoint.mPool.Text() },
                { "address", aEndpoint.mAddress },
+               { "version", aEndpoint.mVersion.Text() },
                { "started_ms", aEndpoint.mStartedMs },
                { "draining", std::int64_t{ aEndpoint.mDraining } } });
   UpdateEndpoint(aEndpoint);
@@ -216,7 +217,8 @@
   const listed_endpoint& entry = aKnown.mEntry;
   return { entry.mName,       entry.mAddress,
            entry.mDomain,     aKnown.mLifetime,
-           IsLeaving(aKnown), mNotices.RestUntil(ProcessHash(entry)) };
+           IsLeaving(aKnown), mNotices.RestUntil(ProcessHash(entry)),
+           entry.mVersion };
 }
 
 bool
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -69,6 +69,9 @@
     ToSeconds(timeout) < ToSeconds(mRoute->mTimeout) * kRetryTimeoutFraction;
   mMetricsClass = MetricsClass(*mRoute, mProfile.mTier);
   mDispatcher.Metrics().OnRequest(mMetricsClass);
+  if (IsStream(mRoute->mKind) && !mRelayRequest.mResumeAfter.empty()) {
+    mDispatcher.Metrics().OnEvent("stream_taken_up");
+  }
   if (mDispatcher.Crashes().IsRejected(mFingerprint, Now())) {
     RejectSuspect();
     return;
--- a/thornhollow/discovery/endpoint_roster.h
+++ b/thornhollow/discovery/endpoint_roster.h
@@ -64,6 +64,9 @@
   // milliseconds; 0 if not stated. Only used to
   // distinguish lifetimes under the same name.
   std::int64_t mStartedMs = 0;
+  // Version of the software that the endpoint's process runs; empty if not
+  // stated.
+  software_version mVersion = {};
 
   friend bool operator==(const listed_endpoint&,
                          const listed_endpoint&) = default;
--- a/thornhollow/platform/endpoint_reader.cc
+++ b/thornhollow/platform/endpoint_reader.cc
@@ -45,7 +45,8 @@
   BOOST_LEAF_CHECK(ParseAddress(read.mAddress));
   BOOST_LEAF_AUTO(domain, TextField(fields, "zone"));
   read.mDomain = domain_name(domain);
-  BOOST_LEAF_CHECK(TextField(fields, "version"));
+  BOOST_LEAF_AUTO(version, TextField(fields, "version"));
+  read.mVersion = software_version(version);
   BOOST_LEAF_AUTO(slots, CountField(fields, "slots"));
   read.mSlots = ClampToUint32(slots);
   BOOST_LEAF_ASSIGN(read.mDraining, ReadDraining(fields));
--- a/thornhollow/platform/readers_test.cc
+++ b/thornhollow/platform/readers_test.cc
@@ -119,6 +119,7 @@
   CHECK(read->mPool == pool_name("s1"));
   CHECK(read->mAddress == "10.1.2.3:80");
   CHECK(read->mStartedMs == 1700000000000);
+  CHECK(read->mVersion == software_version("v1"));
   CHECK_FALSE(read->mDraining);
 }
 
@@ -136,6 +137,8 @@
          { "64", "-1" },
          { "1700000000000", "1.5" },
          { "\"zone\"", "\"area\"" },
+         { "\"version\"", "\"release\"" },
+         { "\"v1\"", "1" },
          { "\"sequence_number\"", "\"seq\"" } }) {
     std::string text = kEntryText;
     text.replace(text.find(from), from.size(), to);
--- a/thornhollow/platform/wire_names.cc
+++ b/thornhollow/platform/wire_names.cc
@@ -13,6 +13,7 @@
   names.mLengthHint = "X-Length-Hint";
   names.mPromptParts = "X-Prompt-Prefix";
   names.mResumeAfter = "Last-Event-Id";
+  names.mBegunAs = "Resumes";
   names.mTeam = "X-Tenant";
   names.mExpectedEndpoint = "X-Expected-Instance";
   names.mPriority = "X-Request-Priority";
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -188,6 +188,7 @@
   pick.mAddress = chosen->mEndpoint.mAddress;
   pick.mDomain = chosen->mEndpoint.mDomain;
   pick.mLifetime = chosen->mEndpoint.mLifetime;
+  pick.mVersion = chosen->mEndpoint.mVersion;
   pick.mBulk = SideOf(aRequest) == engine_side::kBulk;
   return pick;
 }
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -141,6 +141,8 @@
   bool mDraining = false;
   // Until when the endpoint wants no requests from this instance.
   time_point mRestUntil{};
+  // Version of the software that the endpoint's process runs.
+  software_version mVersion = {};
 
   friend bool operator==(const relay_endpoint&,
                          const relay_endpoint&) = default;
--- a/thornhollow/policy/request_profile.h
+++ b/thornhollow/policy/request_profile.h
@@ -67,6 +67,8 @@
   domain_name mDomain;
   // Distinguishes successive processes that run under the same endpoint name.
   std::uint64_t mLifetime = 0;
+  // Version of the software that the endpoint's process runs.
+  software_version mVersion = {};
   // Estimated prompt tokens that the engine has to prefill for this request.
   std::uint32_t mPrefillTokens = 0;
   // Whether the request's workload kind belongs to the bulk side, rather than
--- a/thornhollow/request/relay_headers.cc
+++ b/thornhollow/request/relay_headers.cc
@@ -161,6 +161,10 @@
     ParseNumber<std::uint32_t>(HeaderValue(aFields, aNames.mLengthHint));
   read.mParts = ReadParts(HeaderValue(aFields, aNames.mPromptParts));
   read.mResumeAfter = HeaderValue(aFields, aNames.mResumeAfter);
+  const std::string_view begunAs = HeaderValue(aFields, aNames.mBegunAs);
+  if (begunAs.size() <= kMaxIdBytes) {
+    read.mBegunAs = request_id(std::string(begunAs));
+  }
   return read;
 }
 
--- a/thornhollow/request/relay_headers.h
+++ b/thornhollow/request/relay_headers.h
@@ -37,6 +37,8 @@
   std::string mPromptParts = "X-Prompt-Parts";
   // The last event that the caller has of a stream to be continued.
   std::string mResumeAfter = "Last-Event-Id";
+  // The submission that brought the first event of a stream to be continued.
+  std::string mBegunAs = "X-Resumes";
 
   // Set by the router towards endpoints.
   std::string mTeam = "X-Team";
@@ -80,6 +82,9 @@
   std::vector<prompt_part> mParts;
   // Empty for a stream from its beginning.
   std::string mResumeAfter;
+  // Of a stream that the caller continues after its connection broke: the
+  // submission that brought the first event. Empty if the caller names none.
+  request_id mBegunAs;
 
   friend bool operator==(const relay_request&, const relay_request&) = default;
 };
