Stand-ins whose events show a software version, callers that take streams up, and tests that fail

Two versions side by side, streams broken off within an answer, and streams that their callers take up with Resumes at any instance: the same, another, one that started again, the beginner killed, stopping, hearing nobody, by way of another instance; a version that leaves, an unknown beginning, another team's.

--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -20,6 +20,7 @@
 import time
 import unittest
 import urllib.parse
+import zlib
 
 import harness
 
@@ -249,15 +250,95 @@
     return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
 
 
-def event_text(number):
-    return f"id: {number}\ndata: e{number}\n\n".encode()
+def event_text(number, version=""):
+    shown = f" {version}" if version else ""
+    return f"id: {number}\ndata: e{number}{shown}\n\n".encode()
+
+
+class StreamCaller:
+    """A caller that takes its stream up, at any instance, after its connection
+    ended."""
+
+    def __init__(self, test, name, path="/s/x"):
+        self.test = test
+        self.name = name
+        self.path = path
+        # A prompt that begins like no other, so that streams spread over the
+        # engines.
+        self.prompt = f"{zlib.crc32(name.encode()):x}:800,e4:250"
+        self.submissions = 0
+        # Of the events that came: their numbers and versions.
+        self.numbers = []
+        self.versions = []
+        # The submission that brought the first event.
+        self.begun_as = None
+        self.complete = False
+        # Of the last submission: its status (None without an answer), header
+        # and, where it was refused, body.
+        self.status = None
+        self.headers = {}
+        self.refusal = b""
+
+    def submit(self, daemon, leave_after=None, **headers):
+        """Reads until the stream ends or `leave_after` events have come.
+        Returns how many came."""
+        request = f"{self.name}-{self.submissions}"
+        self.submissions += 1
+        before = len(self.numbers)
+        sent = {**self.test.headers(request, stream=True),
+                "X-Prompt-Prefix": self.prompt, **headers}
+        if self.begun_as:
+            sent.setdefault("Resumes", self.begun_as)
+            sent.setdefault("Last-Event-Id", str(self.numbers[-1]))
+        self.status, self.headers, self.refusal = None, {}, b""
+        connection = harness.connect(daemon.address)
+        try:
+            connection.request("POST", self.path, b"body", sent)
+            answer = connection.getresponse()
+            self.status = answer.status
+            self.headers = {name.lower(): value
+                            for name, value in answer.getheaders()}
+            if self.status == 200:
+                self._read(answer, request, before, leave_after)
+            else:
+                self.refusal = answer.read()
+        except (OSError, http.client.HTTPException):
+            pass
+        finally:
+            connection.close()
+        return len(self.numbers) - before
+
+    def _read(self, answer, request, before, leave_after):
+        text = b""
+        while piece := answer.read1(65536):
+            *whole, text = (text + piece).split(b"\n\n")
+            for each in whole:
+                self._take(each.decode(), request)
+            if leave_after and len(self.numbers) - before >= leave_after:
+                answer.close()
+                return
+        self.complete = True
+
+    def _take(self, event, request):
+        self.begun_as = self.begun_as or request
+        number, data = event.split("\n")
+        self.numbers.append(int(number.removeprefix("id: ")))
+        self.versions.append(data.split(" ")[-1])
+
+    def is_sound(self):
+        """Each event came once, in order, and all from one version."""
+        return (self.numbers == list(range(1, len(self.numbers) + 1))
+                and len(set(self.versions)) <= 1)
 
 
 class Engine:
     """Streams events, or answers whole; counts what it ran."""
 
-    def __init__(self, name, events=3):
+    def __init__(self, name, events=3, version="v1", shows_version=False):
         self.name = name
+        # Of its software, as its entry says, and whether its events show it.
+        self.version = version
+        self.shows_version = shows_version
         # Another value tells another process under the same name.
         self.born = 1
         self.events = events
@@ -426,17 +507,20 @@
         call.wfile.write(body)
         return None
 
+    def event(self, number):
+        return event_text(number, self.version if self.shows_version else "")
+
     def stream(self, call):
         first = int(call.headers.get("Last-Event-Id", 0)) + 1
         self.head(call, 200, True, {"Content-Type": "text/event-stream",
                                     "Transfer-Encoding": "chunked"})
         if call.broken_off:
-            return self.break_off(call, event_text(first),
-                                  event_text(first + 1))
+            return self.break_off(call, self.event(first),
+                                  self.event(first + 1))
         for event in range(first, self.events + 1):
             if path := getattr(call.server, "path", None):
                 path.passing.wait()
-            text = event_text(event)
+            text = self.event(event)
             if self.mode == "cut" and first == 1 and event == 2:
                 # In the middle of an event, without the stream's end.
                 call.wfile.write(b"5\r\n" + text[:5] + b"\r\n")
@@ -453,7 +537,7 @@
 
     def entry(self, state="ready", service="engines"):
         return {"service": service, "address": self.address, "zone": "hall",
-                "version": "v1", "slots": 8, "state": state,
+                "version": self.version, "slots": 8, "state": state,
                 "cold_remaining_ms": 0, "sequence_number": 1, "born": self.born}
 
 
