A stream that breaks off goes on, within its answer, at the version that began it

The version of the endpoints that brought the first event that the caller has is part of the stream now: placement takes only endpoints of that version for it, and without one the stream ends visibly, for its caller to take up. Before the first event any version may serve. By way of another instance the version goes with the request and comes back with the answer's head; a forwarding instance that isn't told one continues the stream nowhere. A silent endpoint is left for another only where one of its version is there; else it may still go on.

--- a/thornhollow/base/endpoint_hash.h
+++ b/thornhollow/base/endpoint_hash.h
@@ -33,6 +33,21 @@
                      static_cast<std::uint64_t>(aStartedMs));
 }
 
+// Identifies a version of the software of one pool's endpoints. Versions are
+// equal or not; they have no order.
+using endpoint_version_hash = std::uint64_t;
+
+// No endpoint has this version.
+inline constexpr endpoint_version_hash kUnknownVersion = 0;
+
+inline endpoint_version_hash
+EndpointVersionHash(const pool_name& aPool, const software_version& aVersion)
+{
+  const std::uint64_t hash =
+    CombineHash(Hash64(aPool.Text()), Hash64(aVersion.Text()));
+  return hash == kUnknownVersion ? hash + 1 : hash;
+}
+
 } // namespace thornhollow
 
 #endif // THORNHOLLOW_BASE_ENDPOINT_HASH_H_
--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -104,6 +104,10 @@
   // the retry to the budget; otherwise the caller receives the error unchanged.
   bool TakeRetryForServerError();
   void OnBytes(const std::string& aBytes);
+  // Notes which version began the stream, once its first event was sent.
+  void RecordOrigin();
+  // The version of endpoints that brings the present attempt's answer.
+  endpoint_version_hash AttemptVersion() const;
   void RecordFirstByte();
   void RecordPause();
   void OnAnswerEnd();
@@ -174,6 +178,8 @@
   // The current attempt.
   relay_attempt_ptr mAttempt;
   relay_pick mPick;
+  // The version that brings the stream, as another instance tells.
+  endpoint_version_hash mPeerVersion = kUnknownVersion;
   // The instance to which the request is forwarded; empty while it is sent to
   // an endpoint.
   std::string mPeer;
@@ -201,9 +207,11 @@
   // The HTTP status of this instance's own error response; 0 if there is none.
   unsigned mRefusalStatus = 0;
   std::optional<duration> mFirstByte;
-  // Version of the endpoint that brought the first event that the caller got;
-  // empty until then.
-  software_version mBegunVersion;
+  // Version of the endpoints that began the stream, and its name if this
+  // instance knows it: set once an event of the stream is with the caller.
+  // Nothing before, when any version may serve the request.
+  std::optional<endpoint_version_hash> mOrigin;
+  software_version mOriginName;
   bool mDone = false;
 };
 
--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -77,8 +77,12 @@
               false);
     return;
   }
+  if (IsAtPeer()) {
+    mPeerVersion =
+      ReadForwardingVersion(aHead.mHeaders).value_or(kUnknownVersion);
+  }
   if (mAnswer.Begun()) {
-    mDispatcher.Metrics().OnEvent(mPick.mVersion == mBegunVersion
+    mDispatcher.Metrics().OnEvent(AttemptVersion() == mOrigin
                                     ? "stream_resumed_same_version"
                                     : "stream_resumed_other_version");
   }
@@ -88,6 +92,9 @@
   if (leaving && mIsForwarded) {
     mAnswer.AddHeader(ForwardingLeavingHeader(*leaving));
   }
+  if (mIsForwarded) {
+    mAnswer.AddHeader(ForwardingVersionHeader(AttemptVersion()));
+  }
 }
 
 std::optional<endpoint_process_hash>
@@ -145,12 +152,27 @@
     OnFailure(attempt_failure::kGarbled, std::string(*fault), true);
     return;
   }
-  if (mAnswer.Begun() && mBegunVersion.empty()) {
-    mBegunVersion = mPick.mVersion;
-  }
+  RecordOrigin();
   RecordPause();
 }
 
+endpoint_version_hash
+relay_session::AttemptVersion() const
+{
+  return IsAtPeer() ? mPeerVersion : mPick.mVersionHash;
+}
+
+void
+relay_session::RecordOrigin()
+{
+  if (mOrigin || !mAnswer.Begun()) {
+    return;
+  }
+  mOrigin = AttemptVersion();
+  mOriginName = mPick.mVersion;
+  mProfile.mVersion = mOrigin;
+}
+
 void
 relay_session::RecordFirstByte()
 {
--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -118,11 +118,12 @@
 {
   const caller_request& request = mExchange->Request();
   relay_call call = MakeCall({ mPeer, 0 });
-  call.mHeaders = ForwardHeaders(mDispatcher.Names(),
-                                 request.mHeaders,
-                                 mProfile.mDeadline - Now(),
-                                 ResumeAfter(),
-                                 { mAttempts, mTable->Document().mVersion });
+  call.mHeaders =
+    ForwardHeaders(mDispatcher.Names(),
+                   request.mHeaders,
+                   mProfile.mDeadline - Now(),
+                   ResumeAfter(),
+                   { mAttempts, mTable->Document().mVersion, mOrigin });
   StartAttempt(std::move(call));
 }
 
--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -220,7 +220,13 @@
 bool
 relay_session::CanRetryElsewhere() const
 {
-  return NextStep(Progress(attempt_failure::kSilent)) != relay_step::kGiveUp;
+  if (NextStep(Progress(attempt_failure::kSilent)) == relay_step::kGiveUp) {
+    return false;
+  }
+  // A stream that has begun can be continued only by endpoints of its version.
+  const relay_pool* pool = mDispatcher.Pool(*mPool);
+  return !mOrigin || IsAtPeer() ||
+         (pool != nullptr && pool->HasOther(mProfile, mTriedEndpoints));
 }
 
 void
--- a/thornhollow/daemon/internal/relay_session_log.cc
+++ b/thornhollow/daemon/internal/relay_session_log.cc
@@ -67,7 +67,7 @@
       { "tier", std::int64_t{ mProfile.mTier } },
       { "endpoint", mPick.mEndpoint.Text() },
       { "version", mPick.mVersion.Text() },
-      { "begun_version", mBegunVersion.Text() },
+      { "begun_version", mOriginName.Text() },
       { "begun_as", mRelayRequest.mBegunAs.Text() },
       { "resume_after", mRelayRequest.mResumeAfter },
       { "attempts", static_cast<std::int64_t>(mTriedEndpoints.size()) },
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -215,10 +215,12 @@
 relay_dispatcher::ToPoolEndpoint(const known_endpoint& aKnown) const
 {
   const listed_endpoint& entry = aKnown.mEntry;
-  return { entry.mName,       entry.mAddress,
-           entry.mDomain,     aKnown.mLifetime,
-           IsLeaving(aKnown), mNotices.RestUntil(ProcessHash(entry)),
-           entry.mVersion };
+  return {
+    entry.mName,       entry.mAddress,
+    entry.mDomain,     aKnown.mLifetime,
+    IsLeaving(aKnown), mNotices.RestUntil(ProcessHash(entry)),
+    entry.mVersion,    EndpointVersionHash(entry.mPool, entry.mVersion)
+  };
 }
 
 bool
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -59,6 +59,7 @@
     Refuse(error_kind::kDraining);
     return;
   }
+  mProfile.mVersion = mOrigin;
   mProfile.mTeam = mTeam == nullptr ? team_name() : mTeam->mName;
   mFingerprint = FingerprintOf({ .mMethod = request.mMethod,
                                  .mTarget = request.mTarget,
@@ -112,6 +113,7 @@
     return false;
   }
   mAttempts = facts->mAttempts;
+  mOrigin = facts->mVersion;
   return true;
 }
 
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -189,6 +189,7 @@
   pick.mDomain = chosen->mEndpoint.mDomain;
   pick.mLifetime = chosen->mEndpoint.mLifetime;
   pick.mVersion = chosen->mEndpoint.mVersion;
+  pick.mVersionHash = chosen->mEndpoint.mVersionHash;
   pick.mBulk = SideOf(aRequest) == engine_side::kBulk;
   return pick;
 }
@@ -202,6 +203,24 @@
            aRecord.mHealth.Allowance(kUnlimited, aRecord.mInFlight, aNow);
 }
 
+bool
+relay_pool::MayServe(const record& aRecord, const request_profile& aRequest)
+{
+  return !aRecord.mEndpoint.mDraining &&
+         (!aRequest.mVersion ||
+          *aRequest.mVersion == aRecord.mEndpoint.mVersionHash);
+}
+
+bool
+relay_pool::HasOther(const request_profile& aRequest,
+                     const std::vector<endpoint_name>& aTried) const
+{
+  return std::ranges::any_of(mRecords, [&](const auto& aEntry) {
+    return MayServe(aEntry.second, aRequest) &&
+           std::ranges::count(aTried, aEntry.first) == 0;
+  });
+}
+
 bool
 relay_pool::IsInService(const relay_pick& aPick) const
 {
@@ -243,7 +262,7 @@
   std::vector<record*> healthy;
   std::vector<record*> unhealthy;
   for (auto& [name, each] : mRecords) {
-    if (each.mEndpoint.mDraining || !each.mRest.MaySendInNeed(aNow) ||
+    if (!MayServe(each, aRequest) || !each.mRest.MaySendInNeed(aNow) ||
         std::ranges::count(aTried, name) > 0) {
       continue;
     }
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -34,6 +34,9 @@
 // The side of the partition to which an engine belongs follows from the hash of
 // its name, except that slow engines are assigned to the bulk side first.
 //
+// A request that continues a stream is placed only on endpoints of the software
+// version that began the stream: what two versions write does not fit together.
+//
 // Endpoints in failure domains that are suspected to be unreachable are skipped
 // as long as others are left, see policy/domain_reachability.h.
 //
@@ -141,8 +144,9 @@
   bool mDraining = false;
   // Until when the endpoint wants no requests from this instance.
   time_point mRestUntil{};
-  // Version of the software that the endpoint's process runs.
+  // Version of the software that the endpoint's process runs, and its hash.
   software_version mVersion = {};
+  endpoint_version_hash mVersionHash = kUnknownVersion;
 
   friend bool operator==(const relay_endpoint&,
                          const relay_endpoint&) = default;
@@ -203,6 +207,10 @@
   // How long until the first of the endpoints accepts new requests; nothing
   // unless all that don't leave rest.
   std::optional<duration> RestLeft(time_point aNow) const;
+  // Whether an endpoint that is not in `aTried` may serve the request.
+  // Endpoints that are failing or rest count as well.
+  bool HasOther(const request_profile& aRequest,
+                const std::vector<endpoint_name>& aTried) const;
 
   // Chooses an endpoint for `aRequest` that is not in `aTried`. Returns nothing
   // if no endpoint is available.
@@ -287,6 +295,7 @@
   record* Find(const relay_pick& aPick);
   void ExtendRest(record& aRecord);
   bool TakesNewWork(const record& aRecord, time_point aNow) const;
+  static bool MayServe(const record& aRecord, const request_profile& aRequest);
   std::vector<record*> Candidates(const request_profile& aRequest,
                                   const std::vector<endpoint_name>& aTried,
                                   time_point aNow);
--- a/thornhollow/policy/relay_pool_test.cc
+++ b/thornhollow/policy/relay_pool_test.cc
@@ -106,6 +106,35 @@
   }
 }
 
+// A stream would get events of two software versions.
+TEST_CASE_FIXTURE(pool_of_nine_engines,
+                  "relay_pool/continued_stream/stays_at_its_version")
+{
+  constexpr endpoint_version_hash kOld = 1;
+  constexpr endpoint_version_hash kNew = 2;
+  for (int each = 0; each < 9; ++each) {
+    relay_endpoint endpoint = Endpoint("e" + std::to_string(each));
+    endpoint.mVersionHash = each < 3 ? kOld : kNew;
+    mPool.Put(endpoint);
+  }
+  request_profile work = Work(7, false);
+  work.mVersion = kOld;
+  std::vector<endpoint_name> tried;
+  for (int each = 0; each < 3; ++each) {
+    CHECK(mPool.HasOther(work, tried));
+    const auto pick = mPool.Choose(work, tried, mNow);
+    REQUIRE(pick);
+    CHECK(pick->mVersionHash == kOld);
+    tried.push_back(pick->mEndpoint);
+  }
+  CHECK_FALSE(mPool.HasOther(work, tried));
+  CHECK_FALSE(mPool.Choose(work, tried, mNow));
+  work.mVersion = kUnknownVersion;
+  CHECK_FALSE(mPool.Choose(work, {}, mNow));
+  work.mVersion.reset();
+  CHECK(mPool.Choose(work, tried, mNow));
+}
+
 TEST_CASE_FIXTURE(pool_of_nine_engines,
                   "relay_pool/same_session/stays_on_its_engine")
 {
--- a/thornhollow/policy/request_profile.h
+++ b/thornhollow/policy/request_profile.h
@@ -7,9 +7,11 @@
 #define THORNHOLLOW_POLICY_REQUEST_PROFILE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
 #include "thornhollow/policy/workload_kind.h"
@@ -48,6 +50,9 @@
   // Whether the request is a retry after a refusal, recognized by the caller
   // having less time left than its route allows.
   bool mIsRetry = false;
+  // The only version of endpoints that may serve the request, which continues a
+  // stream; nothing if any may.
+  std::optional<endpoint_version_hash> mVersion = std::nullopt;
 
   friend bool operator==(const request_profile&,
                          const request_profile&) = default;
@@ -67,8 +72,9 @@
   domain_name mDomain;
   // Distinguishes successive processes that run under the same endpoint name.
   std::uint64_t mLifetime = 0;
-  // Version of the software that the endpoint's process runs.
+  // Version of the software that the endpoint's process runs, and its hash.
   software_version mVersion = {};
+  endpoint_version_hash mVersionHash = kUnknownVersion;
   // Estimated prompt tokens that the engine has to prefill for this request.
   std::uint32_t mPrefillTokens = 0;
   // Whether the request's workload kind belongs to the bulk side, rather than
--- a/thornhollow/request/forwarding_headers.cc
+++ b/thornhollow/request/forwarding_headers.cc
@@ -27,7 +27,8 @@
                               { aNames.mTimeLeft,
                                 aNames.mResumeAfter,
                                 kForwardingHeader,
-                                kForwardingErrorHeader });
+                                kForwardingErrorHeader,
+                                kForwardingVersionHeader });
     if (!left) {
       sent.push_back(std::move(each));
     }
@@ -39,6 +40,9 @@
   sent.push_back({ std::string(kForwardingHeader),
                    std::to_string(aFacts.mAttempts) + kSeparator +
                      std::to_string(aFacts.mConfiguration) });
+  if (aFacts.mVersion) {
+    sent.push_back(ForwardingVersionHeader(*aFacts.mVersion));
+  }
   return sent;
 }
 
@@ -55,7 +59,9 @@
   if (!attempts || !version) {
     return std::nullopt;
   }
-  return forwarding_facts{ *attempts, *version };
+  return forwarding_facts{ *attempts,
+                           *version,
+                           ReadForwardingVersion(aFields) };
 }
 
 std::optional<error_kind>
@@ -87,6 +93,19 @@
     HeaderValue(aFields, kForwardingLeavingHeader));
 }
 
+header_field
+ForwardingVersionHeader(endpoint_version_hash aVersion)
+{
+  return { std::string(kForwardingVersionHeader), std::to_string(aVersion) };
+}
+
+std::optional<endpoint_version_hash>
+ReadForwardingVersion(const std::vector<header_field>& aFields)
+{
+  return ParseNumber<endpoint_version_hash>(
+    HeaderValue(aFields, kForwardingVersionHeader));
+}
+
 std::optional<duration>
 ReadRetryAfter(const std::vector<header_field>& aFields)
 {
--- a/thornhollow/request/forwarding_headers.h
+++ b/thornhollow/request/forwarding_headers.h
@@ -42,6 +42,12 @@
 inline constexpr std::string_view kForwardingLeavingHeader =
   "Thornhollow-Leaving";
 
+// Of a forwarded request, the hash of the software version that began the
+// stream that the request continues; of its answer, that of the version that
+// brought the first event. Never sent to callers or endpoints.
+inline constexpr std::string_view kForwardingVersionHeader =
+  "Thornhollow-Stream-Version";
+
 // What the forwarding instance tells the receiving one.
 struct forwarding_facts
 {
@@ -50,6 +56,9 @@
   // Version of the configuration by which the request was accepted. An instance
   // with an older one must not decide on it.
   std::uint64_t mConfiguration = 0;
+  // The version of endpoints that began the stream that the request continues;
+  // nothing if it continues none.
+  std::optional<endpoint_version_hash> mVersion = std::nullopt;
 
   friend bool operator==(const forwarding_facts&,
                          const forwarding_facts&) = default;
@@ -83,6 +92,13 @@
 std::optional<endpoint_process_hash>
 ReadForwardingLeaving(const std::vector<header_field>& aFields);
 
+header_field
+ForwardingVersionHeader(endpoint_version_hash aVersion);
+
+// Empty unless the header is there and well-formed.
+std::optional<endpoint_version_hash>
+ReadForwardingVersion(const std::vector<header_field>& aFields);
+
 // The `Retry-After` header in seconds, possibly with fractions; empty if there
 // is none.
 std::optional<duration>
--- a/thornhollow/request/forwarding_headers_test.cc
+++ b/thornhollow/request/forwarding_headers_test.cc
@@ -20,6 +20,7 @@
     { "Connection", "keep-alive, X-Hop" },
     { "X-Hop", "1" },
     { "thornhollow-forwarded", "7,7" },
+    { "thornhollow-stream-version", "7" },
   };
   std::vector<header_field> mSent =
     ForwardHeaders(mNames, mFields, Milliseconds(900), "12", { 1, 32 });
@@ -56,6 +57,22 @@
   CHECK(HeaderValue(sent, "Authorization").empty());
 }
 
+// A stream that another instance continues would get events of two versions.
+TEST_CASE_FIXTURE(callers_request,
+                  "forwarding_headers/version_of_a_stream/reaches_instances")
+{
+  constexpr endpoint_version_hash kVersion = 0xfedc'ba98'7654'3210;
+  const auto sent = ForwardHeaders(
+    mNames, mFields, Milliseconds(900), "12", { 1, 32, kVersion });
+  CHECK(ReadForwardingFacts(sent) == forwarding_facts{ 1, 32, kVersion });
+  CHECK(HeaderValue(AttemptHeaders(mNames, sent, {}), kForwardingVersionHeader)
+          .empty());
+  const std::vector<header_field> told = { ForwardingVersionHeader(kVersion) };
+  CHECK(ReadForwardingVersion(told) == kVersion);
+  CHECK(AnswerHeaders(told).empty());
+  CHECK_FALSE(ReadForwardingVersion({ { told.front().mName, "v1" } }));
+}
+
 TEST_CASE("forwarding_headers/malformed_mark/is_refused")
 {
   for (const char* each :
--- a/thornhollow/request/relay_headers.cc
+++ b/thornhollow/request/relay_headers.cc
@@ -109,6 +109,7 @@
                    aNames.mTimeLeft,
                    aNames.mResumeAfter,
                    kForwardingHeader,
+                   kForwardingVersionHeader,
                    "Authorization" }) ||
          std::ranges::any_of(aNames.mRouterOnly,
                              [aName](std::string_view aOther) {
@@ -224,7 +225,8 @@
     return IsAnyOf(aField.mName,
                    { kForwardingErrorHeader,
                      kForwardingOpenEndedHeader,
-                     kForwardingLeavingHeader });
+                     kForwardingLeavingHeader,
+                     kForwardingVersionHeader });
   });
   return sent;
 }
