A stream that its caller takes up goes on at the version that began it

Now each instance knows where its streams began, and tells it when the first event goes out to one instance in each of three failure domains and in its own, which follow from the stream's key (team and first submission) by rendezvous over the known instances. Whoever gets the take-up asks these, in pairs, and sends it only to endpoints of that version; in the pool that has it, also where the route's split or a new configuration would choose another. What nobody was told follows from the list: one version that was the only one for longer than any stream lives, and all knew it; while that holds nothing is told, and when a second version appears the open streams are told at once. What isn't known is refused as not run, without Retry-After: stream_origin_unknown, stream_version_gone; stream_origin_unreachable may come back. An entry that changes its version is another process; the streams of the last seconds at the replaced one are unknown.

Ruled out: every instance asked (420), versions in what the caller sends back (only the identifier comes back), reading them from the platform (nothing of ours is written there), continuing an unknown stream at the present version.

Without a second version no message.

--- a/thornhollow/base/error.cc
+++ b/thornhollow/base/error.cc
@@ -147,6 +147,30 @@
     come_back::kAfterDelay,
     "An endpoint ended while it held this request, and another submission of "
     "it has to end first." },
+  { kStreamOriginUnreachable,
+    "stream_origin_unreachable",
+    503,
+    ran::kNo,
+    come_back::kAfterDelay,
+    "It could not be established where this stream began; it was not "
+    "continued." },
+  // A client error would be the usual status of these two. But the request is
+  // well formed, and the router can't tell on which side the fault is.
+  { kStreamOriginUnknown,
+    "stream_origin_unknown",
+    503,
+    ran::kNo,
+    come_back::kNever,
+    "It is not known where this stream began, so it can't be continued; "
+    "request "
+    "it again from its beginning, without its last event." },
+  { kStreamVersionGone,
+    "stream_version_gone",
+    503,
+    ran::kNo,
+    come_back::kNever,
+    "The endpoints that could continue this stream are gone; request it again "
+    "from its beginning, without its last event." },
   { kKeyHeldElsewhere,
     "key_held_elsewhere",
     409,
--- a/thornhollow/base/error.h
+++ b/thornhollow/base/error.h
@@ -72,6 +72,11 @@
   kRequestEndsEndpoints,
   kSuspectHeld,
 
+  // A stream that its caller continues.
+  kStreamOriginUnreachable,
+  kStreamOriginUnknown,
+  kStreamVersionGone,
+
   // The same idempotency key elsewhere.
   kKeyHeldElsewhere,
   kKeyAlreadyUsed,
--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -50,6 +50,8 @@
   // Looks up route, team and pool. Returns the reason for a refusal, or nullopt
   // on success.
   std::optional<error_kind> FindRoute();
+  // Admits the request, or refuses it, and makes its first attempt.
+  void Admit();
   // Ends a request that ends the endpoints that run it.
   void RejectSuspect();
   // Ends a request of which no attempt is in progress: with `aKind`, unless an
@@ -104,13 +106,29 @@
   // the retry to the budget; otherwise the caller receives the error unchanged.
   bool TakeRetryForServerError();
   void OnBytes(const std::string& aBytes);
+  void RecordFirstByte();
+  void RecordPause();
+  void OnAnswerEnd();
+
+  // ---- Streams and their versions: relay_session_stream.cc
+
+  // Whether the caller continues a stream, and it is yet to be found out at
+  // which version it began.
+  bool ContinuesUnknownStream() const;
+  void FindOrigin();
+  void OnOrigin(const origin_verdict& aVerdict);
+  // Refuses to continue the caller's stream.
+  void RefuseToContinue(error_kind aKind, const origin_verdict& aVerdict);
   // Notes which version began the stream, once its first event was sent.
   void RecordOrigin();
+  void ReportStreamBegun(const endpoint_name& aEndpoint);
+  void ReportStreamEnded();
   // The version of endpoints that brings the present attempt's answer.
   endpoint_version_hash AttemptVersion() const;
-  void RecordFirstByte();
-  void RecordPause();
-  void OnAnswerEnd();
+  // Keys of the stream by this submission, and by the one that the caller
+  // names.
+  stream_key OwnKey() const;
+  stream_key ContinuedKey() const;
 
   // ---- Failed and silent attempts: relay_session_failure.cc
 
@@ -149,6 +167,7 @@
   // ---- Log lines: relay_session_log.cc
 
   void LogRejected(const admission_refusal& aRefusal);
+  void LogNotContinued(error_kind aKind, const origin_verdict& aVerdict);
   void LogFailedAttempt(attempt_failure aFailure, const std::string& aDetail);
   unsigned Status() const;
   std::string FramingText() const;
@@ -212,6 +231,8 @@
   // Nothing before, when any version may serve the request.
   std::optional<endpoint_version_hash> mOrigin;
   software_version mOriginName;
+  // Whether the other instances are told where the stream began.
+  bool mStreamReported = false;
   bool mDone = false;
 };
 
--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -156,23 +156,6 @@
   RecordPause();
 }
 
-endpoint_version_hash
-relay_session::AttemptVersion() const
-{
-  return IsAtPeer() ? mPeerVersion : mPick.mVersionHash;
-}
-
-void
-relay_session::RecordOrigin()
-{
-  if (mOrigin || !mAnswer.Begun()) {
-    return;
-  }
-  mOrigin = AttemptVersion();
-  mOriginName = mPick.mVersion;
-  mProfile.mVersion = mOrigin;
-}
-
 void
 relay_session::RecordFirstByte()
 {
--- a/thornhollow/daemon/internal/relay_session_log.cc
+++ b/thornhollow/daemon/internal/relay_session_log.cc
@@ -1,7 +1,19 @@
+#include <fmt/format.h>
+
 #include "thornhollow/daemon/internal/relay_session.h"
 #include "thornhollow/net/clock.h"
 
 namespace thornhollow {
+namespace {
+
+std::string
+HashText(std::uint64_t aHash)
+{
+  return fmt::format("{:016x}", aHash);
+}
+
+} // namespace
+
 void
 relay_session::LogRejected(const admission_refusal& aRefusal)
 {
@@ -17,6 +29,25 @@
       { "come_back_ms", ToMilliseconds(aRefusal.mRetryAfter) } });
 }
 
+void
+relay_session::LogNotContinued(error_kind aKind, const origin_verdict& aVerdict)
+{
+  mDispatcher.Log().WriteRequest(
+    log_level::kInfo,
+    "stream_not_continued",
+    { { "request", mRelayRequest.mId.Text() },
+      { "why", std::string(Name(aKind)) },
+      { "begun_as", mRelayRequest.mBegunAs.Text() },
+      { "resume_after", mRelayRequest.mResumeAfter },
+      { "pool", mPool->Text() },
+      { "ground", std::string(Name(aVerdict.mGround)) },
+      { "told_by", aVerdict.mFrom },
+      { "asked", static_cast<std::int64_t>(aVerdict.mAsked) },
+      { "answered", static_cast<std::int64_t>(aVerdict.mAnswered) },
+      { "version_hash", HashText(aVerdict.mVersion) },
+      { "listed", mDispatcher.ListedVersions(*mPool) } });
+}
+
 void
 relay_session::LogFailedAttempt(attempt_failure aFailure,
                                 const std::string& aDetail)
--- /dev/null
+++ b/thornhollow/daemon/internal/relay_session_stream.cc
@@ -0,0 +1,122 @@
+#include "thornhollow/daemon/internal/relay_session.h"
+
+namespace thornhollow {
+
+bool
+relay_session::ContinuesUnknownStream() const
+{
+  return IsStream(mRoute->mKind) && !mRelayRequest.mResumeAfter.empty() &&
+         !mOrigin;
+}
+
+void
+relay_session::FindOrigin()
+{
+  mDispatcher.Metrics().OnEvent("stream_taken_up");
+  // If nobody knows the stream, it is the pool of the submission that began it
+  // that tells its version.
+  if (!mRelayRequest.mBegunAs.empty()) {
+    mPool =
+      routing_table::SelectPool(*mRoute, Hash64(mRelayRequest.mBegunAs.Text()));
+  }
+  mDispatcher.Streams().Find(ContinuedKey(),
+                             *mPool,
+                             [self = boost::intrusive_ptr<relay_session>(this)](
+                               const origin_verdict& aVerdict) {
+                               if (!self->mDone) {
+                                 self->OnOrigin(aVerdict);
+                               }
+                             });
+}
+
+void
+relay_session::OnOrigin(const origin_verdict& aVerdict)
+{
+  if (aVerdict.mVersion == kUnknownVersion) {
+    RefuseToContinue(aVerdict.mGround == origin_ground::kNoAnswer
+                       ? error_kind::kStreamOriginUnreachable
+                       : error_kind::kStreamOriginUnknown,
+                     aVerdict);
+    return;
+  }
+  mOrigin = aVerdict.mVersion;
+  mProfile.mVersion = mOrigin;
+  const pool_name* pool = mDispatcher.PoolOfVersion(*mRoute, *mOrigin);
+  if (pool == nullptr || !mDispatcher.Pool(*pool)->HasOther(mProfile, {})) {
+    RefuseToContinue(error_kind::kStreamVersionGone, aVerdict);
+    return;
+  }
+  mPool = pool;
+  Admit();
+}
+
+void
+relay_session::RefuseToContinue(error_kind aKind,
+                                const origin_verdict& aVerdict)
+{
+  LogNotContinued(aKind, aVerdict);
+  Refuse(aKind);
+}
+
+endpoint_version_hash
+relay_session::AttemptVersion() const
+{
+  return IsAtPeer() ? mPeerVersion : mPick.mVersionHash;
+}
+
+void
+relay_session::RecordOrigin()
+{
+  if (mStreamReported || !mAnswer.Begun()) {
+    return;
+  }
+  mStreamReported = true;
+  mOriginName = mPick.mVersion;
+  endpoint_name beginner;
+  if (!mOrigin) {
+    mOrigin = AttemptVersion();
+    mProfile.mVersion = mOrigin;
+    beginner = IsAtPeer() ? endpoint_name() : mPick.mEndpoint;
+  }
+  ReportStreamBegun(beginner);
+}
+
+void
+relay_session::ReportStreamBegun(const endpoint_name& aEndpoint)
+{
+  // The forwarding instance reports it.
+  if (mIsForwarded || mRoute->mKind != request_kind::kResumableStream) {
+    return;
+  }
+  stream_guard& streams = mDispatcher.Streams();
+  streams.OnBegun({ OwnKey(), *mPool, *mOrigin, aEndpoint });
+  if (ContinuedKey() != kUnnamedStream) {
+    streams.OnBegun({ ContinuedKey(), *mPool, *mOrigin, aEndpoint });
+  }
+}
+
+void
+relay_session::ReportStreamEnded()
+{
+  if (!mStreamReported) {
+    return;
+  }
+  mDispatcher.Streams().OnEnded(OwnKey());
+  mDispatcher.Streams().OnEnded(ContinuedKey());
+}
+
+stream_key
+relay_session::OwnKey() const
+{
+  return StreamKeyOf(mProfile.mTeam, mRelayRequest.mId);
+}
+
+stream_key
+relay_session::ContinuedKey() const
+{
+  return StreamKeyOf(
+    mProfile.mTeam,
+    mRelayRequest.mResumeAfter.empty() ? request_id() : mRelayRequest.mBegunAs);
+}
+
+} // namespace thornhollow
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -87,6 +87,7 @@
   , mConnections(aIo, endpoint_connection_settings{})
   , mCrashes(aIo, aLog, aMetrics)
   , mReach(aIo, aLog, aMetrics)
+  , mStreams(aIo, aSettings.mDomain, aMetrics)
   , mRetries(RetryBudgetSettings(aSettings))
   , mGenerator(std::random_device()())
 {
@@ -140,6 +141,7 @@
 void
 relay_dispatcher::SetRoutingTable(routing_table_ptr aTable)
 {
+  mStreams.OnRouting(mTable.get(), *aTable);
   mTable = std::move(aTable);
   mMetrics.OnConfiguration(mTable->Document().mVersion);
   // Pools of engines choose endpoints by other rules than pools of plain
@@ -178,6 +180,7 @@
                { "draining", std::int64_t{ aEndpoint.mDraining } } });
   UpdateEndpoint(aEndpoint);
   mReach.OnEndpointJoined(aEndpoint.mPool);
+  mStreams.OnListed(aEndpoint);
 }
 
 void
@@ -209,6 +212,7 @@
     pool->second.Remove(aName);
   }
   mEndpoints.erase(found);
+  mStreams.OnRemoved(aName);
 }
 
 relay_endpoint
@@ -279,6 +283,7 @@
   }
   mCrashes.Tick(aNow);
   mReach.Tick(aNow);
+  mStreams.Tick();
   UpdateReserved(aNow);
 }
 
@@ -346,11 +351,47 @@
   GetOrCreatePool(aKnown.mEntry.mPool).Put(ToPoolEndpoint(aKnown));
 }
 
+const pool_name*
+relay_dispatcher::PoolOfVersion(const route& aRoute,
+                                endpoint_version_hash aVersion) const
+{
+  for (const pool_weight& each : aRoute.mPools) {
+    const auto pool = mPools.find(each.mPool);
+    if (pool != mPools.end() && pool->second.Lists(aVersion)) {
+      return &each.mPool;
+    }
+  }
+  return nullptr;
+}
+
+std::string
+relay_dispatcher::ListedVersions(const pool_name& aPool) const
+{
+  std::map<software_version, std::size_t> counts;
+  for (const auto& [name, each] : mEndpoints) {
+    if (each.mEntry.mPool == aPool) {
+      ++counts[each.mEntry.mVersion];
+    }
+  }
+  std::string text;
+  for (const auto& [version, count] : counts) {
+    text += fmt::format("{}{} ({:016x}): {}",
+                        text.empty() ? "" : ", ",
+                        version.Text(),
+                        EndpointVersionHash(aPool, version),
+                        count);
+  }
+  return text;
+}
+
 std::optional<duration>
-relay_dispatcher::RestLeft(const pool_name& aPool, time_point aNow)
+relay_dispatcher::RestLeft(const pool_name& aPool,
+                           const request_profile& aRequest,
+                           time_point aNow)
 {
   const relay_pool* pool = Pool(aPool);
-  const auto left = pool == nullptr ? std::nullopt : pool->RestLeft(aNow);
+  const auto left =
+    pool == nullptr ? std::nullopt : pool->RestLeft(aRequest, aNow);
   return left ? std::optional(*left + RetryDelay()) : std::nullopt;
 }
 
@@ -416,6 +457,7 @@
 {
   mConnections.ForgetAll();
   mReach.OnClockGap(aNow);
+  mStreams.OnClockGap();
   for (auto& [name, pool] : mPools) {
     pool.OnClockGap(aNow);
   }
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -31,6 +31,7 @@
 #include "thornhollow/daemon/endpoint_reach.h"
 #include "thornhollow/daemon/json_log.h"
 #include "thornhollow/daemon/metrics.h"
+#include "thornhollow/daemon/stream_guard.h"
 #include "thornhollow/discovery/endpoint_roster.h"
 #include "thornhollow/fleet/relay_peers.h"
 #include "thornhollow/net/caller_server.h"
@@ -135,6 +136,14 @@
   relay_pool* Pool(const pool_name& aName);
   crash_guard& Crashes() { return mCrashes; }
   endpoint_reach& Reach() { return mReach; }
+  stream_guard& Streams() { return mStreams; }
+  // Returns the pool of the route in which endpoints of the version are listed;
+  // nullptr if there is none.
+  const pool_name* PoolOfVersion(const route& aRoute,
+                                 endpoint_version_hash aVersion) const;
+  // The versions of the pool's listed endpoints with their hashes and numbers
+  // of endpoints, for logs.
+  std::string ListedVersions(const pool_name& aPool) const;
   // Chooses an endpoint in the pool that is not in `aTried`; nothing if there
   // is none.
   std::optional<relay_pick> Choose(relay_pool& aPool,
@@ -143,7 +152,9 @@
                                    time_point aNow);
   // When a caller should come back to whom no endpoint of the pool could be
   // given because all rest; nothing if that is not the reason.
-  std::optional<duration> RestLeft(const pool_name& aPool, time_point aNow);
+  std::optional<duration> RestLeft(const pool_name& aPool,
+                                   const request_profile& aRequest,
+                                   time_point aNow);
   // Records that a connection attempt to an endpoint failed, or that the
   // endpoint stopped responding. Informs all pools, as the endpoint's whole
   // failure domain may be unreachable.
@@ -207,6 +218,7 @@
   endpoint_connections mConnections;
   crash_guard mCrashes;
   endpoint_reach mReach;
+  stream_guard mStreams;
   endpoint_notices mNotices;
   std::function<void(endpoint_process_hash)> mOnNewLeaving;
   shared_retry_budget mRetries;
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -40,6 +40,9 @@
 // the source usually refuses calls, and short enough that the usual set of
 // readers is soon restored.
 constexpr duration kFailureReportPeriod = Seconds(5);
+// How long the list of endpoints counts as current after the source's last
+// answer to any instance. Without changes, a watch is answered after 20 s.
+constexpr duration kListCurrentFor = Seconds(25);
 // Part of the drain's grace period that is reserved for process exit.
 constexpr duration kShutdownReserve = Milliseconds(400);
 
@@ -170,6 +173,12 @@
                                             const crash_report& aReport) {
                                        mPeers.SendCrashReport(aTo, aReport);
                                      } });
+    mDispatcher.Streams().SetPeers({ [this] { return mPeers.Instances(); },
+                                     [this](const std::vector<std::string>& aTo,
+                                            const origin_message& aMessage) {
+                                       mPeers.SendOrigins(aTo, aMessage);
+                                     },
+                                     [this] { return ListIsCurrent(); } });
     mDispatcher.OnNewLeaving([this](endpoint_process_hash aProcess) {
       mPeers.SpreadLeaving(aProcess);
     });
@@ -252,6 +261,10 @@
       [this](const std::vector<endpoint_process_hash>& aProcesses) {
         mDispatcher.OnLeavingReported(aProcesses, Now());
       };
+    callbacks.mOnOrigins = [this](const std::string& aFrom,
+                                  const origin_message& aMessage) {
+      mDispatcher.Streams().OnMessage(aFrom, aMessage);
+    };
     callbacks.mOnItemsRequest = [this](const items_request& aRequest) {
       return MakeCopy(aRequest);
     };
@@ -353,6 +366,14 @@
     return std::max(mDocument.LastAnswerTime(), mEndpoints.LastAnswerTime());
   }
 
+  // Whether the source has lately answered any instance, so that a change of
+  // the list would be known here.
+  bool ListIsCurrent() const
+  {
+    const auto answered = std::max(SourceAnswered(), mPeers.SourceAnswered());
+    return answered && Now() - *answered < kListCurrentFor;
+  }
+
   void RecordSourceAnswers()
   {
     for (const auto& each : { SourceAnswered(), mPeers.SourceAnswered() }) {
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -122,6 +122,14 @@
     Send(hello, aTo);
   }
 
+  void SendOrigins(const std::vector<std::string>& aTo,
+                   const origin_message& aMessage)
+  {
+    relay_hello hello = BriefHello(false);
+    hello.mOrigins = aMessage;
+    Send(hello, aTo);
+  }
+
   void SpreadLeaving(endpoint_process_hash aProcess)
   {
     mLeaving.OnNew(aProcess);
@@ -246,6 +254,9 @@
     if (hello->mCrashes) {
       mCallbacks.mOnCrashReport(*hello->mCrashes);
     }
+    if (hello->mOrigins) {
+      mCallbacks.mOnOrigins(hello->mAddress, *hello->mOrigins);
+    }
     if (!hello->mLeaving.empty()) {
       mCallbacks.mOnLeaving(hello->mLeaving);
     }
@@ -447,6 +458,19 @@
   mCore->SpreadLeaving(aProcess);
 }
 
+void
+relay_peer_link::SendOrigins(const std::vector<std::string>& aTo,
+                             const origin_message& aMessage)
+{
+  mCore->SendOrigins(aTo, aMessage);
+}
+
+std::vector<known_instance>
+relay_peer_link::Instances() const
+{
+  return mCore->Peers().Instances();
+}
+
 std::vector<std::string>
 relay_peer_link::Addresses() const
 {
--- a/thornhollow/daemon/relay_peer_link.h
+++ b/thornhollow/daemon/relay_peer_link.h
@@ -60,6 +60,8 @@
   std::function<std::vector<endpoint_process_hash>(std::size_t)> mLatelyLeaving;
   // Called with those that a peer has told.
   std::function<void(const std::vector<endpoint_process_hash>&)> mOnLeaving;
+  // Called with a message about streams of the peer at the given address.
+  std::function<void(const std::string&, const origin_message&)> mOnOrigins;
   // Returns the copy that a peer requests.
   std::function<items_answer(const items_request&)> mOnItemsRequest;
   // Called when a peer answered a request for a copy.
@@ -87,8 +89,13 @@
                        const crash_report& aReport);
   // Spreads that an endpoint's process said that it leaves.
   void SpreadLeaving(endpoint_process_hash aProcess);
+  // Sends a message about where streams began.
+  void SendOrigins(const std::vector<std::string>& aTo,
+                   const origin_message& aMessage);
   // Addresses of all live peers.
   std::vector<std::string> Addresses() const;
+  // Addresses and failure domains of all live peers.
+  std::vector<known_instance> Instances() const;
   // Whether this instance should read the source itself. Call every 100 ms.
   bool ShouldReadSource(time_point aNow);
 
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -70,13 +70,24 @@
     ToSeconds(timeout) < ToSeconds(mRoute->mTimeout) * kRetryTimeoutFraction;
   mMetricsClass = MetricsClass(*mRoute, mProfile.mTier);
   mDispatcher.Metrics().OnRequest(mMetricsClass);
-  if (IsStream(mRoute->mKind) && !mRelayRequest.mResumeAfter.empty()) {
-    mDispatcher.Metrics().OnEvent("stream_taken_up");
-  }
   if (mDispatcher.Crashes().IsRejected(mFingerprint, Now())) {
     RejectSuspect();
     return;
   }
+  mBody = std::make_shared<const std::string>(request.mBody);
+  mExchange->OnLeft([self = boost::intrusive_ptr<relay_session>(this)] {
+    self->OnCallerLeft();
+  });
+  if (ContinuesUnknownStream()) {
+    FindOrigin();
+    return;
+  }
+  Admit();
+}
+
+void
+relay_session::Admit()
+{
   if (!mIsForwarded) {
     mDispatcher.Retries().OnRequest(*mPool, Now());
   }
@@ -89,7 +100,8 @@
   // The instance to which the request is forwarded decides on its admission.
   relay_pool* pool = mDispatcher.Pool(*mPool);
   if (pool != nullptr && !mForwardFirst) {
-    const auto verdict = pool->Admit(mProfile, timeout, Now());
+    const auto verdict =
+      pool->Admit(mProfile, mProfile.mDeadline - mExchange->Arrival(), Now());
     if (const auto* refused = std::get_if<admission_refusal>(&verdict)) {
       LogRejected(*refused);
       Refuse(refused->mKind, refused->mRetryAfter);
@@ -97,10 +109,6 @@
     }
     mPlannedPick = std::get<std::optional<relay_pick>>(verdict);
   }
-  mBody = std::make_shared<const std::string>(request.mBody);
-  mExchange->OnLeft([self = boost::intrusive_ptr<relay_session>(this)] {
-    self->OnCallerLeft();
-  });
   StartNextAttempt();
 }
 
@@ -179,7 +187,7 @@
   const bool noneTook =
     aKind == error_kind::kNoEndpoint || aKind == error_kind::kEndpointDeclined;
   if (!aRetryAfter && noneTook && mPool != nullptr) {
-    aRetryAfter = mDispatcher.RestLeft(*mPool, Now());
+    aRetryAfter = mDispatcher.RestLeft(*mPool, mProfile, Now());
   }
   whole_reply reply =
     mDispatcher.Refusal(aKind, mRelayRequest.mId, aRetryAfter);
@@ -213,6 +221,7 @@
   mTimer.cancel();
   mDispatcher.Crashes().OnSendEnded(mFingerprint, mTicket, Now());
   mExchange->OnLeft(nullptr);
+  ReportStreamEnded();
   LogOutcome(aOutcome);
   if (aOutcome == "answered") {
     mDispatcher.Metrics().OnCompleted(mMetricsClass, mAnswer.Events());
--- a/thornhollow/discovery/endpoint_roster.cc
+++ b/thornhollow/discovery/endpoint_roster.cc
@@ -17,7 +17,8 @@
   }
   const bool sameProcess = known.mEntry.mStartedMs == aEntry.mStartedMs &&
                            known.mEntry.mAddress == aEntry.mAddress &&
-                           known.mEntry.mPool == aEntry.mPool;
+                           known.mEntry.mPool == aEntry.mPool &&
+                           known.mEntry.mVersion == aEntry.mVersion;
   known.mEntry = aEntry;
   if (sameProcess) {
     return { endpoint_updated{ aEntry } };
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -247,6 +247,17 @@
   aPeer.mHello.mLinkMegabits = aHello.mLinkMegabits;
 }
 
+std::vector<known_instance>
+relay_peers::Instances() const
+{
+  std::vector<known_instance> all;
+  all.reserve(mPeers.size());
+  for (const auto& [address, each] : mPeers) {
+    all.push_back({ address, each.mHello.mDomain });
+  }
+  return all;
+}
+
 std::vector<std::string>
 relay_peers::Addresses() const
 {
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -48,6 +48,8 @@
 #include "thornhollow/fleet/demand_aggregation.h"
 #include "thornhollow/policy/crash_report.h"
 #include "thornhollow/policy/workload_kind.h"
+#include "thornhollow/streams/origin_holders.h"
+#include "thornhollow/streams/origin_messages.h"
 
 namespace thornhollow {
 
@@ -164,6 +166,9 @@
   forwarding_report mForwarding = {};
   // Processes of endpoints that said in an answer that they leave.
   std::vector<endpoint_process_hash> mLeaving = {};
+  // Where streams began. A hello with this member has no loads, demand or
+  // peers.
+  std::optional<origin_message> mOrigins = std::nullopt;
 
   friend bool operator==(const relay_hello&, const relay_hello&) = default;
 };
@@ -295,6 +300,8 @@
 
   // Addresses of all live peers.
   std::vector<std::string> Addresses() const;
+  // Addresses and failure domains of all live peers.
+  std::vector<known_instance> Instances() const;
 
   // Returns a random sample of peer addresses for a hello.
   std::vector<std::string> SamplePeers();
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -221,6 +221,14 @@
   });
 }
 
+bool
+relay_pool::Lists(endpoint_version_hash aVersion) const
+{
+  return std::ranges::any_of(mRecords, [aVersion](const auto& aEntry) {
+    return aEntry.second.mEndpoint.mVersionHash == aVersion;
+  });
+}
+
 bool
 relay_pool::IsInService(const relay_pick& aPick) const
 {
@@ -238,11 +246,11 @@
 }
 
 std::optional<duration>
-relay_pool::RestLeft(time_point aNow) const
+relay_pool::RestLeft(const request_profile& aRequest, time_point aNow) const
 {
   std::optional<duration> left;
   for (const auto& [name, each] : mRecords) {
-    if (each.mEndpoint.mDraining) {
+    if (!MayServe(each, aRequest)) {
       continue;
     }
     if (each.mRest.IsOver(aNow)) {
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -204,9 +204,12 @@
   bool IsInService(const relay_pick& aPick) const;
   // The same, and it doesn't rest.
   bool AcceptsNew(const relay_pick& aPick, time_point aNow) const;
-  // How long until the first of the endpoints accepts new requests; nothing
-  // unless all that don't leave rest.
-  std::optional<duration> RestLeft(time_point aNow) const;
+  // How long until the first of the endpoints that may serve the request
+  // accepts new ones; nothing unless all that don't leave rest.
+  std::optional<duration> RestLeft(const request_profile& aRequest,
+                                   time_point aNow) const;
+  // Whether an endpoint of the version is listed, possibly a leaving one.
+  bool Lists(endpoint_version_hash aVersion) const;
   // Whether an endpoint that is not in `aTried` may serve the request.
   // Endpoints that are failing or rest count as well.
   bool HasOther(const request_profile& aRequest,
--- a/thornhollow/policy/relay_pool_test.cc
+++ b/thornhollow/policy/relay_pool_test.cc
@@ -302,17 +302,17 @@
     mPool.Put(Resting("e" + std::to_string(each), mNow + Seconds(2 + each)));
   }
   CHECK_FALSE(mPool.Choose(Work(1, false), {}, mNow));
-  const auto left = mPool.RestLeft(mNow);
+  const auto left = mPool.RestLeft({}, mNow);
   REQUIRE(left.has_value());
   CHECK(*left >= Seconds(2));
   CHECK(*left <= Seconds(3));
   // One that doesn't rest, or leaves, changes the picture.
   mPool.Put(Endpoint("e9"));
-  CHECK_FALSE(mPool.RestLeft(mNow));
+  CHECK_FALSE(mPool.RestLeft({}, mNow));
   relay_endpoint leaving = Endpoint("e9");
   leaving.mDraining = true;
   mPool.Put(leaving);
-  CHECK(mPool.RestLeft(mNow));
+  CHECK(mPool.RestLeft({}, mNow));
 }
 
 TEST_CASE_FIXTURE(pool_of_nine_engines,
--- a/thornhollow/testing/process/relay_stream_taken_up_test.py
+++ b/thornhollow/testing/process/relay_stream_taken_up_test.py
@@ -45,9 +45,10 @@
         self.fleet[0].kill()
         self.fleet[0].start()
         self.fleet[0].wait_ready()
-        harness.wait_until(lambda: relay_site.know_each_other(self.fleet[:1])
-                           or self.fleet[0].events("peers_changed"),
-                           "it hears others")
+        harness.wait_until(
+            lambda: any(line["alive"] == 2
+                        for line in self.fleet[0].events("peers_changed")),
+            "it hears the others")
         self.take_up(callers, self.fleet[0])
         self.assert_go_on(callers)
 
--- a/thornhollow/testing/process/two_versions_site.py
+++ b/thornhollow/testing/process/two_versions_site.py
@@ -9,6 +9,8 @@
             self.assert_go_on(callers)
 """
 
+import time
+
 import cut_off_site
 import harness
 import relay_site
@@ -18,6 +20,7 @@
 # Of the streams that are taken up while their version serves.
 GO_ON = 0.95
 REFUSED = 503
+SETTLED_S = 1.3
 
 
 class TwoVersions(relay_site.RelayTest):
@@ -31,6 +34,8 @@
             engine.event_gap_s = 0.01
         self.store.put("op/config", document or relay_site.document(1))
         self.fleet = self.daemons_that_know_each_other(instances)
+        # An instance to which others are new asks its caller to come back.
+        time.sleep(SETTLED_S)
 
     def callers(self, count=STREAMS):
         return [relay_site.StreamCaller(self, f"s{number}")
@@ -61,7 +66,8 @@
         self.assert_sound(callers)
         whole = [each for each in callers if each.complete]
         self.assertGreaterEqual(len(whole), GO_ON * len(callers),
-                                [each.status for each in callers])
+                                [each.refusal or each.status
+                                 for each in callers if not each.complete])
 
     def assert_told_to_start_anew(self, caller, kind):
         self.assertEqual(caller.status, REFUSED)
@@ -97,4 +103,5 @@
         harness.wait_until(
             lambda: all(len(each.events("endpoint_joined")) >= 7
                         for each in self.fleet), "two versions are known")
+        time.sleep(SETTLED_S)
         self.cut(self.fleet[:1], "reset")
--- a/thornhollow/wire/internal/crash_codec.cc
+++ b/thornhollow/wire/internal/crash_codec.cc
@@ -4,12 +4,12 @@
 #include <map>
 #include <string>
 
+#include "thornhollow/wire/internal/fixed_bytes.h"
+
 namespace thornhollow::wire_internal {
 namespace {
 
 constexpr std::int64_t kMaxMilliseconds = 86'400'000;
-constexpr std::size_t kFingerprintBytes = 8;
-constexpr unsigned kBitsPerByte = 8;
 
 std::int32_t
 ToWireMilliseconds(duration aLength)
@@ -25,27 +25,15 @@
     std::clamp<std::int64_t>(aMilliseconds, 0, kMaxMilliseconds));
 }
 
-void
-Append(std::string& aBytes, request_fingerprint aRequest)
-{
-  for (std::size_t at = 0; at < kFingerprintBytes; ++at) {
-    aBytes += static_cast<char>(aRequest.mValue >> (kBitsPerByte * at) & 0xFFU);
-  }
-}
-
 void
 Read(const wire::endpoint_end& aEnd,
      const std::string& aBytes,
      bool aTrial,
      std::vector<crash_sighting>& aOut)
 {
-  for (std::size_t from = 0; from + kFingerprintBytes <= aBytes.size();
-       from += kFingerprintBytes) {
-    request_fingerprint request;
-    for (std::size_t at = kFingerprintBytes; at > 0; --at) {
-      request.mValue = request.mValue << kBitsPerByte |
-                       static_cast<unsigned char>(aBytes[from + at - 1]);
-    }
+  for (std::size_t from = 0; from + kFixedBytes <= aBytes.size();
+       from += kFixedBytes) {
+    const request_fingerprint request{ ReadFixed(aBytes, from) };
     aOut.push_back({ static_cast<endpoint_hash>(aEnd.endpoint),
                      FromWireMilliseconds(aEnd.age_ms),
                      request,
@@ -65,7 +53,7 @@
     wire::endpoint_end& end = ends[{ each.mEndpoint, each.mAge }];
     end.__set_endpoint(static_cast<std::int32_t>(each.mEndpoint));
     end.__set_age_ms(ToWireMilliseconds(each.mAge));
-    Append(each.mTrial ? end.trials : end.suspects, each.mRequest);
+    AppendFixed(each.mTrial ? end.trials : end.suspects, each.mRequest.mValue);
     end.__isset.trials = true;
     end.__isset.suspects = true;
   }
--- a/thornhollow/wire/relay_codec.cc
+++ b/thornhollow/wire/relay_codec.cc
@@ -7,6 +7,7 @@
 
 #include "thornhollow/wire/internal/compact.h"
 #include "thornhollow/wire/internal/crash_codec.h"
+#include "thornhollow/wire/internal/origin_codec.h"
 #include "thornhollow/wire/packing.h"
 
 namespace thornhollow {
@@ -335,6 +336,9 @@
     out.leaving.push_back(static_cast<std::int64_t>(each));
   }
   out.__isset.leaving = !out.leaving.empty();
+  if (aHello.mOrigins) {
+    out.__set_origins(wire_internal::ToWire(*aHello.mOrigins));
+  }
   if (aHello.mSourceAnswerAge) {
     out.__set_source_answer_age_ms(static_cast<std::int32_t>(
       std::min(ToMilliseconds(*aHello.mSourceAnswerAge), kMostMilliseconds)));
@@ -393,6 +397,9 @@
   for (const std::int64_t each : in->leaving) {
     hello.mLeaving.push_back(static_cast<endpoint_process_hash>(each));
   }
+  if (in->__isset.origins) {
+    hello.mOrigins = wire_internal::FromWire(in->origins);
+  }
   if (in->__isset.source_answer_age_ms) {
     hello.mSourceAnswerAge = Span(in->source_answer_age_ms);
   }
--- a/thornhollow/wire/relay_codec_test.cc
+++ b/thornhollow/wire/relay_codec_test.cc
@@ -55,6 +55,49 @@
   CHECK(DecodeItemsAnswer(EncodeItemsAnswer(afterAnOutage)) == afterAnOutage);
 }
 
+TEST_CASE("relay_codec/origins/come_back_as_they_were")
+{
+  constexpr endpoint_version_hash kVersion = 0xfedc'ba98'7654'3210;
+  const std::vector<origin_message> messages = {
+    told_origins{ { { { 1 }, kVersion }, { { ~0ULL }, kUnknownVersion } } },
+    origin_question{ ~0ULL, { 7 }, pool_name("engines") },
+    origin_answer{
+      3, { true, kVersion, { version_count::kSoleSoFar, kVersion } } },
+    origin_answer{ 4, { false, 0, { version_count::kSeveral, 0 } } }
+  };
+  for (const origin_message& each : messages) {
+    relay_hello hello = Hello();
+    hello.mOrigins = each;
+    CHECK(DecodeHello(EncodeHello(hello)) == hello);
+  }
+}
+
+// A peer of another release must not make a version certain.
+TEST_CASE("relay_codec/origins/counts_out_of_range/make_nothing_certain")
+{
+  relay_hello hello = Hello();
+  origin_answer answer{ 3, {} };
+  answer.mWord.mListed.mCount = static_cast<version_count>(9);
+  hello.mOrigins = answer;
+  answer.mWord.mListed.mCount = version_count::kSeveral;
+  CHECK(DecodeHello(EncodeHello(hello))->mOrigins == origin_message(answer));
+}
+
+TEST_CASE("relay_codec/origins_of_a_full_message/fit_a_datagram")
+{
+  constexpr std::size_t kMaxDatagramBytes = 1'200;
+  told_origins told;
+  for (std::size_t each = 0; each < kMaxToldOrigins; ++each) {
+    told.mOrigins.push_back({ { ~each }, ~each });
+  }
+  relay_hello hello = Hello();
+  hello.mPeers.clear();
+  hello.mLoads.clear();
+  hello.mDemand.clear();
+  hello.mOrigins = told;
+  CHECK(EncodeHello(hello).size() <= kMaxDatagramBytes);
+}
+
 crash_report
 Crashes()
 {
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -189,6 +189,36 @@
   2: bool reached
 }
 
+// What an instance knows of the beginning of a stream.
+struct origin_word {
+  1: bool known
+  // A hash of pool and version; 0: it can't be told.
+  2: i64 version
+  // Of the versions of the pool that were listed lately.
+  3: i32 listed
+  4: i64 listed_version
+}
+
+struct origin_question {
+  1: i64 number
+  2: i64 stream
+  3: string pool
+}
+
+struct origin_answer {
+  1: i64 number
+  2: origin_word word
+}
+
+// Exactly one field is set.
+struct origin_message {
+  // Sixteen bytes for each stream, the lowest first: its key, and its version
+  // as in `origin_word`.
+  1: optional binary told
+  2: optional origin_question question
+  3: optional origin_answer answer
+}
+
 struct relay_hello {
   1: string address
   2: string domain
@@ -218,6 +248,8 @@
   18: optional list<pool_contact> contacts
   // Hashes of endpoints' processes that said in an answer that they leave.
   19: optional list<i64> leaving
+  // Beside `brief` only.
+  20: optional origin_message origins
 }
 
 struct items_request {
