A forwarded request is tried at instances without evidence once those in contact failed

An instance that reaches no endpoint forwards its callers' requests to the peers that report contact. When the only one of them had ended, all requests were refused as no_endpoint for 1.2 s, until its report was too old, though other peers, which had no requests of their own yet and so no evidence, could serve them: these were left out as long as any peer reported contact. Now all but those that report no contact are returned, and the choice takes those in contact first.

The test of relay_peers asked for the peers in contact alone; it now asks for the order in which all are tried, which fails on the code before.

--- a/thornhollow/daemon/endpoint_reach.cc
+++ b/thornhollow/daemon/endpoint_reach.cc
@@ -208,7 +208,8 @@
       { "state", std::string(Name(state)) },
       { "before", std::string(Name(aBefore)) },
       { "endpoints", static_cast<std::int64_t>(mEndpoints(aPool).size()) },
-      { "peers_in_contact", static_cast<std::int64_t>(peers.size()) } });
+      { "peers_in_contact",
+        std::ranges::count_if(peers, &forward_peer::mInContact) } });
 }
 
 } // namespace thornhollow
--- a/thornhollow/fleet/forward_choice.cc
+++ b/thornhollow/fleet/forward_choice.cc
@@ -25,6 +25,10 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
+  if (std::ranges::any_of(candidates, &forward_peer::mInContact)) {
+    std::erase_if(candidates,
+                  [](const forward_peer* aPeer) { return !aPeer->mInContact; });
+  }
   std::vector<const forward_peer*> drawn;
   std::ranges::sample(candidates, std::back_inserter(drawn), 2, mRandom);
   const forward_peer* best = *std::ranges::min_element(
--- a/thornhollow/fleet/forward_choice.h
+++ b/thornhollow/fleet/forward_choice.h
@@ -35,8 +35,9 @@
   {
   }
 
-  // Returns the address of one of `aPeers` that is not in `aTried`; nullopt if
-  // there is none.
+  // Returns the address of one of `aPeers` that is not in `aTried`, if possible
+  // one that is in contact with the endpoints; nullopt if there is none. The
+  // only one in contact may have ended a moment ago.
   std::optional<std::string> Choose(const std::vector<forward_peer>& aPeers,
                                     const std::vector<std::string>& aTried);
   // A request was forwarded to the address, and has ended there.
--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -344,20 +344,19 @@
 relay_peers::ForwardPeers(const pool_name& aPool, time_point aNow) const
 {
   const pool_hash pool = PoolHash(aPool);
-  std::vector<forward_peer> reaching;
-  std::vector<forward_peer> unknown;
+  std::vector<forward_peer> found;
   for (const auto& [address, each] : mPeers) {
     const forwarding_report& report = each.mHello.mForwarding;
     if (report.mPort == 0 || !HasFreshLoad(each, aNow) ||
         Reports(report, pool, false)) {
       continue;
     }
-    (Reports(report, pool, true) ? reaching : unknown)
-      .push_back({ WithPort(address, report.mPort),
-                   each.mHello.mDomain == mOwnDomain,
-                   report.mInProgress });
+    found.push_back({ WithPort(address, report.mPort),
+                      each.mHello.mDomain == mOwnDomain,
+                      report.mInProgress,
+                      Reports(report, pool, true) });
   }
-  return reaching.empty() ? unknown : reaching;
+  return found;
 }
 
 std::size_t
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -114,6 +114,9 @@
   std::string mAddress;
   bool mInOwnDomain = false;
   std::uint32_t mInProgress = 0;
+  // Whether it reports that it reaches endpoints of the pool, rather than
+  // nothing about it: without requests there is no evidence either way.
+  bool mInContact = true;
 
   friend bool operator==(const forward_peer&, const forward_peer&) = default;
 };
@@ -306,9 +309,8 @@
   // Returns a random sample of peer addresses for a hello.
   std::vector<std::string> SamplePeers();
 
-  // Peers that take forwarded requests and recently reported that they reach
-  // endpoints of the pool. If there are none, those that reported nothing about
-  // the pool: without requests there is no evidence either way.
+  // Peers that take forwarded requests and have not recently reported that they
+  // don't reach endpoints of the pool.
   std::vector<forward_peer> ForwardPeers(const pool_name& aPool,
                                          time_point aNow) const;
 
--- a/thornhollow/fleet/relay_peers_test.cc
+++ b/thornhollow/fleet/relay_peers_test.cc
@@ -8,6 +8,7 @@
 
 #include <doctest/doctest.h>
 
+#include "thornhollow/fleet/forward_choice.h"
 #include "thornhollow/fleet/relay_peers.h"
 
 namespace thornhollow {
@@ -442,15 +443,29 @@
     }
     return found;
   }
+
+  // All that a request is forwarded to, if each ends under it, in order.
+  std::vector<std::string> Tried() const
+  {
+    forward_choice choice(1);
+    std::vector<std::string> tried;
+    while (const auto next =
+             choice.Choose(mPeers.ForwardPeers(mPool, mNow), tried)) {
+      tried.push_back(*next);
+    }
+    return tried;
+  }
 };
 
+// Guards against requests refused while the only peer in contact, which has
+// ended a moment ago, hides those that had no requests yet.
 TEST_CASE_FIXTURE(instance_with_three_peers,
                   "relay_peers/forward_peers/those_in_contact_go_first")
 {
   Hear("10.0.0.1:7", { { PoolHash(mPool), true } });
   Hear("10.0.0.2:7", { { PoolHash(mPool), false } });
   Hear("10.0.0.3:7", {});
-  CHECK(Found() == std::vector<std::string>{ "10.0.0.1:9" });
+  CHECK(Tried() == std::vector<std::string>{ "10.0.0.1:9", "10.0.0.3:9" });
   CHECK(mPeers.CutOffPeers(mPool, mNow) == 1);
   mNow += Seconds(2);
   CHECK(Found().empty());
