An endpoint that may have started again as another version continues no stream

An endpoint may start again under its name and address as another software version, while its entry still tells the old one: for moments, or for as long as the source can't be written.

A kept connection that the endpoint closed before its idle limit, a connection that can't be made, and an answer that broke off while all kept connections are closed put the endpoint's version in doubt, until the source has answered for 3 s without another entry, or lists a new process. Meanwhile it gets new requests, continues no stream, and streams that begin there have an unknown version. A sign that comes with the attempt itself is minded when its answer begins.

--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -81,10 +81,15 @@
     mPeerVersion =
       ReadForwardingVersion(aHead.mHeaders).value_or(kUnknownVersion);
   }
+  if (success && mOrigin && AttemptVersion() != *mOrigin) {
+    mDispatcher.Metrics().OnEvent("stream_resumed_other_version");
+    OnFailure(attempt_failure::kGarbled,
+              "endpoint may have started again as another version",
+              true);
+    return;
+  }
   if (mAnswer.Begun()) {
-    mDispatcher.Metrics().OnEvent(AttemptVersion() == mOrigin
-                                    ? "stream_resumed_same_version"
-                                    : "stream_resumed_other_version");
+    mDispatcher.Metrics().OnEvent("stream_resumed_same_version");
   }
   mAnswer.OnHead(aHead,
                  { success && IsStream(mRoute->mKind),
--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -118,6 +118,13 @@
   if (IsAtPeer()) {
     return;
   }
+  const endpoint_process process{ mPick.mAddress, mPick.mLifetime };
+  if (aFailure == attempt_failure::kNotSent) {
+    mDispatcher.OnProcessDoubted(process, Now());
+  } else if (aFailure == attempt_failure::kLost ||
+             aFailure == attempt_failure::kBroken) {
+    mDispatcher.OnAnswerBrokenOff(process, Now());
+  }
   if (aFailure == attempt_failure::kNotSent) {
     mDispatcher.Reach().OnConnectFailed(*mPool, Now());
     mDispatcher.OnUnreachable(mPick, Now());
--- a/thornhollow/daemon/internal/relay_session_stream.cc
+++ b/thornhollow/daemon/internal/relay_session_stream.cc
@@ -61,7 +61,7 @@
 endpoint_version_hash
 relay_session::AttemptVersion() const
 {
-  return IsAtPeer() ? mPeerVersion : mPick.mVersionHash;
+  return IsAtPeer() ? mPeerVersion : mDispatcher.VersionOf(mPick);
 }
 
 void
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -88,6 +88,7 @@
   , mCrashes(aIo, aLog, aMetrics)
   , mReach(aIo, aLog, aMetrics)
   , mStreams(aIo, aSettings.mDomain, aMetrics)
+  , mVersionDoubts(stream_origins_settings{}.mListingDelay)
   , mRetries(RetryBudgetSettings(aSettings))
   , mGenerator(std::random_device()())
 {
@@ -95,6 +96,9 @@
                            endpoint_connection_ptr aConnection) {
     mConnections.GiveBack(aWhere, std::move(aConnection), std::nullopt);
   };
+  mConnections.OnClosedEarly([this](const endpoint_process& aProcess) {
+    OnProcessDoubted(aProcess, Now());
+  });
   mCrashes.OnSpareConnection(keep);
   mCrashes.SetEndpoints([this] { return EndpointAddresses(); });
   mReach.OnSpareConnection(keep);
@@ -170,6 +174,7 @@
 relay_dispatcher::AddEndpoint(const listed_endpoint& aEndpoint)
 {
   mEndpoints[aEndpoint.mName] = { aEndpoint, mNextLifetime++ };
+  mVersionDoubts.OnListed(aEndpoint.mName);
   mLog.Write(log_level::kInfo,
              "endpoint_joined",
              { { "endpoint", aEndpoint.mName.Text() },
@@ -193,7 +198,7 @@
                { { "endpoint", aEndpoint.mName.Text() } });
   }
   known.mEntry = aEndpoint;
-  GetOrCreatePool(aEndpoint.mPool).Put(ToPoolEndpoint(known));
+  Update(known);
 }
 
 void
@@ -212,6 +217,7 @@
     pool->second.Remove(aName);
   }
   mEndpoints.erase(found);
+  mVersionDoubts.OnListed(aName);
   mStreams.OnRemoved(aName);
 }
 
@@ -219,12 +225,15 @@
 relay_dispatcher::ToPoolEndpoint(const known_endpoint& aKnown) const
 {
   const listed_endpoint& entry = aKnown.mEntry;
-  return {
-    entry.mName,       entry.mAddress,
-    entry.mDomain,     aKnown.mLifetime,
-    IsLeaving(aKnown), mNotices.RestUntil(ProcessHash(entry)),
-    entry.mVersion,    EndpointVersionHash(entry.mPool, entry.mVersion)
-  };
+  return { entry.mName,
+           entry.mAddress,
+           entry.mDomain,
+           aKnown.mLifetime,
+           IsLeaving(aKnown),
+           mNotices.RestUntil(ProcessHash(entry)),
+           entry.mVersion,
+           EndpointVersionHash(entry.mPool, entry.mVersion),
+           mVersionDoubts.IsDoubted(entry.mName) };
 }
 
 bool
@@ -348,7 +357,7 @@
                { { "endpoint", aKnown.mEntry.mName.Text() },
                  { "rest_ms", ToMilliseconds(aRest) } });
   }
-  GetOrCreatePool(aKnown.mEntry.mPool).Put(ToPoolEndpoint(aKnown));
+  Update(aKnown);
 }
 
 const pool_name*
@@ -364,6 +373,48 @@
   return nullptr;
 }
 
+void
+relay_dispatcher::OnAnswerBrokenOff(const endpoint_process& aProcess,
+                                    time_point aNow)
+{
+  if (mConnections.LookAtKept(aProcess) == kept_state::kAllClosed) {
+    OnProcessDoubted(aProcess, aNow);
+  }
+}
+
+void
+relay_dispatcher::OnProcessDoubted(const endpoint_process& aProcess,
+                                   time_point aNow)
+{
+  const auto found = std::ranges::find_if(mEndpoints, [&](const auto& aEntry) {
+    return aEntry.second.mLifetime == aProcess.mLifetime;
+  });
+  if (found == mEndpoints.end() ||
+      mConnections.LookAtKept(aProcess) == kept_state::kOpen ||
+      !mVersionDoubts.OnSign(found->first, aNow)) {
+    return;
+  }
+  mMetrics.OnEvent("endpoint_version_doubted");
+  Update(found->second);
+}
+
+void
+relay_dispatcher::OnSourceAnswered(time_point aAt)
+{
+  for (const endpoint_name& each : mVersionDoubts.TakeCleared(aAt)) {
+    if (const auto found = mEndpoints.find(each); found != mEndpoints.end()) {
+      Update(found->second);
+    }
+  }
+}
+
+endpoint_version_hash
+relay_dispatcher::VersionOf(const relay_pick& aPick) const
+{
+  return mVersionDoubts.IsDoubted(aPick.mEndpoint) ? kUnknownVersion
+                                                   : aPick.mVersionHash;
+}
+
 std::string
 relay_dispatcher::ListedVersions(const pool_name& aPool) const
 {
@@ -416,7 +467,7 @@
   mMetrics.OnEvent("endpoint_says_leaving");
   for (const auto& [name, known] : mEndpoints) {
     if (ProcessHash(known.mEntry) == aProcess) {
-      GetOrCreatePool(known.mEntry.mPool).Put(ToPoolEndpoint(known));
+      Update(known);
       mLog.Write(log_level::kInfo,
                  "endpoint_says_leaving",
                  { { "endpoint", name.Text() }, { "by", std::string(aBy) } });
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -41,6 +41,7 @@
 #include "thornhollow/policy/shared_retry_budget.h"
 #include "thornhollow/request/relay_headers.h"
 #include "thornhollow/routing/routing_table.h"
+#include "thornhollow/streams/version_doubts.h"
 
 namespace boost::asio {
 class io_context;
@@ -150,6 +151,17 @@
                                    const request_profile& aRequest,
                                    const std::vector<endpoint_name>& aTried,
                                    time_point aNow);
+  // Records that a connection to the endpoint could not be made, or that it
+  // closed a kept one: its process may have ended.
+  void OnProcessDoubted(const endpoint_process& aProcess, time_point aNow);
+  // The same where an answer broke off, which alone tells nothing: unless the
+  // endpoint has closed its kept connections as well.
+  void OnAnswerBrokenOff(const endpoint_process& aProcess, time_point aNow);
+  // The source answered this or another instance at `aAt`.
+  void OnSourceAnswered(time_point aAt);
+  // The version of the process that was picked; `kUnknownVersion` if it is in
+  // doubt by now.
+  endpoint_version_hash VersionOf(const relay_pick& aPick) const;
   // When a caller should come back to whom no endpoint of the pool could be
   // given because all rest; nothing if that is not the reason.
   std::optional<duration> RestLeft(const pool_name& aPool,
@@ -206,6 +218,10 @@
   void TakeLeaving(endpoint_process_hash aProcess,
                    std::string_view aBy,
                    time_point aNow);
+  void Update(const known_endpoint& aKnown)
+  {
+    GetOrCreatePool(aKnown.mEntry.mPool).Put(ToPoolEndpoint(aKnown));
+  }
   void TakeRest(const known_endpoint& aKnown, duration aRest, time_point aNow);
   void LogRestOver(endpoint_process_hash aProcess);
   relay_endpoint ToPoolEndpoint(const known_endpoint& aKnown) const;
@@ -220,6 +236,7 @@
   endpoint_reach mReach;
   stream_guard mStreams;
   endpoint_notices mNotices;
+  version_doubts mVersionDoubts;
   std::function<void(endpoint_process_hash)> mOnNewLeaving;
   shared_retry_budget mRetries;
   std::mt19937_64 mGenerator;
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -379,6 +379,7 @@
     for (const auto& each : { SourceAnswered(), mPeers.SourceAnswered() }) {
       if (each) {
         mRoster.OnSourceAnswered(*each);
+        mDispatcher.OnSourceAnswered(*each);
       }
     }
   }
--- a/thornhollow/net/endpoint_connections.cc
+++ b/thornhollow/net/endpoint_connections.cc
@@ -70,6 +70,9 @@
         return one;
       case idle_state::kClosed:
         ++mCounters.mClosed;
+        if (mOnClosedEarly) {
+          mOnClosedEarly(aWhere);
+        }
         break;
       case idle_state::kUnasked:
         ++mCounters.mUnasked;
@@ -100,6 +103,26 @@
   ++mIdle;
 }
 
+kept_state
+endpoint_connections::LookAtKept(const endpoint_process& aWhere)
+{
+  kept_state state = kept_state::kNone;
+  const auto found = mKept.find(aWhere);
+  if (found == mKept.end()) {
+    return state;
+  }
+  const time_point now = Now();
+  for (const kept& each : found->second) {
+    if (LookAt(*each.mConnection) == idle_state::kFit) {
+      return kept_state::kOpen;
+    }
+    if (now < each.mUntil) {
+      state = kept_state::kAllClosed;
+    }
+  }
+  return state;
+}
+
 void
 endpoint_connections::Forget(const endpoint_process& aWhere)
 {
--- a/thornhollow/net/endpoint_connections.h
+++ b/thornhollow/net/endpoint_connections.h
@@ -21,9 +21,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -102,6 +104,17 @@
                          const endpoint_connection_counters&) = default;
 };
 
+// What the connections that are kept for one process tell of it.
+enum class kept_state : std::uint8_t
+{
+  // None is kept.
+  kNone,
+  // One is open: the process has not ended since it was made.
+  kOpen,
+  // The endpoint has closed all.
+  kAllClosed,
+};
+
 class endpoint_connections
 {
 public:
@@ -118,6 +131,14 @@
                 endpoint_connection_ptr aConnection,
                 std::optional<duration> aIdleLimit);
 
+  // Looks at those that are kept for this process and within their idle limits.
+  kept_state LookAtKept(const endpoint_process& aWhere);
+  // Takes a process that closed a kept connection before its idle limit.
+  void OnClosedEarly(std::function<void(const endpoint_process&)> aListener)
+  {
+    mOnClosedEarly = std::move(aListener);
+  }
+
   // Closes all that are kept for this process, and takes none back for it.
   void Forget(const endpoint_process& aWhere);
   // Closes all that are kept: this process stood still, and nothing is known of
@@ -143,6 +164,7 @@
   endpoint_connection_settings mSettings;
   std::map<endpoint_process, std::deque<kept>> mKept;
   std::size_t mIdle = 0;
+  std::function<void(const endpoint_process&)> mOnClosedEarly;
   endpoint_connection_counters mCounters;
 };
 
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -189,7 +189,9 @@
   pick.mDomain = chosen->mEndpoint.mDomain;
   pick.mLifetime = chosen->mEndpoint.mLifetime;
   pick.mVersion = chosen->mEndpoint.mVersion;
-  pick.mVersionHash = chosen->mEndpoint.mVersionHash;
+  pick.mVersionHash = chosen->mEndpoint.mIsVersionDoubted
+                        ? kUnknownVersion
+                        : chosen->mEndpoint.mVersionHash;
   pick.mBulk = SideOf(aRequest) == engine_side::kBulk;
   return pick;
 }
@@ -270,7 +272,9 @@
   std::vector<record*> healthy;
   std::vector<record*> unhealthy;
   for (auto& [name, each] : mRecords) {
-    if (!MayServe(each, aRequest) || !each.mRest.MaySendInNeed(aNow) ||
+    if (!MayServe(each, aRequest) ||
+        (aRequest.mVersion && each.mEndpoint.mIsVersionDoubted) ||
+        !each.mRest.MaySendInNeed(aNow) ||
         std::ranges::count(aTried, name) > 0) {
       continue;
     }
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -147,6 +147,8 @@
   // Version of the software that the endpoint's process runs, and its hash.
   software_version mVersion = {};
   endpoint_version_hash mVersionHash = kUnknownVersion;
+  // Whether a new process of another version may run there by now.
+  bool mIsVersionDoubted = false;
 
   friend bool operator==(const relay_endpoint&,
                          const relay_endpoint&) = default;
@@ -210,8 +212,9 @@
                                    time_point aNow) const;
   // Whether an endpoint of the version is listed, possibly a leaving one.
   bool Lists(endpoint_version_hash aVersion) const;
-  // Whether an endpoint that is not in `aTried` may serve the request.
-  // Endpoints that are failing or rest count as well.
+  // Whether an endpoint that is not in `aTried` may serve the request, now or
+  // later. Endpoints that are failing, rest, or whose version is in doubt count
+  // as well.
   bool HasOther(const request_profile& aRequest,
                 const std::vector<endpoint_name>& aTried) const;
 
--- a/thornhollow/testing/process/relay_late_entry_test.py
+++ b/thornhollow/testing/process/relay_late_entry_test.py
@@ -18,13 +18,38 @@
         engine.server = relay_site.Server(engine.handler,
                                           engine.server.server_port)
 
+    def keep_connections(self):
+        """The instance has just used all endpoints that take streams."""
+        for number in range(8):
+            caller = relay_site.StreamCaller(self, f"w{number}")
+            caller.submit(self.fleet[0])
+
     def test_endpoint_started_again_continues_no_stream_of_its_entry(self):
         self.begin()
         callers = self.begin_streams(self.fleet[0])
-        self.restart_as(self.engines[0], "v2")
+        self.keep_connections()
+        self.restart_as(self.engines[1], "v2")
         for caller in callers:
             caller.submit(self.fleet[0])
         self.assert_sound(callers)
+        self.assertTrue(any(each.complete for each in callers))
+
+    def test_stream_begun_at_an_endpoint_started_again_goes_on_nowhere(self):
+        self.begin()
+        self.store.refuse = True
+        self.keep_connections()
+        restarted = self.engines[1]
+        self.restart_as(restarted, "v2")
+        ran = len(restarted.ran)
+        callers = self.callers()
+        for caller in callers:
+            caller.submit(self.fleet[0], leave_after=2)
+        self.assertGreater(len(restarted.ran), ran)
+        restarted.mode = "decline"
+        for caller in callers:
+            caller.submit(self.fleet[1])
+        self.assert_sound(callers)
+        self.assertTrue(any(each.complete for each in callers))
 
     def test_stream_begun_before_the_entry_came_goes_on_nowhere_else(self):
         self.begin(1)
