Own interface: a stream is resumed only at an engine of the version that began it

Engines may state their version in an answer's head now; a resumed stream's engine that states another is cancelled before a token of it is passed on, and counts as sound. Engines that state none are as before.

--- a/thornhollow/net/endpoint_attempt.cc
+++ b/thornhollow/net/endpoint_attempt.cc
@@ -243,10 +243,12 @@
       aFinishReason = event->mFinishReason;
     }
     if (event->mToken) {
-      Emit(token_received{ mCall.mAttempt,
-                           std::move(event->mId),
-                           event->mIndex,
-                           *std::move(event->mToken) });
+      Emit(token_received{
+        mCall.mAttempt,
+        std::move(event->mId),
+        event->mIndex,
+        *std::move(event->mToken),
+        software_version(std::string(Header("X-Engine-Version"))) });
     } else if (event->mId != mCall.mId) {
       Emit(answer_crossed{ mCall.mAttempt });
     }
--- a/thornhollow/request/request_machine.cc
+++ b/thornhollow/request/request_machine.cc
@@ -104,6 +104,13 @@
     FailAttempt(attempt_end::kFailed, error_kind::kEndpointBadAnswer);
     return;
   }
+  // What two versions of an engine write doesn't fit together. The engine is
+  // sound, and its run is cancelled.
+  if (mDelivered > 0 && aEvent.mVersion != mVersion) {
+    FailAttempt(attempt_end::kCancelled, error_kind::kEndpointBadAnswer);
+    return;
+  }
+  mVersion = aEvent.mVersion;
   if (mAttemptTokens == 0) {
     mOut.emplace_back(report_first_token{});
   }
--- a/thornhollow/request/request_machine.h
+++ b/thornhollow/request/request_machine.h
@@ -105,6 +105,8 @@
   request_id mId;
   std::uint64_t mIndex = 0;
   std::string mText;
+  // Software version of the endpoint; empty if it states none.
+  software_version mVersion = {};
 };
 // The stream's end marker.
 struct stream_finished
@@ -308,6 +310,8 @@
   stage mStage = stage::kWaiting;
   attempt_number mAttempt = 0;
   std::uint64_t mDelivered = 0;
+  // Of the endpoint that brought the first token.
+  software_version mVersion;
   std::uint32_t mAttemptTokens = 0;
   // The failure of the last attempt that may have run, if there was one.
   std::optional<error_kind> mMayHaveRun;
--- a/thornhollow/request/request_machine_test.cc
+++ b/thornhollow/request/request_machine_test.cc
@@ -150,6 +150,34 @@
   CHECK(Find<close_attempt>(repeated) != nullptr);
 }
 
+// A stream would get tokens of two software versions.
+TEST_CASE_FIXTURE(route_note,
+                  "route_note/resumed_at_another_version/not_joined")
+{
+  const auto token = [this](attempt_number aAttempt,
+                            std::uint64_t aIndex,
+                            const char* aVersion) {
+    return mMachine.Handle(
+      token_received{
+        aAttempt, request_id("r1"), aIndex, "t", software_version(aVersion) },
+      kStart);
+  };
+  Send();
+  token(1, 0, "v1");
+  mMachine.Handle(connection_lost{ 1 }, kStart);
+  mMachine.Handle(attempt_granted{ kSecond }, kStart);
+  mMachine.Handle(sending_begun{ 2 }, kStart);
+  const auto other = token(2, 1, "v2");
+  CHECK(Find<deliver_token>(other) == nullptr);
+  CHECK(Find<close_attempt>(other) != nullptr);
+  REQUIRE(Find<report_attempt_ended>(other) != nullptr);
+  CHECK(Find<report_attempt_ended>(other)->mHow == attempt_end::kCancelled);
+  REQUIRE(Find<ask_again>(other) != nullptr);
+  mMachine.Handle(attempt_granted{ kFirst }, kStart);
+  mMachine.Handle(sending_begun{ 3 }, kStart);
+  CHECK(Find<deliver_token>(token(3, 1, "v1")) != nullptr);
+}
+
 TEST_CASE_FIXTURE(route_note, "route_note/token_of_another_request/dropped")
 {
   // Two streams crossed inside an engine: the driver would read a resident's
--- a/thornhollow/testing/fake_engine.cc
+++ b/thornhollow/testing/fake_engine.cc
@@ -87,10 +87,12 @@
 
 fake_engine::fake_engine(event_loop& aLoop,
                          engine_settings aSettings,
-                         std::uint32_t aMaxWaiting)
+                         std::uint32_t aMaxWaiting,
+                         std::string aVersion)
   : mLoop(aLoop)
   , mCore(aSettings)
   , mMaxWaiting(aMaxWaiting)
+  , mVersion(std::move(aVersion))
 {
 }
 
@@ -296,6 +298,9 @@
   if ((faults.mWrongIdEvents || faults.mWrongIdHeader) && !sent.mText.empty()) {
     sent.mText = TokenText(other, aToken.mIndex);
   }
+  if (!mVersion.empty() && !sent.mText.empty()) {
+    sent.mText += "@" + mVersion;
+  }
   aStream.mExchange->Send(
     EventFor(faults.mWrongIdEvents ? other : aStream.mId, index, sent));
   ++aStream.mSent;
@@ -318,8 +323,12 @@
   }
   const std::string id =
     aStream.mFaults.mWrongIdHeader ? aStream.mId + kOtherSuffix : aStream.mId;
-  aStream.mExchange->BeginStream(
-    200, { { "Content-Type", "text/event-stream" }, { "X-Request-Id", id } });
+  std::vector<http_header> headers = { { "Content-Type", "text/event-stream" },
+                                       { "X-Request-Id", id } };
+  if (!mVersion.empty()) {
+    headers.push_back({ "X-Engine-Version", mVersion });
+  }
+  aStream.mExchange->BeginStream(200, std::move(headers));
 }
 
 bool
--- a/thornhollow/testing/fake_engine.h
+++ b/thornhollow/testing/fake_engine.h
@@ -21,9 +21,12 @@
 {
 public:
   // Declines requests beyond `aMaxWaiting` in its queue; 0 means no bound.
+  // Answers tell the software version `aVersion`, as do their tokens, unless it
+  // is empty.
   fake_engine(event_loop& aLoop,
               engine_settings aSettings,
-              std::uint32_t aMaxWaiting);
+              std::uint32_t aMaxWaiting,
+              std::string aVersion = "");
 
   http_handler Handler();
   fault_switch& Faults() { return mFaults; }
@@ -61,6 +64,7 @@
   event_loop& mLoop;
   engine_core mCore;
   std::uint32_t mMaxWaiting;
+  std::string mVersion;
   fault_switch mFaults;
   std::map<run_number, stream> mStreams;
   bool mStepScheduled = false;
--- a/thornhollow/testing/fake_engine_main.cc
+++ b/thornhollow/testing/fake_engine_main.cc
@@ -17,6 +17,7 @@
               64,
               "mean length of an unlimited answer; 0: none ends by itself");
 DEFINE_uint32(report_lag_ms, 200, "age of load reports");
+DEFINE_string(software_version, "", "told with each answer and token");
 
 int
 main(int argc, char** argv)
@@ -33,6 +34,7 @@
     .mReportLag = Milliseconds(FLAGS_report_lag_ms),
   };
   testing::event_loop loop;
-  testing::fake_engine engine(loop, settings, FLAGS_max_waiting);
+  testing::fake_engine engine(
+    loop, settings, FLAGS_max_waiting, FLAGS_software_version);
   return testing::RunEndpoint(loop, engine, FLAGS_listen, FLAGS_control);
 }
