Prefix blocks are copied only between engines of one software version

Engines of another software version may keep them in another form, and nothing checks it; a stream would go on from memory that another version wrote.

relay_pool_test: copied from another version before, not since; within one version as before.

--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/relay_pool.cc
@@ -508,11 +508,12 @@
     return nullptr;
   }
   for (const std::uint32_t each : aCachedOn) {
-    if (const record* found = ByNumber(each); found && CanServeCopy(*found)) {
+    if (const record* found = ByNumber(each);
+        found && CanServeCopy(*found, aChosen)) {
       return found;
     }
   }
-  const record* previous = PreviousPreferredEngine(aRequest, aNow);
+  const record* previous = PreviousPreferredEngine(aRequest, aChosen, aNow);
   return previous == &aChosen ? nullptr : previous;
 }
 
@@ -520,6 +521,7 @@
 // changed between the bulk and the interactive side of the partition.
 const relay_pool::record*
 relay_pool::PreviousPreferredEngine(const request_profile& aRequest,
+                                    const record& aChosen,
                                     time_point aNow) const
 {
   const engine_side side = SideOf(aRequest);
@@ -528,7 +530,8 @@
   for (const auto& [name, each] : mRecords) {
     const std::uint64_t weight =
       CombineHash(aRequest.mSharedPrefix, each.mRank);
-    if (CanServeCopy(each) && mSides.PreviousSide(each.mNumber, aNow) == side &&
+    if (CanServeCopy(each, aChosen) &&
+        mSides.PreviousSide(each.mNumber, aNow) == side &&
         (preferred == nullptr || weight > highest)) {
       preferred = &each;
       highest = weight;
@@ -537,13 +540,15 @@
   return preferred;
 }
 
-// Whether prefix blocks may be copied from the engine. A failing engine may not
-// answer the engine that requests the copy, and the relayed request would wait
-// until the requesting engine times out.
+// Whether the chosen engine may copy prefix blocks from the engine. Engines of
+// another software version may keep them in another form. A failing engine may
+// not answer the engine that requests the copy, and the relayed request would
+// wait until the requesting engine times out.
 bool
-relay_pool::CanServeCopy(const record& aRecord)
+relay_pool::CanServeCopy(const record& aRecord, const record& aChosen)
 {
-  return aRecord.mHealth.State() != health_state::kFailing;
+  return aRecord.mHealth.State() != health_state::kFailing &&
+         aRecord.mEndpoint.mVersionHash == aChosen.mEndpoint.mVersionHash;
 }
 
 const relay_pool::record*
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/relay_pool.h
@@ -330,8 +330,9 @@
                            const record& aChosen,
                            time_point aNow) const;
   const record* PreviousPreferredEngine(const request_profile& aRequest,
+                                        const record& aChosen,
                                         time_point aNow) const;
-  static bool CanServeCopy(const record& aRecord);
+  static bool CanServeCopy(const record& aRecord, const record& aChosen);
   const record* ByNumber(std::uint32_t aNumber) const;
   static std::vector<const record*> PreferredEngines(
     const request_profile& aRequest,
--- a/thornhollow/policy/relay_pool_test.cc
+++ b/thornhollow/policy/relay_pool_test.cc
@@ -135,6 +135,26 @@
   CHECK(mPool.Choose(work, tried, mNow));
 }
 
+// What two versions of an engine keep of a prompt doesn't fit together.
+TEST_CASE_FIXTURE(pool_of_nine_engines,
+                  "relay_pool/prefix_cached_at_another_version/is_not_copied")
+{
+  const auto copyFrom = [](endpoint_version_hash aOthers) {
+    pool_of_nine_engines site;
+    const request_profile work = Work(7, true);
+    const relay_pick first = site.Send(work);
+    site.Finish(first, work, Milliseconds(100));
+    for (int each = 0; each < 9; ++each) {
+      relay_endpoint endpoint = Endpoint("e" + std::to_string(each));
+      endpoint.mVersionHash = endpoint.mName == first.mEndpoint ? 1 : aOthers;
+      site.mPool.Put(endpoint);
+    }
+    return site.mPool.Choose(work, { first.mEndpoint }, site.mNow)->mCopyFrom;
+  };
+  CHECK_FALSE(copyFrom(1).empty());
+  CHECK(copyFrom(2).empty());
+}
+
 TEST_CASE_FIXTURE(pool_of_nine_engines,
                   "relay_pool/same_session/stays_on_its_engine")
 {
