Several holders in sites of one or two failure domains; streams of a listed version stay known

In a site of one failure domain one instance was told where a stream began, and its end lost it: three are told now, whatever the number of domains. An instance that knew no other one after a second counted as knowing all, and told callers to start anew where they may come back. An endpoint that was listed anew at the same version made its streams' version unknown. Names that are gone are forgotten.

--- a/thornhollow/daemon/stream_guard.cc
+++ b/thornhollow/daemon/stream_guard.cc
@@ -18,17 +18,6 @@
   return std::uint64_t{ device() } << 32U | device();
 }
 
-// The same process has the same number: a process is never listed with another
-// version or at another address.
-std::uint64_t
-ProcessNumber(const listed_endpoint& aEndpoint)
-{
-  return CombineHash(
-    CombineHash(EndpointProcessHash(aEndpoint.mName, aEndpoint.mStartedMs),
-                Hash64(aEndpoint.mAddress)),
-    EndpointVersionHash(aEndpoint.mPool, aEndpoint.mVersion));
-}
-
 // The longest timeout of the routes that serve streams.
 duration
 LongestStream(const routing_table& aTable)
@@ -74,11 +63,11 @@
 void
 stream_guard::OnListed(const listed_endpoint& aEndpoint)
 {
-  mOrigins.OnListed({ aEndpoint.mName,
-                      aEndpoint.mPool,
-                      EndpointVersionHash(aEndpoint.mPool, aEndpoint.mVersion),
-                      ProcessNumber(aEndpoint) },
-                    Now());
+  mOrigins.OnListed(
+    { aEndpoint.mName,
+      aEndpoint.mPool,
+      EndpointVersionHash(aEndpoint.mPool, aEndpoint.mVersion) },
+    Now());
   Proceed();
 }
 
--- a/thornhollow/streams/origin_holders.cc
+++ b/thornhollow/streams/origin_holders.cc
@@ -8,8 +8,7 @@
 namespace thornhollow {
 namespace {
 
-constexpr std::size_t kToldOfEachDomain = 1;
-constexpr std::size_t kAskedOfEachDomain = 2;
+constexpr std::size_t kMoreAsked = 1;
 
 } // namespace
 
@@ -23,19 +22,19 @@
 std::vector<std::string>
 origin_holders::ToTell(stream_key aStream, const domain_name& aOwnDomain) const
 {
-  return Choose(aStream, aOwnDomain, kToldOfEachDomain);
+  return Choose(aStream, aOwnDomain, 0);
 }
 
 std::vector<std::string>
 origin_holders::ToAsk(stream_key aStream, const domain_name& aOwnDomain) const
 {
-  return Choose(aStream, aOwnDomain, kAskedOfEachDomain);
+  return Choose(aStream, aOwnDomain, kMoreAsked);
 }
 
 std::vector<std::string>
 origin_holders::Choose(stream_key aStream,
                        const domain_name& aOwnDomain,
-                       std::size_t aOfEachDomain) const
+                       std::size_t aMore) const
 {
   // The own domain counts though no other instance may be there: others rank
   // it.
@@ -45,6 +44,8 @@
       domains.push_back(name.Text());
     }
   }
+  const std::size_t ranked = std::min(domains.size(), kMaxDomains);
+  const std::size_t ofEach = (kMinHolders + ranked - 1) / ranked + aMore;
   std::vector<std::string> chosen;
   std::size_t rank = 0;
   for (const std::size_t domain : RankByRendezvous(aStream.mValue, domains)) {
@@ -60,10 +61,10 @@
     const auto& addresses = found->second;
     const std::vector<std::string_view> names(addresses.begin(),
                                               addresses.end());
-    const auto ranked = RankByRendezvous(aStream.mValue, names);
-    const std::size_t count = std::min(aOfEachDomain, ranked.size());
+    const auto order = RankByRendezvous(aStream.mValue, names);
+    const std::size_t count = std::min(ofEach, order.size());
     for (std::size_t each = 0; each < count; ++each) {
-      chosen.push_back(addresses[ranked[each]]);
+      chosen.push_back(addresses[order[each]]);
     }
   }
   return chosen;
--- a/thornhollow/streams/origin_holders.h
+++ b/thornhollow/streams/origin_holders.h
@@ -9,8 +9,8 @@
 // one that began it is gone. Holders stand in several failure domains, so that
 // the loss of one domain leaves others, and one stands in the domain of the
 // instance that began the stream, for a domain that is cut off as a whole.
-// Instances are asked in pairs, since the two sides may know different
-// instances: one may have started or ended a moment ago.
+// One more instance of each domain is asked than is told, since the two sides
+// may know different instances: one may have started or ended a moment ago.
 #ifndef THORNHOLLOW_STREAMS_ORIGIN_HOLDERS_H_
 #define THORNHOLLOW_STREAMS_ORIGIN_HOLDERS_H_
 
@@ -40,6 +40,9 @@
 public:
   // Failure domains with holders, beside the own one.
   static constexpr std::size_t kMaxDomains = 3;
+  // Holders at least, as far as there are instances: with fewer domains,
+  // several stand in each.
+  static constexpr std::size_t kMinHolders = 3;
 
   // `aOthers`: the other instances that are alive.
   explicit origin_holders(const std::vector<known_instance>& aOthers);
@@ -53,9 +56,10 @@
                                  const domain_name& aOwnDomain) const;
 
 private:
+  // `aMore`: instances of each domain beyond those that are told.
   std::vector<std::string> Choose(stream_key aStream,
                                   const domain_name& aOwnDomain,
-                                  std::size_t aOfEachDomain) const;
+                                  std::size_t aMore) const;
 
   std::map<domain_name, std::vector<std::string>> mByDomain;
 };
--- a/thornhollow/streams/origin_holders_test.cc
+++ b/thornhollow/streams/origin_holders_test.cc
@@ -76,6 +76,22 @@
   CHECK(Found(fleet, 0, left, 3) == kStreams);
 }
 
+// With one holder, its end would lose the streams of the site.
+TEST_CASE("origin_holders/one_or_two_domains/several_holders_in_each")
+{
+  for (const std::size_t domains : { 1, 2 }) {
+    const auto fleet = Fleet(8, domains);
+    const origin_holders teller(Others(fleet, 0));
+    for (std::uint64_t each = 1; each <= kStreams; ++each) {
+      CHECK(teller.ToTell({ each }, domain_name("d0")).size() >=
+            origin_holders::kMinHolders);
+    }
+    CHECK(Found(fleet, 0, Others(fleet, 0), 3) == kStreams);
+  }
+  const origin_holders pair(Others(Fleet(2, 1), 0));
+  CHECK(pair.ToTell({ 1 }, domain_name("d0")).size() == 1);
+}
+
 TEST_CASE("origin_holders/a_whole_domain_is_gone/others_were_told")
 {
   const auto fleet = Fleet(8, 3);
--- a/thornhollow/streams/stream_origins.cc
+++ b/thornhollow/streams/stream_origins.cc
@@ -51,7 +51,9 @@
 bool
 stream_origins::IsSettled(time_point aNow) const
 {
-  return mJoinedAt && aNow - *mJoinedAt >= mSettings.mSettlingTime;
+  const duration settling =
+    mInstances.empty() ? mSettings.mAloneSettlingTime : mSettings.mSettlingTime;
+  return mJoinedAt && aNow - *mJoinedAt >= settling;
 }
 
 // An instance that doesn't know all others finds other holders than these do.
@@ -89,10 +91,9 @@
 stream_origins::OnListed(const stream_endpoint& aEndpoint, time_point aNow)
 {
   mHistory.Put(aEndpoint.mName, aEndpoint.mPool, aEndpoint.mVersion, aNow);
-  const auto [known, isNew] =
-    mProcesses.try_emplace(aEndpoint.mName, aEndpoint.mProcess);
-  if (!isNew &&
-      std::exchange(known->second, aEndpoint.mProcess) != aEndpoint.mProcess) {
+  const listed_version listed{ aEndpoint.mVersion, std::nullopt };
+  const auto known = mListed.try_emplace(aEndpoint.mName, listed).first;
+  if (std::exchange(known->second, listed).mVersion != aEndpoint.mVersion) {
     OnReplaced(aEndpoint.mName, aNow);
   }
   // A second version may have appeared.
@@ -103,6 +104,9 @@
 stream_origins::OnRemoved(const endpoint_name& aEndpoint, time_point aNow)
 {
   mHistory.Remove(aEndpoint, aNow);
+  if (const auto known = mListed.find(aEndpoint); known != mListed.end()) {
+    known->second.mRemovedAt = aNow;
+  }
 }
 
 void
@@ -183,9 +187,9 @@
                      time_point aNow)
 {
   origin_search made(
-    aStream, WordOn(aStream, aPool, aNow), mHolders.ToAsk(aStream, mOwnDomain));
+    aStream, WordOn(aStream, aPool, aNow), ToAsk(aStream, aNow));
   if (const auto verdict = made.Verdict()) {
-    return *verdict;
+    return Judged(*verdict, aNow);
   }
   const question_number number = mNextNumber++;
   mSearches.emplace(number,
@@ -272,6 +276,10 @@
 stream_origins::Tick(time_point aNow)
 {
   mHeld.Tick(aNow);
+  std::erase_if(mListed, [&](const auto& aEntry) {
+    const auto& removedAt = aEntry.second.mRemovedAt;
+    return removedAt && aNow - *removedAt >= mSettings.mListingDelay;
+  });
   for (auto each = mBegun.begin(); each != mBegun.end();) {
     const own_stream& own = each->second;
     if (own.mEndedAt && aNow - *own.mEndedAt >= mSettings.mRecentlyEnded) {
--- a/thornhollow/streams/stream_origins.h
+++ b/thornhollow/streams/stream_origins.h
@@ -62,6 +62,8 @@
   // counts as knowing all. An instance that has just started learns of the
   // others one after the other.
   duration mSettlingTime = Seconds(1);
+  // The same for an instance that knows no other one.
+  duration mAloneSettlingTime = Seconds(5);
   // How often open streams are looked at whether they have to be told again.
   duration mReviewInterval = Seconds(1);
 
@@ -75,8 +77,6 @@
   endpoint_name mName;
   pool_name mPool;
   endpoint_version_hash mVersion = kUnknownVersion;
-  // Distinguishes successive processes under the same name.
-  std::uint64_t mProcess = 0;
 
   friend bool operator==(const stream_endpoint&,
                          const stream_endpoint&) = default;
@@ -167,6 +167,11 @@
   std::size_t Held() const { return mBegun.size() + mHeld.size(); }
 
 private:
+  struct listed_version
+  {
+    endpoint_version_hash mVersion = kUnknownVersion;
+    std::optional<time_point> mRemovedAt;
+  };
   // A stream that this instance serves, or has served until lately.
   struct own_stream
   {
@@ -220,8 +225,8 @@
   bool mWasSettled = false;
   version_history mHistory;
   bool mListIsCurrent = false;
-  // The process that was last listed under each name.
-  std::map<endpoint_name, std::uint64_t> mProcesses;
+  // Listed endpoints, and those that were until lately.
+  std::map<endpoint_name, listed_version> mListed;
 
   std::unordered_map<stream_key, own_stream> mBegun;
   // Of other instances' streams, and of own ones that ended some time ago.
--- a/thornhollow/streams/stream_origins_test.cc
+++ b/thornhollow/streams/stream_origins_test.cc
@@ -28,15 +28,12 @@
     mOrigins.SetLongestStream(kLongest);
     mOrigins.SetListIsCurrent(true);
     mOrigins.SetInstances({ { kOther, domain_name("hall") } }, mNow);
-    List("i-1", kOld, 1);
+    List("i-1", kOld);
   }
 
-  void List(const std::string& aName,
-            endpoint_version_hash aVersion,
-            std::uint64_t aProcess)
+  void List(const std::string& aName, endpoint_version_hash aVersion)
   {
-    mOrigins.OnListed({ endpoint_name(aName), kPool, aVersion, aProcess },
-                      mNow);
+    mOrigins.OnListed({ endpoint_name(aName), kPool, aVersion }, mNow);
   }
 
   void Begin(endpoint_version_hash aVersion = kOld)
@@ -76,7 +73,7 @@
                   "stream_origins/two_versions/told_within_milliseconds")
 {
   Pass(kVersionsAreKnown);
-  List("i-2", kNew, 2);
+  List("i-2", kNew);
   Pass(Milliseconds(10));
   Begin();
   CHECK(Pass(Milliseconds(10)) ==
@@ -89,7 +86,7 @@
   Pass(kVersionsAreKnown);
   Begin();
   CHECK(Pass(Seconds(1)).empty());
-  List("i-2", kNew, 2);
+  List("i-2", kNew);
   CHECK(Pass(Milliseconds(10)) ==
         std::vector<stream_origin>{ { kStream, kOld } });
 }
@@ -97,7 +94,7 @@
 TEST_CASE_FIXTURE(instance_with_one_other,
                   "stream_origins/open_for_long/told_again_until_it_ends")
 {
-  List("i-2", kNew, 2);
+  List("i-2", kNew);
   Begin();
   CHECK(Pass(Seconds(20)).size() >= 3);
   mOrigins.OnEnded(kStream, mNow);
@@ -109,24 +106,33 @@
 TEST_CASE_FIXTURE(instance_with_one_other,
                   "stream_origins/endpoint_replaced/its_streams_are_unknown")
 {
-  List("i-2", kNew, 2);
+  List("i-2", kNew);
   Pass(Seconds(2));
   Begin();
   Pass(Milliseconds(10));
-  List("i-1", kNew, 3);
+  List("i-1", kNew);
   CHECK(Pass(Milliseconds(10)) ==
         std::vector<stream_origin>{ { kStream, kUnknownVersion } });
   CHECK(Find().mGround == origin_ground::kAmbiguous);
 }
 
+TEST_CASE_FIXTURE(instance_with_one_other,
+                  "stream_origins/endpoint_listed_again/its_streams_are_known")
+{
+  Begin();
+  mOrigins.OnRemoved(endpoint_name("i-1"), mNow);
+  List("i-1", kOld);
+  CHECK(Find().mVersion == kOld);
+}
+
 TEST_CASE_FIXTURE(instance_with_one_other,
                   "stream_origins/endpoint_replaced_long_after/stream_is_known")
 {
-  List("i-2", kNew, 2);
+  List("i-2", kNew);
   Begin();
   mOrigins.OnEnded(kStream, mNow);
   Pass(Seconds(4));
-  List("i-1", kNew, 3);
+  List("i-1", kNew);
   CHECK(Find().mVersion == kOld);
 }
 
@@ -134,7 +140,7 @@
 TEST_CASE_FIXTURE(instance_with_one_other,
                   "stream_origins/others_are_new_to_it/caller_may_come_back")
 {
-  List("i-2", kNew, 2);
+  List("i-2", kNew);
   CHECK(Find().mGround == origin_ground::kNoAnswer);
   Pass(Seconds(2));
   const auto asked = mOrigins.Find(kStream, kPool, mNow);
@@ -148,6 +154,20 @@
         origin_ground::kSeveralVersions);
 }
 
+TEST_CASE_FIXTURE(instance_with_one_other,
+                  "stream_origins/no_other_heard_yet/caller_may_come_back")
+{
+  stream_origins lonely(stream_origins_settings{}, domain_name("hall"), 1);
+  lonely.SetInstances({}, mNow);
+  const auto ground = [&] {
+    return std::get<origin_verdict>(lonely.Find(kStream, kPool, mNow)).mGround;
+  };
+  mNow += Seconds(4);
+  CHECK(ground() == origin_ground::kNoAnswer);
+  mNow += Seconds(1);
+  CHECK(ground() == origin_ground::kListTooYoung);
+}
+
 TEST_CASE_FIXTURE(instance_with_one_other,
                   "stream_origins/question/is_answered_and_sent_twice_at_most")
 {
--- a/thornhollow/streams/testing/stream_fleet.h
+++ b/thornhollow/streams/testing/stream_fleet.h
@@ -115,7 +115,6 @@
   struct process
   {
     std::string mVersion;
-    std::uint64_t mNumber = 0;
   };
   struct stream
   {
@@ -177,7 +176,6 @@
   time_point mNow{ Seconds(1'000) };
   std::uint64_t mOrder = 0;
   std::uint64_t mLastStream = 0;
-  std::uint64_t mLastProcess = 0;
   std::priority_queue<event> mEvents;
   std::vector<instance> mInstances;
   std::map<std::string, std::size_t> mByAddress;
@@ -311,7 +309,7 @@
                     const std::string& aVersion,
                     duration aEntryDelay)
 {
-  const process started{ aVersion, ++mLastProcess };
+  const process started{ aVersion };
   mRunning[aName] = started;
   const auto enter = [this, aName, started] {
     mListed[aName] = started;
@@ -357,8 +355,7 @@
   }
   at.mList[aName] = *aEntry;
   at.mOrigins->OnListed(
-    { endpoint_name(aName), kPool, HashOf(aEntry->mVersion), aEntry->mNumber },
-    mNow);
+    { endpoint_name(aName), kPool, HashOf(aEntry->mVersion) }, mNow);
   Flush(aInstance);
 }
 
