--- a/thornhollow/testing/process/relay_late_entry_test.py
+++ b/thornhollow/testing/process/relay_late_entry_test.py
@@ -10,14 +10,6 @@
 
 class LateEntry(TwoVersions):
 
-    def restart_as(self, engine, version):
-        """Ends it, and starts it again under its name and at its address as
-        another version; its entry stays the old one."""
-        engine.server.end()
-        engine.version = version
-        engine.server = relay_site.Server(engine.handler,
-                                          engine.server.server_port)
-
     def keep_connections(self):
         """The instance has just used all endpoints that take streams."""
         for number in range(8):
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -339,12 +339,15 @@
         # Of its software, as its entry says, and whether its events show it.
         self.version = version
         self.shows_version = shows_version
-        # Another value tells another process under the same name.
+        # Another value tells another process under the same name: of its entry,
+        # and of the process that runs, if the entry is late.
         self.born = 1
+        self.process_born = None
         self.events = events
         # "", "decline", "error", "cut" (what isn't continued), "hang".
         self.mode = ""
         self.ran = []
+        self.reports = 0
         self.headers = []
         # When each request arrived, also those that it refused: (time, id).
         self.arrived = []
@@ -426,6 +429,8 @@
             path.passing.wait()
             call.close_connection = True
             return None
+        if call.path == "/v1/report":
+            return self.report(call)
         self.choose_end(call)
         self.headers.append(dict(call.headers))
         self.arrived.append((time.monotonic(), call.headers[ID]))
@@ -535,6 +540,20 @@
             call.wfile.write(b"0\r\n\r\n")
         return None
 
+    def report(self, call):
+        """What the process says of itself, without a slot."""
+        self.reports += 1
+        text = json.dumps({
+            "stage": "combined", "models": [], "busy": False,
+            "sequence_number": 2, "queued_requests": 0, "active_requests": 0,
+            "kv_cache_used": 0, "kv_cache_total": 90000, "handles": 0,
+            "born": self.process_born or self.born}).encode()
+        call.send_response(200)
+        call.send_header("Content-Type", "application/json")
+        call.send_header("Content-Length", str(len(text)))
+        call.end_headers()
+        call.wfile.write(text)
+
     def entry(self, state="ready", service="engines"):
         return {"service": service, "address": self.address, "zone": "hall",
                 "version": self.version, "slots": 8, "state": state,
--- a/thornhollow/testing/process/two_versions_site.py
+++ b/thornhollow/testing/process/two_versions_site.py
@@ -76,6 +76,15 @@
         self.assertIn(b'"ran":"no"', caller.refusal.replace(b" ", b""))
         self.assertNotIn("retry-after", caller.headers)
 
+    def restart_as(self, engine, version):
+        """Ends it, and starts it again under its name and at its address as
+        another version; its entry stays the old one."""
+        engine.server.end()
+        engine.version = version
+        engine.process_born = engine.born + 1
+        engine.server = relay_site.Server(engine.handler,
+                                          engine.server.server_port)
+
     def change_entry(self, engine, state="ready"):
         self.store.put(f"servers/{engine.name}", engine.entry(state))
 
