--- a/thornhollow/discovery/endpoint_roster.h
+++ b/thornhollow/discovery/endpoint_roster.h
@@ -24,9 +24,9 @@
 // it to its peers together with its copies.
 //
 // Guards against a restart under the same name: the new process has no requests
-// in flight and no cached state. It is detected by its start time, or by another
-// software version where none is stated, and reported as the end of the old
-// lifetime and the beginning of a new one.
+// in flight and no cached state. It is detected by its start time, or by
+// another software version where none is stated, and reported as the end of the
+// old lifetime and the beginning of a new one.
 #ifndef THORNHOLLOW_DISCOVERY_ENDPOINT_ROSTER_H_
 #define THORNHOLLOW_DISCOVERY_ENDPOINT_ROSTER_H_
 
