A stream goes on only where the listed process is known to answer

Cause: the list names a process's version, and a new connection may lead to a later process than the listed one. Only signs of an end (a kept connection that closed, a refused connection) put that in doubt, and there are none where nothing was kept.

Change: processes of one name follow each other, and the listed one had started when a connection to it was made. So if the listed process (its start time) answers a question sent after that, the connection leads to no other (streams/process_confirmations). Before a stream is continued on a connection of which that isn't known, the endpoint is asked, without a slot (daemon/process_check); the request isn't sent unless the listed process answers. A stream that begins on such a connection doesn't wait: its origin is unknown until the answer. By way of another instance the version goes with the head, so the question comes first there. Endpoints whose entries state no start time aren't asked: on the users' platform each process has a name of its own, and nothing changes.

Ruled out: asking on each continuation (a question for each; now one for each new connection at most), the health check (needs a slot), the endpoint's name in its answers (the same name).

--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -121,6 +121,11 @@
   void RefuseToContinue(error_kind aKind, const origin_verdict& aVerdict);
   // Notes which version began the stream, once its first event was sent.
   void RecordOrigin();
+  void TakeOrigin(endpoint_version_hash aVersion,
+                  const endpoint_name& aEndpoint);
+  // Whether the request must not be sent before it is known that the listed
+  // process gets it.
+  bool MustConfirmFirst() const;
   void ReportStreamBegun(const endpoint_name& aEndpoint);
   void ReportStreamEnded();
   // The version of endpoints that brings the present attempt's answer.
--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -205,6 +205,13 @@
   facts.mResumeAfter = ResumeAfter();
   relay_call call = MakeCall({ mPick.mAddress, mPick.mLifetime });
   call.mHeaders = AttemptHeaders(mDispatcher.Names(), request.mHeaders, facts);
+  if (MustConfirmFirst()) {
+    call.mMaySend = [self = boost::intrusive_ptr<relay_session>(this),
+                     pick = mPick](time_point aMadeAt,
+                                   std::function<void(bool)> aDone) {
+      self->mDispatcher.Confirm(pick, aMadeAt, std::move(aDone));
+    };
+  }
   StartAttempt(std::move(call));
 }
 
--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -38,6 +38,8 @@
       return attempt_end::kDeclined;
     case attempt_failure::kSilent:
       return attempt_end::kSilent;
+    case attempt_failure::kUnconfirmed:
+      return attempt_end::kCancelled;
     default:
       return attempt_end::kFailed;
   }
@@ -79,9 +81,12 @@
   LogFailedAttempt(aFailure, aDetail);
   mAttempts = progress.mAttempts;
   mMayHaveRun = progress.mMayHaveRun;
-  if (aFailure == attempt_failure::kNotSent) {
+  if (aFailure == attempt_failure::kNotSent ||
+      aFailure == attempt_failure::kUnconfirmed) {
     ++mUnsent;
     mUnsentTime += Now() - mSentAt;
+  }
+  if (aFailure == attempt_failure::kNotSent) {
     mDispatcher.Metrics().OnEvent(IsAtPeer() ? "forward_connect_failed"
                                              : "endpoint_connect_failed");
   }
--- a/thornhollow/daemon/internal/relay_session_stream.cc
+++ b/thornhollow/daemon/internal/relay_session_stream.cc
@@ -72,13 +72,48 @@
   }
   mStreamReported = true;
   mOriginName = mPick.mVersion;
-  endpoint_name beginner;
-  if (!mOrigin) {
-    mOrigin = AttemptVersion();
-    mProfile.mVersion = mOrigin;
-    beginner = IsAtPeer() ? endpoint_name() : mPick.mEndpoint;
+  if (mOrigin || IsAtPeer()) {
+    TakeOrigin(mOrigin.value_or(AttemptVersion()), endpoint_name());
+    return;
+  }
+  const time_point madeAt = mAttempt->ConnectionMadeAt();
+  if (mRoute->mKind != request_kind::kResumableStream ||
+      mDispatcher.IsConfirmed(mPick, madeAt)) {
+    TakeOrigin(AttemptVersion(), mPick.mEndpoint);
+    return;
+  }
+  // Events don't wait for the answer; until then nothing continues the stream.
+  mOrigin = kUnknownVersion;
+  mProfile.mVersion = mOrigin;
+  mDispatcher.Confirm(mPick,
+                      madeAt,
+                      [self = boost::intrusive_ptr<relay_session>(this),
+                       pick = mPick](bool aIsListed) {
+                        self->TakeOrigin(aIsListed
+                                           ? self->mDispatcher.VersionOf(pick)
+                                           : kUnknownVersion,
+                                         pick.mEndpoint);
+                      });
+}
+
+void
+relay_session::TakeOrigin(endpoint_version_hash aVersion,
+                          const endpoint_name& aEndpoint)
+{
+  mOrigin = aVersion;
+  mProfile.mVersion = mOrigin;
+  ReportStreamBegun(aEndpoint);
+  if (mDone) {
+    ReportStreamEnded();
   }
-  ReportStreamBegun(beginner);
+}
+
+bool
+relay_session::MustConfirmFirst() const
+{
+  // The instance that forwards a stream is told its version before the events.
+  return mRoute->mKind == request_kind::kResumableStream &&
+         (mOrigin.has_value() || mIsForwarded);
 }
 
 void
--- /dev/null
+++ b/thornhollow/daemon/process_check.cc
@@ -0,0 +1,127 @@
+#include "thornhollow/daemon/process_check.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "thornhollow/net/clock.h"
+#include "thornhollow/net/http_fetch.h"
+
+namespace thornhollow {
+namespace {
+
+// Endpoints are a few milliseconds away and answer without a slot.
+constexpr duration kAnswerTimeout = Milliseconds(300);
+constexpr std::size_t kMaxStatusBytes = std::size_t{ 256 } << 10U;
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+
+std::string_view
+EventName(process_verdict aVerdict)
+{
+  switch (aVerdict) {
+    case process_verdict::kListed:
+      return "endpoint_process_confirmed";
+    case process_verdict::kOther:
+      return "endpoint_process_differs";
+    default:
+      return "endpoint_process_unknown";
+  }
+}
+
+} // namespace
+
+bool
+process_check::IsConfirmed(const listed_process& aProcess,
+                           time_point aMadeAt) const
+{
+  return !CanAsk(aProcess) || mConfirmations.Covers(aProcess.mNumber, aMadeAt);
+}
+
+void
+process_check::Confirm(const listed_process& aProcess,
+                       time_point aMadeAt,
+                       handler aDone)
+{
+  if (IsConfirmed(aProcess, aMadeAt)) {
+    aDone(process_verdict::kListed);
+    return;
+  }
+  if (mConfirmations.Await(
+        aProcess.mNumber, aMadeAt, std::move(aDone), Now())) {
+    Ask(aProcess);
+  }
+}
+
+void
+process_check::Forget(process_number aProcess)
+{
+  for (const handler& each : mConfirmations.Forget(aProcess)) {
+    each(process_verdict::kUnknown);
+  }
+}
+
+void
+process_check::Ask(const listed_process& aProcess)
+{
+  mMetrics.OnEvent("endpoint_process_asked");
+  Fetch(mIo,
+        { .mAddress = aProcess.mAddress,
+          .mTarget = mPath,
+          .mTimeout = kAnswerTimeout,
+          .mConnectTimeout = kAnswerTimeout,
+          .mMaxBytes = kMaxStatusBytes },
+        [this, aProcess](const fetch_outcome& aOutcome) {
+          OnVerdict(aProcess,
+                    VerdictOf(aProcess, aOutcome ? &*aOutcome : nullptr));
+        });
+}
+
+process_verdict
+process_check::VerdictOf(const listed_process& aProcess,
+                         const fetch_answer* aAnswer) const
+{
+  if (aAnswer == nullptr) {
+    return process_verdict::kUnknown;
+  }
+  // Endpoints that tell no status can't be told apart by it.
+  if (aAnswer->mHttpStatus == kNotFound) {
+    return process_verdict::kListed;
+  }
+  if (aAnswer->mHttpStatus != kOk) {
+    return process_verdict::kUnknown;
+  }
+  return boost::leaf::try_handle_all(
+    [&]() -> result<process_verdict> {
+      BOOST_LEAF_AUTO(startedMs, mReader(aAnswer->mBody));
+      return startedMs == 0 || startedMs == aProcess.mStartedMs
+               ? process_verdict::kListed
+               : process_verdict::kOther;
+    },
+    [] { return process_verdict::kUnknown; });
+}
+
+void
+process_check::OnVerdict(const listed_process& aProcess,
+                         process_verdict aVerdict)
+{
+  mMetrics.OnEvent(EventName(aVerdict));
+  if (aVerdict != process_verdict::kListed) {
+    mLog.Write(log_level::kInfo,
+               EventName(aVerdict),
+               { { "endpoint", aProcess.mEndpoint.Text() },
+                 { "address", aProcess.mAddress },
+                 { "listed_started_ms", aProcess.mStartedMs } });
+  }
+  const auto answered =
+    mConfirmations.OnAnswer(aProcess.mNumber, aVerdict, Now());
+  if (answered.mAskAgain) {
+    Ask(aProcess);
+  }
+  for (const handler& each : answered.mHandlers) {
+    each(aVerdict);
+  }
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/daemon/process_check.h
@@ -0,0 +1,103 @@
+// Asks endpoints when their processes started, to find out whether connections
+// lead to the processes that their entries tell of.
+//
+//   process_check check(io, log, metrics);
+//   check.SetStatus(path, readStartedMs);
+//   if (!check.IsConfirmed(process, madeAt)) {
+//     check.Confirm(process, madeAt, [](process_verdict aVerdict) { ... });
+//   }
+//
+// Nothing is asked of endpoints whose entries state no start time: on such
+// platforms each process has a name of its own. streams/process_confirmations.h
+// tells what follows from an answer.
+#ifndef THORNHOLLOW_DAEMON_PROCESS_CHECK_H_
+#define THORNHOLLOW_DAEMON_PROCESS_CHECK_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "thornhollow/base/ids.h"
+#include "thornhollow/base/result.h"
+#include "thornhollow/base/time.h"
+#include "thornhollow/daemon/json_log.h"
+#include "thornhollow/daemon/metrics.h"
+#include "thornhollow/streams/process_confirmations.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace thornhollow {
+
+struct fetch_answer;
+
+// A process as an endpoint's entry tells of it.
+struct listed_process
+{
+  endpoint_name mEndpoint;
+  std::string mAddress;
+  process_number mNumber = 0;
+  // Start time in milliseconds by the endpoint's clock; 0 if not stated.
+  std::int64_t mStartedMs = 0;
+
+  friend bool operator==(const listed_process&,
+                         const listed_process&) = default;
+};
+
+class process_check
+{
+public:
+  using handler = process_confirmations::handler;
+  // Reads from an endpoint's status when its process started, in milliseconds;
+  // 0 if not stated.
+  using status_reader = std::function<result<std::int64_t>(std::string_view)>;
+
+  // `aLog` and `aMetrics` must outlive this object.
+  process_check(boost::asio::io_context& aIo, json_log& aLog, metrics& aMetrics)
+    : mIo(aIo)
+    , mLog(aLog)
+    , mMetrics(aMetrics)
+  {
+  }
+
+  // `aPath`: where endpoints tell their status. Without this nothing is asked.
+  void SetStatus(std::string aPath, status_reader aReader)
+  {
+    mPath = std::move(aPath);
+    mReader = std::move(aReader);
+  }
+
+  // Whether a connection that was made then leads to the listed process, as far
+  // as can be told.
+  bool IsConfirmed(const listed_process& aProcess, time_point aMadeAt) const;
+  // Calls `aDone` once the endpoint has answered, or has not in time; at once
+  // if nothing has to be asked.
+  void Confirm(const listed_process& aProcess,
+               time_point aMadeAt,
+               handler aDone);
+  // The process is no longer listed.
+  void Forget(process_number aProcess);
+
+private:
+  bool CanAsk(const listed_process& aProcess) const
+  {
+    return mReader && aProcess.mStartedMs != 0;
+  }
+  void Ask(const listed_process& aProcess);
+  process_verdict VerdictOf(const listed_process& aProcess,
+                            const fetch_answer* aAnswer) const;
+  void OnVerdict(const listed_process& aProcess, process_verdict aVerdict);
+
+  boost::asio::io_context& mIo;
+  json_log& mLog;
+  metrics& mMetrics;
+  std::string mPath;
+  status_reader mReader;
+  process_confirmations mConfirmations;
+};
+
+} // namespace thornhollow
+
+#endif // THORNHOLLOW_DAEMON_PROCESS_CHECK_H_
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -88,6 +88,7 @@
   , mCrashes(aIo, aLog, aMetrics)
   , mReach(aIo, aLog, aMetrics)
   , mStreams(aIo, aSettings.mDomain, aMetrics)
+  , mProcesses(aIo, aLog, aMetrics)
   , mVersionDoubts(stream_origins_settings{}.mListingDelay)
   , mRetries(RetryBudgetSettings(aSettings))
   , mGenerator(std::random_device()())
@@ -173,6 +174,10 @@
 void
 relay_dispatcher::AddEndpoint(const listed_endpoint& aEndpoint)
 {
+  if (const auto before = mEndpoints.find(aEndpoint.mName);
+      before != mEndpoints.end()) {
+    mProcesses.Forget(before->second.mLifetime);
+  }
   mEndpoints[aEndpoint.mName] = { aEndpoint, mNextLifetime++ };
   mVersionDoubts.OnListed(aEndpoint.mName);
   mLog.Write(log_level::kInfo,
@@ -216,6 +221,7 @@
       pool != mPools.end()) {
     pool->second.Remove(aName);
   }
+  mProcesses.Forget(found->second.mLifetime);
   mEndpoints.erase(found);
   mVersionDoubts.OnListed(aName);
   mStreams.OnRemoved(aName);
@@ -330,13 +336,13 @@
                                 const answer_marks& aMarks,
                                 time_point aNow)
 {
-  const auto found = mEndpoints.find(aPick.mEndpoint);
-  if (found == mEndpoints.end() || found->second.mLifetime != aPick.mLifetime) {
+  const known_endpoint* known = Known(aPick);
+  if (known == nullptr) {
     return std::nullopt;
   }
-  const endpoint_process_hash process = ProcessHash(found->second.mEntry);
+  const endpoint_process_hash process = ProcessHash(known->mEntry);
   if (aMarks.mRest) {
-    TakeRest(found->second, *aMarks.mRest, aNow);
+    TakeRest(*known, *aMarks.mRest, aNow);
   }
   if (!aMarks.mLeaving) {
     return std::nullopt;
@@ -389,13 +395,67 @@
   const auto found = std::ranges::find_if(mEndpoints, [&](const auto& aEntry) {
     return aEntry.second.mLifetime == aProcess.mLifetime;
   });
-  if (found == mEndpoints.end() ||
-      mConnections.LookAtKept(aProcess) == kept_state::kOpen ||
-      !mVersionDoubts.OnSign(found->first, aNow)) {
+  if (found != mEndpoints.end() &&
+      mConnections.LookAtKept(aProcess) != kept_state::kOpen) {
+    Doubt(found->second, aNow);
+  }
+}
+
+// Kept connections may lead to the other process, and say nothing.
+void
+relay_dispatcher::OnOtherProcess(const relay_pick& aPick, time_point aNow)
+{
+  mConnections.Forget({ aPick.mAddress, aPick.mLifetime });
+  if (const known_endpoint* known = Known(aPick)) {
+    Doubt(*known, aNow);
+  }
+}
+
+void
+relay_dispatcher::Doubt(const known_endpoint& aKnown, time_point aNow)
+{
+  if (mVersionDoubts.OnSign(aKnown.mEntry.mName, aNow)) {
+    mMetrics.OnEvent("endpoint_version_doubted");
+    Update(aKnown);
+  }
+}
+
+const relay_dispatcher::known_endpoint*
+relay_dispatcher::Known(const relay_pick& aPick) const
+{
+  const auto found = mEndpoints.find(aPick.mEndpoint);
+  return found != mEndpoints.end() && found->second.mLifetime == aPick.mLifetime
+           ? &found->second
+           : nullptr;
+}
+
+bool
+relay_dispatcher::IsConfirmed(const relay_pick& aPick, time_point aMadeAt) const
+{
+  const known_endpoint* known = Known(aPick);
+  return known == nullptr ? !mEndpoints.contains(aPick.mEndpoint)
+                          : mProcesses.IsConfirmed(ProcessOf(*known), aMadeAt);
+}
+
+void
+relay_dispatcher::Confirm(const relay_pick& aPick,
+                          time_point aMadeAt,
+                          std::function<void(bool)> aDone)
+{
+  const known_endpoint* known = Known(aPick);
+  if (known == nullptr) {
+    aDone(!mEndpoints.contains(aPick.mEndpoint));
     return;
   }
-  mMetrics.OnEvent("endpoint_version_doubted");
-  Update(found->second);
+  mProcesses.Confirm(
+    ProcessOf(*known),
+    aMadeAt,
+    [this, aPick, done = std::move(aDone)](process_verdict aVerdict) {
+      if (aVerdict == process_verdict::kOther) {
+        OnOtherProcess(aPick, Now());
+      }
+      done(aVerdict == process_verdict::kListed);
+    });
 }
 
 void
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -31,6 +31,7 @@
 #include "thornhollow/daemon/endpoint_reach.h"
 #include "thornhollow/daemon/json_log.h"
 #include "thornhollow/daemon/metrics.h"
+#include "thornhollow/daemon/process_check.h"
 #include "thornhollow/daemon/stream_guard.h"
 #include "thornhollow/discovery/endpoint_roster.h"
 #include "thornhollow/fleet/relay_peers.h"
@@ -138,6 +139,7 @@
   crash_guard& Crashes() { return mCrashes; }
   endpoint_reach& Reach() { return mReach; }
   stream_guard& Streams() { return mStreams; }
+  process_check& Processes() { return mProcesses; }
   // Returns the pool of the route in which endpoints of the version are listed;
   // nullptr if there is none.
   const pool_name* PoolOfVersion(const route& aRoute,
@@ -154,11 +156,22 @@
   // Records that a connection to the endpoint could not be made, or that it
   // closed a kept one: its process may have ended.
   void OnProcessDoubted(const endpoint_process& aProcess, time_point aNow);
-  // The same where an answer broke off, which alone tells nothing: unless the
-  // endpoint has closed its kept connections as well.
+  // Records that another process answered than the listed one.
+  void OnOtherProcess(const relay_pick& aPick, time_point aNow);
+  // As `OnProcessDoubted` where an answer broke off, which alone tells nothing:
+  // unless the endpoint has closed its kept connections as well.
   void OnAnswerBrokenOff(const endpoint_process& aProcess, time_point aNow);
   // The source answered this or another instance at `aAt`.
   void OnSourceAnswered(time_point aAt);
+  // Whether a connection that was made then leads to the process that was
+  // picked, as far as can be told: an endpoint that has left the list isn't
+  // asked, one that is listed as a new process is another.
+  bool IsConfirmed(const relay_pick& aPick, time_point aMadeAt) const;
+  // Calls `aDone` with whether it does, after the endpoint has been asked where
+  // that is necessary.
+  void Confirm(const relay_pick& aPick,
+               time_point aMadeAt,
+               std::function<void(bool)> aDone);
   // The version of the process that was picked; `kUnknownVersion` if it is in
   // doubt by now.
   endpoint_version_hash VersionOf(const relay_pick& aPick) const;
@@ -222,6 +235,15 @@
   {
     GetOrCreatePool(aKnown.mEntry.mPool).Put(ToPoolEndpoint(aKnown));
   }
+  // Its version is in doubt from now on.
+  void Doubt(const known_endpoint& aKnown, time_point aNow);
+  static listed_process ProcessOf(const known_endpoint& aKnown)
+  {
+    const listed_endpoint& entry = aKnown.mEntry;
+    return { entry.mName, entry.mAddress, aKnown.mLifetime, entry.mStartedMs };
+  }
+  // The listed endpoint, if its process is still the one that was picked.
+  const known_endpoint* Known(const relay_pick& aPick) const;
   void TakeRest(const known_endpoint& aKnown, duration aRest, time_point aNow);
   void LogRestOver(endpoint_process_hash aProcess);
   relay_endpoint ToPoolEndpoint(const known_endpoint& aKnown) const;
@@ -235,6 +257,7 @@
   crash_guard mCrashes;
   endpoint_reach mReach;
   stream_guard mStreams;
+  process_check mProcesses;
   endpoint_notices mNotices;
   version_doubts mVersionDoubts;
   std::function<void(endpoint_process_hash)> mOnNewLeaving;
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -165,6 +165,8 @@
     , mTimer(aIo)
     , mDrain(aIo, { &mCallers, &mForwarded }, aLog)
   {
+    mDispatcher.Processes().SetStatus(mAdapter.mStatusPath,
+                                      mAdapter.mReadStartTime);
     mDispatcher.Reach().SetPeers([this](const pool_name& aPool) {
       return mPeers.ForwardPeers(aPool, Now());
     });
--- a/thornhollow/discovery/relay_adapter.h
+++ b/thornhollow/discovery/relay_adapter.h
@@ -7,6 +7,7 @@
 #ifndef THORNHOLLOW_DISCOVERY_RELAY_ADAPTER_H_
 #define THORNHOLLOW_DISCOVERY_RELAY_ADAPTER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -40,6 +41,11 @@
     mReadEndpoint;
   // The name of the endpoint whose entry has this key.
   std::function<endpoint_name(std::string_view aKey)> mEndpointName;
+
+  // Path at which endpoints report their state, and the start time that such a
+  // report states, in milliseconds; 0 if it states none.
+  std::string mStatusPath;
+  std::function<result<std::int64_t>(std::string_view aBytes)> mReadStartTime;
 };
 
 } // namespace thornhollow
--- a/thornhollow/net/endpoint_connections.h
+++ b/thornhollow/net/endpoint_connections.h
@@ -68,6 +68,8 @@
 
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
+  // When it was made; `max` until then.
+  time_point mMadeAt = time_point::max();
   // For how long the other end may be silent, as the socket was told last; zero
   // where it was told nothing.
   duration mSilence{};
--- a/thornhollow/net/endpoint_probe.cc
+++ b/thornhollow/net/endpoint_probe.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include "thornhollow/net/address.h"
+#include "thornhollow/net/clock.h"
 
 namespace thornhollow {
 namespace {
@@ -47,6 +48,7 @@
       boost::asio::ip::make_address(address->mHost), address->mPort),
     [connection, done = std::move(aDone)](const error_code& aError) {
       connection->mStream.expires_never();
+      connection->mMadeAt = Now();
       const probe_verdict verdict = VerdictOf(aError);
       done({ verdict,
              verdict == probe_verdict::kAccepts ? connection
--- a/thornhollow/net/relay_attempt.cc
+++ b/thornhollow/net/relay_attempt.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
@@ -19,6 +20,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "thornhollow/net/address.h"
+#include "thornhollow/net/clock.h"
 #include "thornhollow/net/internal/awaitable.h"
 #include "thornhollow/net/internal/http_fields.h"
 #include "thornhollow/net/internal/silence.h"
@@ -81,6 +83,7 @@
     , mNames(aNames)
     , mCall(std::move(aCall))
     , mOnEvent(std::move(aOnEvent))
+    , mDecided(aConnections.Io(), time_point::max())
   {
   }
 
@@ -88,6 +91,7 @@
   {
     mOnEvent = nullptr;
     mClosed = true;
+    mDecided.cancel();
     if (mConnection) {
       mConnection->mStream.close();
     }
@@ -103,11 +107,12 @@
 
   bool Sent() const override { return mSent; }
   bool Reused() const override { return mReused; }
+  time_point ConnectionMadeAt() const override { return mMadeAt; }
 
   asio::awaitable<void> Run()
   {
     co_await asio::post(mConnections.Io(), asio::use_awaitable);
-    if (mClosed || !co_await Connect()) {
+    if (mClosed || !co_await Connect() || !co_await MaySend()) {
       co_return;
     }
     StartWriting();
@@ -142,6 +147,7 @@
       mReused = mConnection != nullptr;
     }
     if (mConnection) {
+      mMadeAt = mConnection->mMadeAt;
       LimitSilence();
       co_return true;
     }
@@ -162,10 +168,37 @@
       Fail(attempt_failure::kNotSent, wrong.message());
       co_return false;
     }
+    mConnection->mMadeAt = Now();
+    mMadeAt = mConnection->mMadeAt;
     LimitSilence();
     co_return !mClosed;
   }
 
+  asio::awaitable<bool> MaySend()
+  {
+    if (!mCall.mMaySend) {
+      co_return true;
+    }
+    mCall.mMaySend(mMadeAt,
+                   [self = boost::intrusive_ptr<attempt>(this)](bool aAllowed) {
+                     self->mAllowed = aAllowed;
+                     self->mDecided.cancel();
+                   });
+    if (!mAllowed) {
+      error_code ended;
+      co_await mDecided.async_wait(Into(ended));
+    }
+    if (mClosed) {
+      co_return false;
+    }
+    if (!mAllowed.value_or(false)) {
+      mConnection->mStream.close();
+      Fail(attempt_failure::kUnconfirmed, "process not confirmed");
+      co_return false;
+    }
+    co_return true;
+  }
+
   // A kept connection has the limits of the request before: as a rule the same,
   // and setting them is six calls to the system.
   void LimitSilence()
@@ -305,6 +338,10 @@
   relay_call mCall;
   std::function<void(relay_event)> mOnEvent;
   endpoint_connection_ptr mConnection;
+  time_point mMadeAt = time_point::max();
+  // What the call decided on sending, and a timer that is cancelled then.
+  std::optional<bool> mAllowed;
+  asio::steady_timer mDecided;
   http::request<body_type> mRequest;
   std::optional<http::request_serializer<body_type>> mSerializer;
   std::optional<duration> mIdleLimit;
--- a/thornhollow/net/relay_attempt.h
+++ b/thornhollow/net/relay_attempt.h
@@ -49,6 +49,12 @@
   // stay silent to probes, before the connection counts as gone; whole seconds,
   // at least 2.
   duration mSilence = Seconds(2);
+  // Decides whether the request may be sent on the connection, which was made
+  // at `aMadeAt`. The request waits until the function that it is given is
+  // called; with false the attempt ends as `kUnconfirmed`. Null: the request is
+  // sent at once.
+  std::function<void(time_point aMadeAt, std::function<void(bool)> aDone)>
+    mMaySend;
 };
 
 // The answer's head, as the endpoint sent it.
@@ -98,6 +104,8 @@
   virtual bool Sent() const = 0;
   // A kept connection was used.
   virtual bool Reused() const = 0;
+  // When the connection was made; `max` while there is none.
+  virtual time_point ConnectionMadeAt() const = 0;
 };
 using relay_attempt_ptr = boost::intrusive_ptr<relay_attempt>;
 
--- a/thornhollow/net/relay_attempt_test.cc
+++ b/thornhollow/net/relay_attempt_test.cc
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -127,19 +128,32 @@
                        duration aSilence = Seconds(2),
                        const std::string& aMethod = "GET")
   {
-    const auto outcome = std::make_shared<attempt_outcome>();
+    relay_call call = Call(aId);
+    call.mMethod = aMethod;
+    call.mMaxIdle = aMaxIdle;
+    call.mSilence = aSilence;
+    return Send(std::move(call));
+  }
+
+  relay_call Call(const std::string& aId) const
+  {
     relay_call call;
     call.mWhere = { mEndpoint.Address(), 1 };
-    call.mMethod = aMethod;
+    call.mMethod = "GET";
     call.mTarget = "/a";
     call.mHeaders = { { "Host", "a.example" } };
     call.mBody = std::make_shared<const std::string>();
     call.mId = request_id(aId);
-    call.mMaxIdle = aMaxIdle;
-    call.mSilence = aSilence;
+    call.mMaxIdle = Seconds(60);
     call.mConnectTimeout = Seconds(60);
+    return call;
+  }
+
+  attempt_outcome Send(relay_call aCall)
+  {
+    const auto outcome = std::make_shared<attempt_outcome>();
     const auto attempt = StartRelayAttempt(
-      mConnections, mNames, call, [outcome](relay_event aEvent) {
+      mConnections, mNames, std::move(aCall), [outcome](relay_event aEvent) {
         if (const auto* head = std::get_if<relay_answer_head>(&aEvent)) {
           outcome->mHead = *head;
         } else if (auto* bytes = std::get_if<relay_answer_bytes>(&aEvent)) {
@@ -219,6 +233,57 @@
   CHECK(mEndpoint.mConnections == 2);
 }
 
+// A stream would go on at a process that is not the listed one.
+TEST_CASE_FIXTURE(attempts_at_an_endpoint,
+                  "relay_attempt/sending_not_allowed/no_byte_leaves")
+{
+  mEndpoint.mAnswers = { Answer("r1", "one") };
+  relay_call call = Call("r1");
+  call.mMaySend = [](time_point, const auto& aDone) { aDone(false); };
+  CHECK(Send(std::move(call)).mFailure == attempt_failure::kUnconfirmed);
+  CHECK(mEndpoint.mRequests.empty());
+}
+
+TEST_CASE_FIXTURE(attempts_at_an_endpoint,
+                  "relay_attempt/sending_allowed_later/is_sent_then")
+{
+  mEndpoint.mAnswers = { Answer("r1", "one"), Answer("r2", "two") };
+  std::vector<time_point> madeAt;
+  const auto allowLater = [&](time_point aMadeAt, auto aDone) {
+    madeAt.push_back(aMadeAt);
+    asio::post(mIo, [done = std::move(aDone)] { done(true); });
+  };
+  for (const char* id : { "r1", "r2" }) {
+    relay_call call = Call(id);
+    call.mMaySend = allowLater;
+    CHECK(Send(std::move(call)).mWhole);
+  }
+  CHECK(madeAt.size() == 2);
+  CHECK(madeAt.front() == madeAt.back());
+  CHECK(mEndpoint.mConnections == 1);
+}
+
+TEST_CASE_FIXTURE(attempts_at_an_endpoint,
+                  "relay_attempt/closed_while_undecided/sends_nothing")
+{
+  mEndpoint.mAnswers = { Answer("r1", "one") };
+  std::function<void(bool)> decide;
+  relay_call call = Call("r1");
+  call.mMaySend = [&](time_point, auto aDone) { decide = std::move(aDone); };
+  const auto attempt = StartRelayAttempt(
+    mConnections, mNames, std::move(call), [](const relay_event&) {
+      FAIL("an event after the close");
+    });
+  while (!decide) {
+    mIo.run_one();
+  }
+  attempt->Close();
+  decide(true);
+  mIo.poll();
+  CHECK(mEndpoint.mRequests.empty());
+  CHECK_FALSE(attempt->Sent());
+}
+
 // An answer that ended with its connection could not be told from a whole one.
 TEST_CASE_FIXTURE(attempts_at_an_endpoint,
                   "relay_attempt/each_framing/is_told_with_the_head")
--- a/thornhollow/platform/adapter.cc
+++ b/thornhollow/platform/adapter.cc
@@ -20,6 +20,8 @@
   adapter.mReadDocument = ReadDocument;
   adapter.mReadEndpoint = ReadEndpoint;
   adapter.mEndpointName = EndpointName;
+  adapter.mStatusPath = kStatusPath;
+  adapter.mReadStartTime = ReadStartTime;
   return adapter;
 }
 
--- a/thornhollow/platform/endpoint_reader.cc
+++ b/thornhollow/platform/endpoint_reader.cc
@@ -21,6 +21,14 @@
   return state == "draining";
 }
 
+// The same name in entries and in what endpoints report of themselves.
+result<std::int64_t>
+StartTimeField(const boost::json::object& aFields)
+{
+  BOOST_LEAF_AUTO(started, OptionalCount(aFields, "born", 0));
+  return static_cast<std::int64_t>(started);
+}
+
 } // namespace
 
 endpoint_name
@@ -55,9 +63,15 @@
   BOOST_LEAF_ASSIGN(read.mWarmUp,
                     MillisecondsField(fields, "cold_remaining_ms"));
   BOOST_LEAF_CHECK(CountField(fields, "sequence_number"));
-  BOOST_LEAF_AUTO(started, OptionalCount(fields, "born", 0));
-  read.mStartedMs = static_cast<std::int64_t>(started);
+  BOOST_LEAF_ASSIGN(read.mStartedMs, StartTimeField(fields));
   return read;
 }
 
+result<std::int64_t>
+ReadStartTime(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(fields, ParseObject(aBytes));
+  return StartTimeField(fields);
+}
+
 } // namespace thornhollow::platform
--- a/thornhollow/platform/endpoint_reader.h
+++ b/thornhollow/platform/endpoint_reader.h
@@ -5,6 +5,7 @@
 #ifndef THORNHOLLOW_PLATFORM_ENDPOINT_READER_H_
 #define THORNHOLLOW_PLATFORM_ENDPOINT_READER_H_
 
+#include <cstdint>
 #include <string_view>
 
 #include "thornhollow/base/result.h"
@@ -22,6 +23,11 @@
 result<listed_endpoint>
 ReadEndpoint(std::string_view aKey, std::string_view aBytes);
 
+// Parses what an endpoint reports of itself. Returns the start time of its
+// process in milliseconds; 0 if not stated.
+result<std::int64_t>
+ReadStartTime(std::string_view aBytes);
+
 } // namespace thornhollow::platform
 
 #endif // THORNHOLLOW_PLATFORM_ENDPOINT_READER_H_
--- a/thornhollow/platform/readers_test.cc
+++ b/thornhollow/platform/readers_test.cc
@@ -123,6 +123,15 @@
   CHECK_FALSE(read->mDraining);
 }
 
+TEST_CASE("endpoint_reader/report/states_the_start_time_or_none")
+{
+  CHECK(Read(ReadStartTime(R"({"stage":"combined","born":1700000000000})")) ==
+        1700000000000);
+  CHECK(Read(ReadStartTime(R"({"stage":"combined"})")) == 0);
+  CHECK_FALSE(Read(ReadStartTime(R"({"born":"yesterday"})")).has_value());
+  CHECK_FALSE(Read(ReadStartTime("not a report")).has_value());
+}
+
 TEST_CASE("endpoint_reader/entry_of_another_writer/names_no_endpoint")
 {
   // Guards against sending requests to an address where no endpoint of the pool
@@ -185,6 +194,7 @@
           Read(ReadEndpoint("servers/i", Corrupted(kEntryText, random)))) {
       CHECK_FALSE(entry->mAddress.empty());
     }
+    Read(ReadStartTime(Corrupted(kEntryText, random)));
     Read(ReadStorePage(
       Corrupted(R"({"entries":[],"has_more":false,"at":9})", random)));
   }
--- a/thornhollow/platform/wire_names.h
+++ b/thornhollow/platform/wire_names.h
@@ -21,6 +21,8 @@
 inline constexpr std::string_view kConfigurationKey = "op/config";
 // Endpoints register under this prefix, each with its identifier.
 inline constexpr std::string_view kEndpointPrefix = "servers/";
+// Path at which an endpoint reports its state, without needing a slot.
+inline constexpr std::string_view kStatusPath = "/v1/report";
 
 relay_names
 PlatformRelayNames();
--- a/thornhollow/request/relay_retry.cc
+++ b/thornhollow/request/relay_retry.cc
@@ -5,8 +5,9 @@
 namespace thornhollow {
 namespace {
 
-constexpr std::array<std::string_view, 7> kFailureNames = {
-  "not_sent", "declined", "lost", "silent", "garbled", "failed", "broken"
+constexpr std::array<std::string_view, 8> kFailureNames = {
+  "not_sent", "declined", "lost",   "silent",
+  "garbled",  "failed",   "broken", "unconfirmed"
 };
 
 } // namespace
@@ -37,6 +38,7 @@
 {
   switch (aFailure) {
     case attempt_failure::kNotSent:
+    case attempt_failure::kUnconfirmed:
       return error_kind::kConnectFailed;
     case attempt_failure::kDeclined:
       return error_kind::kEndpointDeclined;
--- a/thornhollow/request/relay_retry.h
+++ b/thornhollow/request/relay_retry.h
@@ -38,6 +38,9 @@
   kFailed,
   // The answer broke off after it had begun.
   kBroken,
+  // The connection may lead to another process than the listed one: no byte of
+  // the request left.
+  kUnconfirmed,
 };
 
 // "not_sent" and so on; the label of counters and log lines.
@@ -52,7 +55,8 @@
 CertainlyNotRun(attempt_failure aFailure)
 {
   return aFailure == attempt_failure::kNotSent ||
-         aFailure == attempt_failure::kDeclined;
+         aFailure == attempt_failure::kDeclined ||
+         aFailure == attempt_failure::kUnconfirmed;
 }
 
 struct relay_progress
--- a/thornhollow/request/relay_retry_test.cc
+++ b/thornhollow/request/relay_retry_test.cc
@@ -13,7 +13,7 @@
   attempt_failure::kNotSent, attempt_failure::kDeclined,
   attempt_failure::kLost,    attempt_failure::kSilent,
   attempt_failure::kGarbled, attempt_failure::kFailed,
-  attempt_failure::kBroken
+  attempt_failure::kBroken,  attempt_failure::kUnconfirmed
 };
 
 struct every_progress
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -348,6 +348,8 @@
         self.mode = ""
         self.ran = []
         self.reports = 0
+        # How long it takes to tell its state.
+        self.report_after_s = 0
         self.headers = []
         # When each request arrived, also those that it refused: (time, id).
         self.arrived = []
@@ -543,6 +545,7 @@
     def report(self, call):
         """What the process says of itself, without a slot."""
         self.reports += 1
+        self.release.wait(self.report_after_s)
         text = json.dumps({
             "stage": "combined", "models": [], "busy": False,
             "sequence_number": 2, "queued_requests": 0, "active_requests": 0,
