Streams of endpoints that were asked stay known when their endpoint restarts

A restart that is listed made all streams of the endpoint's earlier process that began within 3 s unknown, as they may have begun at the new one. Where the listed process was asked, that is settled: such streams stay known, and an answer ends a doubt of the endpoint's version.

--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -121,6 +121,8 @@
   void RefuseToContinue(error_kind aKind, const origin_verdict& aVerdict);
   // Notes which version began the stream, once its first event was sent.
   void RecordOrigin();
+  // `aEndpoint`: the one that began it, if its version is only known from the
+  // list; empty otherwise.
   void TakeOrigin(endpoint_version_hash aVersion,
                   const endpoint_name& aEndpoint);
   // Whether the request must not be sent before it is known that the listed
--- a/thornhollow/daemon/internal/relay_session_stream.cc
+++ b/thornhollow/daemon/internal/relay_session_stream.cc
@@ -76,23 +76,30 @@
     TakeOrigin(mOrigin.value_or(AttemptVersion()), endpoint_name());
     return;
   }
-  const time_point madeAt = mAttempt->ConnectionMadeAt();
-  if (mRoute->mKind != request_kind::kResumableStream ||
-      mDispatcher.IsConfirmed(mPick, madeAt)) {
-    TakeOrigin(AttemptVersion(), mPick.mEndpoint);
+  if (mRoute->mKind != request_kind::kResumableStream) {
+    TakeOrigin(AttemptVersion(), endpoint_name());
     return;
   }
+  const time_point madeAt = mAttempt->ConnectionMadeAt();
+  switch (mDispatcher.Evidence(mPick, madeAt)) {
+    case process_evidence::kCannotAsk:
+      TakeOrigin(AttemptVersion(), mPick.mEndpoint);
+      return;
+    case process_evidence::kConfirmed:
+      TakeOrigin(mPick.mVersionHash, endpoint_name());
+      return;
+    case process_evidence::kMustAsk:
+      break;
+  }
   // Events don't wait for the answer; until then nothing continues the stream.
   mOrigin = kUnknownVersion;
   mProfile.mVersion = mOrigin;
   mDispatcher.Confirm(mPick,
                       madeAt,
                       [self = boost::intrusive_ptr<relay_session>(this),
-                       pick = mPick](bool aIsListed) {
-                        self->TakeOrigin(aIsListed
-                                           ? self->mDispatcher.VersionOf(pick)
-                                           : kUnknownVersion,
-                                         pick.mEndpoint);
+                       version = mPick.mVersionHash](bool aIsListed) {
+                        self->TakeOrigin(aIsListed ? version : kUnknownVersion,
+                                         endpoint_name());
                       });
 }
 
--- a/thornhollow/daemon/process_check.cc
+++ b/thornhollow/daemon/process_check.cc
@@ -32,11 +32,16 @@
 
 } // namespace
 
-bool
-process_check::IsConfirmed(const listed_process& aProcess,
-                           time_point aMadeAt) const
+process_evidence
+process_check::Evidence(const listed_process& aProcess,
+                        time_point aMadeAt) const
 {
-  return !CanAsk(aProcess) || mConfirmations.Covers(aProcess.mNumber, aMadeAt);
+  if (!CanAsk(aProcess)) {
+    return process_evidence::kCannotAsk;
+  }
+  return mConfirmations.Covers(aProcess.mNumber, aMadeAt)
+           ? process_evidence::kConfirmed
+           : process_evidence::kMustAsk;
 }
 
 void
@@ -44,7 +49,7 @@
                        time_point aMadeAt,
                        handler aDone)
 {
-  if (IsConfirmed(aProcess, aMadeAt)) {
+  if (Evidence(aProcess, aMadeAt) != process_evidence::kMustAsk) {
     aDone(process_verdict::kListed);
     return;
   }
--- a/thornhollow/daemon/process_check.h
+++ b/thornhollow/daemon/process_check.h
@@ -3,7 +3,7 @@
 //
 //   process_check check(io, log, metrics);
 //   check.SetStatus(path, readStartedMs);
-//   if (!check.IsConfirmed(process, madeAt)) {
+//   if (check.Evidence(process, madeAt) == process_evidence::kMustAsk) {
 //     check.Confirm(process, madeAt, [](process_verdict aVerdict) { ... });
 //   }
 //
@@ -46,6 +46,15 @@
                          const listed_process&) = default;
 };
 
+// Whether a connection is known to lead to the listed process.
+enum class process_evidence : std::uint8_t
+{
+  // The endpoint can't be asked.
+  kCannotAsk,
+  kMustAsk,
+  kConfirmed,
+};
+
 class process_check
 {
 public:
@@ -69,9 +78,9 @@
     mReader = std::move(aReader);
   }
 
-  // Whether a connection that was made then leads to the listed process, as far
-  // as can be told.
-  bool IsConfirmed(const listed_process& aProcess, time_point aMadeAt) const;
+  // Of a connection that was made then.
+  process_evidence Evidence(const listed_process& aProcess,
+                            time_point aMadeAt) const;
   // Calls `aDone` once the endpoint has answered, or has not in time; at once
   // if nothing has to be asked.
   void Confirm(const listed_process& aProcess,
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -401,12 +401,21 @@
   }
 }
 
-// Kept connections may lead to the other process, and say nothing.
 void
-relay_dispatcher::OnOtherProcess(const relay_pick& aPick, time_point aNow)
+relay_dispatcher::OnProcessAnswered(const relay_pick& aPick,
+                                    process_verdict aVerdict,
+                                    time_point aNow)
 {
-  mConnections.Forget({ aPick.mAddress, aPick.mLifetime });
-  if (const known_endpoint* known = Known(aPick)) {
+  const known_endpoint* known = Known(aPick);
+  if (known == nullptr) {
+    return;
+  }
+  if (aVerdict == process_verdict::kListed) {
+    mVersionDoubts.OnListed(aPick.mEndpoint);
+    Update(*known);
+  } else if (aVerdict == process_verdict::kOther) {
+    // They may lead to the other process, and say nothing.
+    mConnections.Forget({ aPick.mAddress, aPick.mLifetime });
     Doubt(*known, aNow);
   }
 }
@@ -429,12 +438,12 @@
            : nullptr;
 }
 
-bool
-relay_dispatcher::IsConfirmed(const relay_pick& aPick, time_point aMadeAt) const
+process_evidence
+relay_dispatcher::Evidence(const relay_pick& aPick, time_point aMadeAt) const
 {
   const known_endpoint* known = Known(aPick);
-  return known == nullptr ? !mEndpoints.contains(aPick.mEndpoint)
-                          : mProcesses.IsConfirmed(ProcessOf(*known), aMadeAt);
+  return known == nullptr ? process_evidence::kCannotAsk
+                          : mProcesses.Evidence(ProcessOf(*known), aMadeAt);
 }
 
 void
@@ -444,6 +453,7 @@
 {
   const known_endpoint* known = Known(aPick);
   if (known == nullptr) {
+    // It is listed as a new process, or no longer.
     aDone(!mEndpoints.contains(aPick.mEndpoint));
     return;
   }
@@ -451,9 +461,7 @@
     ProcessOf(*known),
     aMadeAt,
     [this, aPick, done = std::move(aDone)](process_verdict aVerdict) {
-      if (aVerdict == process_verdict::kOther) {
-        OnOtherProcess(aPick, Now());
-      }
+      OnProcessAnswered(aPick, aVerdict, Now());
       done(aVerdict == process_verdict::kListed);
     });
 }
@@ -471,8 +479,11 @@
 endpoint_version_hash
 relay_dispatcher::VersionOf(const relay_pick& aPick) const
 {
-  return mVersionDoubts.IsDoubted(aPick.mEndpoint) ? kUnknownVersion
-                                                   : aPick.mVersionHash;
+  const bool isReplaced =
+    Known(aPick) == nullptr && mEndpoints.contains(aPick.mEndpoint);
+  return isReplaced || mVersionDoubts.IsDoubted(aPick.mEndpoint)
+           ? kUnknownVersion
+           : aPick.mVersionHash;
 }
 
 std::string
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -156,24 +156,25 @@
   // Records that a connection to the endpoint could not be made, or that it
   // closed a kept one: its process may have ended.
   void OnProcessDoubted(const endpoint_process& aProcess, time_point aNow);
-  // Records that another process answered than the listed one.
-  void OnOtherProcess(const relay_pick& aPick, time_point aNow);
+  // Records whether the listed process answered.
+  void OnProcessAnswered(const relay_pick& aPick,
+                         process_verdict aVerdict,
+                         time_point aNow);
   // As `OnProcessDoubted` where an answer broke off, which alone tells nothing:
   // unless the endpoint has closed its kept connections as well.
   void OnAnswerBrokenOff(const endpoint_process& aProcess, time_point aNow);
   // The source answered this or another instance at `aAt`.
   void OnSourceAnswered(time_point aAt);
-  // Whether a connection that was made then leads to the process that was
-  // picked, as far as can be told: an endpoint that has left the list isn't
-  // asked, one that is listed as a new process is another.
-  bool IsConfirmed(const relay_pick& aPick, time_point aMadeAt) const;
+  // Whether a connection that was made then is known to lead to the process
+  // that was picked. An endpoint that has left the list isn't asked.
+  process_evidence Evidence(const relay_pick& aPick, time_point aMadeAt) const;
   // Calls `aDone` with whether it does, after the endpoint has been asked where
-  // that is necessary.
+  // that is necessary; with true where it can't be asked.
   void Confirm(const relay_pick& aPick,
                time_point aMadeAt,
                std::function<void(bool)> aDone);
   // The version of the process that was picked; `kUnknownVersion` if it is in
-  // doubt by now.
+  // doubt by now, or the endpoint is listed as a new process.
   endpoint_version_hash VersionOf(const relay_pick& aPick) const;
   // When a caller should come back to whom no endpoint of the pool could be
   // given because all rest; nothing if that is not the reason.
--- a/thornhollow/streams/stream_origins.h
+++ b/thornhollow/streams/stream_origins.h
@@ -89,8 +89,9 @@
   stream_key mStream;
   pool_name mPool;
   endpoint_version_hash mVersion = kUnknownVersion;
-  // The endpoint that wrote the stream's first event; empty if the stream began
-  // elsewhere.
+  // The endpoint that wrote the stream's first event, if its version is only
+  // known from the list; empty if the stream began elsewhere, or the endpoint's
+  // process was asked.
   endpoint_name mEndpoint = {};
 
   friend bool operator==(const begun_stream&, const begun_stream&) = default;
--- a/thornhollow/streams/stream_versions_fleet_test.cc
+++ b/thornhollow/streams/stream_versions_fleet_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -204,6 +205,39 @@
   }
 }
 
+// Endpoints start again under their names as the other version, one after the
+// other, and their entries come late.
+TEST_CASE("stream_versions/restarts_with_late_entries/streams_keep_theirs")
+{
+  constexpr int kRestarts = 2 * kEndpointsEach;
+  // Restarts are seconds apart in each fleet.
+  constexpr double kMaxStreamsPerSecond = 400;
+  for (const fleet_size& size : kSizes) {
+    CAPTURE(size.mInstances);
+    stream_fleet_settings settings = Settings(size);
+    settings.mAsksProcesses = true;
+    settings.mStreamsPerSecond =
+      std::min(settings.mStreamsPerSecond, kMaxStreamsPerSecond);
+    stream_fleet fleet(settings, 9);
+    StartAll(fleet, kOld);
+    StartAll(fleet, kNew);
+    fleet.Run(Seconds(5));
+    const duration lasts =
+      FromSeconds(kManyStreams / settings.mStreamsPerSecond);
+    const duration between = lasts / kRestarts;
+    for (int each = 0; each < kRestarts; ++each) {
+      const bool wasOld = each < kEndpointsEach;
+      const std::string name =
+        Endpoint(wasOld ? kOld : kNew, each % kEndpointsEach);
+      fleet.After(between * each, [&fleet, name, wasOld, between] {
+        fleet.Start(name, wasOld ? kNew : kOld, between / 4);
+      });
+    }
+    fleet.RunStreams(lasts);
+    CheckGoOn(fleet.Counts(), kGoOn);
+  }
+}
+
 // Callers that name no submission can't be looked up.
 TEST_CASE("stream_versions/unnamed/go_on_only_while_one_version_was_seen")
 {
--- a/thornhollow/streams/testing/stream_fleet.h
+++ b/thornhollow/streams/testing/stream_fleet.h
@@ -41,6 +41,9 @@
   bool mNamed = true;
   // Timeout of the streams' route.
   duration mLongestStream = Seconds(15);
+  // Whether instances ask endpoints which process serves, see
+  // streams/process_confirmations.h; as if no connection were kept.
+  bool mAsksProcesses = false;
 };
 
 struct stream_fleet_counts
@@ -49,7 +52,8 @@
   // Submissions that continue a stream.
   std::size_t mTakenUp = 0;
   std::size_t mGoneOn = 0;
-  // Not continued although two endpoints of the stream's version are listed.
+  // Not continued although two endpoints of the stream's version serve that are
+  // listed as what they are.
   std::size_t mLost = 0;
   // Continued at another version than the one that began them.
   std::size_t mMixed = 0;
@@ -115,6 +119,8 @@
   struct process
   {
     std::string mVersion;
+    // Different for each process.
+    std::uint64_t mNumber = 0;
   };
   struct stream
   {
@@ -159,6 +165,18 @@
              std::optional<process> aEntry);
   void Spread(const std::string& aName, std::optional<process> aEntry);
   void BeginStream();
+  void TellBegun(const stream& aStream,
+                 const std::string& aEndpoint,
+                 const process& aListed);
+  // Whether the process that serves there is the listed one.
+  bool IsListed(const std::string& aEndpoint, const process& aListed) const
+  {
+    return mRunning.at(aEndpoint).mNumber == aListed.mNumber;
+  }
+  // The process at which the instance continues a stream of that version; none
+  // if it knows no endpoint of it that it may use.
+  std::optional<process> ChooseProcess(const instance& aAt,
+                                       endpoint_version_hash aVersion);
   void Serve(const stream& aStream);
   void Watch(const stream& aStream, time_point aEnd, bool aBreaks);
   void Break(const stream& aStream);
@@ -176,6 +194,7 @@
   time_point mNow{ Seconds(1'000) };
   std::uint64_t mOrder = 0;
   std::uint64_t mLastStream = 0;
+  std::uint64_t mLastProcess = 0;
   std::priority_queue<event> mEvents;
   std::vector<instance> mInstances;
   std::map<std::string, std::size_t> mByAddress;
@@ -309,7 +328,7 @@
                     const std::string& aVersion,
                     duration aEntryDelay)
 {
-  const process started{ aVersion };
+  const process started{ aVersion, ++mLastProcess };
   mRunning[aName] = started;
   const auto enter = [this, aName, started] {
     mListed[aName] = started;
@@ -412,15 +431,51 @@
   begun.mKey =
     StreamKeyOf(kTeam, request_id("r" + std::to_string(++mLastStream)));
   ++mCounts.mBegun;
-  beginner.mOrigins->OnBegun({ begun.mKey,
-                               kPool,
-                               HashOf(endpoint->second.mVersion),
-                               endpoint_name(endpoint->first) },
-                             mNow);
-  Flush(*at);
+  if (mSettings.mAsksProcesses) {
+    After(Draw(Milliseconds(1), Milliseconds(3)),
+          [this, begun, name = endpoint->first, listed = endpoint->second] {
+            TellBegun(begun, name, listed);
+          });
+  } else {
+    TellBegun(begun, endpoint->first, endpoint->second);
+  }
   Serve(begun);
 }
 
+inline void
+stream_fleet::TellBegun(const stream& aStream,
+                        const std::string& aEndpoint,
+                        const process& aListed)
+{
+  if (!IsLive(aStream.mAt, aStream.mLife)) {
+    return;
+  }
+  const bool isOther =
+    mSettings.mAsksProcesses && !IsListed(aEndpoint, aListed);
+  mInstances[aStream.mAt].mOrigins->OnBegun(
+    { aStream.mKey,
+      kPool,
+      isOther ? kUnknownVersion : HashOf(aListed.mVersion),
+      endpoint_name(mSettings.mAsksProcesses ? std::string() : aEndpoint) },
+    mNow);
+  Flush(aStream.mAt);
+}
+
+inline std::optional<stream_fleet::process>
+stream_fleet::ChooseProcess(const instance& aAt, endpoint_version_hash aVersion)
+{
+  std::vector<process> fit;
+  for (const auto& [name, listed] : aAt.mList) {
+    const bool isFit = HashOf(listed.mVersion) == aVersion &&
+                       (!mSettings.mAsksProcesses || IsListed(name, listed));
+    if (isFit) {
+      fit.push_back(mRunning.at(name));
+    }
+  }
+  return fit.empty() ? std::nullopt
+                     : std::optional(fit[mRandom() % fit.size()]);
+}
+
 // Until the stream ends, its connection breaks, or the instance does.
 inline void
 stream_fleet::Serve(const stream& aStream)
@@ -485,17 +540,16 @@
 {
   ++mCounts.mGrounds[std::string(Name(aVerdict.mGround))];
   instance& at = mInstances[aStream.mAt];
-  const auto listed = std::ranges::count_if(at.mList, [&](const auto& aEntry) {
-    return aEntry.second.mVersion == aStream.mVersion;
-  });
-  const bool isServed = std::ranges::any_of(at.mList, [&](const auto& aEntry) {
-    return HashOf(aEntry.second.mVersion) == aVerdict.mVersion;
+  const auto serving = std::ranges::count_if(at.mList, [&](const auto& aEntry) {
+    return aEntry.second.mVersion == aStream.mVersion &&
+           IsListed(aEntry.first, aEntry.second);
   });
-  if (!isServed) {
-    mCounts.mLost += listed >= 2 ? 1 : 0;
+  const auto chosen = ChooseProcess(at, aVerdict.mVersion);
+  if (!chosen) {
+    mCounts.mLost += serving >= 2 ? 1 : 0;
     return;
   }
-  if (aVerdict.mVersion != HashOf(aStream.mVersion)) {
+  if (chosen->mVersion != aStream.mVersion) {
     ++mCounts.mMixed;
     return;
   }
