Own interface: requests of an instance that reaches no endpoint are served by another

Cause: a request could only take the instance's own connections, and nothing judged those.

Change: engines are polled for their load all the time; two polls in a row without an answer from any engine of a pool start the check that relaying instances have (endpoint_reach, whose probe is now a poll, as a proxy accepts connections and breaks them). Requests that wait here move as well. Who serves a forwarded request doesn't forward it; one with an older configuration refuses it. "Not run" is only said if no byte was sent or the other instance said it.

Open: requests that are in flight when the links break still fail until the loss is known (about 0.5 s; a second more if connections hang).

--- a/thornhollow/daemon/control_plane.cc
+++ b/thornhollow/daemon/control_plane.cc
@@ -25,6 +25,7 @@
 // could supply a configuration that the peers have already replaced.
 constexpr duration kFirstPeerTimeout = Milliseconds(500);
 constexpr duration kStatusTimeout = Milliseconds(500);
+constexpr duration kForwardQueryTimeout = Milliseconds(500);
 // An endpoint's own report that it is leaving expires after this time unless it
 // is repeated.
 constexpr duration kLeavingReportLifetime = Seconds(60);
@@ -173,6 +174,31 @@
     return others;
   }
 
+  std::vector<forward_candidate> ForwardCandidates() const
+  {
+    std::vector<forward_candidate> candidates;
+    for (const listed_instance& each : mLink.Known()) {
+      if (each.mName != mSettings.mName && !each.mLeaving) {
+        candidates.push_back({ each.mName, each.mDomain == mSettings.mDomain });
+      }
+    }
+    return candidates;
+  }
+
+  void AskToForward(const instance_name& aPeer,
+                    const forward_query& aQuery,
+                    std::function<void(std::optional<forward_offer>)> aDone)
+  {
+    mLink.Exchange(
+      aPeer,
+      aQuery,
+      kForwardQueryTimeout,
+      [done = std::move(aDone)](const std::optional<stream_message>& aAnswer) {
+        const auto* offer = AnswerAs<forward_offer>(aAnswer);
+        done(offer == nullptr ? std::nullopt : std::optional(*offer));
+      });
+  }
+
   void Drain() { mLink.Drain(); }
   void Leave() { mLink.Leave(); }
 
@@ -196,6 +222,7 @@
     listener.mOnClaim = [this](const claim_request& aRequest) {
       return mKeys.OnPeerClaim(aRequest);
     };
+    listener.mOnForwardQuery = mListener.mOnForwardQuery;
     listener.mOnPart =
       [this](const std::string& aDigest) -> std::optional<std::string> {
       const bytes_ptr held = mKeeper.Held(aDigest);
@@ -489,6 +516,21 @@
   return mCore->OtherInstances();
 }
 
+std::vector<forward_candidate>
+control_plane::ForwardCandidates() const
+{
+  return mCore->ForwardCandidates();
+}
+
+void
+control_plane::AskToForward(
+  const instance_name& aPeer,
+  const forward_query& aQuery,
+  std::function<void(std::optional<forward_offer>)> aDone)
+{
+  mCore->AskToForward(aPeer, aQuery, std::move(aDone));
+}
+
 void
 control_plane::Drain()
 {
--- a/thornhollow/daemon/control_plane.h
+++ b/thornhollow/daemon/control_plane.h
@@ -24,6 +24,8 @@
 #include "thornhollow/daemon/json_log.h"
 #include "thornhollow/daemon/key_gate.h"
 #include "thornhollow/daemon/metrics.h"
+#include "thornhollow/fleet/forward_offers.h"
+#include "thornhollow/fleet/peer_messages.h"
 #include "thornhollow/policy/crash_report.h"
 #include "thornhollow/policy/endpoint_states.h"
 #include "thornhollow/policy/pool_pressure.h"
@@ -43,6 +45,8 @@
   std::function<std::uint64_t()> mCrashDigest;
   std::function<void(const instance_name&, std::uint64_t)> mOnCrashDigest;
   std::function<void(const crash_report&)> mOnCrashReport;
+  // Whether this instance serves requests that others forward.
+  std::function<forward_offer(const forward_query&)> mOnForwardQuery;
   // Receives the entry instances of this failure domain, including this one.
   std::function<void(const std::vector<instance_name>&)> mRouters;
   // Called every 100 ms.
@@ -83,6 +87,13 @@
                        const crash_report& aReport);
   std::vector<instance_name> OtherInstances() const;
 
+  // Instances that may serve requests for this one, and the question whether
+  // one does; `aDone` is called with nullopt if it doesn't answer in time.
+  std::vector<forward_candidate> ForwardCandidates() const;
+  void AskToForward(const instance_name& aPeer,
+                    const forward_query& aQuery,
+                    std::function<void(std::optional<forward_offer>)> aDone);
+
   // Announces that this instance accepts no new work. The instance still
   // answers peers.
   void Drain();
--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -76,6 +76,20 @@
   return settings;
 }
 
+// Where other instances reach this listener. One that listens on all addresses
+// of its host is reached at that of `aPeerAddress`.
+std::string
+ReachableAddress(const std::string& aListening, const std::string& aPeerAddress)
+{
+  for (const std::string_view any : { "0.0.0.0:", "[::]:" }) {
+    if (aListening.starts_with(any)) {
+      const std::string port = aListening.substr(any.size());
+      return aPeerAddress.substr(0, aPeerAddress.rfind(':') + 1) + port;
+    }
+  }
+  return aListening;
+}
+
 } // namespace
 
 class daemon::core
@@ -100,6 +114,8 @@
         OperatorServerLimits(),
         [this](const caller_exchange_ptr& aExchange) {
           mMetrics.SetHeld(mRouter.HeldByPool());
+          mMetrics.SetContact(mRouter.Forwarder().LostPools(),
+                              mRouter.Forwarder().InProgress());
           aExchange->Send(
             OperatorsPage(aExchange->Request(), Status(), mMetrics));
         },
@@ -110,11 +126,15 @@
         [this](const endpoint_name& aName, const load_report& aReport) {
           mRouter.OnLoadReport(aName, aReport);
         },
+        [this](const endpoint& aEndpoint, bool aAnswered) {
+          mRouter.Forwarder().OnPolled(aEndpoint, aAnswered, Now());
+        },
         [this](std::size_t aBytes) { mMetrics.OnControlBytes("load", aBytes); })
     , mDrain(aIo, { &mCallers }, aLog)
   {
     mRouter.SetKeyGate(&mControl.Keys());
     mRouter.Crashes().SetPeers(CrashGuardPeers());
+    mRouter.Forwarder().SetLink(ForwarderLink());
     mRouter.OnEndpointLeaving([this](const endpoint_name& aEndpoint) {
       mControl.OnEndpointLeaving(aEndpoint);
     });
@@ -124,6 +144,8 @@
   {
     BOOST_LEAF_AUTO(caller, mCallers.Listen(mSettings.mCallerAddress));
     BOOST_LEAF_AUTO(operators, mOperators.Listen(mSettings.mOperatorAddress));
+    mRouter.Forwarder().SetCallerAddress(
+      ReachableAddress(caller, mSettings.mPeerAddress));
     BOOST_LEAF_CHECK(mControl.Open());
     mLoadPoller.Start();
     mLog.Write(log_level::kInfo,
@@ -179,6 +201,9 @@
     listener.mOnCrashReport = [this](const crash_report& aReport) {
       mRouter.Crashes().OnReport(aReport);
     };
+    listener.mOnForwardQuery = [this](const forward_query& aQuery) {
+      return mRouter.OnForwardQuery(aQuery);
+    };
     listener.mRouters = [this](const std::vector<instance_name>& aRouters) {
       mRouter.SetRouters(mSettings.mName, aRouters);
     };
@@ -214,6 +239,23 @@
     return peers;
   }
 
+  forwarder_link ForwarderLink()
+  {
+    forwarder_link link;
+    link.mCandidates = [this] { return mControl.ForwardCandidates(); };
+    link.mAsk =
+      [this](const instance_name& aPeer,
+             const forward_query& aQuery,
+             std::function<void(std::optional<forward_offer>)> aDone) {
+        mControl.AskToForward(aPeer, aQuery, std::move(aDone));
+      };
+    link.mConfiguration = [this] {
+      const auto inForce = mControl.InForce();
+      return inForce ? inForce->mVersion : 0;
+    };
+    return link;
+  }
+
   instance_status Status() const
   {
     instance_status status;
--- a/thornhollow/daemon/endpoint_reach.cc
+++ b/thornhollow/daemon/endpoint_reach.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/io_context.hpp>
 
 #include "thornhollow/net/clock.h"
-#include "thornhollow/net/endpoint_probe.h"
 
 namespace thornhollow {
 namespace {
@@ -23,9 +22,14 @@
 endpoint_reach::endpoint_reach(boost::asio::io_context& aIo,
                                json_log& aLog,
                                metrics& aMetrics)
-  : mIo(aIo)
-  , mLog(aLog)
+  : mLog(aLog)
   , mMetrics(aMetrics)
+  , mProbe([&aIo](const pool_name& /*aPool*/,
+                  const probe_target& aTarget,
+                  duration aTimeout,
+                  std::function<void(endpoint_probe)> aDone) {
+    ProbeEndpoint(aIo, aTarget.mProcess.mAddress, aTimeout, std::move(aDone));
+  })
   , mRandom(std::random_device()())
   , mChoice(mRandom())
 {
@@ -128,6 +132,25 @@
   return contacts;
 }
 
+std::optional<bool>
+endpoint_reach::Reached(const pool_name& aPool, time_point aNow) const
+{
+  const auto found = mContacts.find(aPool);
+  return found == mContacts.end() ? std::nullopt : found->second.Reached(aNow);
+}
+
+std::vector<pool_name>
+endpoint_reach::PoolsOutOfContact() const
+{
+  std::vector<pool_name> pools;
+  for (const auto& [pool, contact] : mContacts) {
+    if (contact.State() != contact_state::kReached) {
+      pools.push_back(pool);
+    }
+  }
+  return pools;
+}
+
 std::size_t
 endpoint_reach::LostPools() const
 {
@@ -161,20 +184,19 @@
   }
   for (const probe_target& each : DrawTargets(std::move(all), due)) {
     mMetrics.OnEvent("endpoint_contact_probe");
-    ProbeEndpoint(
-      mIo,
-      each.mProcess.mAddress,
-      kProbeTimeout,
-      [this, aPool, process = each.mProcess](endpoint_probe aProbe) {
-        const bool accepts = aProbe.mVerdict == probe_verdict::kAccepts;
-        if (accepts && mOnSpareConnection) {
-          mOnSpareConnection(process, std::move(aProbe.mConnection));
-        }
-        endpoint_contact& probed = Contact(aPool);
-        const contact_state state = probed.State();
-        probed.OnProbed(accepts, Now());
-        LogChange(aPool, state);
-      });
+    mProbe(aPool,
+           each,
+           kProbeTimeout,
+           [this, aPool, process = each.mProcess](endpoint_probe aProbe) {
+             const bool accepts = aProbe.mVerdict == probe_verdict::kAccepts;
+             if (aProbe.mConnection && mOnSpareConnection) {
+               mOnSpareConnection(process, std::move(aProbe.mConnection));
+             }
+             endpoint_contact& probed = Contact(aPool);
+             const contact_state state = probed.State();
+             probed.OnProbed(accepts, Now());
+             LogChange(aPool, state);
+           });
   }
 }
 
--- a/thornhollow/daemon/endpoint_reach.h
+++ b/thornhollow/daemon/endpoint_reach.h
@@ -27,6 +27,7 @@
 #include "thornhollow/fleet/forward_choice.h"
 #include "thornhollow/fleet/relay_peers.h"
 #include "thornhollow/net/endpoint_connections.h"
+#include "thornhollow/net/endpoint_probe.h"
 #include "thornhollow/policy/endpoint_contact.h"
 
 namespace boost::asio {
@@ -48,6 +49,11 @@
 {
 public:
   using target_list = std::vector<probe_target>;
+  using probe_function =
+    std::function<void(const pool_name& aPool,
+                       const probe_target& aTarget,
+                       duration aTimeout,
+                       std::function<void(endpoint_probe)> aDone)>;
 
   // `aLog` and `aMetrics` must outlive this object.
   endpoint_reach(boost::asio::io_context& aIo,
@@ -63,6 +69,8 @@
   {
     mPeers = std::move(aPeers);
   }
+  // Replaces the probe, which opens a connection.
+  void SetProbe(probe_function aProbe) { mProbe = std::move(aProbe); }
   // Takes the unused connection of a probe that an endpoint accepted.
   void OnSpareConnection(std::function<void(const endpoint_process&,
                                             endpoint_connection_ptr)> aListener)
@@ -93,8 +101,12 @@
 
   // What other instances are told, for at most a handful of pools.
   std::vector<pool_contact> Contacts(time_point aNow) const;
+  // The same of one pool; nullopt without evidence.
+  std::optional<bool> Reached(const pool_name& aPool, time_point aNow) const;
   // Pools whose endpoints this instance doesn't reach.
   std::size_t LostPools() const;
+  // Pools of which some requests are to be forwarded.
+  std::vector<pool_name> PoolsOutOfContact() const;
   std::size_t Forwarded() const { return mChoice.InFlight(); }
 
   void Tick(time_point aNow);
@@ -106,11 +118,11 @@
   target_list DrawTargets(target_list aAll, std::size_t aCount);
   void LogChange(const pool_name& aPool, contact_state aBefore);
 
-  boost::asio::io_context& mIo;
   json_log& mLog;
   metrics& mMetrics;
   std::function<target_list(const pool_name&)> mEndpoints;
   std::function<std::vector<forward_peer>(const pool_name&)> mPeers;
+  probe_function mProbe;
   std::function<void(const endpoint_process&, endpoint_connection_ptr)>
     mOnSpareConnection;
   std::mt19937_64 mRandom;
--- a/thornhollow/daemon/load_poller.cc
+++ b/thornhollow/daemon/load_poller.cc
@@ -18,8 +18,9 @@
 // Timeout of one poll: a load report that takes longer than this is too old to
 // be useful.
 constexpr duration kPollTimeout = Seconds(1);
+// A poll that times out is told of a little later.
+constexpr duration kPauseMargin = Milliseconds(100);
 constexpr std::size_t kMaxReportBytes = 4096;
-constexpr std::string_view kLoadPath = "/v1/load";
 constexpr unsigned kOk = 200;
 // Maximum age that a load report may state, in milliseconds. A larger age is
 // implausible and is reduced to this maximum.
@@ -50,9 +51,11 @@
 public:
   loop(boost::asio::io_context& aIo,
        listener aOnReport,
+       answer_listener aOnAnswered,
        std::function<void(std::size_t)> aOnBytes)
     : mIo(aIo)
     , mOnReport(std::move(aOnReport))
+    , mOnAnswered(std::move(aOnAnswered))
     , mOnBytes(std::move(aOnBytes))
     , mTimer(aIo)
   {
@@ -90,24 +93,28 @@
   {
     fetch_call call;
     call.mAddress = aEndpoint.mAddress;
-    call.mTarget = kLoadPath;
+    call.mTarget = std::string(kLoadPath);
     call.mTimeout = kPollTimeout;
     call.mMaxBytes = kMaxReportBytes;
     Fetch(mIo,
           call,
-          [self = shared_from_this(), name = aEndpoint.mName, sentAt = Now()](
+          [self = shared_from_this(), aEndpoint, sentAt = Now()](
             const fetch_outcome& aOutcome) {
             // A report that waited in the socket while this process was
             // paused would be dated by its arrival and appear fresh.
-            if (Now() - sentAt <= kPollTimeout) {
-              self->OnOutcome(name, aOutcome);
+            if (Now() - sentAt <= kPollTimeout + kPauseMargin) {
+              self->OnOutcome(aEndpoint, aOutcome);
             }
           });
   }
 
-  void OnOutcome(const endpoint_name& aName, const fetch_outcome& aOutcome)
+  void OnOutcome(const endpoint& aEndpoint, const fetch_outcome& aOutcome)
   {
-    if (!mOnReport || !aOutcome) {
+    if (!mOnReport) {
+      return;
+    }
+    mOnAnswered(aEndpoint, aOutcome.has_value());
+    if (!aOutcome) {
       return;
     }
     mOnBytes(aOutcome->mExchangedBytes);
@@ -115,12 +122,13 @@
       return;
     }
     if (const auto report = ReadLoadReport(aOutcome->mBody, Now())) {
-      mOnReport(aName, *report);
+      mOnReport(aEndpoint.mName, *report);
     }
   }
 
   boost::asio::io_context& mIo;
   listener mOnReport;
+  answer_listener mOnAnswered;
   std::function<void(std::size_t)> mOnBytes;
   boost::asio::steady_timer mTimer;
   std::vector<endpoint> mEndpoints;
@@ -129,9 +137,12 @@
 
 load_poller::load_poller(boost::asio::io_context& aIo,
                          listener aOnReport,
+                         answer_listener aOnAnswered,
                          std::function<void(std::size_t)> aOnBytes)
-  : mLoop(
-      std::make_shared<loop>(aIo, std::move(aOnReport), std::move(aOnBytes)))
+  : mLoop(std::make_shared<loop>(aIo,
+                                 std::move(aOnReport),
+                                 std::move(aOnAnswered),
+                                 std::move(aOnBytes)))
 {
 }
 
--- a/thornhollow/daemon/load_poller.h
+++ b/thornhollow/daemon/load_poller.h
@@ -39,9 +39,13 @@
   using listener =
     std::function<void(const endpoint_name&, const load_report&)>;
 
+  // Receives whether an endpoint answered a poll, with a report or without.
+  using answer_listener = std::function<void(const endpoint&, bool)>;
+
   // `aOnBytes` receives the byte count of each exchange.
   load_poller(boost::asio::io_context& aIo,
               listener aOnReport,
+              answer_listener aOnAnswered,
               std::function<void(std::size_t)> aOnBytes);
   load_poller(const load_poller&) = delete;
   load_poller& operator=(const load_poller&) = delete;
@@ -58,6 +62,9 @@
   std::shared_ptr<loop> mLoop;
 };
 
+// Path at which engines publish their load.
+inline constexpr std::string_view kLoadPath = "/v1/load";
+
 // Parses the body of a `GET /v1/load` response. The measurement time is
 // `aArrival` minus the stated age. Returns nullopt if the body is not a load
 // report.
--- a/thornhollow/daemon/peer_link.cc
+++ b/thornhollow/daemon/peer_link.cc
@@ -330,7 +330,18 @@
     return config_status_exchange{ mListener.mOwnStatus() };
   }
 
+  std::optional<stream_message> Answer(const instance_name& /*aSender*/,
+                                       const forward_query& aQuery)
+  {
+    return mListener.mOnForwardQuery(aQuery);
+  }
+
   // Answers are not valid as requests.
+  static std::optional<stream_message> Answer(const instance_name&,
+                                              const forward_offer&)
+  {
+    return std::nullopt;
+  }
   static std::optional<stream_message> Answer(const instance_name&,
                                               const claim_answer&)
   {
--- a/thornhollow/daemon/peer_link.h
+++ b/thornhollow/daemon/peer_link.h
@@ -55,6 +55,7 @@
   std::function<config_word()> mOwnStatus;
   std::function<void(const instance_name&, const config_hint&)> mOnHint;
   std::function<claim_answer(const claim_request&)> mOnClaim;
+  std::function<forward_offer(const forward_query&)> mOnForwardQuery;
   // Returns the bytes of a part or manifest held here, or nullopt.
   std::function<std::optional<std::string>(const std::string& aDigest)> mOnPart;
   // Returns the digest to send to peers, see `crash_suspects::Digest`.
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -19,6 +19,7 @@
 #include "thornhollow/daemon/live_request.h"
 #include "thornhollow/net/clock.h"
 #include "thornhollow/policy/endpoint_reservations.h"
+#include "thornhollow/request/forwarding_headers.h"
 
 namespace thornhollow {
 namespace {
@@ -56,8 +57,15 @@
     , mScheduler(aSettings.mScheduler, mRandom())
     , mSchedulerTimer(aIo)
     , mCrashes(aIo, aLog, aMetrics)
+    , mForwarder(aIo, aLog, aMetrics)
   {
     mCrashes.SetEndpoints([this] { return EndpointAddresses(); });
+    mForwarder.SetRefusal([this](error_kind aKind) {
+      return Refusal(aKind, JitteredRetryDelay(), NewId());
+    });
+    mForwarder.SetEndpoints(
+      [this](const pool_name& aPool) { return ProbeTargets(aPool); },
+      [this](const pool_name& aPool) { return IsEnginePool(aPool); });
   }
 
   void PutInForce(catalog_ptr aCatalog)
@@ -74,12 +82,33 @@
                   mDraining ? error_kind::kDraining : error_kind::kNotReady);
       return;
     }
+    if (!mForwarder.MayServe(aExchange->Request())) {
+      RefuseEarly(*aExchange, error_kind::kNotReady);
+      return;
+    }
     intake_verdict read = ReadIntake(aExchange->Request(), *mCatalog);
     if (const auto* error = std::get_if<error_kind>(&read)) {
       RefuseEarly(*aExchange, *error);
       return;
     }
-    Admit(std::move(aExchange), std::get<intake>(std::move(read)));
+    intake accepted = std::get<intake>(std::move(read));
+    if (!request_forwarder::IsForwarded(aExchange->Request()) &&
+        mForwarder.ShouldForward(accepted.mPool, Now())) {
+      mMetrics.OnRequest(accepted.mClass);
+      Forward(std::move(aExchange), std::move(accepted));
+      return;
+    }
+    mMetrics.OnRequest(accepted.mClass);
+    Admit(std::move(aExchange), std::move(accepted));
+  }
+
+  request_forwarder& Forwarder() { return mForwarder; }
+
+  forward_offer OnForwardQuery(const forward_query& aQuery) const
+  {
+    return mDraining || mCatalog == nullptr
+             ? forward_offer{}
+             : mForwarder.Offer(aQuery, mLive.size(), Now());
   }
 
   void OnEndpointLeaving(std::function<void(const endpoint_name&)> aListener)
@@ -146,6 +175,8 @@
 
   void Tick()
   {
+    mForwarder.Tick(Now());
+    ForwardWaiting();
     mCrashes.Tick(Now());
     UpdateReserved();
     Apply(mScheduler.Tick(Now()));
@@ -165,7 +196,10 @@
 
   void BeginDrain() { mDraining = true; }
 
-  std::size_t InProgress() const { return mLive.size(); }
+  std::size_t InProgress() const
+  {
+    return mLive.size() + mForwarder.InProgress();
+  }
 
   std::map<pool_name, held_requests> HeldByPool() const
   {
@@ -188,6 +222,80 @@
   }
 
 private:
+  // Has another instance serve the request; this one tries if none takes it.
+  void Forward(caller_exchange_ptr aExchange, intake aIntake)
+  {
+    request_to_forward request{ std::move(aExchange),
+                                aIntake.mPool,
+                                aIntake.mClass,
+                                {},
+                                aIntake.mIdempotent };
+    request.mDeadline = request.mExchange->Arrival() + aIntake.mDeadline;
+    mForwarder.Forward(
+      std::move(request),
+      [this, read = std::move(aIntake)](caller_exchange_ptr aUnserved) {
+        Admit(std::move(aUnserved), read);
+      });
+  }
+
+  // Requests that wait for an endpoint that can't be reached any more.
+  void ForwardWaiting()
+  {
+    const time_point now = Now();
+    for (const pool_name& pool : mForwarder.PoolsOutOfContact()) {
+      std::vector<live_request_ptr> waiting;
+      for (const auto& [number, live] : mLive) {
+        if (live->mIntake.mPool == pool && MayBeForwarded(*live)) {
+          waiting.push_back(live);
+        }
+      }
+      for (const live_request_ptr& each : waiting) {
+        if (mForwarder.ShouldForward(pool, now)) {
+          Release(*each);
+          Forward(each->mExchange, each->mIntake);
+        }
+      }
+    }
+  }
+
+  static bool MayBeForwarded(const live_request& aLive)
+  {
+    return aLive.mAttempt == nullptr && aLive.mKeyStage == key_stage::kNone &&
+           aLive.mMachine.DeliveredTokens() == 0 && !aLive.mHeldSince &&
+           (aLive.mMachine.Ran() == ran::kNo || aLive.mIntake.mIdempotent) &&
+           !request_forwarder::IsForwarded(aLive.mExchange->Request());
+  }
+
+  // Forgets a request that waits, without an answer to it.
+  void Release(live_request& aLive)
+  {
+    const ticket number = aLive.mTicket;
+    aLive.mTimer.cancel();
+    aLive.mExchange->OnLeft(nullptr);
+    mCrashes.OnSendEnded(aLive.mFingerprint, number, Now());
+    mLive.erase(number);
+    Apply(mScheduler.Forget(number, Now()));
+  }
+
+  endpoint_reach::target_list ProbeTargets(const pool_name& aPool) const
+  {
+    endpoint_reach::target_list targets;
+    for (const endpoint& each : mCatalog->Declared().mEndpoints) {
+      if (std::ranges::count(each.mPools, aPool) > 0 &&
+          mReservations.IsLive(each.mName)) {
+        targets.push_back({ { each.mAddress, 0 }, each.mDomain });
+      }
+    }
+    return targets;
+  }
+
+  bool IsEnginePool(const pool_name& aPool) const
+  {
+    return std::ranges::any_of(
+      mCatalog->Declared().mModels,
+      [&](const model& aModel) { return PoolOf(aModel.mName) == aPool; });
+  }
+
   void Admit(caller_exchange_ptr aExchange, intake aIntake)
   {
     const time_point arrival = aExchange->Arrival();
@@ -206,7 +314,6 @@
                                          .mTeam = read.mTeam.Text(),
                                          .mBody = read.mBody });
     mLive.emplace(number, live);
-    mMetrics.OnRequest(live->mIntake.mClass);
     live->mExchange->OnLeft(
       [this, number] { PostEvent(number, caller_left{}); });
     if (live->mIntake.mIdempotencyKey.empty()) {
@@ -426,6 +533,9 @@
     }
     live_request& live = *found->second;
     const bool isLost = std::holds_alternative<connection_lost>(aEvent);
+    if (isLost || std::holds_alternative<connect_failed>(aEvent)) {
+      mForwarder.OnAttemptFailed(live.mIntake.mPool, Now());
+    }
     if (const auto* notice = std::get_if<endpoint_notice>(&aEvent)) {
       TakeNotice(live.mEndpoint, *notice);
     }
@@ -722,7 +832,12 @@
 
   void RefuseEarly(caller_exchange& aExchange, error_kind aKind)
   {
-    aExchange.Send(Refusal(aKind, JitteredRetryDelay(), NewId()));
+    whole_reply reply = Refusal(aKind, JitteredRetryDelay(), NewId());
+    if (request_forwarder::IsForwarded(aExchange.Request())) {
+      reply.mHeaders.push_back(
+        { std::string(kForwardingErrorHeader), std::string(Name(aKind)) });
+    }
+    aExchange.Send(std::move(reply));
   }
 
   whole_reply Refusal(error_kind aKind,
@@ -756,6 +871,7 @@
   boost::asio::steady_timer mSchedulerTimer;
   std::optional<time_point> mSchedulerDue;
   crash_guard mCrashes;
+  request_forwarder mForwarder;
   endpoint_reservations mReservations;
   // `crash_guard::ReservationChanges` as of the last `UpdateReserved`.
   std::uint64_t mReservationChanges = 0;
@@ -809,6 +925,18 @@
   return mCore->Crashes();
 }
 
+request_forwarder&
+router::Forwarder()
+{
+  return mCore->Forwarder();
+}
+
+forward_offer
+router::OnForwardQuery(const forward_query& aQuery) const
+{
+  return mCore->OnForwardQuery(aQuery);
+}
+
 void
 router::PutInForce(catalog_ptr aCatalog)
 {
--- a/thornhollow/daemon/router.h
+++ b/thornhollow/daemon/router.h
@@ -23,6 +23,7 @@
 #include "thornhollow/daemon/json_log.h"
 #include "thornhollow/daemon/key_gate.h"
 #include "thornhollow/daemon/metrics.h"
+#include "thornhollow/daemon/request_forwarder.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/policy/scheduler.h"
 
@@ -74,6 +75,12 @@
   // Keeps requests that end endpoints from doing so again.
   crash_guard& Crashes();
 
+  // Has other instances serve requests whose endpoints can't be reached here.
+  request_forwarder& Forwarder();
+  // The answer to another instance's question whether this one serves such
+  // requests.
+  forward_offer OnForwardQuery(const forward_query& aQuery) const;
+
   // Returns the endpoints that this instance uses, with their estimated state.
   std::vector<endpoint_status> Endpoints() const;
 
--- a/thornhollow/fleet/peer_messages.h
+++ b/thornhollow/fleet/peer_messages.h
@@ -231,12 +231,37 @@
                          const config_status_exchange&) = default;
 };
 
+// Asks whether the receiver serves requests to the pool that callers of the
+// sender made, who can't be served there.
+struct forward_query
+{
+  pool_name mPool;
+  // Version of the configuration by which the sender accepts requests.
+  std::uint64_t mConfiguration = 0;
+
+  friend bool operator==(const forward_query&, const forward_query&) = default;
+};
+
+struct forward_offer
+{
+  // Where the instance takes such requests, "ip:port"; empty if it takes none.
+  std::string mAddress;
+  // Whether it reaches endpoints of the pool, rather than has no evidence.
+  bool mInContact = false;
+  // Requests in progress at the instance.
+  std::uint32_t mInProgress = 0;
+
+  friend bool operator==(const forward_offer&, const forward_offer&) = default;
+};
+
 // One frame on a peer TCP connection.
 using stream_message = std::variant<claim_request,
                                     claim_answer,
                                     part_request,
                                     part_answer,
-                                    config_status_exchange>;
+                                    config_status_exchange,
+                                    forward_query,
+                                    forward_offer>;
 
 } // namespace thornhollow
 
--- a/thornhollow/testing/process/cut_off_test.py
+++ b/thornhollow/testing/process/cut_off_test.py
@@ -4,52 +4,18 @@
 import time
 import unittest
 
-import harness
+from own_cut_off_site import CONTACT_S, OwnCutOff
 
-# From this long after a cut began, callers are owed what others get.
-CONTACT_S = 3.0
 LEAST_SHARE = 0.95
-REQUESTS = 20
 
 
-class CutOff(harness.SiteTest):
-
-    def begin(self):
-        """Two instances; each reads the endpoints' addresses, its own paths to
-        them, from a platform of its own. They are told of each other once they
-        are ready, or one would take the other's addresses with its
-        configuration."""
-        self.own_paths = []
-        self.fleet = []
-        platforms = []
-        engines = [self.engine(f"e{number}") for number in range(2)]
-        for name in ("d1", "d2"):
-            self.platform = self.start("fake-platform")
-            paths = [self.start("fault-proxy", f"--target={engine.address}")
-                     for engine in engines]
-            for engine, path in zip(engines, paths):
-                engine.entry["address"] = path.address
-            self.publish()
-            self.own_paths.append(paths)
-            settings = self.settings_for(name, self.platform.address)
-            settings["seeds"] = ""
-            self.fleet.append(self.daemon(name, settings=settings))
-            platforms.append(self.platform)
-        for self.platform in platforms:
-            self.publish_instances()
-
-    def served(self, daemon):
-        calls = [harness.Background(
-            harness.chat, daemon.address, "notes", tokens=5)
-            for _ in range(REQUESTS)]
-        return sum(call.result().end == "done" for call in calls) / REQUESTS
+class CutOff(OwnCutOff):
 
     def check(self, fault):
         self.begin()
         for daemon in self.fleet:
             self.assertEqual(self.served(daemon), 1.0)
-        for path in self.own_paths[0]:
-            path.mode(fault=fault)
+        self.cut(0, fault)
         time.sleep(CONTACT_S)
         others = self.served(self.fleet[1])
         there = self.served(self.fleet[0])
--- a/thornhollow/wire/codec.cc
+++ b/thornhollow/wire/codec.cc
@@ -264,6 +264,23 @@
   {
     mOut.__set_word(ToWire(aExchange.mStatus));
   }
+
+  void operator()(const forward_query& aQuery)
+  {
+    wire::forward_query out;
+    out.__set_pool(aQuery.mPool.Text());
+    out.__set_configuration(Signed(aQuery.mConfiguration));
+    mOut.__set_ask_forward(out);
+  }
+
+  void operator()(const forward_offer& aOffer)
+  {
+    wire::forward_offer out;
+    out.__set_address(aOffer.mAddress);
+    out.__set_in_contact(aOffer.mInContact);
+    out.__set_in_progress(static_cast<std::int32_t>(aOffer.mInProgress));
+    mOut.__set_answer_forward(out);
+  }
 };
 
 std::optional<stream_message>
@@ -324,6 +341,26 @@
   return part_answer{ aWire.digest, aWire.found, aWire.bytes };
 }
 
+std::optional<stream_message>
+FromWire(const wire::forward_query& aWire)
+{
+  if (!IsName(aWire.pool)) {
+    return std::nullopt;
+  }
+  return forward_query{ pool_name(aWire.pool), Unsigned(aWire.configuration) };
+}
+
+std::optional<stream_message>
+FromWire(const wire::forward_offer& aWire)
+{
+  if (aWire.address.size() > kMaxNameBytes) {
+    return std::nullopt;
+  }
+  return forward_offer{ aWire.address,
+                        aWire.in_contact,
+                        static_cast<std::uint32_t>(aWire.in_progress) };
+}
+
 std::optional<stream_message>
 FromWire(const wire::stream_message& aWire)
 {
@@ -339,6 +376,12 @@
   if (aWire.__isset.answer_part) {
     return FromWire(aWire.answer_part);
   }
+  if (aWire.__isset.ask_forward) {
+    return FromWire(aWire.ask_forward);
+  }
+  if (aWire.__isset.answer_forward) {
+    return FromWire(aWire.answer_forward);
+  }
   if (aWire.__isset.word) {
     const auto word = FromWire(aWire.word);
     return word ? std::optional<stream_message>(config_status_exchange{ *word })
--- a/thornhollow/wire/codec_test.cc
+++ b/thornhollow/wire/codec_test.cc
@@ -60,7 +60,10 @@
     config_status_exchange{ { revision{ 12, std::string(64, 'a') },
                               revision{ 13, std::string(64, '0') },
                               Seconds(3) } },
-    config_status_exchange{}
+    config_status_exchange{},
+    forward_query{ pool_name("dispatch"), 77 },
+    forward_offer{ "127.0.0.1:8080", true, 9 },
+    forward_offer{}
   };
   for (const stream_message& each : all) {
     CHECK(DecodeStream(EncodeStream(each)).value() == each);
--- a/thornhollow/wire/thornhollow.thrift
+++ b/thornhollow/wire/thornhollow.thrift
@@ -121,6 +121,19 @@
   3: binary bytes
 }
 
+// Asks whether the receiver serves requests to a pool for the sender.
+struct forward_query {
+  1: string pool
+  2: i64 configuration
+}
+
+struct forward_offer {
+  // Where it takes them; empty: it doesn't.
+  1: string address
+  2: bool in_contact
+  3: i32 in_progress
+}
+
 // Exactly one field is set.
 struct stream_message {
   1: optional claim_request ask_claim
@@ -129,6 +142,8 @@
   4: optional part_answer answer_part
   // 5 and 6 were another form of the word.
   7: optional config_word word
+  8: optional forward_query ask_forward
+  9: optional forward_offer answer_forward
 }
 
 // What the message authentication code covers.
