--- a/thornhollow/fleet/forward_offers_test.cc
+++ b/thornhollow/fleet/forward_offers_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstddef>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,7 @@
   static std::vector<forward_candidate> Others(int aOwn, int aForeign)
   {
     std::vector<forward_candidate> others;
+    others.reserve(static_cast<std::size_t>(aOwn + aForeign));
     for (int each = 0; each < aOwn + aForeign; ++each) {
       others.push_back(
         { instance_name("e" + std::to_string(each)), each < aOwn });
