--- a/thornhollow/streams/testing/stream_fleet.h
+++ b/thornhollow/streams/testing/stream_fleet.h
@@ -163,7 +163,7 @@
   void Apply(std::size_t aInstance,
              const std::string& aName,
              std::optional<process> aEntry);
-  void Spread(const std::string& aName, std::optional<process> aEntry);
+  void Spread(const std::string& aName, const std::optional<process>& aEntry);
   void BeginStream();
   void TellBegun(const stream& aStream,
                  const std::string& aEndpoint,
@@ -349,7 +349,8 @@
 }
 
 inline void
-stream_fleet::Spread(const std::string& aName, std::optional<process> aEntry)
+stream_fleet::Spread(const std::string& aName,
+                     const std::optional<process>& aEntry)
 {
   for (std::size_t each = 0; each < mInstances.size(); ++each) {
     After(Draw({}, kListDelay),
