--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -283,7 +283,8 @@
     for (const endpoint& each : mCatalog->Declared().mEndpoints) {
       if (std::ranges::count(each.mPools, aPool) > 0 &&
           mReservations.IsLive(each.mName)) {
-        targets.push_back({ { each.mAddress, 0 }, each.mDomain });
+        const endpoint_process process{ each.mAddress, 0 };
+        targets.push_back(probe_target{ process, each.mDomain });
       }
     }
     return targets;
