--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -97,6 +97,9 @@
   // ---- The answer: relay_session_answer.cc
 
   void OnHead(relay_answer_head& aHead);
+  // Whether the answer is taken, of which `aSuccess` tells the status. If not,
+  // the attempt has been ended.
+  bool AcceptsHead(const relay_answer_head& aHead, bool aSuccess);
   // Takes what the endpoint says of itself. Returns its process if it leaves.
   std::optional<endpoint_process_hash> TakeMarks(
     const relay_answer_head& aHead);
--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -45,36 +45,7 @@
   const auto leaving = TakeMarks(aHead);
   const bool success =
     aHead.mStatus >= kStatusOk && aHead.mStatus < kStatusRedirect;
-  if (aHead.mMarks.mNotRun) {
-    OnFailure(attempt_failure::kDeclined,
-              "status " + std::to_string(aHead.mStatus),
-              false);
-    return;
-  }
-  if (success && !aHead.mMarks.mSigned) {
-    OnFailure(attempt_failure::kGarbled,
-              "success status without a signature header",
-              true);
-    return;
-  }
-  if (!success && mAnswer.Begun()) {
-    OnFailure(
-      attempt_failure::kFailed, "endpoint did not resume the stream", true);
-    return;
-  }
-  if (ImpliesNotRun(aHead.mStatus)) {
-    OnFailure(attempt_failure::kFailed,
-              "status " + std::to_string(aHead.mStatus),
-              false);
-    return;
-  }
-  // Another instance has made its own retries.
-  if (aHead.mStatus >= kStatusServerError && !IsAtPeer() &&
-      TakeRetryForServerError()) {
-    mRetryCharged = true;
-    OnFailure(attempt_failure::kFailed,
-              "status " + std::to_string(aHead.mStatus),
-              false);
+  if (!AcceptsHead(aHead, success)) {
     return;
   }
   if (IsAtPeer()) {
@@ -102,6 +73,44 @@
   }
 }
 
+bool
+relay_session::AcceptsHead(const relay_answer_head& aHead, bool aSuccess)
+{
+  if (aHead.mMarks.mNotRun) {
+    OnFailure(attempt_failure::kDeclined,
+              "status " + std::to_string(aHead.mStatus),
+              false);
+    return false;
+  }
+  if (aSuccess && !aHead.mMarks.mSigned) {
+    OnFailure(attempt_failure::kGarbled,
+              "success status without a signature header",
+              true);
+    return false;
+  }
+  if (!aSuccess && mAnswer.Begun()) {
+    OnFailure(
+      attempt_failure::kFailed, "endpoint did not resume the stream", true);
+    return false;
+  }
+  if (ImpliesNotRun(aHead.mStatus)) {
+    OnFailure(attempt_failure::kFailed,
+              "status " + std::to_string(aHead.mStatus),
+              false);
+    return false;
+  }
+  // Another instance has made its own retries.
+  if (aHead.mStatus >= kStatusServerError && !IsAtPeer() &&
+      TakeRetryForServerError()) {
+    mRetryCharged = true;
+    OnFailure(attempt_failure::kFailed,
+              "status " + std::to_string(aHead.mStatus),
+              false);
+    return false;
+  }
+  return true;
+}
+
 std::optional<endpoint_process_hash>
 relay_session::TakeMarks(const relay_answer_head& aHead)
 {
