--- a/thornhollow/streams/origin_holders_test.cc
+++ b/thornhollow/streams/origin_holders_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -12,6 +13,12 @@
 
 constexpr std::uint64_t kStreams = 200;
 
+struct fleet_size
+{
+  std::size_t mInstances;
+  std::size_t mDomains;
+};
+
 std::vector<known_instance>
 Fleet(std::size_t aInstances, std::size_t aDomains)
 {
@@ -52,13 +59,10 @@
 // Whoever continues a stream has to ask an instance that was told.
 TEST_CASE("origin_holders/any_two_instances/asked_were_told")
 {
-  for (const auto& [instances, domains] : { std::pair(3, 3),
-                                            std::pair(8, 3),
-                                            std::pair(30, 3),
-                                            std::pair(420, 11) }) {
-    CAPTURE(instances);
-    const auto fleet = Fleet(static_cast<std::size_t>(instances),
-                             static_cast<std::size_t>(domains));
+  for (const fleet_size& size :
+       { fleet_size{ 3, 3 }, { 8, 3 }, { 30, 3 }, { 420, 11 } }) {
+    CAPTURE(size.mInstances);
+    const auto fleet = Fleet(size.mInstances, size.mDomains);
     CHECK(Found(fleet, 0, fleet, 1) == kStreams);
     CHECK(Found(fleet, 2, fleet, 0) == kStreams);
   }
