Own interface: services are served by way of another instance too

Found by reading: a service isn't polled, so that no other instance has evidence of reaching it, and requests were forwarded only to instances with evidence.

--- a/thornhollow/daemon/request_forwarder.cc
+++ b/thornhollow/daemon/request_forwarder.cc
@@ -1,6 +1,5 @@
 #include "thornhollow/daemon/request_forwarder.h"
 
-#include <algorithm>
 #include <memory>
 #include <random>
 #include <utility>
@@ -384,9 +383,10 @@
 bool
 request_forwarder::ShouldForward(const pool_name& aPool, time_point aNow)
 {
+  // One without evidence for or against may serve: a service that nobody has
+  // called lately isn't polled.
   return mReach.ShouldForward(aPool, aNow) &&
-         std::ranges::any_of(mOffers.Peers(aPool, aNow),
-                             &forward_peer::mInContact);
+         !mOffers.Peers(aPool, aNow).empty();
 }
 
 void
--- a/thornhollow/testing/process/forwarding_test.py
+++ b/thornhollow/testing/process/forwarding_test.py
@@ -38,6 +38,17 @@
                         'thornhollow_events_total{event="request_forwarded"'),
             0)
 
+    def test_service_is_reached_by_way_of_another(self):
+        self.begin()
+        self.cut(0, "refuse")
+        harness.wait_until(lambda: self.look_up().end == "done",
+                           "a look-up is served")
+        for _ in range(10):
+            self.assertEqual(self.look_up().end, "done")
+
+    def look_up(self):
+        return harness.ask(self.fleet[0].address, "/lookups", {"n": 1})
+
     def test_refusals_are_the_instances_own(self):
         self.begin_cut()
         answer = harness.ask(self.fleet[0].address, "/v1/chat/completions",
--- a/thornhollow/testing/process/own_cut_off_site.py
+++ b/thornhollow/testing/process/own_cut_off_site.py
@@ -27,12 +27,15 @@
         platforms = []
         self.engines = [self.engine(f"e{number}", *engine_options)
                         for number in range(2)]
+        services = [self.service("lookups", f"s{number}")
+                    for number in range(2)]
+        endpoints = self.engines + services
         for name in names:
             self.platform = self.start("fake-platform")
-            paths = [self.start("fault-proxy", f"--target={engine.address}")
-                     for engine in self.engines]
-            for engine, path in zip(self.engines, paths):
-                engine.entry["address"] = path.address
+            paths = [self.start("fault-proxy", f"--target={each.address}")
+                     for each in endpoints]
+            for each, path in zip(endpoints, paths):
+                each.entry["address"] = path.address
             self.publish()
             self.own_paths.append(paths)
             settings = self.settings_for(name, self.platform.address)
