--- a/thornhollow/testing/process/relay_late_entry_unseen_test.py
+++ b/thornhollow/testing/process/relay_late_entry_unseen_test.py
@@ -34,11 +34,7 @@
     def test_stream_broken_off_goes_on_at_no_new_process(self):
         self.begin()
         self.restart_as(self.engines[1], "v2")
-        for engine in self.engines:
-            engine.mode = "cut"
-        callers = self.callers()
-        for caller in callers:
-            caller.submit(self.fleet[0])
+        callers = self.broken_off_streams(self.fleet[0])
         self.assert_sound(callers)
         self.assertTrue(any(each.complete for each in callers))
 
@@ -67,11 +63,7 @@
 
     def test_stream_broken_off_there_goes_on_at_no_new_process(self):
         self.begin()
-        for engine in self.engines:
-            engine.mode = "cut"
-        callers = self.callers()
-        for caller in callers:
-            caller.submit(self.fleet[0])
+        callers = self.broken_off_streams(self.fleet[0])
         self.assert_sound(callers)
         self.assertTrue(any(each.complete for each in callers))
 
--- a/thornhollow/testing/process/relay_stream_resumed_test.py
+++ b/thornhollow/testing/process/relay_stream_resumed_test.py
@@ -11,11 +11,7 @@
 
     def test_stream_broken_off_by_its_endpoint_goes_on_at_its_version(self):
         self.begin()
-        for engine in self.engines:
-            engine.mode = "cut"
-        callers = self.callers()
-        for number, caller in enumerate(callers):
-            caller.submit(self.fleet[number % 3])
+        callers = self.broken_off_streams(*self.fleet)
         self.assert_go_on(callers)
 
     def test_last_endpoint_of_a_version_ends_streams_visibly(self):
@@ -24,11 +20,7 @@
             self.store.delete(f"servers/{engine.name}")
         harness.wait_until(
             lambda: len(self.fleet[0].events("endpoint_gone")) == 2, "two left")
-        for engine in self.engines:
-            engine.mode = "cut"
-        callers = self.callers()
-        for caller in callers:
-            caller.submit(self.fleet[0])
+        callers = self.broken_off_streams(self.fleet[0])
         self.assert_sound(callers)
         self.assertFalse(any(each.complete for each in callers))
 
@@ -37,11 +29,7 @@
 
     def test_broken_off_goes_on_at_its_version(self):
         self.begin()
-        for engine in self.engines:
-            engine.mode = "cut"
-        callers = self.callers()
-        for caller in callers:
-            caller.submit(self.fleet[0])
+        callers = self.broken_off_streams(self.fleet[0])
         self.assert_go_on(callers)
 
 
--- a/thornhollow/testing/process/two_versions_site.py
+++ b/thornhollow/testing/process/two_versions_site.py
@@ -54,6 +54,15 @@
             engine.mode = "decline"
         return made
 
+    def broken_off_streams(self, *daemons):
+        """Streams at the daemons in turn, each broken off by its endpoint."""
+        for engine in self.engines:
+            engine.mode = "cut"
+        made = self.callers()
+        for number, caller in enumerate(made):
+            caller.submit(daemons[number % len(daemons)])
+        return made
+
     def take_up(self, callers, daemon):
         for caller in callers:
             caller.submit(daemon)
