--- a/thornhollow/fleet/forward_offers_test.cc
+++ b/thornhollow/fleet/forward_offers_test.cc
@@ -21,11 +21,12 @@
   forward_offers mOffers{ mSettings, 1 };
   time_point mNow{ Seconds(100) };
 
-  static std::vector<forward_candidate> Others(int aOwn, int aForeign)
+  static std::vector<forward_candidate> Others(std::size_t aOwn,
+                                               std::size_t aForeign)
   {
     std::vector<forward_candidate> others;
-    others.reserve(static_cast<std::size_t>(aOwn + aForeign));
-    for (int each = 0; each < aOwn + aForeign; ++each) {
+    others.reserve(aOwn + aForeign);
+    for (std::size_t each = 0; each < aOwn + aForeign; ++each) {
       others.push_back(
         { instance_name("e" + std::to_string(each)), each < aOwn });
     }
