--- a/thornhollow/fleet/brittle_endpoints_test.cc
+++ b/thornhollow/fleet/brittle_endpoints_test.cc
@@ -367,6 +367,7 @@
   for (const fleet_size& size : { fleet_size{ 3, 6, 1'000 },
                                   { 8, 12, 1'000 },
                                   { 85, 45, 100 },
+                                  { 90, 99, 50 },
                                   { 420, 850, 2 } }) {
     int seedsWithFalls = 0;
     int most = 0;
