--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -30,6 +30,8 @@
 NOT_RUN = "X-Not-Executed"
 LEAVING = "Server-Leaving"
 FRAMING = ("Content-Length", "Transfer-Encoding")
+STREAM_HEADERS = {"Content-Type": "text/event-stream",
+                  "Transfer-Encoding": "chunked"}
 # Instances that the platform names to each one.
 MOST_SEEDS = 3
 
@@ -378,6 +380,9 @@
         # back after `back_after_s` as a new lifetime: another name at the same
         # address, while its old entry expires only `expires_after_s` later.
         self.end_on = None
+        # So does a prompt with one of these parts, unless it is the last one:
+        # after the head of the answer, before its first event.
+        self.end_on_parts = set()
         self.back_after_s = 1.0
         self.expires_after_s = 0.5
         self.store = None
@@ -447,6 +452,11 @@
             # Others that run here end with it.
             time.sleep(0.05)
             return self.end(call.headers[ID])
+        if self.end_on_parts.intersection(self.shared_parts(call)):
+            self.head(call, 200, True, STREAM_HEADERS)
+            call.wfile.flush()
+            time.sleep(0.05)
+            return self.end(call.headers[ID])
         if self.slow_on and self.slow_on in body:
             time.sleep(self.slow_s)
         if self.mode == "hang":
@@ -457,6 +467,12 @@
             return self.whole(call, 200, f"body of {self.name}".encode())
         return self.stream(call)
 
+    @staticmethod
+    def shared_parts(call):
+        """Of the prompt, all but the last."""
+        entries = call.headers.get("X-Prompt-Prefix", "").split(",")
+        return {entry.split(":")[0] for entry in entries[:-1]}
+
     def head(self, call, status, signed, more):
         call.send_response(status)
         call.send_header(ID, call.headers[ID])
@@ -520,8 +536,7 @@
 
     def stream(self, call):
         first = int(call.headers.get("Last-Event-Id", 0)) + 1
-        self.head(call, 200, True, {"Content-Type": "text/event-stream",
-                                    "Transfer-Encoding": "chunked"})
+        self.head(call, 200, True, STREAM_HEADERS)
         if call.broken_off:
             return self.break_off(call, self.event(first),
                                   self.event(first + 1))
