Logs tell which parts of prompts requests share

The machinery of suspected requests names what it knows a feature; only contents are features so far, nothing is decided differently.

--- a/thornhollow/daemon/crash_guard.cc
+++ b/thornhollow/daemon/crash_guard.cc
@@ -60,7 +60,7 @@
 }
 
 void
-crash_guard::OnOutput(request_fingerprint aRequest,
+crash_guard::OnOutput(request_feature aRequest,
                       std::uint64_t aTicket,
                       time_point aNow)
 {
@@ -69,7 +69,7 @@
 }
 
 void
-crash_guard::OnSendEnded(request_fingerprint aRequest,
+crash_guard::OnSendEnded(request_feature aRequest,
                          std::uint64_t aTicket,
                          time_point aNow)
 {
@@ -78,14 +78,14 @@
 }
 
 duration
-crash_guard::RejectionTime(request_fingerprint aRequest, time_point aNow) const
+crash_guard::RejectionTime(request_feature aRequest, time_point aNow) const
 {
   const auto until = mSuspects.RejectedUntil(aRequest);
   return until ? std::max(*until - aNow, duration::zero()) : duration::zero();
 }
 
 void
-crash_guard::OnRejected(const request_id& aId, request_fingerprint aRequest)
+crash_guard::OnRejected(const request_id& aId, request_feature aRequest)
 {
   mMetrics.OnEvent("suspect_rejected");
   mLog.WriteRequest(
--- a/thornhollow/daemon/intake.cc
+++ b/thornhollow/daemon/intake.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string_view>
 
+#include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -93,6 +94,19 @@
   return error ? 0 : number;
 }
 
+std::vector<request_feature>
+MessageFeatures(const pool_name& aPool, const boost::json::array& aMessages)
+{
+  std::vector<std::string> texts;
+  for (const boost::json::value& each : aMessages) {
+    texts.push_back(boost::json::serialize(each));
+  }
+  if (!texts.empty()) {
+    texts.pop_back();
+  }
+  return PartFeatures(aPool.Text(), { texts.begin(), texts.end() });
+}
+
 // Fills in the fields specific to a completion. Returns the error, or nullopt
 // on success.
 std::optional<error_kind>
@@ -121,6 +135,7 @@
   const std::string prompt = PromptText(*body);
   aInto.mEngine = true;
   aInto.mPool = PoolOf(model_name(modelText));
+  aInto.mPartFeatures = MessageFeatures(aInto.mPool, messages->get_array());
   aInto.mPrefix = Hash64(std::string_view(prompt).substr(0, kPrefixBytes));
   aInto.mPromptTokens =
     static_cast<std::uint32_t>(prompt.size() / kBytesPerToken) + 1;
--- a/thornhollow/daemon/intake.h
+++ b/thornhollow/daemon/intake.h
@@ -11,9 +11,11 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "thornhollow/base/error.h"
 #include "thornhollow/base/ids.h"
+#include "thornhollow/base/request_feature.h"
 #include "thornhollow/base/time.h"
 #include "thornhollow/config/catalog.h"
 #include "thornhollow/net/caller_server.h"
@@ -39,6 +41,8 @@
   // Whether the caller asked for a streamed response.
   bool mStream = false;
   std::uint64_t mPrefix = 0;
+  // Of all messages of a completion but the last, which is the request's own.
+  std::vector<request_feature> mPartFeatures;
   std::uint32_t mPromptTokens = 0;
   std::uint32_t mMaxOutputTokens = 0;
   // The caller's Idempotency-Key header; empty if absent.
--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -15,7 +15,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include "thornhollow/base/request_fingerprint.h"
+#include "thornhollow/base/request_feature.h"
 #include "thornhollow/daemon/relay_dispatcher.h"
 #include "thornhollow/daemon/relayed_answer.h"
 #include "thornhollow/net/caller_server.h"
@@ -50,6 +50,7 @@
   // Looks up route, team and pool. Returns the reason for a refusal, or nullopt
   // on success.
   std::optional<error_kind> FindRoute();
+  request_features ReadFeatures() const;
   // Admits the request, or refuses it, and makes its first attempt.
   void Admit();
   // Ends a request that ends the endpoints that run it.
@@ -206,7 +207,7 @@
   const routed_team* mTeam = nullptr;
   const pool_name* mPool = nullptr;
   request_profile mProfile;
-  request_fingerprint mFingerprint;
+  request_features mFeatures;
   // Identifies this submission among those of the same content.
   std::uint64_t mTicket;
   // Since when the request waits for another submission of the same content.
--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -272,7 +272,9 @@
 relay_session::SuspectAttempt(const relay_pick& aPick,
                               std::size_t aPoolSize) const
 {
-  return { mFingerprint, mTicket, EndpointHash(aPick.mEndpoint), aPoolSize };
+  return {
+    mFeatures.mContent, mTicket, EndpointHash(aPick.mEndpoint), aPoolSize
+  };
 }
 
 std::optional<relay_pick>
--- a/thornhollow/daemon/internal/router_actions.cc
+++ b/thornhollow/daemon/internal/router_actions.cc
@@ -64,7 +64,7 @@
   if (aAction.mHow == attempt_end::kDeclinedLeaving && mOnLeaving) {
     mOnLeaving(aLive.mEndpoint);
   }
-  mCrashes.OnSendEnded(aLive.mFingerprint, aLive.mTicket, Now());
+  mCrashes.OnSendEnded(aLive.mFeatures.mContent, aLive.mTicket, Now());
   Apply(mScheduler.OnAttemptEnded(
     aLive.mTicket, aAction.mHow, aAction.mTokens, Now()));
 }
@@ -78,7 +78,8 @@
              { { "reason", std::string(Name(aAction.mReason)) },
                { "class", aLive.mIntake.mClass.Text() },
                { "endpoint", aLive.mEndpoint.Text() },
-               { "fingerprint", Text(aLive.mFingerprint) },
+               { "fingerprint", Text(aLive.mFeatures.mContent) },
+               { "parts", PartsText(aLive.mFeatures) },
                { "request_id", aLive.mId.Text() } });
   Apply(mScheduler.Resubmit(aLive.mTicket, Now()));
 }
--- a/thornhollow/daemon/internal/router_admission.cc
+++ b/thornhollow/daemon/internal/router_admission.cc
@@ -73,7 +73,7 @@
   const ticket number = aLive.mTicket;
   aLive.mTimer.cancel();
   aLive.mExchange->OnLeft(nullptr);
-  mCrashes.OnSendEnded(aLive.mFingerprint, number, Now());
+  mCrashes.OnSendEnded(aLive.mFeatures.mContent, number, Now());
   mLive.erase(number);
   Apply(mScheduler.Forget(number, Now()));
 }
@@ -114,10 +114,11 @@
   auto live = live_request_ptr(new live_request(
     mIo, number, std::move(facts), std::move(aIntake), std::move(aExchange)));
   const intake& read = live->mIntake;
-  live->mFingerprint = FingerprintOf({ .mMethod = read.mMethod,
-                                       .mTarget = read.mPath,
-                                       .mTeam = read.mTeam.Text(),
-                                       .mBody = read.mBody });
+  live->mFeatures = { ContentFeature(FingerprintOf({ .mMethod = read.mMethod,
+                                                     .mTarget = read.mPath,
+                                                     .mTeam = read.mTeam.Text(),
+                                                     .mBody = read.mBody })),
+                      read.mPartFeatures };
   mLive.emplace(number, live);
   live->mExchange->OnLeft([this, number] { PostEvent(number, caller_left{}); });
   if (live->mIntake.mIdempotencyKey.empty()) {
--- a/thornhollow/daemon/live_request.h
+++ b/thornhollow/daemon/live_request.h
@@ -11,7 +11,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include "thornhollow/base/request_fingerprint.h"
+#include "thornhollow/base/request_feature.h"
 #include "thornhollow/daemon/intake.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/endpoint_attempt.h"
@@ -58,7 +58,7 @@
   intake mIntake;
   caller_exchange_ptr mExchange;
   boost::intrusive_ptr<endpoint_attempt> mAttempt;
-  request_fingerprint mFingerprint;
+  request_features mFeatures;
   // Whether the current attempt's request is being sent, and whether the
   // endpoint has produced output for it.
   bool mSending = false;
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -61,16 +61,13 @@
   }
   mProfile.mVersion = mOrigin;
   mProfile.mTeam = mTeam == nullptr ? team_name() : mTeam->mName;
-  mFingerprint = FingerprintOf({ .mMethod = request.mMethod,
-                                 .mTarget = request.mTarget,
-                                 .mTeam = mProfile.mTeam.Text(),
-                                 .mBody = request.mBody });
+  mFeatures = ReadFeatures();
   mProfile.mDeadline = mExchange->Arrival() + timeout;
   mProfile.mIsRetry =
     ToSeconds(timeout) < ToSeconds(mRoute->mTimeout) * kRetryTimeoutFraction;
   mMetricsClass = MetricsClass(*mRoute, mProfile.mTier);
   mDispatcher.Metrics().OnRequest(mMetricsClass);
-  if (mDispatcher.Crashes().IsRejected(mFingerprint, Now())) {
+  if (mDispatcher.Crashes().IsRejected(mFeatures.mContent, Now())) {
     RejectSuspect();
     return;
   }
@@ -85,6 +82,26 @@
   Admit();
 }
 
+request_features
+relay_session::ReadFeatures() const
+{
+  const caller_request& request = mExchange->Request();
+  const request_fingerprint content =
+    FingerprintOf({ .mMethod = request.mMethod,
+                    .mTarget = request.mTarget,
+                    .mTeam = mProfile.mTeam.Text(),
+                    .mBody = request.mBody });
+  // The last part of a prompt is the request's own, as its content is.
+  std::vector<std::string_view> shared;
+  for (const prompt_part& each : mRelayRequest.mParts) {
+    shared.push_back(each.mId);
+  }
+  if (!shared.empty()) {
+    shared.pop_back();
+  }
+  return { ContentFeature(content), PartFeatures(mPool->Text(), shared) };
+}
+
 void
 relay_session::Admit()
 {
@@ -153,13 +170,13 @@
 void
 relay_session::RejectSuspect()
 {
-  mDispatcher.Crashes().OnRejected(mRelayRequest.mId, mFingerprint);
+  mDispatcher.Crashes().OnRejected(mRelayRequest.mId, mFeatures.mContent);
   if (mMayHaveRun) {
     GiveUp(FinalError(Progress()));
     return;
   }
   Refuse(error_kind::kRequestEndsEndpoints,
-         mDispatcher.Crashes().RejectionTime(mFingerprint, Now()));
+         mDispatcher.Crashes().RejectionTime(mFeatures.mContent, Now()));
 }
 
 void
@@ -223,7 +240,7 @@
   mDone = true;
   mTimer.cancel();
   LeaveRoomQueue();
-  mDispatcher.Crashes().OnSendEnded(mFingerprint, mTicket, Now());
+  mDispatcher.Crashes().OnSendEnded(mFeatures.mContent, mTicket, Now());
   mExchange->OnLeft(nullptr);
   ReportStreamEnded();
   LogOutcome(aOutcome);
--- a/thornhollow/fleet/testing/crash_fleet.h
+++ b/thornhollow/fleet/testing/crash_fleet.h
@@ -175,7 +175,7 @@
 
   struct submission
   {
-    request_fingerprint mContent;
+    request_feature mContent;
     // Number of the culprit; nothing for an innocent request.
     std::optional<std::size_t> mCulprit = std::nullopt;
     bool mIsRepeat = false;
--- a/thornhollow/policy/crash_report.h
+++ b/thornhollow/policy/crash_report.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "thornhollow/base/endpoint_hash.h"
-#include "thornhollow/base/request_fingerprint.h"
+#include "thornhollow/base/request_feature.h"
 #include "thornhollow/base/time.h"
 
 namespace thornhollow {
@@ -24,7 +24,7 @@
   endpoint_hash mEndpoint = 0;
   // Time since the process ended.
   duration mAge{};
-  request_fingerprint mRequest;
+  request_feature mRequest;
   // Whether the request ran there as a trial: all instances kept other new
   // requests off the endpoint.
   bool mTrial = false;
@@ -36,7 +36,7 @@
 // A suspected request runs, or is about to run, at an endpoint.
 struct suspect_run
 {
-  request_fingerprint mRequest;
+  request_feature mRequest;
   endpoint_hash mEndpoint = 0;
   // The instance that sends the request; differs for each process.
   std::uint64_t mInstance = 0;
@@ -57,7 +57,7 @@
 // endpoints that ended before were not ended by this request.
 struct suspect_clearance
 {
-  request_fingerprint mRequest;
+  request_feature mRequest;
   // Time since the output.
   duration mAge{};
 
--- a/thornhollow/policy/crash_suspects.cc
+++ b/thornhollow/policy/crash_suspects.cc
@@ -48,7 +48,7 @@
 send_decision
 crash_suspects::Decide(const suspect_attempt& aAttempt, time_point aNow)
 {
-  const request_fingerprint request = aAttempt.mRequest;
+  const request_feature request = aAttempt.mRequest;
   run* own = OwnRun(request);
   const bool isMine = own != nullptr && own->mTicket == aAttempt.mTicket;
   if (IsRejected(request, aNow)) {
@@ -104,14 +104,14 @@
 }
 
 bool
-crash_suspects::IsRejected(request_fingerprint aRequest, time_point aNow) const
+crash_suspects::IsRejected(request_feature aRequest, time_point aNow) const
 {
   const auto found = mRejectedUntil.find(aRequest);
   return found != mRejectedUntil.end() && aNow < found->second;
 }
 
 std::optional<time_point>
-crash_suspects::RejectedUntil(request_fingerprint aRequest) const
+crash_suspects::RejectedUntil(request_feature aRequest) const
 {
   const auto found = mRejectedUntil.find(aRequest);
   return found == mRejectedUntil.end() ? std::nullopt
@@ -119,14 +119,14 @@
 }
 
 std::size_t
-crash_suspects::EndedUnder(request_fingerprint aRequest) const
+crash_suspects::EndedUnder(request_feature aRequest) const
 {
   const auto found = mByRequest.find(aRequest);
   return found == mByRequest.end() ? 0 : found->second.size();
 }
 
 void
-crash_suspects::OnOutput(request_fingerprint aRequest,
+crash_suspects::OnOutput(request_feature aRequest,
                          std::uint64_t aTicket,
                          time_point aNow)
 {
@@ -163,7 +163,7 @@
 }
 
 void
-crash_suspects::OnSendEnded(request_fingerprint aRequest,
+crash_suspects::OnSendEnded(request_feature aRequest,
                             std::uint64_t aTicket,
                             time_point aNow)
 {
@@ -176,7 +176,7 @@
 }
 
 void
-crash_suspects::Close(request_fingerprint aRequest, std::uint64_t aTicket)
+crash_suspects::Close(request_feature aRequest, std::uint64_t aTicket)
 {
   const auto open = mOpen.find(aRequest);
   if (open == mOpen.end()) {
@@ -191,7 +191,7 @@
 }
 
 void
-crash_suspects::AnnounceOpen(request_fingerprint aRequest, time_point aNow)
+crash_suspects::AnnounceOpen(request_feature aRequest, time_point aNow)
 {
   const auto open = mOpen.find(aRequest);
   if (open != mOpen.end() && OwnRun(aRequest) == nullptr &&
@@ -450,7 +450,7 @@
 void
 crash_suspects::AddSighting(endpoint_hash aEndpoint,
                             time_point aAt,
-                            request_fingerprint aRequest,
+                            request_feature aRequest,
                             bool aTrial,
                             time_point aNow)
 {
@@ -482,8 +482,7 @@
 }
 
 void
-crash_suspects::EraseFromCrash(crash_number aNumber,
-                               request_fingerprint aRequest)
+crash_suspects::EraseFromCrash(crash_number aNumber, request_feature aRequest)
 {
   crash& ended = mCrashes.at(aNumber);
   mSightingCount -= ended.mSuspects.erase(aRequest);
@@ -493,13 +492,13 @@
 }
 
 void
-crash_suspects::EraseRequest(request_fingerprint aRequest)
+crash_suspects::EraseRequest(request_feature aRequest)
 {
   EraseUntil(aRequest, time_point::max());
 }
 
 bool
-crash_suspects::EraseUntil(request_fingerprint aRequest, time_point aUntil)
+crash_suspects::EraseUntil(request_feature aRequest, time_point aUntil)
 {
   const auto found = mByRequest.find(aRequest);
   if (found == mByRequest.end()) {
@@ -550,14 +549,14 @@
 }
 
 bool
-crash_suspects::IsCleared(request_fingerprint aRequest, time_point aSince) const
+crash_suspects::IsCleared(request_feature aRequest, time_point aSince) const
 {
   const auto found = mClearances.find(aRequest);
   return found != mClearances.end() && found->second >= aSince;
 }
 
 void
-crash_suspects::Clear(request_fingerprint aRequest, time_point aAt)
+crash_suspects::Clear(request_feature aRequest, time_point aAt)
 {
   if (EraseUntil(aRequest, aAt)) {
     if (const auto runs = mRuns.find(aRequest); runs != mRuns.end()) {
@@ -580,8 +579,7 @@
 }
 
 bool
-crash_suspects::IsExplained(const crash& aCrash,
-                            request_fingerprint aRequest) const
+crash_suspects::IsExplained(const crash& aCrash, request_feature aRequest) const
 {
   if (mRejectedUntil.empty()) {
     return false;
@@ -593,7 +591,7 @@
 
 bool
 crash_suspects::MayBeCoincidence(const crash& aCrash,
-                                 request_fingerprint aRequest) const
+                                 request_feature aRequest) const
 {
   const auto others = std::ranges::count_if(mCrashes, [&](const auto& aEntry) {
     const crash& other = aEntry.second;
@@ -616,7 +614,7 @@
 
 double
 crash_suspects::Evidence(const crash& aCrash,
-                         request_fingerprint aRequest,
+                         request_feature aRequest,
                          time_point aNow) const
 {
   if (!aCrash.mSuspects.at(aRequest) ||
@@ -629,13 +627,13 @@
 void
 crash_suspects::JudgeAll(time_point aNow)
 {
-  for (const request_fingerprint each : mJudged) {
+  for (const request_feature each : mJudged) {
     Judge(each, aNow);
   }
 }
 
 void
-crash_suspects::Judge(request_fingerprint aRequest, time_point aNow)
+crash_suspects::Judge(request_feature aRequest, time_point aNow)
 {
   double evidence = 0;
   bool isConclusive = false;
@@ -673,7 +671,7 @@
 }
 
 crash_suspects::run*
-crash_suspects::OwnRun(request_fingerprint aRequest)
+crash_suspects::OwnRun(request_feature aRequest)
 {
   const auto runs = mRuns.find(aRequest);
   if (runs == mRuns.end()) {
@@ -685,7 +683,7 @@
 }
 
 bool
-crash_suspects::RunsElsewhere(request_fingerprint aRequest,
+crash_suspects::RunsElsewhere(request_feature aRequest,
                               const run* aOwn,
                               time_point aNow) const
 {
@@ -763,9 +761,7 @@
 }
 
 void
-crash_suspects::EndOwnRun(request_fingerprint aRequest,
-                          time_point aNow,
-                          bool aTell)
+crash_suspects::EndOwnRun(request_feature aRequest, time_point aNow, bool aTell)
 {
   run* own = OwnRun(aRequest);
   if (own == nullptr) {
@@ -831,18 +827,18 @@
   if (mSightingCount <= mSettings.mMaxSightings) {
     return;
   }
-  std::vector<request_fingerprint> requests;
+  std::vector<request_feature> requests;
   for (const auto& [request, numbers] : mByRequest) {
     requests.push_back(request);
   }
   std::ranges::sort(
-    requests, std::ranges::less(), [this](request_fingerprint aRequest) {
+    requests, std::ranges::less(), [this](request_feature aRequest) {
       const auto& numbers = mByRequest.at(aRequest);
       return std::tuple(numbers.size(), numbers.back(), aRequest);
     });
   const std::size_t target =
     mSettings.mMaxSightings - mSettings.mMaxSightings / 8;
-  for (const request_fingerprint each : requests) {
+  for (const request_feature each : requests) {
     if (mSightingCount <= target) {
       return;
     }
--- a/thornhollow/policy/crash_suspects.h
+++ b/thornhollow/policy/crash_suspects.h
@@ -51,7 +51,7 @@
 #include <variant>
 #include <vector>
 
-#include "thornhollow/base/request_fingerprint.h"
+#include "thornhollow/base/request_feature.h"
 #include "thornhollow/base/time.h"
 #include "thornhollow/policy/crash_report.h"
 
@@ -106,7 +106,7 @@
 // An attempt that is about to be sent, or was.
 struct suspect_attempt
 {
-  request_fingerprint mRequest;
+  request_feature mRequest;
   // Identifies the submission at this instance.
   std::uint64_t mTicket = 0;
   endpoint_hash mEndpoint = 0;
@@ -139,7 +139,7 @@
 // A request that is rejected from now on.
 struct crash_rejection
 {
-  request_fingerprint mRequest;
+  request_feature mRequest;
   // Endpoints that ended under it.
   std::vector<endpoint_hash> mEndpoints;
 
@@ -158,14 +158,14 @@
   // whatever led to it.
   send_decision BeforeSend(const suspect_attempt& aAttempt, time_point aNow);
   // Whether the request must not be sent to any endpoint.
-  bool IsRejected(request_fingerprint aRequest, time_point aNow) const;
+  bool IsRejected(request_feature aRequest, time_point aNow) const;
   // Until when the request is rejected, if it is.
-  std::optional<time_point> RejectedUntil(request_fingerprint aRequest) const;
+  std::optional<time_point> RejectedUntil(request_feature aRequest) const;
   // Number of endpoints that ended under the request since it was last cleared.
-  std::size_t EndedUnder(request_fingerprint aRequest) const;
+  std::size_t EndedUnder(request_feature aRequest) const;
 
   // The endpoint has produced output for the request.
-  void OnOutput(request_fingerprint aRequest,
+  void OnOutput(request_feature aRequest,
                 std::uint64_t aTicket,
                 time_point aNow);
   // The endpoint's process ended at `aEndedAt`, and the attempt was open there
@@ -174,7 +174,7 @@
                        time_point aEndedAt,
                        time_point aNow);
   // The attempt ended in another way, or is not sent after all.
-  void OnSendEnded(request_fingerprint aRequest,
+  void OnSendEnded(request_feature aRequest,
                    std::uint64_t aTicket,
                    time_point aNow);
 
@@ -215,7 +215,7 @@
     endpoint_hash mEndpoint = 0;
     time_point mAt{};
     // By request; whether it ran there as a trial.
-    std::map<request_fingerprint, bool> mSuspects;
+    std::map<request_feature, bool> mSuspects;
   };
   using crash_number = std::uint64_t;
   struct run
@@ -237,14 +237,14 @@
   // Names of the items that reports are made of.
   struct run_key
   {
-    request_fingerprint mRequest;
+    request_feature mRequest;
     std::uint64_t mInstance = 0;
 
     friend bool operator==(const run_key&, const run_key&) = default;
   };
   struct clearance_key
   {
-    request_fingerprint mRequest;
+    request_feature mRequest;
 
     friend bool operator==(const clearance_key&,
                            const clearance_key&) = default;
@@ -252,7 +252,7 @@
   struct sighting_key
   {
     crash_number mCrash = 0;
-    request_fingerprint mRequest;
+    request_feature mRequest;
 
     friend bool operator==(const sighting_key&, const sighting_key&) = default;
   };
@@ -265,7 +265,7 @@
     time_point mNextAt{};
   };
   // By request, then by instance.
-  using run_table = std::map<request_fingerprint, std::map<std::uint64_t, run>>;
+  using run_table = std::map<request_feature, std::map<std::uint64_t, run>>;
 
   void AddNews(const item_key& aKey);
   // The most important item has the smallest value.
@@ -278,35 +278,34 @@
   crash_number FindOrAddCrash(endpoint_hash aEndpoint, time_point aAt);
   void AddSighting(endpoint_hash aEndpoint,
                    time_point aAt,
-                   request_fingerprint aRequest,
+                   request_feature aRequest,
                    bool aTrial,
                    time_point aNow);
-  void EraseRequest(request_fingerprint aRequest);
+  void EraseRequest(request_feature aRequest);
   // Forgets the request's sightings of ends until then. Returns whether there
   // were any.
-  bool EraseUntil(request_fingerprint aRequest, time_point aUntil);
+  bool EraseUntil(request_feature aRequest, time_point aUntil);
   // Removes the sighting from its crash alone.
-  void EraseFromCrash(crash_number aNumber, request_fingerprint aRequest);
+  void EraseFromCrash(crash_number aNumber, request_feature aRequest);
   void EraseCrash(crash_number aNumber);
-  bool IsCleared(request_fingerprint aRequest, time_point aSince) const;
-  void Clear(request_fingerprint aRequest, time_point aAt);
+  bool IsCleared(request_feature aRequest, time_point aSince) const;
+  void Clear(request_feature aRequest, time_point aAt);
   // Whether another request, which is rejected, was open when the endpoint
   // ended.
-  bool IsExplained(const crash& aCrash, request_fingerprint aRequest) const;
+  bool IsExplained(const crash& aCrash, request_feature aRequest) const;
   bool HasLikelyCause(const crash& aCrash) const;
-  bool MayBeCoincidence(const crash& aCrash,
-                        request_fingerprint aRequest) const;
+  bool MayBeCoincidence(const crash& aCrash, request_feature aRequest) const;
   // How much the end tells about the request: 1 for a conclusive trial.
   double Evidence(const crash& aCrash,
-                  request_fingerprint aRequest,
+                  request_feature aRequest,
                   time_point aNow) const;
   // Judges every request under which enough endpoints have ended. A judgement
   // may change in either direction, as reports arrive in any order.
   void JudgeAll(time_point aNow);
-  void Judge(request_fingerprint aRequest, time_point aNow);
-  run* OwnRun(request_fingerprint aRequest);
+  void Judge(request_feature aRequest, time_point aNow);
+  run* OwnRun(request_feature aRequest);
   // Whether a run of another instance goes before the own one.
-  bool RunsElsewhere(request_fingerprint aRequest,
+  bool RunsElsewhere(request_feature aRequest,
                      const run* aOwn,
                      time_point aNow) const;
   send_decision Decide(const suspect_attempt& aAttempt, time_point aNow);
@@ -320,12 +319,12 @@
                 bool aTrial,
                 bool aStarted,
                 time_point aNow);
-  void EndOwnRun(request_fingerprint aRequest, time_point aNow, bool aTell);
+  void EndOwnRun(request_feature aRequest, time_point aNow, bool aTell);
   // Removes the submission's attempt from `mOpen`.
-  void Close(request_fingerprint aRequest, std::uint64_t aTicket);
+  void Close(request_feature aRequest, std::uint64_t aTicket);
   // Announces an attempt that was sent before the request was a suspect, so
   // that no other instance sends the request meanwhile.
-  void AnnounceOpen(request_fingerprint aRequest, time_point aNow);
+  void AnnounceOpen(request_feature aRequest, time_point aNow);
   void MergeRun(const suspect_run& aRun, time_point aNow);
   void CountReserved(time_point aNow);
   void DropExcess();
@@ -336,16 +335,16 @@
   std::uint32_t mNextRun = 1;
   std::map<crash_number, crash> mCrashes;
   std::unordered_map<endpoint_hash, crash_number> mLastCrash;
-  std::unordered_map<request_fingerprint, std::vector<crash_number>> mByRequest;
-  std::unordered_map<request_fingerprint, time_point> mClearances;
-  std::unordered_map<request_fingerprint, time_point> mRejectedUntil;
+  std::unordered_map<request_feature, std::vector<crash_number>> mByRequest;
+  std::unordered_map<request_feature, time_point> mClearances;
+  std::unordered_map<request_feature, time_point> mRejectedUntil;
   // Requests under which at least `mMaxEnded` endpoints have ended, explained
   // or not.
-  std::set<request_fingerprint> mJudged;
+  std::set<request_feature> mJudged;
   std::vector<crash_rejection> mNewRejections;
   run_table mRuns;
   // Attempts of this instance that have been sent and have no output.
-  std::unordered_map<request_fingerprint, std::vector<suspect_attempt>> mOpen;
+  std::unordered_map<request_feature, std::vector<suspect_attempt>> mOpen;
   std::vector<news> mNews;
   std::size_t mSightingCount = 0;
   // Number of runs that reserve an endpoint; a cheap test for sends.
--- a/thornhollow/policy/crash_suspects_test.cc
+++ b/thornhollow/policy/crash_suspects_test.cc
@@ -8,8 +8,8 @@
 namespace thornhollow {
 namespace {
 
-constexpr request_fingerprint kCulprit{ 7 };
-constexpr request_fingerprint kBystander{ 8 };
+constexpr request_feature kCulprit{ 7 };
+constexpr request_feature kBystander{ 8 };
 constexpr std::size_t kPool = 12;
 constexpr std::size_t kNoLimit = 1U << 20U;
 
@@ -41,7 +41,7 @@
     }
   }
 
-  static suspect_attempt Attempt(request_fingerprint aRequest,
+  static suspect_attempt Attempt(request_feature aRequest,
                                  endpoint_hash aEndpoint,
                                  std::uint64_t aTicket = 1)
   {
@@ -71,7 +71,7 @@
   // Sends the attempt and ends its endpoint under it; returns whether it was
   // sent.
   bool SendAndEnd(std::size_t aInstance,
-                  request_fingerprint aRequest,
+                  request_feature aRequest,
                   endpoint_hash aEndpoint)
   {
     const suspect_attempt attempt = Attempt(aRequest, aEndpoint);
--- a/thornhollow/wire/internal/crash_codec.cc
+++ b/thornhollow/wire/internal/crash_codec.cc
@@ -33,7 +33,7 @@
 {
   for (std::size_t from = 0; from + kFixedBytes <= aBytes.size();
        from += kFixedBytes) {
-    const request_fingerprint request{ ReadFixed(aBytes, from) };
+    const request_feature request{ ReadFixed(aBytes, from) };
     aOut.push_back({ static_cast<endpoint_hash>(aEnd.endpoint),
                      FromWireMilliseconds(aEnd.age_ms),
                      request,
