--- a/thornhollow/base/request_feature.cc
+++ b/thornhollow/base/request_feature.cc
@@ -77,7 +77,10 @@
   std::string text;
   const std::size_t shown = std::min(aFeatures.mParts.size(), kMaxLoggedParts);
   for (std::size_t each = 0; each < shown; ++each) {
-    text += (each == 0 ? "" : " ") + Text(aFeatures.mParts[each]);
+    if (each > 0) {
+      text += ' ';
+    }
+    text += Text(aFeatures.mParts[each]);
   }
   return text;
 }
--- a/thornhollow/fleet/testing/crash_part_cases.h
+++ b/thornhollow/fleet/testing/crash_part_cases.h
@@ -67,8 +67,8 @@
   std::size_t mMostEnded = 0;
   std::size_t mFleetsOverUsual = 0;
   std::size_t mMostLate = 0;
-  double mServedMeanwhile = 1;
-  double mServedAfter = 1;
+  double mServedMeanwhile = 0;
+  double mServedAfter = 0;
   std::size_t mInnocents = 0;
   std::size_t mRejected = 0;
   std::size_t mRejectedByPart = 0;
@@ -78,6 +78,64 @@
 
 using prepare_fleet = std::function<void(crash_fleet&)>;
 
+// Adds what one fleet showed to the total; shares are summed up.
+inline void
+AddFleet(const crash_fleet& aFleet, std::size_t aSound, case_result& aTotal)
+{
+  const crash_fleet_result& result = aFleet.Result();
+  std::size_t most = 0;
+  for (std::size_t each = 0; each < result.mEndedByCulprit.size(); ++each) {
+    most = std::max(most, result.mEndedByCulprit[each]);
+    aTotal.mMostLate = std::max(aTotal.mMostLate, result.mSentLate[each]);
+  }
+  ++aTotal.mFleets;
+  aTotal.mMostEnded = std::max(aTotal.mMostEnded, most);
+  aTotal.mFleetsOverUsual += most > kUsuallyEnded ? 1 : 0;
+  if (result.mFirstEnd) {
+    const time_point over = *result.mLastEnd + kRecovery;
+    aTotal.mServedMeanwhile +=
+      aFleet.SoundShare(aSound, *result.mFirstEnd, over);
+    aTotal.mServedAfter += aFleet.SoundShare(aSound, over);
+  }
+  aTotal.mInnocents += result.mInnocents;
+  aTotal.mRejected += result.mRejected;
+  aTotal.mRejectedByPart += result.mRejectedByPart;
+  aTotal.mHeldLong += result.mHeldLongByPart;
+  aTotal.mKnownAfter = std::max(aTotal.mKnownAfter, result.mKnownAfter);
+}
+
+inline void
+PrintCase(const std::string& aCase,
+          const fleet_size& aSize,
+          const case_result& aTotal)
+{
+  MESSAGE(aCase,
+          ", ",
+          aSize.mShape.mInstances,
+          " instances, ",
+          aTotal.mFleets,
+          " seeds: most ended ",
+          aTotal.mMostEnded,
+          ", over four in ",
+          aTotal.mFleetsOverUsual,
+          ", most sent late ",
+          aTotal.mMostLate,
+          ", known after ms ",
+          ToMilliseconds(aTotal.mKnownAfter),
+          ", sound served meanwhile ",
+          aTotal.mServedMeanwhile,
+          ", after ",
+          aTotal.mServedAfter,
+          ", innocent ",
+          aTotal.mInnocents,
+          ", rejected ",
+          aTotal.mRejected,
+          " (for a part ",
+          aTotal.mRejectedByPart,
+          "), held long for a part ",
+          aTotal.mHeldLong);
+}
+
 // Plays the case at this size until then; sound requests of the same kind and
 // team come all the while.
 inline case_result
@@ -90,61 +148,17 @@
   const std::uint64_t first = FromEnvironment("THORNHOLLOW_CRASH_SEED", 1);
   const std::uint64_t seeds =
     FromEnvironment("THORNHOLLOW_CRASH_SEEDS", aSize.mSeeds);
-  double meanwhile = 0;
-  double after = 0;
   for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
     crash_fleet fleet(aSize.mShape, seed);
     const std::size_t sound = fleet.AddSound(
       { .mParts = { kKind, kTeam }, .mUntil = aUntil, .mPerSecond = 40 });
     aPrepare(fleet);
     fleet.Run(aUntil + Seconds(3));
-    const crash_fleet_result& result = fleet.Result();
-    std::size_t most = 0;
-    for (std::size_t each = 0; each < result.mEndedByCulprit.size(); ++each) {
-      most = std::max(most, result.mEndedByCulprit[each]);
-      total.mMostLate = std::max(total.mMostLate, result.mSentLate[each]);
-    }
-    ++total.mFleets;
-    total.mMostEnded = std::max(total.mMostEnded, most);
-    total.mFleetsOverUsual += most > kUsuallyEnded ? 1 : 0;
-    if (result.mFirstEnd) {
-      const time_point over = *result.mLastEnd + kRecovery;
-      meanwhile += fleet.SoundShare(sound, *result.mFirstEnd, over);
-      after += fleet.SoundShare(sound, over);
-    }
-    total.mInnocents += result.mInnocents;
-    total.mRejected += result.mRejected;
-    total.mRejectedByPart += result.mRejectedByPart;
-    total.mHeldLong += result.mHeldLongByPart;
-    total.mKnownAfter = std::max(total.mKnownAfter, result.mKnownAfter);
+    AddFleet(fleet, sound, total);
   }
-  total.mServedMeanwhile = meanwhile / static_cast<double>(seeds);
-  total.mServedAfter = after / static_cast<double>(seeds);
-  MESSAGE(aCase,
-          ", ",
-          aSize.mShape.mInstances,
-          " instances, ",
-          total.mFleets,
-          " seeds: most ended ",
-          total.mMostEnded,
-          ", over four in ",
-          total.mFleetsOverUsual,
-          ", most sent late ",
-          total.mMostLate,
-          ", known after ms ",
-          ToMilliseconds(total.mKnownAfter),
-          ", sound served meanwhile ",
-          total.mServedMeanwhile,
-          ", after ",
-          total.mServedAfter,
-          ", innocent ",
-          total.mInnocents,
-          ", rejected ",
-          total.mRejected,
-          " (for a part ",
-          total.mRejectedByPart,
-          "), held long for a part ",
-          total.mHeldLong);
+  total.mServedMeanwhile /= static_cast<double>(seeds);
+  total.mServedAfter /= static_cast<double>(seeds);
+  PrintCase(aCase, aSize, total);
   return total;
 }
 
