--- a/thornhollow/daemon/intake_test.cc
+++ b/thornhollow/daemon/intake_test.cc
@@ -82,6 +82,20 @@
   CHECK(Refusal() == error_kind::kUnauthenticated);
 }
 
+TEST_CASE_FIXTURE(drivers_request,
+                  "drivers_request/messages/all_but_the_last_are_parts")
+{
+  const std::size_t none = Accepted().mPartFeatures.size();
+  mRequest.mBody = R"({"model":"dispatch","messages":[
+    {"role":"system","content":"rules"},{"role":"user","content":"hi"}]})";
+  const auto first = Accepted().mPartFeatures;
+  mRequest.mBody = R"({"model":"dispatch","messages":[
+    {"role":"system","content":"rules"},{"role":"user","content":"bye"}]})";
+  CHECK(none == 0);
+  CHECK(first.size() == 1);
+  CHECK(Accepted().mPartFeatures == first);
+}
+
 TEST_CASE_FIXTURE(drivers_request, "drivers_request/class_not_its_own/refused")
 {
   mRequest.mHeaders.push_back({ "X-Request-Class", "plans" });
--- /dev/null
+++ b/thornhollow/policy/crash_evidence_test.cc
@@ -0,0 +1,107 @@
+#include <doctest/doctest.h>
+
+#include "thornhollow/policy/crash_evidence.h"
+
+namespace thornhollow {
+namespace {
+
+constexpr request_feature kPart{ 1001 };
+constexpr request_feature kOther{ 1003 };
+
+struct evidence_of_parts
+{
+  crash_suspects_settings mSettings;
+  crash_evidence mEvidence{ mSettings };
+  time_point mNow{ Seconds(1'000) };
+  endpoint_hash mNextEndpoint = 1;
+  std::uint64_t mNextContent = 2;
+
+  // An endpoint ends under a new content with these parts.
+  void End(const std::vector<request_feature>& aParts, bool aSolo = false)
+  {
+    mEvidence.Add({ mNextEndpoint, mNow, { mNextContent }, false });
+    for (const request_feature each : aParts) {
+      mEvidence.Add({ mNextEndpoint, mNow, each, aSolo });
+    }
+    ++mNextEndpoint;
+    mNextContent += 2;
+    mEvidence.JudgeAll(mNow);
+  }
+  void EndsApart(const std::vector<request_feature>& aParts,
+                 int aCount,
+                 bool aSolo = false)
+  {
+    for (int each = 0; each < aCount; ++each) {
+      End(aParts, aSolo);
+      mNow += mSettings.mSoundEndsApart;
+    }
+  }
+};
+
+TEST_CASE_FIXTURE(evidence_of_parts,
+                  "crash_evidence/ends_without_a_solo_run/do_not_convict")
+{
+  EndsApart({ kPart }, 8);
+  CHECK(mEvidence.NeedsSoloRun(kPart));
+  CHECK_FALSE(mEvidence.IsRejected(kPart, mNow));
+  End({ kPart }, true);
+  CHECK(mEvidence.IsRejected(kPart, mNow));
+}
+
+TEST_CASE_FIXTURE(evidence_of_parts,
+                  "crash_evidence/part_that_was_sound/is_not_blamed_for_others")
+{
+  mEvidence.RecordSuccess(kPart, mNow);
+  mNow += Seconds(1);
+  End({ kPart });
+  mNow += mSettings.mSoundEndsApart;
+  EndsApart({ kPart, kOther }, 4, true);
+  CHECK(mEvidence.EndedUnder(kPart) > mEvidence.EndedUnder(kOther));
+  CHECK(mEvidence.IsRejected(kOther, mNow));
+  CHECK_FALSE(mEvidence.IsRejected(kPart, mNow));
+}
+
+TEST_CASE_FIXTURE(
+  evidence_of_parts,
+  "crash_evidence/ends_close_together_under_a_sound_part/no_solo")
+{
+  mEvidence.RecordSuccess(kPart, mNow);
+  mNow += Seconds(1);
+  for (int each = 0; each < 5; ++each) {
+    End({ kPart });
+    mNow += mSettings.mSoundEndsApart / 8;
+  }
+  CHECK_FALSE(mEvidence.NeedsSoloRun(kPart));
+  mNow += mSettings.mSoundEndsApart;
+  End({ kPart });
+  CHECK(mEvidence.NeedsSoloRun(kPart));
+}
+
+TEST_CASE_FIXTURE(evidence_of_parts,
+                  "crash_evidence/storm_of_sightings/most_ends_stay")
+{
+  EndsApart({ kPart }, 3);
+  for (std::size_t each = 0; each < mSettings.mMaxSightings; ++each) {
+    End({});
+  }
+  mEvidence.DropExcess();
+  CHECK(mEvidence.Sightings() <= mSettings.mMaxSightings);
+  CHECK(mEvidence.EndedUnder(kPart) == 3);
+}
+
+// Guards against a memory that grows with the number of parts callers name.
+TEST_CASE_FIXTURE(evidence_of_parts,
+                  "crash_evidence/very_many_parts/successes_are_bounded")
+{
+  for (std::uint64_t each = 0; each < 2 * mSettings.mMaxSuccesses; ++each) {
+    mEvidence.RecordSuccess({ 2 * each + 1 }, mNow);
+  }
+  const request_feature last{ 4 * mSettings.mMaxSuccesses - 1 };
+  CHECK_FALSE(mEvidence.UntoldSuccess(last, mNow).has_value());
+  mNow += mSettings.mSoundMemory;
+  mEvidence.RecordSuccess(last, mNow);
+  CHECK(mEvidence.UntoldSuccess(last, mNow) == mNow);
+}
+
+} // namespace
+} // namespace thornhollow
--- a/thornhollow/testing/process/crashing_request_test.py
+++ b/thornhollow/testing/process/crashing_request_test.py
@@ -10,6 +10,8 @@
 # Within this time each instance knows what ended at others.
 KNOWN_AFTER_S = 2.0
 MOST_ENDED = 3
+# By requests no two of which are alike that share a message.
+MOST_ENDED_BY_PART = 5
 ROUNDS = 6
 
 
@@ -59,6 +61,25 @@
         for daemon in self.daemons:
             self.assertEqual(self.chat(daemon, "notes", "other").end, "done")
 
+    def chat_after(self, daemon, shared, text):
+        """A request whose messages begin with this one."""
+        body = {"model": "m", "max_tokens": 8, "stream": True,
+                "messages": [{"role": "system", "content": shared},
+                             {"role": "user", "content": text}]}
+        return harness.ask(
+            daemon.address, "/v1/chat/completions", body, "notes", None)
+
+    def test_message_that_requests_share_ends_five_engines_at_most(self):
+        self.begin()
+        for number in range(12):
+            daemon = self.daemons[number % 3]
+            self.chat_after(daemon, "marked notes", f"text {number}")
+            time.sleep(0.7)
+            self.assertEqual(
+                self.chat_after(daemon, "notes", f"text {number}").end, "done")
+        self.assertGreater(self.ended(self.engines), 0)
+        self.assertLessEqual(self.ended(self.engines), MOST_ENDED_BY_PART)
+
     def test_repeats_with_keys_end_three_engines_at_most(self):
         self.begin()
         for daemon in self.daemons:
