--- a/thornhollow/policy/crash_evidence.cc
+++ b/thornhollow/policy/crash_evidence.cc
@@ -560,6 +560,7 @@
 crash_evidence::SeparateEnds(const std::vector<crash_number>& aEnds) const
 {
   std::vector<time_point> times;
+  times.reserve(aEnds.size());
   for (const crash_number each : aEnds) {
     times.push_back(mCrashes.at(each).mAt);
   }
--- a/thornhollow/wire/relay_codec_test.cc
+++ b/thornhollow/wire/relay_codec_test.cc
@@ -134,13 +134,12 @@
   const time_point now{ Seconds(1'000) };
   constexpr std::uint64_t kLargest = ~std::uint64_t{ 0 };
   for (std::uint64_t each = 0; each < 400; ++each) {
-    suspects.OnEndpointEnded({ { kLargest - each },
-                               each,
-                               static_cast<endpoint_hash>(kLargest - each / 3),
-                               9 },
-                             now - Seconds(500),
-                             now);
-    suspects.BeforeSend({ { kLargest - each }, each, 1, 9 }, now);
+    const request_features features{ { kLargest - 1 - 2 * each }, {} };
+    suspects.OnEndpointEnded(
+      { features, each, static_cast<endpoint_hash>(kLargest - each / 3), 9 },
+      now - Seconds(500),
+      now);
+    suspects.BeforeSend({ features, each, 1, 9 }, now);
   }
   while (suspects.HasNews(now)) {
     relay_hello hello;
