--- a/thornhollow/daemon/intake.cc
+++ b/thornhollow/daemon/intake.cc
@@ -98,11 +98,8 @@
 MessageFeatures(const pool_name& aPool, const boost::json::array& aMessages)
 {
   std::vector<std::string> texts;
-  for (const boost::json::value& each : aMessages) {
-    texts.push_back(boost::json::serialize(each));
-  }
-  if (!texts.empty()) {
-    texts.pop_back();
+  for (std::size_t each = 0; each + 1 < aMessages.size(); ++each) {
+    texts.push_back(boost::json::serialize(aMessages[each]));
   }
   return PartFeatures(aPool.Text(), { texts.begin(), texts.end() });
 }
