--- a/thornhollow/config/relay_settings.h
+++ b/thornhollow/config/relay_settings.h
@@ -51,8 +51,8 @@
 Name(engine_placement aPlacement);
 
 // What is assumed of engines, and how work is spread over them. Each field's
-// grounds stand where it is used: policy/relay_pool.h,
-// policy/engine_partition.h.
+// grounds stand where it is used: policy/placement/relay_pool.h,
+// policy/placement/engine_partition.h.
 struct engine_settings
 {
   double mMissPenalty = 16;
--- a/thornhollow/daemon/control_plane.h
+++ b/thornhollow/daemon/control_plane.h
@@ -26,9 +26,9 @@
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/fleet/forward_offers.h"
 #include "thornhollow/fleet/peer_messages.h"
-#include "thornhollow/policy/crash_report.h"
-#include "thornhollow/policy/endpoint_states.h"
-#include "thornhollow/policy/pool_pressure.h"
+#include "thornhollow/policy/admission/pool_pressure.h"
+#include "thornhollow/policy/endpoints/endpoint_states.h"
+#include "thornhollow/policy/suspects/crash_report.h"
 
 namespace boost::asio {
 class io_context;
--- a/thornhollow/daemon/crash_guard.h
+++ b/thornhollow/daemon/crash_guard.h
@@ -1,6 +1,7 @@
 // Keeps requests that end endpoints from doing so again: asks endpoints whose
-// connections broke whether they still run, tells policy/crash_suspects.h, and
-// exchanges reports with the other instances.
+// connections broke whether they still run, tells
+// policy/suspects/crash_suspects.h, and exchanges reports with the other
+// instances.
 //
 //   crash_guard guard(io, log, metrics);
 //   guard.SetPeers(peers);
@@ -28,7 +29,7 @@
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/fleet/crash_gossip.h"
 #include "thornhollow/net/endpoint_connections.h"
-#include "thornhollow/policy/crash_suspects.h"
+#include "thornhollow/policy/suspects/crash_suspects.h"
 
 namespace thornhollow {
 
@@ -85,7 +86,7 @@
   // Returns a number that identifies a submission.
   std::uint64_t NextTicket() { return ++mLastTicket; }
 
-  // See the functions of the same names in policy/crash_suspects.h.
+  // See the functions of the same names in policy/suspects/crash_suspects.h.
   send_decision BeforeSend(const suspect_attempt& aAttempt, time_point aNow);
   bool IsRejected(const request_features& aFeatures, time_point aNow) const
   {
--- a/thornhollow/daemon/endpoint_reach.h
+++ b/thornhollow/daemon/endpoint_reach.h
@@ -8,7 +8,8 @@
 //   reach.Tick(now);   // every 100 ms
 //   if (reach.ShouldForward(pool, now)) { ... }
 //
-// policy/endpoint_contact.h decides; this module probes, and logs what changed.
+// policy/endpoints/endpoint_contact.h decides; this module probes, and logs
+// what changed.
 #ifndef THORNHOLLOW_DAEMON_ENDPOINT_REACH_H_
 #define THORNHOLLOW_DAEMON_ENDPOINT_REACH_H_
 
@@ -28,7 +29,7 @@
 #include "thornhollow/fleet/relay_peers.h"
 #include "thornhollow/net/endpoint_connections.h"
 #include "thornhollow/net/endpoint_probe.h"
-#include "thornhollow/policy/endpoint_contact.h"
+#include "thornhollow/policy/endpoints/endpoint_contact.h"
 
 namespace boost::asio {
 class io_context;
@@ -79,7 +80,7 @@
   }
 
   // What happened to requests that this instance sent itself, see the functions
-  // of the same names in policy/endpoint_contact.h.
+  // of the same names in policy/endpoints/endpoint_contact.h.
   void OnSent(const pool_name& aPool, time_point aNow);
   void OnAnswer(const pool_name& aPool, bool aNewConnection, time_point aNow);
   void OnEnded(const pool_name& aPool);
--- a/thornhollow/daemon/internal/router_core.h
+++ b/thornhollow/daemon/internal/router_core.h
@@ -26,7 +26,7 @@
 #include "thornhollow/daemon/intake.h"
 #include "thornhollow/daemon/live_request.h"
 #include "thornhollow/daemon/router.h"
-#include "thornhollow/policy/endpoint_reservations.h"
+#include "thornhollow/policy/placement/endpoint_reservations.h"
 
 namespace thornhollow {
 
--- a/thornhollow/daemon/live_request.h
+++ b/thornhollow/daemon/live_request.h
@@ -15,7 +15,7 @@
 #include "thornhollow/daemon/intake.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/endpoint_attempt.h"
-#include "thornhollow/policy/run_progress.h"
+#include "thornhollow/policy/suspects/run_progress.h"
 #include "thornhollow/request/request_machine.h"
 
 namespace thornhollow {
--- a/thornhollow/daemon/load_poller.h
+++ b/thornhollow/daemon/load_poller.h
@@ -9,7 +9,7 @@
 // product. With a fixed number of polls per second, a daemon's cost is
 // independent of the fleet size and only the age of the reports grows.
 // Scheduling tolerates this: a report's weight decreases with age until it is
-// ignored (policy/endpoint_load.h).
+// ignored (policy/endpoints/endpoint_load.h).
 #ifndef THORNHOLLOW_DAEMON_LOAD_POLLER_H_
 #define THORNHOLLOW_DAEMON_LOAD_POLLER_H_
 
--- a/thornhollow/daemon/relay_profile.h
+++ b/thornhollow/daemon/relay_profile.h
@@ -7,7 +7,7 @@
 #define THORNHOLLOW_DAEMON_RELAY_PROFILE_H_
 
 #include "thornhollow/base/ids.h"
-#include "thornhollow/policy/request_profile.h"
+#include "thornhollow/policy/placement/request_profile.h"
 #include "thornhollow/request/relay_headers.h"
 #include "thornhollow/routing/routing_document.h"
 
--- a/thornhollow/daemon/relay_session.h
+++ b/thornhollow/daemon/relay_session.h
@@ -4,9 +4,9 @@
 //   StartRelaySession(dispatcher, exchange);
 //
 // request/relay_retry.h decides what follows a failed attempt, and
-// policy/relay_pool.h chooses the endpoint. This module has the timers, the
-// event handling, and the log lines that trace a request identifier to the
-// cause of a failure.
+// policy/placement/relay_pool.h chooses the endpoint. This module has the
+// timers, the event handling, and the log lines that trace a request identifier
+// to the cause of a failure.
 #ifndef THORNHOLLOW_DAEMON_RELAY_SESSION_H_
 #define THORNHOLLOW_DAEMON_RELAY_SESSION_H_
 
--- a/thornhollow/daemon/router.h
+++ b/thornhollow/daemon/router.h
@@ -25,7 +25,7 @@
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/daemon/request_forwarder.h"
 #include "thornhollow/net/caller_server.h"
-#include "thornhollow/policy/scheduler.h"
+#include "thornhollow/policy/queues/scheduler.h"
 
 namespace boost::asio {
 class io_context;
--- a/thornhollow/fleet/brittle_endpoints_test.cc
+++ b/thornhollow/fleet/brittle_endpoints_test.cc
@@ -13,9 +13,9 @@
 #include <doctest/doctest.h>
 
 #include "thornhollow/fleet/testing/event_timeline.h"
-#include "thornhollow/policy/endpoint_shares.h"
-#include "thornhollow/policy/refusal_gate.h"
-#include "thornhollow/policy/relay_pool.h"
+#include "thornhollow/policy/endpoints/endpoint_shares.h"
+#include "thornhollow/policy/endpoints/refusal_gate.h"
+#include "thornhollow/policy/placement/relay_pool.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/fleet/crash_gossip.h
+++ b/thornhollow/fleet/crash_gossip.h
@@ -24,8 +24,8 @@
 #include <vector>
 
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/crash_report.h"
-#include "thornhollow/policy/crash_suspects.h"
+#include "thornhollow/policy/suspects/crash_report.h"
+#include "thornhollow/policy/suspects/crash_suspects.h"
 
 namespace thornhollow {
 
--- a/thornhollow/fleet/demand_aggregation.h
+++ b/thornhollow/fleet/demand_aggregation.h
@@ -35,7 +35,7 @@
 
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/workload_kind.h"
+#include "thornhollow/policy/placement/workload_kind.h"
 
 namespace thornhollow {
 
--- a/thornhollow/fleet/limited_endpoints_test.cc
+++ b/thornhollow/fleet/limited_endpoints_test.cc
@@ -15,9 +15,9 @@
 
 #include "thornhollow/base/most_within.h"
 #include "thornhollow/fleet/testing/event_timeline.h"
-#include "thornhollow/policy/endpoint_shares.h"
-#include "thornhollow/policy/relay_pool.h"
-#include "thornhollow/policy/request_gate.h"
+#include "thornhollow/policy/endpoints/endpoint_shares.h"
+#include "thornhollow/policy/endpoints/request_gate.h"
+#include "thornhollow/policy/placement/relay_pool.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/fleet/out_of_service_search_test.cc
+++ b/thornhollow/fleet/out_of_service_search_test.cc
@@ -17,11 +17,11 @@
 #include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/most_within.h"
 #include "thornhollow/fleet/testing/event_timeline.h"
-#include "thornhollow/policy/endpoint_shares.h"
-#include "thornhollow/policy/out_of_service.h"
-#include "thornhollow/policy/relay_pool.h"
-#include "thornhollow/policy/request_gate.h"
-#include "thornhollow/policy/warm_up.h"
+#include "thornhollow/policy/endpoints/endpoint_shares.h"
+#include "thornhollow/policy/endpoints/out_of_service.h"
+#include "thornhollow/policy/endpoints/request_gate.h"
+#include "thornhollow/policy/endpoints/warm_up.h"
+#include "thornhollow/policy/placement/relay_pool.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/fleet/peer_messages.h
+++ b/thornhollow/fleet/peer_messages.h
@@ -20,8 +20,8 @@
 #include "thornhollow/base/time.h"
 #include "thornhollow/config/config_word.h"
 #include "thornhollow/config/declarations.h"
-#include "thornhollow/policy/crash_report.h"
-#include "thornhollow/policy/pool_pressure.h"
+#include "thornhollow/policy/admission/pool_pressure.h"
+#include "thornhollow/policy/suspects/crash_report.h"
 
 namespace thornhollow {
 
--- a/thornhollow/fleet/process_gossip_test.cc
+++ b/thornhollow/fleet/process_gossip_test.cc
@@ -11,7 +11,7 @@
 #include <doctest/doctest.h>
 
 #include "thornhollow/fleet/process_gossip.h"
-#include "thornhollow/policy/endpoint_notices.h"
+#include "thornhollow/policy/endpoints/endpoint_notices.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/fleet/resting_endpoints_test.cc
+++ b/thornhollow/fleet/resting_endpoints_test.cc
@@ -16,8 +16,8 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_notices.h"
-#include "thornhollow/policy/relay_pool.h"
+#include "thornhollow/policy/endpoints/endpoint_notices.h"
+#include "thornhollow/policy/placement/relay_pool.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/fleet/testing/crash_fleet.h
+++ b/thornhollow/fleet/testing/crash_fleet.h
@@ -25,7 +25,7 @@
 #include <vector>
 
 #include "thornhollow/fleet/crash_gossip.h"
-#include "thornhollow/policy/crash_suspects.h"
+#include "thornhollow/policy/suspects/crash_suspects.h"
 
 namespace thornhollow {
 
--- a/thornhollow/fleet/testing/cut_off_fleet.h
+++ b/thornhollow/fleet/testing/cut_off_fleet.h
@@ -25,7 +25,7 @@
 
 #include "thornhollow/fleet/forward_choice.h"
 #include "thornhollow/fleet/relay_peers.h"
-#include "thornhollow/policy/endpoint_contact.h"
+#include "thornhollow/policy/endpoints/endpoint_contact.h"
 
 namespace thornhollow {
 
--- a/thornhollow/fleet/testing/relay_load_fleet.h
+++ b/thornhollow/fleet/testing/relay_load_fleet.h
@@ -26,7 +26,7 @@
 #include "thornhollow/fleet/load_directory.h"
 #include "thornhollow/fleet/relay_peers.h"
 #include "thornhollow/fleet/testing/slot_engine.h"
-#include "thornhollow/policy/relay_pool.h"
+#include "thornhollow/policy/placement/relay_pool.h"
 
 namespace thornhollow {
 
--- a/thornhollow/policy/minimum_share.h
+++ b/thornhollow/policy/admission/minimum_share.h
@@ -24,8 +24,8 @@
 // rather than at every moment. With a debt limit of one request, a class was
 // served by tier order at times of low load and got its full share in addition,
 // and fewer requests of the highest tier met their targets.
-#ifndef THORNHOLLOW_POLICY_MINIMUM_SHARE_H_
-#define THORNHOLLOW_POLICY_MINIMUM_SHARE_H_
+#ifndef THORNHOLLOW_POLICY_ADMISSION_MINIMUM_SHARE_H_
+#define THORNHOLLOW_POLICY_ADMISSION_MINIMUM_SHARE_H_
 
 #include <algorithm>
 
@@ -88,4 +88,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_MINIMUM_SHARE_H_
+#endif // THORNHOLLOW_POLICY_ADMISSION_MINIMUM_SHARE_H_
--- a/thornhollow/policy/pool_pressure.h
+++ b/thornhollow/policy/admission/pool_pressure.h
@@ -3,8 +3,8 @@
 //
 //   for (const pool_pressure& each : scheduler.Pressure(now)) { ... send ... }
 //
-#ifndef THORNHOLLOW_POLICY_POOL_PRESSURE_H_
-#define THORNHOLLOW_POLICY_POOL_PRESSURE_H_
+#ifndef THORNHOLLOW_POLICY_ADMISSION_POOL_PRESSURE_H_
+#define THORNHOLLOW_POLICY_ADMISSION_POOL_PRESSURE_H_
 
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
@@ -30,4 +30,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_POOL_PRESSURE_H_
+#endif // THORNHOLLOW_POLICY_ADMISSION_POOL_PRESSURE_H_
--- a/thornhollow/policy/relay_admission.cc
+++ b/thornhollow/policy/admission/relay_admission.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/relay_admission.h"
+#include "thornhollow/policy/admission/relay_admission.h"
 
 #include <algorithm>
 
--- a/thornhollow/policy/relay_admission.h
+++ b/thornhollow/policy/admission/relay_admission.h
@@ -46,8 +46,8 @@
 // team that sent one of the largest tenth of prompts counted as exceeding its
 // share, and the responses to those prompts reached 0.25 of their maximum value
 // instead of 0.34.
-#ifndef THORNHOLLOW_POLICY_RELAY_ADMISSION_H_
-#define THORNHOLLOW_POLICY_RELAY_ADMISSION_H_
+#ifndef THORNHOLLOW_POLICY_ADMISSION_RELAY_ADMISSION_H_
+#define THORNHOLLOW_POLICY_ADMISSION_RELAY_ADMISSION_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -58,9 +58,9 @@
 #include "thornhollow/base/error.h"
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
+#include "thornhollow/policy/admission/retry_schedule.h"
+#include "thornhollow/policy/admission/tier_waits.h"
 #include "thornhollow/policy/decaying_rate.h"
-#include "thornhollow/policy/retry_schedule.h"
-#include "thornhollow/policy/tier_waits.h"
 
 namespace thornhollow {
 
@@ -213,4 +213,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_RELAY_ADMISSION_H_
+#endif // THORNHOLLOW_POLICY_ADMISSION_RELAY_ADMISSION_H_
--- a/thornhollow/policy/relay_admission_benchmark.cc
+++ b/thornhollow/policy/admission/relay_admission_benchmark.cc
@@ -2,7 +2,7 @@
 
 #include <benchmark/benchmark.h>
 
-#include "thornhollow/policy/relay_admission.h"
+#include "thornhollow/policy/admission/relay_admission.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/relay_admission_test.cc
+++ b/thornhollow/policy/admission/relay_admission_test.cc
@@ -6,7 +6,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/relay_admission.h"
+#include "thornhollow/policy/admission/relay_admission.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/retry_budget.cc
+++ b/thornhollow/policy/admission/retry_budget.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/retry_budget.h"
+#include "thornhollow/policy/admission/retry_budget.h"
 
 #include <algorithm>
 #include <unordered_set>
--- a/thornhollow/policy/retry_budget.h
+++ b/thornhollow/policy/admission/retry_budget.h
@@ -19,8 +19,8 @@
 // retry at once, and without a reserve a crash would cause rejections although
 // the other endpoints have free slots. The minimum rate of one retry in ten
 // seconds lets a class with hardly any traffic survive a broken connection.
-#ifndef THORNHOLLOW_POLICY_RETRY_BUDGET_H_
-#define THORNHOLLOW_POLICY_RETRY_BUDGET_H_
+#ifndef THORNHOLLOW_POLICY_ADMISSION_RETRY_BUDGET_H_
+#define THORNHOLLOW_POLICY_ADMISSION_RETRY_BUDGET_H_
 
 #include <cstddef>
 #include <unordered_map>
@@ -85,4 +85,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_RETRY_BUDGET_H_
+#endif // THORNHOLLOW_POLICY_ADMISSION_RETRY_BUDGET_H_
--- a/thornhollow/policy/retry_budget_test.cc
+++ b/thornhollow/policy/admission/retry_budget_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/retry_budget.h"
+#include "thornhollow/policy/admission/retry_budget.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/retry_schedule.cc
+++ b/thornhollow/policy/admission/retry_schedule.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/retry_schedule.h"
+#include "thornhollow/policy/admission/retry_schedule.h"
 
 #include <algorithm>
 
--- a/thornhollow/policy/retry_schedule.h
+++ b/thornhollow/policy/admission/retry_schedule.h
@@ -18,8 +18,8 @@
 // a healthy queue. The maximum is 30 s because capacity may be available again
 // by then, and would stay unused while callers wait longer. Delays that would
 // exceed the maximum are spread over its upper half, 15 to 30 s.
-#ifndef THORNHOLLOW_POLICY_RETRY_SCHEDULE_H_
-#define THORNHOLLOW_POLICY_RETRY_SCHEDULE_H_
+#ifndef THORNHOLLOW_POLICY_ADMISSION_RETRY_SCHEDULE_H_
+#define THORNHOLLOW_POLICY_ADMISSION_RETRY_SCHEDULE_H_
 
 #include <optional>
 #include <random>
@@ -66,4 +66,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_RETRY_SCHEDULE_H_
+#endif // THORNHOLLOW_POLICY_ADMISSION_RETRY_SCHEDULE_H_
--- a/thornhollow/policy/shared_retry_budget.cc
+++ b/thornhollow/policy/admission/shared_retry_budget.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/shared_retry_budget.h"
+#include "thornhollow/policy/admission/shared_retry_budget.h"
 
 #include <numeric>
 
--- a/thornhollow/policy/shared_retry_budget.h
+++ b/thornhollow/policy/admission/shared_retry_budget.h
@@ -17,8 +17,8 @@
 // therefore sets the largest number of instances seen recently, and an instance
 // that has not yet received a message from any peer assumes
 // `mAssumedInstances`.
-#ifndef THORNHOLLOW_POLICY_SHARED_RETRY_BUDGET_H_
-#define THORNHOLLOW_POLICY_SHARED_RETRY_BUDGET_H_
+#ifndef THORNHOLLOW_POLICY_ADMISSION_SHARED_RETRY_BUDGET_H_
+#define THORNHOLLOW_POLICY_ADMISSION_SHARED_RETRY_BUDGET_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -85,4 +85,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_SHARED_RETRY_BUDGET_H_
+#endif // THORNHOLLOW_POLICY_ADMISSION_SHARED_RETRY_BUDGET_H_
--- a/thornhollow/policy/shared_retry_budget_test.cc
+++ b/thornhollow/policy/admission/shared_retry_budget_test.cc
@@ -3,7 +3,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/shared_retry_budget.h"
+#include "thornhollow/policy/admission/shared_retry_budget.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/tier_pressure.cc
+++ b/thornhollow/policy/admission/tier_pressure.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/tier_pressure.h"
+#include "thornhollow/policy/admission/tier_pressure.h"
 
 #include <algorithm>
 #include <cmath>
--- a/thornhollow/policy/tier_pressure.h
+++ b/thornhollow/policy/admission/tier_pressure.h
@@ -18,8 +18,8 @@
 // `thornhollow-scenarios`. The reported wait is halved for every 500 ms of the
 // report's age, so that one lost message changes little and an instance that
 // disappeared restricts other instances for a few seconds at most.
-#ifndef THORNHOLLOW_POLICY_TIER_PRESSURE_H_
-#define THORNHOLLOW_POLICY_TIER_PRESSURE_H_
+#ifndef THORNHOLLOW_POLICY_ADMISSION_TIER_PRESSURE_H_
+#define THORNHOLLOW_POLICY_ADMISSION_TIER_PRESSURE_H_
 
 #include <array>
 #include <cstddef>
@@ -30,7 +30,7 @@
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
 #include "thornhollow/config/declarations.h"
-#include "thornhollow/policy/pool_pressure.h"
+#include "thornhollow/policy/admission/pool_pressure.h"
 
 namespace thornhollow {
 
@@ -96,4 +96,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_TIER_PRESSURE_H_
+#endif // THORNHOLLOW_POLICY_ADMISSION_TIER_PRESSURE_H_
--- a/thornhollow/policy/tier_waits.cc
+++ b/thornhollow/policy/admission/tier_waits.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/tier_waits.h"
+#include "thornhollow/policy/admission/tier_waits.h"
 
 #include <algorithm>
 
--- a/thornhollow/policy/tier_waits.h
+++ b/thornhollow/policy/admission/tier_waits.h
@@ -14,8 +14,8 @@
 // at once. The mean wait over all tiers is dominated by the lower tiers,
 // however, and by that mean requests of the first tier would be rejected as
 // well.
-#ifndef THORNHOLLOW_POLICY_TIER_WAITS_H_
-#define THORNHOLLOW_POLICY_TIER_WAITS_H_
+#ifndef THORNHOLLOW_POLICY_ADMISSION_TIER_WAITS_H_
+#define THORNHOLLOW_POLICY_ADMISSION_TIER_WAITS_H_
 
 #include <cstdint>
 #include <map>
@@ -56,4 +56,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_TIER_WAITS_H_
+#endif // THORNHOLLOW_POLICY_ADMISSION_TIER_WAITS_H_
--- a/thornhollow/policy/tier_waits_test.cc
+++ b/thornhollow/policy/admission/tier_waits_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/tier_waits.h"
+#include "thornhollow/policy/admission/tier_waits.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/concurrency_limit.cc
+++ b/thornhollow/policy/endpoints/concurrency_limit.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/concurrency_limit.h"
+#include "thornhollow/policy/endpoints/concurrency_limit.h"
 
 #include <algorithm>
 #include <cmath>
--- a/thornhollow/policy/concurrency_limit.h
+++ b/thornhollow/policy/endpoints/concurrency_limit.h
@@ -37,8 +37,8 @@
 //   normal latency.
 // - High latency of an endpoint below half of its limit does not decrease the
 //   limit, because it is not caused by queueing.
-#ifndef THORNHOLLOW_POLICY_CONCURRENCY_LIMIT_H_
-#define THORNHOLLOW_POLICY_CONCURRENCY_LIMIT_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_CONCURRENCY_LIMIT_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_CONCURRENCY_LIMIT_H_
 
 #include <cstdint>
 #include <optional>
@@ -133,4 +133,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_CONCURRENCY_LIMIT_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_CONCURRENCY_LIMIT_H_
--- a/thornhollow/policy/concurrency_limit_test.cc
+++ b/thornhollow/policy/endpoints/concurrency_limit_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/concurrency_limit.h"
+#include "thornhollow/policy/endpoints/concurrency_limit.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/domain_reachability.cc
+++ b/thornhollow/policy/endpoints/domain_reachability.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/domain_reachability.h"
+#include "thornhollow/policy/endpoints/domain_reachability.h"
 
 #include <algorithm>
 #include <utility>
--- a/thornhollow/policy/domain_reachability.h
+++ b/thornhollow/policy/endpoints/domain_reachability.h
@@ -24,8 +24,8 @@
 // a suspicion, and it ends only when its maximum duration has passed.
 // Otherwise, after each message the next request would be sent to the
 // unreachable domain.
-#ifndef THORNHOLLOW_POLICY_DOMAIN_REACHABILITY_H_
-#define THORNHOLLOW_POLICY_DOMAIN_REACHABILITY_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_DOMAIN_REACHABILITY_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_DOMAIN_REACHABILITY_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -101,4 +101,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_DOMAIN_REACHABILITY_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_DOMAIN_REACHABILITY_H_
--- a/thornhollow/policy/domain_reachability_test.cc
+++ b/thornhollow/policy/endpoints/domain_reachability_test.cc
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/domain_reachability.h"
+#include "thornhollow/policy/endpoints/domain_reachability.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_bounds.cc
+++ b/thornhollow/policy/endpoints/endpoint_bounds.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/endpoint_bounds.h"
+#include "thornhollow/policy/endpoints/endpoint_bounds.h"
 
 #include <cmath>
 
--- a/thornhollow/policy/endpoint_bounds.h
+++ b/thornhollow/policy/endpoints/endpoint_bounds.h
@@ -13,8 +13,8 @@
 // latest word counts, also where it comes by way of a peer that heard it
 // earlier. It holds for one process of the endpoint: a process that was started
 // again has said nothing yet.
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_BOUNDS_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_BOUNDS_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_BOUNDS_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_BOUNDS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -101,4 +101,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_BOUNDS_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_BOUNDS_H_
--- a/thornhollow/policy/endpoint_bounds_test.cc
+++ b/thornhollow/policy/endpoints/endpoint_bounds_test.cc
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_bounds.h"
+#include "thornhollow/policy/endpoints/endpoint_bounds.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_contact.cc
+++ b/thornhollow/policy/endpoints/endpoint_contact.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/endpoint_contact.h"
+#include "thornhollow/policy/endpoints/endpoint_contact.h"
 
 #include <algorithm>
 #include <array>
--- a/thornhollow/policy/endpoint_contact.h
+++ b/thornhollow/policy/endpoints/endpoint_contact.h
@@ -22,8 +22,8 @@
 //
 // Whether the endpoints have ended or this instance is cut off from them can
 // only be told with what other instances report; see fleet/forward_choice.h.
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_CONTACT_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_CONTACT_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_CONTACT_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_CONTACT_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -155,4 +155,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_CONTACT_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_CONTACT_H_
--- a/thornhollow/policy/endpoint_contact_test.cc
+++ b/thornhollow/policy/endpoints/endpoint_contact_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_contact.h"
+#include "thornhollow/policy/endpoints/endpoint_contact.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_health.cc
+++ b/thornhollow/policy/endpoints/endpoint_health.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/endpoint_health.h"
+#include "thornhollow/policy/endpoints/endpoint_health.h"
 
 #include <algorithm>
 #include <cmath>
--- a/thornhollow/policy/endpoint_health.h
+++ b/thornhollow/policy/endpoints/endpoint_health.h
@@ -45,8 +45,8 @@
 //   full capacity. If it fails again meanwhile, few requests are in flight.
 // - Probes start after 1 s, the shortest time in which a process restarts, and
 //   their interval doubles up to 30 s.
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_HEALTH_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_HEALTH_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_HEALTH_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_HEALTH_H_
 
 #include <cstdint>
 #include <optional>
@@ -160,4 +160,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_HEALTH_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_HEALTH_H_
--- a/thornhollow/policy/endpoint_health_test.cc
+++ b/thornhollow/policy/endpoints/endpoint_health_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_health.h"
+#include "thornhollow/policy/endpoints/endpoint_health.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_load.cc
+++ b/thornhollow/policy/endpoints/endpoint_load.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/endpoint_load.h"
+#include "thornhollow/policy/endpoints/endpoint_load.h"
 
 #include <algorithm>
 #include <cmath>
--- a/thornhollow/policy/endpoint_load.h
+++ b/thornhollow/policy/endpoints/endpoint_load.h
@@ -35,8 +35,8 @@
 // - A history of 32 changes of the own count covers the lag at the request rate
 //   of one endpoint (a few per second). For times before that, the oldest
 //   recorded count is used.
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_LOAD_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_LOAD_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_LOAD_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_LOAD_H_
 
 #include <array>
 #include <cstddef>
@@ -105,4 +105,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_LOAD_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_LOAD_H_
--- a/thornhollow/policy/endpoint_load_test.cc
+++ b/thornhollow/policy/endpoints/endpoint_load_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_load.h"
+#include "thornhollow/policy/endpoints/endpoint_load.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_notices.cc
+++ b/thornhollow/policy/endpoints/endpoint_notices.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/endpoint_notices.h"
+#include "thornhollow/policy/endpoints/endpoint_notices.h"
 
 #include <algorithm>
 #include <functional>
--- a/thornhollow/policy/endpoint_notices.h
+++ b/thornhollow/policy/endpoints/endpoint_notices.h
@@ -14,8 +14,8 @@
 // A notice holds for one process of an endpoint. Leaving is never withdrawn, so
 // a list that still shows the endpoint as live doesn't undo it; it is forgotten
 // only when the process must have ended long ago.
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_NOTICES_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_NOTICES_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_NOTICES_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_NOTICES_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -70,4 +70,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_NOTICES_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_NOTICES_H_
--- a/thornhollow/policy/endpoint_notices_test.cc
+++ b/thornhollow/policy/endpoints/endpoint_notices_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_notices.h"
+#include "thornhollow/policy/endpoints/endpoint_notices.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_rest.h
+++ b/thornhollow/policy/endpoints/endpoint_rest.h
@@ -12,8 +12,8 @@
 // Instances that were asked for the same rest would all return at the same
 // moment. So the return is put off by a different time at each, and begins with
 // one request; more follow once that one is answered.
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_REST_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_REST_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_REST_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_REST_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -94,4 +94,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_REST_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_REST_H_
--- a/thornhollow/policy/endpoint_rest_test.cc
+++ b/thornhollow/policy/endpoints/endpoint_rest_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_rest.h"
+#include "thornhollow/policy/endpoints/endpoint_rest.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_shares.cc
+++ b/thornhollow/policy/endpoints/endpoint_shares.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/endpoint_shares.h"
+#include "thornhollow/policy/endpoints/endpoint_shares.h"
 
 #include <algorithm>
 
--- a/thornhollow/policy/endpoint_shares.h
+++ b/thornhollow/policy/endpoints/endpoint_shares.h
@@ -18,8 +18,8 @@
 // While instances have gone missing lately, the others may see different ones,
 // as on both sides of a cut. The parts then shrink to the fraction that is
 // left, so that the sides' parts together are not more than the bound.
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_SHARES_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_SHARES_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_SHARES_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_SHARES_H_
 
 #include <cstdint>
 #include <string>
@@ -81,4 +81,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_SHARES_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_SHARES_H_
--- a/thornhollow/policy/endpoint_shares_test.cc
+++ b/thornhollow/policy/endpoints/endpoint_shares_test.cc
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_shares.h"
+#include "thornhollow/policy/endpoints/endpoint_shares.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_states.cc
+++ b/thornhollow/policy/endpoints/endpoint_states.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/endpoint_states.h"
+#include "thornhollow/policy/endpoints/endpoint_states.h"
 
 #include <algorithm>
 #include <utility>
--- a/thornhollow/policy/endpoint_states.h
+++ b/thornhollow/policy/endpoints/endpoint_states.h
@@ -12,8 +12,8 @@
 // work after the next copy of the list arrived, and this work would be cut off
 // when the endpoint stops. So an endpoint counts as leaving while any source
 // says so. Reports expire after some time, since they are never withdrawn.
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_STATES_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_STATES_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_STATES_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_STATES_H_
 
 #include <map>
 #include <optional>
@@ -64,4 +64,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_STATES_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_ENDPOINT_STATES_H_
--- a/thornhollow/policy/endpoint_states_test.cc
+++ b/thornhollow/policy/endpoints/endpoint_states_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_states.h"
+#include "thornhollow/policy/endpoints/endpoint_states.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/out_of_service.h
+++ b/thornhollow/policy/endpoints/out_of_service.h
@@ -14,8 +14,8 @@
 //
 // Returns are told to the other instances: one that has just started doesn't
 // know that a domain was out, and that its endpoints may have become cold.
-#ifndef THORNHOLLOW_POLICY_OUT_OF_SERVICE_H_
-#define THORNHOLLOW_POLICY_OUT_OF_SERVICE_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_OUT_OF_SERVICE_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_OUT_OF_SERVICE_H_
 
 #include <algorithm>
 #include <cstddef>
@@ -131,4 +131,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_OUT_OF_SERVICE_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_OUT_OF_SERVICE_H_
--- a/thornhollow/policy/out_of_service_test.cc
+++ b/thornhollow/policy/endpoints/out_of_service_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/out_of_service.h"
+#include "thornhollow/policy/endpoints/out_of_service.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/prefill_rate.h
+++ b/thornhollow/policy/endpoints/prefill_rate.h
@@ -16,14 +16,14 @@
 // corrected within ten responses. After these the estimate is within 20% of the
 // true rate, for rates between 20,000 and 150,000, when one response in five
 // waited behind unknown prompts.
-#ifndef THORNHOLLOW_POLICY_PREFILL_RATE_H_
-#define THORNHOLLOW_POLICY_PREFILL_RATE_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_PREFILL_RATE_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_PREFILL_RATE_H_
 
 #include <algorithm>
 #include <cstddef>
 
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/prefill_time_per_token.h"
+#include "thornhollow/policy/endpoints/prefill_time_per_token.h"
 
 namespace thornhollow {
 
@@ -78,4 +78,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_PREFILL_RATE_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_PREFILL_RATE_H_
--- a/thornhollow/policy/prefill_rate_test.cc
+++ b/thornhollow/policy/endpoints/prefill_rate_test.cc
@@ -3,7 +3,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/prefill_rate.h"
+#include "thornhollow/policy/endpoints/prefill_rate.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/prefill_time_per_token.h
+++ b/thornhollow/policy/endpoints/prefill_time_per_token.h
@@ -17,8 +17,8 @@
 // is therefore a property of the engine, whatever its load. Intervals between
 // events are less suitable: the low quantiles of such intervals, which are
 // about 20 ms, differ by a quarter from one instance to another.
-#ifndef THORNHOLLOW_POLICY_PREFILL_TIME_PER_TOKEN_H_
-#define THORNHOLLOW_POLICY_PREFILL_TIME_PER_TOKEN_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_PREFILL_TIME_PER_TOKEN_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_PREFILL_TIME_PER_TOKEN_H_
 
 #include <algorithm>
 
@@ -79,4 +79,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_PREFILL_TIME_PER_TOKEN_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_PREFILL_TIME_PER_TOKEN_H_
--- a/thornhollow/policy/refusal_gate.h
+++ b/thornhollow/policy/endpoints/refusal_gate.h
@@ -16,8 +16,8 @@
 // own has ended there. And refusals of the last second, together with requests
 // that may yet be refused, stay within its part of the refusals: that holds
 // whatever the room is.
-#ifndef THORNHOLLOW_POLICY_REFUSAL_GATE_H_
-#define THORNHOLLOW_POLICY_REFUSAL_GATE_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_REFUSAL_GATE_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_REFUSAL_GATE_H_
 
 #include <algorithm>
 #include <cmath>
@@ -27,7 +27,7 @@
 
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/endpoint_shares.h"
+#include "thornhollow/policy/endpoints/endpoint_shares.h"
 
 namespace thornhollow {
 
@@ -175,4 +175,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_REFUSAL_GATE_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_REFUSAL_GATE_H_
--- a/thornhollow/policy/refusal_gate_test.cc
+++ b/thornhollow/policy/endpoints/refusal_gate_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/refusal_gate.h"
+#include "thornhollow/policy/endpoints/refusal_gate.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/request_gate.h
+++ b/thornhollow/policy/endpoints/request_gate.h
@@ -11,8 +11,8 @@
 // send no more than the bound allows and one and a half each.
 //
 // A part begins empty: where users change, the one before may just have sent.
-#ifndef THORNHOLLOW_POLICY_REQUEST_GATE_H_
-#define THORNHOLLOW_POLICY_REQUEST_GATE_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_REQUEST_GATE_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_REQUEST_GATE_H_
 
 #include <algorithm>
 #include <cmath>
@@ -21,7 +21,7 @@
 
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/endpoint_shares.h"
+#include "thornhollow/policy/endpoints/endpoint_shares.h"
 
 namespace thornhollow {
 
@@ -94,4 +94,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_REQUEST_GATE_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_REQUEST_GATE_H_
--- a/thornhollow/policy/request_gate_test.cc
+++ b/thornhollow/policy/endpoints/request_gate_test.cc
@@ -3,7 +3,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/request_gate.h"
+#include "thornhollow/policy/endpoints/request_gate.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/run_time_estimate.cc
+++ b/thornhollow/policy/endpoints/run_time_estimate.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/run_time_estimate.h"
+#include "thornhollow/policy/endpoints/run_time_estimate.h"
 
 #include <algorithm>
 #include <limits>
--- a/thornhollow/policy/run_time_estimate.h
+++ b/thornhollow/policy/endpoints/run_time_estimate.h
@@ -15,12 +15,12 @@
 // their deadline. The shortest run seen is an outlier, so that a bound at that
 // value would refuse almost nothing. Fewer than 16 runs are too few for a 10%
 // quantile.
-#ifndef THORNHOLLOW_POLICY_RUN_TIME_ESTIMATE_H_
-#define THORNHOLLOW_POLICY_RUN_TIME_ESTIMATE_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_RUN_TIME_ESTIMATE_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_RUN_TIME_ESTIMATE_H_
 
 #include <unordered_map>
 
-#include "thornhollow/policy/length_estimate.h"
+#include "thornhollow/policy/queues/length_estimate.h"
 #include "thornhollow/policy/work.h"
 
 namespace thornhollow {
@@ -62,4 +62,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_RUN_TIME_ESTIMATE_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_RUN_TIME_ESTIMATE_H_
--- a/thornhollow/policy/service_rate.cc
+++ b/thornhollow/policy/endpoints/service_rate.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/service_rate.h"
+#include "thornhollow/policy/endpoints/service_rate.h"
 
 #include <algorithm>
 #include <cmath>
--- a/thornhollow/policy/service_rate.h
+++ b/thornhollow/policy/endpoints/service_rate.h
@@ -17,8 +17,8 @@
 // covers only a few engine steps, too little for an estimate. An estimate older
 // than 15 s is ignored, so that the state before an idle period does not affect
 // the next burst.
-#ifndef THORNHOLLOW_POLICY_SERVICE_RATE_H_
-#define THORNHOLLOW_POLICY_SERVICE_RATE_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_SERVICE_RATE_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_SERVICE_RATE_H_
 
 #include <optional>
 
@@ -59,4 +59,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_SERVICE_RATE_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_SERVICE_RATE_H_
--- a/thornhollow/policy/slot_occupancy.cc
+++ b/thornhollow/policy/endpoints/slot_occupancy.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/slot_occupancy.h"
+#include "thornhollow/policy/endpoints/slot_occupancy.h"
 
 #include <algorithm>
 
--- a/thornhollow/policy/slot_occupancy.h
+++ b/thornhollow/policy/endpoints/slot_occupancy.h
@@ -6,8 +6,8 @@
 //   occupancy.OnEnded(length);
 //   const duration wait = occupancy.WaitFor(inFlight, slots);
 //
-#ifndef THORNHOLLOW_POLICY_SLOT_OCCUPANCY_H_
-#define THORNHOLLOW_POLICY_SLOT_OCCUPANCY_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_SLOT_OCCUPANCY_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_SLOT_OCCUPANCY_H_
 
 #include "thornhollow/base/time.h"
 
@@ -46,4 +46,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_SLOT_OCCUPANCY_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_SLOT_OCCUPANCY_H_
--- a/thornhollow/policy/slot_occupancy_test.cc
+++ b/thornhollow/policy/endpoints/slot_occupancy_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/slot_occupancy.h"
+#include "thornhollow/policy/endpoints/slot_occupancy.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/warm_up.h
+++ b/thornhollow/policy/endpoints/warm_up.h
@@ -15,8 +15,8 @@
 // become cold without a word, as nothing was sent to it for a while, it is
 // presumed to be: that holds for the whole time of a warm-up, because a word
 // may have been written before.
-#ifndef THORNHOLLOW_POLICY_WARM_UP_H_
-#define THORNHOLLOW_POLICY_WARM_UP_H_
+#ifndef THORNHOLLOW_POLICY_ENDPOINTS_WARM_UP_H_
+#define THORNHOLLOW_POLICY_ENDPOINTS_WARM_UP_H_
 
 #include <algorithm>
 #include <cstddef>
@@ -119,4 +119,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_WARM_UP_H_
+#endif // THORNHOLLOW_POLICY_ENDPOINTS_WARM_UP_H_
--- a/thornhollow/policy/warm_up_test.cc
+++ b/thornhollow/policy/endpoints/warm_up_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/warm_up.h"
+#include "thornhollow/policy/endpoints/warm_up.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_choice.cc
+++ b/thornhollow/policy/placement/endpoint_choice.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/endpoint_choice.h"
+#include "thornhollow/policy/placement/endpoint_choice.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_choice.h
+++ b/thornhollow/policy/placement/endpoint_choice.h
@@ -37,8 +37,8 @@
 //   between domains then affects little traffic.
 // - A failed attempt costs about as much as the attempt itself plus the wait
 //   before the retry, hence the weight of the failure rate.
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_CHOICE_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_CHOICE_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_CHOICE_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_CHOICE_H_
 
 #include <cstddef>
 
@@ -104,4 +104,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_CHOICE_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_CHOICE_H_
--- a/thornhollow/policy/endpoint_choice_test.cc
+++ b/thornhollow/policy/placement/endpoint_choice_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_choice.h"
+#include "thornhollow/policy/placement/endpoint_choice.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_reservations.h
+++ b/thornhollow/policy/placement/endpoint_reservations.h
@@ -1,19 +1,19 @@
 // Combines the states of endpoints with the reservations of trials (see
-// policy/crash_suspects.h): a reserved endpoint is treated as leaving, so that
-// it receives no new requests.
+// policy/suspects/crash_suspects.h): a reserved endpoint is treated as leaving,
+// so that it receives no new requests.
 //
 //   endpoint_reservations reservations;
 //   Apply(reservations.OnState(name, state));
 //   Apply(reservations.SetReserved(names));
 //
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_RESERVATIONS_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_RESERVATIONS_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_RESERVATIONS_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_RESERVATIONS_H_
 
 #include <set>
 #include <utility>
 
 #include "thornhollow/base/ids.h"
-#include "thornhollow/policy/endpoint_states.h"
+#include "thornhollow/policy/endpoints/endpoint_states.h"
 
 namespace thornhollow {
 
@@ -65,4 +65,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_RESERVATIONS_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_RESERVATIONS_H_
--- a/thornhollow/policy/endpoint_reservations_test.cc
+++ b/thornhollow/policy/placement/endpoint_reservations_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_reservations.h"
+#include "thornhollow/policy/placement/endpoint_reservations.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_subset.cc
+++ b/thornhollow/policy/placement/endpoint_subset.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/endpoint_subset.h"
+#include "thornhollow/policy/placement/endpoint_subset.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/thornhollow/policy/endpoint_subset.h
+++ b/thornhollow/policy/placement/endpoint_subset.h
@@ -23,8 +23,8 @@
 // alternatives, and at 86 streams per daemon each endpoint answers the daemon
 // several times a second. With fewer than 8 endpoints, the loss of one would
 // move a large fraction of the daemon's work to few others.
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_SUBSET_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_SUBSET_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_SUBSET_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_SUBSET_H_
 
 #include <cstddef>
 #include <span>
@@ -78,4 +78,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_SUBSET_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_SUBSET_H_
--- a/thornhollow/policy/endpoint_subset_test.cc
+++ b/thornhollow/policy/placement/endpoint_subset_test.cc
@@ -5,7 +5,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_subset.h"
+#include "thornhollow/policy/placement/endpoint_subset.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_table.cc
+++ b/thornhollow/policy/placement/endpoint_table.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/endpoint_table.h"
+#include "thornhollow/policy/placement/endpoint_table.h"
 
 #include <algorithm>
 #include <array>
--- a/thornhollow/policy/endpoint_table.h
+++ b/thornhollow/policy/placement/endpoint_table.h
@@ -14,8 +14,8 @@
 // few random endpoints from the list. State that changes with time alone (a
 // load report that loses weight, a probe that falls due) is re-evaluated by
 // `Advance`, which should be called at `NextDue`.
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_TABLE_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_TABLE_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_TABLE_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_TABLE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -28,13 +28,13 @@
 #include <unordered_set>
 #include <vector>
 
-#include "thornhollow/policy/endpoint_choice.h"
-#include "thornhollow/policy/endpoint_subset.h"
-#include "thornhollow/policy/internal/endpoint_record.h"
-#include "thornhollow/policy/internal/pool_index.h"
-#include "thornhollow/policy/length_estimate.h"
-#include "thornhollow/policy/out_of_service.h"
-#include "thornhollow/policy/prefix_affinity.h"
+#include "thornhollow/policy/endpoints/out_of_service.h"
+#include "thornhollow/policy/placement/endpoint_choice.h"
+#include "thornhollow/policy/placement/endpoint_subset.h"
+#include "thornhollow/policy/placement/internal/endpoint_record.h"
+#include "thornhollow/policy/placement/internal/pool_index.h"
+#include "thornhollow/policy/placement/prefix_affinity.h"
+#include "thornhollow/policy/queues/length_estimate.h"
 #include "thornhollow/policy/work.h"
 
 namespace thornhollow {
@@ -292,4 +292,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_TABLE_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_ENDPOINT_TABLE_H_
--- a/thornhollow/policy/endpoint_table_allocations_test.cc
+++ b/thornhollow/policy/placement/endpoint_table_allocations_test.cc
@@ -11,7 +11,7 @@
 #include <doctest/doctest.h>
 #include <malloc.h>
 
-#include "thornhollow/policy/endpoint_table.h"
+#include "thornhollow/policy/placement/endpoint_table.h"
 
 namespace {
 
--- a/thornhollow/policy/endpoint_table_benchmark.cc
+++ b/thornhollow/policy/placement/endpoint_table_benchmark.cc
@@ -8,8 +8,8 @@
 
 #include <benchmark/benchmark.h>
 
-#include "thornhollow/policy/endpoint_subset.h"
-#include "thornhollow/policy/endpoint_table.h"
+#include "thornhollow/policy/placement/endpoint_subset.h"
+#include "thornhollow/policy/placement/endpoint_table.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_table_test.cc
+++ b/thornhollow/policy/placement/endpoint_table_test.cc
@@ -5,7 +5,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_table.h"
+#include "thornhollow/policy/placement/endpoint_table.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/engine_partition.cc
+++ b/thornhollow/policy/placement/engine_partition.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/engine_partition.h"
+#include "thornhollow/policy/placement/engine_partition.h"
 
 #include <algorithm>
 #include <cmath>
--- a/thornhollow/policy/engine_partition.h
+++ b/thornhollow/policy/placement/engine_partition.h
@@ -41,15 +41,15 @@
 // The target utilization is 25% for the interactive side and 50% for the bulk
 // side. A burst doubles the utilization of either side, and on an engine that
 // prefills half of the time, streams with short pause limits are late.
-#ifndef THORNHOLLOW_POLICY_ENGINE_PARTITION_H_
-#define THORNHOLLOW_POLICY_ENGINE_PARTITION_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_ENGINE_PARTITION_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_ENGINE_PARTITION_H_
 
 #include <cstddef>
 #include <optional>
 #include <vector>
 
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/workload_kind.h"
+#include "thornhollow/policy/placement/workload_kind.h"
 
 namespace thornhollow {
 
@@ -193,4 +193,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENGINE_PARTITION_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_ENGINE_PARTITION_H_
--- a/thornhollow/policy/engine_partition_test.cc
+++ b/thornhollow/policy/placement/engine_partition_test.cc
@@ -3,7 +3,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/engine_partition.h"
+#include "thornhollow/policy/placement/engine_partition.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/engine_sides.cc
+++ b/thornhollow/policy/placement/engine_sides.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/engine_sides.h"
+#include "thornhollow/policy/placement/engine_sides.h"
 
 #include <algorithm>
 #include <cmath>
--- a/thornhollow/policy/engine_sides.h
+++ b/thornhollow/policy/placement/engine_sides.h
@@ -19,8 +19,8 @@
 // time: when three of nine engines were found slow within two seconds and were
 // exchanged at once, three fifths of the bulk side's sessions lost their engine
 // and 150 thousand prompt tokens had to be prefilled again.
-#ifndef THORNHOLLOW_POLICY_ENGINE_SIDES_H_
-#define THORNHOLLOW_POLICY_ENGINE_SIDES_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_ENGINE_SIDES_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_ENGINE_SIDES_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -132,4 +132,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENGINE_SIDES_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_ENGINE_SIDES_H_
--- a/thornhollow/policy/engine_sides_test.cc
+++ b/thornhollow/policy/placement/engine_sides_test.cc
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/engine_sides.h"
+#include "thornhollow/policy/placement/engine_sides.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/internal/endpoint_record.cc
+++ b/thornhollow/policy/placement/internal/endpoint_record.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/internal/endpoint_record.h"
+#include "thornhollow/policy/placement/internal/endpoint_record.h"
 
 #include <algorithm>
 #include <cmath>
--- a/thornhollow/policy/internal/endpoint_record.h
+++ b/thornhollow/policy/placement/internal/endpoint_record.h
@@ -1,15 +1,15 @@
 // The state that a router keeps for one endpoint.
-#ifndef THORNHOLLOW_POLICY_INTERNAL_ENDPOINT_RECORD_H_
-#define THORNHOLLOW_POLICY_INTERNAL_ENDPOINT_RECORD_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_INTERNAL_ENDPOINT_RECORD_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_INTERNAL_ENDPOINT_RECORD_H_
 
 #include <cstdint>
 #include <optional>
 #include <vector>
 
-#include "thornhollow/policy/concurrency_limit.h"
-#include "thornhollow/policy/endpoint_health.h"
-#include "thornhollow/policy/endpoint_load.h"
-#include "thornhollow/policy/request_gate.h"
+#include "thornhollow/policy/endpoints/concurrency_limit.h"
+#include "thornhollow/policy/endpoints/endpoint_health.h"
+#include "thornhollow/policy/endpoints/endpoint_load.h"
+#include "thornhollow/policy/endpoints/request_gate.h"
 #include "thornhollow/policy/work.h"
 
 namespace thornhollow::internal {
@@ -175,4 +175,4 @@
 
 } // namespace thornhollow::internal
 
-#endif // THORNHOLLOW_POLICY_INTERNAL_ENDPOINT_RECORD_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_INTERNAL_ENDPOINT_RECORD_H_
--- a/thornhollow/policy/internal/pool_index.cc
+++ b/thornhollow/policy/placement/internal/pool_index.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/internal/pool_index.h"
+#include "thornhollow/policy/placement/internal/pool_index.h"
 
 #include <algorithm>
 
--- a/thornhollow/policy/internal/pool_index.h
+++ b/thornhollow/policy/placement/internal/pool_index.h
@@ -1,8 +1,8 @@
 // Index of the endpoints that serve one pool and of those with a free slot,
 // updated on every change, so that a decision needs to consider only a few
 // endpoints.
-#ifndef THORNHOLLOW_POLICY_INTERNAL_POOL_INDEX_H_
-#define THORNHOLLOW_POLICY_INTERNAL_POOL_INDEX_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_INTERNAL_POOL_INDEX_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_INTERNAL_POOL_INDEX_H_
 
 #include <array>
 #include <cstddef>
@@ -117,4 +117,4 @@
 
 } // namespace thornhollow::internal
 
-#endif // THORNHOLLOW_POLICY_INTERNAL_POOL_INDEX_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_INTERNAL_POOL_INDEX_H_
--- a/thornhollow/policy/internal/pool_index_test.cc
+++ b/thornhollow/policy/placement/internal/pool_index_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/internal/pool_index.h"
+#include "thornhollow/policy/placement/internal/pool_index.h"
 
 namespace thornhollow::internal {
 namespace {
--- a/thornhollow/policy/internal/prefill_cost.h
+++ b/thornhollow/policy/placement/internal/prefill_cost.h
@@ -2,8 +2,8 @@
 //
 //   const double cost = PrefillCost(ownTokens, cachedTokens);
 //
-#ifndef THORNHOLLOW_POLICY_INTERNAL_PREFILL_COST_H_
-#define THORNHOLLOW_POLICY_INTERNAL_PREFILL_COST_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_INTERNAL_PREFILL_COST_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_INTERNAL_PREFILL_COST_H_
 
 namespace thornhollow::internal {
 
@@ -23,4 +23,4 @@
 
 } // namespace thornhollow::internal
 
-#endif // THORNHOLLOW_POLICY_INTERNAL_PREFILL_COST_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_INTERNAL_PREFILL_COST_H_
--- a/thornhollow/policy/internal/relay_pool_placement.cc
+++ b/thornhollow/policy/placement/internal/relay_pool_placement.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "thornhollow/base/hash.h"
-#include "thornhollow/policy/internal/prefill_cost.h"
-#include "thornhollow/policy/relay_pool.h"
+#include "thornhollow/policy/placement/internal/prefill_cost.h"
+#include "thornhollow/policy/placement/relay_pool.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/popular_prefix_blocks.h
+++ b/thornhollow/policy/placement/popular_prefix_blocks.h
@@ -12,8 +12,8 @@
 // use. If the shared text were counted as part of the session, every engine to
 // which the session has not yet been sent would be expected to prefill it
 // again.
-#ifndef THORNHOLLOW_POLICY_POPULAR_PREFIX_BLOCKS_H_
-#define THORNHOLLOW_POLICY_POPULAR_PREFIX_BLOCKS_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_POPULAR_PREFIX_BLOCKS_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_POPULAR_PREFIX_BLOCKS_H_
 
 #include <algorithm>
 #include <cstddef>
@@ -83,4 +83,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_POPULAR_PREFIX_BLOCKS_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_POPULAR_PREFIX_BLOCKS_H_
--- a/thornhollow/policy/popular_prefix_blocks_test.cc
+++ b/thornhollow/policy/placement/popular_prefix_blocks_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/popular_prefix_blocks.h"
+#include "thornhollow/policy/placement/popular_prefix_blocks.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/prefix_affinity.cc
+++ b/thornhollow/policy/placement/prefix_affinity.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/prefix_affinity.h"
+#include "thornhollow/policy/placement/prefix_affinity.h"
 
 #include <algorithm>
 
--- a/thornhollow/policy/prefix_affinity.h
+++ b/thornhollow/policy/placement/prefix_affinity.h
@@ -21,8 +21,8 @@
 //   more endpoints is probably cached at nearly all of them.
 // - Entries expire two minutes after their last use, because an engine's prefix
 //   cache is limited and evicts what is not in use.
-#ifndef THORNHOLLOW_POLICY_PREFIX_AFFINITY_H_
-#define THORNHOLLOW_POLICY_PREFIX_AFFINITY_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_PREFIX_AFFINITY_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_PREFIX_AFFINITY_H_
 
 #include <array>
 #include <cstddef>
@@ -88,4 +88,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_PREFIX_AFFINITY_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_PREFIX_AFFINITY_H_
--- a/thornhollow/policy/prefix_affinity_test.cc
+++ b/thornhollow/policy/placement/prefix_affinity_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/prefix_affinity.h"
+#include "thornhollow/policy/placement/prefix_affinity.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/prefix_reuse_estimator.h
+++ b/thornhollow/policy/placement/prefix_reuse_estimator.h
@@ -15,8 +15,8 @@
 //
 // The model assumes that each of the other instances sees different requests of
 // the same sessions and knows the same fraction of the prefixes as this one.
-#ifndef THORNHOLLOW_POLICY_PREFIX_REUSE_ESTIMATOR_H_
-#define THORNHOLLOW_POLICY_PREFIX_REUSE_ESTIMATOR_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_PREFIX_REUSE_ESTIMATOR_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_PREFIX_REUSE_ESTIMATOR_H_
 
 #include <algorithm>
 #include <cmath>
@@ -56,4 +56,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_PREFIX_REUSE_ESTIMATOR_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_PREFIX_REUSE_ESTIMATOR_H_
--- a/thornhollow/policy/prefix_reuse_estimator_test.cc
+++ b/thornhollow/policy/placement/prefix_reuse_estimator_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/prefix_reuse_estimator.h"
+#include "thornhollow/policy/placement/prefix_reuse_estimator.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/relay_pool.cc
+++ b/thornhollow/policy/placement/relay_pool.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/relay_pool.h"
+#include "thornhollow/policy/placement/relay_pool.h"
 
 #include <algorithm>
 #include <cmath>
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "thornhollow/base/hash.h"
-#include "thornhollow/policy/internal/prefill_cost.h"
+#include "thornhollow/policy/placement/internal/prefill_cost.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/relay_pool.h
+++ b/thornhollow/policy/placement/relay_pool.h
@@ -41,13 +41,13 @@
 // version that began the stream: what two versions write does not fit together.
 //
 // Endpoints in failure domains that are suspected to be unreachable are skipped
-// as long as others are left, see policy/domain_reachability.h.
+// as long as others are left, see policy/endpoints/domain_reachability.h.
 //
 // Endpoints of plain services, unlike engines, are chosen by load: the endpoint
 // with the fewest requests in flight from this instance, and at equal load one
 // in the instance's own failure domain.
-#ifndef THORNHOLLOW_POLICY_RELAY_POOL_H_
-#define THORNHOLLOW_POLICY_RELAY_POOL_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_RELAY_POOL_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_RELAY_POOL_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -62,22 +62,22 @@
 
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/domain_reachability.h"
-#include "thornhollow/policy/endpoint_health.h"
-#include "thornhollow/policy/endpoint_rest.h"
-#include "thornhollow/policy/engine_partition.h"
-#include "thornhollow/policy/engine_sides.h"
-#include "thornhollow/policy/popular_prefix_blocks.h"
-#include "thornhollow/policy/prefill_rate.h"
-#include "thornhollow/policy/prefill_time_per_token.h"
-#include "thornhollow/policy/prefix_affinity.h"
-#include "thornhollow/policy/prefix_reuse_estimator.h"
-#include "thornhollow/policy/refusal_gate.h"
-#include "thornhollow/policy/relay_admission.h"
-#include "thornhollow/policy/request_gate.h"
-#include "thornhollow/policy/request_profile.h"
-#include "thornhollow/policy/slot_occupancy.h"
-#include "thornhollow/policy/workload_kind.h"
+#include "thornhollow/policy/admission/relay_admission.h"
+#include "thornhollow/policy/endpoints/domain_reachability.h"
+#include "thornhollow/policy/endpoints/endpoint_health.h"
+#include "thornhollow/policy/endpoints/endpoint_rest.h"
+#include "thornhollow/policy/endpoints/prefill_rate.h"
+#include "thornhollow/policy/endpoints/prefill_time_per_token.h"
+#include "thornhollow/policy/endpoints/refusal_gate.h"
+#include "thornhollow/policy/endpoints/request_gate.h"
+#include "thornhollow/policy/endpoints/slot_occupancy.h"
+#include "thornhollow/policy/placement/engine_partition.h"
+#include "thornhollow/policy/placement/engine_sides.h"
+#include "thornhollow/policy/placement/popular_prefix_blocks.h"
+#include "thornhollow/policy/placement/prefix_affinity.h"
+#include "thornhollow/policy/placement/prefix_reuse_estimator.h"
+#include "thornhollow/policy/placement/request_profile.h"
+#include "thornhollow/policy/placement/workload_kind.h"
 
 namespace thornhollow {
 
@@ -462,4 +462,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_RELAY_POOL_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_RELAY_POOL_H_
--- a/thornhollow/policy/relay_pool_benchmark.cc
+++ b/thornhollow/policy/placement/relay_pool_benchmark.cc
@@ -3,7 +3,7 @@
 
 #include <benchmark/benchmark.h>
 
-#include "thornhollow/policy/relay_pool.h"
+#include "thornhollow/policy/placement/relay_pool.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/relay_pool_test.cc
+++ b/thornhollow/policy/placement/relay_pool_test.cc
@@ -7,7 +7,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/relay_pool.h"
+#include "thornhollow/policy/placement/relay_pool.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/request_profile.h
+++ b/thornhollow/policy/placement/request_profile.h
@@ -3,8 +3,8 @@
 //
 //   const request_profile request = { .mTier = 0, .mPromptTokens = 640, ... };
 //
-#ifndef THORNHOLLOW_POLICY_REQUEST_PROFILE_H_
-#define THORNHOLLOW_POLICY_REQUEST_PROFILE_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_REQUEST_PROFILE_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_REQUEST_PROFILE_H_
 
 #include <cstdint>
 #include <optional>
@@ -14,7 +14,7 @@
 #include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/workload_kind.h"
+#include "thornhollow/policy/placement/workload_kind.h"
 
 namespace thornhollow {
 
@@ -103,4 +103,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_REQUEST_PROFILE_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_REQUEST_PROFILE_H_
--- a/thornhollow/policy/workload_kind.cc
+++ b/thornhollow/policy/placement/workload_kind.cc
@@ -1,10 +1,10 @@
-#include "thornhollow/policy/workload_kind.h"
+#include "thornhollow/policy/placement/workload_kind.h"
 
 #include <algorithm>
 #include <cmath>
 #include <functional>
 
-#include "thornhollow/policy/prefill_rate.h"
+#include "thornhollow/policy/endpoints/prefill_rate.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/workload_kind.h
+++ b/thornhollow/policy/placement/workload_kind.h
@@ -11,8 +11,8 @@
 // All placement decisions for a whole pool follow from the demand summed over
 // all instances. Instances exchange their demand and so reach the same
 // decisions without asking each other.
-#ifndef THORNHOLLOW_POLICY_WORKLOAD_KIND_H_
-#define THORNHOLLOW_POLICY_WORKLOAD_KIND_H_
+#ifndef THORNHOLLOW_POLICY_PLACEMENT_WORKLOAD_KIND_H_
+#define THORNHOLLOW_POLICY_PLACEMENT_WORKLOAD_KIND_H_
 
 #include <cstddef>
 #include <map>
@@ -128,4 +128,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_WORKLOAD_KIND_H_
+#endif // THORNHOLLOW_POLICY_PLACEMENT_WORKLOAD_KIND_H_
--- a/thornhollow/policy/workload_kind_test.cc
+++ b/thornhollow/policy/placement/workload_kind_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/workload_kind.h"
+#include "thornhollow/policy/placement/workload_kind.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/endpoint_queue_window.cc
+++ b/thornhollow/policy/queues/endpoint_queue_window.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/endpoint_queue_window.h"
+#include "thornhollow/policy/queues/endpoint_queue_window.h"
 
 #include <algorithm>
 
--- a/thornhollow/policy/endpoint_queue_window.h
+++ b/thornhollow/policy/queues/endpoint_queue_window.h
@@ -32,8 +32,8 @@
 //   than by the queue. With 0.3, only 3% instead of 99% of the requests met
 //   their target when one instance received all requests of the highest tier
 //   (scenario split_tiers).
-#ifndef THORNHOLLOW_POLICY_ENDPOINT_QUEUE_WINDOW_H_
-#define THORNHOLLOW_POLICY_ENDPOINT_QUEUE_WINDOW_H_
+#ifndef THORNHOLLOW_POLICY_QUEUES_ENDPOINT_QUEUE_WINDOW_H_
+#define THORNHOLLOW_POLICY_QUEUES_ENDPOINT_QUEUE_WINDOW_H_
 
 #include <cstdint>
 
@@ -86,4 +86,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ENDPOINT_QUEUE_WINDOW_H_
+#endif // THORNHOLLOW_POLICY_QUEUES_ENDPOINT_QUEUE_WINDOW_H_
--- a/thornhollow/policy/fair_queue.cc
+++ b/thornhollow/policy/queues/fair_queue.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/fair_queue.h"
+#include "thornhollow/policy/queues/fair_queue.h"
 
 #include <algorithm>
 #include <iterator>
--- a/thornhollow/policy/fair_queue.h
+++ b/thornhollow/policy/queues/fair_queue.h
@@ -18,8 +18,8 @@
 // does not depend on the number of teams. A team's state is kept only while its
 // last finish tag exceeds the virtual time, and all state is discarded when the
 // queue becomes empty.
-#ifndef THORNHOLLOW_POLICY_FAIR_QUEUE_H_
-#define THORNHOLLOW_POLICY_FAIR_QUEUE_H_
+#ifndef THORNHOLLOW_POLICY_QUEUES_FAIR_QUEUE_H_
+#define THORNHOLLOW_POLICY_QUEUES_FAIR_QUEUE_H_
 
 #include <compare>
 #include <cstddef>
@@ -27,7 +27,7 @@
 #include <map>
 #include <unordered_map>
 
-#include "thornhollow/policy/waiting_request.h"
+#include "thornhollow/policy/queues/waiting_request.h"
 
 namespace thornhollow {
 
@@ -141,4 +141,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_FAIR_QUEUE_H_
+#endif // THORNHOLLOW_POLICY_QUEUES_FAIR_QUEUE_H_
--- a/thornhollow/policy/fair_queue_test.cc
+++ b/thornhollow/policy/queues/fair_queue_test.cc
@@ -3,7 +3,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/fair_queue.h"
+#include "thornhollow/policy/queues/fair_queue.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/length_estimate.cc
+++ b/thornhollow/policy/queues/length_estimate.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/length_estimate.h"
+#include "thornhollow/policy/queues/length_estimate.h"
 
 #include <algorithm>
 #include <cmath>
--- a/thornhollow/policy/length_estimate.h
+++ b/thornhollow/policy/queues/length_estimate.h
@@ -23,8 +23,8 @@
 // quantile of fewer samples is unreliable. A class counts as long if its upper
 // quartile is four times the pool's median: a slot that such a request occupies
 // could have served four typical requests.
-#ifndef THORNHOLLOW_POLICY_LENGTH_ESTIMATE_H_
-#define THORNHOLLOW_POLICY_LENGTH_ESTIMATE_H_
+#ifndef THORNHOLLOW_POLICY_QUEUES_LENGTH_ESTIMATE_H_
+#define THORNHOLLOW_POLICY_QUEUES_LENGTH_ESTIMATE_H_
 
 #include <array>
 #include <cstddef>
@@ -119,4 +119,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_LENGTH_ESTIMATE_H_
+#endif // THORNHOLLOW_POLICY_QUEUES_LENGTH_ESTIMATE_H_
--- a/thornhollow/policy/length_estimate_test.cc
+++ b/thornhollow/policy/queues/length_estimate_test.cc
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/length_estimate.h"
+#include "thornhollow/policy/queues/length_estimate.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/pool_queue.cc
+++ b/thornhollow/policy/queues/pool_queue.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/pool_queue.h"
+#include "thornhollow/policy/queues/pool_queue.h"
 
 #include <algorithm>
 #include <cmath>
--- a/thornhollow/policy/pool_queue.h
+++ b/thornhollow/policy/queues/pool_queue.h
@@ -17,8 +17,8 @@
 // no class loses its reserved capacity to a higher tier.
 // docs/design/tiers_and_shares.md explains why tier order and minimum shares
 // hold at the same time.
-#ifndef THORNHOLLOW_POLICY_POOL_QUEUE_H_
-#define THORNHOLLOW_POLICY_POOL_QUEUE_H_
+#ifndef THORNHOLLOW_POLICY_QUEUES_POOL_QUEUE_H_
+#define THORNHOLLOW_POLICY_QUEUES_POOL_QUEUE_H_
 
 #include <cstddef>
 #include <map>
@@ -28,12 +28,12 @@
 #include <unordered_map>
 #include <vector>
 
-#include "thornhollow/policy/fair_queue.h"
-#include "thornhollow/policy/minimum_share.h"
-#include "thornhollow/policy/retry_schedule.h"
-#include "thornhollow/policy/service_rate.h"
-#include "thornhollow/policy/standing_queue.h"
-#include "thornhollow/policy/tier_pressure.h"
+#include "thornhollow/policy/admission/minimum_share.h"
+#include "thornhollow/policy/admission/retry_schedule.h"
+#include "thornhollow/policy/admission/tier_pressure.h"
+#include "thornhollow/policy/endpoints/service_rate.h"
+#include "thornhollow/policy/queues/fair_queue.h"
+#include "thornhollow/policy/queues/standing_queue.h"
 
 namespace thornhollow {
 
@@ -225,4 +225,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_POOL_QUEUE_H_
+#endif // THORNHOLLOW_POLICY_QUEUES_POOL_QUEUE_H_
--- a/thornhollow/policy/pool_queue_test.cc
+++ b/thornhollow/policy/queues/pool_queue_test.cc
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/pool_queue.h"
+#include "thornhollow/policy/queues/pool_queue.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/request_queue.cc
+++ b/thornhollow/policy/queues/request_queue.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/request_queue.h"
+#include "thornhollow/policy/queues/request_queue.h"
 
 #include <algorithm>
 
--- a/thornhollow/policy/request_queue.h
+++ b/thornhollow/policy/queues/request_queue.h
@@ -9,8 +9,8 @@
 //
 // `pool_queue` orders and bounds the requests of each pool. This class manages
 // the set of pools, the deadlines and the load reports of other instances.
-#ifndef THORNHOLLOW_POLICY_REQUEST_QUEUE_H_
-#define THORNHOLLOW_POLICY_REQUEST_QUEUE_H_
+#ifndef THORNHOLLOW_POLICY_QUEUES_REQUEST_QUEUE_H_
+#define THORNHOLLOW_POLICY_QUEUES_REQUEST_QUEUE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -23,8 +23,8 @@
 #include <utility>
 #include <vector>
 
-#include "thornhollow/policy/pool_queue.h"
-#include "thornhollow/policy/tier_pressure.h"
+#include "thornhollow/policy/admission/tier_pressure.h"
+#include "thornhollow/policy/queues/pool_queue.h"
 #include "thornhollow/policy/work.h"
 
 namespace thornhollow {
@@ -141,4 +141,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_REQUEST_QUEUE_H_
+#endif // THORNHOLLOW_POLICY_QUEUES_REQUEST_QUEUE_H_
--- a/thornhollow/policy/room_queue.h
+++ b/thornhollow/policy/queues/room_queue.h
@@ -10,8 +10,8 @@
 // are small, so that a request often finds all of them taken for some
 // milliseconds. The queue is short, so that whoever can't be served soon is
 // told at once.
-#ifndef THORNHOLLOW_POLICY_ROOM_QUEUE_H_
-#define THORNHOLLOW_POLICY_ROOM_QUEUE_H_
+#ifndef THORNHOLLOW_POLICY_QUEUES_ROOM_QUEUE_H_
+#define THORNHOLLOW_POLICY_QUEUES_ROOM_QUEUE_H_
 
 #include <compare>
 #include <cstddef>
@@ -99,4 +99,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_ROOM_QUEUE_H_
+#endif // THORNHOLLOW_POLICY_QUEUES_ROOM_QUEUE_H_
--- a/thornhollow/policy/room_queue_test.cc
+++ b/thornhollow/policy/queues/room_queue_test.cc
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/room_queue.h"
+#include "thornhollow/policy/queues/room_queue.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/scheduler.cc
+++ b/thornhollow/policy/queues/scheduler.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/scheduler.h"
+#include "thornhollow/policy/queues/scheduler.h"
 
 #include <algorithm>
 #include <unordered_set>
--- a/thornhollow/policy/scheduler.h
+++ b/thornhollow/policy/queues/scheduler.h
@@ -18,8 +18,8 @@
 // Instances exchange their load: the caller sends the result of `Pressure` to
 // the other instances several times per second and passes the reports received
 // from them to `OnPeerPressure`.
-#ifndef THORNHOLLOW_POLICY_SCHEDULER_H_
-#define THORNHOLLOW_POLICY_SCHEDULER_H_
+#ifndef THORNHOLLOW_POLICY_QUEUES_SCHEDULER_H_
+#define THORNHOLLOW_POLICY_QUEUES_SCHEDULER_H_
 
 #include <array>
 #include <cstdint>
@@ -27,13 +27,13 @@
 #include <unordered_map>
 #include <vector>
 
+#include "thornhollow/policy/admission/retry_budget.h"
 #include "thornhollow/policy/clock_gap.h"
-#include "thornhollow/policy/endpoint_queue_window.h"
-#include "thornhollow/policy/endpoint_table.h"
-#include "thornhollow/policy/request_queue.h"
-#include "thornhollow/policy/retry_budget.h"
-#include "thornhollow/policy/run_time_estimate.h"
-#include "thornhollow/policy/team_in_flight.h"
+#include "thornhollow/policy/endpoints/run_time_estimate.h"
+#include "thornhollow/policy/placement/endpoint_table.h"
+#include "thornhollow/policy/queues/endpoint_queue_window.h"
+#include "thornhollow/policy/queues/request_queue.h"
+#include "thornhollow/policy/queues/team_in_flight.h"
 #include "thornhollow/policy/work.h"
 
 namespace thornhollow {
@@ -232,4 +232,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_SCHEDULER_H_
+#endif // THORNHOLLOW_POLICY_QUEUES_SCHEDULER_H_
--- a/thornhollow/policy/scheduler_benchmark.cc
+++ b/thornhollow/policy/queues/scheduler_benchmark.cc
@@ -9,7 +9,7 @@
 
 #include <benchmark/benchmark.h>
 
-#include "thornhollow/policy/scheduler.h"
+#include "thornhollow/policy/queues/scheduler.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/scheduler_search_test.cc
+++ b/thornhollow/policy/queues/scheduler_search_test.cc
@@ -19,7 +19,7 @@
 #include <doctest/doctest.h>
 
 #include "thornhollow/fleet/testing/fault_search.h"
-#include "thornhollow/policy/scheduler.h"
+#include "thornhollow/policy/queues/scheduler.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/scheduler_test.cc
+++ b/thornhollow/policy/queues/scheduler_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/scheduler.h"
+#include "thornhollow/policy/queues/scheduler.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/standing_queue.cc
+++ b/thornhollow/policy/queues/standing_queue.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/standing_queue.h"
+#include "thornhollow/policy/queues/standing_queue.h"
 
 #include <algorithm>
 
--- a/thornhollow/policy/standing_queue.h
+++ b/thornhollow/policy/queues/standing_queue.h
@@ -19,8 +19,8 @@
 // CoDel (controlled delay) applies the same principle to packet queues.
 //
 // Measurements: docs/design/decisions_under_load.md.
-#ifndef THORNHOLLOW_POLICY_STANDING_QUEUE_H_
-#define THORNHOLLOW_POLICY_STANDING_QUEUE_H_
+#ifndef THORNHOLLOW_POLICY_QUEUES_STANDING_QUEUE_H_
+#define THORNHOLLOW_POLICY_QUEUES_STANDING_QUEUE_H_
 
 #include <optional>
 
@@ -65,4 +65,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_STANDING_QUEUE_H_
+#endif // THORNHOLLOW_POLICY_QUEUES_STANDING_QUEUE_H_
--- a/thornhollow/policy/team_in_flight.cc
+++ b/thornhollow/policy/queues/team_in_flight.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/team_in_flight.h"
+#include "thornhollow/policy/queues/team_in_flight.h"
 
 #include <numeric>
 
--- a/thornhollow/policy/team_in_flight.h
+++ b/thornhollow/policy/queues/team_in_flight.h
@@ -15,8 +15,8 @@
 // tier and of higher tiers. If all tiers were counted together, a team's burst
 // of low-tier requests would cause its next high-tier request to be refused. A
 // team can therefore hold up to its limit for each tier that it uses.
-#ifndef THORNHOLLOW_POLICY_TEAM_IN_FLIGHT_H_
-#define THORNHOLLOW_POLICY_TEAM_IN_FLIGHT_H_
+#ifndef THORNHOLLOW_POLICY_QUEUES_TEAM_IN_FLIGHT_H_
+#define THORNHOLLOW_POLICY_QUEUES_TEAM_IN_FLIGHT_H_
 
 #include <array>
 #include <cstddef>
@@ -62,4 +62,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_TEAM_IN_FLIGHT_H_
+#endif // THORNHOLLOW_POLICY_QUEUES_TEAM_IN_FLIGHT_H_
--- a/thornhollow/policy/waiting_modules_test.cc
+++ b/thornhollow/policy/queues/waiting_modules_test.cc
@@ -4,13 +4,13 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/endpoint_queue_window.h"
-#include "thornhollow/policy/retry_schedule.h"
-#include "thornhollow/policy/run_time_estimate.h"
-#include "thornhollow/policy/service_rate.h"
-#include "thornhollow/policy/standing_queue.h"
-#include "thornhollow/policy/team_in_flight.h"
-#include "thornhollow/policy/tier_pressure.h"
+#include "thornhollow/policy/admission/retry_schedule.h"
+#include "thornhollow/policy/admission/tier_pressure.h"
+#include "thornhollow/policy/endpoints/run_time_estimate.h"
+#include "thornhollow/policy/endpoints/service_rate.h"
+#include "thornhollow/policy/queues/endpoint_queue_window.h"
+#include "thornhollow/policy/queues/standing_queue.h"
+#include "thornhollow/policy/queues/team_in_flight.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/waiting_request.h
+++ b/thornhollow/policy/queues/waiting_request.h
@@ -1,8 +1,8 @@
 // A request that waits for a slot, with the estimates of its work that the
 // scheduling decisions need. Costs are in output tokens, which are proportional
 // to the time for which a slot is held.
-#ifndef THORNHOLLOW_POLICY_WAITING_REQUEST_H_
-#define THORNHOLLOW_POLICY_WAITING_REQUEST_H_
+#ifndef THORNHOLLOW_POLICY_QUEUES_WAITING_REQUEST_H_
+#define THORNHOLLOW_POLICY_QUEUES_WAITING_REQUEST_H_
 
 #include "thornhollow/policy/work.h"
 
@@ -41,4 +41,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_WAITING_REQUEST_H_
+#endif // THORNHOLLOW_POLICY_QUEUES_WAITING_REQUEST_H_
--- a/thornhollow/policy/scenario/baselines.h
+++ b/thornhollow/policy/scenario/baselines.h
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-#include "thornhollow/policy/tier_pressure.h"
+#include "thornhollow/policy/admission/tier_pressure.h"
 #include "thornhollow/policy/work.h"
 
 namespace thornhollow::scenario {
--- a/thornhollow/policy/scenario/simulation.h
+++ b/thornhollow/policy/scenario/simulation.h
@@ -16,9 +16,9 @@
 #include <variant>
 #include <vector>
 
+#include "thornhollow/policy/queues/scheduler.h"
 #include "thornhollow/policy/scenario/baselines.h"
 #include "thornhollow/policy/scenario/deployment.h"
-#include "thornhollow/policy/scheduler.h"
 
 namespace thornhollow::scenario {
 
--- a/thornhollow/policy/crash_evidence.cc
+++ b/thornhollow/policy/suspects/crash_evidence.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/crash_evidence.h"
+#include "thornhollow/policy/suspects/crash_evidence.h"
 
 #include <algorithm>
 #include <iterator>
--- a/thornhollow/policy/crash_evidence.h
+++ b/thornhollow/policy/suspects/crash_evidence.h
@@ -31,8 +31,8 @@
 //
 // The judgement follows from the set of sightings alone, whatever the order in
 // which they arrive, so that all instances come to the same one.
-#ifndef THORNHOLLOW_POLICY_CRASH_EVIDENCE_H_
-#define THORNHOLLOW_POLICY_CRASH_EVIDENCE_H_
+#ifndef THORNHOLLOW_POLICY_SUSPECTS_CRASH_EVIDENCE_H_
+#define THORNHOLLOW_POLICY_SUSPECTS_CRASH_EVIDENCE_H_
 
 #include <algorithm>
 #include <array>
@@ -49,8 +49,8 @@
 #include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/request_feature.h"
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/crash_suspects_settings.h"
-#include "thornhollow/policy/run_progress.h"
+#include "thornhollow/policy/suspects/crash_suspects_settings.h"
+#include "thornhollow/policy/suspects/run_progress.h"
 
 namespace thornhollow {
 
@@ -328,4 +328,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_CRASH_EVIDENCE_H_
+#endif // THORNHOLLOW_POLICY_SUSPECTS_CRASH_EVIDENCE_H_
--- a/thornhollow/policy/crash_evidence_test.cc
+++ b/thornhollow/policy/suspects/crash_evidence_test.cc
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/crash_evidence.h"
+#include "thornhollow/policy/suspects/crash_evidence.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/crash_parts_test.cc
+++ b/thornhollow/policy/suspects/crash_parts_test.cc
@@ -2,8 +2,8 @@
 // which endpoints end.
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/crash_suspects.h"
-#include "thornhollow/policy/testing/suspects_fleet.h"
+#include "thornhollow/policy/suspects/crash_suspects.h"
+#include "thornhollow/policy/suspects/testing/suspects_fleet.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/crash_report.h
+++ b/thornhollow/policy/suspects/crash_report.h
@@ -6,8 +6,8 @@
 //
 // Times are told as ages, so that no clocks need to agree; an age only grows as
 // a report is passed on.
-#ifndef THORNHOLLOW_POLICY_CRASH_REPORT_H_
-#define THORNHOLLOW_POLICY_CRASH_REPORT_H_
+#ifndef THORNHOLLOW_POLICY_SUSPECTS_CRASH_REPORT_H_
+#define THORNHOLLOW_POLICY_SUSPECTS_CRASH_REPORT_H_
 
 #include <cstdint>
 #include <optional>
@@ -16,7 +16,7 @@
 #include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/request_feature.h"
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/run_progress.h"
+#include "thornhollow/policy/suspects/run_progress.h"
 
 namespace thornhollow {
 
@@ -28,7 +28,8 @@
   // Time since the process ended.
   duration mAge{};
   request_feature mFeature;
-  // Whether the request ran there as a trial; see policy/crash_suspects.h.
+  // Whether the request ran there as a trial; see
+  // policy/suspects/crash_suspects.h.
   bool mTrial = false;
   run_progress mProgress = run_progress::kNoOutput;
   // How long the latest run that ended there had gone on; unset if not known.
@@ -88,4 +89,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_CRASH_REPORT_H_
+#endif // THORNHOLLOW_POLICY_SUSPECTS_CRASH_REPORT_H_
--- a/thornhollow/policy/crash_suspects.cc
+++ b/thornhollow/policy/suspects/crash_suspects.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/crash_suspects.h"
+#include "thornhollow/policy/suspects/crash_suspects.h"
 
 #include <algorithm>
 #include <utility>
--- a/thornhollow/policy/crash_suspects.h
+++ b/thornhollow/policy/suspects/crash_suspects.h
@@ -16,8 +16,8 @@
 // output, or whose output had not gone on for long (run_progress.h), is a
 // suspect, all but one of them innocent, and so is each of its features. What a
 // request may do depends on how many endpoints have ended under its features
-// since these brought output last; see policy/crash_evidence.h for how ends are
-// counted:
+// since these brought output last; see policy/suspects/crash_evidence.h for how
+// ends are counted:
 //
 //   none             it runs freely
 //   content, one     one run at a time in the fleet, so that a burst of
@@ -44,8 +44,8 @@
 //
 // The state of all instances converges, as reports merge in any order and any
 // number. An instance that hears no other one acts on its own sightings.
-#ifndef THORNHOLLOW_POLICY_CRASH_SUSPECTS_H_
-#define THORNHOLLOW_POLICY_CRASH_SUSPECTS_H_
+#ifndef THORNHOLLOW_POLICY_SUSPECTS_CRASH_SUSPECTS_H_
+#define THORNHOLLOW_POLICY_SUSPECTS_CRASH_SUSPECTS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -56,10 +56,10 @@
 
 #include "thornhollow/base/request_feature.h"
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/crash_evidence.h"
-#include "thornhollow/policy/crash_report.h"
-#include "thornhollow/policy/crash_suspects_settings.h"
-#include "thornhollow/policy/suspect_runs.h"
+#include "thornhollow/policy/suspects/crash_evidence.h"
+#include "thornhollow/policy/suspects/crash_report.h"
+#include "thornhollow/policy/suspects/crash_suspects_settings.h"
+#include "thornhollow/policy/suspects/suspect_runs.h"
 
 namespace thornhollow {
 
@@ -279,4 +279,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_CRASH_SUSPECTS_H_
+#endif // THORNHOLLOW_POLICY_SUSPECTS_CRASH_SUSPECTS_H_
--- a/thornhollow/policy/crash_suspects_settings.h
+++ b/thornhollow/policy/suspects/crash_suspects_settings.h
@@ -1,7 +1,7 @@
 // Settings of the modules that find what ends endpoints: crash_suspects.h,
 // crash_evidence.h, suspect_runs.h.
-#ifndef THORNHOLLOW_POLICY_CRASH_SUSPECTS_SETTINGS_H_
-#define THORNHOLLOW_POLICY_CRASH_SUSPECTS_SETTINGS_H_
+#ifndef THORNHOLLOW_POLICY_SUSPECTS_CRASH_SUSPECTS_SETTINGS_H_
+#define THORNHOLLOW_POLICY_SUSPECTS_CRASH_SUSPECTS_SETTINGS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -81,4 +81,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_CRASH_SUSPECTS_SETTINGS_H_
+#endif // THORNHOLLOW_POLICY_SUSPECTS_CRASH_SUSPECTS_SETTINGS_H_
--- a/thornhollow/policy/crash_suspects_test.cc
+++ b/thornhollow/policy/suspects/crash_suspects_test.cc
@@ -3,8 +3,8 @@
 
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/crash_suspects.h"
-#include "thornhollow/policy/testing/suspects_fleet.h"
+#include "thornhollow/policy/suspects/crash_suspects.h"
+#include "thornhollow/policy/suspects/testing/suspects_fleet.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/internal/crash_judgement.cc
+++ b/thornhollow/policy/suspects/internal/crash_judgement.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "thornhollow/policy/crash_evidence.h"
+#include "thornhollow/policy/suspects/crash_evidence.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/run_progress.h
+++ b/thornhollow/policy/suspects/run_progress.h
@@ -7,8 +7,8 @@
 // A request that ends endpoints may bring its first output before that. Output
 // therefore proves a request sound only of ends that came earlier in a run: a
 // run that has gone on for longer than the ended one had, or a whole answer.
-#ifndef THORNHOLLOW_POLICY_RUN_PROGRESS_H_
-#define THORNHOLLOW_POLICY_RUN_PROGRESS_H_
+#ifndef THORNHOLLOW_POLICY_SUSPECTS_RUN_PROGRESS_H_
+#define THORNHOLLOW_POLICY_SUSPECTS_RUN_PROGRESS_H_
 
 #include <algorithm>
 #include <array>
@@ -88,4 +88,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_RUN_PROGRESS_H_
+#endif // THORNHOLLOW_POLICY_SUSPECTS_RUN_PROGRESS_H_
--- a/thornhollow/policy/suspect_runs.cc
+++ b/thornhollow/policy/suspects/suspect_runs.cc
@@ -1,4 +1,4 @@
-#include "thornhollow/policy/suspect_runs.h"
+#include "thornhollow/policy/suspects/suspect_runs.h"
 
 #include <algorithm>
 #include <cmath>
--- a/thornhollow/policy/suspect_runs.h
+++ b/thornhollow/policy/suspects/suspect_runs.h
@@ -8,8 +8,8 @@
 // A run is announced before it starts, and its report is repeated while it
 // lasts. Of two runs announced at the same time the one of the instance with
 // the lower number goes first. An instance that ends lets its runs expire.
-#ifndef THORNHOLLOW_POLICY_SUSPECT_RUNS_H_
-#define THORNHOLLOW_POLICY_SUSPECT_RUNS_H_
+#ifndef THORNHOLLOW_POLICY_SUSPECTS_SUSPECT_RUNS_H_
+#define THORNHOLLOW_POLICY_SUSPECTS_SUSPECT_RUNS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -20,8 +20,8 @@
 #include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/request_feature.h"
 #include "thornhollow/base/time.h"
-#include "thornhollow/policy/crash_report.h"
-#include "thornhollow/policy/crash_suspects_settings.h"
+#include "thornhollow/policy/suspects/crash_report.h"
+#include "thornhollow/policy/suspects/crash_suspects_settings.h"
 
 namespace thornhollow {
 
@@ -150,4 +150,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_SUSPECT_RUNS_H_
+#endif // THORNHOLLOW_POLICY_SUSPECTS_SUSPECT_RUNS_H_
--- a/thornhollow/policy/suspect_runs_test.cc
+++ b/thornhollow/policy/suspects/suspect_runs_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "thornhollow/policy/suspect_runs.h"
+#include "thornhollow/policy/suspects/suspect_runs.h"
 
 namespace thornhollow {
 namespace {
--- a/thornhollow/policy/testing/suspects_fleet.h
+++ b/thornhollow/policy/suspects/testing/suspects_fleet.h
@@ -4,14 +4,14 @@
 //   suspects_fleet fleet(3);
 //   fleet.SendAndEnd(0, content, endpoint);
 //
-#ifndef THORNHOLLOW_POLICY_TESTING_SUSPECTS_FLEET_H_
-#define THORNHOLLOW_POLICY_TESTING_SUSPECTS_FLEET_H_
+#ifndef THORNHOLLOW_POLICY_SUSPECTS_TESTING_SUSPECTS_FLEET_H_
+#define THORNHOLLOW_POLICY_SUSPECTS_TESTING_SUSPECTS_FLEET_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <vector>
 
-#include "thornhollow/policy/crash_suspects.h"
+#include "thornhollow/policy/suspects/crash_suspects.h"
 
 namespace thornhollow {
 
@@ -107,4 +107,4 @@
 
 } // namespace thornhollow
 
-#endif // THORNHOLLOW_POLICY_TESTING_SUSPECTS_FLEET_H_
+#endif // THORNHOLLOW_POLICY_SUSPECTS_TESTING_SUSPECTS_FLEET_H_
--- a/thornhollow/wire/internal/crash_codec.h
+++ b/thornhollow/wire/internal/crash_codec.h
@@ -4,7 +4,7 @@
 
 #include <thornhollow_types.h>
 
-#include "thornhollow/policy/crash_report.h"
+#include "thornhollow/policy/suspects/crash_report.h"
 
 namespace thornhollow::wire_internal {
 
