Streams: unnamed take-ups need a list known for long, also after a restart of all

What callers saw: text joined from two software versions, answered 200, where all instances were killed at once while the old version's endpoints had left. Cause: a caller that names no submission went on as long as nobody had seen more than one version; after a kill of all, nobody has seen any. Change: the same condition for both: one version the only one for longer than a stream lives, at an instance that others confirm. The unit case that asserted the old exception is replaced by one that asserts the contrary, and the fleet's by one whose list is known for that long (it asserts the same share). Cost: for a route's longest timeout and 10 s after all have started, such callers are told to start anew.

--- a/thornhollow/streams/origin_search.cc
+++ b/thornhollow/streams/origin_search.cc
@@ -27,11 +27,9 @@
   return kGroundNames[static_cast<std::size_t>(aGround)];
 }
 
-origin_search::origin_search(stream_key aStream,
-                             const origin_word& aOwn,
+origin_search::origin_search(const origin_word& aOwn,
                              std::vector<std::string> aAsked)
-  : mStream(aStream)
-  , mOwn(aOwn)
+  : mOwn(aOwn)
   , mAsked(aAsked.size())
   , mUnanswered(std::move(aAsked))
 {
@@ -83,7 +81,7 @@
 {
   // An instance that is cut off knows an old list and hears nobody.
   const bool isAlone = mAsked > 0 && mWords.empty();
-  if (isAlone && mStream != kUnnamedStream) {
+  if (isAlone) {
     return Make(kUnknownVersion, origin_ground::kNoAnswer);
   }
   std::vector<listed_versions> all = { mOwn.mListed };
@@ -102,7 +100,7 @@
     only = each.mVersion == kUnknownVersion ? only : each.mVersion;
     lasts = lasts || each.mCount == version_count::kSole;
   }
-  if (only == kUnknownVersion || (!lasts && mStream != kUnnamedStream)) {
+  if (only == kUnknownVersion || !lasts) {
     return Make(kUnknownVersion, origin_ground::kListTooYoung);
   }
   return Make(only, origin_ground::kOnlyVersion);
--- a/thornhollow/streams/origin_search.h
+++ b/thornhollow/streams/origin_search.h
@@ -13,8 +13,9 @@
 // concluded. Anything else leaves the version unknown: a stream that is
 // continued at the wrong version is worse than one that isn't continued.
 //
-// A caller that names no submission can't be looked up. Its stream goes on as
-// long as nobody has seen more than one version.
+// The same holds for a caller that names no submission, which can't be looked
+// up. After all instances have started again, nobody has seen the versions that
+// served before.
 #ifndef THORNHOLLOW_STREAMS_ORIGIN_SEARCH_H_
 #define THORNHOLLOW_STREAMS_ORIGIN_SEARCH_H_
 
@@ -50,8 +51,7 @@
   kHeld,
   // Another instance was told.
   kPeer,
-  // No other version was listed for longer than any stream lives, or, for an
-  // unnamed stream, as far as anybody knows.
+  // No other version was listed for longer than any stream lives.
   kOnlyVersion,
   // Unknown: two versions were told, or the endpoint started again meanwhile.
   kAmbiguous,
@@ -87,9 +87,7 @@
 public:
   // `aAsked`: the addresses of the instances that are asked. If there are none,
   // this instance decides alone.
-  origin_search(stream_key aStream,
-                const origin_word& aOwn,
-                std::vector<std::string> aAsked);
+  origin_search(const origin_word& aOwn, std::vector<std::string> aAsked);
 
   // The instance at this address answered. One that was not asked, or has
   // answered before, is ignored.
@@ -108,7 +106,6 @@
                       origin_ground aGround) const;
   origin_verdict Conclude() const;
 
-  stream_key mStream;
   origin_word mOwn;
   std::size_t mAsked;
   std::vector<std::string> mUnanswered;
--- a/thornhollow/streams/origin_search_test.cc
+++ b/thornhollow/streams/origin_search_test.cc
@@ -11,7 +11,6 @@
 
 constexpr endpoint_version_hash kOld = 1;
 constexpr endpoint_version_hash kNew = 2;
-constexpr stream_key kStream{ 7 };
 constexpr listed_versions kSoleOld{ version_count::kSole, kOld };
 constexpr listed_versions kSoFarOld{ version_count::kSoleSoFar, kOld };
 constexpr listed_versions kSeveral{ version_count::kSeveral, kUnknownVersion };
@@ -32,14 +31,13 @@
 origin_verdict
 Verdict(const origin_word& aOwn,
         const std::vector<origin_word>& aAnswers,
-        std::size_t aSilent = 0,
-        stream_key aStream = kStream)
+        std::size_t aSilent = 0)
 {
   std::vector<std::string> asked;
   for (std::size_t each = 0; each < aAnswers.size() + aSilent; ++each) {
     asked.push_back(std::to_string(each));
   }
-  origin_search search(aStream, aOwn, asked);
+  origin_search search(aOwn, asked);
   for (std::size_t each = 0; each < aAnswers.size(); ++each) {
     search.OnWord(std::to_string(each), aAnswers[each]);
   }
@@ -58,7 +56,7 @@
 
 TEST_CASE("origin_search/first_answer_that_knows/decides_at_once")
 {
-  origin_search search(kStream, Unknown(kSeveral), { "a", "b" });
+  origin_search search(Unknown(kSeveral), { "a", "b" });
   CHECK_FALSE(search.Verdict());
   search.OnWord("c", Known(kNew));
   CHECK_FALSE(search.Verdict());
@@ -104,14 +102,15 @@
   CHECK(found.mGround == origin_ground::kListTooYoung);
 }
 
-TEST_CASE("origin_search/unnamed_stream/goes_on_while_one_version_was_seen")
+// Guards against streams of two versions after all instances have started
+// again.
+TEST_CASE("origin_search/list_known_for_a_short_time/alone_is_unknown")
 {
-  CHECK(Verdict(Unknown(kSoFarOld), {}, 0, kUnnamedStream).mVersion == kOld);
-  CHECK(Verdict(Unknown(kSoFarOld), {}, 2, kUnnamedStream).mVersion == kOld);
-  CHECK(Verdict(Unknown(kSoFarOld), { Unknown(kSeveral) }, 0, kUnnamedStream)
-          .mVersion == kUnknownVersion);
-  CHECK(Verdict(Unknown(kSeveral), {}, 0, kUnnamedStream).mVersion ==
-        kUnknownVersion);
+  for (const std::size_t silent : { 0, 2 }) {
+    const origin_verdict found = Verdict(Unknown(kSoFarOld), {}, silent);
+    CHECK(found.mVersion == kUnknownVersion);
+  }
+  CHECK(Verdict(Unknown(kSeveral), {}).mVersion == kUnknownVersion);
 }
 
 } // namespace
--- a/thornhollow/streams/stream_origins.cc
+++ b/thornhollow/streams/stream_origins.cc
@@ -186,8 +186,7 @@
                      const pool_name& aPool,
                      time_point aNow)
 {
-  origin_search made(
-    aStream, WordOn(aStream, aPool, aNow), ToAsk(aStream, aNow));
+  origin_search made(WordOn(aStream, aPool, aNow), ToAsk(aStream, aNow));
   if (const auto verdict = made.Verdict()) {
     return Judged(*verdict, aNow);
   }
--- a/thornhollow/streams/stream_versions_fleet_test.cc
+++ b/thornhollow/streams/stream_versions_fleet_test.cc
@@ -239,13 +239,13 @@
 }
 
 // Callers that name no submission can't be looked up.
-TEST_CASE("stream_versions/unnamed/go_on_only_while_one_version_was_seen")
+TEST_CASE("stream_versions/unnamed/go_on_only_while_one_version_is_known")
 {
   stream_fleet_settings settings = Settings(kSizes[1]);
   settings.mNamed = false;
   stream_fleet fleet(settings, 6);
   StartAll(fleet, kOld);
-  fleet.Run(Seconds(5));
+  fleet.Run(kVersionsAreKnown);
   fleet.RunStreams(Seconds(10));
   CheckGoOn(fleet.Counts(), kGoOn);
   fleet.ResetCounts();
--- a/thornhollow/testing/process/relay_stream_taken_up_test.py
+++ b/thornhollow/testing/process/relay_stream_taken_up_test.py
@@ -100,6 +100,26 @@
         caller.submit(self.fleet[1], Authorization="Token k2")
         self.assert_told_to_start_anew(caller, "stream_origin_unknown")
 
+    def test_unnamed_after_all_were_killed_joins_no_two_versions(self):
+        """Guards against streams joined from two versions where no instance
+        has seen the old version's endpoints, which left before it started."""
+        self.begin()
+        callers = self.begin_streams(self.fleet[0])
+        for engine in self.engines:
+            engine.mode = ""
+        for daemon in self.fleet:
+            daemon.kill()
+        for engine in self.engines[:2]:
+            self.store.delete(f"servers/{engine.name}")
+        for daemon in self.fleet:
+            daemon.start()
+        for daemon in self.fleet:
+            daemon.wait_ready()
+        for number, caller in enumerate(callers):
+            caller.submit(self.fleet[number % len(self.fleet)],
+                          **{"Resumes": ""})
+        self.assert_sound(callers)
+
 
 class TakenUpByWayOfAnother(ByWayOfAnother):
 
