Crash evidence: judging is bounded per second, the digest is kept by additions

Cause: every judgement, every report and every send walked all ends of a feature through two maps, several hundred times a second, and the digest was summed anew over all sightings after each one. Change: ends under a feature are kept with pointers to what they say; the digest is a sum that is added to and taken from; the next judgement of many ends waits in proportion to the ends that the last one visited (250 ms at most), and whether a part needs a run alone is judged once between two of them. Few ends are judged at once, as before.

--- a/thornhollow/policy/suspects/crash_evidence.cc
+++ b/thornhollow/policy/suspects/crash_evidence.cc
@@ -16,20 +16,26 @@
     return std::nullopt;
   }
   const crash_number number = FindOrAddCrash(aSighting);
-  const auto [entry, added] =
-    mCrashes.at(number).mSuspects.try_emplace(feature);
+  crash& ended = mCrashes.at(number);
+  const auto [entry, added] = ended.mSuspects.try_emplace(feature);
+  suspect& seen = entry->second;
+  feature_ends& ends = mByFeature[feature];
+  mDigest -= DigestOf(ends);
+  ends.mDigest -= DigestOf(feature, ended, seen);
   if (added) {
-    auto& numbers = mByFeature[feature];
-    numbers.push_back(number);
+    ends.mEnds.push_back({ number, &ended, &seen });
     ++mSightingCount;
-    if (numbers.size() >= MinEnded(feature)) {
+    if (ends.size() >= MinEnded(feature)) {
       mJudged.insert(feature);
     }
   }
-  if (!entry->second.Add(aSighting.mProgress, aSighting.mTrial)) {
+  const bool isNews = seen.Add(aSighting.mProgress, aSighting.mTrial);
+  ends.mDigest += DigestOf(feature, ended, seen);
+  mDigest += DigestOf(ends);
+  if (!isNews) {
     return std::nullopt;
   }
-  OnSightingsChanged();
+  ++mRevision;
   return number;
 }
 
@@ -117,6 +123,9 @@
   mSuccesses[aPart].Add(aProof, aAt);
   if (mJudged.contains(aPart)) {
     ++mRevision;
+  } else if (const auto ends = mByFeature.find(aPart);
+             ends != mByFeature.end()) {
+    ends->second.mSoloRevision = 0;
   }
 }
 
@@ -195,10 +204,23 @@
       found->second.size() < mSettings.mSoloFromEnds) {
     return false;
   }
-  return mRejections.contains(aPart) ||
-         std::ranges::any_of(kSuspicious, [&](run_progress aProgress) {
-           return NeedsSoloRun(aPart, aProgress);
-         });
+  if (mRejections.contains(aPart)) {
+    return true;
+  }
+  const feature_ends& ends = found->second;
+  // In a storm of ends something changes with each report, and every request
+  // asks: a judgement holds until the next one is due.
+  const bool isKnown =
+    ends.mSoloRevision == mRevision || (IsStorm() && ends.mSoloAt == mJudgedAt);
+  if (!isKnown) {
+    ends.mNeedsSoloRun =
+      std::ranges::any_of(kSuspicious, [&](run_progress aProgress) {
+        return NeedsSoloRun(aPart, aProgress);
+      });
+    ends.mSoloRevision = mRevision;
+    ends.mSoloAt = mJudgedAt;
+  }
+  return ends.mNeedsSoloRun;
 }
 
 bool
@@ -225,17 +247,15 @@
 {
   return mByFeature.contains(aPart) &&
          std::ranges::all_of(kSuspicious, [&](run_progress aProgress) {
-           return Ends(aPart, aProgress).empty() || WasSound(aPart, aProgress);
+           return !FirstEnd(aPart, aProgress) || WasSound(aPart, aProgress);
          });
 }
 
 bool
 crash_evidence::WasSound(request_feature aPart, run_progress aProgress) const
 {
-  time_point firstEnd = time_point::max();
-  for (const crash_number each : Ends(aPart, aProgress)) {
-    firstEnd = std::min(firstEnd, mCrashes.at(each).mAt);
-  }
+  const time_point firstEnd =
+    FirstEnd(aPart, aProgress).value_or(time_point::max());
   const run_progress needed = ProofAgainst(aProgress);
   const auto isRecent = [&](const auto& aTimes) {
     const auto known = aTimes.find(aPart);
@@ -245,15 +265,33 @@
   return isRecent(mSuccesses) || isRecent(mClearances);
 }
 
+std::optional<time_point>
+crash_evidence::FirstEnd(request_feature aFeature, run_progress aProgress) const
+{
+  std::optional<time_point> first;
+  if (const auto found = mByFeature.find(aFeature); found != mByFeature.end()) {
+    mSteps += found->second.size();
+    for (const feature_end& each : found->second.mEnds) {
+      if (each.mSuspect->IsSeen(aProgress)) {
+        first = std::min(first.value_or(each.mCrash->mAt), each.mCrash->mAt);
+      }
+    }
+  }
+  return first;
+}
+
 std::vector<crash_evidence::crash_number>
 crash_evidence::Ends(request_feature aFeature, run_progress aProgress) const
 {
   std::vector<crash_number> ends;
   if (const auto found = mByFeature.find(aFeature); found != mByFeature.end()) {
-    std::ranges::copy_if(
-      found->second, std::back_inserter(ends), [&](crash_number aNumber) {
-        return mCrashes.at(aNumber).mSuspects.at(aFeature).IsSeen(aProgress);
-      });
+    mSteps += found->second.size();
+    ends.reserve(found->second.size());
+    for (const feature_end& each : found->second.mEnds) {
+      if (each.mSuspect->IsSeen(aProgress)) {
+        ends.push_back(each.mNumber);
+      }
+    }
   }
   return ends;
 }
@@ -268,8 +306,13 @@
 run_progress
 crash_evidence::NeededProof(request_feature aFeature) const
 {
-  return Ends(aFeature, run_progress::kBegun).empty() ? run_progress::kBegun
-                                                      : run_progress::kGoing;
+  const auto found = mByFeature.find(aFeature);
+  const bool hasBegun =
+    found != mByFeature.end() &&
+    std::ranges::any_of(found->second.mEnds, [](const feature_end& aEnd) {
+      return aEnd.mSuspect->IsSeen(run_progress::kBegun);
+    });
+  return hasBegun ? run_progress::kGoing : run_progress::kBegun;
 }
 
 std::optional<time_point>
@@ -280,8 +323,8 @@
     return std::nullopt;
   }
   time_point last = time_point::min();
-  for (const crash_number each : found->second) {
-    last = std::max(last, mCrashes.at(each).mAt);
+  for (const feature_end& each : found->second.mEnds) {
+    last = std::max(last, each.mCrash->mAt);
   }
   return last;
 }
@@ -333,12 +376,12 @@
 crash_evidence::SightingsFrom(std::size_t aMinEnded) const
 {
   std::vector<std::pair<crash_number, request_feature>> found;
-  for (const auto& [feature, numbers] : mByFeature) {
-    if (numbers.size() < aMinEnded) {
+  for (const auto& [feature, ends] : mByFeature) {
+    if (ends.size() < aMinEnded) {
       continue;
     }
-    for (const crash_number each : numbers) {
-      found.emplace_back(each, feature);
+    for (const feature_end& each : ends.mEnds) {
+      found.emplace_back(each.mNumber, feature);
     }
   }
   return found;
@@ -355,33 +398,27 @@
 }
 
 std::uint64_t
-crash_evidence::Digest(std::size_t aMinEnded) const
+crash_evidence::DigestOf(request_feature aFeature,
+                         const crash& aCrash,
+                         const suspect& aSuspect)
 {
-  if (mDigest.mRevision != mSightingRevision ||
-      mDigest.mMinEnded != aMinEnded) {
-    mDigest = { mSightingRevision, aMinEnded, ComputeDigest(aMinEnded) };
+  std::uint64_t digest = 0;
+  for (const run_progress each : kSuspicious) {
+    const std::uint64_t how =
+      2U * static_cast<std::uint64_t>(each) + (aSuspect.IsTrial(each) ? 1 : 0);
+    if (aSuspect.IsSeen(each)) {
+      // Not exclusive or: two ends of one endpoint would look like none.
+      digest +=
+        CombineHash(CombineHash(aFeature.mValue, aCrash.mEndpoint), how);
+    }
   }
-  return mDigest.mValue;
+  return digest;
 }
 
 std::uint64_t
-crash_evidence::ComputeDigest(std::size_t aMinEnded) const
+crash_evidence::DigestOf(const feature_ends& aEnds)
 {
-  std::uint64_t digest = 0;
-  for (const auto& [number, feature] : SightingsFrom(aMinEnded)) {
-    const crash& ended = mCrashes.at(number);
-    const suspect& seen = ended.mSuspects.at(feature);
-    for (const run_progress each : kSuspicious) {
-      const std::uint64_t how =
-        2U * static_cast<std::uint64_t>(each) + (seen.IsTrial(each) ? 1 : 0);
-      if (seen.IsSeen(each)) {
-        // Not exclusive or: two ends of one endpoint would look like none.
-        digest +=
-          CombineHash(CombineHash(feature.mValue, ended.mEndpoint), how);
-      }
-    }
-  }
-  return digest;
+  return aEnds.size() >= kDigestFrom ? aEnds.mDigest : 0;
 }
 
 std::vector<crash_rejection>
@@ -416,13 +453,13 @@
     return;
   }
   std::vector<request_feature> features;
-  for (const auto& [feature, numbers] : mByFeature) {
+  for (const auto& [feature, ends] : mByFeature) {
     features.push_back(feature);
   }
   std::ranges::sort(
     features, std::ranges::less(), [this](request_feature aFeature) {
-      const auto& numbers = mByFeature.at(aFeature);
-      return std::tuple(numbers.size(), numbers.back(), aFeature);
+      const auto& ends = mByFeature.at(aFeature).mEnds;
+      return std::tuple(ends.size(), ends.back().mNumber, aFeature);
     });
   const std::size_t target =
     mSettings.mMaxSightings - mSettings.mMaxSightings / 8;
@@ -443,35 +480,39 @@
   if (found == mByFeature.end()) {
     return false;
   }
+  feature_ends& ends = found->second;
+  mDigest -= DigestOf(ends);
   bool changes = false;
   std::vector<crash_number> erased;
-  for (const crash_number each : found->second) {
-    crash& ended = mCrashes.at(each);
-    suspect& seen = ended.mSuspects.at(aFeature);
+  for (const feature_end& each : ends.mEnds) {
+    suspect& seen = *each.mSuspect;
+    ends.mDigest -= DigestOf(aFeature, *each.mCrash, seen);
     for (const run_progress progress : kSuspicious) {
       const bool isProven = !aProof || *aProof == ProofAgainst(progress);
-      if (ended.mAt <= aUntil && isProven) {
+      if (each.mCrash->mAt <= aUntil && isProven) {
         changes = seen.Clear(progress) || changes;
       }
     }
+    ends.mDigest += DigestOf(aFeature, *each.mCrash, seen);
     if (!seen.IsSeen()) {
-      erased.push_back(each);
+      erased.push_back(each.mNumber);
     }
   }
-  std::erase_if(found->second, [&](crash_number aNumber) {
-    return !mCrashes.at(aNumber).mSuspects.at(aFeature).IsSeen();
+  std::erase_if(ends.mEnds, [](const feature_end& aEnd) {
+    return !aEnd.mSuspect->IsSeen();
   });
-  if (found->second.size() < MinEnded(aFeature)) {
+  mDigest += DigestOf(ends);
+  if (ends.size() < MinEnded(aFeature)) {
     ForgetJudgement(aFeature);
   }
-  if (found->second.empty()) {
+  if (ends.size() == 0) {
     mByFeature.erase(found);
   }
   for (const crash_number each : erased) {
     EraseFromCrash(each, aFeature);
   }
   if (changes) {
-    OnSightingsChanged();
+    ++mRevision;
   }
   return changes;
 }
@@ -491,13 +532,19 @@
 {
   const auto found = mCrashes.find(aNumber);
   for (const auto& [feature, seen] : found->second.mSuspects) {
-    const auto numbers = mByFeature.find(feature);
-    std::erase(numbers->second, aNumber);
-    if (numbers->second.size() < MinEnded(feature)) {
+    const auto under = mByFeature.find(feature);
+    feature_ends& ends = under->second;
+    mDigest -= DigestOf(ends);
+    ends.mDigest -= DigestOf(feature, found->second, seen);
+    std::erase_if(ends.mEnds, [aNumber](const feature_end& aEnd) {
+      return aEnd.mNumber == aNumber;
+    });
+    mDigest += DigestOf(ends);
+    if (ends.size() < MinEnded(feature)) {
       ForgetJudgement(feature);
     }
-    if (numbers->second.empty()) {
-      mByFeature.erase(numbers);
+    if (ends.size() == 0) {
+      mByFeature.erase(under);
     }
     --mSightingCount;
   }
@@ -511,13 +558,6 @@
     return aEntry.second == aNumber;
   }));
   mCrashes.erase(found);
-  OnSightingsChanged();
-}
-
-void
-crash_evidence::OnSightingsChanged()
-{
-  ++mSightingRevision;
   ++mRevision;
 }
 
--- a/thornhollow/policy/suspects/crash_evidence.h
+++ b/thornhollow/policy/suspects/crash_evidence.h
@@ -213,10 +213,13 @@
   std::vector<std::pair<crash_number, request_feature>> SightingsFrom(
     std::size_t aMinEnded) const;
   std::vector<request_feature> ClearedFeatures() const;
-  // Digest of the sightings of features under which at least so many endpoints
-  // have ended; 0 if there are none.
-  std::uint64_t Digest(std::size_t aMinEnded) const;
+  // Digest of the sightings of features under which at least `kDigestFrom`
+  // endpoints have ended; 0 if there are none.
+  static constexpr std::size_t kDigestFrom = 2;
+  std::uint64_t Digest() const { return mDigest; }
   std::size_t Sightings() const { return mSightingCount; }
+  // Ends visited so far to judge features, which is what judging costs.
+  std::uint64_t Steps() const { return mSteps; }
 
   // Features that were rejected since the last call.
   std::vector<crash_rejection> TakeRejections();
@@ -240,12 +243,25 @@
     std::vector<crash_number> mEnds;
     bool mWasSound = false;
   };
-  // The digest as of a revision of the sightings.
-  struct known_digest
+  // An end under a feature. Both outlive the entry.
+  struct feature_end
   {
-    std::uint64_t mRevision = 0;
-    std::size_t mMinEnded = 0;
-    std::uint64_t mValue = 0;
+    crash_number mNumber = 0;
+    crash* mCrash = nullptr;
+    suspect* mSuspect = nullptr;
+  };
+  // All ends under a feature.
+  struct feature_ends
+  {
+    std::vector<feature_end> mEnds;
+    // Sum of what the ends add to the digest.
+    std::uint64_t mDigest = 0;
+    // Whether runs with the part may be the cause, as of a revision and time.
+    mutable bool mNeedsSoloRun = false;
+    mutable std::uint64_t mSoloRevision = 0;
+    mutable time_point mSoloAt = time_point::min();
+
+    std::size_t size() const { return mEnds.size(); }
   };
 
   crash_number FindOrAddCrash(const sighting& aSighting);
@@ -257,10 +273,14 @@
                   std::optional<run_progress> aProof);
   void EraseFromCrash(crash_number aNumber, request_feature aFeature);
   void EraseCrash(crash_number aNumber);
-  void OnSightingsChanged();
+  // What the suspect of that end adds to the digest.
+  static std::uint64_t DigestOf(request_feature aFeature,
+                                const crash& aCrash,
+                                const suspect& aSuspect);
+  // What all ends under the feature add to it.
+  static std::uint64_t DigestOf(const feature_ends& aEnds);
   void ForgetJudgement(request_feature aFeature);
   void ForgetRejection(request_feature aFeature);
-  std::uint64_t ComputeDigest(std::size_t aMinEnded) const;
   bool IsCleared(request_feature aFeature,
                  time_point aSince,
                  run_progress aNeeded) const;
@@ -268,7 +288,13 @@
   // Ends under a run with the feature that had got so far.
   std::vector<crash_number> Ends(request_feature aFeature,
                                  run_progress aProgress) const;
+  // When the first endpoint ended under such a run.
+  std::optional<time_point> FirstEnd(request_feature aFeature,
+                                     run_progress aProgress) const;
   bool NeedsSoloRun(request_feature aPart, run_progress aProgress) const;
+  // Whether judgements take so much work that an earlier one is used for a
+  // while.
+  bool IsStorm() const;
   bool WasSound(request_feature aPart, run_progress aProgress) const;
 
   // Whether another feature, which is rejected, was open when the endpoint
@@ -307,7 +333,7 @@
   std::map<crash_number, crash> mCrashes;
   std::multimap<time_point, crash_number> mByTime;
   std::unordered_map<endpoint_hash, std::vector<crash_number>> mByEndpoint;
-  std::unordered_map<request_feature, std::vector<crash_number>> mByFeature;
+  std::unordered_map<request_feature, feature_ends> mByFeature;
   std::unordered_map<request_feature, progress_times> mClearances;
   std::unordered_map<request_feature, progress_times> mSuccesses;
   std::unordered_map<request_feature, rejection> mRejections;
@@ -316,14 +342,15 @@
   std::set<request_feature> mJudged;
   std::vector<crash_rejection> mNewRejections;
   std::size_t mSightingCount = 0;
-  // Grows whenever sightings change.
-  std::uint64_t mSightingRevision = 1;
   // Grows whenever something changes that a judgement follows from: sightings,
   // successes, rejections.
   std::uint64_t mRevision = 1;
   std::uint64_t mJudgedRevision = 0;
   time_point mJudgedAt{};
-  mutable known_digest mDigest;
+  // Ends that the last judgement visited.
+  std::uint64_t mJudgedSteps = 0;
+  mutable std::uint64_t mSteps = 0;
+  std::uint64_t mDigest = 0;
 };
 
 } // namespace thornhollow
--- a/thornhollow/policy/suspects/crash_evidence_test.cc
+++ b/thornhollow/policy/suspects/crash_evidence_test.cc
@@ -200,9 +200,9 @@
   EndAfter(Milliseconds(20), mNow + Milliseconds(800));
   EndAfter(Milliseconds(20), mNow);
   CHECK(mEvidence.EndedUnder(kPart) == 2);
-  const std::uint64_t digest = mEvidence.Digest(2);
+  const std::uint64_t digest = mEvidence.Digest();
   CHECK(digest != 0);
-  CHECK(digest != crash_evidence(mSettings).Digest(2));
+  CHECK(digest != crash_evidence(mSettings).Digest());
 }
 
 // A domain's endpoints end together, again and again, under the same requests.
@@ -246,7 +246,7 @@
         mEvidence.Add({ 1, mNow, { 1'000'000 + 2 * each }, false });
       }
       mEvidence.JudgeAll(mNow);
-      mDigest ^= mEvidence.Digest(2);
+      mDigest ^= mEvidence.Digest();
     }
     return TimeSince(begin);
   }
@@ -272,7 +272,7 @@
   for (std::uint64_t each = 0; each < 20'000; ++each) {
     mEvidence.RecordSuccess(
       { 1 + 2 * (each % 80) }, mNow, run_progress::kBegun);
-    mDigest ^= mEvidence.Digest(2);
+    mDigest ^= mEvidence.Digest();
   }
   CHECK(TimeSince(begin) < kMostTime);
 }
@@ -283,6 +283,39 @@
   CHECK(TimeOfReports(1'000, true) < kMostTime);
 }
 
+// Guards against instances that judge the same ends hundreds of times a second
+// while reports of further ones come from all others.
+TEST_CASE_FIXTURE(evidence_of_a_storm,
+                  "crash_evidence/storm_goes_on/judging_a_second_is_bounded")
+{
+  constexpr std::uint64_t kReportsASecond = 2'000;
+  constexpr std::uint64_t kMaxJudgementsASecond = 10;
+  const std::uint64_t before = mEvidence.Steps();
+  mNow += Seconds(2);
+  mEvidence.JudgeAll(mNow);
+  const std::uint64_t once = mEvidence.Steps() - before;
+  for (std::uint64_t each = 0; each < kReportsASecond; ++each) {
+    mNow += Seconds(1) / kReportsASecond;
+    mEvidence.Add({ 1, mNow, { 1'000'000 + 2 * each }, false });
+    mEvidence.JudgeAll(mNow);
+    mDigest ^= mEvidence.NeedsSoloRun({ 1 + 2 * (each % 80) }) ? 1 : 0;
+  }
+  CHECK(mEvidence.Steps() - before - once < kMaxJudgementsASecond * once);
+}
+
+// Guards against a digest that is kept by additions and drifts from the
+// sightings, so that instances that know the same send each other everything.
+TEST_CASE_FIXTURE(evidence_of_a_storm,
+                  "crash_evidence/all_cleared/digest_is_none")
+{
+  REQUIRE(mEvidence.Digest() != 0);
+  for (std::uint64_t each = 1; each < 2 * kEndpoints * kOpen + 2; ++each) {
+    mEvidence.Clear({ each }, mNow, run_progress::kBegun);
+  }
+  CHECK(mEvidence.Sightings() == 0);
+  CHECK(mEvidence.Digest() == 0);
+}
+
 TEST_CASE_FIXTURE(evidence_of_parts,
                   "crash_evidence/clearances/latest_of_each_progress")
 {
--- a/thornhollow/policy/suspects/crash_suspects.cc
+++ b/thornhollow/policy/suspects/crash_suspects.cc
@@ -12,9 +12,6 @@
 constexpr std::size_t kSightingBytes = 10;
 constexpr std::size_t kCrashBytes = 27;
 
-// Ends of this many endpoints make a feature's sightings part of the digest.
-constexpr std::size_t kDigestFrom = 2;
-
 } // namespace
 
 crash_suspects::crash_suspects(const crash_suspects_settings& aSettings,
@@ -493,7 +490,8 @@
   for (const run_key& each : mRuns.All()) {
     all.emplace_back(each);
   }
-  for (const auto& [number, feature] : mEvidence.SightingsFrom(kDigestFrom)) {
+  for (const auto& [number, feature] :
+       mEvidence.SightingsFrom(crash_evidence::kDigestFrom)) {
     all.emplace_back(sighting_key{ number, feature });
   }
   if (!all.empty()) {
@@ -521,7 +519,7 @@
 std::uint64_t
 crash_suspects::Digest() const
 {
-  return mEvidence.Digest(kDigestFrom);
+  return mEvidence.Digest();
 }
 
 void
--- a/thornhollow/policy/suspects/internal/crash_judgement.cc
+++ b/thornhollow/policy/suspects/internal/crash_judgement.cc
@@ -13,9 +13,11 @@
 
 // Trials stop counting with time, so that judgements are made anew after this.
 constexpr duration kJudgementValidity = Seconds(1);
-// With more features than this to judge, judgements are at least so far apart.
-constexpr std::size_t kFewJudged = 64;
-constexpr duration kJudgementInterval = Milliseconds(5);
+// The next judgement of many ends is so far away for each end that the last one
+// visited, and at most `kMaxJudgementInterval`.
+constexpr std::uint64_t kFewSteps = 1'000;
+constexpr duration kIntervalPerStep = std::chrono::microseconds(20);
+constexpr duration kMaxJudgementInterval = Milliseconds(250);
 
 } // namespace
 
@@ -39,6 +41,7 @@
   const auto last = mByTime.lower_bound(aCrash.mAt + window);
   std::size_t others = 0;
   for (auto each = first; each != last; ++each) {
+    ++mSteps;
     const crash& other = mCrashes.at(each->second);
     const bool isUnrelated = other.mEndpoint != aCrash.mEndpoint &&
                              !HasLikelyCause(other) &&
@@ -93,10 +96,13 @@
   // led to a judgement, the instance would have time for nothing else.
   const duration age = aNow - mJudgedAt;
   const bool isKnown = mRevision == mJudgedRevision && age < kJudgementValidity;
-  const bool isStorm = mJudged.size() > kFewJudged && age < kJudgementInterval;
-  if (isKnown || isStorm) {
+  const bool isJustDone =
+    IsStorm() && age < std::min<duration>(kIntervalPerStep * mJudgedSteps,
+                                          kMaxJudgementInterval);
+  if (isKnown || isJustDone) {
     return;
   }
+  const std::uint64_t before = mSteps;
   // Another judgement follows if this one changes what is rejected.
   mJudgedRevision = mRevision;
   mJudgedAt = aNow;
@@ -106,6 +112,13 @@
       JudgeContent(each, aNow);
     }
   }
+  mJudgedSteps = mSteps - before;
+}
+
+bool
+crash_evidence::IsStorm() const
+{
+  return mJudgedSteps > kFewSteps;
 }
 
 void
@@ -272,6 +285,7 @@
     const request_feature feature = aEntry.first;
     return !feature.IsPart() &&
            std::ranges::all_of(aEnds, [&](crash_number aNumber) {
+             ++mSteps;
              return mCrashes.at(aNumber).mSuspects.contains(feature);
            });
   });
@@ -285,8 +299,8 @@
 {
   if (!IsRejected(aFeature, aNow)) {
     crash_rejection one{ aFeature, {} };
-    for (const crash_number each : mByFeature.at(aFeature)) {
-      one.mEndpoints.push_back(mCrashes.at(each).mEndpoint);
+    for (const feature_end& each : mByFeature.at(aFeature).mEnds) {
+      one.mEndpoints.push_back(each.mCrash->mEndpoint);
     }
     mNewRejections.push_back(std::move(one));
   }
