Relaying: what may be missing only here isn't refused for good

What callers saw: a token or path that a newer configuration has got 401 or 404 from an instance that was paused, or short of processor time, when that configuration came into force elsewhere. Cause: an instance answers the requests that wait before it reads its news, from the table in force, however late its loop runs. The class: a negative answer that is final rests on knowledge that may be old. Change: policy/loop_lag; while the loop is late by 250 ms or more, and for 2 s after, such requests get not_ready (503, not run, Retry-After), which another instance that forwarded it takes elsewhere. Wrong callers get that too meanwhile. loop_late (log line, counter) and final_refusal_withheld (counter) tell.

--- a/thornhollow/base/error.cc
+++ b/thornhollow/base/error.cc
@@ -77,7 +77,7 @@
     503,
     ran::kNo,
     come_back::kAfterDelay,
-    "This instance has no configuration in force yet." },
+    "This instance does not know the present configuration yet." },
   { kDraining,
     "draining",
     503,
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -345,6 +345,7 @@
 void
 relay_dispatcher::Tick(time_point aNow)
 {
+  RecordLag(mLag.Tick(aNow));
   if (aNow >= mNextConnectionCheck) {
     mNextConnectionCheck = aNow + kConnectionCheckInterval;
     mConnections.Tick(aNow);
@@ -362,6 +363,17 @@
   }
 }
 
+void
+relay_dispatcher::RecordLag(duration aLate)
+{
+  if (aLate >= loop_lag_settings().mLate) {
+    mMetrics.OnEvent("loop_late");
+    mLog.Write(log_level::kWarning,
+               "loop_late",
+               { { "late_ms", ToMilliseconds(aLate) } });
+  }
+}
+
 void
 relay_dispatcher::SetBoundInstances(
   const std::function<std::vector<std::string>(const pool_name&)>& aInContact,
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -42,6 +42,7 @@
 #include "thornhollow/policy/admission/shared_retry_budget.h"
 #include "thornhollow/policy/endpoints/endpoint_notices.h"
 #include "thornhollow/policy/endpoints/out_of_service.h"
+#include "thornhollow/policy/loop_lag.h"
 #include "thornhollow/policy/placement/relay_pool.h"
 #include "thornhollow/policy/queues/room_queue.h"
 #include "thornhollow/request/relay_headers.h"
@@ -105,6 +106,9 @@
   // limits that `SetShutdown` set. Before `SetShutdown` is called, every
   // request is accepted.
   bool Accepts(duration aTimeout, time_point aNow) const;
+  // Whether a newer configuration may have reached this instance without being
+  // in force yet, so that what the one in force lacks is not refused for good.
+  bool MayBeBehind(time_point aNow) const { return mLag.MayBeBehind(aNow); }
   // Call after this process was paused: closes kept connections and discards
   // state that is out of date.
   void OnClockGap(time_point aNow);
@@ -263,6 +267,7 @@
 private:
   duration RetryDelay();
   void UpdateReserved(time_point aNow);
+  void RecordLag(duration aLate);
   void AddEndpoint(const listed_endpoint& aEndpoint);
   void UpdateEndpoint(const listed_endpoint& aEndpoint);
   void RemoveEndpoint(const endpoint_name& aName);
@@ -325,6 +330,7 @@
   metrics& mMetrics;
   endpoint_connections mConnections;
   crash_guard mCrashes;
+  loop_lag mLag;
   endpoint_reach mReach;
   stream_guard mStreams;
   process_check mProcesses;
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -175,19 +175,29 @@
   const caller_request& request = mExchange->Request();
   mRoute = mTable->Match(request.Header("Host"), request.mPath);
   if (mRoute == nullptr) {
-    return error_kind::kUnknownPath;
+    return FinalIfCurrent(error_kind::kUnknownPath);
   }
   mTeam = mTable->TeamForToken(mRelayRequest.mToken);
   const bool allowsAnonymous =
     mRoute->mAnonymous || !mTable->Document().mTokensRequired;
   if (mTeam == nullptr && !allowsAnonymous) {
-    return error_kind::kUnauthenticated;
+    return FinalIfCurrent(error_kind::kUnauthenticated);
   }
   mPool = routing_table::SelectPool(*mRoute, Hash64(mRelayRequest.mId.Text()));
   return mPool == nullptr ? std::optional(error_kind::kNoEndpoint)
                           : std::nullopt;
 }
 
+error_kind
+relay_session::FinalIfCurrent(error_kind aKind)
+{
+  if (!mDispatcher.MayBeBehind(Now())) {
+    return aKind;
+  }
+  mDispatcher.Metrics().OnEvent("final_refusal_withheld");
+  return error_kind::kNotReady;
+}
+
 void
 relay_session::RejectSuspect()
 {
