Own interface: what may be missing only in the configuration in force isn't refused for good

The same cause as on the relaying side: 400, 401, 403, 404 and 405 that rest on the catalog in force, at an instance whose loop is late. One function decides for both interfaces (daemon/final_refusal). The own interface by processes: not run.

--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -50,9 +50,6 @@
   // Looks up route, team and pool. Returns the reason for a refusal, or nullopt
   // on success.
   std::optional<error_kind> FindRoute();
-  // The refusal for what the configuration in force lacks; `kNotReady` while a
-  // newer one may be on its way.
-  error_kind FinalIfCurrent(error_kind aKind);
   request_features ReadFeatures() const;
   // Admits the request, or refuses it, and makes its first attempt. Asks before
   // that what other instances have at the endpoints that seem best.
--- a/thornhollow/daemon/internal/router_core.h
+++ b/thornhollow/daemon/internal/router_core.h
@@ -26,6 +26,7 @@
 #include "thornhollow/daemon/intake.h"
 #include "thornhollow/daemon/live_request.h"
 #include "thornhollow/daemon/router.h"
+#include "thornhollow/policy/loop_lag.h"
 #include "thornhollow/policy/placement/endpoint_reservations.h"
 
 namespace thornhollow {
@@ -177,6 +178,7 @@
   crash_guard mCrashes;
   engine_warm_ups mWarmUps;
   request_forwarder mForwarder;
+  loop_lag mLag;
   endpoint_reservations mReservations;
   // `crash_guard::ReservationChanges` as of the last `UpdateReserved`.
   std::uint64_t mReservationChanges = 0;
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "thornhollow/daemon/final_refusal.h"
 #include "thornhollow/daemon/internal/relay_session.h"
 #include "thornhollow/daemon/relay_profile.h"
 #include "thornhollow/net/clock.h"
@@ -49,7 +50,8 @@
     return;
   }
   if (const auto error = FindRoute()) {
-    Refuse(*error);
+    Refuse(FinalIfCurrent(
+      *error, mDispatcher.MayBeBehind(Now()), mDispatcher.Metrics()));
     return;
   }
   mProfile = ProfileOf(mRelayRequest, *mRoute, EffectiveTier(*mRoute, mTeam));
@@ -175,29 +177,19 @@
   const caller_request& request = mExchange->Request();
   mRoute = mTable->Match(request.Header("Host"), request.mPath);
   if (mRoute == nullptr) {
-    return FinalIfCurrent(error_kind::kUnknownPath);
+    return error_kind::kUnknownPath;
   }
   mTeam = mTable->TeamForToken(mRelayRequest.mToken);
   const bool allowsAnonymous =
     mRoute->mAnonymous || !mTable->Document().mTokensRequired;
   if (mTeam == nullptr && !allowsAnonymous) {
-    return FinalIfCurrent(error_kind::kUnauthenticated);
+    return error_kind::kUnauthenticated;
   }
   mPool = routing_table::SelectPool(*mRoute, Hash64(mRelayRequest.mId.Text()));
   return mPool == nullptr ? std::optional(error_kind::kNoEndpoint)
                           : std::nullopt;
 }
 
-error_kind
-relay_session::FinalIfCurrent(error_kind aKind)
-{
-  if (!mDispatcher.MayBeBehind(Now())) {
-    return aKind;
-  }
-  mDispatcher.Metrics().OnEvent("final_refusal_withheld");
-  return error_kind::kNotReady;
-}
-
 void
 relay_session::RejectSuspect()
 {
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "thornhollow/daemon/caller_reply.h"
+#include "thornhollow/daemon/final_refusal.h"
 #include "thornhollow/daemon/internal/router_core.h"
 #include "thornhollow/net/clock.h"
 
@@ -100,7 +101,8 @@
   }
   intake_verdict read = ReadIntake(aExchange->Request(), *mCatalog);
   if (const auto* error = std::get_if<error_kind>(&read)) {
-    RefuseEarly(*aExchange, *error);
+    RefuseEarly(*aExchange,
+                FinalIfCurrent(*error, mLag.MayBeBehind(Now()), mMetrics));
     return;
   }
   intake accepted = std::get<intake>(std::move(read));
@@ -217,6 +219,7 @@
 void
 router::core::Tick()
 {
+  mLag.Tick(Now());
   ApplyRates();
   mForwarder.Tick(Now());
   ForwardWaiting();
