--- a/thornhollow/policy/suspects/crash_evidence.h
+++ b/thornhollow/policy/suspects/crash_evidence.h
@@ -158,6 +158,13 @@
   {
   }
 
+  // A copy would point to the ends of the original.
+  crash_evidence(const crash_evidence&) = delete;
+  crash_evidence& operator=(const crash_evidence&) = delete;
+  crash_evidence(crash_evidence&&) = default;
+  crash_evidence& operator=(crash_evidence&&) = default;
+  ~crash_evidence() = default;
+
   // Returns the end's number if the sighting adds to what is known; nothing if
   // it is known, or the feature has been cleared of it.
   std::optional<crash_number> Add(const sighting& aSighting);
@@ -243,7 +250,7 @@
     std::vector<crash_number> mEnds;
     bool mWasSound = false;
   };
-  // An end under a feature. Both outlive the entry.
+  // An end under a feature. `mCrash` and `mSuspect` outlive the entry.
   struct feature_end
   {
     crash_number mNumber = 0;
@@ -256,7 +263,7 @@
     std::vector<feature_end> mEnds;
     // Sum of what the ends add to the digest.
     std::uint64_t mDigest = 0;
-    // Whether runs with the part may be the cause, as of a revision and time.
+    // Whether the part needs solo runs, as of that revision and judgement.
     mutable bool mNeedsSoloRun = false;
     mutable std::uint64_t mSoloRevision = 0;
     mutable time_point mSoloAt = time_point::min();
