--- a/review/4/case.py
+++ b/review/4/case.py
@@ -15,8 +15,8 @@
                         Site, configuration, route, run_case)
 
 MACHINES = 6
-PER_SECOND = 40
-CONSUMERS = 80
+PER_SECOND = 55
+CONSUMERS = 110
 GREY_SHARE = 0.45             # of the requests, refused by every engine
 WINDOW_S, RATIO, EXTRA = 10.0, 0.2, 52
 
