Log and metrics: why nothing follows an attempt that ended

What callers saw: streams cut though their endpoint was sound. The lines of such a request said 'broken' and not why no attempt followed, so a spent retry budget, a missing endpoint and lost contact looked alike. request_done has gave_up_for and silent_ms, and events_total counts stream_cut_<reason>. No logic changes.

--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -59,9 +59,9 @@
   void RejectSuspect();
   // Ends a request of which no attempt is in progress: with `aKind`, unless an
   // earlier attempt may have run it.
-  void GiveUpUnsent(error_kind aKind);
+  void GiveUpUnsent(error_kind aKind, give_up_reason aReason);
   // Ends the request with an error response to the caller.
-  void GiveUp(error_kind aKind);
+  void GiveUp(error_kind aKind, give_up_reason aReason);
   void Refuse(error_kind aKind,
               std::optional<duration> aRetryAfter = std::nullopt);
   void OnCallerLeft();
@@ -179,6 +179,9 @@
   // against refusing a request within milliseconds when some of many endpoints
   // have crashed, as their hosts refuse connections immediately.
   bool MayRetryUnsent() const;
+  // What keeps the request from another attempt; `kNone` if nothing does, and
+  // the retry budget has been charged.
+  give_up_reason ChargeRetry(const relay_progress& aProgress);
   // Reports the end of the current attempt to the pool, once for each attempt.
   void EndAttempt(attempt_end aEnd);
   void ArmTimer();
@@ -257,6 +260,8 @@
   std::uint32_t mUnsent = 0;
   duration mUnsentTime{};
   bool mMayHaveRun = false;
+  // Why nothing more is tried; `kNone` while that isn't so.
+  give_up_reason mGaveUpFor = give_up_reason::kNone;
   // Whether the next retry has already been charged to the retry budget.
   bool mRetryCharged = false;
   relayed_answer mAnswer;
--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -136,7 +136,7 @@
   EndAttempt(attempt_end::kDeclined);
   if (AnswerFor(aKind).mRan != ran::kNo) {
     mMayHaveRun = true;
-    GiveUp(aKind);
+    GiveUp(aKind, give_up_reason::kRefusedByInstance);
     return;
   }
   if (MayServeElsewhere(aKind)) {
@@ -144,7 +144,8 @@
     return;
   }
   if (mMayHaveRun || mAnswer.Begun()) {
-    GiveUp(FinalError(Progress(attempt_failure::kDeclined)));
+    GiveUp(FinalError(Progress(attempt_failure::kDeclined)),
+           give_up_reason::kRefusedByInstance);
     return;
   }
   Refuse(aKind, aRetryAfter);
@@ -226,7 +227,7 @@
   if (!mAnswer.SendEnd(Now())) {
     LogFailedAttempt(attempt_failure::kBroken,
                      "resumed stream ended with its connection");
-    GiveUp(error_kind::kStreamBroken);
+    GiveUp(error_kind::kStreamBroken, give_up_reason::kNoAttemptLeft);
     return;
   }
   RecordPause();
--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -56,14 +56,15 @@
   const time_point now = Now();
   if (now >= mProfile.mDeadline) {
     GiveUp(mMayHaveRun ? error_kind::kDeadlineExpiredRunning
-                       : error_kind::kDeadlineUnmeetable);
+                       : error_kind::kDeadlineUnmeetable,
+           give_up_reason::kDeadline);
     return;
   }
   if (ShouldForward(now) && Forward(now)) {
     return;
   }
   if (mDispatcher.Reach().IsConfirmedLost(*mPool, now)) {
-    GiveUpUnsent(error_kind::kNoEndpoint);
+    GiveUpUnsent(error_kind::kNoEndpoint, give_up_reason::kNoContact);
     return;
   }
   relay_pool* pool = mDispatcher.Pool(*mPool);
@@ -134,14 +135,14 @@
 relay_session::OnNoEndpoint(const relay_pool* aPool, time_point aNow)
 {
   if (aPool == nullptr || !aPool->IsAtBound(mProfile, mTriedEndpoints, aNow)) {
-    GiveUpUnsent(error_kind::kNoEndpoint);
+    GiveUpUnsent(error_kind::kNoEndpoint, give_up_reason::kNoEndpoint);
     return;
   }
   if (ForwardForRoom(aNow) || WaitForRoom(aNow)) {
     return;
   }
   mDispatcher.Metrics().OnEvent("request_kept_by_bound");
-  GiveUpUnsent(error_kind::kEndpointsAtBound);
+  GiveUpUnsent(error_kind::kEndpointsAtBound, give_up_reason::kNoEndpoint);
 }
 
 bool
@@ -203,7 +204,7 @@
     return;
   }
   mDispatcher.Metrics().OnEvent("request_kept_by_bound");
-  GiveUpUnsent(error_kind::kEndpointsAtBound);
+  GiveUpUnsent(error_kind::kEndpointsAtBound, give_up_reason::kNoEndpoint);
 }
 
 void
@@ -254,7 +255,7 @@
     mHeldSince = aNow;
   }
   if (aNow - *mHeldSince >= crash_guard::kMaxWait) {
-    GiveUpUnsent(error_kind::kSuspectHeld);
+    GiveUpUnsent(error_kind::kSuspectHeld, give_up_reason::kHeldBack);
     return false;
   }
   if (decision.mKeepEndpoint) {
--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -161,22 +161,33 @@
 {
   mDispatcher.Crashes().OnSendEnded(mFeatures, mTicket, Now());
   mAnswer.DropUnfinished();
-  const relay_step step = NextStep(aProgress);
-  // A request that has not reached any endpoint has caused no load yet, so
-  // its next attempt is not charged to the retry budget.
-  const bool firstArrival = aProgress.mAttempts == 0;
-  const bool retryCharged = std::exchange(mRetryCharged, false) || firstArrival;
-  const bool allowed =
-    step != relay_step::kGiveUp && MayRetryUnsent() &&
-    (retryCharged || mDispatcher.Retries().Spend(*mPool, Now()));
-  if (!allowed) {
-    GiveUp(FinalError(aProgress));
+  if (const auto reason = ChargeRetry(aProgress);
+      reason != give_up_reason::kNone) {
+    GiveUp(FinalError(aProgress), reason);
     return;
   }
   mDispatcher.Metrics().OnRetry(ErrorOf(aFailure));
   StartNextAttempt();
 }
 
+give_up_reason
+relay_session::ChargeRetry(const relay_progress& aProgress)
+{
+  if (NextStep(aProgress) == relay_step::kGiveUp) {
+    return give_up_reason::kNoAttemptLeft;
+  }
+  if (!MayRetryUnsent()) {
+    return give_up_reason::kUnconnected;
+  }
+  // A request that has not reached any endpoint has caused no load yet, so
+  // its next attempt is not charged to the retry budget.
+  const bool firstArrival = aProgress.mAttempts == 0;
+  const bool retryCharged = std::exchange(mRetryCharged, false) || firstArrival;
+  return retryCharged || mDispatcher.Retries().Spend(*mPool, Now())
+           ? give_up_reason::kNone
+           : give_up_reason::kRetryBudget;
+}
+
 bool
 relay_session::MayRetryUnsent() const
 {
@@ -254,7 +265,8 @@
   }
   EndAttempt(attempt_end::kCancelled);
   GiveUp(ran ? error_kind::kDeadlineExpiredRunning
-             : error_kind::kDeadlineUnmeetable);
+             : error_kind::kDeadlineUnmeetable,
+         give_up_reason::kDeadline);
 }
 
 } // namespace thornhollow
--- a/thornhollow/daemon/internal/relay_session_log.cc
+++ b/thornhollow/daemon/internal/relay_session_log.cc
@@ -94,6 +94,8 @@
       { "fingerprint", Text(mFeatures.mContent) },
       { "parts", PartsText(mFeatures) },
       { "outcome", std::string(aOutcome) },
+      { "gave_up_for", std::string(Name(mGaveUpFor)) },
+      { "silent_ms", ToMilliseconds(now - mLastByte) },
       { "status", std::int64_t{ Status() } },
       { "route", mRoute == nullptr ? "" : mRoute->mName },
       { "team", mTeam == nullptr ? "" : mTeam->mName.Text() },
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -195,7 +195,7 @@
 {
   mDispatcher.Crashes().OnRejected(mRelayRequest.mId, mFeatures);
   if (mMayHaveRun) {
-    GiveUp(FinalError(Progress()));
+    GiveUp(FinalError(Progress()), give_up_reason::kHeldBack);
     return;
   }
   Refuse(error_kind::kRequestEndsEndpoints,
@@ -203,15 +203,17 @@
 }
 
 void
-relay_session::GiveUpUnsent(error_kind aKind)
+relay_session::GiveUpUnsent(error_kind aKind, give_up_reason aReason)
 {
-  GiveUp(mMayHaveRun ? FinalError(Progress()) : aKind);
+  GiveUp(mMayHaveRun ? FinalError(Progress()) : aKind, aReason);
 }
 
 void
-relay_session::GiveUp(error_kind aKind)
+relay_session::GiveUp(error_kind aKind, give_up_reason aReason)
 {
+  mGaveUpFor = aReason;
   if (mAnswer.Begun()) {
+    mDispatcher.Metrics().OnEvent("stream_cut_" + std::string(Name(aReason)));
     mDispatcher.Metrics().OnRefused(error_kind::kStreamBroken);
     mAnswer.SendAbort();
     Finish("broken");
--- a/thornhollow/request/relay_retry.cc
+++ b/thornhollow/request/relay_retry.cc
@@ -13,8 +13,26 @@
   "unconfirmed"
 };
 
+constexpr std::array<std::string_view, 9> kReasonNames = {
+  "",
+  "no_attempt_left",
+  "retry_budget",
+  "no_endpoint",
+  "no_contact",
+  "unconnected",
+  "held_back",
+  "deadline",
+  "refused_by_instance"
+};
+
 } // namespace
 
+std::string_view
+Name(give_up_reason aReason)
+{
+  return kReasonNames[static_cast<std::size_t>(aReason)];
+}
+
 std::string_view
 Name(attempt_failure aFailure)
 {
--- a/thornhollow/request/relay_retry.h
+++ b/thornhollow/request/relay_retry.h
@@ -97,6 +97,29 @@
 relay_step
 NextStep(const relay_progress& aProgress);
 
+// Why nothing more was tried for a request whose attempt had ended.
+enum class give_up_reason : std::uint8_t
+{
+  kNone,
+  // Its kind, or the route's limit of attempts, allows no more.
+  kNoAttemptLeft,
+  kRetryBudget,
+  kNoEndpoint,
+  // This instance has lost contact with the pool's endpoints.
+  kNoContact,
+  // Too many connections could not be made, or for too long.
+  kUnconnected,
+  // It was held back as suspect for too long.
+  kHeldBack,
+  kDeadline,
+  // The instance that it was forwarded to refused it.
+  kRefusedByInstance,
+};
+
+// "retry_budget" and so on; for counters and log lines. Empty for `kNone`.
+std::string_view
+Name(give_up_reason aReason);
+
 // What the caller is told when nothing more is tried and no part of an answer
 // is with it. Never a kind that says "not run" for a request that may have run.
 error_kind
