Relaying: a silent attempt is kept until another endpoint has shown that it responds

What callers saw: streams cut in the middle, without a reason at their endpoint, when sound endpoints stood still for a second or more (LOST).

Cause: the attempt was closed at the silence timeout of 1.3 s, and only then the retry budget was asked, an endpoint chosen and asked to confirm its process. When many endpoints stand still at once, budget and responsive endpoints are short at that very moment, and what is given up can't be had back. Class: a resource is released before its replacement is certain.

Ruled out: the endpoint's end (its stand-in runs each request to its end), the route's timeout (20 s in the test).

Change: request/silence_handover decides; the session asks another endpoint whether it responds, confirms its process, charges the budget and sends the request there while the silent attempt stays open. Whichever sends first keeps the request; a refusal or failure of the other one changes nothing; both work on a stream for 300 ms at most. An attempt at another instance is left alone while that instance is heard, as it hands over by itself.

--- a/thornhollow/daemon/endpoint_reach.cc
+++ b/thornhollow/daemon/endpoint_reach.cc
@@ -112,6 +112,14 @@
   return Contact(aPool).IsConfirmedLost(aNow);
 }
 
+bool
+endpoint_reach::IsOffered(const pool_name& aPool,
+                          const std::string& aPeer) const
+{
+  return mPeers &&
+         std::ranges::count(mPeers(aPool), aPeer, &forward_peer::mAddress) > 0;
+}
+
 std::optional<std::string>
 endpoint_reach::ChoosePeer(const pool_name& aPool,
                            const std::vector<std::string>& aTried)
--- a/thornhollow/daemon/endpoint_reach.h
+++ b/thornhollow/daemon/endpoint_reach.h
@@ -96,8 +96,10 @@
   // those in `aTried`.
   std::optional<std::string> ChoosePeer(const pool_name& aPool,
                                         const std::vector<std::string>& aTried);
-  // The same among those that have not reported that they are at the bounds of
-  // the pool's endpoints.
+  // Whether the instance has lately told that it takes requests to the pool.
+  bool IsOffered(const pool_name& aPool, const std::string& aPeer) const;
+  // The same as `ChoosePeer` among those that have not reported that they are
+  // at the bounds of the pool's endpoints.
   std::optional<std::string> ChoosePeerWithRoom(
     const pool_name& aPool,
     const std::vector<std::string>& aTried);
--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -21,6 +21,7 @@
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/relay_attempt.h"
 #include "thornhollow/request/relay_retry.h"
+#include "thornhollow/request/silence_handover.h"
 
 namespace thornhollow {
 
@@ -80,7 +81,7 @@
   // if there is none.
   bool Forward(time_point aNow);
   void ForwardTo(const std::string& aPeer, time_point aNow);
-  void SendToPeer();
+  relay_call PeerCall(const std::string& aPeer, std::uint32_t aAttempts) const;
   // The last event that the caller has of a stream.
   const std::string& ResumeAfter() const;
   // Whether the request may be sent to the endpoint now. If not, the request
@@ -98,11 +99,13 @@
   // Returns the endpoint of the next attempt. The endpoint of the first attempt
   // was chosen when the request was admitted.
   std::optional<relay_pick> NextEndpoint(relay_pool* aPool, time_point aNow);
-  void SendAttempt();
+  relay_call EndpointCall(const relay_pick& aPick);
   // Returns everything but the headers.
   relay_call MakeCall(endpoint_process aWhere) const;
-  void StartAttempt(relay_call aCall);
-  void OnEvent(relay_event& aEvent);
+  // Returns the attempt, whose events come to `OnEvent` with `aNumber`.
+  relay_attempt_ptr StartAttempt(relay_call aCall, std::uint64_t aNumber);
+  void OnEvent(std::uint64_t aNumber, relay_event& aEvent);
+  void OnAttemptEvent(relay_event& aEvent);
   bool IsAtPeer() const { return !mPeer.empty(); }
 
   // ---- The answer: relay_session_answer.cc
@@ -161,8 +164,9 @@
   relay_progress Progress(
     attempt_failure aFailure = attempt_failure::kLost) const;
   bool Sent() const;
-  // Ends the current attempt and starts the next one or gives up. `aClose`:
-  // close the attempt's connection instead of reading the rest of the answer.
+  // Ends the current attempt and starts the next one or gives up, or goes on
+  // with the standby attempt if that was sent. `aClose`: close the attempt's
+  // connection instead of reading the rest of the answer.
   void OnFailure(attempt_failure aFailure,
                  const std::string& aDetail,
                  bool aClose);
@@ -173,6 +177,8 @@
   // an endpoint that is leaving is expected, and one that has produced output
   // for the request for long was not ended by it.
   bool MayHaveEndedEndpoint(attempt_failure aFailure) const;
+  // The current attempt, of which its endpoint may have ended.
+  lost_attempt LostAttempt() const;
   // Makes another attempt or gives up.
   void AfterFailure(attempt_failure aFailure, const relay_progress& aProgress);
   // Whether another attempt may follow failed connection attempts. Guards
@@ -189,15 +195,70 @@
   // bytes arrive before. A request that must not be repeated never counts as
   // silent, since it could not be sent elsewhere.
   time_point SilenceDeadline() const;
+  // When the silence is to be looked at next.
+  time_point NextSilenceCheck(time_point aNow) const;
   void OnTimer();
   bool CanRetryElsewhere() const;
   void OnDeadline();
 
+  // ---- From a silent attempt to another one: relay_session_handover.cc
+
+  // An attempt beside the one that has fallen silent, at another endpoint or
+  // instance. It begins once the endpoint has shown that it responds.
+  struct standby_attempt
+  {
+    relay_attempt_ptr mAttempt;
+    std::uint64_t mNumber = 0;
+    relay_pick mPick;
+    // Empty unless it is at another instance.
+    std::string mPeer;
+    std::uint64_t mTicket = 0;
+    time_point mSentAt{};
+  };
+
+  // The attempt has exceeded its silence timeout.
+  void OnSilent(time_point aNow);
+  // Asks another endpoint whether it responds, and sends it the request then.
+  // Returns false if there is none now.
+  bool PrepareStandby(time_point aNow);
+  bool StandByAtPeer(time_point aNow);
+  bool StandByAt(const relay_pick& aPick, time_point aNow);
+  std::optional<relay_pick> ChooseStandby(relay_pool& aPool, time_point aNow);
+  // Whether the instance that has the request is still heard.
+  bool IsPeerResponding() const;
+  void ConnectStandby();
+  // Decides whether the standby attempt may be sent, on a connection that was
+  // made at `aMadeAt`.
+  void AllowStandby(std::uint64_t aNumber,
+                    time_point aMadeAt,
+                    std::function<void(bool)> aDone);
+  void SendStandby(std::uint64_t aNumber,
+                   const std::function<void(bool)>& aDone);
+  bool IsStandby(std::uint64_t aNumber) const
+  {
+    return mStandby && mStandby->mNumber == aNumber;
+  }
+  void OnStandbyEvent(relay_event& aEvent);
+  void OnStandbyHead(relay_event& aEvent, relay_answer_head& aHead);
+  // Ends the standby attempt; the silent one goes on.
+  void DropStandby(attempt_end aEnd, std::string_view aWhy);
+  // The attempt has sent something.
+  void EndSilence();
+  // Closes the silent attempt; the standby one takes its place.
+  void SwitchToStandby();
+  // The attempt has ended. The standby attempt takes its place if it was sent;
+  // otherwise it is dropped. Returns whether it does.
+  bool InstallStandby();
+
   // ---- Log lines: relay_session_log.cc
 
   void LogRejected(const admission_refusal& aRefusal);
   void LogNotContinued(error_kind aKind, const origin_verdict& aVerdict);
   void LogFailedAttempt(attempt_failure aFailure, const std::string& aDetail);
+  void LogStandby(std::string_view aEvent,
+                  const standby_attempt& aStandby,
+                  std::string_view aWhy,
+                  bool aSent);
   unsigned Status() const;
   std::string FramingText() const;
   void LogOutcome(std::string_view aOutcome);
@@ -223,8 +284,9 @@
   class_name mMetricsClass;
   std::shared_ptr<const std::string> mBody;
 
-  // The current attempt.
+  // The current attempt, and its number among those of the request.
   relay_attempt_ptr mAttempt;
+  std::uint64_t mAttemptNumber = 0;
   relay_pick mPick;
   // The version that brings the stream, as another instance tells.
   endpoint_version_hash mPeerVersion = kUnknownVersion;
@@ -241,6 +303,13 @@
   // Of the attempt, as evidence of whether its request ends endpoints.
   time_point mOutputAt{};
   run_progress mRunProgress = run_progress::kNoOutput;
+  // What goes on beside the attempt while it is silent.
+  silence_handover mHandover;
+  std::optional<standby_attempt> mStandby;
+  // Endpoints that did not respond, or declined, as standby since the attempt
+  // fell silent.
+  std::vector<endpoint_name> mNoStandby;
+  std::uint64_t mLastAttemptNumber = 0;
   // Endpoints tried by the attempts of the request so far. The members from
   // `mTriedEndpoints` on hold state over all attempts.
   std::vector<endpoint_name> mTriedEndpoints;
--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -83,7 +83,8 @@
   mDispatcher.ReportLoad(*mPool, mPick);
   mDispatcher.Reach().OnSent(*mPool, now);
   mChargedToPool = true;
-  SendAttempt();
+  mAttemptNumber = ++mLastAttemptNumber;
+  mAttempt = StartAttempt(EndpointCall(mPick), mAttemptNumber);
   ArmTimer();
 }
 
@@ -127,7 +128,8 @@
   ResetAttempt(aNow);
   mDispatcher.Metrics().OnEvent("request_forwarded");
   mDispatcher.Reach().OnForwarded(mPeer);
-  SendToPeer();
+  mAttemptNumber = ++mLastAttemptNumber;
+  mAttempt = StartAttempt(PeerCall(mPeer, mAttempts), mAttemptNumber);
   ArmTimer();
 }
 
@@ -215,18 +217,18 @@
   }
 }
 
-void
-relay_session::SendToPeer()
+relay_call
+relay_session::PeerCall(const std::string& aPeer, std::uint32_t aAttempts) const
 {
   const caller_request& request = mExchange->Request();
-  relay_call call = MakeCall({ mPeer, 0 });
+  relay_call call = MakeCall({ aPeer, 0 });
   call.mHeaders =
     ForwardHeaders(mDispatcher.Names(),
                    request.mHeaders,
                    mProfile.mDeadline - Now(),
                    ResumeAfter(),
-                   { mAttempts, mTable->Document().mVersion, mOrigin });
-  StartAttempt(std::move(call));
+                   { aAttempts, mTable->Document().mVersion, mOrigin });
+  return call;
 }
 
 const std::string&
@@ -292,29 +294,29 @@
   return mDispatcher.Choose(*aPool, mProfile, mTriedEndpoints, aNow);
 }
 
-void
-relay_session::SendAttempt()
+relay_call
+relay_session::EndpointCall(const relay_pick& aPick)
 {
   const caller_request& request = mExchange->Request();
   attempt_facts facts;
-  facts.mEndpoint = mPick.mEndpoint;
+  facts.mEndpoint = aPick.mEndpoint;
   facts.mTeam = mTeam == nullptr ? team_name() : mTeam->mName;
   facts.mTimeLeft = mProfile.mDeadline - Now();
   if (mProfile.mPromptTokens > 0) {
     facts.mPriority = mProfile.mEnginePriority;
-    facts.mCopyPrefixFrom = mPick.mCopyFrom;
+    facts.mCopyPrefixFrom = aPick.mCopyFrom;
   }
   facts.mResumeAfter = ResumeAfter();
-  relay_call call = MakeCall({ mPick.mAddress, mPick.mLifetime });
+  relay_call call = MakeCall({ aPick.mAddress, aPick.mLifetime });
   call.mHeaders = AttemptHeaders(mDispatcher.Names(), request.mHeaders, facts);
   if (MustConfirmFirst()) {
     call.mMaySend = [self = boost::intrusive_ptr<relay_session>(this),
-                     pick = mPick](time_point aMadeAt,
+                     pick = aPick](time_point aMadeAt,
                                    std::function<void(bool)> aDone) {
       self->mDispatcher.Confirm(pick, aMadeAt, std::move(aDone));
     };
   }
-  StartAttempt(std::move(call));
+  return call;
 }
 
 relay_call
@@ -335,21 +337,34 @@
   return call;
 }
 
+relay_attempt_ptr
+relay_session::StartAttempt(relay_call aCall, std::uint64_t aNumber)
+{
+  return StartRelayAttempt(
+    mDispatcher.Connections(),
+    mDispatcher.Names(),
+    std::move(aCall),
+    [self = boost::intrusive_ptr<relay_session>(this),
+     aNumber](relay_event aEvent) { self->OnEvent(aNumber, aEvent); });
+}
+
 void
-relay_session::StartAttempt(relay_call aCall)
+relay_session::OnEvent(std::uint64_t aNumber, relay_event& aEvent)
 {
-  mAttempt =
-    StartRelayAttempt(mDispatcher.Connections(),
-                      mDispatcher.Names(),
-                      std::move(aCall),
-                      [self = boost::intrusive_ptr<relay_session>(this)](
-                        relay_event aEvent) { self->OnEvent(aEvent); });
+  if (IsStandby(aNumber)) {
+    OnStandbyEvent(aEvent);
+  } else if (aNumber == mAttemptNumber) {
+    OnAttemptEvent(aEvent);
+  }
 }
 
 void
-relay_session::OnEvent(relay_event& aEvent)
+relay_session::OnAttemptEvent(relay_event& aEvent)
 {
   mLastByte = Now();
+  if (!std::holds_alternative<relay_failure>(aEvent)) {
+    EndSilence();
+  }
   if (mChargedToPool && !std::holds_alternative<relay_failure>(aEvent)) {
     mDispatcher.Reach().OnAnswer(*mPool, !mAttempt->Reused(), mLastByte);
   }
--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -96,29 +96,42 @@
   } else {
     mAttempt->Abandon();
   }
-  const bool mayHaveEnded = MayHaveEndedEndpoint(aFailure);
+  const auto lost = MayHaveEndedEndpoint(aFailure)
+                      ? std::optional(LostAttempt())
+                      : std::nullopt;
   ReportContact(aFailure);
   EndAttempt(ToAttemptEnd(aFailure));
   mTimer.cancel();
-  if (!mayHaveEnded) {
-    AfterFailure(aFailure, progress);
+  const bool goesOn = InstallStandby();
+  if (!lost) {
+    if (!goesOn) {
+      AfterFailure(aFailure, progress);
+    }
     return;
   }
-  const relay_pool* pool = mDispatcher.Pool(*mPool);
   mDispatcher.Crashes().OnAttemptLost(
-    { mRelayRequest.mId,
-      SuspectAttempt(mPick, pool->size()),
-      mPick.mEndpoint,
-      { mPick.mAddress, mPick.mLifetime },
-      mRunProgress },
-    [self = boost::intrusive_ptr<relay_session>(this), aFailure, progress](
-      bool /*aEnded*/) {
-      if (!self->mDone) {
+    *lost,
+    [self = boost::intrusive_ptr<relay_session>(this),
+     aFailure,
+     progress,
+     goesOn](bool /*aEnded*/) {
+      if (!self->mDone && !goesOn) {
         self->AfterFailure(aFailure, progress);
       }
     });
 }
 
+lost_attempt
+relay_session::LostAttempt() const
+{
+  const relay_pool* pool = mDispatcher.Pool(*mPool);
+  return { mRelayRequest.mId,
+           SuspectAttempt(mPick, pool->size()),
+           mPick.mEndpoint,
+           { mPick.mAddress, mPick.mLifetime },
+           mRunProgress };
+}
+
 void
 relay_session::ReportContact(attempt_failure aFailure)
 {
@@ -197,7 +210,7 @@
 void
 relay_session::ArmTimer()
 {
-  mTimer.expires_at(std::min(mProfile.mDeadline, SilenceDeadline()));
+  mTimer.expires_at(std::min(mProfile.mDeadline, NextSilenceCheck(Now())));
   mTimer.async_wait([self = boost::intrusive_ptr<relay_session>(this)](
                       const boost::system::error_code& aError) {
     if (!aError && !self->mDone) {
@@ -229,20 +242,18 @@
     OnDeadline();
     return;
   }
-  if (now >= SilenceDeadline() && CanRetryElsewhere()) {
-    OnFailure(attempt_failure::kSilent,
-              "no bytes received within the silence timeout",
-              true);
-    return;
-  }
   if (now >= SilenceDeadline()) {
-    // No other endpoint can take over, and the current one may still answer,
-    // so the silence timeout starts again.
-    mLastByte = now;
+    OnSilent(now);
   }
   ArmTimer();
 }
 
+time_point
+relay_session::NextSilenceCheck(time_point aNow) const
+{
+  return std::max(SilenceDeadline(), mHandover.NextCheck(aNow));
+}
+
 bool
 relay_session::CanRetryElsewhere() const
 {
--- a/thornhollow/daemon/internal/relay_session_log.cc
+++ b/thornhollow/daemon/internal/relay_session_log.cc
@@ -70,6 +70,25 @@
       { "begun", std::int64_t{ mAnswer.Begun() } } });
 }
 
+void
+relay_session::LogStandby(std::string_view aEvent,
+                          const standby_attempt& aStandby,
+                          std::string_view aWhy,
+                          bool aSent)
+{
+  const time_point now = Now();
+  mDispatcher.Log().WriteRequest(
+    log_level::kInfo,
+    aEvent,
+    { { "request", mRelayRequest.mId.Text() },
+      { "why", std::string(aWhy) },
+      { "endpoint", aStandby.mPick.mEndpoint.Text() },
+      { "via", aStandby.mPeer },
+      { "sent", std::int64_t{ aSent } },
+      { "after_ms", ToMilliseconds(now - aStandby.mSentAt) },
+      { "silent_ms", ToMilliseconds(now - mLastByte) } });
+}
+
 unsigned
 relay_session::Status() const
 {
--- a/thornhollow/daemon/process_check.cc
+++ b/thornhollow/daemon/process_check.cc
@@ -71,18 +71,51 @@
 process_check::Ask(const listed_process& aProcess)
 {
   mMetrics.OnEvent("endpoint_process_asked");
+  FetchStatus(aProcess.mAddress, [this, aProcess](const fetch_answer* aAnswer) {
+    OnVerdict(aProcess, VerdictOf(aProcess, aAnswer));
+  });
+}
+
+void
+process_check::FetchStatus(const std::string& aAddress,
+                           std::function<void(const fetch_answer*)> aDone)
+{
   Fetch(mIo,
-        { .mAddress = aProcess.mAddress,
+        { .mAddress = aAddress,
           .mTarget = mPath,
           .mTimeout = kAnswerTimeout,
           .mConnectTimeout = kAnswerTimeout,
           .mMaxBytes = kMaxStatusBytes },
-        [this, aProcess](const fetch_outcome& aOutcome) {
-          OnVerdict(aProcess,
-                    VerdictOf(aProcess, aOutcome ? &*aOutcome : nullptr));
+        [done = std::move(aDone)](const fetch_outcome& aOutcome) {
+          done(aOutcome ? &*aOutcome : nullptr);
         });
 }
 
+void
+process_check::AskIfResponding(const std::string& aAddress,
+                               std::function<void(bool)> aDone)
+{
+  if (!mReader) {
+    aDone(true);
+    return;
+  }
+  auto& waiting = mResponding[aAddress];
+  waiting.push_back(std::move(aDone));
+  if (waiting.size() > 1) {
+    return;
+  }
+  mMetrics.OnEvent("endpoint_response_asked");
+  FetchStatus(aAddress, [this, aAddress](const fetch_answer* aAnswer) {
+    const bool responds = aAnswer != nullptr;
+    mMetrics.OnEvent(responds ? "endpoint_responds" : "endpoint_response_none");
+    // Who asks from within a handler asks anew.
+    const auto asked = mResponding.extract(aAddress);
+    for (const auto& each : asked.mapped()) {
+      each(responds);
+    }
+  });
+}
+
 process_verdict
 process_check::VerdictOf(const listed_process& aProcess,
                          const fetch_answer* aAnswer) const
--- a/thornhollow/daemon/process_check.h
+++ b/thornhollow/daemon/process_check.h
@@ -15,8 +15,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/result.h"
@@ -86,6 +88,11 @@
   void Confirm(const listed_process& aProcess,
                time_point aMadeAt,
                handler aDone);
+  // Calls `aDone` with whether the endpoint answers a question that is asked
+  // now; with true, at once, where endpoints can't be asked. One question
+  // serves all that ask while it is open.
+  void AskIfResponding(const std::string& aAddress,
+                       std::function<void(bool)> aDone);
   // The process is no longer listed.
   void Forget(process_number aProcess);
 
@@ -95,6 +102,9 @@
     return mReader && aProcess.mStartedMs != 0;
   }
   void Ask(const listed_process& aProcess);
+  // Hands over null if no answer came in time.
+  void FetchStatus(const std::string& aAddress,
+                   std::function<void(const fetch_answer*)> aDone);
   process_verdict VerdictOf(const listed_process& aProcess,
                             const fetch_answer* aAnswer) const;
   void OnVerdict(const listed_process& aProcess, process_verdict aVerdict);
@@ -105,6 +115,8 @@
   std::string mPath;
   status_reader mReader;
   process_confirmations mConfirmations;
+  // Those who wait for whether the endpoint at an address responds.
+  std::map<std::string, std::vector<std::function<void(bool)>>> mResponding;
 };
 
 } // namespace thornhollow
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -64,6 +64,9 @@
   mProfile.mVersion = mOrigin;
   mProfile.mTeam = mTeam == nullptr ? team_name() : mTeam->mName;
   mFeatures = ReadFeatures();
+  if (!IsStream(mRoute->mKind)) {
+    mHandover = silence_handover({ .mMaxOverlap = std::nullopt });
+  }
   mProfile.mDeadline = mExchange->Arrival() + timeout;
   mProfile.mIsRetry =
     ToSeconds(timeout) < ToSeconds(mRoute->mTimeout) * kRetryTimeoutFraction;
@@ -267,6 +270,9 @@
 {
   mDone = true;
   mTimer.cancel();
+  if (mStandby) {
+    DropStandby(attempt_end::kCancelled, "the request has ended");
+  }
   LeaveRoomQueue();
   mDispatcher.Crashes().OnSendEnded(mFeatures, mTicket, Now());
   mExchange->OnLeft(nullptr);
--- /dev/null
+++ b/thornhollow/request/silence_handover.cc
@@ -0,0 +1,51 @@
+#include "thornhollow/request/silence_handover.h"
+
+#include <algorithm>
+
+namespace thornhollow {
+
+handover_step
+silence_handover::OnSilence(time_point aNow) const
+{
+  switch (mPhase) {
+    case handover_phase::kIdle:
+      return aNow >= mNotBefore ? handover_step::kPrepare
+                                : handover_step::kWait;
+    case handover_phase::kOverlapping:
+      return mSettings.mMaxOverlap && aNow - mSentAt >= *mSettings.mMaxOverlap
+               ? handover_step::kSwitch
+               : handover_step::kWait;
+    default:
+      return handover_step::kWait;
+  }
+}
+
+time_point
+silence_handover::NextCheck(time_point aNow) const
+{
+  switch (mPhase) {
+    case handover_phase::kIdle:
+      return std::max(mNotBefore, aNow);
+    case handover_phase::kOverlapping:
+      return mSettings.mMaxOverlap ? mSentAt + *mSettings.mMaxOverlap
+                                   : time_point::max();
+    default:
+      return aNow + mSettings.mRetryInterval;
+  }
+}
+
+void
+silence_handover::OnSent(time_point aNow)
+{
+  mPhase = handover_phase::kOverlapping;
+  mSentAt = aNow;
+}
+
+void
+silence_handover::OnFailed(time_point aNow)
+{
+  mPhase = handover_phase::kIdle;
+  mNotBefore = aNow + mSettings.mRetryInterval;
+}
+
+} // namespace thornhollow
--- /dev/null
+++ b/thornhollow/request/silence_handover_test.cc
@@ -0,0 +1,78 @@
+#include <doctest/doctest.h>
+
+#include "thornhollow/request/silence_handover.h"
+
+namespace thornhollow {
+namespace {
+
+struct silent_attempt
+{
+  time_point mNow{ Seconds(100) };
+  silence_handover mHandover;
+
+  handover_step After(duration aTime)
+  {
+    mNow += aTime;
+    return mHandover.OnSilence(mNow);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(silent_attempt, "silence_handover/idle/prepares_at_once")
+{
+  CHECK(After({}) == handover_step::kPrepare);
+  CHECK(mHandover.NextCheck(mNow) == mNow);
+}
+
+// Guards against a silent attempt that is closed before another endpoint has
+// shown that it responds.
+TEST_CASE_FIXTURE(silent_attempt, "silence_handover/preparing/never_switches")
+{
+  mHandover.OnPreparing();
+  for (int step = 0; step < 100; ++step) {
+    CHECK(After(Milliseconds(100)) == handover_step::kWait);
+    CHECK(mHandover.NextCheck(mNow) > mNow);
+  }
+}
+
+// Guards against two engines that work on one stream for long.
+TEST_CASE_FIXTURE(silent_attempt,
+                  "silence_handover/overlapping/switches_after_max_overlap")
+{
+  mHandover.OnPreparing();
+  mHandover.OnSent(mNow);
+  CHECK(mHandover.NextCheck(mNow) == mNow + Milliseconds(300));
+  CHECK(After(Milliseconds(299)) == handover_step::kWait);
+  CHECK(After(Milliseconds(1)) == handover_step::kSwitch);
+}
+
+TEST_CASE("silence_handover/unlimited_overlap/never_switches")
+{
+  silence_handover handover({ .mMaxOverlap = std::nullopt });
+  const time_point now{ Seconds(100) };
+  handover.OnSent(now);
+  CHECK(handover.OnSilence(now + Seconds(1000)) == handover_step::kWait);
+  CHECK(handover.NextCheck(now) == time_point::max());
+}
+
+// Guards against questions without a pause to endpoints that all stand still.
+TEST_CASE_FIXTURE(silent_attempt,
+                  "silence_handover/failed/pauses_then_prepares")
+{
+  mHandover.OnPreparing();
+  mHandover.OnFailed(mNow);
+  CHECK(After({}) == handover_step::kWait);
+  CHECK(mHandover.NextCheck(mNow) == mNow + Milliseconds(200));
+  CHECK(After(Milliseconds(200)) == handover_step::kPrepare);
+}
+
+TEST_CASE_FIXTURE(silent_attempt, "silence_handover/reset/starts_anew")
+{
+  mHandover.OnSent(mNow);
+  mHandover.Reset();
+  CHECK(mHandover.Phase() == handover_phase::kIdle);
+  CHECK(After(Seconds(1)) == handover_step::kPrepare);
+}
+
+} // namespace thornhollow
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -361,6 +361,10 @@
         # A refusal names this time, in seconds, in which it wants nothing.
         self.rest_s = None
         self.release = threading.Event()
+        # Cleared while the process stands still: it takes connections, and
+        # says nothing.
+        self.running = threading.Event()
+        self.running.set()
         # A body that contains this text is answered this much later.
         self.slow_on = None
         self.slow_s = 0.3
@@ -428,6 +432,7 @@
 
     def stop(self):
         self.over.set()
+        self.running.set()
         self.release.set()
         self.server.stop()
 
@@ -438,6 +443,7 @@
             path.passing.wait()
             call.close_connection = True
             return None
+        self.running.wait(harness.LIMIT_SECONDS)
         if call.path == "/v1/report":
             return self.report(call)
         self.choose_end(call)
@@ -548,6 +554,7 @@
         for event in range(first, self.events + 1):
             if path := getattr(call.server, "path", None):
                 path.passing.wait()
+            self.running.wait(harness.LIMIT_SECONDS)
             text = self.event(event)
             if self.mode == "cut" and first == 1 and event == 2:
                 # In the middle of an event, without the stream's end.
@@ -618,20 +625,21 @@
 peer_seeds: [{seeds}]
 source_address: {source}
 drain_grace_s: 20
-retries: {{ratio: 0.2, extra: 400, window_s: 10}}
+retries: {{ratio: {ratio}, extra: {extra}, window_s: 10}}
 """
 
 
 class RelayDaemon(harness.Program):
 
-    def __init__(self, source, name="n1", seeds="", caller=None):
+    def __init__(self, source, name="n1", seeds="", caller=None, ratio=0.2,
+                 extra=400):
         self.ready_address = harness.address_on_loopback()
         self.peers = harness.address_on_loopback()
         self.operators = harness.address_on_loopback()
         settings = SETTINGS.format(
             name=name, caller=caller or harness.address_on_loopback(),
             ready=self.ready_address, peers=self.peers, seeds=seeds,
-            operators=self.operators, source=source,
+            operators=self.operators, source=source, ratio=ratio, extra=extra,
             forward=harness.address_on_loopback())
         self.folder = tempfile.TemporaryDirectory()
         self.settings = pathlib.Path(self.folder.name, "settings.yaml")
