Callers' connections: while an answer's end is the connection's end, any close is a reset

What callers saw: streams without length or chunks that end in order after a part of their events, so that the part counts as the whole (ORDER, 'to the close').

Cause: such an answer is complete wherever the connection ends in order, and only a stream that was given up was reset. Where the instance's process ends, or a write times out, or the connection is closed on another way, the system ends the connection in order. Class: an end that nobody vouches for looks like one that somebody does.

Change: from the first byte of an answer without framing (open-ended, or to an HTTP/1.0 caller) until its end is known, closing the connection resets it.

Measured: two new cases of process.relay_broken_off_test (instance killed while it streams, HTTP/1.1 open-ended and HTTP/1.0): both fail before, pass since.

--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -163,6 +163,10 @@
   asio::awaitable<void> Linger()
   {
     error_code wrong;
+    if (mResetsOnClose) {
+      mStream.socket().close(wrong);
+      co_return;
+    }
     mStream.socket().shutdown(tcp::socket::shutdown_send, wrong);
     mBuffer.clear();
     mStream.expires_after(kLingerTimeout);
@@ -450,10 +454,24 @@
       return;
     }
     error_code ignored;
-    mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    SetResetsOnClose(true);
     mStream.socket().close(ignored);
   }
 
+  // Guards against a part of an answer that reaches its caller as complete
+  // because its end is that of the connection, and the connection ends in
+  // another way than by the answer's end: a write that times out, or the end of
+  // this process, after which the system closes its connections in order. From
+  // its first byte until its end is known, any close is a reset.
+  void SetResetsOnClose(bool aResets)
+  {
+    if (std::exchange(mResetsOnClose, aResets) != aResets) {
+      error_code ignored;
+      mStream.socket().set_option(asio::socket_base::linger(aResets, 0),
+                                  ignored);
+    }
+  }
+
   // Whether this answer tells its caller that the connection stays open. It
   // then does, also where a drain begins before the answer's end: a caller
   // that was told so may have sent its next request already.
@@ -486,8 +504,12 @@
       http::response_serializer<http::string_body> serializer(response);
       co_await http::async_write_header(mStream, serializer, Into(wrong));
     } else {
+      SetResetsOnClose(aReply.mOpenEnded);
       co_await http::async_write(mStream, response, Into(wrong));
     }
+    if (!wrong) {
+      SetResetsOnClose(false);
+    }
     co_return !wrong;
   }
 
@@ -508,6 +530,7 @@
     response.keep_alive(StaysOpen(aKeepAlive, aHead.mOpenEnded));
     response.chunked(mChunked);
     http::response_serializer<http::empty_body> serializer(response);
+    SetResetsOnClose(!mChunked);
     error_code wrong;
     co_await http::async_write_header(mStream, serializer, Into(wrong));
     co_return !wrong;
@@ -531,6 +554,7 @@
     if (mChunked) {
       co_await asio::async_write(mStream, http::make_chunk_last(), Into(wrong));
     }
+    SetResetsOnClose(false);
     co_return !wrong;
   }
 
@@ -580,6 +604,7 @@
   // Of the present stream: framed in chunks, and another server's.
   bool mChunked = true;
   bool mVerbatim = false;
+  bool mResetsOnClose = false;
   bool mHead = false;
   bool mLate = false;
 };
--- a/thornhollow/testing/process/relay_broken_off_test.py
+++ b/thornhollow/testing/process/relay_broken_off_test.py
@@ -147,6 +147,31 @@
         self.assertEqual(answer.status, 200)
         self.assertFalse(answer.complete, answer.body)
 
+    def cut_by_the_instance(self, end, **options):
+        """Streams of each kind whose instance ends by `end` after their first
+        event: none may be complete."""
+        self.site()
+        for engine in self.engines:
+            engine.ends_with_connection = options.get("open_ended", True)
+            engine.event_gap_s = 1.0
+        begun = threading.Event()
+        asked = [harness.Background(Answer, self.fleet[1], path,
+                                    self.headers(f"k{number}", True),
+                                    options.get("version", "1.1"), begun)
+                 for number, path in enumerate((STREAM, RESUMABLE))]
+        self.assertTrue(begun.wait(harness.LIMIT_SECONDS))
+        end(self.fleet[1])
+        for each in asked:
+            answer = each.result()
+            self.assertFalse(answer.complete, answer.body)
+
+    def test_open_ended_stream_whose_instance_is_killed_not_complete(self):
+        self.cut_by_the_instance(lambda daemon: daemon.kill())
+
+    def test_stream_of_http_1_0_whose_instance_is_killed_not_complete(self):
+        self.cut_by_the_instance(lambda daemon: daemon.kill(),
+                                 open_ended=False, version="1.0")
+
     def test_stream_whose_carrier_dies_before_its_head_fails(self):
         self.site()
         for engine in self.engines:
