Relaying: a stream is not taken from its endpoint within a pause that its route allows

What callers saw: streams moved, or cut, after 1.3 s without an event though their route allows pauses of 1.5 s.

Cause: one silence timeout for the streams of all routes.

Change: the timeout is at least the route's target for the gap between events; it is decided in request/silence_handover. Test: silence_handover/timeout (the unit didn't exist before; the timeout was 1.3 s for both).

--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -14,18 +14,6 @@
 // have taken this long in total, which is after three that timed out.
 constexpr duration kMaxUnsentTime = Milliseconds(800);
 
-// A repeatable request that is not a stream is sent to another endpoint if no
-// bytes are received for this multiple of its route's target, but not before
-// `kMinSilenceTimeout`. A sound endpoint may be silent for a second and go on,
-// and what it runs must not be repeated for that.
-constexpr int kSilenceTargetFactor = 4;
-
-constexpr duration kMinSilenceTimeout = Milliseconds(1'300);
-
-// A repeatable stream that sends no bytes for this long is resumed at another
-// endpoint, before its caller leaves after two seconds without an event.
-constexpr duration kStreamSilenceTimeout = kMinSilenceTimeout;
-
 // Added to the silence timeout of a forwarded request. The other instance has
 // the same timeout and retries first.
 constexpr duration kForwardSilenceMargin = Milliseconds(400);
@@ -225,13 +213,8 @@
   if (!MayRepeat(mRoute->mKind)) {
     return time_point::max();
   }
-  const time_point since =
-    mLastByte + (IsAtPeer() ? kForwardSilenceMargin : duration::zero());
-  if (IsStream(mRoute->mKind)) {
-    return since + kStreamSilenceTimeout;
-  }
-  return since + std::max<duration>(kSilenceTargetFactor * mRoute->mTarget,
-                                    kMinSilenceTimeout);
+  return mLastByte + SilenceTimeout(*mRoute) +
+         (IsAtPeer() ? kForwardSilenceMargin : duration::zero());
 }
 
 void
--- a/thornhollow/request/silence_handover.cc
+++ b/thornhollow/request/silence_handover.cc
@@ -3,6 +3,24 @@
 #include <algorithm>
 
 namespace thornhollow {
+namespace {
+
+// Callers leave a stream after two seconds without an event.
+constexpr duration kMinSilenceTimeout = Milliseconds(1'300);
+
+// Of the target of a request that is not a stream.
+constexpr int kSilenceTargetFactor = 4;
+
+} // namespace
+
+duration
+SilenceTimeout(const route& aRoute)
+{
+  const duration byRoute = IsStream(aRoute.mKind)
+                             ? aRoute.mEventGapTarget
+                             : kSilenceTargetFactor * aRoute.mTarget;
+  return std::max(byRoute, kMinSilenceTimeout);
+}
 
 handover_step
 silence_handover::OnSilence(time_point aNow) const
--- a/thornhollow/request/silence_handover.h
+++ b/thornhollow/request/silence_handover.h
@@ -25,9 +25,17 @@
 #include <optional>
 
 #include "thornhollow/base/time.h"
+#include "thornhollow/routing/routing_document.h"
 
 namespace thornhollow {
 
+// How long an attempt at a request of the route, which may be repeated, may
+// bring nothing until another endpoint is looked for: long enough for a sound
+// endpoint that stands still for a second, and for the pauses that the route
+// allows within a stream.
+duration
+SilenceTimeout(const route& aRoute);
+
 struct silence_handover_settings
 {
   // How long after the request was sent to the other endpoint the silent
--- a/thornhollow/request/silence_handover_test.cc
+++ b/thornhollow/request/silence_handover_test.cc
@@ -75,4 +75,26 @@
   CHECK(After(Seconds(1)) == handover_step::kPrepare);
 }
 
+// Guards against a stream that is taken from its endpoint within a pause that
+// its route allows.
+TEST_CASE("silence_handover/timeout/not_within_the_pause_that_the_route_allows")
+{
+  route stream;
+  stream.mKind = request_kind::kResumableStream;
+  stream.mEventGapTarget = Milliseconds(200);
+  CHECK(SilenceTimeout(stream) == Milliseconds(1'300));
+  stream.mEventGapTarget = Milliseconds(1'500);
+  CHECK(SilenceTimeout(stream) == Milliseconds(1'500));
+}
+
+TEST_CASE("silence_handover/timeout/of_look_ups_by_their_target")
+{
+  route lookUp;
+  lookUp.mKind = request_kind::kIdempotent;
+  lookUp.mTarget = Milliseconds(150);
+  CHECK(SilenceTimeout(lookUp) == Milliseconds(1'300));
+  lookUp.mTarget = Milliseconds(500);
+  CHECK(SilenceTimeout(lookUp) == Seconds(2));
+}
+
 } // namespace thornhollow
