--- a/thornhollow/daemon/process_check.cc
+++ b/thornhollow/daemon/process_check.cc
@@ -13,6 +13,8 @@
 
 // Endpoints are a few milliseconds away and answer without a slot.
 constexpr duration kAnswerTimeout = Milliseconds(300);
+// One that answers later than this stood still itself until then.
+constexpr duration kPromptTimeout = Milliseconds(100);
 constexpr std::size_t kMaxStatusBytes = std::size_t{ 256 } << 10U;
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
@@ -71,20 +73,23 @@
 process_check::Ask(const listed_process& aProcess)
 {
   mMetrics.OnEvent("endpoint_process_asked");
-  FetchStatus(aProcess.mAddress, [this, aProcess](const fetch_answer* aAnswer) {
-    OnVerdict(aProcess, VerdictOf(aProcess, aAnswer));
-  });
+  FetchStatus(aProcess.mAddress,
+              kAnswerTimeout,
+              [this, aProcess](const fetch_answer* aAnswer) {
+                OnVerdict(aProcess, VerdictOf(aProcess, aAnswer));
+              });
 }
 
 void
 process_check::FetchStatus(const std::string& aAddress,
+                           duration aTimeout,
                            std::function<void(const fetch_answer*)> aDone)
 {
   Fetch(mIo,
         { .mAddress = aAddress,
           .mTarget = mPath,
-          .mTimeout = kAnswerTimeout,
-          .mConnectTimeout = kAnswerTimeout,
+          .mTimeout = aTimeout,
+          .mConnectTimeout = aTimeout,
           .mMaxBytes = kMaxStatusBytes },
         [done = std::move(aDone)](const fetch_outcome& aOutcome) {
           done(aOutcome ? &*aOutcome : nullptr);
@@ -105,15 +110,17 @@
     return;
   }
   mMetrics.OnEvent("endpoint_response_asked");
-  FetchStatus(aAddress, [this, aAddress](const fetch_answer* aAnswer) {
-    const bool responds = aAnswer != nullptr;
-    mMetrics.OnEvent(responds ? "endpoint_responds" : "endpoint_response_none");
-    // Who asks from within a handler asks anew.
-    const auto asked = mResponding.extract(aAddress);
-    for (const auto& each : asked.mapped()) {
-      each(responds);
-    }
-  });
+  FetchStatus(
+    aAddress, kPromptTimeout, [this, aAddress](const fetch_answer* aAnswer) {
+      const bool responds = aAnswer != nullptr;
+      mMetrics.OnEvent(responds ? "endpoint_responds"
+                                : "endpoint_response_none");
+      // Who asks from within a handler asks anew.
+      const auto asked = mResponding.extract(aAddress);
+      for (const auto& each : asked.mapped()) {
+        each(responds);
+      }
+    });
 }
 
 process_verdict
--- a/thornhollow/daemon/process_check.h
+++ b/thornhollow/daemon/process_check.h
@@ -88,8 +88,8 @@
   void Confirm(const listed_process& aProcess,
                time_point aMadeAt,
                handler aDone);
-  // Calls `aDone` with whether the endpoint answers a question that is asked
-  // now; with true, at once, where endpoints can't be asked. One question
+  // Calls `aDone` with whether the endpoint promptly answers a question that is
+  // asked now; with true, at once, where endpoints can't be asked. One question
   // serves all that ask while it is open.
   void AskIfResponding(const std::string& aAddress,
                        std::function<void(bool)> aDone);
@@ -104,6 +104,7 @@
   void Ask(const listed_process& aProcess);
   // Hands over null if no answer came in time.
   void FetchStatus(const std::string& aAddress,
+                   duration aTimeout,
                    std::function<void(const fetch_answer*)> aDone);
   process_verdict VerdictOf(const listed_process& aProcess,
                             const fetch_answer* aAnswer) const;
