Retry budget: a process that has just started uses no fixed retries until a window has passed

Cause: a new process doesn't know what its predecessor spent, and took that as nothing. Ruled out: the ratio's part, which counts own requests only.

Change: shared_retry_budget::OnStart; the setting retries.spent_before says that no earlier process can have spent any (the stand-ins' fleets are new).

A single instance that starts again does without its part of the fixed retries for 10 s; the others keep theirs.

--- a/thornhollow/config/relay_settings.cc
+++ b/thornhollow/config/relay_settings.cc
@@ -43,6 +43,7 @@
   aRead.mWindow = FromSeconds(aSection.Number(
     "window_s",
     { .mLeast = 0.1, .mMost = 3'600, .mDefault = ToSeconds(aRead.mWindow) }));
+  aRead.mSpentBefore = aSection.Flag("spent_before", aRead.mSpentBefore);
 }
 
 void
--- a/thornhollow/config/relay_settings.h
+++ b/thornhollow/config/relay_settings.h
@@ -30,6 +30,9 @@
   // Free of charge within a window, over all instances.
   double mExtra = 50;
   duration mWindow = Seconds(10);
+  // Whether an earlier process of this instance may have spent some within the
+  // window before this one starts.
+  bool mSpentBefore = true;
 
   friend bool operator==(const shared_retry_settings&,
                          const shared_retry_settings&) = default;
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -73,6 +73,9 @@
   , mRetries(RetryBudgetSettings(aSettings))
   , mGenerator(std::random_device()())
 {
+  if (aSettings.mRetries.mSpentBefore) {
+    mRetries.OnStart(Now());
+  }
   const auto keep = [this](const endpoint_process& aWhere,
                            endpoint_connection_ptr aConnection) {
     mConnections.GiveBack(aWhere, std::move(aConnection), std::nullopt);
--- a/thornhollow/policy/admission/shared_retry_budget.cc
+++ b/thornhollow/policy/admission/shared_retry_budget.cc
@@ -41,10 +41,12 @@
   }
   const std::size_t instances =
     mInstances == 0 ? mSettings.mAssumedInstances : mInstances;
+  const double fixed = aNow >= mFixedFrom ? mSettings.mFixedRetries /
+                                              static_cast<double>(instances)
+                                          : 0;
   const double bound =
     mSettings.mBoundFraction *
-    (mSettings.mRatio * static_cast<double>(requests) +
-     mSettings.mFixedRetries / static_cast<double>(instances));
+    (mSettings.mRatio * static_cast<double>(requests) + fixed);
   if (static_cast<double>(retries + 1) > bound) {
     return false;
   }
--- a/thornhollow/policy/admission/shared_retry_budget.h
+++ b/thornhollow/policy/admission/shared_retry_budget.h
@@ -17,6 +17,11 @@
 // therefore sets the largest number of instances seen recently, and an instance
 // that has not yet received a message from any peer assumes
 // `mAssumedInstances`.
+//
+// A process that has just started doesn't know what its predecessor spent
+// within the window, and after the end of all processes nobody does. The limit
+// then holds because a new process uses the ratio of its own requests only,
+// which the predecessor has no part in, until a window has passed.
 #ifndef THORNHOLLOW_POLICY_ADMISSION_SHARED_RETRY_BUDGET_H_
 #define THORNHOLLOW_POLICY_ADMISSION_SHARED_RETRY_BUDGET_H_
 
@@ -55,6 +60,10 @@
 public:
   explicit shared_retry_budget(const shared_retry_budget_settings& aSettings);
 
+  // The process starts now, and an earlier one may have spent retries within
+  // the window: the fixed retries are not used until a window has passed.
+  void OnStart(time_point aNow) { mFixedFrom = aNow + mSettings.mWindow; }
+
   // A caller sent a request for this pool.
   void OnRequest(const pool_name& aPool, time_point aNow);
 
@@ -79,6 +88,8 @@
 
   shared_retry_budget_settings mSettings;
   duration mSliceLength;
+  // From when the fixed retries may be used.
+  time_point mFixedFrom = time_point::min();
   std::size_t mInstances = 0;
   std::map<pool_name, slices> mPools;
 };
--- a/thornhollow/policy/admission/shared_retry_budget_test.cc
+++ b/thornhollow/policy/admission/shared_retry_budget_test.cc
@@ -1,5 +1,6 @@
-#include <deque>
+#include <algorithm>
 #include <random>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -37,53 +38,145 @@
   CHECK(budget.Spend(kPool, now + Seconds(11)));
 }
 
-// Compares the retries of all instances in any window with the limit that
-// follows from the requests in that window, in the previous one, or in the one
-// that begins half a window earlier.
-TEST_CASE("shared_retry_budget/random_fleet/sum_keeps_the_bound")
+// Guards against retries that are spent a second time within a window by the
+// processes that follow those of all instances.
+TEST_CASE("shared_retry_budget/started_again/fixed_retries_wait_for_a_window")
 {
-  constexpr int kTicksInWindow = 200;
-  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
-    std::mt19937_64 random(seed);
-    const std::size_t instances = 1 + random() % 9;
-    const shared_retry_budget_settings settings{ .mRatio = 0.2,
-                                                 .mFixedRetries = 52 };
-    std::vector<shared_retry_budget> fleet(instances,
-                                           shared_retry_budget(settings));
-    std::vector<int> requests;
-    std::vector<int> retries;
-    for (int tick = 0; tick < 1000; ++tick) {
+  const shared_retry_budget_settings settings{ .mRatio = 0.2,
+                                               .mFixedRetries = 20 };
+  const time_point start = time_point() + Seconds(100);
+  shared_retry_budget budget(settings);
+  budget.SetInstances(1);
+  budget.OnStart(start);
+  CHECK_FALSE(budget.Spend(kPool, start));
+  const time_point later = start + Seconds(9);
+  for (int request = 0; request < 100; ++request) {
+    budget.OnRequest(kPool, later);
+  }
+  int spent = 0;
+  while (budget.Spend(kPool, later)) {
+    ++spent;
+  }
+  CHECK(spent == 18);
+  const time_point whole = start + Seconds(10);
+  while (budget.Spend(kPool, whole)) {
+    ++spent;
+  }
+  CHECK(spent == 36);
+}
+
+// Instances with requests and failures at random, whose retries in any window
+// are compared with the limit that follows from the requests in that window, in
+// the previous one, or in the one that begins half a window earlier.
+class random_fleet
+{
+public:
+  // `aRestarts`: processes end, one or all at once, and others start in their
+  // places.
+  random_fleet(std::uint64_t aSeed, bool aRestarts)
+    : mRandom(aSeed)
+    , mRestarts(aRestarts)
+    , mInstances(1 + mRandom() % 9)
+    , mFleet(mInstances, shared_retry_budget(kSettings))
+  {
+  }
+
+  void Run()
+  {
+    for (int tick = 0; tick < kTicks; ++tick) {
       const time_point now =
         time_point() + Seconds(50) + tick * Milliseconds(50);
-      requests.push_back(0);
-      retries.push_back(0);
-      const std::uint64_t arrivals = random() % (tick % 300 < 60 ? 12 : 3);
+      mRequests.push_back(0);
+      mRetries.push_back(0);
+      if (mRestarts && mRandom() % 60 == 0) {
+        Restart(now);
+      }
+      const std::uint64_t arrivals = mRandom() % (tick % 300 < 60 ? 12 : 3);
       for (std::uint64_t each = 0; each < arrivals; ++each) {
-        shared_retry_budget& one = fleet[random() % instances];
-        // Instances assume different numbers of instances, but none assumes too
-        // few; 0 stands for no message from a peer.
-        one.SetInstances(random() % 8 == 0 ? 0 : instances + random() % 2);
-        one.OnRequest(kPool, now);
-        ++requests.back();
-        while (one.Spend(kPool, now)) {
-          ++retries.back();
-        }
+        Arrive(now);
       }
     }
-    const auto sum = [](const std::vector<int>& aCounts, int aEnd) {
-      int total = 0;
-      for (int at = std::max(0, aEnd - kTicksInWindow); at < aEnd; ++at) {
-        total += aCounts[static_cast<std::size_t>(at)];
+  }
+
+  void Check() const
+  {
+    for (int end = 1; end <= kTicks; ++end) {
+      const int most = std::max({ Sum(mRequests, end),
+                                  Sum(mRequests, end - kTicksInWindow),
+                                  Sum(mRequests, end - kTicksInWindow / 2) });
+      CHECK(Sum(mRetries, end) <= 0.2 * most + 52);
+    }
+  }
+
+private:
+  static constexpr int kTicks = 1000;
+  static constexpr int kTicksInWindow = 200;
+  inline static const shared_retry_budget_settings kSettings{ .mRatio = 0.2,
+                                                              .mFixedRetries =
+                                                                52 };
+
+  void Restart(time_point aNow)
+  {
+    const bool all = mRandom() % 2 == 0;
+    const std::size_t one = mRandom() % mInstances;
+    for (std::size_t at = 0; at < mInstances; ++at) {
+      if (all || at == one) {
+        mFleet[at] = shared_retry_budget(kSettings);
+        mFleet[at].OnStart(aNow);
       }
-      return total;
-    };
-    for (int end = 1; end <= 1000; ++end) {
-      const int most = std::max({ sum(requests, end),
-                                  sum(requests, end - kTicksInWindow),
-                                  sum(requests, end - kTicksInWindow / 2) });
-      CHECK(sum(retries, end) <= 0.2 * most + 52);
     }
   }
+
+  void Arrive(time_point aNow)
+  {
+    shared_retry_budget& one = mFleet[mRandom() % mInstances];
+    // Instances assume different numbers of instances, but none assumes too
+    // few; 0 stands for no message from a peer.
+    one.SetInstances(mRandom() % 8 == 0 ? 0 : mInstances + mRandom() % 2);
+    one.OnRequest(kPool, aNow);
+    ++mRequests.back();
+    while (one.Spend(kPool, aNow)) {
+      ++mRetries.back();
+    }
+  }
+
+  static int Sum(const std::vector<int>& aCounts,
+                 int aEnd,
+                 int aTicks = kTicksInWindow)
+  {
+    int total = 0;
+    for (int at = std::max(0, aEnd - aTicks); at < aEnd; ++at) {
+      total += aCounts[static_cast<std::size_t>(at)];
+    }
+    return total;
+  }
+
+  std::mt19937_64 mRandom;
+  bool mRestarts;
+  std::size_t mInstances;
+  std::vector<shared_retry_budget> mFleet;
+  std::vector<int> mRequests;
+  std::vector<int> mRetries;
+};
+
+TEST_CASE("shared_retry_budget/random_fleet/sum_keeps_the_bound")
+{
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    random_fleet fleet(seed, false);
+    fleet.Run();
+    fleet.Check();
+  }
+}
+
+// Guards against retries that are spent a second time within a window by the
+// processes that follow those of all instances.
+TEST_CASE("shared_retry_budget/processes_end/sum_keeps_the_bound")
+{
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    random_fleet fleet(seed, true);
+    fleet.Run();
+    fleet.Check();
+  }
 }
 
 } // namespace
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -625,7 +625,7 @@
 peer_seeds: [{seeds}]
 source_address: {source}
 drain_grace_s: 20
-retries: {{ratio: {ratio}, extra: {extra}, window_s: 10}}
+retries: {{ratio: {ratio}, extra: {extra}, window_s: 10, spent_before: false}}
 """
 
 
