--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -14,18 +14,6 @@
 // have taken this long in total, which is after three that timed out.
 constexpr duration kMaxUnsentTime = Milliseconds(800);
 
-// A repeatable request that is not a stream is sent to another endpoint if no
-// bytes are received for this multiple of its route's target, but not before
-// `kMinSilenceTimeout`. A sound endpoint may be silent for a second and go on,
-// and what it runs must not be repeated for that.
-constexpr int kSilenceTargetFactor = 4;
-
-constexpr duration kMinSilenceTimeout = Milliseconds(1'300);
-
-// A repeatable stream that sends no bytes for this long is resumed at another
-// endpoint, before its caller leaves after two seconds without an event.
-constexpr duration kStreamSilenceTimeout = kMinSilenceTimeout;
-
 // Added to the silence timeout of a forwarded request. The other instance has
 // the same timeout and retries first.
 constexpr duration kForwardSilenceMargin = Milliseconds(400);
@@ -96,29 +84,42 @@
   } else {
     mAttempt->Abandon();
   }
-  const bool mayHaveEnded = MayHaveEndedEndpoint(aFailure);
+  const auto lost = MayHaveEndedEndpoint(aFailure)
+                      ? std::optional(LostAttempt())
+                      : std::nullopt;
   ReportContact(aFailure);
   EndAttempt(ToAttemptEnd(aFailure));
   mTimer.cancel();
-  if (!mayHaveEnded) {
-    AfterFailure(aFailure, progress);
+  const bool goesOn = InstallStandby();
+  if (!lost) {
+    if (!goesOn) {
+      AfterFailure(aFailure, progress);
+    }
     return;
   }
-  const relay_pool* pool = mDispatcher.Pool(*mPool);
   mDispatcher.Crashes().OnAttemptLost(
-    { mRelayRequest.mId,
-      SuspectAttempt(mPick, pool->size()),
-      mPick.mEndpoint,
-      { mPick.mAddress, mPick.mLifetime },
-      mRunProgress },
-    [self = boost::intrusive_ptr<relay_session>(this), aFailure, progress](
-      bool /*aEnded*/) {
-      if (!self->mDone) {
+    *lost,
+    [self = boost::intrusive_ptr<relay_session>(this),
+     aFailure,
+     progress,
+     goesOn](bool /*aEnded*/) {
+      if (!self->mDone && !goesOn) {
         self->AfterFailure(aFailure, progress);
       }
     });
 }
 
+lost_attempt
+relay_session::LostAttempt() const
+{
+  const relay_pool* pool = mDispatcher.Pool(*mPool);
+  return { mRelayRequest.mId,
+           SuspectAttempt(mPick, pool->size()),
+           mPick.mEndpoint,
+           { mPick.mAddress, mPick.mLifetime },
+           mRunProgress };
+}
+
 void
 relay_session::ReportContact(attempt_failure aFailure)
 {
@@ -161,22 +162,33 @@
 {
   mDispatcher.Crashes().OnSendEnded(mFeatures, mTicket, Now());
   mAnswer.DropUnfinished();
-  const relay_step step = NextStep(aProgress);
-  // A request that has not reached any endpoint has caused no load yet, so
-  // its next attempt is not charged to the retry budget.
-  const bool firstArrival = aProgress.mAttempts == 0;
-  const bool retryCharged = std::exchange(mRetryCharged, false) || firstArrival;
-  const bool allowed =
-    step != relay_step::kGiveUp && MayRetryUnsent() &&
-    (retryCharged || mDispatcher.Retries().Spend(*mPool, Now()));
-  if (!allowed) {
-    GiveUp(FinalError(aProgress));
+  if (const auto reason = ChargeRetry(aProgress);
+      reason != give_up_reason::kNone) {
+    GiveUp(FinalError(aProgress), reason);
     return;
   }
   mDispatcher.Metrics().OnRetry(ErrorOf(aFailure));
   StartNextAttempt();
 }
 
+give_up_reason
+relay_session::ChargeRetry(const relay_progress& aProgress)
+{
+  if (NextStep(aProgress) == relay_step::kGiveUp) {
+    return give_up_reason::kNoAttemptLeft;
+  }
+  if (!MayRetryUnsent()) {
+    return give_up_reason::kUnconnected;
+  }
+  // A request that has not reached any endpoint has caused no load yet, so
+  // its next attempt is not charged to the retry budget.
+  const bool firstArrival = aProgress.mAttempts == 0;
+  const bool retryCharged = std::exchange(mRetryCharged, false) || firstArrival;
+  return retryCharged || mDispatcher.Retries().Spend(*mPool, Now())
+           ? give_up_reason::kNone
+           : give_up_reason::kRetryBudget;
+}
+
 bool
 relay_session::MayRetryUnsent() const
 {
@@ -186,7 +198,7 @@
 void
 relay_session::ArmTimer()
 {
-  mTimer.expires_at(std::min(mProfile.mDeadline, SilenceDeadline()));
+  mTimer.expires_at(std::min(mProfile.mDeadline, NextSilenceCheck(Now())));
   mTimer.async_wait([self = boost::intrusive_ptr<relay_session>(this)](
                       const boost::system::error_code& aError) {
     if (!aError && !self->mDone) {
@@ -201,13 +213,8 @@
   if (!MayRepeat(mRoute->mKind)) {
     return time_point::max();
   }
-  const time_point since =
-    mLastByte + (IsAtPeer() ? kForwardSilenceMargin : duration::zero());
-  if (IsStream(mRoute->mKind)) {
-    return since + kStreamSilenceTimeout;
-  }
-  return since + std::max<duration>(kSilenceTargetFactor * mRoute->mTarget,
-                                    kMinSilenceTimeout);
+  return mLastByte + SilenceTimeout(*mRoute) +
+         (IsAtPeer() ? kForwardSilenceMargin : duration::zero());
 }
 
 void
@@ -218,20 +225,18 @@
     OnDeadline();
     return;
   }
-  if (now >= SilenceDeadline() && CanRetryElsewhere()) {
-    OnFailure(attempt_failure::kSilent,
-              "no bytes received within the silence timeout",
-              true);
-    return;
-  }
   if (now >= SilenceDeadline()) {
-    // No other endpoint can take over, and the current one may still answer,
-    // so the silence timeout starts again.
-    mLastByte = now;
+    OnSilent(now);
   }
   ArmTimer();
 }
 
+time_point
+relay_session::NextSilenceCheck(time_point aNow) const
+{
+  return std::max(SilenceDeadline(), mHandover.NextCheck(aNow));
+}
+
 bool
 relay_session::CanRetryElsewhere() const
 {
@@ -254,7 +259,8 @@
   }
   EndAttempt(attempt_end::kCancelled);
   GiveUp(ran ? error_kind::kDeadlineExpiredRunning
-             : error_kind::kDeadlineUnmeetable);
+             : error_kind::kDeadlineUnmeetable,
+         give_up_reason::kDeadline);
 }
 
 } // namespace thornhollow
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -64,6 +64,9 @@
   mProfile.mVersion = mOrigin;
   mProfile.mTeam = mTeam == nullptr ? team_name() : mTeam->mName;
   mFeatures = ReadFeatures();
+  if (!IsStream(mRoute->mKind)) {
+    mHandover = silence_handover({ .mMaxOverlap = std::nullopt });
+  }
   mProfile.mDeadline = mExchange->Arrival() + timeout;
   mProfile.mIsRetry =
     ToSeconds(timeout) < ToSeconds(mRoute->mTimeout) * kRetryTimeoutFraction;
@@ -195,7 +198,7 @@
 {
   mDispatcher.Crashes().OnRejected(mRelayRequest.mId, mFeatures);
   if (mMayHaveRun) {
-    GiveUp(FinalError(Progress()));
+    GiveUp(FinalError(Progress()), give_up_reason::kHeldBack);
     return;
   }
   Refuse(error_kind::kRequestEndsEndpoints,
@@ -203,15 +206,17 @@
 }
 
 void
-relay_session::GiveUpUnsent(error_kind aKind)
+relay_session::GiveUpUnsent(error_kind aKind, give_up_reason aReason)
 {
-  GiveUp(mMayHaveRun ? FinalError(Progress()) : aKind);
+  GiveUp(mMayHaveRun ? FinalError(Progress()) : aKind, aReason);
 }
 
 void
-relay_session::GiveUp(error_kind aKind)
+relay_session::GiveUp(error_kind aKind, give_up_reason aReason)
 {
+  mGaveUpFor = aReason;
   if (mAnswer.Begun()) {
+    mDispatcher.Metrics().OnEvent("stream_cut_" + std::string(Name(aReason)));
     mDispatcher.Metrics().OnRefused(error_kind::kStreamBroken);
     mAnswer.SendAbort();
     Finish("broken");
@@ -265,6 +270,9 @@
 {
   mDone = true;
   mTimer.cancel();
+  if (mStandby) {
+    DropStandby(attempt_end::kCancelled, "the request has ended");
+  }
   LeaveRoomQueue();
   mDispatcher.Crashes().OnSendEnded(mFeatures, mTicket, Now());
   mExchange->OnLeft(nullptr);
