Sides of a pool: sized by the engines that take requests

Change: the partition counts engines that may get requests; those of domains out of service and those that leave are known to all instances alike.

--- a/thornhollow/policy/placement/relay_pool.cc
+++ b/thornhollow/policy/placement/relay_pool.cc
@@ -389,7 +389,7 @@
   }
   const double bulkFraction =
     static_cast<double>(mPartition.BulkEngines()) /
-    static_cast<double>(std::max<std::size_t>(size(), 1));
+    static_cast<double>(std::max<std::size_t>(InService(), 1));
   const auto bulk = static_cast<std::size_t>(
     std::lround(bulkFraction * static_cast<double>(healthy.size())));
   mAwakeFraction = static_cast<double>(awake) /
@@ -628,11 +628,25 @@
   mMeanPrefillNanoseconds = known == 0 ? 0 : sum / static_cast<double>(known);
 }
 
+// Guards against a side that is too small for its work while many engines take
+// none: those of a failure domain that the operator has taken out of service,
+// or that leave. All instances know these alike.
+std::size_t
+relay_pool::InService() const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(mRecords, [](const auto& aEntry) {
+      return aEntry.second.mEndpoint.TakesRequests();
+    }));
+}
+
 std::size_t
 relay_pool::SlowEngines() const
 {
-  return static_cast<std::size_t>(std::ranges::count_if(
-    mRecords, [](const auto& aEntry) { return aEntry.second.mSlow; }));
+  return static_cast<std::size_t>(
+    std::ranges::count_if(mRecords, [](const auto& aEntry) {
+      return aEntry.second.mSlow && aEntry.second.mEndpoint.TakesRequests();
+    }));
 }
 
 void
@@ -648,7 +662,7 @@
   UpdateMeanPrefillTime(aNow);
   mPartition.Observe(
     aView.mDemand,
-    { mRecords.size(), mPrefillTokensPerSecond, mSlots, SlowEngines() },
+    { InService(), mPrefillTokensPerSecond, mSlots, SlowEngines() },
     aNow);
   AssignSides(aView.mDemand, aNow);
   mBulkDemand = 0;
--- a/thornhollow/policy/placement/relay_pool.h
+++ b/thornhollow/policy/placement/relay_pool.h
@@ -395,6 +395,8 @@
                                  time_point aNow) const;
   void UpdateSlowEngines(time_point aNow);
   void UpdateMeanPrefillTime(time_point aNow);
+  // Engines that may get new requests, now or later.
+  std::size_t InService() const;
   std::size_t SlowEngines() const;
   double SecondsPerToken(const record& aRecord, time_point aNow) const;
   engine_side SideOf(const request_profile& aRequest) const;
--- a/thornhollow/policy/placement/relay_pool_test.cc
+++ b/thornhollow/policy/placement/relay_pool_test.cc
@@ -547,6 +547,36 @@
   CHECK(moved > 0);
 }
 
+// Guards against a side sized by engines that take nothing: half of the engines
+// were out of service, and the interactive side kept its fraction of the others
+// though its requests needed more slots than that had.
+TEST_CASE_FIXTURE(pool_of_nine_engines,
+                  "relay_pool/half_out_of_service/sides_fit_the_engines_left")
+{
+  mPool.SetSlots(10);
+  pool_view view = View(300'000, 40'000);
+  view.mDemand[0].mOpen = 55;
+  view.mDemand[1].mOpen = 25;
+  const auto interactiveEngines = [&] {
+    for (int tick = 0; tick < 100; ++tick) {
+      mNow += Milliseconds(100);
+      mPool.SetView(view, mNow);
+    }
+    std::set<endpoint_name> seen;
+    for (std::uint64_t session = 1; session <= 200; ++session) {
+      seen.insert(mPool.Choose(Work(session, false), {}, mNow)->mEndpoint);
+    }
+    return seen.size();
+  };
+  const std::size_t alone = interactiveEngines();
+  for (int each = 9; each < 18; ++each) {
+    relay_endpoint out = Endpoint("e" + std::to_string(each));
+    out.mOutOfService = true;
+    mPool.Put(out);
+  }
+  CHECK(interactiveEngines() == alone);
+}
+
 // Guards against refusals at low load: a cluster of prompts arrived at engines
 // that were half idle and would have finished it within a second.
 TEST_CASE_FIXTURE(pool_of_nine_engines,
