Relaying: a stream that breaks while all other endpoints stand still waits for them

What callers saw: a stream whose endpoint ended was cut after 0.6 s, as the two other endpoints stood still at that moment and didn't confirm their processes; both went on half a second later.

Cause: an endpoint that was asked and didn't answer counted as tried, and connections that can't be made or confirmed end a request after 0.8 s, also a stream of which the caller has a part.

Change: such endpoints are only passed over while there are others, and a stream that has begun tries for 2 s.

--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -96,6 +96,11 @@
   bool WaitForRoom(time_point aNow);
   void OnRoomVerdict(room_verdict aVerdict);
   void LeaveRoomQueue();
+  // Chooses an endpoint that was not tried; one that did not respond lately
+  // only if there is no other.
+  std::optional<relay_pick> ChooseResponsive(relay_pool& aPool,
+                                             time_point aNow);
+  void SetUnresponsive(const endpoint_name& aEndpoint);
   // Returns the endpoint of the next attempt. The endpoint of the first attempt
   // was chosen when the request was admitted.
   std::optional<relay_pick> NextEndpoint(relay_pool* aPool, time_point aNow);
@@ -223,7 +228,6 @@
   bool PrepareStandby(time_point aNow);
   bool StandByAtPeer(time_point aNow);
   bool StandByAt(const relay_pick& aPick, time_point aNow);
-  std::optional<relay_pick> ChooseStandby(relay_pool& aPool, time_point aNow);
   // Whether the instance that has the request is still heard.
   bool IsPeerResponding() const;
   void ConnectStandby();
@@ -306,9 +310,9 @@
   // What goes on beside the attempt while it is silent.
   silence_handover mHandover;
   std::optional<standby_attempt> mStandby;
-  // Endpoints that did not respond, or declined, as standby since the attempt
-  // fell silent.
-  std::vector<endpoint_name> mNoStandby;
+  // Endpoints that did not respond, or did not take the place of a silent
+  // attempt: they are passed over while there are others.
+  std::vector<endpoint_name> mUnresponsive;
   std::uint64_t mLastAttemptNumber = 0;
   // Endpoints tried by the attempts of the request so far. The members from
   // `mTriedEndpoints` on hold state over all attempts.
--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -291,7 +291,30 @@
       planned && aPool->AcceptsNew(*planned, aNow)) {
     return planned;
   }
-  return mDispatcher.Choose(*aPool, mProfile, mTriedEndpoints, aNow);
+  return ChooseResponsive(*aPool, aNow);
+}
+
+std::optional<relay_pick>
+relay_session::ChooseResponsive(relay_pool& aPool, time_point aNow)
+{
+  std::vector<endpoint_name> passed = mTriedEndpoints;
+  passed.insert(passed.end(), mUnresponsive.begin(), mUnresponsive.end());
+  if (auto pick = mDispatcher.Choose(aPool, mProfile, passed, aNow)) {
+    return pick;
+  }
+  if (mUnresponsive.empty()) {
+    return std::nullopt;
+  }
+  // All are asked again; one that stood still may respond by now.
+  mUnresponsive.clear();
+  return mDispatcher.Choose(aPool, mProfile, mTriedEndpoints, aNow);
+}
+
+void
+relay_session::SetUnresponsive(const endpoint_name& aEndpoint)
+{
+  std::erase(mTriedEndpoints, aEndpoint);
+  mUnresponsive.push_back(aEndpoint);
 }
 
 relay_call
--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -14,6 +14,11 @@
 // have taken this long in total, which is after three that timed out.
 constexpr duration kMaxUnsentTime = Milliseconds(800);
 
+// The same for a stream that has begun. Its caller can't begin anew elsewhere
+// without loss, and leaves after two seconds without an event.
+constexpr std::uint32_t kMaxUnsentOfStream = 12;
+constexpr duration kMaxUnsentTimeOfStream = Seconds(2);
+
 // Added to the silence timeout of a forwarded request. The other instance has
 // the same timeout and retries first.
 constexpr duration kForwardSilenceMargin = Milliseconds(400);
@@ -75,6 +80,9 @@
     ++mUnsent;
     mUnsentTime += Now() - mSentAt;
   }
+  if (aFailure == attempt_failure::kUnconfirmed) {
+    SetUnresponsive(mPick.mEndpoint);
+  }
   if (IsUnconnected(aFailure)) {
     mDispatcher.Metrics().OnEvent(IsAtPeer() ? "forward_connect_failed"
                                              : "endpoint_connect_failed");
@@ -192,7 +200,9 @@
 bool
 relay_session::MayRetryUnsent() const
 {
-  return mUnsent < kMaxUnsent && mUnsentTime < kMaxUnsentTime;
+  return mAnswer.Begun() ? mUnsent < kMaxUnsentOfStream &&
+                             mUnsentTime < kMaxUnsentTimeOfStream
+                         : mUnsent < kMaxUnsent && mUnsentTime < kMaxUnsentTime;
 }
 
 void
--- a/thornhollow/daemon/internal/relay_session_handover.cc
+++ b/thornhollow/daemon/internal/relay_session_handover.cc
@@ -48,23 +48,10 @@
   if (pool == nullptr || mDispatcher.Reach().IsConfirmedLost(*mPool, aNow)) {
     return false;
   }
-  const auto pick = ChooseStandby(*pool, aNow);
+  const auto pick = ChooseResponsive(*pool, aNow);
   return pick && StandByAt(*pick, aNow);
 }
 
-std::optional<relay_pick>
-relay_session::ChooseStandby(relay_pool& aPool, time_point aNow)
-{
-  std::vector<endpoint_name> tried = mTriedEndpoints;
-  tried.insert(tried.end(), mNoStandby.begin(), mNoStandby.end());
-  auto pick = mDispatcher.Choose(aPool, mProfile, tried, aNow);
-  if (!pick) {
-    // The next time all are asked again.
-    mNoStandby.clear();
-  }
-  return pick;
-}
-
 bool
 relay_session::IsPeerResponding() const
 {
@@ -249,7 +236,7 @@
       mDispatcher.ReportLoad(*mPool, dropped.mPick);
       mDispatcher.OnRoom(*mPool);
     }
-    mNoStandby.push_back(dropped.mPick.mEndpoint);
+    SetUnresponsive(dropped.mPick.mEndpoint);
   } else {
     mDispatcher.Reach().OnForwardEnded(dropped.mPeer);
   }
@@ -271,7 +258,7 @@
     DropStandby(attempt_end::kCancelled, "the silent attempt went on");
   }
   mHandover.Reset();
-  mNoStandby.clear();
+  mUnresponsive.clear();
 }
 
 void
@@ -305,7 +292,7 @@
   const standby_attempt standby = *std::exchange(mStandby, std::nullopt);
   ResetAttempt(standby.mSentAt);
   mHandover.Reset();
-  mNoStandby.clear();
+  mUnresponsive.clear();
   mAttempt = standby.mAttempt;
   mAttemptNumber = standby.mNumber;
   mPick = standby.mPick;
--- a/thornhollow/testing/process/relay_silent_endpoint_test.py
+++ b/thornhollow/testing/process/relay_silent_endpoint_test.py
@@ -106,6 +106,19 @@
         self.stand_still(self.engines[:1], SILENCE_S)
         self.check_whole(callers, asked)
 
+    def test_streams_broken_while_all_others_silent_come_whole(self):
+        self.begin()
+        callers, asked = self.read_streams()
+        time.sleep(BEGUN_S)
+        for engine in self.engines[1:]:
+            engine.running.clear()
+        self.store.delete(f"servers/{self.engines[0].name}")
+        self.engines[0].server.end()
+        time.sleep(1.1)
+        for engine in self.engines[1:]:
+            engine.running.set()
+        self.check_whole(callers, asked)
+
     def test_look_ups_all_silent_and_no_retries_left_are_answered(self):
         self.begin(**NO_RETRIES)
         for engine in self.engines:
