Silent attempts: what a standby attempt does is accounted, and ends nothing that lives

Beside them, by reading: load and bounds are charged when the request is sent, and nothing is asked when no retry is left.

--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -177,7 +177,7 @@
                  bool aClose);
   // Reports a failure that may mean that this instance is cut off from the
   // endpoints.
-  void ReportContact(attempt_failure aFailure);
+  void ReportContact(attempt_failure aFailure, const relay_pick& aPick);
   // Whether the endpoint's process may have ended under the request. The end of
   // an endpoint that is leaving is expected, and one that has produced output
   // for the request for long was not ended by it.
@@ -219,10 +219,15 @@
     std::string mPeer;
     std::uint64_t mTicket = 0;
     time_point mSentAt{};
+    // Whether it is counted as in flight in the pool.
+    bool mCharged = false;
   };
 
   // The attempt has exceeded its silence timeout.
   void OnSilent(time_point aNow);
+  // Whether the silent attempt may be closed though the standby one, to which
+  // the request was sent, has brought nothing yet.
+  bool MaySwitchUnanswered() const;
   // Asks another endpoint whether it responds, and sends it the request then.
   // Returns false if there is none now.
   bool PrepareStandby(time_point aNow);
@@ -238,14 +243,25 @@
                     std::function<void(bool)> aDone);
   void SendStandby(std::uint64_t aNumber,
                    const std::function<void(bool)>& aDone);
+  bool ChargeStandby(time_point aNow);
   bool IsStandby(std::uint64_t aNumber) const
   {
     return mStandby && mStandby->mNumber == aNumber;
   }
   void OnStandbyEvent(relay_event& aEvent);
+  void ReportStandbyLost(attempt_failure aFailure);
   void OnStandbyHead(relay_event& aEvent, relay_answer_head& aHead);
+  std::optional<attempt_end> WhyNotInstead(
+    const relay_answer_head& aHead) const;
   // Ends the standby attempt; the silent one goes on.
   void DropStandby(attempt_end aEnd, std::string_view aWhy);
+  void UnchargeStandby(const standby_attempt& aDropped,
+                       attempt_end aEnd,
+                       time_point aNow);
+  bool HasSentStandby() const
+  {
+    return mStandby && mStandby->mAttempt && mStandby->mAttempt->Sent();
+  }
   // The attempt has sent something.
   void EndSilence();
   // Closes the silent attempt; the standby one takes its place.
--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -13,15 +13,6 @@
 
 constexpr unsigned kStatusServerError = 500;
 
-// Whether the HTTP status implies to a caller that its request was not run. An
-// endpoint's answer with this status has that meaning only if the endpoint also
-// marks the request as not run.
-bool
-ImpliesNotRun(unsigned aStatus)
-{
-  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
-}
-
 // Whether another instance may serve a forwarded request that one has refused
 // for this reason.
 bool
@@ -49,6 +40,7 @@
   if (!AcceptsHead(aHead, success)) {
     return;
   }
+  EndSilence();
   if (IsAtPeer()) {
     mPeerVersion =
       ReadForwardingVersion(aHead.mHeaders).value_or(kUnknownVersion);
@@ -102,8 +94,8 @@
   }
   // Another instance has made its own retries.
   if (aHead.mStatus >= kStatusServerError && !IsAtPeer() &&
-      TakeRetryForServerError()) {
-    mRetryCharged = true;
+      (HasSentStandby() || TakeRetryForServerError())) {
+    mRetryCharged = !HasSentStandby();
     OnFailure(attempt_failure::kFailed,
               "status " + std::to_string(aHead.mStatus),
               false);
@@ -134,6 +126,9 @@
   mAttempt->Abandon();
   mTimer.cancel();
   EndAttempt(attempt_end::kDeclined);
+  if (InstallStandby()) {
+    return;
+  }
   if (AnswerFor(aKind).mRan != ran::kNo) {
     mMayHaveRun = true;
     GiveUp(aKind, give_up_reason::kRefusedByInstance);
@@ -163,6 +158,7 @@
 void
 relay_session::OnBytes(const std::string& aBytes)
 {
+  EndSilence();
   RecordFirstByte();
   if (const auto fault = mAnswer.OnBytes(aBytes, Now())) {
     OnFailure(attempt_failure::kGarbled, std::string(*fault), true);
@@ -217,6 +213,13 @@
     OnFailure(attempt_failure::kBroken, std::string(Describe(end)), true);
     return;
   }
+  // The process that stood still may as well have ended.
+  if (HasSentStandby() && mAnswer.IsOpenEnded()) {
+    OnFailure(
+      attempt_failure::kBroken, "connection ended after a silence", true);
+    return;
+  }
+  EndSilence();
   if (!IsAtPeer()) {
     RecordProgress(run_progress::kGoing);
   }
--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -385,9 +385,6 @@
 relay_session::OnAttemptEvent(relay_event& aEvent)
 {
   mLastByte = Now();
-  if (!std::holds_alternative<relay_failure>(aEvent)) {
-    EndSilence();
-  }
   if (mChargedToPool && !std::holds_alternative<relay_failure>(aEvent)) {
     mDispatcher.Reach().OnAnswer(*mPool, !mAttempt->Reused(), mLastByte);
   }
--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -95,12 +95,17 @@
   const auto lost = MayHaveEndedEndpoint(aFailure)
                       ? std::optional(LostAttempt())
                       : std::nullopt;
-  ReportContact(aFailure);
+  if (!IsAtPeer()) {
+    ReportContact(aFailure, mPick);
+  }
   EndAttempt(ToAttemptEnd(aFailure));
   mTimer.cancel();
+  const std::uint64_t ticket = mTicket;
   const bool goesOn = InstallStandby();
   if (!lost) {
-    if (!goesOn) {
+    if (goesOn) {
+      mDispatcher.Crashes().OnSendEnded(mFeatures, ticket, Now());
+    } else {
       AfterFailure(aFailure, progress);
     }
     return;
@@ -110,8 +115,11 @@
     [self = boost::intrusive_ptr<relay_session>(this),
      aFailure,
      progress,
-     goesOn](bool /*aEnded*/) {
-      if (!self->mDone && !goesOn) {
+     goesOn,
+     ticket](bool /*aEnded*/) {
+      if (goesOn) {
+        self->mDispatcher.Crashes().OnSendEnded(self->mFeatures, ticket, Now());
+      } else if (!self->mDone) {
         self->AfterFailure(aFailure, progress);
       }
     });
@@ -129,12 +137,9 @@
 }
 
 void
-relay_session::ReportContact(attempt_failure aFailure)
+relay_session::ReportContact(attempt_failure aFailure, const relay_pick& aPick)
 {
-  if (IsAtPeer()) {
-    return;
-  }
-  const endpoint_process process{ mPick.mAddress, mPick.mLifetime };
+  const endpoint_process process{ aPick.mAddress, aPick.mLifetime };
   if (IsUnconnected(aFailure)) {
     mDispatcher.OnProcessDoubted(process, Now());
   } else if (aFailure == attempt_failure::kLost ||
@@ -143,10 +148,10 @@
   }
   if (IsUnconnected(aFailure)) {
     mDispatcher.Reach().OnConnectFailed(*mPool, Now());
-    mDispatcher.OnUnreachable(mPick, Now());
+    mDispatcher.OnUnreachable(aPick, Now());
   } else if (aFailure == attempt_failure::kSilent) {
     mDispatcher.Reach().OnTrouble(*mPool, Now());
-    mDispatcher.OnUnreachable(mPick, Now());
+    mDispatcher.OnUnreachable(aPick, Now());
   } else if (aFailure == attempt_failure::kLost ||
              aFailure == attempt_failure::kBroken) {
     mDispatcher.Reach().OnTrouble(*mPool, Now());
--- a/thornhollow/daemon/internal/relay_session_handover.cc
+++ b/thornhollow/daemon/internal/relay_session_handover.cc
@@ -11,6 +11,7 @@
 
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusRedirect = 300;
+constexpr unsigned kStatusServerError = 500;
 
 } // namespace
 
@@ -24,25 +25,39 @@
       }
       return;
     case handover_step::kSwitch:
-      SwitchToStandby();
+      if (MaySwitchUnanswered()) {
+        SwitchToStandby();
+      }
       return;
     case handover_step::kWait:
       return;
   }
 }
 
+// Where no further endpoint could be tried, closing the silent attempt gains
+// nothing unless two endpoints must not work on the request.
+bool
+relay_session::MaySwitchUnanswered() const
+{
+  return IsStream(mRoute->mKind) || mAttempts + 2 < mRoute->mMaxAttempts;
+}
+
 bool
 relay_session::PrepareStandby(time_point aNow)
 {
-  if (mOriginIsAsked || !CanRetryElsewhere()) {
+  if (mOriginIsAsked || !CanRetryElsewhere() ||
+      !mDispatcher.Retries().MaySpend(*mPool, aNow)) {
     return false;
   }
   // The other instance hands over by itself while it responds.
   if (IsAtPeer() && IsPeerResponding()) {
     return false;
   }
-  if (ShouldForward(aNow)) {
-    return StandByAtPeer(aNow);
+  if (!IsAtPeer()) {
+    mDispatcher.Reach().OnTrouble(*mPool, aNow);
+  }
+  if (ShouldForward(aNow) && StandByAtPeer(aNow)) {
+    return true;
   }
   relay_pool* pool = mDispatcher.Pool(*mPool);
   if (pool == nullptr || mDispatcher.Reach().IsConfirmedLost(*mPool, aNow)) {
@@ -62,7 +77,7 @@
 relay_session::StandByAtPeer(time_point aNow)
 {
   const auto peer = mDispatcher.Reach().ChoosePeer(*mPool, mTriedPeers);
-  if (!peer || !mDispatcher.Retries().Spend(*mPool, aNow)) {
+  if (!peer) {
     return false;
   }
   mTriedPeers.push_back(*peer);
@@ -73,9 +88,15 @@
   mStandby->mPeer = *peer;
   mStandby->mTicket = mTicket;
   mStandby->mSentAt = aNow;
-  mHandover.OnSent(aNow);
-  mStandby->mAttempt =
-    StartAttempt(PeerCall(*peer, mAttempts + 1), mStandby->mNumber);
+  mHandover.OnPreparing();
+  relay_call call = PeerCall(*peer, mAttempts + 1);
+  call.mMaySend =
+    [self = boost::intrusive_ptr<relay_session>(this),
+     number = mStandby->mNumber](time_point /*aMadeAt*/,
+                                 const std::function<void(bool)>& aDone) {
+      self->SendStandby(number, aDone);
+    };
+  mStandby->mAttempt = StartAttempt(std::move(call), mStandby->mNumber);
   return true;
 }
 
@@ -95,9 +116,6 @@
   standby.mPick = aPick;
   standby.mSentAt = aNow;
   mStandby = standby;
-  pool->OnSent(aPick, mProfile, aNow);
-  mDispatcher.ReportLoad(*mPool, aPick);
-  mDispatcher.Reach().OnSent(*mPool, aNow);
   mHandover.OnPreparing();
   // Both endpoints may work on what is no stream until one answers, so the
   // other one need not prove first that it responds.
@@ -116,6 +134,7 @@
         self->ConnectStandby();
       } else {
         self->DropStandby(attempt_end::kCancelled, "does not respond");
+        self->ArmTimer();
       }
     });
   return true;
@@ -160,9 +179,8 @@
                            const std::function<void(bool)>& aDone)
 {
   const time_point now = Now();
-  const relay_pool* pool = mDispatcher.Pool(*mPool);
-  const bool maySend = IsStandby(aNumber) && pool != nullptr &&
-                       pool->AcceptsNew(mStandby->mPick, now) &&
+  const bool maySend = IsStandby(aNumber) &&
+                       (!mStandby->mPeer.empty() || ChargeStandby(now)) &&
                        mDispatcher.Retries().Spend(*mPool, now);
   if (maySend) {
     mStandby->mSentAt = now;
@@ -172,6 +190,21 @@
   aDone(maySend);
 }
 
+// Counts the standby attempt at its endpoint, if that takes one more.
+bool
+relay_session::ChargeStandby(time_point aNow)
+{
+  relay_pool* pool = mDispatcher.Pool(*mPool);
+  if (pool == nullptr || !pool->AcceptsNew(mStandby->mPick, aNow)) {
+    return false;
+  }
+  mStandby->mCharged = true;
+  pool->OnSent(mStandby->mPick, mProfile, aNow);
+  mDispatcher.ReportLoad(*mPool, mStandby->mPick);
+  mDispatcher.Reach().OnSent(*mPool, aNow);
+  return true;
+}
+
 void
 relay_session::OnStandbyEvent(relay_event& aEvent)
 {
@@ -180,35 +213,72 @@
     return;
   }
   const auto* failed = std::get_if<relay_failure>(&aEvent);
-  DropStandby(failed != nullptr && IsUnconnected(failed->mFailure)
-                ? attempt_end::kConnectionRefused
-                : attempt_end::kFailed,
-              failed == nullptr ? "no head" : Name(failed->mFailure));
+  const attempt_failure failure =
+    failed == nullptr ? attempt_failure::kGarbled : failed->mFailure;
+  if (mStandby->mPeer.empty()) {
+    ReportContact(failure, mStandby->mPick);
+    ReportStandbyLost(failure);
+  }
+  DropStandby(IsUnconnected(failure) ? attempt_end::kConnectionRefused
+                                     : attempt_end::kFailed,
+              Name(failure));
+  ArmTimer();
+}
+
+// The standby attempt's endpoint may have ended under it.
+void
+relay_session::ReportStandbyLost(attempt_failure aFailure)
+{
+  const relay_pool* pool = mDispatcher.Pool(*mPool);
+  if (aFailure != attempt_failure::kLost || pool == nullptr ||
+      !pool->IsInService(mStandby->mPick)) {
+    return;
+  }
+  suspect_attempt suspect = SuspectAttempt(mStandby->mPick, pool->size());
+  suspect.mTicket = mStandby->mTicket;
+  mDispatcher.Crashes().OnAttemptLost(
+    { mRelayRequest.mId,
+      suspect,
+      mStandby->mPick.mEndpoint,
+      { mStandby->mPick.mAddress, mStandby->mPick.mLifetime },
+      run_progress::kNoOutput },
+    [](bool /*aEnded*/) {});
 }
 
 void
 relay_session::OnStandbyHead(relay_event& aEvent, relay_answer_head& aHead)
 {
-  const bool atPeer = !mStandby->mPeer.empty();
-  if (!atPeer) {
-    mDispatcher.OnAnswerMarks(mStandby->mPick, aHead.mMarks, Now());
+  if (const auto refused = WhyNotInstead(aHead)) {
+    if (mStandby->mPeer.empty()) {
+      mDispatcher.OnAnswerMarks(mStandby->mPick, aHead.mMarks, Now());
+    }
+    DropStandby(*refused, "status " + std::to_string(aHead.mStatus));
+    ArmTimer();
+    return;
   }
+  SwitchToStandby();
+  OnAttemptEvent(aEvent);
+}
+
+// Why the standby attempt's answer can't be the request's; nothing if it can.
+std::optional<attempt_end>
+relay_session::WhyNotInstead(const relay_answer_head& aHead) const
+{
+  const bool atPeer = !mStandby->mPeer.empty();
   if (aHead.mMarks.mNotRun ||
       (atPeer && ReadForwardingError(aHead.mHeaders).has_value())) {
-    DropStandby(attempt_end::kDeclined, "declined");
-    return;
+    return attempt_end::kDeclined;
   }
-  const bool success = aHead.mStatus >= kStatusOk &&
-                       aHead.mStatus < kStatusRedirect && aHead.mMarks.mSigned;
+  const bool success =
+    aHead.mStatus >= kStatusOk && aHead.mStatus < kStatusRedirect;
   const endpoint_version_hash version =
     atPeer ? ReadForwardingVersion(aHead.mHeaders).value_or(kUnknownVersion)
            : mDispatcher.VersionOf(mStandby->mPick);
-  if (!success || (mOrigin && version != *mOrigin)) {
-    DropStandby(attempt_end::kFailed, "answer can't take the place");
-    return;
-  }
-  SwitchToStandby();
-  OnAttemptEvent(aEvent);
+  const bool fits =
+    success ? aHead.mMarks.mSigned && (!mOrigin || version == *mOrigin)
+            : !mAnswer.Begun() && !ImpliesNotRun(aHead.mStatus) &&
+                aHead.mStatus < kStatusServerError;
+  return fits ? std::nullopt : std::optional(attempt_end::kFailed);
 }
 
 void
@@ -225,21 +295,13 @@
   }
   if (dropped.mPeer.empty()) {
     mDispatcher.Crashes().OnSendEnded(mFeatures, dropped.mTicket, now);
-    mDispatcher.Reach().OnEnded(*mPool);
-    if (relay_pool* pool = mDispatcher.Pool(*mPool)) {
-      pool->OnEnded(dropped.mPick,
-                    mProfile,
-                    sent ? aEnd : attempt_end::kCancelled,
-                    false,
-                    now - dropped.mSentAt,
-                    now);
-      mDispatcher.ReportLoad(*mPool, dropped.mPick);
-      mDispatcher.OnRoom(*mPool);
-    }
     SetUnresponsive(dropped.mPick.mEndpoint);
   } else {
     mDispatcher.Reach().OnForwardEnded(dropped.mPeer);
   }
+  if (dropped.mCharged) {
+    UnchargeStandby(dropped, aEnd, now);
+  }
   if (sent && aEnd != attempt_end::kDeclined) {
     ++mAttempts;
     mMayHaveRun = true;
@@ -250,12 +312,27 @@
   mHandover.OnFailed(now);
 }
 
+void
+relay_session::UnchargeStandby(const standby_attempt& aDropped,
+                               attempt_end aEnd,
+                               time_point aNow)
+{
+  mDispatcher.Reach().OnEnded(*mPool);
+  if (relay_pool* pool = mDispatcher.Pool(*mPool)) {
+    pool->OnEnded(
+      aDropped.mPick, mProfile, aEnd, false, aNow - aDropped.mSentAt, aNow);
+    mDispatcher.ReportLoad(*mPool, aDropped.mPick);
+    mDispatcher.OnRoom(*mPool);
+  }
+}
+
 void
 relay_session::EndSilence()
 {
   if (mStandby) {
     mDispatcher.Metrics().OnEvent("silent_attempt_went_on");
     DropStandby(attempt_end::kCancelled, "the silent attempt went on");
+    ArmTimer();
   }
   mHandover.Reset();
   mUnresponsive.clear();
@@ -270,9 +347,12 @@
   mAttempts = progress.mAttempts;
   mMayHaveRun = progress.mMayHaveRun;
   mAttempt->Close();
-  ReportContact(attempt_failure::kSilent);
+  if (!IsAtPeer()) {
+    ReportContact(attempt_failure::kSilent, mPick);
+  }
   EndAttempt(attempt_end::kSilent);
   mDispatcher.Metrics().OnRetry(ErrorOf(attempt_failure::kSilent));
+  mDispatcher.Crashes().OnSendEnded(mFeatures, mTicket, Now());
   InstallStandby();
 }
 
@@ -287,7 +367,6 @@
     mHandover.Reset();
     return false;
   }
-  mDispatcher.Crashes().OnSendEnded(mFeatures, mTicket, Now());
   mAnswer.DropUnfinished();
   const standby_attempt standby = *std::exchange(mStandby, std::nullopt);
   ResetAttempt(standby.mSentAt);
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -64,8 +64,11 @@
   mProfile.mVersion = mOrigin;
   mProfile.mTeam = mTeam == nullptr ? team_name() : mTeam->mName;
   mFeatures = ReadFeatures();
-  if (!IsStream(mRoute->mKind)) {
-    mHandover = silence_handover({ .mMaxOverlap = std::nullopt });
+  const relay_pool* pool = mDispatcher.Pool(*mPool);
+  if (!IsStream(mRoute->mKind) && (pool == nullptr || !pool->ServesEngines())) {
+    // What no engine generates may run at two endpoints: the second one gets as
+    // long as the first.
+    mHandover = silence_handover({ .mMaxOverlap = SilenceTimeout(*mRoute) });
   }
   mProfile.mDeadline = mExchange->Arrival() + timeout;
   mProfile.mIsRetry =
--- a/thornhollow/policy/admission/shared_retry_budget.cc
+++ b/thornhollow/policy/admission/shared_retry_budget.cc
@@ -26,9 +26,9 @@
 }
 
 bool
-shared_retry_budget::Spend(const pool_name& aPool, time_point aNow)
+shared_retry_budget::MaySpend(const pool_name& aPool, time_point aNow)
 {
-  slice& present = CurrentSlice(aPool, aNow);
+  CurrentSlice(aPool, aNow);
   std::uint64_t requests = 0;
   std::uint64_t retries = 0;
   for (const slice& each : mPools[aPool]) {
@@ -47,10 +47,16 @@
   const double bound =
     mSettings.mBoundFraction *
     (mSettings.mRatio * static_cast<double>(requests) + fixed);
-  if (static_cast<double>(retries + 1) > bound) {
+  return static_cast<double>(retries + 1) <= bound;
+}
+
+bool
+shared_retry_budget::Spend(const pool_name& aPool, time_point aNow)
+{
+  if (!MaySpend(aPool, aNow)) {
     return false;
   }
-  ++present.mRetries;
+  ++CurrentSlice(aPool, aNow).mRetries;
   return true;
 }
 
--- a/thornhollow/policy/admission/shared_retry_budget.h
+++ b/thornhollow/policy/admission/shared_retry_budget.h
@@ -71,6 +71,9 @@
   // the budget is exhausted.
   bool Spend(const pool_name& aPool, time_point aNow);
 
+  // Whether `Spend` would take one.
+  bool MaySpend(const pool_name& aPool, time_point aNow);
+
   // Sets the number of running instances, including this one; 0 while no
   // message from a peer has been received.
   void SetInstances(std::size_t aCount) { mInstances = aCount; }
--- a/thornhollow/request/relay_retry.h
+++ b/thornhollow/request/relay_retry.h
@@ -53,6 +53,15 @@
 error_kind
 ErrorOf(attempt_failure aFailure);
 
+// Whether the HTTP status implies to a caller that its request was not run. An
+// endpoint's answer with this status has that meaning only if the endpoint also
+// marks the request as not run.
+constexpr bool
+ImpliesNotRun(unsigned aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
 // Whether no connection could be made.
 constexpr bool
 IsUnconnected(attempt_failure aFailure)
--- a/thornhollow/request/silence_handover.cc
+++ b/thornhollow/request/silence_handover.cc
@@ -30,9 +30,8 @@
       return aNow >= mNotBefore ? handover_step::kPrepare
                                 : handover_step::kWait;
     case handover_phase::kOverlapping:
-      return mSettings.mMaxOverlap && aNow - mSentAt >= *mSettings.mMaxOverlap
-               ? handover_step::kSwitch
-               : handover_step::kWait;
+      return aNow - mSentAt >= mSettings.mMaxOverlap ? handover_step::kSwitch
+                                                     : handover_step::kWait;
     default:
       return handover_step::kWait;
   }
@@ -45,8 +44,10 @@
     case handover_phase::kIdle:
       return std::max(mNotBefore, aNow);
     case handover_phase::kOverlapping:
-      return mSettings.mMaxOverlap ? mSentAt + *mSettings.mMaxOverlap
-                                   : time_point::max();
+      // The silent attempt may be kept although it is due to be closed.
+      return mSentAt + mSettings.mMaxOverlap > aNow
+               ? mSentAt + mSettings.mMaxOverlap
+               : aNow + mSettings.mRetryInterval;
     default:
       return aNow + mSettings.mRetryInterval;
   }
--- a/thornhollow/request/silence_handover.h
+++ b/thornhollow/request/silence_handover.h
@@ -22,7 +22,6 @@
 #define THORNHOLLOW_REQUEST_SILENCE_HANDOVER_H_
 
 #include <cstdint>
-#include <optional>
 
 #include "thornhollow/base/time.h"
 #include "thornhollow/routing/routing_document.h"
@@ -39,9 +38,8 @@
 struct silence_handover_settings
 {
   // How long after the request was sent to the other endpoint the silent
-  // attempt is kept, if neither sends; unset: until one of them does. A refusal
-  // comes sooner.
-  std::optional<duration> mMaxOverlap = Milliseconds(300);
+  // attempt is kept, if neither sends. A refusal comes sooner.
+  duration mMaxOverlap = Milliseconds(300);
   // Pause after an endpoint that did not respond, or refused.
   duration mRetryInterval = Milliseconds(200);
 
