--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -14,6 +14,11 @@
 // have taken this long in total, which is after three that timed out.
 constexpr duration kMaxUnsentTime = Milliseconds(800);
 
+// The same for a stream that has begun. Its caller can't begin anew elsewhere
+// without loss, and leaves after two seconds without an event.
+constexpr std::uint32_t kMaxUnsentOfStream = 12;
+constexpr duration kMaxUnsentTimeOfStream = Seconds(2);
+
 // Added to the silence timeout of a forwarded request. The other instance has
 // the same timeout and retries first.
 constexpr duration kForwardSilenceMargin = Milliseconds(400);
@@ -75,6 +80,9 @@
     ++mUnsent;
     mUnsentTime += Now() - mSentAt;
   }
+  if (aFailure == attempt_failure::kUnconfirmed) {
+    SetUnresponsive(mPick.mEndpoint);
+  }
   if (IsUnconnected(aFailure)) {
     mDispatcher.Metrics().OnEvent(IsAtPeer() ? "forward_connect_failed"
                                              : "endpoint_connect_failed");
@@ -87,12 +95,17 @@
   const auto lost = MayHaveEndedEndpoint(aFailure)
                       ? std::optional(LostAttempt())
                       : std::nullopt;
-  ReportContact(aFailure);
+  if (!IsAtPeer()) {
+    ReportContact(aFailure, mPick);
+  }
   EndAttempt(ToAttemptEnd(aFailure));
   mTimer.cancel();
+  const std::uint64_t ticket = mTicket;
   const bool goesOn = InstallStandby();
   if (!lost) {
-    if (!goesOn) {
+    if (goesOn) {
+      mDispatcher.Crashes().OnSendEnded(mFeatures, ticket, Now());
+    } else {
       AfterFailure(aFailure, progress);
     }
     return;
@@ -102,8 +115,11 @@
     [self = boost::intrusive_ptr<relay_session>(this),
      aFailure,
      progress,
-     goesOn](bool /*aEnded*/) {
-      if (!self->mDone && !goesOn) {
+     goesOn,
+     ticket](bool /*aEnded*/) {
+      if (goesOn) {
+        self->mDispatcher.Crashes().OnSendEnded(self->mFeatures, ticket, Now());
+      } else if (!self->mDone) {
         self->AfterFailure(aFailure, progress);
       }
     });
@@ -121,12 +137,9 @@
 }
 
 void
-relay_session::ReportContact(attempt_failure aFailure)
+relay_session::ReportContact(attempt_failure aFailure, const relay_pick& aPick)
 {
-  if (IsAtPeer()) {
-    return;
-  }
-  const endpoint_process process{ mPick.mAddress, mPick.mLifetime };
+  const endpoint_process process{ aPick.mAddress, aPick.mLifetime };
   if (IsUnconnected(aFailure)) {
     mDispatcher.OnProcessDoubted(process, Now());
   } else if (aFailure == attempt_failure::kLost ||
@@ -135,10 +148,10 @@
   }
   if (IsUnconnected(aFailure)) {
     mDispatcher.Reach().OnConnectFailed(*mPool, Now());
-    mDispatcher.OnUnreachable(mPick, Now());
+    mDispatcher.OnUnreachable(aPick, Now());
   } else if (aFailure == attempt_failure::kSilent) {
     mDispatcher.Reach().OnTrouble(*mPool, Now());
-    mDispatcher.OnUnreachable(mPick, Now());
+    mDispatcher.OnUnreachable(aPick, Now());
   } else if (aFailure == attempt_failure::kLost ||
              aFailure == attempt_failure::kBroken) {
     mDispatcher.Reach().OnTrouble(*mPool, Now());
@@ -192,7 +205,9 @@
 bool
 relay_session::MayRetryUnsent() const
 {
-  return mUnsent < kMaxUnsent && mUnsentTime < kMaxUnsentTime;
+  return mAnswer.Begun() ? mUnsent < kMaxUnsentOfStream &&
+                             mUnsentTime < kMaxUnsentTimeOfStream
+                         : mUnsent < kMaxUnsent && mUnsentTime < kMaxUnsentTime;
 }
 
 void
