Load reports: an age beyond 64 bits counts as the longest, not as none

The stated age was converted to an integer before it was clamped, which is undefined for numbers beyond 64 bits and gives the smallest number on x86, so that the report appeared fresh. On this machine (aarch64) the conversion saturates, and the new test passes without the change as well.

Tests: deep nesting in load reports and in the list of instances is refused.

--- a/thornhollow/daemon/load_poller.cc
+++ b/thornhollow/daemon/load_poller.cc
@@ -24,7 +24,7 @@
 constexpr unsigned kOk = 200;
 // Maximum age that a load report may state, in milliseconds. A larger age is
 // implausible and is reduced to this maximum.
-constexpr std::int64_t kMaxReportAgeMs = 3'600'000;
+constexpr double kMaxReportAgeMs = 3'600'000;
 // The same for the rest of its warm-up: an endpoint that states more would get
 // hardly anything for a long time.
 constexpr double kMaxWarmUpMs = 3'600'000;
@@ -187,10 +187,9 @@
     leaving != nullptr && leaving->is_bool() && leaving->get_bool();
   report.mWarmUpLeft = Milliseconds(static_cast<std::int64_t>(
     std::clamp(NumberField(*object, "warm_up_left_ms"), 0.0, kMaxWarmUpMs)));
-  const auto age =
-    std::clamp(static_cast<std::int64_t>(NumberField(*object, "age_ms")),
-               std::int64_t{ 0 },
-               kMaxReportAgeMs);
+  // Clamped first: the conversion of a number beyond 64 bits is undefined.
+  const auto age = static_cast<std::int64_t>(
+    std::clamp(NumberField(*object, "age_ms"), 0.0, kMaxReportAgeMs));
   report.mMeasuredAt = aArrival - Milliseconds(age);
   return report;
 }
--- a/thornhollow/daemon/load_poller_test.cc
+++ b/thornhollow/daemon/load_poller_test.cc
@@ -45,5 +45,25 @@
   CHECK(report->mWarmUpLeft == Seconds(3'600));
 }
 
+// Guards against an age beyond 64 bits that is taken for none, which would let
+// a report of unknown age appear fresh.
+TEST_CASE("load_report/age_beyond_64_bits/is_the_longest")
+{
+  for (const char* age : { "1e19", "1e300", "18446744073709551615" }) {
+    CAPTURE(age);
+    const auto report = ReadLoadReport(
+      std::string(R"({"running":1,"age_ms":)") + age + "}", kArrival);
+    REQUIRE(report);
+    CHECK(report->mMeasuredAt == kArrival - Seconds(3'600));
+  }
+}
+
+TEST_CASE("load_report/deep_nesting/is_none")
+{
+  const std::string nested(100'000, '[');
+  CHECK_FALSE(ReadLoadReport(nested, kArrival));
+  CHECK_FALSE(ReadLoadReport(R"({"running":)" + nested, kArrival));
+}
+
 } // namespace
 } // namespace thornhollow
--- a/thornhollow/listing/platform_list_test.cc
+++ b/thornhollow/listing/platform_list_test.cc
@@ -28,5 +28,12 @@
   }
 }
 
+TEST_CASE("platform_list/deep_nesting/is_no_list")
+{
+  const std::string nested(100'000, '[');
+  CHECK_FALSE(ReadPlatformList(nested, 1));
+  CHECK_FALSE(ReadPlatformList(R"({"instances":)" + nested, 1));
+}
+
 } // namespace
 } // namespace thornhollow
