--- a/thornhollow/platform/readers_test.cc
+++ b/thornhollow/platform/readers_test.cc
@@ -217,6 +217,103 @@
   CHECK(page->mListing.mItems[0].mValue.empty());
 }
 
+// Guards against a value whose parsing or destruction recurses once for each
+// nested level and exhausts the stack.
+TEST_CASE("readers/deep_nesting/is_refused")
+{
+  constexpr std::size_t kLevels = 100'000;
+  std::string arrays(kLevels, '[');
+  std::string objects;
+  std::string mixed;
+  for (std::size_t level = 0; level < kLevels; ++level) {
+    objects += R"({"a":)";
+    mixed += R"([{"a":)";
+  }
+  const std::string closed = arrays + std::string(kLevels, ']');
+  for (const std::string& nested : { arrays, objects, mixed, closed }) {
+    for (const std::string& text :
+         { nested, R"({"version":1,"entries":)" + nested + "}" }) {
+      CHECK_FALSE(Read(ReadDocument(text)).has_value());
+      CHECK_FALSE(Read(ReadEndpoint("servers/i", text)).has_value());
+      CHECK_FALSE(Read(ReadStartTime(text)).has_value());
+      CHECK_FALSE(Read(ReadStorePage(text)).has_value());
+      CHECK_FALSE(Read(ReadStoreChanges(text)).has_value());
+    }
+  }
+}
+
+// Guards against a number that wraps round or is cut when it is stored in a
+// narrower type.
+TEST_CASE("endpoint_reader/number_out_of_range/refuses_the_entry")
+{
+  for (const char* each : { "-1",
+                            "1e400",
+                            "-1e400",
+                            "1e19",
+                            "18446744073709551616",
+                            "18446744073709551615",
+                            "9223372036854775808",
+                            "31556889864403200000" }) {
+    CAPTURE(each);
+    std::string text = kEntryText;
+    text.replace(text.find("1700000000000"), 13, each);
+    CHECK_FALSE(Read(ReadEndpoint("servers/i-7", text)).has_value());
+    CHECK_FALSE(Read(ReadStartTime(text)).has_value());
+  }
+  for (const char* each : { "-1", "1e400", "18446744073709551616" }) {
+    CAPTURE(each);
+    for (const char* field : { "\"slots\":64",
+                               "\"cold_remaining_ms\":0",
+                               "\"sequence_number\":4" }) {
+      std::string text = kEntryText;
+      const std::size_t value =
+        text.find(field) + std::string(field).rfind(':');
+      text.replace(value + 1, text.find(',', value) - value - 1, each);
+      CHECK_FALSE(Read(ReadEndpoint("servers/i-7", text)).has_value());
+    }
+  }
+}
+
+TEST_CASE("endpoint_reader/port_out_of_range/refuses_the_entry")
+{
+  for (const char* each :
+       { ":0", ":65536", ":7e4", ":80x", ":", "", ":-1", ":+80", ": 80" }) {
+    CAPTURE(each);
+    std::string text = kEntryText;
+    text.replace(text.find(":80\""), 3, each);
+    CHECK_FALSE(Read(ReadEndpoint("servers/i-7", text)).has_value());
+  }
+}
+
+// Guards against an endpoint's name that adds fields to the requests that are
+// sent to it.
+TEST_CASE("endpoint_reader/name_of_other_characters/is_refused")
+{
+  for (const char* each : { "servers/a\r\nX: y",
+                            "servers/a\nb",
+                            "servers/a b",
+                            "servers/\xc3\xa9",
+                            "servers/\xff",
+                            "servers/a\x7f" }) {
+    CAPTURE(each);
+    CHECK_FALSE(Read(ReadEndpoint(each, kEntryText)).has_value());
+  }
+}
+
+// Guards against one field that fills the log and the messages to peers.
+TEST_CASE("endpoint_reader/huge_field/refuses_the_entry")
+{
+  const std::string huge(100'000, 'x');
+  for (const std::string field :
+       { "\"s1\"", "\"10.1.2.3:80\"", "\"z\"", "\"v1\"" }) {
+    CAPTURE(field);
+    std::string text = kEntryText;
+    text.replace(text.find(field), field.size(), '"' + huge + '"');
+    CHECK_FALSE(Read(ReadEndpoint("servers/i-7", text)).has_value());
+  }
+  CHECK_FALSE(Read(ReadEndpoint("servers/" + huge, kEntryText)).has_value());
+}
+
 TEST_CASE("readers/random_bytes/end_in_a_value_or_a_refusal")
 {
   for (std::uint64_t seed = 1; seed <= 3000; ++seed) {
