Store client: one odd key no longer stops the list from being followed

A key that isn't UTF-8, or that came as half a surrogate pair, made the page or the changes unreadable as a whole; such text becomes U+FFFD, and the entry is refused by its name. The key at the end of a page went unescaped into the request for the next page, so that a space or a line break in it ended the request line.

--- a/thornhollow/platform/json_fields.h
+++ b/thornhollow/platform/json_fields.h
@@ -21,6 +21,11 @@
 result<boost::json::object>
 ParseObject(std::string_view aText);
 
+// The same, but text that can't be decoded doesn't refuse the object: invalid
+// UTF-8 and halves of surrogate pairs become U+FFFD.
+result<boost::json::object>
+ParseObjectReplacingInvalidText(std::string_view aText);
+
 result<std::string>
 TextField(const boost::json::object& aObject, std::string_view aName);
 
--- a/thornhollow/platform/readers_test.cc
+++ b/thornhollow/platform/readers_test.cc
@@ -314,6 +314,32 @@
   CHECK_FALSE(Read(ReadEndpoint("servers/" + huge, kEntryText)).has_value());
 }
 
+// Guards against a store page that is refused as a whole, so that the list is
+// no longer followed, because one key on it isn't UTF-8.
+TEST_CASE("store_client/key_that_is_no_utf_8/leaves_the_others_readable")
+{
+  for (const std::string key : { "servers/\xff",
+                                 "servers/\xc3",
+                                 R"(servers/\udcff)",
+                                 R"(servers/\ud800x)" }) {
+    CAPTURE(key);
+    const std::string items =
+      R"([{"key":")" + key + R"(","value":"eHl6","revision":4},)" +
+      R"({"key":"servers/b","value":"eA==","revision":5}])";
+    const auto page =
+      Read(ReadStorePage(R"({"at":9,"entries":)" + items + "}"));
+    REQUIRE(page.has_value());
+    REQUIRE(page->mListing.mItems.size() == 2);
+    CHECK(page->mListing.mItems[1].mKey == "servers/b");
+    CHECK_FALSE(Read(ReadEndpoint(page->mListing.mItems[0].mKey, kEntryText))
+                  .has_value());
+    const auto changes =
+      Read(ReadStoreChanges(R"({"at":9,"events":)" + items + "}"));
+    REQUIRE(changes.has_value());
+    CHECK(changes->mChanges.size() == 2);
+  }
+}
+
 TEST_CASE("readers/random_bytes/end_in_a_value_or_a_refusal")
 {
   for (std::uint64_t seed = 1; seed <= 3000; ++seed) {
--- a/thornhollow/platform/store_client.cc
+++ b/thornhollow/platform/store_client.cc
@@ -46,6 +46,25 @@
   return bytes;
 }
 
+// A key of another writer may contain characters that end the query or the
+// request line.
+std::string
+EncodeForQuery(std::string_view aText)
+{
+  constexpr std::string_view kUnescaped = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                          "abcdefghijklmnopqrstuvwxyz"
+                                          "0123456789-._~/:";
+  std::string encoded;
+  for (const char each : aText) {
+    if (kUnescaped.find(each) != std::string_view::npos) {
+      encoded += each;
+    } else {
+      encoded += fmt::format("%{:02X}", static_cast<unsigned char>(each));
+    }
+  }
+  return encoded;
+}
+
 // An item whose value can't be decoded gets an empty value, so that the parser
 // of the item's value sees that the previous value was overwritten.
 result<source_item>
@@ -122,7 +141,7 @@
     call.mAddress = mAddress;
     call.mTarget = fmt::format("/v1/kv-range?path_prefix={}", mPrefix);
     if (!aAfter.empty()) {
-      call.mTarget += fmt::format("&after={}", aAfter);
+      call.mTarget += fmt::format("&after={}", EncodeForQuery(aAfter));
     }
     call.mTimeout = mIdleTimeout;
     call.mMostPause = mIdleTimeout;
@@ -180,7 +199,8 @@
 result<store_page>
 ReadStorePage(std::string_view aBytes)
 {
-  BOOST_LEAF_AUTO(fields, ParseObject(aBytes));
+  // One key that isn't UTF-8 must not make the other items unreadable.
+  BOOST_LEAF_AUTO(fields, ParseObjectReplacingInvalidText(aBytes));
   store_page read;
   BOOST_LEAF_ASSIGN(read.mListing.mRevision, CountField(fields, "at"));
   BOOST_LEAF_AUTO(items, ListField(fields, "entries"));
@@ -201,7 +221,8 @@
 result<source_changes>
 ReadStoreChanges(std::string_view aBytes)
 {
-  BOOST_LEAF_AUTO(fields, ParseObject(aBytes));
+  // One key that isn't UTF-8 must not make the other items unreadable.
+  BOOST_LEAF_AUTO(fields, ParseObjectReplacingInvalidText(aBytes));
   source_changes read;
   BOOST_LEAF_ASSIGN(read.mRevision, CountField(fields, "at"));
   BOOST_LEAF_AUTO(events, ListField(fields, "events"));
