--- a/thornhollow/net/relay_attempt_test.cc
+++ b/thornhollow/net/relay_attempt_test.cc
@@ -386,6 +386,33 @@
   CHECK(openEnded > 0);
 }
 
+// An answer that ended within its head, its interim answer, a chunk's size or
+// its trailer was taken for a whole one with an empty or short body.
+TEST_CASE_FIXTURE(attempts_at_an_endpoint,
+                  "relay_attempt/framed_answer_cut_at_each_byte/never_whole")
+{
+  const std::string fields =
+    " 200 OK\r\nX-Request-Id: r1\r\nX-Signature: s\r\n";
+  const std::string length = fields + "Content-Length: 12\r\n\r\nall of these";
+  const std::string chunks =
+    fields + "Transfer-Encoding: chunked\r\n\r\nc;a=b\r\nall of these\r\n0\r\n";
+  for (const std::string& whole :
+       { "HTTP/1.1" + length,
+         "HTTP/1.0" + length,
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1" + length,
+         "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1" + length,
+         "HTTP/1.1" + chunks + "\r\n",
+         "HTTP/1.1" + chunks + "X-Trailer: a\r\n\r\n" }) {
+    for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+      CAPTURE(whole.substr(0, cut));
+      mEndpoint.mAnswers = { whole.substr(0, cut) };
+      const attempt_outcome outcome = Send("r1", duration::zero());
+      CHECK(outcome.mWhole == (cut == whole.size()));
+      CHECK(outcome.mFailure.has_value() == (cut < whole.size()));
+    }
+  }
+}
+
 // A caller got compressed bytes as the text of its answer.
 TEST_CASE_FIXTURE(attempts_at_an_endpoint,
                   "relay_attempt/unknown_transfer_coding/is_garbled")
