Streams: nothing is concluded from the list while calls to the source fail

An instance that was cut off from source and peers took its list for current for 25 s. After its peers were forgotten it had nobody to ask, and concluded from the old list that a stream taken up there had begun at the only version it knew, while others had begun it at a newer one. Its own streams are told to holders meanwhile.

Test: process relay_stream_stale_list_test.

--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -400,9 +400,14 @@
   }
 
   // Whether the source has lately answered any instance, so that a change of
-  // the list would be known here.
+  // the list would be known here. Not while calls from here fail: an instance
+  // or a domain that is cut off would take its old list for current, while
+  // streams begin at endpoints that it hasn't heard of.
   bool ListIsCurrent() const
   {
+    if (mEndpoints.Failing()) {
+      return false;
+    }
     const auto answered = std::max(SourceAnswered(), mPeers.SourceAnswered());
     return answered && Now() - *answered < kListCurrentFor;
   }
