Silent attempts: one by way of another instance is kept until the next one answers

Cause: an instance that responds no longer had the stream, the next one was given it, and 300 ms later the first attempt was closed; but the second instance had not found an endpoint by then, and found none. The 300 ms count from when an endpoint has the request, which is not known here; so both attempts are kept until one answers.

--- a/thornhollow/daemon/internal/relay_session_handover.cc
+++ b/thornhollow/daemon/internal/relay_session_handover.cc
@@ -86,7 +86,10 @@
   mStandby->mPeer = *peer;
   mStandby->mTicket = mTicket;
   mStandby->mSentAt = aNow;
-  mHandover.OnSent(aNow);
+  // The other instance has yet to find an endpoint that takes the request. If
+  // it finds none, the silent attempt must still be there, so that is kept
+  // until one of the two answers.
+  mHandover.OnPreparing();
   mStandby->mAttempt =
     StartAttempt(PeerCall(*peer, mAttempts + 1), mStandby->mNumber);
   return true;
--- a/thornhollow/testing/process/relay_silent_durations_test.py
+++ b/thornhollow/testing/process/relay_silent_durations_test.py
@@ -51,6 +51,10 @@
         third.running.set()
         self.check(asked)
 
+    def test_others_slow_to_begin_overlap_is_short(self):
+        self.begin_direct()
+        self.go_on_at_slow_ones()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thornhollow/testing/process/relay_silent_forwarding_test.py
+++ b/thornhollow/testing/process/relay_silent_forwarding_test.py
@@ -27,6 +27,10 @@
     def test_all_far_above_the_timeout_one_carrier_comes_whole(self):
         self.silent(3, 2.5, open_ended=True, instances=2)
 
+    def test_others_slow_to_begin_overlap_is_short(self):
+        self.begin_forwarded()
+        self.go_on_at_slow_ones()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thornhollow/testing/process/silent_site.py
+++ b/thornhollow/testing/process/silent_site.py
@@ -225,6 +225,18 @@
             for engine in engines:
                 engine.running.set()
 
+    def go_on_at_slow_ones(self):
+        """Streams move to endpoints that respond, and take long until the first
+        event, within which both may work on them."""
+        asked = self.ask_all(self.at, RESUMABLE)
+        silent = self.busiest(1)
+        for engine in self.engines:
+            engine.slow_on, engine.slow_s = b"body", 1.0
+        self.stand_still(silent, 2.5)
+        self.check(asked)
+        self.assertTrue(any(len(self.runs_of(f"{each.name}-0")) > 1
+                            for each in asked.streams))
+
     def check(self, asked):
         """All came whole, and the endpoints bore no more than they may."""
         asked.wait()
