--- a/thornhollow/daemon/internal/relay_session_handover.cc
+++ b/thornhollow/daemon/internal/relay_session_handover.cc
@@ -30,6 +30,10 @@
       }
       return;
     case handover_step::kWait:
+      if (mStandby && !mStandby->mPeer.empty() &&
+          !mDispatcher.Reach().IsOffered(*mPool, mStandby->mPeer)) {
+        DropStandby(attempt_end::kFailed, "the instance is no longer heard");
+      }
       return;
   }
 }
@@ -88,13 +92,17 @@
   mStandby->mPeer = *peer;
   mStandby->mTicket = mTicket;
   mStandby->mSentAt = aNow;
+  // The other instance has yet to find an endpoint that takes the request. If
+  // it finds none, the silent attempt must still be there, so that is kept
+  // until one of the two answers.
   mHandover.OnPreparing();
   relay_call call = PeerCall(*peer, mAttempts + 1);
   call.mMaySend =
     [self = boost::intrusive_ptr<relay_session>(this),
      number = mStandby->mNumber](time_point /*aMadeAt*/,
                                  const std::function<void(bool)>& aDone) {
-      self->SendStandby(number, aDone);
+      aDone(self->IsStandby(number) &&
+            self->mDispatcher.Retries().Spend(*self->mPool, Now()));
     };
   mStandby->mAttempt = StartAttempt(std::move(call), mStandby->mNumber);
   return true;
