--- a/thornhollow/daemon/internal/relay_session_handover.cc
+++ b/thornhollow/daemon/internal/relay_session_handover.cc
@@ -187,8 +187,7 @@
                            const std::function<void(bool)>& aDone)
 {
   const time_point now = Now();
-  const bool maySend = IsStandby(aNumber) &&
-                       (!mStandby->mPeer.empty() || ChargeStandby(now)) &&
+  const bool maySend = IsStandby(aNumber) && ChargeStandby(now) &&
                        mDispatcher.Retries().Spend(*mPool, now);
   if (maySend) {
     mStandby->mSentAt = now;
