Relaying: a stream that ended with its connection is broken off if its process has ended

An endpoint's process that ends between two events has its connections closed in order, and an open-ended stream reached its caller as whole. A refused connection or another process counts as broken off; anything else ends as the endpoint framed it.

--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -20,6 +20,7 @@
 #include "thornhollow/daemon/relayed_answer.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/relay_attempt.h"
+#include "thornhollow/request/open_end.h"
 #include "thornhollow/request/relay_retry.h"
 #include "thornhollow/request/silence_handover.h"
 
@@ -129,6 +130,12 @@
   // request ends endpoints.
   void RecordProgress(run_progress aProgress);
   void OnAnswerEnd();
+  // The stream ended with its connection: finds out whether its process ended
+  // under it, and ends or continues it accordingly.
+  void JudgeOpenEnd();
+  void OnOpenEndJudged(open_end_ground aGround);
+  // The attempt's answer is taken as its endpoint framed it.
+  void CompleteAnswer();
 
   // ---- Streams and their versions: relay_session_stream.cc
 
@@ -334,6 +341,8 @@
   // Whether the next retry has already been charged to the retry budget.
   bool mRetryCharged = false;
   relayed_answer mAnswer;
+  // Why the open end of a stream was taken as it was; unset if it has none.
+  std::optional<open_end_ground> mOpenEndGround;
   // The HTTP status of this instance's own error response; 0 if there is none.
   unsigned mRefusalStatus = 0;
   std::optional<duration> mFirstByte;
--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -1,3 +1,4 @@
+#include <memory>
 #include <utility>
 
 #include "thornhollow/daemon/internal/relay_session.h"
@@ -13,6 +14,10 @@
 
 constexpr unsigned kStatusServerError = 500;
 
+// The system closes the connections and the listener of a process that ends one
+// after the other, within a few milliseconds.
+constexpr duration kSettleTime = Milliseconds(10);
+
 // Whether the HTTP status implies to a caller that its request was not run. An
 // endpoint's answer with this status has that meaning only if the endpoint also
 // marks the request as not run.
@@ -217,6 +222,59 @@
     OnFailure(attempt_failure::kBroken, std::string(Describe(end)), true);
     return;
   }
+  // Another instance judges the ends of its own attempts.
+  if (mAnswer.IsOpenEndedStream() && !IsAtPeer()) {
+    JudgeOpenEnd();
+    return;
+  }
+  CompleteAnswer();
+}
+
+void
+relay_session::JudgeOpenEnd()
+{
+  mTimer.cancel();
+  // A timer of its own: `OnTimer` may be queued already, and arms the other one
+  // again.
+  const auto settled =
+    std::make_shared<boost::asio::steady_timer>(mDispatcher.Io(), kSettleTime);
+  settled->async_wait([self = boost::intrusive_ptr<relay_session>(this),
+                       settled](const boost::system::error_code& aError) {
+    if (aError || self->mDone) {
+      return;
+    }
+    relay_dispatcher& dispatcher = self->mDispatcher;
+    if (const auto ground =
+          JudgeWithoutAsking(dispatcher.OpenEndSigns(self->mPick))) {
+      self->OnOpenEndJudged(*ground);
+      return;
+    }
+    dispatcher.AskProcess(self->mPick, [self](process_verdict aVerdict) {
+      if (!self->mDone) {
+        self->OnOpenEndJudged(JudgeAnswer(aVerdict));
+      }
+    });
+  });
+}
+
+void
+relay_session::OnOpenEndJudged(open_end_ground aGround)
+{
+  const std::string ground(Name(aGround));
+  mOpenEndGround = aGround;
+  mDispatcher.Metrics().OnEvent("open_end_" + ground);
+  if (IsBrokenOff(aGround)) {
+    OnFailure(attempt_failure::kBroken,
+              "process ended with its connection: " + ground,
+              true);
+    return;
+  }
+  CompleteAnswer();
+}
+
+void
+relay_session::CompleteAnswer()
+{
   if (!IsAtPeer()) {
     RecordProgress(run_progress::kGoing);
   }
--- a/thornhollow/daemon/internal/relay_session_log.cc
+++ b/thornhollow/daemon/internal/relay_session_log.cc
@@ -135,6 +135,7 @@
       { "expected_ms", ToMilliseconds(mPick.mExpectedWait) },
       { "longest_pause_ms", ToMilliseconds(mAnswer.LongestPause()) },
       { "framing", FramingText() },
+      { "open_end", mOpenEndGround ? std::string(Name(*mOpenEndGround)) : "" },
       { "first_byte_ms", ToMilliseconds(mFirstByte.value_or(duration{})) },
       { "total_ms", ToMilliseconds(now - mExchange->Arrival()) },
       { "configuration",
--- a/thornhollow/daemon/process_check.cc
+++ b/thornhollow/daemon/process_check.cc
@@ -1,5 +1,6 @@
 #include "thornhollow/daemon/process_check.h"
 
+#include <memory>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -27,6 +28,8 @@
       return "endpoint_process_confirmed";
     case process_verdict::kOther:
       return "endpoint_process_differs";
+    case process_verdict::kRefused:
+      return "endpoint_process_refuses";
     default:
       return "endpoint_process_unknown";
   }
@@ -75,24 +78,28 @@
   mMetrics.OnEvent("endpoint_process_asked");
   FetchStatus(aProcess.mAddress,
               kAnswerTimeout,
-              [this, aProcess](const fetch_answer* aAnswer) {
-                OnVerdict(aProcess, VerdictOf(aProcess, aAnswer));
+              [this, aProcess](const fetch_answer* aAnswer, bool aRefused) {
+                OnVerdict(aProcess,
+                          aRefused ? process_verdict::kRefused
+                                   : VerdictOf(aProcess, aAnswer));
               });
 }
 
 void
 process_check::FetchStatus(const std::string& aAddress,
                            duration aTimeout,
-                           std::function<void(const fetch_answer*)> aDone)
+                           status_handler aDone)
 {
+  const auto refused = std::make_shared<bool>(false);
   Fetch(mIo,
         { .mAddress = aAddress,
           .mTarget = mPath,
           .mTimeout = aTimeout,
           .mConnectTimeout = aTimeout,
+          .mOnRefused = [refused] { *refused = true; },
           .mMaxBytes = kMaxStatusBytes },
-        [done = std::move(aDone)](const fetch_outcome& aOutcome) {
-          done(aOutcome ? &*aOutcome : nullptr);
+        [refused, done = std::move(aDone)](const fetch_outcome& aOutcome) {
+          done(aOutcome ? &*aOutcome : nullptr, *refused);
         });
 }
 
@@ -110,17 +117,18 @@
     return;
   }
   mMetrics.OnEvent("endpoint_response_asked");
-  FetchStatus(
-    aAddress, kPromptTimeout, [this, aAddress](const fetch_answer* aAnswer) {
-      const bool responds = aAnswer != nullptr;
-      mMetrics.OnEvent(responds ? "endpoint_responds"
-                                : "endpoint_response_none");
-      // Who asks from within a handler asks anew.
-      const auto asked = mResponding.extract(aAddress);
-      for (const auto& each : asked.mapped()) {
-        each(responds);
-      }
-    });
+  FetchStatus(aAddress,
+              kPromptTimeout,
+              [this, aAddress](const fetch_answer* aAnswer, bool /*aRefused*/) {
+                const bool responds = aAnswer != nullptr;
+                mMetrics.OnEvent(responds ? "endpoint_responds"
+                                          : "endpoint_response_none");
+                // Who asks from within a handler asks anew.
+                const auto asked = mResponding.extract(aAddress);
+                for (const auto& each : asked.mapped()) {
+                  each(responds);
+                }
+              });
 }
 
 process_verdict
--- a/thornhollow/daemon/process_check.h
+++ b/thornhollow/daemon/process_check.h
@@ -102,10 +102,12 @@
     return mReader && aProcess.mStartedMs != 0;
   }
   void Ask(const listed_process& aProcess);
-  // Hands over null if no answer came in time.
+  // The answer is null if none came in time; `aRefused`: nothing listens there.
+  using status_handler =
+    std::function<void(const fetch_answer* aAnswer, bool aRefused)>;
   void FetchStatus(const std::string& aAddress,
                    duration aTimeout,
-                   std::function<void(const fetch_answer*)> aDone);
+                   status_handler aDone);
   process_verdict VerdictOf(const listed_process& aProcess,
                             const fetch_answer* aAnswer) const;
   void OnVerdict(const listed_process& aProcess, process_verdict aVerdict);
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -630,6 +630,39 @@
     });
 }
 
+open_end_signs
+relay_dispatcher::OpenEndSigns(const relay_pick& aPick)
+{
+  open_end_signs signs;
+  signs.mHasOpenConnection =
+    mConnections.LookAtKept({ aPick.mAddress, aPick.mLifetime }) ==
+    kept_state::kOpen;
+  signs.mIsListed = mEndpoints.contains(aPick.mEndpoint);
+  const known_endpoint* known = Known(aPick);
+  signs.mIsOtherProcess = signs.mIsListed && known == nullptr;
+  signs.mIsLeaving = known != nullptr && IsLeaving(*known);
+  signs.mCanAsk = Evidence(aPick, Now()) != process_evidence::kCannotAsk;
+  return signs;
+}
+
+void
+relay_dispatcher::AskProcess(const relay_pick& aPick,
+                             std::function<void(process_verdict)> aDone)
+{
+  const known_endpoint* known = Known(aPick);
+  if (known == nullptr) {
+    aDone(process_verdict::kUnknown);
+    return;
+  }
+  mProcesses.Confirm(
+    ProcessOf(*known),
+    Now(),
+    [this, aPick, done = std::move(aDone)](process_verdict aVerdict) {
+      OnProcessAnswered(aPick, aVerdict, Now());
+      done(aVerdict);
+    });
+}
+
 void
 relay_dispatcher::OnSourceAnswered(time_point aAt)
 {
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -45,6 +45,7 @@
 #include "thornhollow/policy/loop_lag.h"
 #include "thornhollow/policy/placement/relay_pool.h"
 #include "thornhollow/policy/queues/room_queue.h"
+#include "thornhollow/request/open_end.h"
 #include "thornhollow/request/relay_headers.h"
 #include "thornhollow/routing/routing_table.h"
 #include "thornhollow/streams/version_doubts.h"
@@ -214,6 +215,12 @@
   // Whether a connection that was made then is known to lead to the process
   // that was picked. An endpoint that has left the list isn't asked.
   process_evidence Evidence(const relay_pick& aPick, time_point aMadeAt) const;
+  // What is known of the process that was picked, after a stream of it has
+  // ended with its connection.
+  open_end_signs OpenEndSigns(const relay_pick& aPick);
+  // Asks the endpoint now which process it is.
+  void AskProcess(const relay_pick& aPick,
+                  std::function<void(process_verdict)> aDone);
   // Calls `aDone` with whether it does, after the endpoint has been asked where
   // that is necessary; with true where it can't be asked.
   void Confirm(const relay_pick& aPick,
--- a/thornhollow/net/http_fetch.cc
+++ b/thornhollow/net/http_fetch.cc
@@ -85,6 +85,9 @@
   const tcp::endpoint where(asio::ip::make_address(address->mHost),
                             address->mPort);
   co_await stream.async_connect(where, Into(wrong));
+  if (wrong == asio::error::connection_refused && aCall.mOnRefused) {
+    aCall.mOnRefused();
+  }
   if (wrong) {
     co_return std::nullopt;
   }
--- a/thornhollow/net/http_fetch.h
+++ b/thornhollow/net/http_fetch.h
@@ -40,6 +40,9 @@
   duration mLongest = Seconds(20);
   // Called with the bytes that have come, while more of the answer is to.
   std::function<void(std::size_t aBytes)> mOnBytes = nullptr;
+  // Called before the outcome if the peer's system refused the connection, as
+  // nothing listens there.
+  std::function<void()> mOnRefused = nullptr;
   // Bytes of the answer's body at most.
   std::size_t mMaxBytes = std::size_t{ 2 } << 20U;
 };
--- a/thornhollow/streams/process_confirmations.h
+++ b/thornhollow/streams/process_confirmations.h
@@ -37,6 +37,8 @@
   kOther,
   // No answer in time.
   kUnknown,
+  // Nothing listens at its address.
+  kRefused,
 };
 
 class process_confirmations
--- a/thornhollow/testing/process/cut_off_site.py
+++ b/thornhollow/testing/process/cut_off_site.py
@@ -28,6 +28,8 @@
 
     # Requests take 0.3 s, so that several connections are needed at a time.
     slow = False
+    # How long an instance that is told to stop goes on with its requests.
+    drain_grace_s = 20
 
     def begin(self, instances):
         self.numbers = itertools.count()
@@ -48,7 +50,8 @@
         for path in paths.values():
             self.addCleanup(path.stop)
         view.paths = paths
-        daemon = relay_site.RelayDaemon(view.server.address, name=f"n{number}")
+        daemon = relay_site.RelayDaemon(view.server.address, name=f"n{number}",
+                                        drain_grace_s=self.drain_grace_s)
         self.addCleanup(daemon.stop)
         daemon.wait_ready()
         daemon.paths = paths
--- a/thornhollow/testing/process/relay_broken_off_test.py
+++ b/thornhollow/testing/process/relay_broken_off_test.py
@@ -23,7 +23,7 @@
     """What a caller read, and whether its framing says that it is complete."""
 
     def __init__(self, daemon, path, headers, version, begun=None):
-        """Sets the event `begun` once the body has begun."""
+        """Sets the event `begun` with each part of the body."""
         connection = harness.connect(daemon.address)
         if version == "1.0":
             connection._http_vsn = 10
@@ -47,6 +47,16 @@
             connection.close()
 
 
+class PartCount:
+    """Counts the parts of a body that have come; an event for `Answer`."""
+
+    def __init__(self):
+        self.count = 0
+
+    def set(self):
+        self.count += 1
+
+
 class BrokenOff(cut_off_site.CutOffTest):
 
     def site(self, broken_off="", instances=2):
@@ -184,6 +194,57 @@
         self.assertGreaterEqual(answer.status, 500)
         self.assertTrue(answer.complete, answer.body)
 
+    def ended_between_events(self, path, name, instances=2):
+        """A stream whose engine's process ends after an event: its connections
+        are closed in order, and its address refuses new ones. Returns its
+        answer and the instance that asked the engine."""
+        self.site(instances=instances)
+        for engine in self.engines:
+            engine.event_gap_s = 0.4
+        parts = PartCount()
+        asked = harness.Background(Answer, self.fleet[0], path,
+                                   self.headers(name, True), "1.1", parts)
+        # Right after the first event the stream's version isn't confirmed yet,
+        # and it couldn't be continued.
+        harness.wait_until(lambda: parts.count >= 2, "two events have come")
+        [runs] = [engine for engine in self.engines if name in engine.ran]
+        for daemon in self.fleet:
+            daemon.paths[runs.name].server.end()
+        return asked.result()
+
+    def ground(self, daemon):
+        return harness.wait_until(lambda: daemon.events("request_done"),
+                                  "its end is logged")[-1]["open_end"]
+
+    def test_open_ended_stream_whose_engine_ends_not_complete(self):
+        answer = self.ended_between_events(STREAM, "e1")
+        self.assertFalse(answer.complete, answer.body)
+        self.assertEqual(self.ground(self.fleet[0]), "refused")
+
+    def test_open_ended_resumable_stream_whose_engine_ends_comes_whole(self):
+        answer = self.ended_between_events(RESUMABLE, "e2")
+        self.assertTrue(answer.complete,
+                        self.fleet[0].events("attempt_failed"))
+        self.assertEqual(answer.body, WHOLE_STREAM)
+
+    def test_whole_open_ended_stream_is_taken_as_its_process_answers(self):
+        # The question costs a connection for each such end.
+        self.site()
+        answer = Answer(self.fleet[0], STREAM, self.headers("e3", True), "1.1")
+        self.assertTrue(answer.complete)
+        self.assertEqual(answer.body, WHOLE_STREAM)
+        self.assertEqual(self.ground(self.fleet[0]), "process_answered")
+
+    def test_whole_open_ended_stream_of_a_silent_engine_is_taken(self):
+        # No answer is no sign that the process ended.
+        self.site()
+        for engine in self.engines:
+            engine.report_after_s = 1.0
+        answer = Answer(self.fleet[0], STREAM, self.headers("e4", True), "1.1")
+        self.assertTrue(answer.complete)
+        self.assertEqual(answer.body, WHOLE_STREAM)
+        self.assertEqual(self.ground(self.fleet[0]), "no_answer")
+
     def test_whole_answer_of_each_kind_comes_whole(self):
         self.site()
         for answer, case in self.answers(STREAM, RESUMABLE, LOOK_UP, ORDER):
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -624,7 +624,7 @@
 forward_address: {forward}
 peer_seeds: [{seeds}]
 source_address: {source}
-drain_grace_s: 20
+drain_grace_s: {drain_grace}
 retries: {{ratio: {ratio}, extra: {extra}, window_s: 10, spent_before: false}}
 """
 
@@ -632,7 +632,7 @@
 class RelayDaemon(harness.Program):
 
     def __init__(self, source, name="n1", seeds="", caller=None, ratio=0.2,
-                 extra=400):
+                 extra=400, drain_grace_s=20):
         self.ready_address = harness.address_on_loopback()
         self.peers = harness.address_on_loopback()
         self.operators = harness.address_on_loopback()
@@ -640,7 +640,8 @@
             name=name, caller=caller or harness.address_on_loopback(),
             ready=self.ready_address, peers=self.peers, seeds=seeds,
             operators=self.operators, source=source, ratio=ratio, extra=extra,
-            forward=harness.address_on_loopback())
+            forward=harness.address_on_loopback(),
+            drain_grace=drain_grace_s)
         self.folder = tempfile.TemporaryDirectory()
         self.settings = pathlib.Path(self.folder.name, "settings.yaml")
         self.settings.write_text(settings)
