--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -268,6 +268,8 @@
                   bool aSent);
   unsigned Status() const;
   std::string FramingText() const;
+  // How the connection told the caller where the answer ends.
+  caller_end EndAtCaller() const;
   void LogOutcome(std::string_view aOutcome);
 
   // ---- State
--- a/thornhollow/daemon/internal/relay_session_log.cc
+++ b/thornhollow/daemon/internal/relay_session_log.cc
@@ -102,6 +102,12 @@
   return framing ? std::string(Name(*framing)) : "";
 }
 
+caller_end
+relay_session::EndAtCaller() const
+{
+  return mRefusalStatus != 0 ? caller_end::kLength : mAnswer.EndAtCaller();
+}
+
 void
 relay_session::LogOutcome(std::string_view aOutcome)
 {
@@ -135,6 +141,7 @@
       { "expected_ms", ToMilliseconds(mPick.mExpectedWait) },
       { "longest_pause_ms", ToMilliseconds(mAnswer.LongestPause()) },
       { "framing", FramingText() },
+      { "ended_by", std::string(Name(EndAtCaller())) },
       { "open_end", mOpenEndGround ? std::string(Name(*mOpenEndGround)) : "" },
       { "first_byte_ms", ToMilliseconds(mFirstByte.value_or(duration{})) },
       { "total_ms", ToMilliseconds(now - mExchange->Arrival()) },
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -278,6 +278,8 @@
   mExchange->OnLeft(nullptr);
   ReportStreamEnded();
   LogOutcome(aOutcome);
+  mDispatcher.Metrics().OnEvent("answer_ended_by_" +
+                                std::string(Name(EndAtCaller())));
   if (aOutcome == "answered") {
     mDispatcher.Metrics().OnCompleted(mMetricsClass, mAnswer.Events());
   }
--- a/thornhollow/daemon/relayed_answer.cc
+++ b/thornhollow/daemon/relayed_answer.cc
@@ -85,8 +85,9 @@
   mLastPause.reset();
   if (!mTraits.mIsStream) {
     MarkIfForwarded();
-    mExchange->Send(whole_reply{
-      mStatus, mHeaders, "", mHeldBack, IsOpenEnded() && !mIsForwarded });
+    const bool openEnded = IsOpenEnded() && !mIsForwarded;
+    mEndAtCaller = openEnded ? caller_end::kInOrder : caller_end::kLength;
+    mExchange->Send(whole_reply{ mStatus, mHeaders, "", mHeldBack, openEnded });
     return true;
   }
   SendEvents(mEvents.TakeAll(), aNow);
@@ -94,6 +95,7 @@
   if (IsOpenEnded() && !mBegunOpenEnded) {
     return false;
   }
+  mEndAtCaller = StreamEnd(IsChunkedForCaller(), false);
   mExchange->Send(stream_end{});
   return true;
 }
@@ -101,9 +103,17 @@
 void
 relayed_answer::SendAbort()
 {
+  mEndAtCaller = StreamEnd(IsChunkedForCaller(), true);
   mExchange->Send(stream_abort{});
 }
 
+bool
+relayed_answer::IsChunkedForCaller() const
+{
+  return mExchange->Request().mReadsChunks &&
+         (!mBegunOpenEnded || mIsForwarded);
+}
+
 // The endpoint's framing, also where another instance asked it.
 answer_framing
 relayed_answer::Framing() const
--- a/thornhollow/daemon/relayed_answer.h
+++ b/thornhollow/daemon/relayed_answer.h
@@ -63,6 +63,8 @@
   // Ends a stream of which a part was sent so that it doesn't look complete.
   void SendAbort();
 
+  // How the answer's last part ended it for the caller.
+  caller_end EndAtCaller() const { return mEndAtCaller; }
   // Whether part of the answer has been sent.
   bool Begun() const { return mBegun; }
   // Of the last event of a stream that was sent; empty if there is none.
@@ -84,6 +86,7 @@
   void SendEvents(std::string aText, time_point aNow);
   void SendStreamHead();
   void MarkIfForwarded();
+  bool IsChunkedForCaller() const;
 
   caller_exchange_ptr mExchange;
   bool mIsForwarded;
@@ -102,6 +105,7 @@
   // Whether the part that was sent told the caller that the answer ends with
   // the connection.
   bool mBegunOpenEnded = false;
+  caller_end mEndAtCaller = caller_end::kNone;
   std::optional<time_point> mLastSent;
   std::optional<duration> mLastPause;
   duration mLongestPause{};
--- a/thornhollow/net/caller_server.h
+++ b/thornhollow/net/caller_server.h
@@ -74,6 +74,8 @@
   std::string mBody;
   // Path and query as they came.
   std::string mTarget = {};
+  // Whether the caller reads chunks, which HTTP/1.0 doesn't have.
+  bool mReadsChunks = true;
 
   // The first value of this header, case ignored; empty where absent.
   std::string_view Header(std::string_view aName) const;
--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -66,6 +66,7 @@
   request.mTarget = std::string(message.target());
   request.mPath = PathOf(request.mTarget);
   request.mHeaders = ToHeaderFields(message);
+  request.mReadsChunks = message.version() == kHttp11;
   request.mBody = std::move(message.body());
   return request;
 }
--- a/thornhollow/request/answer_end.cc
+++ b/thornhollow/request/answer_end.cc
@@ -15,8 +15,18 @@
   "connection ended before the first event"
 };
 
+constexpr std::array<std::string_view, 6> kCallerEnds = {
+  "none", "length", "last_chunk", "in_order", "no_last_chunk", "reset"
+};
+
 } // namespace
 
+std::string_view
+Name(caller_end aEnd)
+{
+  return kCallerEnds.at(static_cast<std::size_t>(aEnd));
+}
+
 std::string_view
 Name(answer_framing aFraming)
 {
--- a/thornhollow/request/answer_end.h
+++ b/thornhollow/request/answer_end.h
@@ -65,6 +65,35 @@
          aEnd == answer_end::kBeforeFirstEvent;
 }
 
+// How an answer's last part told its caller where the answer ends.
+enum class caller_end : std::uint8_t
+{
+  // None was sent: the caller left before.
+  kNone,
+  kLength,
+  kLastChunk,
+  // The connection is closed in order, as it is the end of the answer.
+  kInOrder,
+  // The answer is broken off: chunks without the last one, or a reset of a
+  // connection whose end would be that of the answer.
+  kWithoutLastChunk,
+  kReset,
+};
+
+// "length", "reset" and so on; for log lines and metrics.
+std::string_view
+Name(caller_end aEnd);
+
+// Of a stream that ends, or that is broken off.
+constexpr caller_end
+StreamEnd(bool aChunked, bool aBrokenOff)
+{
+  if (aChunked) {
+    return aBrokenOff ? caller_end::kWithoutLastChunk : caller_end::kLastChunk;
+  }
+  return aBrokenOff ? caller_end::kReset : caller_end::kInOrder;
+}
+
 // For log lines.
 std::string_view
 Describe(answer_end aEnd);
--- a/thornhollow/request/answer_end_test.cc
+++ b/thornhollow/request/answer_end_test.cc
@@ -96,6 +96,18 @@
         answer_end::kWhole);
 }
 
+// A part without a last chunk at its caller is logged as one that lacks it, or
+// as ended in order.
+TEST_CASE("answer_end/end_at_caller/by_framing_and_breaking_off")
+{
+  CHECK(Name(StreamEnd(true, false)) == "last_chunk");
+  CHECK(Name(StreamEnd(true, true)) == "no_last_chunk");
+  CHECK(Name(StreamEnd(false, false)) == "in_order");
+  CHECK(Name(StreamEnd(false, true)) == "reset");
+  CHECK(Name(caller_end::kNone) == "none");
+  CHECK(Name(caller_end::kLength) == "length");
+}
+
 TEST_CASE("answer_end/end_of_connection/is_never_whole")
 {
   CHECK(JudgeEnd(answer_framing::kConnection) == answer_end::kOpenEnded);
--- a/thornhollow/testing/process/relay_broken_off_test.py
+++ b/thornhollow/testing/process/relay_broken_off_test.py
@@ -212,14 +212,16 @@
             daemon.paths[runs.name].server.end()
         return asked.result()
 
-    def ground(self, daemon):
-        return harness.wait_until(lambda: daemon.events("request_done"),
-                                  "its end is logged")[-1]["open_end"]
+    def ends(self, daemon):
+        """How the last request ended for its caller, and on which ground."""
+        line = harness.wait_until(lambda: daemon.events("request_done"),
+                                  "its end is logged")[-1]
+        return line["ended_by"], line["open_end"]
 
     def test_open_ended_stream_whose_engine_ends_not_complete(self):
         answer = self.ended_between_events(STREAM, "e1")
         self.assertFalse(answer.complete, answer.body)
-        self.assertEqual(self.ground(self.fleet[0]), "refused")
+        self.assertEqual(self.ends(self.fleet[0]), ("reset", "refused"))
 
     def test_open_ended_resumable_stream_whose_engine_ends_comes_whole(self):
         answer = self.ended_between_events(RESUMABLE, "e2")
@@ -233,7 +235,8 @@
         answer = Answer(self.fleet[0], STREAM, self.headers("e3", True), "1.1")
         self.assertTrue(answer.complete)
         self.assertEqual(answer.body, WHOLE_STREAM)
-        self.assertEqual(self.ground(self.fleet[0]), "process_answered")
+        self.assertEqual(self.ends(self.fleet[0]),
+                         ("in_order", "process_answered"))
 
     def test_whole_open_ended_stream_of_a_silent_engine_is_taken(self):
         # No answer is no sign that the process ended.
@@ -243,7 +246,8 @@
         answer = Answer(self.fleet[0], STREAM, self.headers("e4", True), "1.1")
         self.assertTrue(answer.complete)
         self.assertEqual(answer.body, WHOLE_STREAM)
-        self.assertEqual(self.ground(self.fleet[0]), "no_answer")
+        self.assertEqual(self.ends(self.fleet[0]),
+                         ("in_order", "no_answer"))
 
     def test_whole_answer_of_each_kind_comes_whole(self):
         self.site()
