Readers of the source: standbys replace silent readers within a second

In a failure domain of more than six instances two read the source for all. If both stopped at the moment of a change, the others used the previous configuration for 2.5 to 3 s.

silent_readers_test searches this in virtual time. Not covered: a source that answers neither reader while their hellos go on.

--- a/thornhollow/fleet/relay_peers.cc
+++ b/thornhollow/fleet/relay_peers.cc
@@ -81,8 +81,13 @@
   }
   if (mReadsForDomain && aNow >= mNextReaderHello) {
     mNextReaderHello = aNow + mSettings.mReaderInterval;
+    mNextStandbyHello = aNow + mSettings.mStandbyInterval;
     round.mBrief = DomainPeers();
   }
+  if (aNow >= mNextStandbyHello) {
+    mNextStandbyHello = aNow + mSettings.mStandbyInterval;
+    round.mBrief = LowerStandbys();
+  }
   SortUnique(recipients);
   std::erase_if(round.mBrief, [&](const std::string& aEntry) {
     return std::ranges::binary_search(recipients, aEntry);
@@ -95,23 +100,37 @@
 {
   higher_ranked found;
   const reader_rank own = RankOf(mSettings.mLinkMegabits, mOwnAddress);
+  std::vector<const peer*> higher;
   for (const auto& [address, each] : mPeers) {
     if (each.mHello.mDomain != mOwnDomain) {
       continue;
     }
     ++found.mInDomain;
-    if (RankOf(each.mHello.mLinkMegabits, address) <= own) {
-      continue;
+    if (RankOf(each.mHello.mLinkMegabits, address) > own) {
+      higher.push_back(&each);
     }
-    ++found.mCount;
-    if (aNow - each.mLastMessage < mSettings.mReaderTimeout) {
+  }
+  found.mCount = higher.size();
+  const duration timeout = IsInStandbyGroup(found) ? mSettings.mStandbyTimeout
+                                                   : mSettings.mReaderTimeout;
+  for (const peer* each : higher) {
+    if (aNow - each->mLastMessage < timeout) {
       ++found.mActive;
-      found.mServed += each.mHello.mSourceFails ? 0 : 1;
+      found.mServed += each->mHello.mSourceFails ? 0 : 1;
     }
   }
   return found;
 }
 
+duration
+relay_peers::Stagger(const higher_ranked& aFound) const
+{
+  const std::size_t before =
+    IsInStandbyGroup(aFound) ? aFound.mServed : aFound.mCount;
+  return std::min(mSettings.mStagger * static_cast<std::int64_t>(before),
+                  mSettings.mMaxStagger);
+}
+
 relay_peers::reader_rank
 relay_peers::RankOf(std::uint32_t aLinkMegabits, const std::string& aAddress)
 {
@@ -134,10 +153,7 @@
   if (!mReadersMissingSince) {
     mReadersMissingSince = aNow;
   }
-  const duration stagger =
-    std::min(mSettings.mStagger * static_cast<std::int64_t>(found.mCount),
-             mSettings.mMaxStagger);
-  mReads = mReads || all || aNow - *mReadersMissingSince >= stagger;
+  mReads = mReads || all || aNow - *mReadersMissingSince >= Stagger(found);
   mReadsForDomain = mReads && !all;
   return mReads;
 }
@@ -179,6 +195,34 @@
   return found;
 }
 
+std::vector<std::string>
+relay_peers::LowerStandbys() const
+{
+  const reader_rank own = RankOf(mSettings.mLinkMegabits, mOwnAddress);
+  std::vector<std::pair<reader_rank, std::string>> ranked{ { own,
+                                                             mOwnAddress } };
+  for (const auto& [address, each] : mPeers) {
+    if (each.mHello.mDomain == mOwnDomain) {
+      ranked.emplace_back(RankOf(each.mHello.mLinkMegabits, address), address);
+    }
+  }
+  if (AllRead(ranked.size())) {
+    return {};
+  }
+  std::ranges::sort(ranked, std::ranges::greater());
+  const auto position = static_cast<std::size_t>(std::distance(
+    ranked.begin(), std::ranges::find(ranked, std::pair(own, mOwnAddress))));
+  std::vector<std::string> found;
+  if (position < StandbyGroup()) {
+    const std::size_t end =
+      std::min(ranked.size(), StandbyGroup() + mSettings.mStandbyMargin);
+    for (std::size_t each = position + 1; each < end; ++each) {
+      found.push_back(ranked[each].second);
+    }
+  }
+  return found;
+}
+
 duration
 relay_peers::PeerTimeout() const
 {
--- a/thornhollow/fleet/relay_peers.h
+++ b/thornhollow/fleet/relay_peers.h
@@ -26,6 +26,12 @@
 // other instances become readers. A reader that the source does not answer
 // keeps calling it, and one more instance reads alongside it.
 //
+// The few instances that rank next, the standbys, detect the silence of the
+// readers early enough to have a change in force in time. The readers and the
+// standbys send frequent hellos to the standbys below them. Only this group
+// sends and expects them, so that neither the traffic nor the number of
+// instances that may read too early grows with the domain.
+//
 // Guards against a source that does not serve this instance while it serves
 // others, which leaves the configuration stale on this instance only. Peers
 // report newer revisions, and the copies are fetched from them.
@@ -286,15 +292,28 @@
   // them: in an outage of the source not every instance needs to send it
   // requests.
   std::size_t mMaxReaders = 6;
+  // Number of instances that rank after the readers and replace readers that
+  // are silent for `mStandbyTimeout`.
+  std::size_t mStandbys = 4;
+  // Interval of hellos from readers and standbys to the standbys that rank
+  // below them. Less than two calls of `Tick`, so that a late call doesn't add
+  // a third one. Hellos also go to `mStandbyMargin` further instances, which
+  // may count themselves among the standbys because they know fewer instances.
+  duration mStandbyInterval = Milliseconds(180);
+  std::size_t mStandbyMargin = 2;
+  // A standby considers an instance of a higher rank gone after this time
+  // without a hello. Three hellos fail to arrive in it.
+  duration mStandbyTimeout = Milliseconds(700);
   // Interval at which a reader sends brief hellos to its whole domain.
   duration mReaderInterval = Seconds(1);
-  // A reader is considered gone after this time without a hello, which allows
-  // for two lost hellos.
+  // Instances that are not standbys consider a reader gone after this time
+  // without a hello, which allows for two lost hellos.
   duration mReaderTimeout = Milliseconds(2'600);
   // `mStagger`: before an instance becomes a reader, it waits this long for
   // each instance of a higher rank, at most `mMaxStagger` in total. A hello
   // takes less than `mStagger`, so that the hello of the first new reader
-  // arrives before the next instance becomes a reader.
+  // arrives before the next instance becomes a reader. A standby waits only for
+  // the instances that are neither gone nor report a failing source.
   duration mStagger = Milliseconds(150);
   duration mMaxStagger = Seconds(3);
   // Minimum number of peers from which the demand is taken from the aggregation
@@ -430,6 +449,15 @@
                 std::uint64_t aAttempt) const;
   std::vector<std::string> DrawRecipients();
   std::vector<std::string> DomainPeers() const;
+  // Standbys that rank below this instance, which is a reader or a standby
+  // itself; empty otherwise.
+  std::vector<std::string> LowerStandbys() const;
+  // Number of the readers and standbys of a domain, which have the highest
+  // ranks.
+  std::size_t StandbyGroup() const
+  {
+    return mSettings.mReaders + mSettings.mStandbys;
+  }
   // Whether all instances of a domain of this size read the source.
   bool AllRead(std::size_t aDomainSize) const;
   // Counts of instances of this domain. `mInDomain` counts all of them
@@ -440,13 +468,19 @@
     std::size_t mInDomain = 1;
     std::size_t mCount = 0;
     // Higher-ranked instances of this domain from which a hello arrived within
-    // the last `mReaderTimeout`.
+    // the last `mReaderTimeout`, or `mStandbyTimeout` if this instance is a
+    // standby.
     std::size_t mActive = 0;
     // Higher-ranked instances counted in `mActive` that do not report a failing
     // source.
     std::size_t mServed = 0;
   };
   higher_ranked HigherRanked(time_point aNow) const;
+  bool IsInStandbyGroup(const higher_ranked& aFound) const
+  {
+    return !AllRead(aFound.mInDomain) && aFound.mCount < StandbyGroup();
+  }
+  duration Stagger(const higher_ranked& aFound) const;
   // Link capacity in Mbit/s, then hash of the address. The instances with the
   // highest ranks of a domain become readers.
   using reader_rank = std::pair<std::uint32_t, std::uint64_t>;
@@ -469,6 +503,7 @@
   time_point mNextRound{};
   time_point mNextSeeds{};
   time_point mNextReaderHello{};
+  time_point mNextStandbyHello{};
   bool mReads = true;
   // Whether this instance is a reader of its domain and the domain has
   // instances that do not read the source.
--- a/thornhollow/fleet/testing/modelled_instance.h
+++ b/thornhollow/fleet/testing/modelled_instance.h
@@ -87,7 +87,9 @@
   std::vector<modelled_subscription> mSubscriptions;
   time_point mSourceFailsUntil{};
   time_point mNextTick{};
+  // When the instance stops, and when it continues if it was only suspended.
   time_point mStopsAt = time_point::max();
+  time_point mWakesAt = time_point::max();
   time_point mBlockedFrom{};
   time_point mBlockedUntil{};
   endpoint_roster mRoster{ roster_settings{} };
--- a/thornhollow/fleet/testing/silent_source_fleet.h
+++ b/thornhollow/fleet/testing/silent_source_fleet.h
@@ -105,6 +105,15 @@
     mInstances.at(static_cast<std::size_t>(aInstance)).mStopsAt = mStart + aAt;
   }
 
+  // Suspends the instance from `aFrom` to `aUntil`. Datagrams to it are lost
+  // meanwhile. From `aFrom` on, changes need not be in force at it.
+  void Freeze(int aInstance, duration aFrom, duration aUntil)
+  {
+    Stop(aInstance, aFrom);
+    mInstances.at(static_cast<std::size_t>(aInstance)).mWakesAt =
+      mStart + aUntil;
+  }
+
   void Run(duration aUntil)
   {
     for (; mNow < mStart + aUntil; mNow += kStep) {
@@ -183,6 +192,22 @@
     return readers;
   }
 
+  // The largest number of instances that became readers within one second since
+  // `aFrom`.
+  std::size_t MostNewReadersInASecond(duration aFrom) const
+  {
+    std::size_t most = 0;
+    for (auto first = mNewReaders.begin(); first != mNewReaders.end();
+         ++first) {
+      if (*first >= mStart + aFrom) {
+        const auto last =
+          std::upper_bound(first, mNewReaders.end(), *first + Seconds(1));
+        most = std::max(most, static_cast<std::size_t>(last - first));
+      }
+    }
+    return most;
+  }
+
   // Number of calls to the source so far.
   std::size_t Calls() const { return mCalls; }
 
@@ -242,7 +267,7 @@
 
   bool Stopped(const instance& aInstance) const
   {
-    return mNow >= aInstance.mStopsAt;
+    return mNow >= aInstance.mStopsAt && mNow < aInstance.mWakesAt;
   }
 
   static std::string NameOf(int aEndpoint)
@@ -501,7 +526,11 @@
     if (mNow < aInstance.mSourceFailsUntil || peerFails) {
       aInstance.mRoster.OnSourceFailed(mNow);
     }
-    aInstance.mReads = aInstance.mPeers->Reads(mNow);
+    const bool reads = aInstance.mPeers->Reads(mNow);
+    if (reads && !aInstance.mReads) {
+      mNewReaders.push_back(mNow);
+    }
+    aInstance.mReads = reads;
     aInstance.mFollowsSource =
       aInstance.mReads || aInstance.mRequests.NeedsSource(mNow);
     aInstance.mRoster.Tick(mNow);
@@ -728,7 +757,7 @@
   bool IsAppliedEverywhere(const source_change& aChange) const
   {
     return std::ranges::all_of(mInstances, [&](const instance& aInstance) {
-      return Stopped(aInstance) || HasApplied(aInstance, aChange);
+      return mNow >= aInstance.mStopsAt || HasApplied(aInstance, aChange);
     });
   }
 
@@ -750,6 +779,8 @@
   time_point mIsolatedFrom{};
   std::vector<instance> mInstances;
   std::size_t mCalls = 0;
+  // When instances became readers, in order.
+  std::vector<time_point> mNewReaders;
 };
 
 } // namespace thornhollow
