Bounded memory: bodies and answers that a relaying daemon holds are charged to one account

A body is held once; one of known length waits unread in the caller's socket while there is no room for it, up to 3 s, and gets 503 memory_full then. Answers that are held back or not taken are charged to their endpoint, which may hold as much as is left free. The limits come from the new setting memory_mb.

--- a/thornhollow/base/error.h
+++ b/thornhollow/base/error.h
@@ -60,6 +60,7 @@
   kNotReady,
   kDraining,
   kTooManyConnections,
+  kMemoryFull,
 
   // Decisions under load.
   kTeamOverLimit,
--- a/thornhollow/config/relay_settings.cc
+++ b/thornhollow/config/relay_settings.cc
@@ -104,6 +104,9 @@
   read.mMaxConnections = static_cast<std::uint32_t>(fields.Whole(
     "max_connections",
     { .mLeast = 1, .mMost = 65'535, .mDefault = read.mMaxConnections }));
+  read.mMemoryMegabytes = static_cast<std::uint32_t>(fields.Whole(
+    "memory_mb",
+    { .mLeast = 64, .mMost = 1'000'000, .mDefault = read.mMemoryMegabytes }));
   internal::ReadSection(
     fields, aFile, "engines", found, [&](field_reader& aSection) {
       ReadEngines(aSection, read.mEngines);
--- a/thornhollow/config/relay_settings.h
+++ b/thornhollow/config/relay_settings.h
@@ -98,6 +98,9 @@
   duration mDrainGrace = Seconds(30);
   // Open connections of callers.
   std::uint32_t mMaxConnections = 2'048;
+  // What the process may use, in MB of 10^6 bytes; part of it bounds the bodies
+  // and answers that it holds.
+  std::uint32_t mMemoryMegabytes = 1'024;
   engine_settings mEngines;
   log_level mLogLevel = log_level::kInfo;
 
--- a/thornhollow/config/relay_settings_test.cc
+++ b/thornhollow/config/relay_settings_test.cc
@@ -41,6 +41,7 @@
   CHECK(result->mRetries == shared_retry_settings{});
   CHECK(result->mSourceReaders == 2);
   CHECK(result->mLinkMegabits == doctest::Approx(20));
+  CHECK(result->mMemoryMegabytes == 1'024);
 }
 
 TEST_CASE("relay_settings/engines/are_read_into_their_fields")
@@ -66,6 +67,7 @@
   CHECK(Faults("engines: {unknown: 1}\n") == 1);
   CHECK(Faults("source_readers: -1\ndrain_grace_s: 0\n") == 2);
   CHECK(Faults("link_megabits: 0\n") == 1);
+  CHECK(Faults("memory_mb: 63\n") == 1);
 }
 
 } // namespace
--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -29,7 +29,7 @@
 {
   return aKind == error_kind::kNotReady || aKind == error_kind::kDraining ||
          aKind == error_kind::kTooManyConnections ||
-         aKind == error_kind::kNoEndpoint ||
+         aKind == error_kind::kMemoryFull || aKind == error_kind::kNoEndpoint ||
          aKind == error_kind::kEndpointsAtBound;
 }
 
@@ -65,7 +65,8 @@
   }
   mAnswer.OnHead(aHead,
                  { success && IsStream(mRoute->mKind),
-                   IsAtPeer() && ReadForwardingOpenEnded(aHead.mHeaders) });
+                   IsAtPeer() && ReadForwardingOpenEnded(aHead.mHeaders),
+                   IsAtPeer() ? mPeer : mPick.mAddress });
   if (leaving && mIsForwarded) {
     mAnswer.AddHeader(ForwardingLeavingHeader(*leaving));
   }
--- a/thornhollow/daemon/metrics.cc
+++ b/thornhollow/daemon/metrics.cc
@@ -55,6 +55,16 @@
     Histogram* mGap;
   };
 
+  Gauge& HeldBytes(const std::string& aWhat)
+  {
+    return BuildGauge()
+      .Name("thornhollow_held_bytes")
+      .Help("Bytes of bodies and of answers that are held for callers, and the "
+            "most that both were together")
+      .Register(mRegistry)
+      .Add({ { "what", aWhat } });
+  }
+
   class_metrics& ForClass(const class_name& aClass)
   {
     const auto found = mClasses.find(aClass);
@@ -156,6 +166,14 @@
       .Help("Failure domains that the operator has taken out of service")
       .Register(mRegistry)
       .Add({});
+  Gauge& mHeldBodies = HeldBytes("bodies");
+  Gauge& mHeldAnswers = HeldBytes("answers");
+  Gauge& mHeldPeak = HeldBytes("peak");
+  Gauge& mBodiesWaiting = BuildGauge()
+                            .Name("thornhollow_bodies_waiting")
+                            .Help("Bodies unread as there is no room for them")
+                            .Register(mRegistry)
+                            .Add({});
   Gauge& mWarmingUp = BuildGauge()
                         .Name("thornhollow_endpoints_warming_up")
                         .Help("Endpoints that take fewer requests as they "
@@ -269,6 +287,15 @@
   mFamilies->mWarmingUp.Set(static_cast<double>(aEndpoints));
 }
 
+void
+metrics::SetMemory(const memory_use& aUse)
+{
+  mFamilies->mHeldBodies.Set(static_cast<double>(aUse.mBodies));
+  mFamilies->mHeldAnswers.Set(static_cast<double>(aUse.mAnswers));
+  mFamilies->mHeldPeak.Set(static_cast<double>(aUse.mPeak));
+  mFamilies->mBodiesWaiting.Set(static_cast<double>(aUse.mWaiting));
+}
+
 void
 metrics::OnEvent(std::string_view aEvent)
 {
--- a/thornhollow/daemon/metrics.h
+++ b/thornhollow/daemon/metrics.h
@@ -19,6 +19,7 @@
 #include "thornhollow/base/error.h"
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/time.h"
+#include "thornhollow/policy/admission/memory_account.h"
 
 namespace thornhollow {
 
@@ -69,6 +70,8 @@
   // service, and of endpoints that warm up.
   void SetDomainsOutOfService(std::size_t aDomains);
   void SetWarmingUp(std::size_t aEndpoints);
+  // Sets the bytes of bodies and answers that are held.
+  void SetMemory(const memory_use& aUse);
   // Counts an event that has no metric of its own, such as
   // "peer_datagram_refused". Event names must be constants in the program, so
   // that the number of label values is bounded.
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -62,6 +62,7 @@
   , mNames(aNames)
   , mLog(aLog)
   , mMetrics(aMetrics)
+  , mMemory(new memory_account(MemoryLimits(aSettings.mMemoryMegabytes)))
   , mConnections(aIo, endpoint_connection_settings{})
   , mCrashes(aIo, aLog, aMetrics)
   , mReach(aIo, aLog, aMetrics)
@@ -76,6 +77,7 @@
   if (aSettings.mRetries.mSpentBefore) {
     mRetries.OnStart(Now());
   }
+  mMemory->OnEvent([this](memory_event aEvent) { OnMemory(aEvent); });
   const auto keep = [this](const endpoint_process& aWhere,
                            endpoint_connection_ptr aConnection) {
     mConnections.GiveBack(aWhere, std::move(aConnection), std::nullopt);
@@ -90,7 +92,26 @@
     [this](const pool_name& aPool) { return ProbeTargets(aPool); });
 }
 
-relay_dispatcher::~relay_dispatcher() = default;
+// Sessions of callers may keep the account longer.
+relay_dispatcher::~relay_dispatcher()
+{
+  mMemory->OnEvent(nullptr);
+}
+
+// A single line for all bodies that wait at a time; answers that are cut have
+// lines of their own.
+void
+relay_dispatcher::OnMemory(memory_event aEvent)
+{
+  mMetrics.OnEvent(Name(aEvent));
+  if (aEvent == memory_event::kBodiesBeginToWait) {
+    const memory_use use = mMemory->Use();
+    mLog.Write(log_level::kWarning,
+               std::string(Name(aEvent)),
+               { { "body_bytes", static_cast<std::int64_t>(use.mBodies) },
+                 { "answer_bytes", static_cast<std::int64_t>(use.mAnswers) } });
+  }
+}
 
 void
 relay_dispatcher::Serve(caller_exchange_ptr aExchange)
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -39,6 +39,7 @@
 #include "thornhollow/fleet/relay_peers.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/endpoint_connections.h"
+#include "thornhollow/policy/admission/memory_account.h"
 #include "thornhollow/policy/admission/shared_retry_budget.h"
 #include "thornhollow/policy/endpoints/endpoint_notices.h"
 #include "thornhollow/policy/endpoints/out_of_service.h"
@@ -172,6 +173,8 @@
   const relay_names& Names() const { return mNames; }
   json_log& Log() { return mLog; }
   metrics& Metrics() { return mMetrics; }
+  // The bytes of bodies and answers that are held.
+  const memory_account_ptr& Memory() const { return mMemory; }
   endpoint_connections& Connections() { return mConnections; }
   relay_pool* Pool(const pool_name& aName);
   crash_guard& Crashes() { return mCrashes; }
@@ -265,6 +268,7 @@
                       std::optional<duration> aRetryAfter = std::nullopt);
 
 private:
+  void OnMemory(memory_event aEvent);
   duration RetryDelay();
   void UpdateReserved(time_point aNow);
   void RecordLag(duration aLate);
@@ -328,6 +332,7 @@
   const relay_names& mNames;
   json_log& mLog;
   metrics& mMetrics;
+  memory_account_ptr mMemory;
   endpoint_connections mConnections;
   crash_guard mCrashes;
   loop_lag mLag;
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -165,6 +165,8 @@
     , mTimer(aIo)
     , mDrain(aIo, { &mCallers, &mForwarded }, aLog)
   {
+    mCallers.SetMemory(mDispatcher.Memory());
+    mForwarded.SetMemory(mDispatcher.Memory());
     mDispatcher.Processes().SetStatus(mAdapter.mStatusPath,
                                       mAdapter.mReadStartTime);
     mDispatcher.Reach().SetPeers([this](const pool_name& aPool) {
@@ -476,6 +478,7 @@
     mMetrics.SetHeld(mDispatcher.HeldByPool());
     mMetrics.SetContact(mDispatcher.Reach().LostPools(),
                         mDispatcher.Reach().Forwarded());
+    mMetrics.SetMemory(mDispatcher.Memory()->Use());
     mMetrics.SetWarmingUp(mDispatcher.Bounds().WarmingUp());
     for (const held_items& each : status.mHeld) {
       mMetrics.SetSource(each.mWhat, each.mAt, each.mAge);
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -30,7 +30,7 @@
   , mTable(aDispatcher.Table())
   , mTimer(aDispatcher.Io())
   , mTicket(aDispatcher.Crashes().NextTicket())
-  , mAnswer(mExchange, aForwarded)
+  , mAnswer(mExchange, aForwarded, aDispatcher.Memory())
 {
   mDispatcher.OnSessionBegin();
 }
@@ -76,7 +76,7 @@
     RejectSuspect();
     return;
   }
-  mBody = std::make_shared<const std::string>(request.mBody);
+  mBody = SharedBody(mExchange);
   mExchange->OnLeft([self = boost::intrusive_ptr<relay_session>(this)] {
     self->OnCallerLeft();
   });
--- a/thornhollow/daemon/relayed_answer.cc
+++ b/thornhollow/daemon/relayed_answer.cc
@@ -12,13 +12,18 @@
 // Maximum size in bytes of an answer that is not streamed, which is buffered
 // until complete.
 constexpr std::size_t kMaxBufferedAnswerBytes = std::size_t{ 8 } << 20U;
+constexpr std::string_view kNoRoom =
+  "answers exceed their endpoint's share of memory";
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } << 20U;
 
 } // namespace
 
-relayed_answer::relayed_answer(caller_exchange_ptr aExchange, bool aIsForwarded)
+relayed_answer::relayed_answer(caller_exchange_ptr aExchange,
+                               bool aIsForwarded,
+                               memory_account_ptr aMemory)
   : mExchange(std::move(aExchange))
   , mIsForwarded(aIsForwarded)
+  , mMemory(std::move(aMemory))
   , mEvents(kMaxEventBytes)
 {
 }
@@ -30,7 +35,16 @@
   mTraits = {};
   mFraming.reset();
   mHasBytes = false;
-  mHeldBack.clear();
+  // Frees the bytes too, as their charge is given back.
+  mHeldBack = std::string();
+  mHeldCharge.reset();
+}
+
+void
+relayed_answer::DropUnfinished()
+{
+  mEvents.DropUnfinished();
+  mEventsCharge = memory_charge();
 }
 
 void
@@ -59,10 +73,17 @@
   mHasBytes = true;
   mLastPause.reset();
   if (!mTraits.mIsStream) {
-    mHeldBack += aBytes;
-    return mHeldBack.size() > kMaxBufferedAnswerBytes
-             ? std::optional<std::string_view>("answer exceeds the size limit")
-             : std::nullopt;
+    if (mHeldBack.size() + aBytes.size() > kMaxBufferedAnswerBytes) {
+      return "answer exceeds the size limit";
+    }
+    return HoldBack(aBytes) ? std::nullopt
+                            : std::optional<std::string_view>(kNoRoom);
+  }
+  // Charged before the events are taken: those that were taken count as sent
+  // when the stream is continued elsewhere.
+  if (mMemory &&
+      !mMemory->GrowAnswer(mEventsCharge, mTraits.mFrom, aBytes.size())) {
+    return kNoRoom;
   }
   mEvents.Feed(aBytes);
   if (mEvents.Overflowed()) {
@@ -72,6 +93,30 @@
   return std::nullopt;
 }
 
+// The capacity is charged, since the string grows by doubling.
+bool
+relayed_answer::HoldBack(const std::string& aBytes)
+{
+  if (!mMemory) {
+    mHeldBack += aBytes;
+    return true;
+  }
+  if (!mHeldCharge) {
+    mHeldCharge = std::make_shared<memory_charge>();
+  }
+  const std::size_t size = mHeldBack.size() + aBytes.size();
+  const std::size_t wanted = size > mHeldBack.capacity()
+                               ? std::max(size, 2 * mHeldBack.capacity())
+                               : mHeldCharge->Bytes();
+  if (wanted > mHeldCharge->Bytes() &&
+      !mMemory->GrowAnswer(
+        *mHeldCharge, mTraits.mFrom, wanted - mHeldCharge->Bytes())) {
+    return false;
+  }
+  mHeldBack += aBytes;
+  return true;
+}
+
 answer_end
 relayed_answer::JudgeEnd() const
 {
@@ -85,8 +130,12 @@
   mLastPause.reset();
   if (!mTraits.mIsStream) {
     MarkIfForwarded();
-    mExchange->Send(whole_reply{
-      mStatus, mHeaders, "", mHeldBack, IsOpenEnded() && !mIsForwarded });
+    mExchange->Send(whole_reply{ mStatus,
+                                 mHeaders,
+                                 "",
+                                 std::move(mHeldBack),
+                                 IsOpenEnded() && !mIsForwarded,
+                                 std::move(mHeldCharge) });
     return true;
   }
   SendEvents(mEvents.TakeAll(), aNow);
@@ -125,7 +174,10 @@
     mLongestPause = std::max(mLongestPause, *mLastPause);
   }
   mLastSent = aNow;
-  mExchange->Send(stream_text{ std::move(aText) });
+  auto charge = mMemory ? std::make_shared<const memory_charge>(
+                            std::exchange(mEventsCharge, memory_charge()))
+                        : nullptr;
+  mExchange->Send(stream_text{ std::move(aText), std::move(charge) });
 }
 
 // Does nothing if it was sent already.
--- a/thornhollow/daemon/relayed_answer.h
+++ b/thornhollow/daemon/relayed_answer.h
@@ -13,6 +13,7 @@
 #define THORNHOLLOW_DAEMON_RELAYED_ANSWER_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,6 +23,7 @@
 #include "thornhollow/base/time.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/relay_attempt.h"
+#include "thornhollow/policy/admission/memory_account.h"
 #include "thornhollow/request/answer_end.h"
 #include "thornhollow/request/event_splitter.h"
 
@@ -34,24 +36,29 @@
   // Whether another instance says that the endpoint told the end of its answer
   // by closing its connection.
   bool mMarkedOpenEnded = false;
+  // The endpoint, or the instance that asked it, whose memory share is charged.
+  std::string mFrom = {};
 };
 
 class relayed_answer
 {
 public:
-  // `aIsForwarded`: the exchange is with another instance.
-  relayed_answer(caller_exchange_ptr aExchange, bool aIsForwarded);
+  // `aIsForwarded`: the exchange is with another instance. What is held back or
+  // not taken yet is charged to `aMemory`; null: it isn't.
+  relayed_answer(caller_exchange_ptr aExchange,
+                 bool aIsForwarded,
+                 memory_account_ptr aMemory);
 
   // Forgets what is known of the attempt before, but not what was sent.
   void BeginAttempt();
   // Drops a part of an event, before the stream is continued elsewhere.
-  void DropUnfinished() { mEvents.DropUnfinished(); }
+  void DropUnfinished();
 
   void OnHead(const relay_answer_head& aHead, const answer_traits& aTraits);
   // Adds a header of our own; to be called after `OnHead`.
   void AddHeader(header_field aField);
   // Sends what of a stream has become whole. Returns the fault of an answer
-  // that exceeds a size limit, for logs.
+  // that exceeds a size limit or its endpoint's memory share, for logs.
   std::optional<std::string_view> OnBytes(const std::string& aBytes,
                                           time_point aNow);
 
@@ -80,12 +87,15 @@
 
 private:
   answer_framing Framing() const;
+  // False where there is no room for it.
+  bool HoldBack(const std::string& aBytes);
   void SendEvents(std::string aText, time_point aNow);
   void SendStreamHead();
   void MarkIfForwarded();
 
   caller_exchange_ptr mExchange;
   bool mIsForwarded;
+  memory_account_ptr mMemory;
 
   // Of the present attempt.
   unsigned mStatus = 0;
@@ -93,9 +103,12 @@
   std::optional<answer_framing> mFraming;
   bool mHasBytes = false;
   std::string mHeldBack;
+  std::shared_ptr<memory_charge> mHeldCharge;
 
   // Over all attempts.
   event_splitter mEvents;
+  // Of the bytes since the last part that was sent.
+  memory_charge mEventsCharge;
   std::vector<header_field> mHeaders;
   bool mBegun = false;
   // Whether the part that was sent told the caller that the answer ends with
--- a/thornhollow/daemon/request_forwarder.cc
+++ b/thornhollow/daemon/request_forwarder.cc
@@ -60,7 +60,8 @@
 MayServeElsewhere(error_kind aKind)
 {
   return aKind == error_kind::kNotReady || aKind == error_kind::kDraining ||
-         aKind == error_kind::kTooManyConnections;
+         aKind == error_kind::kTooManyConnections ||
+         aKind == error_kind::kMemoryFull;
 }
 
 bool
@@ -84,9 +85,8 @@
     , mRequest(std::move(aRequest))
     , mUnserved(std::move(aUnserved))
     , mTimer(aOwner.mIo)
-    , mAnswer(mRequest.mExchange, false)
-    , mBody(std::make_shared<const std::string>(
-        mRequest.mExchange->Request().mBody))
+    , mAnswer(mRequest.mExchange, false, nullptr)
+    , mBody(SharedBody(mRequest.mExchange))
   {
   }
 
@@ -176,7 +176,7 @@
       Refuse(error_kind::kEndpointConnectionLost);
       return;
     }
-    mAnswer.OnHead(aHead, { IsEventStream(aHead), false });
+    mAnswer.OnHead(aHead, { IsEventStream(aHead), false, {} });
   }
 
   void OnBytes(const std::string& aBytes)
--- a/thornhollow/net/caller_server.cc
+++ b/thornhollow/net/caller_server.cc
@@ -54,6 +54,13 @@
   return HeaderValue(mHeaders, aName);
 }
 
+std::shared_ptr<const std::string>
+SharedBody(const caller_exchange_ptr& aExchange)
+{
+  const auto owner = std::make_shared<const caller_exchange_ptr>(aExchange);
+  return { owner, &aExchange->Request().mBody };
+}
+
 caller_server::caller_server(asio::io_context& aIo,
                              const server_limits& aLimits,
                              exchange_handler aOnRequest,
@@ -104,6 +111,12 @@
   mState->mLimits = aLimits;
 }
 
+void
+caller_server::SetMemory(memory_account_ptr aAccount)
+{
+  mState->mMemory = std::move(aAccount);
+}
+
 void
 caller_server::CloseAfterAnswers()
 {
--- a/thornhollow/net/caller_server.h
+++ b/thornhollow/net/caller_server.h
@@ -27,6 +27,7 @@
 #include "thornhollow/base/header_field.h"
 #include "thornhollow/base/result.h"
 #include "thornhollow/base/time.h"
+#include "thornhollow/policy/admission/memory_account.h"
 
 namespace boost::asio {
 class io_context;
@@ -57,6 +58,9 @@
   // A write that makes no progress for this long: the caller is gone, or its
   // connection silent.
   duration mWriteTimeout = Seconds(10);
+  // How long a body stays unread while there is no room for it: a caller with a
+  // time limit of some seconds can still go elsewhere when it is refused then.
+  duration mMaxRoomWait = Seconds(3);
   // Bytes of an answer that wait because the caller reads slowly; beyond it
   // the caller counts as gone.
   std::size_t mMaxUnsentBytes = std::size_t{ 16 } << 20U;
@@ -90,6 +94,8 @@
   // length nor chunks, and its connection is closed after it. For answers whose
   // server framed them so, as nobody knows whether they are whole.
   bool mOpenEnded = false;
+  // Held until the answer is written.
+  std::shared_ptr<const memory_charge> mCharge = nullptr;
 };
 // Begins a stream of server-sent events.
 struct stream_head
@@ -106,6 +112,8 @@
 struct stream_text
 {
   std::string mText;
+  // Held until the text is written.
+  std::shared_ptr<const memory_charge> mCharge = nullptr;
 };
 struct stream_end
 {};
@@ -142,6 +150,11 @@
 };
 using caller_exchange_ptr = boost::intrusive_ptr<caller_exchange>;
 
+// The request's body, which stays in the exchange and keeps the exchange alive:
+// it may be 4 MB, so that several attempts share it instead of copying it.
+std::shared_ptr<const std::string>
+SharedBody(const caller_exchange_ptr& aExchange);
+
 using exchange_handler = std::function<void(caller_exchange_ptr)>;
 // Answers a request that could not be read; also counts it.
 using refusal_handler = std::function<whole_reply(error_kind)>;
@@ -164,6 +177,9 @@
   // Bounds of the requests that are read from now on.
   void SetLimits(const server_limits& aLimits);
 
+  // Where bodies are charged that are read from now on; none by default.
+  void SetMemory(memory_account_ptr aAccount);
+
   // From now on each answer asks its caller to close the connection.
   void CloseAfterAnswers();
 
--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -87,6 +87,26 @@
   std::size_t& mCount;
 };
 
+// Waits for room for as long as it lives.
+class room_wait
+{
+public:
+  room_wait(memory_account_ptr aAccount,
+            std::uint64_t aBytes,
+            memory_account::room_handler aOnRoom)
+    : mAccount(std::move(aAccount))
+    , mId(mAccount->WaitForRoom(aBytes, std::move(aOnRoom)))
+  {
+  }
+  room_wait(const room_wait&) = delete;
+  room_wait& operator=(const room_wait&) = delete;
+  ~room_wait() { mAccount->StopWaiting(mId); }
+
+private:
+  memory_account_ptr mAccount;
+  memory_account::waiter_id mId;
+};
+
 // One caller's connection.
 class session final : public caller_session
 {
@@ -187,6 +207,7 @@
     parser.header_limit(mShared->mLimits.mMaxHeaderBytes);
     parser.body_limit(mShared->mLimits.mMaxBodyBytes);
     if (const auto wrong = co_await ReadRequest(parser)) {
+      mBodyCharge = memory_charge();
       co_await Refuse(*wrong);
       co_return false;
     }
@@ -196,7 +217,9 @@
     const auto one = boost::intrusive_ptr<queued_exchange>(
       new queued_exchange(mStream.get_executor(),
                           ToRequest(parser),
-                          mShared->mLimits.mMaxUnsentBytes));
+                          mShared->mLimits.mMaxUnsentBytes,
+                          std::move(mBodyCharge),
+                          Now() - mWaitedForRoom));
     Watch(one);
     mShared->mOnRequest(one);
     const bool written = co_await WriteAnswer(*one, keepAlive);
@@ -240,6 +263,10 @@
     if (mLate) {
       co_return error_kind::kSlowSender;
     }
+    if (wrong == asio::error::no_memory) {
+      mShared->mMemory->OnBodyRefused();
+      co_return error_kind::kMemoryFull;
+    }
     if (wrong == http::error::header_limit ||
         wrong == http::error::buffer_overflow) {
       co_return error_kind::kHeaderTooLarge;
@@ -267,6 +294,10 @@
     if (!EndsClearly(aParser)) {
       co_return false;
     }
+    if (!co_await TakeRoom(aParser)) {
+      aWrong = asio::error::no_memory;
+      co_return true;
+    }
     if (header.version() == kHttp11 &&
         beast::iequals(header[http::field::expect], "100-continue")) {
       http::response<http::empty_body> proceed(http::status::continue_,
@@ -274,11 +305,70 @@
       co_await http::async_write(mStream, proceed, Into(aWrong));
     }
     if (!aWrong) {
-      co_await http::async_read(mStream, mBuffer, aParser, Into(aWrong));
+      co_await ReadBody(aParser, aWrong);
     }
     co_return true;
   }
 
+  // A body of unknown length is charged as it grows. It doesn't wait for room:
+  // several that were begun could wait for each other.
+  asio::awaitable<void> ReadBody(request_parser& aParser, error_code& aWrong)
+  {
+    if (!mShared->mMemory || aParser.content_length()) {
+      co_await http::async_read(mStream, mBuffer, aParser, Into(aWrong));
+      co_return;
+    }
+    while (!aWrong && !aParser.is_done()) {
+      co_await http::async_read_some(mStream, mBuffer, aParser, Into(aWrong));
+      if (!aWrong && !mShared->mMemory->GrowBody(
+                       mBodyCharge, aParser.get().body().capacity())) {
+        aWrong = asio::error::no_memory;
+      }
+    }
+  }
+
+  // Charges a body of known length before it is read. Where there is no room,
+  // the body stays in the caller's socket, and the time that passes isn't the
+  // caller's. False if there is none in time.
+  asio::awaitable<bool> TakeRoom(const request_parser& aParser)
+  {
+    const std::uint64_t length = aParser.content_length().value_or(0);
+    if (!mShared->mMemory || length == 0) {
+      co_return true;
+    }
+    if (auto charge = mShared->mMemory->ChargeBody(length)) {
+      mBodyCharge = std::move(*charge);
+      co_return true;
+    }
+    if (!mShared->mMemory->EverFits(length)) {
+      co_return false;
+    }
+    SuspendReadLimit();
+    const time_point begun = Now();
+    const bool found = co_await WaitForRoom(length);
+    mWaitedForRoom = Now() - begun;
+    mReadBegun += mWaitedForRoom;
+    ExtendReadLimit();
+    co_return found;
+  }
+
+  asio::awaitable<bool> WaitForRoom(std::uint64_t aBytes)
+  {
+    asio::steady_timer limit(mStream.get_executor(),
+                             mShared->mLimits.mMaxRoomWait);
+    bool found = false;
+    const room_wait wait(mShared->mMemory, aBytes, [&](memory_charge aCharge) {
+      mBodyCharge = std::move(aCharge);
+      found = true;
+      limit.cancel();
+    });
+    error_code ignored;
+    if (!found) {
+      co_await limit.async_wait(Into(ignored));
+    }
+    co_return found;
+  }
+
   // Whether all who read this header agree on where its body ends. Another
   // coding than "chunked", two lengths, or a length beside a coding leave that
   // open, and bytes of the body would be taken for the next request.
@@ -322,6 +412,7 @@
   void BeginReadLimit()
   {
     mLate = false;
+    mWaitedForRoom = {};
     mStream.expires_never();
     mReadBegun = Now();
     mReadLimit.expires_at(mReadBegun + mShared->mLimits.mHeaderTimeout);
@@ -336,6 +427,12 @@
     AwaitReadLimit(mReads);
   }
 
+  void SuspendReadLimit()
+  {
+    ++mReads;
+    mReadLimit.cancel();
+  }
+
   void AwaitReadLimit(std::uint64_t aRead)
   {
     mReadLimit.async_wait([self = boost::intrusive_ptr<session>(this),
@@ -389,7 +486,7 @@
   asio::awaitable<bool> WriteAnswer(queued_exchange& aExchange, bool aKeepAlive)
   {
     bool begun = false;
-    while (const auto part = co_await aExchange.Next()) {
+    while (auto part = co_await aExchange.Next()) {
       begun = true;
       mStream.expires_after(mShared->mLimits.mWriteTimeout);
       const bool written = co_await WritePart(*part, aKeepAlive);
@@ -428,10 +525,10 @@
     }
   }
 
-  asio::awaitable<bool> WritePart(const reply_part& aPart, bool aKeepAlive)
+  asio::awaitable<bool> WritePart(reply_part& aPart, bool aKeepAlive)
   {
-    if (const auto* whole = std::get_if<whole_reply>(&aPart)) {
-      co_return co_await WriteWhole(*whole, aKeepAlive);
+    if (auto* whole = std::get_if<whole_reply>(&aPart)) {
+      co_return co_await WriteWhole(std::move(*whole), aKeepAlive);
     }
     if (const auto* head = std::get_if<stream_head>(&aPart)) {
       co_return co_await WriteHead(*head, aKeepAlive);
@@ -482,7 +579,7 @@
     return mToldToStay;
   }
 
-  asio::awaitable<bool> WriteWhole(const whole_reply& aReply, bool aKeepAlive)
+  asio::awaitable<bool> WriteWhole(whole_reply aReply, bool aKeepAlive)
   {
     http::response<http::string_body> response;
     response.version(mVersion);
@@ -494,7 +591,7 @@
       response.set(http::field::content_type, aReply.mContentType);
     }
     response.keep_alive(StaysOpen(aKeepAlive, aReply.mOpenEnded));
-    response.body() = aReply.mBody;
+    response.body() = std::move(aReply.mBody);
     if (!aReply.mOpenEnded) {
       response.prepare_payload();
     }
@@ -566,8 +663,7 @@
     }
     mStream.expires_after(kRefusalTimeout);
     mVersion = kHttp11;
-    const whole_reply reply = mShared->mOnUnreadable(aKind);
-    co_await WriteWhole(reply, false);
+    co_await WriteWhole(mShared->mOnUnreadable(aKind), false);
   }
 
   static constexpr std::size_t kFirstRead = 4096;
@@ -598,6 +694,9 @@
   bool mToldToStay = false;
   // When the present request's first byte was there.
   time_point mReadBegun{};
+  // Of the body that is being read, and how long it waited for it.
+  memory_charge mBodyCharge;
+  duration mWaitedForRoom{};
   // Finished readings; tells a late timer that its own is over.
   std::uint64_t mReads = 0;
   unsigned mVersion = kHttp11;
--- a/thornhollow/net/internal/caller_session.h
+++ b/thornhollow/net/internal/caller_session.h
@@ -59,6 +59,8 @@
   exchange_handler mOnRequest;
   refusal_handler mOnUnreadable;
   boost::asio::ip::tcp::acceptor mAcceptor;
+  // Null where bodies are not charged.
+  memory_account_ptr mMemory;
   // All connections, also those being refused or closed.
   std::set<caller_session*> mSessions;
   std::size_t mServing = 0;
--- a/thornhollow/net/internal/queued_exchange.cc
+++ b/thornhollow/net/internal/queued_exchange.cc
@@ -3,7 +3,6 @@
 #include <utility>
 #include <variant>
 
-#include "thornhollow/net/clock.h"
 #include "thornhollow/net/internal/awaitable.h"
 
 namespace thornhollow::net_internal {
@@ -33,9 +32,12 @@
 
 queued_exchange::queued_exchange(const boost::asio::any_io_executor& aExecutor,
                                  caller_request aRequest,
-                                 std::size_t aMaxUnsentBytes)
-  : mRequest(std::move(aRequest))
-  , mArrival(Now())
+                                 std::size_t aMaxUnsentBytes,
+                                 memory_charge aCharge,
+                                 time_point aArrival)
+  : mCharge(std::move(aCharge))
+  , mRequest(std::move(aRequest))
+  , mArrival(aArrival)
   , mMaxUnsentBytes(aMaxUnsentBytes)
   , mSignal(aExecutor, boost::asio::steady_timer::time_point::max())
 {
--- a/thornhollow/net/internal/queued_exchange.h
+++ b/thornhollow/net/internal/queued_exchange.h
@@ -29,9 +29,12 @@
 {
 public:
   // `aMaxUnsentBytes` may wait; beyond it the caller counts as gone.
+  // `aCharge` is that of the request's body, which lives as long as this.
   queued_exchange(const boost::asio::any_io_executor& aExecutor,
                   caller_request aRequest,
-                  std::size_t aMaxUnsentBytes);
+                  std::size_t aMaxUnsentBytes,
+                  memory_charge aCharge,
+                  time_point aArrival);
 
   const caller_request& Request() const override { return mRequest; }
   time_point Arrival() const override { return mArrival; }
@@ -47,6 +50,8 @@
   boost::asio::awaitable<std::optional<reply_part>> Next();
 
 private:
+  // Declared first, so that the body is freed before its charge.
+  memory_charge mCharge;
   caller_request mRequest;
   time_point mArrival;
   std::size_t mMaxUnsentBytes;
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -632,7 +632,7 @@
 class RelayDaemon(harness.Program):
 
     def __init__(self, source, name="n1", seeds="", caller=None, ratio=0.2,
-                 extra=400):
+                 extra=400, more=""):
         self.ready_address = harness.address_on_loopback()
         self.peers = harness.address_on_loopback()
         self.operators = harness.address_on_loopback()
@@ -643,7 +643,7 @@
             forward=harness.address_on_loopback())
         self.folder = tempfile.TemporaryDirectory()
         self.settings = pathlib.Path(self.folder.name, "settings.yaml")
-        self.settings.write_text(settings)
+        self.settings.write_text(settings + more)
         try:
             self.start()
         except RuntimeError:
