--- a/thornhollow/request/silence_handover.h
+++ b/thornhollow/request/silence_handover.h
@@ -17,7 +17,8 @@
 // first keeps the request.
 //
 // Both may work on the request only for `mMaxOverlap`: an engine is soon told
-// to stop what another one continues.
+// to stop what another one continues. An attempt at another instance stays in
+// `kPreparing` until it answers, as that has yet to find an endpoint.
 #ifndef THORNHOLLOW_REQUEST_SILENCE_HANDOVER_H_
 #define THORNHOLLOW_REQUEST_SILENCE_HANDOVER_H_
 
