Relaying: standby attempts use the accounting of all attempts; counted events aren't looked up anew

No change of behaviour. What the handover had written again calls what was there: an attempt and its end are counted by CountSent and CountEnded, a lost attempt is described by LostAttempt, Confirm asks through AskProcess, and the classes of HTTP status stand once. The engines in service are counted once for each view instead of twice. events_total keeps its counters: since each request counts how it ended, labels were looked up on the path of every request.

--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -89,7 +89,8 @@
   // waits or has been ended.
   bool MaySend(const relay_pick& aPick, std::size_t aPoolSize, time_point aNow);
   suspect_attempt SuspectAttempt(const relay_pick& aPick,
-                                 std::size_t aPoolSize) const;
+                                 std::size_t aPoolSize,
+                                 std::uint64_t aTicket) const;
   // No endpoint takes the request now: another instance may have room at the
   // bounds that they named, or the request waits for some; otherwise it ends.
   void OnNoEndpoint(const relay_pool* aPool, time_point aNow);
@@ -189,8 +190,10 @@
   // an endpoint that is leaving is expected, and one that has produced output
   // for the request for long was not ended by it.
   bool MayHaveEndedEndpoint(attempt_failure aFailure) const;
-  // The current attempt, of which its endpoint may have ended.
-  lost_attempt LostAttempt() const;
+  // An attempt under which its endpoint may have ended.
+  lost_attempt LostAttempt(const relay_pick& aPick,
+                           std::uint64_t aTicket,
+                           run_progress aProgress) const;
   // Makes another attempt or gives up.
   void AfterFailure(attempt_failure aFailure, const relay_progress& aProgress);
   // Whether another attempt may follow failed connection attempts. Guards
@@ -202,6 +205,13 @@
   give_up_reason ChargeRetry(const relay_progress& aProgress);
   // Reports the end of the current attempt to the pool, once for each attempt.
   void EndAttempt(attempt_end aEnd);
+  // Counts an attempt at an endpoint of the pool, and its end, wherever the
+  // load of the endpoint is known.
+  void CountSent(relay_pool& aPool, const relay_pick& aPick, time_point aNow);
+  void CountEnded(const relay_pick& aPick,
+                  attempt_end aEnd,
+                  bool aStarted,
+                  time_point aSentAt);
   void ArmTimer();
   // Returns the time from which the current attempt counts as silent if no
   // bytes arrive before. A request that must not be repeated never counts as
@@ -240,8 +250,6 @@
   bool PrepareStandby(time_point aNow);
   bool StandByAtPeer(time_point aNow);
   bool StandByAt(const relay_pick& aPick, time_point aNow);
-  // Whether the instance that has the request is still heard.
-  bool IsPeerResponding() const;
   void ConnectStandby();
   // Decides whether the standby attempt may be sent, on a connection that was
   // made at `aMadeAt`.
@@ -262,9 +270,6 @@
     const relay_answer_head& aHead) const;
   // Ends the standby attempt; the silent one goes on.
   void DropStandby(attempt_end aEnd, std::string_view aWhy);
-  void UnchargeStandby(const standby_attempt& aDropped,
-                       attempt_end aEnd,
-                       time_point aNow);
   bool HasSentStandby() const
   {
     return mStandby && mStandby->mAttempt && mStandby->mAttempt->Sent();
--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -8,12 +8,6 @@
 namespace thornhollow {
 namespace {
 
-constexpr unsigned kStatusOk = 200;
-
-constexpr unsigned kStatusRedirect = 300;
-
-constexpr unsigned kStatusServerError = 500;
-
 // The system closes the connections and the listener of a process that ends one
 // after the other, within a few milliseconds.
 constexpr duration kSettleTime = Milliseconds(10);
@@ -40,8 +34,7 @@
     return;
   }
   const auto leaving = TakeMarks(aHead);
-  const bool success =
-    aHead.mStatus >= kStatusOk && aHead.mStatus < kStatusRedirect;
+  const bool success = IsSuccess(aHead.mStatus);
   if (!AcceptsHead(aHead, success)) {
     return;
   }
@@ -99,7 +92,7 @@
     return false;
   }
   // Another instance has made its own retries.
-  if (aHead.mStatus >= kStatusServerError && !IsAtPeer() &&
+  if (IsServerError(aHead.mStatus) && !IsAtPeer() &&
       (HasSentStandby() || TakeRetryForServerError())) {
     mRetryCharged = !HasSentStandby();
     OnFailure(attempt_failure::kFailed,
@@ -253,7 +246,7 @@
       self->OnOpenEndJudged(*ground);
       return;
     }
-    dispatcher.AskProcess(self->mPick, [self](process_verdict aVerdict) {
+    dispatcher.AskProcess(self->mPick, Now(), [self](process_verdict aVerdict) {
       if (!self->mDone) {
         self->OnOpenEndJudged(JudgeAnswer(aVerdict));
       }
--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -79,9 +79,7 @@
   mPick = *pick;
   mTriedEndpoints.push_back(pick->mEndpoint);
   ResetAttempt(now);
-  pool->OnSent(mPick, mProfile, now);
-  mDispatcher.ReportLoad(*mPool, mPick);
-  mDispatcher.Reach().OnSent(*mPool, now);
+  CountSent(*pool, mPick, now);
   mChargedToPool = true;
   mAttemptNumber = ++mLastAttemptNumber;
   mAttempt = StartAttempt(EndpointCall(mPick), mAttemptNumber);
@@ -243,8 +241,8 @@
                        std::size_t aPoolSize,
                        time_point aNow)
 {
-  const send_decision decision =
-    mDispatcher.Crashes().BeforeSend(SuspectAttempt(aPick, aPoolSize), aNow);
+  const send_decision decision = mDispatcher.Crashes().BeforeSend(
+    SuspectAttempt(aPick, aPoolSize, mTicket), aNow);
   if (decision.mVerdict == send_verdict::kSend) {
     mHeldSince.reset();
     return true;
@@ -275,9 +273,10 @@
 
 suspect_attempt
 relay_session::SuspectAttempt(const relay_pick& aPick,
-                              std::size_t aPoolSize) const
+                              std::size_t aPoolSize,
+                              std::uint64_t aTicket) const
 {
-  return { mFeatures, mTicket, EndpointHash(aPick.mEndpoint), aPoolSize };
+  return { mFeatures, aTicket, EndpointHash(aPick.mEndpoint), aPoolSize };
 }
 
 std::optional<relay_pick>
@@ -410,12 +409,30 @@
   if (!std::exchange(mChargedToPool, false)) {
     return;
   }
+  CountEnded(mPick, aEnd, mFirstByteReceived, mSentAt);
+}
+
+void
+relay_session::CountSent(relay_pool& aPool,
+                         const relay_pick& aPick,
+                         time_point aNow)
+{
+  aPool.OnSent(aPick, mProfile, aNow);
+  mDispatcher.ReportLoad(*mPool, aPick);
+  mDispatcher.Reach().OnSent(*mPool, aNow);
+}
+
+void
+relay_session::CountEnded(const relay_pick& aPick,
+                          attempt_end aEnd,
+                          bool aStarted,
+                          time_point aSentAt)
+{
   mDispatcher.Reach().OnEnded(*mPool);
   if (relay_pool* pool = mDispatcher.Pool(*mPool)) {
     const time_point now = Now();
-    pool->OnEnded(
-      mPick, mProfile, aEnd, mFirstByteReceived, now - mSentAt, now);
-    mDispatcher.ReportLoad(*mPool, mPick);
+    pool->OnEnded(aPick, mProfile, aEnd, aStarted, now - aSentAt, now);
+    mDispatcher.ReportLoad(*mPool, aPick);
     mDispatcher.OnRoom(*mPool);
   }
 }
--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -93,7 +93,7 @@
     mAttempt->Abandon();
   }
   const auto lost = MayHaveEndedEndpoint(aFailure)
-                      ? std::optional(LostAttempt())
+                      ? std::optional(LostAttempt(mPick, mTicket, mRunProgress))
                       : std::nullopt;
   if (!IsAtPeer()) {
     ReportContact(aFailure, mPick);
@@ -126,14 +126,16 @@
 }
 
 lost_attempt
-relay_session::LostAttempt() const
+relay_session::LostAttempt(const relay_pick& aPick,
+                           std::uint64_t aTicket,
+                           run_progress aProgress) const
 {
   const relay_pool* pool = mDispatcher.Pool(*mPool);
   return { mRelayRequest.mId,
-           SuspectAttempt(mPick, pool->size()),
-           mPick.mEndpoint,
-           { mPick.mAddress, mPick.mLifetime },
-           mRunProgress };
+           SuspectAttempt(aPick, pool->size(), aTicket),
+           aPick.mEndpoint,
+           { aPick.mAddress, aPick.mLifetime },
+           aProgress };
 }
 
 void
--- a/thornhollow/daemon/internal/relay_session_handover.cc
+++ b/thornhollow/daemon/internal/relay_session_handover.cc
@@ -7,13 +7,6 @@
 #include "thornhollow/request/forwarding_headers.h"
 
 namespace thornhollow {
-namespace {
-
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusRedirect = 300;
-constexpr unsigned kStatusServerError = 500;
-
-} // namespace
 
 void
 relay_session::OnSilent(time_point aNow)
@@ -54,7 +47,7 @@
     return false;
   }
   // The other instance hands over by itself while it responds.
-  if (IsAtPeer() && IsPeerResponding()) {
+  if (IsAtPeer() && mDispatcher.Reach().IsOffered(*mPool, mPeer)) {
     return false;
   }
   if (!IsAtPeer()) {
@@ -71,12 +64,6 @@
   return pick && StandByAt(*pick, aNow);
 }
 
-bool
-relay_session::IsPeerResponding() const
-{
-  return mDispatcher.Reach().IsOffered(*mPool, mPeer);
-}
-
 bool
 relay_session::StandByAtPeer(time_point aNow)
 {
@@ -114,10 +101,9 @@
   relay_pool* pool = mDispatcher.Pool(*mPool);
   standby_attempt standby;
   standby.mTicket = mDispatcher.Crashes().NextTicket();
-  suspect_attempt suspect = SuspectAttempt(aPick, pool->size());
-  suspect.mTicket = standby.mTicket;
-  if (mDispatcher.Crashes().BeforeSend(suspect, aNow).mVerdict !=
-      send_verdict::kSend) {
+  const send_decision decision = mDispatcher.Crashes().BeforeSend(
+    SuspectAttempt(aPick, pool->size(), standby.mTicket), aNow);
+  if (decision.mVerdict != send_verdict::kSend) {
     return false;
   }
   standby.mNumber = ++mLastAttemptNumber;
@@ -206,9 +192,7 @@
     return false;
   }
   mStandby->mCharged = true;
-  pool->OnSent(mStandby->mPick, mProfile, aNow);
-  mDispatcher.ReportLoad(*mPool, mStandby->mPick);
-  mDispatcher.Reach().OnSent(*mPool, aNow);
+  CountSent(*pool, mStandby->mPick, aNow);
   return true;
 }
 
@@ -241,14 +225,8 @@
       !pool->IsInService(mStandby->mPick)) {
     return;
   }
-  suspect_attempt suspect = SuspectAttempt(mStandby->mPick, pool->size());
-  suspect.mTicket = mStandby->mTicket;
   mDispatcher.Crashes().OnAttemptLost(
-    { mRelayRequest.mId,
-      suspect,
-      mStandby->mPick.mEndpoint,
-      { mStandby->mPick.mAddress, mStandby->mPick.mLifetime },
-      run_progress::kNoOutput },
+    LostAttempt(mStandby->mPick, mStandby->mTicket, run_progress::kNoOutput),
     [](bool /*aEnded*/) {});
 }
 
@@ -276,15 +254,14 @@
       (atPeer && ReadForwardingError(aHead.mHeaders).has_value())) {
     return attempt_end::kDeclined;
   }
-  const bool success =
-    aHead.mStatus >= kStatusOk && aHead.mStatus < kStatusRedirect;
+  const bool success = IsSuccess(aHead.mStatus);
   const endpoint_version_hash version =
     atPeer ? ReadForwardingVersion(aHead.mHeaders).value_or(kUnknownVersion)
            : mDispatcher.VersionOf(mStandby->mPick);
   const bool fits =
     success ? aHead.mMarks.mSigned && (!mOrigin || version == *mOrigin)
             : !mAnswer.Begun() && !ImpliesNotRun(aHead.mStatus) &&
-                aHead.mStatus < kStatusServerError;
+                !IsServerError(aHead.mStatus);
   return fits ? std::nullopt : std::optional(attempt_end::kFailed);
 }
 
@@ -307,7 +284,7 @@
     mDispatcher.Reach().OnForwardEnded(dropped.mPeer);
   }
   if (dropped.mCharged) {
-    UnchargeStandby(dropped, aEnd, now);
+    CountEnded(dropped.mPick, aEnd, false, dropped.mSentAt);
   }
   if (sent && aEnd != attempt_end::kDeclined) {
     ++mAttempts;
@@ -319,20 +296,6 @@
   mHandover.OnFailed(now);
 }
 
-void
-relay_session::UnchargeStandby(const standby_attempt& aDropped,
-                               attempt_end aEnd,
-                               time_point aNow)
-{
-  mDispatcher.Reach().OnEnded(*mPool);
-  if (relay_pool* pool = mDispatcher.Pool(*mPool)) {
-    pool->OnEnded(
-      aDropped.mPick, mProfile, aEnd, false, aNow - aDropped.mSentAt, aNow);
-    mDispatcher.ReportLoad(*mPool, aDropped.mPick);
-    mDispatcher.OnRoom(*mPool);
-  }
-}
-
 void
 relay_session::EndSilence()
 {
--- a/thornhollow/daemon/metrics.cc
+++ b/thornhollow/daemon/metrics.cc
@@ -1,7 +1,11 @@
 #include "thornhollow/daemon/metrics.h"
 
 #include <array>
+#include <functional>
+#include <map>
 #include <set>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include <prometheus/counter.h>
@@ -65,6 +69,19 @@
       .Add({ { "what", aWhat } });
   }
 
+  // Some events come with each request, and looking up labels costs more than
+  // counting.
+  Counter& ForEvent(std::string_view aEvent)
+  {
+    const auto found = mEvents.find(aEvent);
+    if (found != mEvents.end()) {
+      return *found->second;
+    }
+    Counter& added = mEventsFamily.Add({ { "event", std::string(aEvent) } });
+    mEvents.emplace(aEvent, &added);
+    return added;
+  }
+
   class_metrics& ForClass(const class_name& aClass)
   {
     const auto found = mClasses.find(aClass);
@@ -189,6 +206,7 @@
   kind_counters mRefused = AddForEachKind(mRefusedFamily);
   kind_counters mRetries = AddForEachKind(mRetriesFamily);
   std::unordered_map<class_name, class_metrics> mClasses;
+  std::map<std::string, Counter*, std::less<>> mEvents;
   // All pools seen so far, so that the gauges of an empty pool are set to zero.
   std::set<pool_name> mPools;
 };
@@ -299,8 +317,7 @@
 void
 metrics::OnEvent(std::string_view aEvent)
 {
-  mFamilies->mEventsFamily.Add({ { "event", std::string(aEvent) } })
-    .Increment();
+  mFamilies->ForEvent(aEvent).Increment();
 }
 
 void
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -636,17 +636,13 @@
                           time_point aMadeAt,
                           std::function<void(bool)> aDone)
 {
-  const known_endpoint* known = Known(aPick);
-  if (known == nullptr) {
+  if (Known(aPick) == nullptr) {
     // It is listed as a new process, or no longer.
     aDone(!mEndpoints.contains(aPick.mEndpoint));
     return;
   }
-  mProcesses.Confirm(
-    ProcessOf(*known),
-    aMadeAt,
-    [this, aPick, done = std::move(aDone)](process_verdict aVerdict) {
-      OnProcessAnswered(aPick, aVerdict, Now());
+  AskProcess(
+    aPick, aMadeAt, [done = std::move(aDone)](process_verdict aVerdict) {
       done(aVerdict == process_verdict::kListed);
     });
 }
@@ -668,6 +664,7 @@
 
 void
 relay_dispatcher::AskProcess(const relay_pick& aPick,
+                             time_point aSince,
                              std::function<void(process_verdict)> aDone)
 {
   const known_endpoint* known = Known(aPick);
@@ -677,7 +674,7 @@
   }
   mProcesses.Confirm(
     ProcessOf(*known),
-    Now(),
+    aSince,
     [this, aPick, done = std::move(aDone)](process_verdict aVerdict) {
       OnProcessAnswered(aPick, aVerdict, Now());
       done(aVerdict);
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -221,8 +221,10 @@
   // What is known of the process that was picked, after a stream of it has
   // ended with its connection.
   open_end_signs OpenEndSigns(const relay_pick& aPick);
-  // Asks the endpoint now which process it is.
+  // Hands over which process the endpoint said to be when it was asked at
+  // `aSince` or later; it is asked now where it wasn't.
   void AskProcess(const relay_pick& aPick,
+                  time_point aSince,
                   std::function<void(process_verdict)> aDone);
   // Calls `aDone` with whether it does, after the endpoint has been asked where
   // that is necessary; with true where it can't be asked.
--- a/thornhollow/policy/placement/relay_pool.cc
+++ b/thornhollow/policy/placement/relay_pool.cc
@@ -373,7 +373,9 @@
 }
 
 void
-relay_pool::AssignSides(const demand_by_kind& aDemand, time_point aNow)
+relay_pool::AssignSides(const demand_by_kind& aDemand,
+                        std::size_t aInService,
+                        time_point aNow)
 {
   std::vector<side_candidate> healthy;
   std::size_t awake = 0;
@@ -389,7 +391,7 @@
   }
   const double bulkFraction =
     static_cast<double>(mPartition.BulkEngines()) /
-    static_cast<double>(std::max<std::size_t>(InService(), 1));
+    static_cast<double>(std::max<std::size_t>(aInService, 1));
   const auto bulk = static_cast<std::size_t>(
     std::lround(bulkFraction * static_cast<double>(healthy.size())));
   mAwakeFraction = static_cast<double>(awake) /
@@ -660,11 +662,12 @@
                               : mPrefillRate.PerSecond();
   UpdateSlowEngines(aNow);
   UpdateMeanPrefillTime(aNow);
+  const std::size_t inService = InService();
   mPartition.Observe(
     aView.mDemand,
-    { InService(), mPrefillTokensPerSecond, mSlots, SlowEngines() },
+    { inService, mPrefillTokensPerSecond, mSlots, SlowEngines() },
     aNow);
-  AssignSides(aView.mDemand, aNow);
+  AssignSides(aView.mDemand, inService, aNow);
   mBulkDemand = 0;
   mBulkInFlight = 0;
   for (const kind_demand& each : aView.mDemand) {
--- a/thornhollow/policy/placement/relay_pool.h
+++ b/thornhollow/policy/placement/relay_pool.h
@@ -400,7 +400,9 @@
   std::size_t SlowEngines() const;
   double SecondsPerToken(const record& aRecord, time_point aNow) const;
   engine_side SideOf(const request_profile& aRequest) const;
-  void AssignSides(const demand_by_kind& aDemand, time_point aNow);
+  void AssignSides(const demand_by_kind& aDemand,
+                   std::size_t aInService,
+                   time_point aNow);
   std::vector<record*> OnSide(const request_profile& aRequest,
                               const std::vector<record*>& aHealthy,
                               time_point aNow) const;
--- a/thornhollow/request/relay_retry.h
+++ b/thornhollow/request/relay_retry.h
@@ -53,6 +53,19 @@
 error_kind
 ErrorOf(attempt_failure aFailure);
 
+// Of an HTTP status.
+constexpr bool
+IsSuccess(unsigned aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
+constexpr bool
+IsServerError(unsigned aStatus)
+{
+  return aStatus >= 500;
+}
+
 // Whether the HTTP status implies to a caller that its request was not run. An
 // endpoint's answer with this status has that meaning only if the endpoint also
 // marks the request as not run.
