Process tests of silent endpoints: shared steps stand once, and cases say what they guard against

The same assertions, durations and bounds. stand_still moves to RelayTest, silent and stop to SilentTest; a fleet's first configuration is a method in place of a replaced module function. One case has a clearer name (others_fail, before others_end_on_taking_them).

--- a/thornhollow/testing/process/cut_off_site.py
+++ b/thornhollow/testing/process/cut_off_site.py
@@ -31,12 +31,16 @@
     # How long an instance that is told to stop goes on with its requests.
     drain_grace_s = 20
 
+    def configuration(self):
+        """The one that is in force from the beginning."""
+        return relay_site.document(1)
+
     def begin(self, instances):
         self.numbers = itertools.count()
         self.engines = [self.engine(f"i-{number}") for number in range(ENGINES)]
         for engine in self.engines:
             engine.slow_on = b"body" if self.slow else None
-        self.store.put("op/config", relay_site.document(1))
+        self.store.put("op/config", self.configuration())
         self.fleet = [self.instance(number) for number in range(instances)]
         self.introduce()
 
--- a/thornhollow/testing/process/relay_handover_peers_test.py
+++ b/thornhollow/testing/process/relay_handover_peers_test.py
@@ -9,23 +9,19 @@
 import harness
 import relay_site
 
-DOCUMENT = relay_site.document
-
-
-def document(version, **changes):
-    made = DOCUMENT(version, **changes)
-    for route in made["routes"]:
-        route["target_latency_ms"] = 150
-        route["max_attempts"] = 4
-    return made
-
-
-relay_site.document = document
-
 
 class HandoverAtPeers(cut_off_site.CutOffTest):
 
+    def configuration(self):
+        """Look-ups are silent after as long as streams are."""
+        made = super().configuration()
+        for route in made["routes"]:
+            route["target_latency_ms"] = 150
+            route["max_attempts"] = 4
+        return made
+
     def test_carrier_stands_still_and_contact_is_back(self):
+        # Guards against endpoints that aren't asked once no instance is left.
         self.begin(2)
         self.traffic(0.5)
         one = self.fleet[0]
@@ -35,7 +31,8 @@
         for e in self.engines:
             e.mode = "hang"
         asked = harness.Background(self.timed, one, "held")
-        harness.wait_until(lambda: any("held" in e.ran for e in self.engines), "runs")
+        harness.wait_until(lambda: any("held" in e.ran for e in self.engines),
+                           "runs")
         self.fleet[1].process.send_signal(signal.SIGSTOP)
         for e in self.engines:
             e.mode = ""
@@ -51,6 +48,7 @@
         return self.ask(at, "/l/x", name)[0], round(time.monotonic() - begun, 1)
 
     def test_peer_does_not_connect(self):
+        # Guards against an attempt that is closed for one that was never sent.
         self.begin(2)
         self.traffic(0.5)
         one, other = self.fleet
@@ -61,14 +59,17 @@
         time.sleep(0.3)
         self.cut([one], "alone")
         time.sleep(0.1)
-        more = [harness.Background(self.ask, one, "/s/x", f"f{n}", True) for n in range(12)]
+        # They find out that no endpoint can be connected to.
+        more = [harness.Background(self.ask, one, "/s/x", f"f{n}", True)
+                for n in range(12)]
         harness.wait_until(lambda: one.events("endpoint_contact"), "lost")
         for e in self.engines:
             e.running.clear()
         time.sleep(0.95)
         text = other.settings.read_text()
-        host, port = next(l for l in text.splitlines()
-                          if l.startswith("forward_address")).split(" ")[1].rsplit(":", 1)
+        line = next(each for each in text.splitlines()
+                    if each.startswith("forward_address"))
+        host, port = line.split(" ")[1].rsplit(":", 1)
         other.process.kill()
         other.process.wait()
         listener = socket.socket()
--- a/thornhollow/testing/process/relay_handover_test.py
+++ b/thornhollow/testing/process/relay_handover_test.py
@@ -34,6 +34,7 @@
         return status, round(time.monotonic() - begun, 1)
 
     def test_not_found(self):
+        # Guards against a true answer that is dropped as it is no success.
         self.begin(most=3)
         for e in self.engines:
             def whole(call, status, body, o=e.whole, **k):
@@ -53,6 +54,7 @@
         self.assertLess(max(t for _, t in got), 8)
 
     def test_late_decline(self):
+        # Guards against a late refusal that ends the attempt at work.
         self.begin(most=2)
         for e in self.engines[1:]:
             e.slow_on, e.slow_s = b"slow", 1.0
@@ -65,10 +67,12 @@
         self.assertEqual({s for s, _ in got}, {200})
 
     def test_late_close_of_open_ended_stream(self):
+        # Guards against a part of a stream that counts as whole.
         self.begin(most=2)
         for e in self.engines:
             e.ends_with_connection = True
-        callers = [relay_site.StreamCaller(self, f"s{n}") for n in range(CALLERS)]
+        callers = [relay_site.StreamCaller(self, f"s{n}")
+                   for n in range(CALLERS)]
         asked = [harness.Background(c.submit, self.at) for c in callers]
         time.sleep(0.5)
         for e in self.engines[1:]:
@@ -93,6 +97,7 @@
         return engine
 
     def test_evidence_of_standby(self):
+        # Guards against ends of endpoints that leave no evidence.
         asked = self.hold_one(b"poison", most=4)
         time.sleep(0.3)
         for n in range(1, 6):
@@ -105,9 +110,11 @@
             asked.result()
         except OSError:
             pass
-        self.assertEqual(len(suspected), sum(len(e.ended) for e in self.engines))
+        self.assertEqual(len(suspected),
+                         sum(len(e.ended) for e in self.engines))
 
     def test_second_one_hung_too(self):
+        # Guards against a second silent one that keeps others from the request.
         asked = self.hold_one(most=4)
         time.sleep(0.3)
         self.add("i-1").running.clear()
@@ -118,6 +125,7 @@
         self.assertEqual(got[0], 200)
 
     def test_second_one_declines(self):
+        # Guards against a request that waits for its deadline.
         asked = self.hold_one(most=4)
         time.sleep(0.3)
         declining = self.add("i-1")
--- a/thornhollow/testing/process/relay_silent_carrier_attempts_test.py
+++ b/thornhollow/testing/process/relay_silent_carrier_attempts_test.py
@@ -24,8 +24,7 @@
             engine.running.clear()
         time.sleep(0.1)
         stopped = self.carrier()
-        stopped.signal(signal.SIGSTOP)
-        self.addCleanup(stopped.signal, signal.SIGCONT)
+        self.stop(stopped)
         # Only the endpoint that nobody has moved to goes on.
         time.sleep(1.2)
         for engine in self.engines:
--- a/thornhollow/testing/process/relay_silent_carrier_test.py
+++ b/thornhollow/testing/process/relay_silent_carrier_test.py
@@ -43,9 +43,7 @@
 
     def stop_carrier(self, part, **options):
         """It stands still until long after all that it serves is over."""
-        asked = self.with_carrier(
-            part, lambda daemon: daemon.signal(signal.SIGSTOP), **options)
-        self.addCleanup(self.carried_by.signal, signal.SIGCONT)
+        asked = self.with_carrier(part, self.stop, **options)
         time.sleep(STOPPED_S)
         self.carried_by.signal(signal.SIGCONT)
         asked.wait()
@@ -74,8 +72,7 @@
             engine.running.clear()
         time.sleep(0.1)
         stopped = self.carrier()
-        stopped.signal(signal.SIGSTOP)
-        self.addCleanup(stopped.signal, signal.SIGCONT)
+        self.stop(stopped)
         time.sleep(2.6)
         for engine in self.engines:
             engine.running.set()
--- a/thornhollow/testing/process/relay_silent_durations_test.py
+++ b/thornhollow/testing/process/relay_silent_durations_test.py
@@ -10,14 +10,6 @@
 
 class Durations(silent_site.SilentTest):
 
-    def silent(self, part, *silences, open_ended=False, **options):
-        self.begin_direct(**options)
-        if open_ended:
-            self.end_with_connections()
-        asked = self.ask_all(self.at)
-        self.stand_still(self.busiest(part), *silences)
-        self.check(asked)
-
     def test_some_just_below_the_timeout_twice_comes_whole(self):
         self.silent(2, 1.1, 1.29, open_ended=True)
 
--- a/thornhollow/testing/process/relay_silent_endpoint_test.py
+++ b/thornhollow/testing/process/relay_silent_endpoint_test.py
@@ -32,13 +32,6 @@
             engine.event_gap_s = EVENT_GAP_S
         self.at = self.daemon(**options)
 
-    def stand_still(self, engines, seconds):
-        for engine in engines:
-            engine.running.clear()
-        time.sleep(seconds)
-        for engine in engines:
-            engine.running.set()
-
     def read_streams(self):
         """Streams that begin now; their callers when all have ended."""
         callers = [relay_site.StreamCaller(self, f"s{number}")
@@ -46,6 +39,10 @@
         return callers, [harness.Background(each.submit, self.at)
                          for each in callers]
 
+    def look_ups(self):
+        return [harness.Background(self.ask, self.at, "/l/x", f"l{number}")
+                for number in range(CALLERS)]
+
     def check_whole(self, callers, asked):
         for each in asked:
             each.result()
@@ -88,23 +85,21 @@
         self.check_whole(callers, asked)
         self.assertGreater(len(self.runs()), CALLERS)
 
-    def test_streams_others_decline_come_whole(self):
+    def streams_while_others(self, mode):
+        """One endpoint stands still, and the others are in this mode."""
         self.begin()
         callers, asked = self.read_streams()
         time.sleep(BEGUN_S)
         for engine in self.engines[1:]:
-            engine.mode = "decline"
+            engine.mode = mode
         self.stand_still(self.engines[:1], SILENCE_S)
         self.check_whole(callers, asked)
 
-    def test_streams_others_end_on_taking_them_come_whole(self):
-        self.begin()
-        callers, asked = self.read_streams()
-        time.sleep(BEGUN_S)
-        for engine in self.engines[1:]:
-            engine.mode = "error"
-        self.stand_still(self.engines[:1], SILENCE_S)
-        self.check_whole(callers, asked)
+    def test_streams_others_decline_come_whole(self):
+        self.streams_while_others("decline")
+
+    def test_streams_others_fail_come_whole(self):
+        self.streams_while_others("error")
 
     def test_streams_broken_while_all_others_silent_come_whole(self):
         self.begin()
@@ -114,20 +109,15 @@
             engine.running.clear()
         self.store.delete(f"servers/{self.engines[0].name}")
         self.engines[0].server.end()
-        time.sleep(1.1)
-        for engine in self.engines[1:]:
-            engine.running.set()
+        self.stand_still(self.engines[1:], 1.1)
         self.check_whole(callers, asked)
 
     def test_look_ups_all_silent_and_no_retries_left_are_answered(self):
         self.begin(**NO_RETRIES)
         for engine in self.engines:
             engine.running.clear()
-        asked = [harness.Background(self.ask, self.at, "/l/x", f"l{number}")
-                 for number in range(CALLERS)]
-        time.sleep(SILENCE_S)
-        for engine in self.engines:
-            engine.running.set()
+        asked = self.look_ups()
+        self.stand_still(self.engines, SILENCE_S)
         for each in asked:
             self.assertEqual(each.result()[0], 200)
 
@@ -135,8 +125,7 @@
         self.begin()
         self.engines[0].running.clear()
         begun = time.monotonic()
-        asked = [harness.Background(self.ask, self.at, "/l/x", f"l{number}")
-                 for number in range(CALLERS)]
+        asked = self.look_ups()
         for each in asked:
             self.assertEqual(each.result()[0], 200)
         self.assertLess(time.monotonic() - begun, 4)
--- a/thornhollow/testing/process/relay_silent_no_replacement_test.py
+++ b/thornhollow/testing/process/relay_silent_no_replacement_test.py
@@ -9,14 +9,6 @@
 
 class NoReplacement(silent_site.SilentTest):
 
-    def silent(self, part, *silences, open_ended=False, **options):
-        self.begin_direct(**options)
-        if open_ended:
-            self.end_with_connections()
-        asked = self.ask_all(self.at)
-        self.stand_still(self.busiest(part), *silences)
-        self.check(asked)
-
     def test_all_far_above_the_timeout_and_no_retries_left_comes_whole(self):
         self.silent(3, 2.5, open_ended=True, **silent_site.NO_RETRIES)
 
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -758,6 +758,19 @@
         return harness.call(daemon.address, "POST", path, body,
                             self.headers(request, stream, key))
 
+    @staticmethod
+    def stand_still(engines, *silences, between_s=0.4):
+        """The processes of these endpoints stand still for each of these times,
+        in seconds."""
+        for number, seconds in enumerate(silences):
+            if number:
+                time.sleep(between_s)
+            for engine in engines:
+                engine.running.clear()
+            time.sleep(seconds)
+            for engine in engines:
+                engine.running.set()
+
     def arrive(self, per_second, seconds, at=None):
         """Look-ups at a steady rate, whatever becomes of them, at the instances
         of `self.fleet` or `at` in turn; how many were served and sent."""
--- a/thornhollow/testing/process/silent_site.py
+++ b/thornhollow/testing/process/silent_site.py
@@ -11,6 +11,7 @@
 
 import http.client
 import select
+import signal
 import socket
 import threading
 import time
@@ -215,15 +216,19 @@
         return max(self.fleet, key=lambda each: sum(
             paths.count(path) for path in each.paths.values()))
 
-    def stand_still(self, engines, *silences, between_s=0.4):
-        for number, seconds in enumerate(silences):
-            if number:
-                time.sleep(between_s)
-            for engine in engines:
-                engine.running.clear()
-            time.sleep(seconds)
-            for engine in engines:
-                engine.running.set()
+    def silent(self, part, *silences, open_ended=False, **options):
+        """Endpoints stand still while they serve requests of each kind."""
+        self.begin_direct(**options)
+        if open_ended:
+            self.end_with_connections()
+        asked = self.ask_all(self.at)
+        self.stand_still(self.busiest(part), *silences)
+        self.check(asked)
+
+    def stop(self, daemon):
+        """It stands still until it is told to go on, or the test is over."""
+        daemon.signal(signal.SIGSTOP)
+        self.addCleanup(daemon.signal, signal.SIGCONT)
 
     def go_on_at_slow_ones(self):
         """Streams move to endpoints that respond, and take long until the first
