--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -22,16 +22,6 @@
 // engine takes for one prefill chunk, shorter than most callers' timeouts.
 constexpr duration kMinRetryDelay = Milliseconds(150);
 
-shared_retry_budget_settings
-RetryBudgetSettings(const relay_settings& aSettings)
-{
-  shared_retry_budget_settings settings;
-  settings.mRatio = aSettings.mRetries.mRatio;
-  settings.mFixedRetries = aSettings.mRetries.mExtra;
-  settings.mWindow = aSettings.mRetries.mWindow;
-  return settings;
-}
-
 relay_pool_settings
 PoolSettings(const relay_settings& aSettings)
 {
@@ -71,12 +61,9 @@
   , mBounds(aLog, aMetrics, aSettings.mPeerAddress)
   , mLoads(aIo, aSettings.mPeerAddress, aMetrics)
   , mVersionDoubts(stream_origins_settings{}.mListingDelay)
-  , mRetries(RetryBudgetSettings(aSettings))
+  , mRetries(aSettings.mRetries, aLog, aMetrics, Now())
   , mGenerator(std::random_device()())
 {
-  if (aSettings.mRetries.mSpentBefore) {
-    mRetries.OnStart(Now());
-  }
   mMemory->OnEvent([this](memory_event aEvent) { OnMemory(aEvent); });
   const auto keep = [this](const endpoint_process& aWhere,
                            endpoint_connection_ptr aConnection) {
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -34,13 +34,13 @@
 #include "thornhollow/daemon/load_exchange.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/daemon/process_check.h"
+#include "thornhollow/daemon/retry_guard.h"
 #include "thornhollow/daemon/stream_guard.h"
 #include "thornhollow/discovery/endpoint_roster.h"
 #include "thornhollow/fleet/relay_peers.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/endpoint_connections.h"
 #include "thornhollow/policy/admission/memory_account.h"
-#include "thornhollow/policy/admission/shared_retry_budget.h"
 #include "thornhollow/policy/endpoints/endpoint_notices.h"
 #include "thornhollow/policy/endpoints/out_of_service.h"
 #include "thornhollow/policy/loop_lag.h"
@@ -267,7 +267,7 @@
                                     const request_profile& aRequest,
                                     time_point aNow);
   std::uint64_t NextRoomNumber() { return mNextRoomNumber++; }
-  shared_retry_budget& Retries() { return mRetries; }
+  retry_guard& Retries() { return mRetries; }
   void OnSessionBegin() { ++mSessions; }
   void OnSessionEnd() { --mSessions; }
   // Returns the error reply to a refused request, with a retry delay: a short
@@ -353,7 +353,7 @@
   load_exchange mLoads;
   version_doubts mVersionDoubts;
   std::function<void(endpoint_process_hash)> mOnNewLeaving;
-  shared_retry_budget mRetries;
+  retry_guard mRetries;
   std::mt19937_64 mGenerator;
   routing_table_ptr mTable;
   std::map<pool_name, relay_pool> mPools;
--- a/thornhollow/policy/admission/shared_retry_budget.cc
+++ b/thornhollow/policy/admission/shared_retry_budget.cc
@@ -25,29 +25,35 @@
   ++CurrentSlice(aPool, aNow).mRequests;
 }
 
-bool
-shared_retry_budget::MaySpend(const pool_name& aPool, time_point aNow)
+retry_budget_use
+shared_retry_budget::Use(const pool_name& aPool, time_point aNow)
 {
   CurrentSlice(aPool, aNow);
-  std::uint64_t requests = 0;
-  std::uint64_t retries = 0;
+  retry_budget_use use;
   for (const slice& each : mPools[aPool]) {
-    retries += each.mRetries;
+    use.mRetries += each.mRetries;
     // The oldest slice may lie partly outside the window: its retries count
     // towards the limit, but its requests do not raise the limit.
     if (each.mBegin >= aNow - mSettings.mWindow) {
-      requests += each.mRequests;
+      use.mRequests += each.mRequests;
     }
   }
   const std::size_t instances =
     mInstances == 0 ? mSettings.mAssumedInstances : mInstances;
-  const double fixed = aNow >= mFixedFrom ? mSettings.mFixedRetries /
-                                              static_cast<double>(instances)
-                                          : 0;
-  const double bound =
-    mSettings.mBoundFraction *
-    (mSettings.mRatio * static_cast<double>(requests) + fixed);
-  return static_cast<double>(retries + 1) <= bound;
+  use.mByRatio = mSettings.mBoundFraction * mSettings.mRatio *
+                 static_cast<double>(use.mRequests);
+  if (aNow >= mFixedFrom) {
+    use.mFixed = mSettings.mBoundFraction * mSettings.mFixedRetries /
+                 static_cast<double>(instances);
+  }
+  return use;
+}
+
+bool
+shared_retry_budget::MaySpend(const pool_name& aPool, time_point aNow)
+{
+  const retry_budget_use use = Use(aPool, aNow);
+  return static_cast<double>(use.mRetries + 1) <= use.mByRatio + use.mFixed;
 }
 
 bool
--- a/thornhollow/policy/admission/shared_retry_budget.h
+++ b/thornhollow/policy/admission/shared_retry_budget.h
@@ -55,6 +55,20 @@
                          const shared_retry_budget_settings&) = default;
 };
 
+// What a pool's budget holds at a moment, of this instance.
+struct retry_budget_use
+{
+  // Requests and retries within the window.
+  std::uint64_t mRequests = 0;
+  std::uint64_t mRetries = 0;
+  // Retries that the requests allow, and those allowed besides.
+  double mByRatio = 0;
+  double mFixed = 0;
+
+  friend bool operator==(const retry_budget_use&,
+                         const retry_budget_use&) = default;
+};
+
 class shared_retry_budget
 {
 public:
@@ -74,6 +88,8 @@
   // Whether `Spend` would take one.
   bool MaySpend(const pool_name& aPool, time_point aNow);
 
+  retry_budget_use Use(const pool_name& aPool, time_point aNow);
+
   // Sets the number of running instances, including this one; 0 while no
   // message from a peer has been received.
   void SetInstances(std::size_t aCount) { mInstances = aCount; }
