Retry budget: a window's retries are paid for by its own requests, whoever ended meanwhile

Cause: the ratio's part was a sum over the last window. Just before its end a process had spent what ten seconds of requests had earned; its successor earned again from its first request on, and a window held both. The same breaks without a restart where callers move to other instances.

Ruled out by logs: attempts that nobody charges (212 second attempts in the logs, 213 repeats at the engines), fixed retries spent twice (none after the start).

Change: requests add to a bucket that holds what half a second of requests add and begins empty; the fixed part stays as it was.

--- a/thornhollow/daemon/retry_guard.cc
+++ b/thornhollow/daemon/retry_guard.cc
@@ -74,14 +74,13 @@
     return;
   }
   found->second = aNow;
-  const retry_budget_use use = mBudget.Use(aPool, aNow);
+  const retry_budget_state state = mBudget.State(aPool, aNow);
   mLog.Write(log_level::kInfo,
              "retry_budget_exhausted",
              { { "pool", aPool.Text() },
-               { "requests", static_cast<std::int64_t>(use.mRequests) },
-               { "retries", static_cast<std::int64_t>(use.mRetries) },
-               { "by_ratio", use.mByRatio },
-               { "fixed", use.mFixed },
+               { "requests", static_cast<std::int64_t>(state.mRequests) },
+               { "earned", state.mEarned },
+               { "fixed", state.mFixed },
                { "instances", static_cast<std::int64_t>(mInstances) },
                { "started_ms", ToMilliseconds(aNow - mStartedAt) } });
 }
