Forwarding: an instance tells the one that asked it before it sends a request to a further endpoint

What callers' operators saw: a stream ran at three endpoints where its route allows two (BUDGET): an instance that served it for another one moved it to a second endpoint and stood still; the other one had it served elsewhere.

Cause: attempts travelled with the request and never back.

Ruled out: the standby's own count (it is right within an instance), and late timers of the instance that wakes (it finds the connection closed first).

Change: before it sends a forwarded request once more, an instance says to how many endpoints it will have been sent: by an interim answer before the head, by a comment that the asker takes out within a stream. The asker counts that.

--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -83,6 +83,11 @@
   bool Forward(time_point aNow);
   void ForwardTo(const std::string& aPeer, time_point aNow);
   relay_call PeerCall(const std::string& aPeer, std::uint32_t aAttempts) const;
+  // Tells the forwarding instance, before the request is sent on, to how many
+  // endpoints it will have been sent. Guards against a request that runs at
+  // more endpoints than its route allows where this instance stands still after
+  // that and the other one has the request served elsewhere.
+  void TellAttempts(std::uint32_t aAttempts);
   // The last event that the caller has of a stream.
   const std::string& ResumeAfter() const;
   // Whether the request may be sent to the endpoint now. If not, the request
@@ -238,6 +243,8 @@
     time_point mSentAt{};
     // Whether it is counted as in flight in the pool.
     bool mCharged = false;
+    // Endpoints to which the other instance says that it sent the request.
+    std::uint32_t mToldAttempts = 0;
   };
 
   // The attempt has exceeded its silence timeout.
@@ -360,6 +367,9 @@
   std::optional<room_ticket> mRoomTicket;
   time_point mRoomUntil{};
   std::uint32_t mAttempts = 0;
+  // The number that the forwarding instance knows of; unset if it doesn't want
+  // to be told.
+  std::optional<std::uint32_t> mAttemptsKnown;
   std::uint32_t mUnsent = 0;
   duration mUnsentTime{};
   bool mMayHaveRun = false;
--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -56,7 +56,8 @@
   mAnswer.OnHead(aHead,
                  { success && IsStream(mRoute->mKind),
                    IsAtPeer() && ReadForwardingOpenEnded(aHead.mHeaders),
-                   IsAtPeer() ? mPeer : mPick.mAddress });
+                   IsAtPeer() ? mPeer : mPick.mAddress,
+                   IsAtPeer() });
   if (leaving && mIsForwarded) {
     mAnswer.AddHeader(ForwardingLeavingHeader(*leaving));
   }
--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -82,6 +82,7 @@
   CountSent(*pool, mPick, now);
   mChargedToPool = true;
   mAttemptNumber = ++mLastAttemptNumber;
+  TellAttempts(mAttempts + 1);
   mAttempt = StartAttempt(EndpointCall(mPick), mAttemptNumber);
   ArmTimer();
 }
@@ -225,10 +226,20 @@
                    request.mHeaders,
                    mProfile.mDeadline - Now(),
                    ResumeAfter(),
-                   { aAttempts, mTable->Document().mVersion, mOrigin });
+                   { aAttempts, mTable->Document().mVersion, mOrigin, true });
   return call;
 }
 
+void
+relay_session::TellAttempts(std::uint32_t aAttempts)
+{
+  if (mAttemptsKnown && aAttempts > *mAttemptsKnown) {
+    mAttemptsKnown = aAttempts;
+    mDispatcher.Metrics().OnEvent("further_attempt_told");
+    mAnswer.TellAttempts(aAttempts);
+  }
+}
+
 const std::string&
 relay_session::ResumeAfter() const
 {
@@ -387,7 +398,12 @@
   if (mChargedToPool && !std::holds_alternative<relay_failure>(aEvent)) {
     mDispatcher.Reach().OnAnswer(*mPool, !mAttempt->Reused(), mLastByte);
   }
-  if (auto* head = std::get_if<relay_answer_head>(&aEvent)) {
+  if (const auto* interim = std::get_if<relay_interim_answer>(&aEvent)) {
+    if (IsAtPeer()) {
+      mAnswer.OnAttemptsTold(
+        ReadForwardingAttempts(interim->mHeaders).value_or(0));
+    }
+  } else if (auto* head = std::get_if<relay_answer_head>(&aEvent)) {
     OnHead(*head);
   } else if (auto* bytes = std::get_if<relay_answer_bytes>(&aEvent)) {
     OnBytes(bytes->mBytes);
--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -49,7 +49,8 @@
   progress.mKind = mRoute->mKind;
   progress.mFailure = aFailure;
   const bool sent = (mChargedToPool || IsAtPeer()) && Sent();
-  progress.mAttempts = mAttempts + (sent ? 1 : 0);
+  progress.mAttempts =
+    std::max(mAttempts + (sent ? 1 : 0), mAnswer.ToldAttempts());
   progress.mMaxAttempts = mRoute->mMaxAttempts;
   // Another instance that breaks off a stream has resumed it as often as the
   // route allows.
--- a/thornhollow/daemon/internal/relay_session_handover.cc
+++ b/thornhollow/daemon/internal/relay_session_handover.cc
@@ -83,7 +83,8 @@
   // it finds none, the silent attempt must still be there, so that is kept
   // until one of the two answers.
   mHandover.OnPreparing();
-  relay_call call = PeerCall(*peer, mAttempts + 1);
+  relay_call call =
+    PeerCall(*peer, Progress(attempt_failure::kSilent).mAttempts);
   call.mMaySend =
     [self = boost::intrusive_ptr<relay_session>(this),
      number = mStandby->mNumber](time_point /*aMadeAt*/,
@@ -178,6 +179,7 @@
   if (maySend) {
     mStandby->mSentAt = now;
     mHandover.OnSent(now);
+    TellAttempts(mAttempts + 2);
     ArmTimer();
   }
   aDone(maySend);
@@ -203,6 +205,13 @@
     OnStandbyHead(aEvent, *head);
     return;
   }
+  if (const auto* interim = std::get_if<relay_interim_answer>(&aEvent)) {
+    if (!mStandby->mPeer.empty()) {
+      mStandby->mToldAttempts =
+        ReadForwardingAttempts(interim->mHeaders).value_or(0);
+    }
+    return;
+  }
   const auto* failed = std::get_if<relay_failure>(&aEvent);
   const attempt_failure failure =
     failed == nullptr ? attempt_failure::kGarbled : failed->mFailure;
@@ -287,7 +296,7 @@
     CountEnded(dropped.mPick, aEnd, false, dropped.mSentAt);
   }
   if (sent && aEnd != attempt_end::kDeclined) {
-    ++mAttempts;
+    mAttempts = std::max(mAttempts + 1, dropped.mToldAttempts);
     mMayHaveRun = true;
     if (dropped.mPeer.empty()) {
       mTriedEndpoints.push_back(dropped.mPick.mEndpoint);
@@ -340,6 +349,7 @@
   mAnswer.DropUnfinished();
   const standby_attempt standby = *std::exchange(mStandby, std::nullopt);
   ResetAttempt(standby.mSentAt);
+  mAnswer.OnAttemptsTold(standby.mToldAttempts);
   mHandover.Reset();
   mUnresponsive.clear();
   mAttempt = standby.mAttempt;
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -167,6 +167,9 @@
     return false;
   }
   mAttempts = facts->mAttempts;
+  if (facts->mWantsAttempts) {
+    mAttemptsKnown = mAttempts + 1;
+  }
   mOrigin = facts->mVersion;
   return true;
 }
--- a/thornhollow/daemon/relayed_answer.cc
+++ b/thornhollow/daemon/relayed_answer.cc
@@ -34,6 +34,7 @@
   mStatus = 0;
   mTraits = {};
   mFraming.reset();
+  mToldAttempts = 0;
   mHasBytes = false;
   // Frees the bytes too, as their charge is given back.
   mHeldBack = std::string();
@@ -59,6 +60,22 @@
   }
 }
 
+void
+relayed_answer::TellAttempts(std::uint32_t aAttempts)
+{
+  if (mBegun) {
+    mExchange->Send(stream_text{ AttemptsComment(aAttempts) });
+  } else {
+    mExchange->Send(interim_reply{ { ForwardingAttemptsHeader(aAttempts) } });
+  }
+}
+
+void
+relayed_answer::OnAttemptsTold(std::uint32_t aAttempts)
+{
+  mToldAttempts = std::max(mToldAttempts, aAttempts);
+}
+
 void
 relayed_answer::AddHeader(header_field aField)
 {
@@ -176,6 +193,9 @@
 void
 relayed_answer::SendEvents(std::string aText, time_point aNow)
 {
+  if (mTraits.mIsFromInstance) {
+    OnAttemptsTold(TakeAttemptsComments(aText).value_or(0));
+  }
   if (aText.empty()) {
     return;
   }
--- a/thornhollow/daemon/relayed_answer.h
+++ b/thornhollow/daemon/relayed_answer.h
@@ -38,6 +38,7 @@
   bool mMarkedOpenEnded = false;
   // The endpoint, or the instance that asked it, whose memory share is charged.
   std::string mFrom = {};
+  bool mIsFromInstance = false;
 };
 
 class relayed_answer
@@ -55,6 +56,12 @@
   void DropUnfinished();
 
   void OnHead(const relay_answer_head& aHead, const answer_traits& aTraits);
+  // Tells the forwarding instance to how many endpoints the request was sent.
+  void TellAttempts(std::uint32_t aAttempts);
+  // Another instance told that of the present attempt, which went to it.
+  void OnAttemptsTold(std::uint32_t aAttempts);
+  // The largest number that it told; 0 if it told none.
+  std::uint32_t ToldAttempts() const { return mToldAttempts; }
   // Adds a header of our own; to be called after `OnHead`.
   void AddHeader(header_field aField);
   // Sends what of a stream has become whole. Returns the fault of an answer
@@ -105,6 +112,7 @@
   unsigned mStatus = 0;
   answer_traits mTraits;
   std::optional<answer_framing> mFraming;
+  std::uint32_t mToldAttempts = 0;
   bool mHasBytes = false;
   std::string mHeldBack;
   std::shared_ptr<memory_charge> mHeldCharge;
--- a/thornhollow/daemon/request_forwarder.cc
+++ b/thornhollow/daemon/request_forwarder.cc
@@ -151,9 +151,8 @@
       OnBytes(bytes->mBytes);
     } else if (std::holds_alternative<relay_answer_end>(aEvent)) {
       OnEnd();
-    } else {
-      const auto& failed = std::get<relay_failure>(aEvent);
-      OnFailure(failed.mFailure, failed.mDetail);
+    } else if (const auto* failed = std::get_if<relay_failure>(&aEvent)) {
+      OnFailure(failed->mFailure, failed->mDetail);
     }
   }
 
--- a/thornhollow/net/caller_server.h
+++ b/thornhollow/net/caller_server.h
@@ -99,6 +99,11 @@
   // Held until the answer is written.
   std::shared_ptr<const memory_charge> mCharge = nullptr;
 };
+// Precedes the answer's head, any number of times (HTTP status 102).
+struct interim_reply
+{
+  std::vector<header_field> mHeaders;
+};
 // Begins a stream of server-sent events.
 struct stream_head
 {
@@ -123,8 +128,12 @@
 // without the stream's end, by a reset where its end is that of the connection.
 struct stream_abort
 {};
-using reply_part =
-  std::variant<whole_reply, stream_head, stream_text, stream_end, stream_abort>;
+using reply_part = std::variant<whole_reply,
+                                interim_reply,
+                                stream_head,
+                                stream_text,
+                                stream_end,
+                                stream_abort>;
 
 // One request and its answer. The handler keeps a pointer for as long as it has
 // something to send.
--- a/thornhollow/net/caller_server_test.cc
+++ b/thornhollow/net/caller_server_test.cc
@@ -217,6 +217,21 @@
   CHECK(one.Read().ends_with("(closed)"));
 }
 
+TEST_CASE("an interim reply precedes the answer")
+{
+  condition at;
+  caller one(at.mIo, at.mAddress);
+  one.Write(kRequest);
+  at.Settle();
+  REQUIRE(at.mHeld.size() == 1);
+  at.mHeld.front()->Send(interim_reply{ { { "X-Sent", "2" } } });
+  at.Settle();
+  at.AnswerAll();
+  const std::string result = one.Read();
+  CHECK(result.starts_with(
+    "HTTP/1.1 102 Processing\r\nX-Sent: 2\r\n\r\nHTTP/1.1 200 "));
+}
+
 // An answer's head had told its caller that the connection stays open. The
 // stop came before the answer's end, and the connection was closed after it: a
 // next request, sent meanwhile as it was told it might, got no answer.
--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -488,7 +488,7 @@
   {
     bool begun = false;
     while (auto part = co_await aExchange.Next()) {
-      begun = true;
+      begun = begun || !std::holds_alternative<interim_reply>(*part);
       mStream.expires_after(mShared->mLimits.mWriteTimeout);
       const bool written = co_await WritePart(*part, aKeepAlive);
       mStream.expires_never();
@@ -531,6 +531,9 @@
     if (auto* whole = std::get_if<whole_reply>(&aPart)) {
       co_return co_await WriteWhole(std::move(*whole), aKeepAlive);
     }
+    if (const auto* interim = std::get_if<interim_reply>(&aPart)) {
+      co_return co_await WriteInterim(*interim);
+    }
     if (const auto* head = std::get_if<stream_head>(&aPart)) {
       co_return co_await WriteHead(*head, aKeepAlive);
     }
@@ -611,6 +614,20 @@
     co_return !wrong;
   }
 
+  asio::awaitable<bool> WriteInterim(const interim_reply& aReply)
+  {
+    http::response<http::empty_body> response;
+    response.version(mVersion);
+    response.result(http::status::processing);
+    for (const auto& [name, value] : aReply.mHeaders) {
+      response.insert(name, value);
+    }
+    http::response_serializer<http::empty_body> serializer(response);
+    error_code wrong;
+    co_await http::async_write_header(mStream, serializer, Into(wrong));
+    co_return !wrong;
+  }
+
   asio::awaitable<bool> WriteHead(const stream_head& aHead, bool aKeepAlive)
   {
     http::response<http::empty_body> response;
--- a/thornhollow/net/relay_attempt.cc
+++ b/thornhollow/net/relay_attempt.cc
@@ -45,7 +45,7 @@
 // Bodies are bounded by who reads them, not here.
 constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{ 1 } << 40U;
 // Interim answers (1xx) in front of the real one; more are a fault.
-constexpr int kMaxInterim = 4;
+constexpr int kMaxInterim = 16;
 
 // The rest of an answer that nobody wants is read for at most this long; a new
 // connection costs less than waiting longer.
@@ -258,6 +258,11 @@
       if (aParser->get().result_int() / 100 != 1) {
         co_return TakeHead(*aParser);
       }
+      Tell(
+        relay_interim_answer{ net_internal::ToHeaderFields(aParser->get()) });
+      if (mClosed) {
+        co_return false;
+      }
     }
     Fail(attempt_failure::kGarbled, "too many interim answers");
     co_return false;
--- a/thornhollow/net/relay_attempt.h
+++ b/thornhollow/net/relay_attempt.h
@@ -57,6 +57,11 @@
     mMaySend;
 };
 
+// An interim answer, which precedes the head.
+struct relay_interim_answer
+{
+  std::vector<header_field> mHeaders;
+};
 // The answer's head, as the endpoint sent it.
 struct relay_answer_head
 {
@@ -79,7 +84,8 @@
   // For logs.
   std::string mDetail;
 };
-using relay_event = std::variant<relay_answer_head,
+using relay_event = std::variant<relay_interim_answer,
+                                 relay_answer_head,
                                  relay_answer_bytes,
                                  relay_answer_end,
                                  relay_failure>;
--- a/thornhollow/net/relay_attempt_test.cc
+++ b/thornhollow/net/relay_attempt_test.cc
@@ -108,6 +108,7 @@
 
 struct attempt_outcome
 {
+  std::vector<std::vector<header_field>> mInterim;
   std::optional<relay_answer_head> mHead;
   std::string mBody;
   bool mWhole = false;
@@ -160,6 +161,8 @@
           outcome->mBody += bytes->mBytes;
         } else if (auto* failed = std::get_if<relay_failure>(&aEvent)) {
           outcome->mFailure = failed->mFailure;
+        } else if (auto* interim = std::get_if<relay_interim_answer>(&aEvent)) {
+          outcome->mInterim.push_back(interim->mHeaders);
         } else {
           outcome->mWhole = true;
         }
@@ -233,6 +236,19 @@
   CHECK(mEndpoint.mConnections == 2);
 }
 
+TEST_CASE_FIXTURE(attempts_at_an_endpoint,
+                  "relay_attempt/interim_answers/are_told_before_the_head")
+{
+  mEndpoint.mAnswers = { "HTTP/1.1 102 Processing\r\nX-Sent: 2\r\n\r\n"
+                         "HTTP/1.1 102 Processing\r\nX-Sent: 3\r\n\r\n" +
+                         Answer("r1", "one") };
+  const attempt_outcome result = Send("r1");
+  CHECK(result.mWhole);
+  CHECK(result.mBody == "one");
+  REQUIRE(result.mInterim.size() == 2);
+  CHECK(HeaderValue(result.mInterim.back(), "X-Sent") == "3");
+}
+
 // A stream would go on at a process that is not the listed one.
 TEST_CASE_FIXTURE(attempts_at_an_endpoint,
                   "relay_attempt/sending_not_allowed/no_byte_leaves")
--- a/thornhollow/request/forwarding_headers.cc
+++ b/thornhollow/request/forwarding_headers.cc
@@ -9,6 +9,9 @@
 
 constexpr char kSeparator = ',';
 
+constexpr std::string_view kAttemptsComment = ": thornhollow-attempts ";
+constexpr std::string_view kCommentEnd = "\n\n";
+
 // Longer delays than this are not sent by any instance.
 constexpr double kMaxRetryAfterSeconds = 3'600;
 
@@ -28,6 +31,7 @@
                                 aNames.mResumeAfter,
                                 kForwardingHeader,
                                 kForwardingErrorHeader,
+                                kForwardingAttemptsHeader,
                                 kForwardingVersionHeader });
     if (!left) {
       sent.push_back(std::move(each));
@@ -40,6 +44,9 @@
   sent.push_back({ std::string(kForwardingHeader),
                    std::to_string(aFacts.mAttempts) + kSeparator +
                      std::to_string(aFacts.mConfiguration) });
+  if (aFacts.mWantsAttempts) {
+    sent.push_back(ForwardingAttemptsHeader(aFacts.mAttempts));
+  }
   if (aFacts.mVersion) {
     sent.push_back(ForwardingVersionHeader(*aFacts.mVersion));
   }
@@ -61,7 +68,8 @@
   }
   return forwarding_facts{ *attempts,
                            *version,
-                           ReadForwardingVersion(aFields) };
+                           ReadForwardingVersion(aFields),
+                           ReadForwardingAttempts(aFields).has_value() };
 }
 
 std::optional<error_kind>
@@ -106,6 +114,49 @@
     HeaderValue(aFields, kForwardingVersionHeader));
 }
 
+header_field
+ForwardingAttemptsHeader(std::uint32_t aAttempts)
+{
+  return { std::string(kForwardingAttemptsHeader), std::to_string(aAttempts) };
+}
+
+std::optional<std::uint32_t>
+ReadForwardingAttempts(const std::vector<header_field>& aFields)
+{
+  return ParseNumber<std::uint32_t>(
+    HeaderValue(aFields, kForwardingAttemptsHeader));
+}
+
+std::string
+AttemptsComment(std::uint32_t aAttempts)
+{
+  return std::string(kAttemptsComment) + std::to_string(aAttempts) +
+         std::string(kCommentEnd);
+}
+
+std::optional<std::uint32_t>
+TakeAttemptsComments(std::string& aEvents)
+{
+  std::optional<std::uint32_t> told;
+  std::size_t begin = aEvents.find(kAttemptsComment);
+  while (begin != std::string::npos) {
+    const std::size_t number = begin + kAttemptsComment.size();
+    const std::size_t end = aEvents.find(kCommentEnd, number);
+    const bool isOwnLine = begin == 0 || aEvents[begin - 1] == '\n';
+    const auto attempts =
+      isOwnLine && end != std::string::npos
+        ? ParseNumber<std::uint32_t>(
+            std::string_view(aEvents).substr(number, end - number))
+        : std::nullopt;
+    if (attempts) {
+      told = std::max(told.value_or(0), *attempts);
+      aEvents.erase(begin, end + kCommentEnd.size() - begin);
+    }
+    begin = aEvents.find(kAttemptsComment, attempts ? begin : number);
+  }
+  return told;
+}
+
 std::optional<duration>
 ReadRetryAfter(const std::vector<header_field>& aFields)
 {
--- a/thornhollow/request/forwarding_headers.h
+++ b/thornhollow/request/forwarding_headers.h
@@ -48,6 +48,12 @@
 inline constexpr std::string_view kForwardingVersionHeader =
   "Thornhollow-Stream-Version";
 
+// Of a forwarded request: the forwarding instance wants to be told of further
+// attempts. Of an interim answer: the number of endpoints to which the request
+// was sent so far, by all instances. Never sent to callers or endpoints.
+inline constexpr std::string_view kForwardingAttemptsHeader =
+  "Thornhollow-Attempts";
+
 // What the forwarding instance tells the receiving one.
 struct forwarding_facts
 {
@@ -59,6 +65,8 @@
   // The version of endpoints that began the stream that the request continues;
   // nothing if it continues none.
   std::optional<endpoint_version_hash> mVersion = std::nullopt;
+  // Whether the forwarding instance wants to be told of further attempts.
+  bool mWantsAttempts = false;
 
   friend bool operator==(const forwarding_facts&,
                          const forwarding_facts&) = default;
@@ -99,6 +107,22 @@
 std::optional<endpoint_version_hash>
 ReadForwardingVersion(const std::vector<header_field>& aFields);
 
+header_field
+ForwardingAttemptsHeader(std::uint32_t aAttempts);
+
+// Empty unless the header is there and well-formed.
+std::optional<std::uint32_t>
+ReadForwardingAttempts(const std::vector<header_field>& aFields);
+
+// The same within a stream that has begun, as a comment of its own.
+std::string
+AttemptsComment(std::uint32_t aAttempts);
+
+// Removes such comments from whole events of a stream. Returns the largest
+// number that they tell; empty if there are none.
+std::optional<std::uint32_t>
+TakeAttemptsComments(std::string& aEvents);
+
 // The `Retry-After` header in seconds, possibly with fractions; empty if there
 // is none.
 std::optional<duration>
--- a/thornhollow/request/forwarding_headers_test.cc
+++ b/thornhollow/request/forwarding_headers_test.cc
@@ -21,6 +21,7 @@
     { "X-Hop", "1" },
     { "thornhollow-forwarded", "7,7" },
     { "thornhollow-stream-version", "7" },
+    { "thornhollow-attempts", "7" },
   };
   std::vector<header_field> mSent =
     ForwardHeaders(mNames, mFields, Milliseconds(900), "12", { 1, 32 });
@@ -73,6 +74,42 @@
   CHECK_FALSE(ReadForwardingVersion({ { told.front().mName, "v1" } }));
 }
 
+// Guards against attempts that the forwarding instance doesn't count, as it
+// isn't told of them.
+TEST_CASE_FIXTURE(callers_request,
+                  "forwarding_headers/attempts/are_told_where_they_are_wanted")
+{
+  CHECK(Sent(kForwardingAttemptsHeader).empty());
+  forwarding_facts facts{ 1, 32 };
+  facts.mWantsAttempts = true;
+  const auto sent =
+    ForwardHeaders(mNames, mFields, Milliseconds(900), "12", facts);
+  CHECK(ReadForwardingFacts(sent) == facts);
+  CHECK(HeaderValue(AttemptHeaders(mNames, sent, {}), kForwardingAttemptsHeader)
+          .empty());
+  const std::vector<header_field> told = { ForwardingAttemptsHeader(2) };
+  CHECK(ReadForwardingAttempts(told) == 2);
+  CHECK(AnswerHeaders(told).empty());
+  CHECK_FALSE(ReadForwardingAttempts({ { told.front().mName, "x" } }));
+}
+
+TEST_CASE("forwarding_headers/comments_on_attempts/are_taken_out_of_a_stream")
+{
+  std::string events = "id: 1\ndata: a\n\n" + AttemptsComment(2) +
+                       "id: 2\ndata: b\n\n" + AttemptsComment(3);
+  CHECK(TakeAttemptsComments(events) == 3);
+  CHECK(events == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  CHECK_FALSE(TakeAttemptsComments(events));
+  for (const char* each : { ": thornhollow-attempts x\n\n",
+                            ": thornhollow-attempts 2",
+                            "data: : thornhollow-attempts 2\n\n",
+                            ": other\n\n" }) {
+    std::string others = each;
+    CHECK_FALSE(TakeAttemptsComments(others));
+    CHECK(others == each);
+  }
+}
+
 TEST_CASE("forwarding_headers/malformed_mark/is_refused")
 {
   for (const char* each :
--- a/thornhollow/request/relay_headers.cc
+++ b/thornhollow/request/relay_headers.cc
@@ -114,6 +114,7 @@
                    aNames.mResumeAfter,
                    kForwardingHeader,
                    kForwardingVersionHeader,
+                   kForwardingAttemptsHeader,
                    "Authorization" }) ||
          std::ranges::any_of(aNames.mRouterOnly,
                              [aName](std::string_view aOther) {
@@ -230,7 +231,8 @@
                    { kForwardingErrorHeader,
                      kForwardingOpenEndedHeader,
                      kForwardingLeavingHeader,
-                     kForwardingVersionHeader });
+                     kForwardingVersionHeader,
+                     kForwardingAttemptsHeader });
   });
   return sent;
 }
