Forwarding: interim answers of an endpoint don't end its silence

Since interim answers are told to the session, one from an endpoint put off its silence timeout. Found by reading the change; they are taken before the clock is set.

--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -394,16 +394,19 @@
 void
 relay_session::OnAttemptEvent(relay_event& aEvent)
 {
-  mLastByte = Now();
-  if (mChargedToPool && !std::holds_alternative<relay_failure>(aEvent)) {
-    mDispatcher.Reach().OnAnswer(*mPool, !mAttempt->Reused(), mLastByte);
-  }
+  // An endpoint that sends nothing else is silent all the same.
   if (const auto* interim = std::get_if<relay_interim_answer>(&aEvent)) {
     if (IsAtPeer()) {
       mAnswer.OnAttemptsTold(
         ReadForwardingAttempts(interim->mHeaders).value_or(0));
     }
-  } else if (auto* head = std::get_if<relay_answer_head>(&aEvent)) {
+    return;
+  }
+  mLastByte = Now();
+  if (mChargedToPool && !std::holds_alternative<relay_failure>(aEvent)) {
+    mDispatcher.Reach().OnAnswer(*mPool, !mAttempt->Reused(), mLastByte);
+  }
+  if (auto* head = std::get_if<relay_answer_head>(&aEvent)) {
     OnHead(*head);
   } else if (auto* bytes = std::get_if<relay_answer_bytes>(&aEvent)) {
     OnBytes(bytes->mBytes);
--- a/thornhollow/daemon/retry_guard.h
+++ b/thornhollow/daemon/retry_guard.h
@@ -8,6 +8,7 @@
 #ifndef THORNHOLLOW_DAEMON_RETRY_GUARD_H_
 #define THORNHOLLOW_DAEMON_RETRY_GUARD_H_
 
+#include <cstddef>
 #include <map>
 
 #include "thornhollow/base/ids.h"
