--- a/thornhollow/policy/admission/retry_budget_restart_test.cc
+++ b/thornhollow/policy/admission/retry_budget_restart_test.cc
@@ -96,8 +96,6 @@
     return worst;
   }
 
-  std::size_t Repeats() const { return mRepeats.size(); }
-
 private:
   struct instance
   {
