--- a/thornhollow/testing/process/harness.py
+++ b/thornhollow/testing/process/harness.py
@@ -38,13 +38,14 @@
 class Program:
     """A running program that printed its listening line."""
 
-    def __init__(self, name, *arguments, ready=True):
+    def __init__(self, name, *arguments, ready=True, prepare=None):
+        """`prepare` is run in the process before the program is."""
         self.name = name
         self.end_expected = False
         self.errors = tempfile.TemporaryFile(mode="w+")
         self.process = subprocess.Popen(
             [str(BIN / name), *arguments], stdout=subprocess.PIPE,
-            stderr=self.errors, text=True)
+            stderr=self.errors, text=True, preexec_fn=prepare)
         self.addresses = {}
         if ready:
             self._read_ready_line()
@@ -510,7 +511,8 @@
                 "more": self.MORE_SETTINGS, "idle_ms": self.IDLE_MS,
                 "seeds": ", ".join(d.settings["peers"] for d in self.daemons)}
 
-    def daemon(self, name="d1", platform=None, settings=None, ready=True):
+    def daemon(self, name="d1", platform=None, settings=None, ready=True,
+               prepare=None):
         """Starts a daemon and waits until it is ready."""
         for _ in range(5):
             chosen = settings or self.settings_for(name, platform)
@@ -519,7 +521,8 @@
             path = pathlib.Path(folder.name, "settings.yaml")
             path.write_text(SETTINGS.format(**chosen))
             try:
-                started = Daemon("thornhollowd", f"--settings={path}")
+                started = Daemon("thornhollowd", f"--settings={path}",
+                                 prepare=prepare)
             except PortTaken:
                 continue
             self.addCleanup(started.stop)
--- /dev/null
+++ b/thornhollow/testing/process/relay_crowd_doors_test.py
@@ -0,0 +1,169 @@
+"""Crowds that take all descriptors, connections or room of a relaying daemon."""
+
+import socket
+import time
+import unittest
+
+import crowd
+import crowd_site
+import harness
+import relay_site
+
+DESCRIPTORS = 256
+# The part that is left for endpoints, the store, peers and files: of a
+# machine's 4,100 descriptors files have 200 to themselves.
+RESERVED = DESCRIPTORS * 200 // 4100
+IDLE_CROWD = 400
+MAX_CONNECTIONS = 64
+# Beyond what one listener takes while it refuses and closes others.
+MORE_THAN_A_DOOR_TAKES = 500
+DATAGRAMS = 20_000
+# Announced bodies, the largest first, so that the small ones take what these
+# leave of the room.
+ANNOUNCED_BYTES = [65_536] * 660 + [4096] * 40 + [64] * 50 + [1] * 50
+
+
+class CrowdDoors(crowd_site.CrowdTest):
+
+    def assert_knows_changes(self, daemon):
+        """The store is still heard: a new route is in force."""
+        changed = crowd_site.document(2)
+        changed["routes"].append({**changed["routes"][-1], "name": "n",
+                                  "path_prefix": "/n/"})
+        self.store.put("op/config", changed)
+        harness.wait_until(
+            lambda: self.try_once(daemon, "/n/x") in (200, None),
+            "the change is in force")
+        self.assertEqual(self.try_once(daemon, "/n/x"), 200)
+
+    def assert_answers(self, address, path):
+        """On a new connection, while the crowd is there."""
+        for _ in range(crowd_site.TRIES):
+            try:
+                if harness.call(address, "GET", path)[0] == 200:
+                    return
+            except OSError:
+                pass
+        self.fail(f"{path} isn't answered")
+
+    # Guards against descriptors that idle connections take from endpoints and
+    # the store.
+    def test_idle_crowd_of_callers_descriptors_are_left(self):
+        daemon = self.begin(descriptors=DESCRIPTORS)
+        clients = self.crowd(daemon.address, IDLE_CROWD)
+        time.sleep(0.5)
+        self.assert_serves_beside(daemon)
+        self.assert_knows_changes(daemon)
+        clients.leave()
+        self.assert_holds(daemon)
+        self.assertLess(self.cost.peak_descriptors, DESCRIPTORS - RESERVED)
+
+    # The same, where each request takes a second one.
+    def test_requests_in_progress_descriptors_are_left(self):
+        daemon = self.begin(descriptors=DESCRIPTORS)
+        for each in self.engines:
+            each.mode = "hang"
+        clients = self.crowd(daemon.address, IDLE_CROWD)
+        clients.send_all(*[self.order(number, b"body")
+                           for number in range(IDLE_CROWD)])
+        time.sleep(1)
+        for each in self.engines:
+            each.mode = ""
+        self.assert_serves_beside(daemon)
+        for each in self.engines:
+            each.release.set()
+        clients.leave()
+        self.assert_holds(daemon)
+        self.assertLess(self.cost.peak_descriptors, DESCRIPTORS - RESERVED)
+
+    # The same, at all listeners together.
+    def test_idle_crowds_at_all_listeners_descriptors_are_left(self):
+        daemon = self.begin(descriptors=DESCRIPTORS)
+        crowds = [self.crowd(address, IDLE_CROWD) for address in (
+            daemon.forward, daemon.ready_address, daemon.operators,
+            daemon.peers, daemon.address)]
+        time.sleep(0.5)
+        self.assert_serves_beside(daemon)
+        self.assert_answers(daemon.ready_address, "/v1/readiness")
+        self.assert_answers(daemon.operators, "/metrics")
+        self.assert_knows_changes(daemon)
+        for each in crowds:
+            each.leave()
+        self.assert_holds(daemon)
+        self.assertLess(self.cost.peak_descriptors, DESCRIPTORS - RESERVED)
+
+    # Guards against connections that keep others out for as long as they may
+    # be idle.
+    def test_idle_crowd_takes_all_connections_others_are_served(self):
+        daemon = self.begin(more=f"max_connections: {MAX_CONNECTIONS}\n")
+        clients = self.crowd(daemon.address, MORE_THAN_A_DOOR_TAKES)
+        self.assert_serves_beside(daemon)
+        clients.leave()
+        self.assert_holds(daemon)
+
+    # The same, of the balancer and the operators.
+    def test_idle_crowd_at_readiness_is_answered(self):
+        daemon = self.begin()
+        for address, path in ((daemon.ready_address, "/v1/readiness"),
+                              (daemon.operators, "/metrics")):
+            self.crowd(address, MORE_THAN_A_DOOR_TAKES)
+            self.assert_answers(address, path)
+        self.assert_holds(daemon)
+
+    # Guards against room for bodies that is kept by callers who announce them
+    # and send next to nothing.
+    def test_announced_bodies_ordinary_ones_find_room(self):
+        daemon = self.begin()
+        clients = self.crowd(daemon.address)
+        clients.send_all(*[
+            self.order(number, b"", length)
+            for number, length in enumerate(ANNOUNCED_BYTES)])
+        time.sleep(1.5)
+        self.assert_serves_beside(daemon)
+        clients.leave()
+        self.assert_holds(daemon)
+
+    # Guards against a crowd that keeps other instances from copies of the
+    # configuration.
+    def test_crowd_at_peers_copies_are_handed_out(self):
+        daemon = self.begin()
+        clients = self.crowd(daemon.peers, MORE_THAN_A_DOOR_TAKES)
+        clients.send_all(b"\0\0\x10\0", b"", b"\0\0\x10\0" + b"x" * 4000)
+        source = relay_site.Store()
+        source.refuse = True
+        self.addCleanup(source.server.stop)
+        other = relay_site.RelayDaemon(source.server.address, name="n2",
+                                       seeds=daemon.peers)
+        self.addCleanup(other.stop)
+        # Silent connections end after 5 s; the crowd joins again at once.
+        def ready_beside_crowd():
+            for each in list(clients.sockets):
+                try:
+                    if each.recv(1) == b"":
+                        clients.sockets.remove(each)
+                        each.close()
+                        clients.join()
+                except BlockingIOError:
+                    pass
+                except OSError:
+                    clients.sockets.remove(each)
+                    each.close()
+                    clients.join()
+            return other.ready()
+        harness.wait_until(ready_beside_crowd, "the other one is ready")
+        clients.leave()
+        self.assert_holds(daemon)
+
+    # Guards against datagrams that nobody asked for.
+    def test_datagrams_at_peers_memory_holds(self):
+        daemon = self.begin()
+        host, port = daemon.peers.rsplit(":", 1)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for number in range(DATAGRAMS):
+                sender.sendto(bytes([number % 256]) * (number % 1400),
+                              (host, int(port)))
+        self.assert_holds(daemon)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -632,16 +632,17 @@
 class RelayDaemon(harness.Program):
 
     def __init__(self, source, name="n1", seeds="", caller=None, ratio=0.2,
-                 extra=400, drain_grace_s=20, more=""):
+                 extra=400, drain_grace_s=20, more="", prepare=None):
+        self.prepare = prepare
         self.ready_address = harness.address_on_loopback()
         self.peers = harness.address_on_loopback()
         self.operators = harness.address_on_loopback()
+        self.forward = harness.address_on_loopback()
         settings = SETTINGS.format(
             name=name, caller=caller or harness.address_on_loopback(),
             ready=self.ready_address, peers=self.peers, seeds=seeds,
             operators=self.operators, source=source, ratio=ratio, extra=extra,
-            forward=harness.address_on_loopback(),
-            drain_grace=drain_grace_s)
+            forward=self.forward, drain_grace=drain_grace_s)
         self.folder = tempfile.TemporaryDirectory()
         self.settings = pathlib.Path(self.folder.name, "settings.yaml")
         self.settings.write_text(settings + more)
@@ -655,7 +656,7 @@
         """Again after `kill`: at the same addresses, knowing nothing."""
         self.lines = []
         super().__init__("thornhollowd", "--relay",
-                         f"--settings={self.settings}")
+                         f"--settings={self.settings}", prepare=self.prepare)
         # Log lines come on standard output, after the listening line.
         self.reader = threading.Thread(target=self._read_log, daemon=True)
         self.reader.start()
