Callers' connections: an exception in one of them ends that one, and read-ahead has its bound at each way in

Callers saw: a process that ended without a log line (exit code 3), and with it all its connections.

Cause: the bound on bytes that are read ahead was checked when a request's watcher was armed again, and not when the next request armed it first. Each request added up to 4 KB and took its own few hundred bytes away, until flat_buffer::prepare passed its limit and threw std::length_error. The exception left the handler and ended io_context::run; main took it for an address that can't be had.

Change: the bound stands where the watcher is armed. Exceptions in handlers of a connection are logged (connection_fault, counted) and end that connection; those of attempts end the attempt, so that the request doesn't wait for its time limit. Any other exception ends the process as before, now with exit code 5 and a line that has its type: half a step of a tick may be done, and a process that starts anew has sound state.

--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -137,6 +137,10 @@
     , mDrain(aIo, { &mCallers }, aLog)
   {
     mRouter.SetKeyGate(&mControl.Keys());
+    for (caller_server* each : { &mCallers, &mOperators }) {
+      each->OnFault(
+        [this](std::string_view aDetail) { OnConnectionFault(aDetail); });
+    }
     mRouter.Crashes().SetPeers(CrashGuardPeers());
     mRouter.Forwarder().SetLink(ForwarderLink());
     mRouter.OnEndpointLeaving([this](const endpoint_name& aEndpoint) {
@@ -179,6 +183,14 @@
   }
 
 private:
+  void OnConnectionFault(std::string_view aDetail)
+  {
+    mMetrics.OnEvent("connection_fault");
+    mLog.Write(log_level::kError,
+               "connection_fault",
+               { { "detail", std::string(aDetail) } });
+  }
+
   control_listener ControlListener()
   {
     control_listener listener;
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -167,6 +167,11 @@
   {
     mCallers.SetMemory(mDispatcher.Memory());
     mForwarded.SetMemory(mDispatcher.Memory());
+    for (caller_server* each :
+         { &mCallers, &mForwarded, &mReadiness, &mOperators }) {
+      each->OnFault(
+        [this](std::string_view aDetail) { OnConnectionFault(aDetail); });
+    }
     mDispatcher.Processes().SetStatus(mAdapter.mStatusPath,
                                       mAdapter.mReadStartTime);
     mDispatcher.Reach().SetPeers([this](const pool_name& aPool) {
@@ -284,6 +289,14 @@
     return callbacks;
   }
 
+  void OnConnectionFault(std::string_view aDetail)
+  {
+    mMetrics.OnEvent("connection_fault");
+    mLog.Write(log_level::kError,
+               "connection_fault",
+               { { "detail", std::string(aDetail) } });
+  }
+
   // What instances tell each other of endpoints: that they leave, what they
   // take, that their domains are back.
   void AddEndpointWords(relay_peer_callbacks& aOut)
--- a/thornhollow/daemon/thornhollowd_main.cc
+++ b/thornhollow/daemon/thornhollowd_main.cc
@@ -2,10 +2,12 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <fstream>
 #include <iterator>
 #include <optional>
 #include <string>
+#include <typeinfo>
 #include <variant>
 
 #include <boost/asio/io_context.hpp>
@@ -44,6 +46,7 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitCannotListen = 3;
 constexpr int kExitForced = 4;
+constexpr int kExitFailed = 5;
 
 constexpr const char* kUsage =
   "thornhollowd: routes callers' requests to model engines and services.\n"
@@ -61,7 +64,8 @@
   "one\n"
   "stops at once and cuts what is left.\n"
   "Exit codes: 0 stopped with nothing cut, 1 settings refused, 2 wrong usage,\n"
-  "3 an address can't be had, 4 stopped at once by a second signal.";
+  "3 an address can't be had, 4 stopped at once by a second signal, 5 failed\n"
+  "(the log's last line says how).";
 
 std::optional<std::string>
 ReadFile(const std::string& aPath)
@@ -117,6 +121,24 @@
   return settings;
 }
 
+// Runs until the loop is stopped. An exception that no connection's own guard
+// took may have left state in the middle of a step, so that the process ends
+// and says why, and starts anew.
+bool
+RunLoop(boost::asio::io_context& aIo, json_log& aLog)
+{
+  try {
+    aIo.run();
+    return true;
+  } catch (const std::exception& thrown) {
+    aLog.Write(log_level::kError,
+               "unexpected_exception",
+               { { "type", std::string(typeid(thrown).name()) },
+                 { "detail", std::string(thrown.what()) } });
+    return false;
+  }
+}
+
 // Runs one instance until it stops and returns the exit code. `instance` is
 // `daemon` or `relay_gateway`.
 template<class instance>
@@ -145,8 +167,7 @@
                  addresses.mCaller,
                  addresses.mOperator);
       std::fflush(stdout);
-      aIo.run();
-      return exitCode;
+      return RunLoop(aIo, aLog) ? exitCode : kExitFailed;
     },
     [&](const failure& aFailure) {
       aLog.Write(
--- a/thornhollow/net/caller_server.cc
+++ b/thornhollow/net/caller_server.cc
@@ -117,6 +117,12 @@
   mState->mMemory = std::move(aAccount);
 }
 
+void
+caller_server::OnFault(fault_handler aListener)
+{
+  mState->mOnFault = std::move(aListener);
+}
+
 void
 caller_server::CloseAfterAnswers()
 {
--- a/thornhollow/net/caller_server.h
+++ b/thornhollow/net/caller_server.h
@@ -169,6 +169,8 @@
 using exchange_handler = std::function<void(caller_exchange_ptr)>;
 // Answers a request that could not be read; also counts it.
 using refusal_handler = std::function<whole_reply(error_kind)>;
+// Takes what an exception said that ended a connection.
+using fault_handler = std::function<void(std::string_view aDetail)>;
 
 class caller_server
 {
@@ -191,6 +193,11 @@
   // Where bodies are charged that are read from now on; none by default.
   void SetMemory(memory_account_ptr aAccount);
 
+  // Called for each exception in the handling of a connection. It ends that
+  // connection alone: what was begun for its request ends as for a caller that
+  // leaves.
+  void OnFault(fault_handler aListener);
+
   // From now on each answer asks its caller to close the connection.
   void CloseAfterAnswers();
 
--- a/thornhollow/net/endpoint_attempt.cc
+++ b/thornhollow/net/endpoint_attempt.cc
@@ -1,12 +1,12 @@
 #include "thornhollow/net/endpoint_attempt.h"
 
 #include <array>
+#include <exception>
 #include <string>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -60,6 +60,15 @@
     mSocket.close(ignored);
   }
 
+  // Ends the attempt after an exception; without it the request would wait for
+  // its time limit.
+  void OnException()
+  {
+    error_code ignored;
+    mSocket.close(ignored);
+    Emit(connection_lost{ mCall.mAttempt });
+  }
+
   asio::awaitable<void> Run()
   {
     // No event comes from within the call that starts the attempt.
@@ -299,7 +308,13 @@
 {
   auto attempt = boost::intrusive_ptr<attempt_run>(
     new attempt_run(aIo, std::move(aCall), std::move(aOnEvent)));
-  asio::co_spawn(aIo, net_internal::RunToEnd(attempt), asio::detached);
+  asio::co_spawn(aIo,
+                 net_internal::RunToEnd(attempt),
+                 [attempt](const std::exception_ptr& aThrown) {
+                   if (aThrown) {
+                     attempt->OnException();
+                   }
+                 });
   return attempt;
 }
 
--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -1,5 +1,6 @@
 #include "thornhollow/net/internal/caller_session.h"
 
+#include <exception>
 #include <optional>
 #include <string>
 #include <utility>
@@ -7,7 +8,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -23,6 +23,7 @@
 
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/internal/awaitable.h"
+#include "thornhollow/net/internal/exception_text.h"
 #include "thornhollow/net/internal/header_text.h"
 #include "thornhollow/net/internal/http_fields.h"
 #include "thornhollow/net/internal/queued_exchange.h"
@@ -88,6 +89,15 @@
   std::size_t& mCount;
 };
 
+void
+ReportFault(const caller_server_state& aState,
+            const std::exception_ptr& aThrown)
+{
+  if (aState.mOnFault) {
+    aState.mOnFault(ExceptionText(aThrown));
+  }
+}
+
 // Waits for room for as long as it lives.
 class room_wait
 {
@@ -225,8 +235,9 @@
     mShared->mOnRequest(one);
     const bool written = co_await WriteAnswer(*one, keepAlive);
     one->Leave();
-    // Wakes the watcher, which holds the exchange.
-    mStream.socket().cancel();
+    // Wakes the watcher, which holds the exchange. The socket may be closed.
+    error_code ignored;
+    mStream.socket().cancel(ignored);
     mAnsweredOne = true;
     co_return written&& mToldToStay;
   }
@@ -453,17 +464,46 @@
   // Notices that the caller closes while its request is in progress. A caller
   // that only closed its sending side counts as gone as well; it can still
   // read that its request was given up.
+  //
+  // Nothing more is read ahead once so much is: a caller that sends requests
+  // without waiting for answers would fill the buffer beyond its bound.
   void Watch(const boost::intrusive_ptr<queued_exchange>& aExchange)
   {
+    if (mBuffer.size() >= kMaxReadAhead) {
+      return;
+    }
     mStream.socket().async_wait(tcp::socket::wait_read,
                                 [self = boost::intrusive_ptr<session>(this),
                                  aExchange](const error_code& aWrong) {
                                   if (!aWrong && !aExchange->Gone()) {
-                                    self->LookForClose(aExchange);
+                                    self->LookForCloseOrEnd(aExchange);
                                   }
                                 });
   }
 
+  // An exception that left a handler would end all connections, as it ends the
+  // loop that runs them.
+  void LookForCloseOrEnd(const boost::intrusive_ptr<queued_exchange>& aExchange)
+  {
+    try {
+      LookForClose(aExchange);
+    } catch (...) {
+      ReportFault(*mShared, std::current_exception());
+      EndAfterFault(*aExchange);
+    }
+  }
+
+  void EndAfterFault(queued_exchange& aExchange)
+  {
+    error_code ignored;
+    mStream.socket().close(ignored);
+    try {
+      aExchange.Leave();
+    } catch (...) {
+      ReportFault(*mShared, std::current_exception());
+    }
+  }
+
   // Bytes of a next request are taken over, up to a bound: a close shows only
   // after them.
   void LookForClose(const boost::intrusive_ptr<queued_exchange>& aExchange)
@@ -479,7 +519,7 @@
       if (!aExchange->Complete()) {
         aExchange->Leave();
       }
-    } else if (mBuffer.size() < kMaxReadAhead) {
+    } else {
       Watch(aExchange);
     }
   }
@@ -734,7 +774,13 @@
 {
   auto one =
     boost::intrusive_ptr<session>(new session(std::move(aSocket), aState));
-  asio::co_spawn(aState->mIo, RunToEnd(std::move(one)), asio::detached);
+  asio::co_spawn(aState->mIo,
+                 RunToEnd(std::move(one)),
+                 [aState](const std::exception_ptr& aThrown) {
+                   if (aThrown) {
+                     ReportFault(*aState, aThrown);
+                   }
+                 });
 }
 
 } // namespace thornhollow::net_internal
--- a/thornhollow/net/internal/caller_session.h
+++ b/thornhollow/net/internal/caller_session.h
@@ -59,6 +59,7 @@
   exchange_handler mOnRequest;
   refusal_handler mOnUnreadable;
   boost::asio::ip::tcp::acceptor mAcceptor;
+  fault_handler mOnFault;
   // Null where bodies are not charged.
   memory_account_ptr mMemory;
   // All connections, also those being refused or closed.
--- a/thornhollow/net/relay_attempt.cc
+++ b/thornhollow/net/relay_attempt.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <exception>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -22,6 +22,7 @@
 #include "thornhollow/net/address.h"
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/internal/awaitable.h"
+#include "thornhollow/net/internal/exception_text.h"
 #include "thornhollow/net/internal/http_fields.h"
 #include "thornhollow/net/internal/silence.h"
 
@@ -110,6 +111,17 @@
   bool Reused() const override { return mReused; }
   time_point ConnectionMadeAt() const override { return mMadeAt; }
 
+  // Ends the attempt after an exception; without it the request would wait for
+  // its time limit.
+  void OnException(const std::exception_ptr& aThrown)
+  {
+    if (mConnection) {
+      mConnection->mStream.close();
+    }
+    Fail(mSent ? attempt_failure::kBroken : attempt_failure::kNotSent,
+         net_internal::ExceptionText(aThrown));
+  }
+
   asio::awaitable<void> Run()
   {
     co_await asio::post(mConnections.Io(), asio::use_awaitable);
@@ -372,8 +384,13 @@
 {
   boost::intrusive_ptr<attempt> one(
     new attempt(aConnections, aNames, std::move(aCall), std::move(aOnEvent)));
-  asio::co_spawn(
-    aConnections.Io(), net_internal::RunToEnd(one), asio::detached);
+  asio::co_spawn(aConnections.Io(),
+                 net_internal::RunToEnd(one),
+                 [one](const std::exception_ptr& aThrown) {
+                   if (aThrown) {
+                     one->OnException(aThrown);
+                   }
+                 });
   return one;
 }
 
--- a/thornhollow/testing/process/own_crowd_test.py
+++ b/thornhollow/testing/process/own_crowd_test.py
@@ -14,6 +14,7 @@
 BODIES = 400
 HEADERS = 1_100
 CALLERS = 400
+PIPELINED = 800
 WAVES = 5
 DESCRIPTORS = 256
 RESERVED = DESCRIPTORS * 200 // 4100
@@ -87,6 +88,19 @@
         clients.leave()
         self.assert_holds(daemon)
 
+    # Guards against an exception in one connection that ends the process:
+    # requests that are sent ahead of the answers, more than are read ahead.
+    def test_requests_in_one_write(self):
+        daemon = self.begin()
+        one = self.completion(b'{"model":"m","max_tokens":1,"messages":'
+                              b'[{"role":"user","content":"a"}]}')
+        clients = self.crowd(daemon.address, 3)
+        clients.send_all(one * PIPELINED)
+        clients.read_heads()
+        time.sleep(0.5)
+        clients.leave()
+        self.assert_holds(daemon)
+
     # Guards against callers who leave early, and what is left of them.
     def test_callers_that_leave_early(self):
         daemon = self.begin()
--- a/thornhollow/testing/process/relay_crowd_memory_test.py
+++ b/thornhollow/testing/process/relay_crowd_memory_test.py
@@ -10,6 +10,7 @@
 HELD_SECONDS = 1
 WAVES = 5
 READ_AHEAD_BYTES = 1_048_576
+PIPELINED = 800
 
 
 class CrowdMemory(crowd_site.CrowdTest):
@@ -32,6 +33,30 @@
         clients.leave()
         self.assert_holds(daemon)
 
+    # Guards against fields of a header, each of which costs more than its bytes.
+    def test_headers_of_many_fields(self):
+        daemon = self.begin()
+        clients = self.crowd(daemon.address)
+        text = b"POST /o/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 9\r\n"
+        fields = b"A:1\r\n" * ((MAX_HEADER_BYTES - len(text) - 10) // 5)
+        clients.send_all(text + fields + b"\r\n")
+        time.sleep(HELD_SECONDS)
+        clients.leave()
+        self.assert_holds(daemon)
+
+    # Guards against an exception in one connection that ends the process:
+    # requests that are sent ahead of the answers, more than are read ahead.
+    def test_requests_in_one_write(self):
+        daemon = self.begin()
+        one = self.order(1, b"body")
+        for count in (1, 3):
+            clients = self.crowd(daemon.address, count)
+            clients.send_all(one * PIPELINED)
+            clients.read_heads()
+            time.sleep(HELD_SECONDS)
+            clients.leave()
+        self.assert_holds(daemon)
+
     # Guards against buffers that idle connections keep after a large request.
     def test_idle_connections_after_bodies(self):
         daemon = self.begin()
