--- a/thornhollow/net/internal/header_text.cc
+++ b/thornhollow/net/internal/header_text.cc
@@ -25,29 +25,38 @@
 } // namespace
 
 header_text
-ScanHeaderText(std::string_view aText)
+header_scanner::Scan(std::string_view aText)
 {
-  bool firstLine = true;
   while (true) {
-    const auto feed = aText.find('\n');
+    const auto feed = aText.find('\n', mSearched);
     if (feed == std::string_view::npos) {
+      mLooked += aText.size() - mSearched;
+      mSearched = aText.size();
       return header_text::kIncomplete;
     }
-    if (feed == 0 || aText[feed - 1] != '\r') {
+    mLooked += feed + 1 - mSearched;
+    mSearched = feed + 1;
+    if (feed == mLine || aText[feed - 1] != '\r') {
       return header_text::kAmbiguous;
     }
-    const std::string_view line = aText.substr(0, feed - 1);
+    const std::string_view line = aText.substr(mLine, feed - 1 - mLine);
+    ++mLines;
     if (line.empty()) {
       // A blank line before the request is not an empty header.
-      return firstLine ? header_text::kAmbiguous : header_text::kWhole;
+      return mLines == 1 ? header_text::kAmbiguous : header_text::kWhole;
     }
     const bool folded = line.front() == ' ' || line.front() == '\t';
     if (folded || HasControl(line)) {
       return header_text::kAmbiguous;
     }
-    firstLine = false;
-    aText.remove_prefix(feed + 1);
+    mLine = mSearched;
   }
 }
 
+header_text
+ScanHeaderText(std::string_view aText)
+{
+  return header_scanner().Scan(aText);
+}
+
 } // namespace thornhollow::net_internal
--- a/thornhollow/net/internal/header_text_test.cc
+++ b/thornhollow/net/internal/header_text_test.cc
@@ -41,5 +41,20 @@
   CHECK(ScanHeaderText(withNul) == header_text::kAmbiguous);
 }
 
+// Guards against a header that comes byte by byte and keeps the process busy.
+TEST_CASE("header_text/byte_by_byte/each_is_looked_at_once")
+{
+  const std::string whole =
+    "GET / HTTP/1.1\r\nA: " + std::string(16'000, 'a') + "\r\nB: c\r\n\r\n";
+  header_scanner scanner;
+  for (std::size_t length = 1; length < whole.size(); ++length) {
+    REQUIRE(scanner.Scan(std::string_view(whole).substr(0, length)) ==
+            header_text::kIncomplete);
+  }
+  CHECK(scanner.Scan(whole) == header_text::kWhole);
+  CHECK(scanner.Looked() == whole.size());
+  CHECK(scanner.Lines() == 4);
+}
+
 } // namespace
 } // namespace thornhollow::net_internal
