Callers' listeners: connections, headers, sockets and room for bodies are bounded in sum

Callers saw: 503 or closed connections for as long as a silent crowd was connected (15 to 60 s, at readiness the balancer too); 503 no_endpoint while each endpoint was well, as a crowd had taken all descriptors (203 attempts 'Too many open files', counted against endpoints); processes over their memory (119 to 236 MB of 100; own interface 1,114 of 1,024 MB).

Cause, the same in all: what one connection may cost was bounded, and not the sum.

Change: listeners take as many as connection_limits.h allows (RLIMIT_NOFILE or file_descriptors, and memory_mb). At a full listener the connection that has said least for longest gives way, never one with a request in progress. Kept connections to endpoints leave descriptors to requests. Sockets are set small at their listener and larger only for a body that is charged; while so many are open that they could hold too much, those with the most bytes are closed. A header beyond 4 KB is charged to the room of bodies, six times its bytes; 128 fields at most (431). A body that comes more slowly than 16 KB a second loses its room after 1 s while others wait. The own interface charges bodies and answers to the same account, three times a body's bytes. Read buffers are freed when they are empty. All of it is counted; the limits that hold are logged at the start.

Ruled out: buffers that idle connections keep (the case failed by what lay in sockets while the bodies came); crash evidence, origins and parts (bounded tables, callers_that_leave_early held).

--- a/thornhollow/config/relay_settings.cc
+++ b/thornhollow/config/relay_settings.cc
@@ -107,6 +107,9 @@
   read.mMemoryMegabytes = static_cast<std::uint32_t>(fields.Whole(
     "memory_mb",
     { .mLeast = 64, .mMost = 1'000'000, .mDefault = read.mMemoryMegabytes }));
+  read.mFileDescriptors = static_cast<std::uint32_t>(fields.Whole(
+    "file_descriptors",
+    { .mLeast = 0, .mMost = 10'000'000, .mDefault = read.mFileDescriptors }));
   internal::ReadSection(
     fields, aFile, "engines", found, [&](field_reader& aSection) {
       ReadEngines(aSection, read.mEngines);
--- a/thornhollow/config/relay_settings.h
+++ b/thornhollow/config/relay_settings.h
@@ -101,6 +101,9 @@
   // What the process may use, in MB of 10^6 bytes; part of it bounds the bodies
   // and answers that it holds.
   std::uint32_t mMemoryMegabytes = 1'024;
+  // Descriptors that the process may have open; 0: as many as the system
+  // allows it, which holds in any case.
+  std::uint32_t mFileDescriptors = 0;
   engine_settings mEngines;
   log_level mLogLevel = log_level::kInfo;
 
--- a/thornhollow/config/relay_settings_test.cc
+++ b/thornhollow/config/relay_settings_test.cc
@@ -42,6 +42,7 @@
   CHECK(result->mSourceReaders == 2);
   CHECK(result->mLinkMegabits == doctest::Approx(20));
   CHECK(result->mMemoryMegabytes == 1'024);
+  CHECK(result->mFileDescriptors == 0);
 }
 
 TEST_CASE("relay_settings/engines/are_read_into_their_fields")
--- a/thornhollow/config/settings.cc
+++ b/thornhollow/config/settings.cc
@@ -135,6 +135,10 @@
     fields, mFile, "idempotency_keys", mFaults, [this](field_reader& aSection) {
       ReadKeyTimes(aSection);
     });
+  mRead.mMemoryMegabytes =
+    ReadCount(fields, "memory_mb", 64, 1'000'000, mRead.mMemoryMegabytes);
+  mRead.mFileDescriptors = ReadCount(
+    fields, "file_descriptors", 0, 10'000'000, mRead.mFileDescriptors);
   mRead.mDrainGrace = ReadMilliseconds(
     fields, "drain_grace_ms", 1'000, 86'400'000, mRead.mDrainGrace);
   mRead.mLogLevel = internal::ReadLogLevel(fields, mRead.mLogLevel);
--- a/thornhollow/config/settings.h
+++ b/thornhollow/config/settings.h
@@ -103,6 +103,12 @@
   // Peer addresses to ask first, besides those of the platform's list.
   std::vector<std::string> mPeerSeeds;
   caller_limits mLimits;
+  // What the process may use, in MB of 10^6 bytes; part of it bounds the bodies
+  // and answers that it holds.
+  std::uint32_t mMemoryMegabytes = 1'024;
+  // Descriptors that the process may have open; 0: as many as the system
+  // allows it, which holds in any case.
+  std::uint32_t mFileDescriptors = 0;
   stage_timeouts mTimeouts;
   key_times mKeys;
   // After SIGTERM, requests in progress are cut only when this has passed.
--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -14,6 +14,7 @@
 #include "thornhollow/daemon/load_poller.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/daemon/operators_page.h"
+#include "thornhollow/daemon/process_limits.h"
 #include "thornhollow/daemon/router.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/clock.h"
@@ -26,13 +27,18 @@
 // answered with "not run" instead of hitting a closed port.
 constexpr duration kBalancerDetectionTime = Seconds(2);
 
+// A body is held as it came, as it was read, and as it is sent.
+constexpr std::uint64_t kBodyCopies = 3;
+
 server_limits
 CallerServerLimits(const daemon_settings& aSettings)
 {
+  const connection_limits connections = ConnectionLimitsOf(aSettings);
   server_limits limits;
   limits.mMaxHeaderBytes = aSettings.mLimits.mMaxHeaderBytes;
   limits.mMaxBodyBytes = aSettings.mLimits.mMaxBodyBytes;
-  limits.mMaxConnections = aSettings.mLimits.mMaxConnections;
+  Bound(limits, connections.mCallers, connections.mCallerSocketBytes);
+  limits.mBodyCopies = kBodyCopies;
   limits.mHeaderTimeout = aSettings.mLimits.mSendTimeout;
   limits.mSendTimeout = aSettings.mLimits.mSendTimeout;
   limits.mWriteTimeout = aSettings.mLimits.mSendTimeout;
@@ -102,6 +108,7 @@
     : mIo(aIo)
     , mSettings(aSettings)
     , mLog(aLog)
+    , mMemory(new memory_account(MemoryLimits(aSettings.mMemoryMegabytes)))
     , mRouter(aIo, RouterSettings(aSettings), aLog, mMetrics)
     , mCallers(
         aIo,
@@ -112,9 +119,10 @@
         [this](error_kind aKind) { return mRouter.AnswerUnreadable(aKind); })
     , mOperators(
         aIo,
-        OperatorServerLimits(),
+        OperatorServerLimits(ConnectionLimitsOf(aSettings).mOperators),
         [this](const caller_exchange_ptr& aExchange) {
           mMetrics.SetHeld(mRouter.HeldByPool());
+          mMetrics.SetMemory(mMemory->Use());
           mMetrics.SetContact(mRouter.Forwarder().LostPools(),
                               mRouter.Forwarder().InProgress());
           aExchange->Send(
@@ -138,9 +146,11 @@
   {
     mRouter.SetKeyGate(&mControl.Keys());
     for (caller_server* each : { &mCallers, &mOperators }) {
-      each->OnFault(
-        [this](std::string_view aDetail) { OnConnectionFault(aDetail); });
+      Report(*each, mLog, mMetrics);
     }
+    mCallers.SetMemory(mMemory);
+    mMemory->OnEvent(
+      [this](memory_event aEvent) { mMetrics.OnEvent(Name(aEvent)); });
     mRouter.Crashes().SetPeers(CrashGuardPeers());
     mRouter.Forwarder().SetLink(ForwarderLink());
     mRouter.OnEndpointLeaving([this](const endpoint_name& aEndpoint) {
@@ -162,6 +172,7 @@
                  { "domain", mSettings.mDomain.Text() },
                  { "caller_address", caller },
                  { "operator_address", operators } });
+    LogLimits(ConnectionLimitsOf(mSettings), mLog);
     return listening_addresses{ caller, operators };
   }
 
@@ -183,14 +194,6 @@
   }
 
 private:
-  void OnConnectionFault(std::string_view aDetail)
-  {
-    mMetrics.OnEvent("connection_fault");
-    mLog.Write(log_level::kError,
-               "connection_fault",
-               { { "detail", std::string(aDetail) } });
-  }
-
   control_listener ControlListener()
   {
     control_listener listener;
@@ -299,6 +302,7 @@
   daemon_settings mSettings;
   json_log& mLog;
   metrics mMetrics;
+  memory_account_ptr mMemory;
   router mRouter;
   caller_server mCallers;
   caller_server mOperators;
--- a/thornhollow/daemon/operators_page.cc
+++ b/thornhollow/daemon/operators_page.cc
@@ -4,6 +4,8 @@
 #include <boost/json/value.hpp>
 #include <boost/json/value_from.hpp>
 
+#include "thornhollow/policy/admission/connection_limits.h"
+
 namespace thornhollow {
 namespace {
 
@@ -32,11 +34,12 @@
 } // namespace
 
 server_limits
-OperatorServerLimits()
+OperatorServerLimits(std::size_t aConnections)
 {
   server_limits limits;
   limits.mMaxBodyBytes = 1024;
-  limits.mMaxConnections = 64;
+  limits.mMaxConnections = aConnections;
+  limits.mMaxClosing = MaxClosing(aConnections);
   return limits;
 }
 
--- a/thornhollow/daemon/operators_page.h
+++ b/thornhollow/daemon/operators_page.h
@@ -62,9 +62,9 @@
 };
 
 // Limits for listeners that only operators and balancers use: short requests on
-// a few connections.
+// so many connections.
 server_limits
-OperatorServerLimits();
+OperatorServerLimits(std::size_t aConnections);
 
 // Returns the status as one JSON object.
 std::string
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "thornhollow/daemon/caller_reply.h"
+#include "thornhollow/daemon/process_limits.h"
 #include "thornhollow/daemon/relay_session.h"
 #include "thornhollow/net/clock.h"
 
@@ -63,6 +64,7 @@
   , mVersionDoubts(stream_origins_settings{}.mListingDelay)
   , mRetries(aSettings.mRetries, aLog, aMetrics, Now())
   , mGenerator(std::random_device()())
+  , mMaxToEndpoints(ConnectionLimitsOf(aSettings).mToEndpoints)
 {
   mMemory->OnEvent([this](memory_event aEvent) { OnMemory(aEvent); });
   const auto keep = [this](const endpoint_process& aWhere,
@@ -100,6 +102,13 @@
   }
 }
 
+void
+relay_dispatcher::BoundKeptConnections()
+{
+  mConnections.SetMaxIdle(mMaxToEndpoints -
+                          std::min(mMaxToEndpoints, mSessions));
+}
+
 void
 relay_dispatcher::Serve(caller_exchange_ptr aExchange)
 {
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -268,8 +268,18 @@
                                     time_point aNow);
   std::uint64_t NextRoomNumber() { return mNextRoomNumber++; }
   retry_guard& Retries() { return mRetries; }
-  void OnSessionBegin() { ++mSessions; }
-  void OnSessionEnd() { --mSessions; }
+  // Each request in progress may take a connection to an endpoint, which kept
+  // ones leave the descriptors for.
+  void OnSessionBegin()
+  {
+    ++mSessions;
+    BoundKeptConnections();
+  }
+  void OnSessionEnd()
+  {
+    --mSessions;
+    BoundKeptConnections();
+  }
   // Returns the error reply to a refused request, with a retry delay: a short
   // random one unless `aRetryAfter` is given.
   whole_reply Refusal(error_kind aKind,
@@ -277,6 +287,7 @@
                       std::optional<duration> aRetryAfter = std::nullopt);
 
 private:
+  void BoundKeptConnections();
   void OnMemory(memory_event aEvent);
   duration RetryDelay();
   void UpdateReserved(time_point aNow);
@@ -355,6 +366,8 @@
   std::function<void(endpoint_process_hash)> mOnNewLeaving;
   retry_guard mRetries;
   std::mt19937_64 mGenerator;
+  // Connections to endpoints, in use and kept.
+  std::size_t mMaxToEndpoints;
   routing_table_ptr mTable;
   std::map<pool_name, relay_pool> mPools;
   std::map<pool_name, room_queue> mRoomQueues;
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -12,6 +12,7 @@
 #include "thornhollow/daemon/drain_watch.h"
 #include "thornhollow/daemon/metrics.h"
 #include "thornhollow/daemon/operators_page.h"
+#include "thornhollow/daemon/process_limits.h"
 #include "thornhollow/daemon/relay_dispatcher.h"
 #include "thornhollow/daemon/relay_peer_link.h"
 #include "thornhollow/daemon/source_link.h"
@@ -54,13 +55,13 @@
 constexpr duration kForwardIdleTimeout = Seconds(30);
 
 server_limits
-CallerLimits(const relay_settings& aSettings,
+CallerLimits(const connection_limits& aConnections,
              const caller_connection_limits& aBounds)
 {
   server_limits limits;
   limits.mMaxHeaderBytes = aBounds.mMaxHeaderBytes;
   limits.mMaxBodyBytes = aBounds.mMaxBodyBytes;
-  limits.mMaxConnections = aSettings.mMaxConnections;
+  Bound(limits, aConnections.mCallers, aConnections.mCallerSocketBytes);
   limits.mHeaderTimeout = aBounds.mHeaderTimeout;
   limits.mSendTimeout = aBounds.mHeaderTimeout + kBodyTimeout;
   limits.mIdleTimeout = aBounds.mIdleTimeout;
@@ -70,11 +71,12 @@
 // Limits on requests that other instances forward. Headers are those of callers
 // and what the forwarding instance adds.
 server_limits
-ForwardLimits(const relay_settings& aSettings,
+ForwardLimits(const connection_limits& aConnections,
               const caller_connection_limits& aBounds)
 {
   constexpr std::uint32_t kAddedHeaderBytes = 1'024;
-  server_limits limits = CallerLimits(aSettings, aBounds);
+  server_limits limits = CallerLimits(aConnections, aBounds);
+  Bound(limits, aConnections.mForwarded, aConnections.mForwardedSocketBytes);
   limits.mMaxHeaderBytes += kAddedHeaderBytes;
   limits.mIdleTimeout = kForwardIdleTimeout;
   return limits;
@@ -103,13 +105,14 @@
        std::function<void()> aOnTick)
     : mIo(aIo)
     , mSettings(aSettings)
+    , mLimits(ConnectionLimitsOf(aSettings))
     , mAdapter(std::move(aAdapter))
     , mLog(aLog)
     , mOnTick(std::move(aOnTick))
     , mDispatcher(aIo, aSettings, mAdapter.mNames, aLog, mMetrics)
     , mCallers(
         aIo,
-        CallerLimits(aSettings, caller_connection_limits{}),
+        CallerLimits(mLimits, caller_connection_limits{}),
         [this](caller_exchange_ptr aExchange) {
           mDispatcher.Serve(std::move(aExchange));
         },
@@ -118,7 +121,7 @@
         })
     , mForwarded(
         aIo,
-        ForwardLimits(aSettings, caller_connection_limits{}),
+        ForwardLimits(mLimits, caller_connection_limits{}),
         [this](caller_exchange_ptr aExchange) {
           mDispatcher.ServeForwarded(std::move(aExchange));
         },
@@ -130,7 +133,7 @@
         })
     , mReadiness(
         aIo,
-        OperatorServerLimits(),
+        OperatorServerLimits(mLimits.mOperators),
         [this](const caller_exchange_ptr& aExchange) {
           AnswerReadiness(aExchange);
         },
@@ -139,7 +142,7 @@
         })
     , mOperators(
         aIo,
-        OperatorServerLimits(),
+        OperatorServerLimits(mLimits.mOperators),
         [this](const caller_exchange_ptr& aExchange) {
           AnswerOperators(aExchange);
         },
@@ -169,8 +172,7 @@
     mForwarded.SetMemory(mDispatcher.Memory());
     for (caller_server* each :
          { &mCallers, &mForwarded, &mReadiness, &mOperators }) {
-      each->OnFault(
-        [this](std::string_view aDetail) { OnConnectionFault(aDetail); });
+      Report(*each, mLog, mMetrics);
     }
     mDispatcher.Processes().SetStatus(mAdapter.mStatusPath,
                                       mAdapter.mReadStartTime);
@@ -219,6 +221,7 @@
                  { "domain", mSettings.mDomain.Text() },
                  { "caller_address", caller },
                  { "operator_address", operators } });
+    LogLimits(mLimits, mLog);
     // Deferred, because the caller writes the line with the listening addresses
     // to the same output, and it must precede all log lines.
     boost::asio::post(mIo, [this] { Tick(); });
@@ -289,14 +292,6 @@
     return callbacks;
   }
 
-  void OnConnectionFault(std::string_view aDetail)
-  {
-    mMetrics.OnEvent("connection_fault");
-    mLog.Write(log_level::kError,
-               "connection_fault",
-               { { "detail", std::string(aDetail) } });
-  }
-
   // What instances tell each other of endpoints: that they leave, what they
   // take, that their domains are back.
   void AddEndpointWords(relay_peer_callbacks& aOut)
@@ -600,8 +595,8 @@
             { "at", static_cast<std::int64_t>(aRevision) },
             { "routes", static_cast<std::int64_t>(document.mRoutes.size()) },
             { "teams", static_cast<std::int64_t>(document.mTeams.size()) } });
-        mCallers.SetLimits(CallerLimits(mSettings, document.mCallers));
-        mForwarded.SetLimits(ForwardLimits(mSettings, document.mCallers));
+        mCallers.SetLimits(CallerLimits(mLimits, document.mCallers));
+        mForwarded.SetLimits(ForwardLimits(mLimits, document.mCallers));
         mDispatcher.SetRoutingTable(MakeRoutingTable(std::move(document)));
         mPeers.OnItemsChanged();
         return {};
@@ -716,6 +711,7 @@
 
   boost::asio::io_context& mIo;
   relay_settings mSettings;
+  connection_limits mLimits;
   relay_adapter mAdapter;
   json_log& mLog;
   std::function<void()> mOnTick;
--- a/thornhollow/net/caller_server.cc
+++ b/thornhollow/net/caller_server.cc
@@ -1,6 +1,7 @@
 #include "thornhollow/net/caller_server.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <vector>
 
@@ -46,8 +47,29 @@
   }
 }
 
+// Connections inherit them from their listener.
+void
+SetSocketSizes(tcp::acceptor& aAcceptor, const server_limits& aLimits)
+{
+  error_code ignored;
+  aAcceptor.set_option(
+    asio::socket_base::receive_buffer_size(aLimits.mSocketReceiveBytes),
+    ignored);
+  aAcceptor.set_option(
+    asio::socket_base::send_buffer_size(aLimits.mSocketSendBytes), ignored);
+}
+
 } // namespace
 
+std::string_view
+Name(server_event aEvent)
+{
+  constexpr std::array<std::string_view, 4> kNames = {
+    "connection_gave_way", "connection_dropped", "body_gave_way", "socket_full"
+  };
+  return kNames.at(static_cast<std::size_t>(aEvent));
+}
+
 std::string_view
 caller_request::Header(std::string_view aName) const
 {
@@ -89,6 +111,7 @@
   acceptor.open(where.protocol(), wrong);
   if (!wrong) {
     acceptor.set_option(tcp::acceptor::reuse_address(true), wrong);
+    SetSocketSizes(acceptor, mState->mLimits);
     acceptor.bind(where, wrong);
   }
   if (!wrong) {
@@ -123,6 +146,12 @@
   mState->mOnFault = std::move(aListener);
 }
 
+void
+caller_server::OnEvent(server_event_handler aListener)
+{
+  mState->mOnEvent = std::move(aListener);
+}
+
 void
 caller_server::CloseAfterAnswers()
 {
--- a/thornhollow/net/caller_server.h
+++ b/thornhollow/net/caller_server.h
@@ -43,7 +43,23 @@
 {
   std::uint32_t mMaxHeaderBytes = std::uint32_t{ 16 } << 10U;
   std::size_t mMaxBodyBytes = std::size_t{ 8 } << 20U;
+  // Fields of a header and of a trailer. Each costs memory of its own, more
+  // than its bytes.
+  std::size_t mMaxHeaderFields = 128;
   std::size_t mMaxConnections = 4096;
+  // Connections beyond these, which are being refused or closed; further ones
+  // are closed without an answer.
+  std::size_t mMaxClosing = 256;
+  // What the system keeps for one connection, received and not read, and sent
+  // and not taken; it takes up to twice as much. Larger bodies get more room
+  // once they are charged.
+  int mSocketReceiveBytes = 16 * 1024;
+  int mSocketSendBytes = 32 * 1024;
+  // What may lie in the sockets of all connections; beyond it those with the
+  // most are closed. 0: no bound.
+  std::uint64_t mMaxSocketBytes = 0;
+  // How often a request's body is in memory while it is served.
+  std::uint64_t mBodyCopies = 1;
   // From a request's first byte to the end of its header.
   duration mHeaderTimeout = Seconds(10);
   // From a request's first byte to its last. A sender slower than this would
@@ -172,6 +188,24 @@
 // Takes what an exception said that ended a connection.
 using fault_handler = std::function<void(std::string_view aDetail)>;
 
+// What a server does to connections for the sake of others.
+enum class server_event : std::uint8_t
+{
+  // A connection without a request in progress was closed for a new one.
+  kGaveWay,
+  // A new connection was closed without an answer.
+  kDropped,
+  // A body that came too slowly lost its room to others.
+  kBodyGaveWay,
+  // A connection was reset for what lay in its socket.
+  kSocketFull,
+};
+
+// A constant name for metrics, such as "connection_gave_way".
+std::string_view
+Name(server_event aEvent);
+using server_event_handler = std::function<void(server_event)>;
+
 class caller_server
 {
 public:
@@ -198,6 +232,8 @@
   // leaves.
   void OnFault(fault_handler aListener);
 
+  void OnEvent(server_event_handler aListener);
+
   // From now on each answer asks its caller to close the connection.
   void CloseAfterAnswers();
 
--- a/thornhollow/net/endpoint_connections.cc
+++ b/thornhollow/net/endpoint_connections.cc
@@ -44,6 +44,7 @@
   const endpoint_connection_settings& aSettings)
   : mIo(aIo)
   , mSettings(aSettings)
+  , mMaxIdle(aSettings.mMaxIdle)
 {
 }
 
@@ -91,7 +92,7 @@
     FromSeconds(ToSeconds(aIdleLimit.value_or(mSettings.mDefaultIdleLimit)) *
                 mSettings.mPartOfIdleLimit);
   std::deque<kept>& kept = mKept[aWhere];
-  if (mIdle >= mSettings.mMaxIdle || limit <= duration::zero()) {
+  if (mIdle >= mMaxIdle || limit <= duration::zero()) {
     return;
   }
   if (kept.size() >= mSettings.mMaxIdlePerEndpoint) {
@@ -123,6 +124,20 @@
   return state;
 }
 
+void
+endpoint_connections::SetMaxIdle(std::size_t aCount)
+{
+  mMaxIdle = std::min(aCount, mSettings.mMaxIdle);
+  for (auto at = mKept.begin(); at != mKept.end() && mIdle > mMaxIdle;) {
+    std::deque<kept>& kept = at->second;
+    while (!kept.empty() && mIdle > mMaxIdle) {
+      kept.pop_front();
+      --mIdle;
+    }
+    at = kept.empty() ? mKept.erase(at) : std::next(at);
+  }
+}
+
 void
 endpoint_connections::Forget(const endpoint_process& aWhere)
 {
--- a/thornhollow/net/endpoint_connections.h
+++ b/thornhollow/net/endpoint_connections.h
@@ -148,6 +148,11 @@
   // what happened to them meanwhile.
   void ForgetAll();
 
+  // Bounds those that are kept, together; beyond it those of the endpoint
+  // looked at first are closed, the oldest of them first. At most as many as
+  // the settings allow.
+  void SetMaxIdle(std::size_t aCount);
+
   // Closes those that were idle for too long. To be called every second or so.
   void Tick(time_point aNow);
 
@@ -167,6 +172,7 @@
   endpoint_connection_settings mSettings;
   std::map<endpoint_process, std::deque<kept>> mKept;
   std::size_t mIdle = 0;
+  std::size_t mMaxIdle;
   std::function<void(const endpoint_process&)> mOnClosedEarly;
   endpoint_connection_counters mCounters;
 };
--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -1,10 +1,13 @@
 #include "thornhollow/net/internal/caller_session.h"
 
+#include <algorithm>
 #include <exception>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -20,6 +23,8 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/internal/awaitable.h"
@@ -29,6 +34,7 @@
 #include "thornhollow/net/internal/queued_exchange.h"
 #include "thornhollow/net/internal/read_buffer.h"
 #include "thornhollow/net/internal/silence.h"
+#include "thornhollow/policy/admission/connection_limits.h"
 
 namespace thornhollow::net_internal {
 namespace {
@@ -72,6 +78,122 @@
   return request;
 }
 
+// How many connections are asked to give way before a new one is refused.
+constexpr int kMaxAskedToGiveWay = 8;
+
+// Has a connection of the list give way, the one that came into it first.
+bool
+TakeFrom(session_list& aList,
+         quiet_state aState,
+         duration aIdleTimeout,
+         time_point aNow)
+{
+  int asked = 0;
+  for (auto at = aList.begin(); at != aList.end() && asked < kMaxAskedToGiveWay;
+       ++asked) {
+    caller_session& one = *at++;
+    if (!MayGiveWay(aState, aNow - one.mListedAt, aIdleTimeout)) {
+      return false;
+    }
+    if (one.GiveWay()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Takes room back from a body that comes too slowly.
+bool
+TakeFromBodies(caller_server_state& aState)
+{
+  if (aState.mInBody.empty() || !aState.mInBody.front().GiveRoomBack()) {
+    return false;
+  }
+  aState.Tell(server_event::kBodyGaveWay);
+  return true;
+}
+
+// Makes room for a new connection: the one that has said least for longest is
+// closed. False where all are in use.
+bool
+MakeRoom(caller_server_state& aState)
+{
+  const time_point now = Now();
+  const duration idle = aState.mLimits.mIdleTimeout;
+  const bool found =
+    TakeFrom(aState.mSilent, quiet_state::kSilent, idle, now) ||
+    TakeFrom(aState.mInHeader, quiet_state::kInHeader, idle, now) ||
+    TakeFrom(aState.mIdle, quiet_state::kIdle, idle, now);
+  if (found) {
+    aState.Tell(server_event::kGaveWay);
+  }
+  return found || TakeFromBodies(aState);
+}
+
+// Takes room back from bodies that come too slowly, while others wait for it.
+void
+ReclaimRoom(caller_server_state& aState)
+{
+  for (auto at = aState.mInBody.begin(); at != aState.mInBody.end();) {
+    caller_session& one = *at++;
+    if (one.GiveRoomBack()) {
+      aState.Tell(server_event::kBodyGaveWay);
+    }
+  }
+}
+
+// The system keeps up to twice the size that a socket is set to.
+std::uint64_t
+MaxSocketBytes(const server_limits& aLimits)
+{
+  return std::uint64_t{ 2 } *
+         static_cast<std::uint64_t>(aLimits.mSocketReceiveBytes +
+                                    aLimits.mSocketSendBytes);
+}
+
+// Closes the connections with the most bytes in their sockets, where these are
+// too many together.
+void
+CloseFullSockets(caller_server_state& aState)
+{
+  std::vector<caller_session*> sessions;
+  std::vector<std::uint64_t> bytes;
+  for (caller_session* each : aState.mSessions) {
+    if (const std::uint64_t held = each->SocketBytes(); held > 0) {
+      sessions.push_back(each);
+      bytes.push_back(held);
+    }
+  }
+  for (const std::size_t each :
+       OverRoom(bytes, aState.mLimits.mMaxSocketBytes)) {
+    aState.Tell(server_event::kSocketFull);
+    sessions[each]->CloseForSocketBytes();
+  }
+}
+
+// How often sockets are looked at while there are so many that they could hold
+// too much.
+constexpr duration kSocketCheckInterval = Milliseconds(250);
+
+void
+CheckSockets(const std::shared_ptr<caller_server_state>& aState)
+{
+  const std::uint64_t room = aState->mLimits.mMaxSocketBytes;
+  aState->mChecksSockets =
+    room > 0 &&
+    aState->mSessions.size() * MaxSocketBytes(aState->mLimits) > room;
+  if (!aState->mChecksSockets) {
+    return;
+  }
+  aState->mSocketCheck.expires_after(kSocketCheckInterval);
+  aState->mSocketCheck.async_wait([aState](const error_code& aWrong) {
+    if (!aWrong) {
+      CloseFullSockets(*aState);
+      CheckSockets(aState);
+    }
+  });
+}
+
 // Counts one more for as long as it lives, also where an exception ends it.
 class tally
 {
@@ -127,6 +249,7 @@
     , mShared(std::move(aShared))
     , mReadLimit(mStream.get_executor())
     , mOpened(Now())
+    , mReceiveBytes(mShared->mLimits.mSocketReceiveBytes)
   {
     mShared->mSessions.insert(this);
     DetectSilence(mStream.socket(), kCallerSilence);
@@ -137,9 +260,11 @@
 
   asio::awaitable<void> Run()
   {
-    if (mShared->mServing < mShared->mLimits.mMaxConnections) {
+    if (mShared->mServing < mShared->mLimits.mMaxConnections ||
+        MakeRoom(*mShared)) {
       co_await ServeAll();
     } else if (Crowded()) {
+      mShared->Tell(server_event::kDropped);
       mShared->mOnUnreadable(error_kind::kTooManyConnections);
       co_return;
     } else {
@@ -170,12 +295,69 @@
     return mPhase == phase::kWorking || (mPhase == phase::kWaiting && isNew);
   }
 
+  bool GiveWay() override
+  {
+    error_code wrong;
+    if (mStream.socket().available(wrong) > 0) {
+      return false;
+    }
+    unlink();
+    mGaveWay = true;
+    if (mPhase == phase::kWaiting) {
+      mStream.socket().cancel(wrong);
+    } else {
+      EndReading();
+    }
+    return true;
+  }
+
+  bool GiveRoomBack() override
+  {
+    if (mParser == nullptr) {
+      return false;
+    }
+    const std::uint64_t came = mParser->get().body().size();
+    if (!ComesTooSlowly(came, Now() - mListedAt)) {
+      return false;
+    }
+    unlink();
+    mLostRoom = true;
+    EndReading();
+    return true;
+  }
+
+  std::uint64_t SocketBytes() const override
+  {
+    error_code wrong;
+    const std::size_t unread = mStream.socket().available(wrong);
+    int untaken = 0;
+    ::ioctl(const_cast<tcp::socket&>(mStream.socket()).native_handle(),
+            SIOCOUTQ,
+            &untaken);
+    return unread + static_cast<std::uint64_t>(std::max(untaken, 0));
+  }
+
+  void CloseForSocketBytes() override
+  {
+    if (mRoomTimer != nullptr) {
+      mLostRoom = true;
+      mRoomTimer->cancel();
+      return;
+    }
+    error_code ignored;
+    SetResetsOnClose(true);
+    mStream.socket().close(ignored);
+    if (mExchange) {
+      mExchange->Leave();
+    }
+  }
+
 private:
   // Refused and closing connections beyond this many are dropped at once.
   bool Crowded() const
   {
     return mShared->mSessions.size() >
-           mShared->mLimits.mMaxConnections + kMaxClosing;
+           mShared->mLimits.mMaxConnections + mShared->mLimits.mMaxClosing;
   }
 
   asio::awaitable<void> ServeAll()
@@ -194,7 +376,7 @@
   asio::awaitable<void> Linger()
   {
     error_code wrong;
-    if (mResetsOnClose) {
+    if (mResetsOnClose || mEndsAtOnce) {
       mStream.socket().close(wrong);
       co_return;
     }
@@ -214,26 +396,32 @@
       co_return false;
     }
     mBuffer.max_size(mShared->mLimits.mMaxHeaderBytes + kMaxUnparsedBytes);
-    request_parser parser;
-    parser.header_limit(mShared->mLimits.mMaxHeaderBytes);
-    parser.body_limit(mShared->mLimits.mMaxBodyBytes);
-    if (const auto wrong = co_await ReadRequest(parser)) {
-      mBodyCharge = memory_charge();
+    // Freed before the answer, as its fields take several times their bytes.
+    std::optional<request_parser> parser(std::in_place);
+    parser->header_limit(mShared->mLimits.mMaxHeaderBytes);
+    parser->body_limit(mShared->mLimits.mMaxBodyBytes);
+    if (const auto wrong = co_await ReadRequest(*parser)) {
+      mCharges = request_charges();
+      parser.reset();
       co_await Refuse(*wrong);
       co_return false;
     }
-    const bool keepAlive = parser.get().keep_alive();
-    mVersion = parser.get().version();
-    mHead = parser.get().method() == http::verb::head;
-    const auto one = boost::intrusive_ptr<queued_exchange>(
-      new queued_exchange(mStream.get_executor(),
-                          ToRequest(parser),
-                          mShared->mLimits.mMaxUnsentBytes,
-                          std::move(mBodyCharge),
-                          Now() - mWaitedForRoom));
+    const bool keepAlive = parser->get().keep_alive();
+    mVersion = parser->get().version();
+    mHead = parser->get().method() == http::verb::head;
+    const auto one = boost::intrusive_ptr<queued_exchange>(new queued_exchange(
+      mStream.get_executor(),
+      ToRequest(*parser),
+      { mShared->mLimits.mMaxUnsentBytes, mShared->mMemory },
+      std::move(mCharges),
+      Now() - mWaitedForRoom));
+    parser.reset();
+    FreeBuffer();
+    mExchange = one;
     Watch(one);
     mShared->mOnRequest(one);
     const bool written = co_await WriteAnswer(*one, keepAlive);
+    mExchange.reset();
     one->Leave();
     // Wakes the watcher, which holds the exchange. The socket may be closed.
     error_code ignored;
@@ -248,24 +436,56 @@
       co_return true;
     }
     mPhase = phase::kWaiting;
+    FreeBuffer();
+    Enter(mAnsweredOne ? mShared->mIdle : mShared->mSilent);
     mStream.expires_after(mShared->mLimits.mIdleTimeout);
     error_code wrong;
     const std::size_t bytes = co_await mStream.async_read_some(
       mBuffer.prepare(kFirstRead), Into(wrong));
     mBuffer.commit(bytes);
+    unlink();
     mPhase = phase::kWorking;
+    mEndsAtOnce = mGaveWay && wrong;
+    mGaveWay = false;
     co_return !wrong;
   }
 
+  void Enter(session_list& aList)
+  {
+    unlink();
+    mListedAt = Now();
+    aList.push_back(*this);
+  }
+
+  // A large header or request read ahead leaves a large buffer, which would
+  // stay for as long as the connection is open.
+  void FreeBuffer()
+  {
+    if (mBuffer.size() == 0 && mBuffer.capacity() > kFirstRead) {
+      mBuffer.shrink_to_fit();
+    }
+  }
+
   // Nothing when the request is whole; else why it is not.
   asio::awaitable<std::optional<error_kind>> ReadRequest(
     request_parser& aParser)
   {
     BeginReadLimit();
+    Enter(mShared->mInHeader);
+    mParser = &aParser;
     error_code wrong;
     const bool usable = co_await ReadAll(aParser, wrong);
+    mParser = nullptr;
+    unlink();
     ++mReads;
     mReadLimit.cancel();
+    if (std::exchange(mGaveWay, false) && wrong) {
+      co_return error_kind::kTooManyConnections;
+    }
+    if (std::exchange(mLostRoom, false) && wrong) {
+      mShared->mMemory->OnBodyRefused();
+      co_return error_kind::kMemoryFull;
+    }
     if (!usable) {
       co_return error_kind::kMalformedRequest;
     }
@@ -301,6 +521,7 @@
     if (aWrong) {
       co_return true;
     }
+    unlink();
     ExtendReadLimit();
     const auto& header = aParser.get();
     if (!EndsClearly(aParser)) {
@@ -310,6 +531,7 @@
       aWrong = asio::error::no_memory;
       co_return true;
     }
+    Enter(mShared->mInBody);
     if (header.version() == kHttp11 &&
         beast::iequals(header[http::field::expect], "100-continue")) {
       http::response<http::empty_body> proceed(http::status::continue_,
@@ -319,9 +541,32 @@
     if (!aWrong) {
       co_await ReadBody(aParser, aWrong);
     }
+    SetReceiveBytes(mShared->mLimits.mSocketReceiveBytes);
+    if (!aWrong && TooManyFields(header)) {
+      aWrong = http::error::header_limit;
+    }
     co_return true;
   }
 
+  // A trailer's fields are added to the header's.
+  bool TooManyFields(const http::fields& aFields) const
+  {
+    return static_cast<std::size_t>(
+             std::distance(aFields.begin(), aFields.end())) >
+           mShared->mLimits.mMaxHeaderFields;
+  }
+
+  // Bytes that the system keeps unread. Only a body that is charged gets more
+  // than the first ones, a part of its size.
+  void SetReceiveBytes(int aBytes)
+  {
+    if (std::exchange(mReceiveBytes, aBytes) != aBytes) {
+      error_code ignored;
+      mStream.socket().set_option(
+        asio::socket_base::receive_buffer_size(aBytes), ignored);
+    }
+  }
+
   // A body of unknown length is charged as it grows. It doesn't wait for room:
   // several that were begun could wait for each other.
   asio::awaitable<void> ReadBody(request_parser& aParser, error_code& aWrong)
@@ -332,8 +577,9 @@
     }
     while (!aWrong && !aParser.is_done()) {
       co_await http::async_read_some(mStream, mBuffer, aParser, Into(aWrong));
-      if (!aWrong && !mShared->mMemory->GrowBody(
-                       mBodyCharge, aParser.get().body().capacity())) {
+      const std::uint64_t held =
+        aParser.get().body().capacity() * mShared->mLimits.mBodyCopies;
+      if (!aWrong && !mShared->mMemory->GrowBody(mCharges.mBody, held)) {
         aWrong = asio::error::no_memory;
       }
     }
@@ -348,36 +594,54 @@
     if (!mShared->mMemory || length == 0) {
       co_return true;
     }
-    if (auto charge = mShared->mMemory->ChargeBody(length)) {
-      mBodyCharge = std::move(*charge);
-      co_return true;
-    }
-    if (!mShared->mMemory->EverFits(length)) {
+    const std::uint64_t held = length * mShared->mLimits.mBodyCopies;
+    if (auto charge = mShared->mMemory->ChargeBody(held)) {
+      mCharges.mBody = std::move(*charge);
+    } else if (!mShared->mMemory->EverFits(held) || !co_await WaitAside(held)) {
       co_return false;
     }
+    SetReceiveBytes(ReceiveBytesFor(length));
+    co_return true;
+  }
+
+  // Waits for room, which takes nothing of the caller's time.
+  asio::awaitable<bool> WaitAside(std::uint64_t aBytes)
+  {
     SuspendReadLimit();
     const time_point begun = Now();
-    const bool found = co_await WaitForRoom(length);
+    const bool found = co_await WaitForRoom(aBytes);
     mWaitedForRoom = Now() - begun;
     mReadBegun += mWaitedForRoom;
     ExtendReadLimit();
     co_return found;
   }
 
+  int ReceiveBytesFor(std::uint64_t aLength) const
+  {
+    const std::uint64_t wanted =
+      std::min(aLength / kReceivePart, kMaxReceiveBytes);
+    return std::max(static_cast<int>(wanted),
+                    mShared->mLimits.mSocketReceiveBytes);
+  }
+
   asio::awaitable<bool> WaitForRoom(std::uint64_t aBytes)
   {
-    asio::steady_timer limit(mStream.get_executor(),
-                             mShared->mLimits.mMaxRoomWait);
+    asio::steady_timer timer(mStream.get_executor());
     bool found = false;
     const room_wait wait(mShared->mMemory, aBytes, [&](memory_charge aCharge) {
-      mBodyCharge = std::move(aCharge);
+      mCharges.mBody = std::move(aCharge);
       found = true;
-      limit.cancel();
+      timer.cancel();
     });
-    error_code ignored;
-    if (!found) {
-      co_await limit.async_wait(Into(ignored));
+    const time_point until = Now() + mShared->mLimits.mMaxRoomWait;
+    mRoomTimer = &timer;
+    while (!found && !mLostRoom && Now() < until) {
+      ReclaimRoom(*mShared);
+      timer.expires_at(std::min(until, Now() + kReclaimInterval));
+      error_code ignored;
+      co_await timer.async_wait(Into(ignored));
     }
+    mRoomTimer = nullptr;
     co_return found;
   }
 
@@ -398,20 +662,28 @@
   // open how others would read them.
   asio::awaitable<bool> ReadHeaderText(error_code& aWrong)
   {
+    header_scanner scanner;
     while (!aWrong) {
       const auto data = mBuffer.cdata();
       const auto found =
-        ScanHeaderText({ static_cast<const char*>(data.data()), data.size() });
-      if (found == header_text::kWhole) {
-        co_return true;
-      }
+        scanner.Scan({ static_cast<const char*>(data.data()), data.size() });
       if (found == header_text::kAmbiguous) {
         co_return false;
       }
-      if (mBuffer.size() > mShared->mLimits.mMaxHeaderBytes) {
+      // The request line and the blank one are no fields.
+      if (scanner.Lines() > mShared->mLimits.mMaxHeaderFields + 2 ||
+          (found == header_text::kIncomplete &&
+           mBuffer.size() > mShared->mLimits.mMaxHeaderBytes)) {
         aWrong = http::error::header_limit;
         co_return true;
       }
+      if (!ChargeHeader()) {
+        aWrong = asio::error::no_memory;
+        co_return true;
+      }
+      if (found == header_text::kWhole) {
+        co_return true;
+      }
       const std::size_t bytes = co_await mStream.async_read_some(
         mBuffer.prepare(kFirstRead), Into(aWrong));
       mBuffer.commit(bytes);
@@ -419,6 +691,25 @@
     co_return true;
   }
 
+  // What a large header costs is charged like a body: its bytes are held in the
+  // buffer, as fields, and as copies for attempts.
+  bool ChargeHeader()
+  {
+    if (!mShared->mMemory || mBuffer.size() <= kFreeHeaderBytes) {
+      return true;
+    }
+    return mShared->mMemory->GrowBody(mCharges.mHeader,
+                                      mBuffer.size() * kHeaderCopies);
+  }
+
+  // Ends the reading of a request as its time limit does.
+  void EndReading()
+  {
+    ++mReads;
+    mReadLimit.expires_at(Now());
+    AwaitReadLimit(mReads);
+  }
+
   // The stream's own time limit closes the socket, and nothing could be
   // answered any more; this one only ends the reading.
   void BeginReadLimit()
@@ -725,11 +1016,18 @@
   }
 
   static constexpr std::size_t kFirstRead = 4096;
-  static constexpr std::size_t kMaxReadAhead = std::size_t{ 64 } << 10U;
+  static constexpr std::size_t kMaxReadAhead = std::size_t{ 8 } << 10U;
+  // Headers up to this size are a part of what each connection may cost.
+  static constexpr std::size_t kFreeHeaderBytes = std::size_t{ 4 } << 10U;
+  static constexpr std::uint64_t kHeaderCopies = 6;
+  // Of a body's size, as its inverse: what the system may keep of it unread.
+  static constexpr std::uint64_t kReceivePart = 16;
+  static constexpr std::uint64_t kMaxReceiveBytes = std::uint64_t{ 256 } << 10U;
+  // How often room is taken back while a body waits for it.
+  static constexpr duration kReclaimInterval = Milliseconds(250);
   static constexpr duration kRefusalTimeout = Seconds(1);
   static constexpr duration kLingerTimeout = Seconds(2);
   static constexpr duration kCancelAgainAfter = Milliseconds(20);
-  static constexpr std::size_t kMaxClosing = 256;
 
   enum class phase : std::uint8_t
   {
@@ -752,9 +1050,19 @@
   bool mToldToStay = false;
   // When the present request's first byte was there.
   time_point mReadBegun{};
-  // Of the body that is being read, and how long it waited for it.
-  memory_charge mBodyCharge;
+  // Of the request that is being read, and how long it waited for its body's.
+  request_charges mCharges;
   duration mWaitedForRoom{};
+  // While a request is being read, waits for room, is served.
+  const request_parser* mParser = nullptr;
+  asio::steady_timer* mRoomTimer = nullptr;
+  boost::intrusive_ptr<queued_exchange> mExchange;
+  // It was asked to give way, or its body's room was taken back.
+  bool mGaveWay = false;
+  bool mLostRoom = false;
+  bool mEndsAtOnce = false;
+  // As the socket was set last, by its listener at first.
+  int mReceiveBytes;
   // Finished readings; tells a late timer that its own is over.
   std::uint64_t mReads = 0;
   unsigned mVersion = kHttp11;
@@ -774,6 +1082,9 @@
 {
   auto one =
     boost::intrusive_ptr<session>(new session(std::move(aSocket), aState));
+  if (!aState->mChecksSockets) {
+    CheckSockets(aState);
+  }
   asio::co_spawn(aState->mIo,
                  RunToEnd(std::move(one)),
                  [aState](const std::exception_ptr& aThrown) {
--- a/thornhollow/net/internal/caller_session.h
+++ b/thornhollow/net/internal/caller_session.h
@@ -8,12 +8,15 @@
 #define THORNHOLLOW_NET_INTERNAL_CALLER_SESSION_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <set>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "thornhollow/net/caller_server.h"
@@ -23,6 +26,8 @@
 class caller_session
   : public boost::intrusive_ref_counter<caller_session,
                                         boost::thread_unsafe_counter>
+  , public boost::intrusive::list_base_hook<
+      boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
   caller_session() = default;
@@ -36,8 +41,28 @@
   // A request is being read or answered, or the connection is so new that its
   // first one is on its way.
   virtual bool Busy() const = 0;
+
+  // Closes the connection for a new one; for a header that is being read, with
+  // an answer. False where a request has come, or is in progress.
+  virtual bool GiveWay() = 0;
+  // Gives the room of a body that is being read back if it comes too slowly.
+  virtual bool GiveRoomBack() = 0;
+
+  // Received and not read, and sent and not taken.
+  virtual std::uint64_t SocketBytes() const = 0;
+  // Ends the connection by a reset, or, where its body waits for room, with an
+  // answer.
+  virtual void CloseForSocketBytes() = 0;
+
+  // Since when it is in its list.
+  time_point mListedAt{};
 };
 
+// Sessions in the order in which they came into one state.
+using session_list =
+  boost::intrusive::list<caller_session,
+                         boost::intrusive::constant_time_size<false>>;
+
 // What a server and its sessions share. Sessions outlive the server object
 // until their connections end.
 struct caller_server_state
@@ -51,7 +76,15 @@
     , mOnRequest(std::move(aOnRequest))
     , mOnUnreadable(std::move(aOnUnreadable))
     , mAcceptor(aIo)
+    , mSocketCheck(aIo)
+  {
+  }
+
+  void Tell(server_event aEvent) const
   {
+    if (mOnEvent) {
+      mOnEvent(aEvent);
+    }
   }
 
   boost::asio::io_context& mIo;
@@ -65,6 +98,16 @@
   // All connections, also those being refused or closed.
   std::set<caller_session*> mSessions;
   std::size_t mServing = 0;
+  // Without a request in progress: nothing has come, a part of a header has,
+  // the last request is answered.
+  session_list mSilent;
+  session_list mInHeader;
+  session_list mIdle;
+  // Read a body.
+  session_list mInBody;
+  server_event_handler mOnEvent;
+  boost::asio::steady_timer mSocketCheck;
+  bool mChecksSockets = false;
   bool mDraining = false;
 };
 
--- a/thornhollow/net/internal/queued_exchange.cc
+++ b/thornhollow/net/internal/queued_exchange.cc
@@ -20,6 +20,21 @@
   return 0;
 }
 
+bool
+HasCharge(const reply_part& aPart)
+{
+  if (const auto* whole = std::get_if<whole_reply>(&aPart)) {
+    return whole->mCharge != nullptr;
+  }
+  if (const auto* text = std::get_if<stream_text>(&aPart)) {
+    return text->mCharge != nullptr;
+  }
+  return true;
+}
+
+// So much of an answer may wait uncharged, so that a refusal needs no room.
+constexpr std::size_t kFreeUnsentBytes = std::size_t{ 64 } << 10U;
+
 } // namespace
 
 bool
@@ -32,13 +47,13 @@
 
 queued_exchange::queued_exchange(const boost::asio::any_io_executor& aExecutor,
                                  caller_request aRequest,
-                                 std::size_t aMaxUnsentBytes,
-                                 memory_charge aCharge,
+                                 unsent_limits aLimits,
+                                 request_charges aCharges,
                                  time_point aArrival)
-  : mCharge(std::move(aCharge))
+  : mCharges(std::move(aCharges))
   , mRequest(std::move(aRequest))
   , mArrival(aArrival)
-  , mMaxUnsentBytes(aMaxUnsentBytes)
+  , mLimits(std::move(aLimits))
   , mSignal(aExecutor, boost::asio::steady_timer::time_point::max())
 {
 }
@@ -50,16 +65,28 @@
     return;
   }
   mUnsentBytes += BytesOf(aPart);
+  mUncharged += HasCharge(aPart) ? 0 : BytesOf(aPart);
   mLastQueued = IsLast(aPart);
   mParts.push_back(std::move(aPart));
   // A caller that reads more slowly than its answer comes would let the
   // answer pile up here without bound.
-  if (mUnsentBytes > mMaxUnsentBytes) {
+  if (mUnsentBytes > mLimits.mMaxBytes || !ChargeUnsent()) {
     Leave();
   }
   mSignal.cancel();
 }
 
+bool
+queued_exchange::ChargeUnsent()
+{
+  if (!mLimits.mMemory || mUncharged <= kFreeUnsentBytes ||
+      mUncharged <= mUnsentCharge.Bytes()) {
+    return true;
+  }
+  return mLimits.mMemory->GrowAnswer(
+    mUnsentCharge, "", mUncharged - mUnsentCharge.Bytes());
+}
+
 void
 queued_exchange::OnLeft(std::function<void()> aListener)
 {
@@ -92,6 +119,10 @@
   reply_part part = std::move(mParts.front());
   mParts.pop_front();
   mUnsentBytes -= BytesOf(part);
+  mUncharged -= HasCharge(part) ? 0 : BytesOf(part);
+  if (mUncharged == 0) {
+    mUnsentCharge = memory_charge();
+  }
   co_return part;
 }
 
--- a/thornhollow/net/internal/queued_exchange.h
+++ b/thornhollow/net/internal/queued_exchange.h
@@ -20,6 +20,21 @@
 
 namespace thornhollow::net_internal {
 
+// Room that a request has taken: the charges of its header and its body.
+struct request_charges
+{
+  memory_charge mHeader;
+  memory_charge mBody;
+};
+
+// Bounds on the parts of an answer that wait.
+struct unsent_limits
+{
+  std::size_t mMaxBytes = 0;
+  // Where parts are charged that aren't yet; null: nowhere.
+  memory_account_ptr mMemory = nullptr;
+};
+
 // No part comes after it.
 bool
 IsLast(const reply_part& aPart);
@@ -28,12 +43,12 @@
 class queued_exchange final : public caller_exchange
 {
 public:
-  // `aMaxUnsentBytes` may wait; beyond it the caller counts as gone.
-  // `aCharge` is that of the request's body, which lives as long as this.
+  // Beyond the limits the caller counts as gone. The request and its charges
+  // live as long as this.
   queued_exchange(const boost::asio::any_io_executor& aExecutor,
                   caller_request aRequest,
-                  std::size_t aMaxUnsentBytes,
-                  memory_charge aCharge,
+                  unsent_limits aLimits,
+                  request_charges aCharges,
                   time_point aArrival);
 
   const caller_request& Request() const override { return mRequest; }
@@ -50,12 +65,18 @@
   boost::asio::awaitable<std::optional<reply_part>> Next();
 
 private:
-  // Declared first, so that the body is freed before its charge.
-  memory_charge mCharge;
+  // Whether the parts that wait have room.
+  bool ChargeUnsent();
+
+  // Declared first, so that the request is freed before its charges.
+  request_charges mCharges;
   caller_request mRequest;
   time_point mArrival;
-  std::size_t mMaxUnsentBytes;
+  unsent_limits mLimits;
   std::size_t mUnsentBytes = 0;
+  // Of these, bytes that came without a charge, and their charge.
+  std::size_t mUncharged = 0;
+  memory_charge mUnsentCharge;
   std::deque<reply_part> mParts;
   std::function<void()> mOnLeft;
   bool mGone = false;
