Peers' listener: its connections follow the descriptors, and silent ones give way

The one that has waited longest for a request is closed for a new one; where all are in use the new one is refused, as before. What the system keeps unread of one is set to 8 KB. Both are counted.

--- a/thornhollow/daemon/control_plane.cc
+++ b/thornhollow/daemon/control_plane.cc
@@ -11,6 +11,7 @@
 
 #include "thornhollow/daemon/configuration_keeper.h"
 #include "thornhollow/daemon/peer_link.h"
+#include "thornhollow/daemon/process_limits.h"
 #include "thornhollow/listing/platform_list.h"
 #include "thornhollow/listing/platform_watch.h"
 #include "thornhollow/net/clock.h"
@@ -43,8 +44,13 @@
 peer_link_settings
 LinkSettings(const daemon_settings& aSettings, std::uint64_t aEpoch)
 {
-  return { aSettings.mName,    aSettings.mDomain,    aSettings.mPeerAddress,
-           aSettings.mPeerKey, aSettings.mPeerSeeds, aEpoch };
+  return { aSettings.mName,
+           aSettings.mDomain,
+           aSettings.mPeerAddress,
+           aSettings.mPeerKey,
+           aSettings.mPeerSeeds,
+           aEpoch,
+           ConnectionLimitsOf(aSettings) };
 }
 
 std::vector<domain_name>
--- a/thornhollow/daemon/peer_link.cc
+++ b/thornhollow/daemon/peer_link.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "thornhollow/daemon/process_limits.h"
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/peer_transport.h"
 #include "thornhollow/wire/codec.h"
@@ -65,7 +66,8 @@
         aIo,
         TransportSettings(aSettings),
         { [this](std::string_view aBytes) { return OnDatagram(aBytes); },
-          [this](std::string_view aBytes) { return OnRequest(aBytes); } })
+          [this](std::string_view aBytes) { return OnRequest(aBytes); },
+          [this](std::string_view aEvent) { mMetrics.OnEvent(aEvent); } })
     , mTimer(aIo)
   {
   }
@@ -173,6 +175,7 @@
     peer_transport_settings settings;
     settings.mAddress = aSettings.mAddress;
     settings.mMaxDatagramBytes = kMaxDatagramBytes;
+    Bound(settings, aSettings.mConnections);
     return settings;
   }
 
--- a/thornhollow/daemon/peer_link.h
+++ b/thornhollow/daemon/peer_link.h
@@ -24,6 +24,7 @@
 #include "thornhollow/fleet/instance_list.h"
 #include "thornhollow/fleet/membership.h"
 #include "thornhollow/fleet/peer_messages.h"
+#include "thornhollow/policy/admission/connection_limits.h"
 
 namespace boost::asio {
 class io_context;
@@ -45,6 +46,7 @@
   // Number that distinguishes this process from earlier processes of the same
   // instance name; it increases with each start.
   std::uint64_t mEpoch = 0;
+  connection_limits mConnections;
 };
 
 struct peer_listener
--- a/thornhollow/daemon/relay_peer_link.cc
+++ b/thornhollow/daemon/relay_peer_link.cc
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "thornhollow/daemon/process_limits.h"
 #include "thornhollow/fleet/copy_requests.h"
 #include "thornhollow/fleet/large_copy_limiter.h"
 #include "thornhollow/fleet/process_gossip.h"
@@ -43,6 +44,7 @@
 {
   peer_transport_settings settings;
   settings.mAddress = aSettings.mPeerAddress;
+  Bound(settings, ConnectionLimitsOf(aSettings));
   return settings;
 }
 
@@ -96,7 +98,8 @@
         aIo,
         TransportSettings(aSettings),
         { [this](std::string_view aBytes) { return OnDatagram(aBytes); },
-          [this](std::string_view aBytes) { return OnRequest(aBytes); } })
+          [this](std::string_view aBytes) { return OnRequest(aBytes); },
+          [this](std::string_view aEvent) { mMetrics.OnEvent(aEvent); } })
   {
   }
 
--- a/thornhollow/net/peer_transport.cc
+++ b/thornhollow/net/peer_transport.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -177,8 +178,24 @@
   asio::io_context& mIo;
   tcp::acceptor mAcceptor;
   udp::socket mDatagrams;
-  // Streams of peers, so that closing ends them.
-  std::vector<beast::tcp_stream*> mServed;
+  // A peer's connection.
+  struct served_connection
+  {
+    beast::tcp_stream* mStream;
+    // Since when it waits for a request; nothing while one is handled.
+    std::optional<steady_clock::time_point> mWaitsSince;
+  };
+  bool MakeRoom();
+  void Tell(std::string_view aEvent) const
+  {
+    if (mHandlers.mOnEvent) {
+      mHandlers.mOnEvent(aEvent);
+    }
+  }
+  void SetWaits(const beast::tcp_stream& aStream, bool aWaits);
+
+  // So that closing ends them.
+  std::vector<served_connection> mServed;
   std::map<std::string, std::deque<idle_connection>> mIdle;
   std::size_t mIdleCount = 0;
   bool mClosed = false;
@@ -200,6 +217,11 @@
     stepFailed([&] {
       mAcceptor.set_option(tcp::acceptor::reuse_address(true), wrong);
     }) ||
+    stepFailed([&] {
+      mAcceptor.set_option(
+        asio::socket_base::receive_buffer_size(mSettings.mSocketReceiveBytes),
+        wrong);
+    }) ||
     stepFailed([&] { mAcceptor.bind(listen, wrong); }) || stepFailed([&] {
       mAcceptor.listen(tcp::acceptor::max_listen_connections, wrong);
     });
@@ -226,8 +248,8 @@
   error_code ignored;
   mAcceptor.close(ignored);
   mDatagrams.close(ignored);
-  for (beast::tcp_stream* each : mServed) {
-    each->socket().close(ignored);
+  for (const served_connection& each : mServed) {
+    each.mStream->socket().close(ignored);
   }
   mIdle.clear();
   mIdleCount = 0;
@@ -307,8 +329,9 @@
       co_await pause.async_wait(Into(wrong));
       continue;
     }
-    if (mServed.size() >= mSettings.mMaxConnections) {
+    if (mServed.size() >= mSettings.mMaxConnections && !MakeRoom()) {
       ++mCounters.mConnectionsRefused;
+      Tell("peer_connection_refused");
       continue;
     }
     ++mCounters.mConnectionsAccepted;
@@ -321,9 +344,42 @@
 peer_transport::shared::Serve(tcp::socket aSocket)
 {
   beast::tcp_stream stream(std::move(aSocket));
-  mServed.push_back(&stream);
+  mServed.push_back({ &stream, steady_clock::now() });
   co_await ServeRequests(stream);
-  std::erase(mServed, &stream);
+  std::erase_if(mServed,
+                [&](const auto& aOne) { return aOne.mStream == &stream; });
+}
+
+// Closes the connection that has waited longest for a request. Guards against
+// silent connections that keep other instances out; a peer whose connection is
+// closed makes a new one.
+bool
+peer_transport::shared::MakeRoom()
+{
+  const auto oldest =
+    std::ranges::min_element(mServed, {}, [](const served_connection& aOne) {
+      return aOne.mWaitsSince.value_or(steady_clock::time_point::max());
+    });
+  if (oldest == mServed.end() || !oldest->mWaitsSince) {
+    return false;
+  }
+  ++mCounters.mConnectionsGaveWay;
+  Tell("peer_connection_gave_way");
+  oldest->mWaitsSince.reset();
+  error_code ignored;
+  oldest->mStream->socket().close(ignored);
+  return true;
+}
+
+void
+peer_transport::shared::SetWaits(const beast::tcp_stream& aStream, bool aWaits)
+{
+  for (served_connection& each : mServed) {
+    if (each.mStream == &aStream) {
+      each.mWaitsSince =
+        aWaits ? std::optional(steady_clock::now()) : std::nullopt;
+    }
+  }
 }
 
 asio::awaitable<void>
@@ -339,6 +395,7 @@
     if (mClosed || end == frame_end::kBroken) {
       co_return;
     }
+    SetWaits(aStream, false);
     mCounters.mBytesIn += kHeadBytes + request.size();
     const auto answer =
       end == frame_end::kWhole ? mHandlers.mOnRequest(request) : std::nullopt;
@@ -351,6 +408,7 @@
       co_return;
     }
     mCounters.mBytesOut += kHeadBytes + answer->size();
+    SetWaits(aStream, true);
   }
 }
 
--- a/thornhollow/net/peer_transport.h
+++ b/thornhollow/net/peer_transport.h
@@ -51,6 +51,9 @@
   // Connections of peers served at a time. Letter 1's domains have 38 members;
   // each opens a few.
   std::size_t mMaxConnections = 256;
+  // What the system keeps unread for one of these; it takes up to twice as
+  // much.
+  int mSocketReceiveBytes = 8 * 1024;
   // Connections kept open to one peer, and to all.
   std::size_t mMaxIdlePerPeer = 2;
   std::size_t mMaxIdle = 64;
@@ -67,6 +70,9 @@
   std::function<bool(std::string_view aBytes)> mOnDatagram;
   // A request came. Returns its answer, or nothing where it can't be read.
   std::function<std::optional<std::string>(std::string_view aBytes)> mOnRequest;
+  // Takes the constant name of what happened to a connection for want of room:
+  // "peer_connection_gave_way", "peer_connection_refused". May be null.
+  std::function<void(std::string_view aEvent)> mOnEvent = nullptr;
 };
 
 struct exchange_limits
@@ -91,6 +97,8 @@
   std::uint64_t mExchangesFailed = 0;
   std::uint64_t mConnectionsAccepted = 0;
   std::uint64_t mConnectionsRefused = 0;
+  // Connections without a request in progress that were closed for new ones.
+  std::uint64_t mConnectionsGaveWay = 0;
   // Datagrams and frames that were too long or could not be read.
   std::uint64_t mGarbage = 0;
   // Payload and frame heads, both ways.
