--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -263,7 +263,7 @@
     if (mShared->mServing < mShared->mLimits.mMaxConnections ||
         MakeRoom(*mShared)) {
       co_await ServeAll();
-    } else if (Crowded()) {
+    } else if (Crowded() && !EndOldestLinger()) {
       mShared->Tell(server_event::kDropped);
       mShared->mOnUnreadable(error_kind::kTooManyConnections);
       co_return;
@@ -295,6 +295,13 @@
     return mPhase == phase::kWorking || (mPhase == phase::kWaiting && isNew);
   }
 
+  void EndLinger() override
+  {
+    unlink();
+    error_code ignored;
+    mStream.socket().close(ignored);
+  }
+
   bool GiveWay() override
   {
     error_code wrong;
@@ -383,10 +390,23 @@
     mStream.socket().shutdown(tcp::socket::shutdown_send, wrong);
     mBuffer.clear();
     mStream.expires_after(kLingerTimeout);
-    while (!wrong && !Crowded()) {
+    Enter(mShared->mLingering);
+    while (!wrong) {
       co_await mStream.async_read_some(mBuffer.prepare(kFirstRead),
                                        Into(wrong));
     }
+    unlink();
+  }
+
+  // Closes the connection whose last answer was sent the longest time ago, so
+  // that a new one can be told that it is refused. False where there is none.
+  bool EndOldestLinger()
+  {
+    if (mShared->mLingering.empty()) {
+      return false;
+    }
+    mShared->mLingering.front().EndLinger();
+    return true;
   }
 
   // Reads one request and writes its answer; false ends the connection.
@@ -757,13 +777,13 @@
   // read that its request was given up.
   //
   // Nothing more is read ahead once so much is: a caller that sends requests
-  // without waiting for answers would fill the buffer beyond its bound.
+  // without waiting for answers would fill the buffer beyond its bound. Then
+  // only a reset shows.
   void Watch(const boost::intrusive_ptr<queued_exchange>& aExchange)
   {
-    if (mBuffer.size() >= kMaxReadAhead) {
-      return;
-    }
-    mStream.socket().async_wait(tcp::socket::wait_read,
+    const auto what =
+      ReadsAhead() ? tcp::socket::wait_read : tcp::socket::wait_error;
+    mStream.socket().async_wait(what,
                                 [self = boost::intrusive_ptr<session>(this),
                                  aExchange](const error_code& aWrong) {
                                   if (!aWrong && !aExchange->Gone()) {
@@ -772,6 +792,8 @@
                                 });
   }
 
+  bool ReadsAhead() const { return mBuffer.size() < kMaxReadAhead; }
+
   // An exception that left a handler would end all connections, as it ends the
   // loop that runs them.
   void LookForCloseOrEnd(const boost::intrusive_ptr<queued_exchange>& aExchange)
@@ -799,11 +821,13 @@
   // after them.
   void LookForClose(const boost::intrusive_ptr<queued_exchange>& aExchange)
   {
-    error_code wrong;
-    mStream.socket().non_blocking(true, wrong);
-    const std::size_t bytes =
-      mStream.socket().receive(mBuffer.prepare(kFirstRead), 0, wrong);
-    mBuffer.commit(bytes);
+    error_code wrong = asio::error::connection_reset;
+    if (ReadsAhead()) {
+      mStream.socket().non_blocking(true, wrong);
+      const std::size_t bytes =
+        mStream.socket().receive(mBuffer.prepare(kFirstRead), 0, wrong);
+      mBuffer.commit(bytes);
+    }
     if (wrong && wrong != asio::error::would_block) {
       // An answer that is complete is still written; whoever closed only its
       // sending side reads it.
--- a/thornhollow/net/internal/caller_session.h
+++ b/thornhollow/net/internal/caller_session.h
@@ -45,6 +45,8 @@
   // Closes the connection for a new one; for a header that is being read, with
   // an answer. False where a request has come, or is in progress.
   virtual bool GiveWay() = 0;
+  // Closes the connection at once, its last answer having been sent.
+  virtual void EndLinger() = 0;
   // Gives the room of a body that is being read back if it comes too slowly.
   virtual bool GiveRoomBack() = 0;
 
@@ -105,6 +107,8 @@
   session_list mIdle;
   // Read a body.
   session_list mInBody;
+  // Wait for the caller to close, their last answer having been sent.
+  session_list mLingering;
   server_event_handler mOnEvent;
   boost::asio::steady_timer mSocketCheck;
   bool mChecksSockets = false;
