Listeners and peers: an exception of one connection or message doesn't end the loop that takes all

By reading, as the class of the exception that ended the process: an exception while a session is made (memory short) would have ended the coroutine that accepts, without a line, so that nobody could connect any more; one in the handler of a peer's message ended the receiving of datagrams, or left a stream that is gone in the list of served ones; one inside a fetch left its caller without an outcome. Each is now reported, and ends that connection, message or call alone. Test: peer_transport handler_throws/others_go_on (not run on the code before).

--- a/thornhollow/net/http_fetch.cc
+++ b/thornhollow/net/http_fetch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -125,7 +126,13 @@
          std::function<void(fetch_outcome)> aDone)
 {
   co_await asio::post(aIo, asio::use_awaitable);
-  fetch_outcome outcome = co_await Exchange(aIo, aCall);
+  fetch_outcome outcome;
+  try {
+    outcome = co_await Exchange(aIo, aCall);
+  } catch (const std::exception&) {
+    // As a call that was lost; without an end of it nobody would call again.
+    outcome = std::nullopt;
+  }
   aDone(std::move(outcome));
 }
 
--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -211,15 +211,6 @@
   std::size_t& mCount;
 };
 
-void
-ReportFault(const caller_server_state& aState,
-            const std::exception_ptr& aThrown)
-{
-  if (aState.mOnFault) {
-    aState.mOnFault(ExceptionText(aThrown));
-  }
-}
-
 // Waits for room for as long as it lives.
 class room_wait
 {
@@ -1098,11 +1089,10 @@
   bool mLate = false;
 };
 
-} // namespace
-
+// As of `ServeConnection`, but that it may throw.
 void
-ServeConnection(const std::shared_ptr<caller_server_state>& aState,
-                tcp::socket aSocket)
+StartSession(const std::shared_ptr<caller_server_state>& aState,
+             tcp::socket aSocket)
 {
   auto one =
     boost::intrusive_ptr<session>(new session(std::move(aSocket), aState));
@@ -1118,4 +1108,27 @@
                  });
 }
 
+} // namespace
+
+void
+ReportFault(const caller_server_state& aState,
+            const std::exception_ptr& aThrown)
+{
+  if (aState.mOnFault) {
+    aState.mOnFault(ExceptionText(aThrown));
+  }
+}
+
+void
+ServeConnection(const std::shared_ptr<caller_server_state>& aState,
+                tcp::socket aSocket)
+{
+  try {
+    StartSession(aState, std::move(aSocket));
+  } catch (...) {
+    // The listener goes on: without it no caller could connect any more.
+    ReportFault(*aState, std::current_exception());
+  }
+}
+
 } // namespace thornhollow::net_internal
--- a/thornhollow/net/internal/caller_session.h
+++ b/thornhollow/net/internal/caller_session.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <set>
 #include <utility>
@@ -115,7 +116,13 @@
   bool mDraining = false;
 };
 
-// Serves a new connection until it ends.
+// Tells what an exception said that ended a connection.
+void
+ReportFault(const caller_server_state& aState,
+            const std::exception_ptr& aThrown);
+
+// Serves a new connection until it ends. An exception, as where memory is
+// short, ends it and is reported.
 void
 ServeConnection(const std::shared_ptr<caller_server_state>& aState,
                 boost::asio::ip::tcp::socket aSocket);
--- a/thornhollow/net/peer_transport.cc
+++ b/thornhollow/net/peer_transport.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <exception>
 #include <map>
 #include <optional>
 #include <utility>
@@ -186,6 +187,10 @@
     std::optional<steady_clock::time_point> mWaitsSince;
   };
   bool MakeRoom();
+  // An exception counts as garbage, and is told: it must not end the loop that
+  // receives what other peers send.
+  bool TakeDatagram(std::string_view aBytes);
+  std::optional<std::string> TakeRequest(std::string_view aBytes);
   void Tell(std::string_view aEvent) const
   {
     if (mHandlers.mOnEvent) {
@@ -287,6 +292,28 @@
   mCounters.mBytesOut += aBytes.size();
 }
 
+bool
+peer_transport::shared::TakeDatagram(std::string_view aBytes)
+{
+  try {
+    return mHandlers.mOnDatagram(aBytes);
+  } catch (const std::exception&) {
+    Tell("peer_fault");
+    return false;
+  }
+}
+
+std::optional<std::string>
+peer_transport::shared::TakeRequest(std::string_view aBytes)
+{
+  try {
+    return mHandlers.mOnRequest(aBytes);
+  } catch (const std::exception&) {
+    Tell("peer_fault");
+    return std::nullopt;
+  }
+}
+
 asio::awaitable<void>
 peer_transport::shared::ReceiveDatagrams()
 {
@@ -308,7 +335,7 @@
     ++mCounters.mDatagramsIn;
     mCounters.mBytesIn += size;
     if (size > mSettings.mMaxDatagramBytes ||
-        !mHandlers.mOnDatagram({ buffer.data(), size })) {
+        !TakeDatagram({ buffer.data(), size })) {
       ++mCounters.mGarbage;
     }
   }
@@ -398,7 +425,7 @@
     SetWaits(aStream, false);
     mCounters.mBytesIn += kHeadBytes + request.size();
     const auto answer =
-      end == frame_end::kWhole ? mHandlers.mOnRequest(request) : std::nullopt;
+      end == frame_end::kWhole ? TakeRequest(request) : std::nullopt;
     if (!answer) {
       ++mCounters.mGarbage;
       co_return;
--- a/thornhollow/net/peer_transport.h
+++ b/thornhollow/net/peer_transport.h
@@ -71,7 +71,8 @@
   // A request came. Returns its answer, or nothing where it can't be read.
   std::function<std::optional<std::string>(std::string_view aBytes)> mOnRequest;
   // Takes the constant name of what happened to a connection for want of room:
-  // "peer_connection_gave_way", "peer_connection_refused". May be null.
+  // "peer_connection_gave_way", "peer_connection_refused", or "peer_fault" for
+  // an exception of one of the handlers above. May be null.
   std::function<void(std::string_view aEvent)> mOnEvent = nullptr;
 };
 
--- a/thornhollow/net/peer_transport_test.cc
+++ b/thornhollow/net/peer_transport_test.cc
@@ -1,5 +1,6 @@
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -26,13 +27,20 @@
   asio::io_context mIo;
   peer_transport_settings mSettings{ .mAddress = "127.0.0.1:0" };
   std::string mLastDatagram;
+  int mFaults = 0;
   std::unique_ptr<peer_transport> mLeft = Make();
   std::unique_ptr<peer_transport> mRight = Make();
 
   std::unique_ptr<peer_transport> Make()
   {
     peer_handlers handlers;
+    handlers.mOnEvent = [this](std::string_view aEvent) {
+      mFaults += aEvent == "peer_fault" ? 1 : 0;
+    };
     handlers.mOnDatagram = [this](std::string_view aBytes) {
+      if (aBytes == "throws") {
+        throw std::length_error("thrown");
+      }
       mLastDatagram = aBytes;
       return aBytes != "garbage";
     };
@@ -41,6 +49,9 @@
       if (aBytes == "garbage") {
         return std::nullopt;
       }
+      if (aBytes == "throws") {
+        throw std::length_error("thrown");
+      }
       return "answer to " + std::string(aBytes);
     };
     auto made = std::make_unique<peer_transport>(mIo, mSettings, handlers);
@@ -103,6 +114,18 @@
   CHECK(mLeft->Counters().mDatagramsUnsent == 1);
 }
 
+// Guards against an exception of one message that ends the receiving of all.
+TEST_CASE_FIXTURE(two_daemons, "peer_transport/handler_throws/others_go_on")
+{
+  mLeft->SendDatagram(mRight->LocalAddress(), "throws");
+  mLeft->SendDatagram(mRight->LocalAddress(), "news");
+  RunTill([&] { return mLastDatagram == "news"; });
+  CHECK(mFaults == 1);
+  CHECK_FALSE(Ask(mRight->LocalAddress(), "throws").has_value());
+  CHECK(mFaults == 2);
+  CHECK(Ask(mRight->LocalAddress(), "one") == "answer to one");
+}
+
 TEST_CASE_FIXTURE(two_daemons, "peer_transport/exchanges/share_a_connection")
 {
   const std::string right = mRight->LocalAddress();
