Callers' sessions: what a full listener does for new callers stands in a file of its own

No change of behaviour: net/internal/caller_crowd (who gives way, whose room is taken back, sockets that hold too much) is taken out of caller_session, whose job is one connection. net_test passes (70 cases).

--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -7,7 +7,6 @@
 #include <string>
 #include <utility>
 #include <variant>
-#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -28,6 +27,7 @@
 
 #include "thornhollow/net/clock.h"
 #include "thornhollow/net/internal/awaitable.h"
+#include "thornhollow/net/internal/caller_crowd.h"
 #include "thornhollow/net/internal/exception_text.h"
 #include "thornhollow/net/internal/header_text.h"
 #include "thornhollow/net/internal/http_fields.h"
@@ -78,122 +78,6 @@
   return request;
 }
 
-// How many connections are asked to give way before a new one is refused.
-constexpr int kMaxAskedToGiveWay = 8;
-
-// Has a connection of the list give way, the one that came into it first.
-bool
-TakeFrom(session_list& aList,
-         quiet_state aState,
-         duration aIdleTimeout,
-         time_point aNow)
-{
-  int asked = 0;
-  for (auto at = aList.begin(); at != aList.end() && asked < kMaxAskedToGiveWay;
-       ++asked) {
-    caller_session& one = *at++;
-    if (!MayGiveWay(aState, aNow - one.mListedAt, aIdleTimeout)) {
-      return false;
-    }
-    if (one.GiveWay()) {
-      return true;
-    }
-  }
-  return false;
-}
-
-// Takes room back from a body that comes too slowly.
-bool
-TakeFromBodies(caller_server_state& aState)
-{
-  if (aState.mInBody.empty() || !aState.mInBody.front().GiveRoomBack()) {
-    return false;
-  }
-  aState.Tell(server_event::kBodyGaveWay);
-  return true;
-}
-
-// Makes room for a new connection: the one that has said least for longest is
-// closed. False where all are in use.
-bool
-MakeRoom(caller_server_state& aState)
-{
-  const time_point now = Now();
-  const duration idle = aState.mLimits.mIdleTimeout;
-  const bool found =
-    TakeFrom(aState.mSilent, quiet_state::kSilent, idle, now) ||
-    TakeFrom(aState.mInHeader, quiet_state::kInHeader, idle, now) ||
-    TakeFrom(aState.mIdle, quiet_state::kIdle, idle, now);
-  if (found) {
-    aState.Tell(server_event::kGaveWay);
-  }
-  return found || TakeFromBodies(aState);
-}
-
-// Takes room back from bodies that come too slowly, while others wait for it.
-void
-ReclaimRoom(caller_server_state& aState)
-{
-  for (auto at = aState.mInBody.begin(); at != aState.mInBody.end();) {
-    caller_session& one = *at++;
-    if (one.GiveRoomBack()) {
-      aState.Tell(server_event::kBodyGaveWay);
-    }
-  }
-}
-
-// The system keeps up to twice the size that a socket is set to.
-std::uint64_t
-MaxSocketBytes(const server_limits& aLimits)
-{
-  return std::uint64_t{ 2 } *
-         static_cast<std::uint64_t>(aLimits.mSocketReceiveBytes +
-                                    aLimits.mSocketSendBytes);
-}
-
-// Closes the connections with the most bytes in their sockets, where these are
-// too many together.
-void
-CloseFullSockets(caller_server_state& aState)
-{
-  std::vector<caller_session*> sessions;
-  std::vector<std::uint64_t> bytes;
-  for (caller_session* each : aState.mSessions) {
-    if (const std::uint64_t held = each->SocketBytes(); held > 0) {
-      sessions.push_back(each);
-      bytes.push_back(held);
-    }
-  }
-  for (const std::size_t each :
-       OverRoom(bytes, aState.mLimits.mMaxSocketBytes)) {
-    aState.Tell(server_event::kSocketFull);
-    sessions[each]->CloseForSocketBytes();
-  }
-}
-
-// How often sockets are looked at while there are so many that they could hold
-// too much.
-constexpr duration kSocketCheckInterval = Milliseconds(250);
-
-void
-CheckSockets(const std::shared_ptr<caller_server_state>& aState)
-{
-  const std::uint64_t room = aState->mLimits.mMaxSocketBytes;
-  aState->mChecksSockets =
-    room > 0 &&
-    aState->mSessions.size() * MaxSocketBytes(aState->mLimits) > room;
-  if (!aState->mChecksSockets) {
-    return;
-  }
-  aState->mSocketCheck.expires_after(kSocketCheckInterval);
-  aState->mSocketCheck.async_wait([aState](const error_code& aWrong) {
-    if (!aWrong) {
-      CloseFullSockets(*aState);
-      CheckSockets(aState);
-    }
-  });
-}
-
 // Counts one more for as long as it lives, also where an exception ends it.
 class tally
 {
@@ -254,7 +138,7 @@
     if (mShared->mServing < mShared->mLimits.mMaxConnections ||
         MakeRoom(*mShared)) {
       co_await ServeAll();
-    } else if (Crowded() && !EndOldestLinger()) {
+    } else if (Crowded() && !EndOldestLinger(*mShared)) {
       mShared->Tell(server_event::kDropped);
       mShared->mOnUnreadable(error_kind::kTooManyConnections);
       co_return;
@@ -389,17 +273,6 @@
     unlink();
   }
 
-  // Closes the connection whose last answer was sent the longest time ago, so
-  // that a new one can be told that it is refused. False where there is none.
-  bool EndOldestLinger()
-  {
-    if (mShared->mLingering.empty()) {
-      return false;
-    }
-    mShared->mLingering.front().EndLinger();
-    return true;
-  }
-
   // Reads one request and writes its answer; false ends the connection.
   asio::awaitable<bool> ServeOne()
   {
@@ -1096,9 +969,7 @@
 {
   auto one =
     boost::intrusive_ptr<session>(new session(std::move(aSocket), aState));
-  if (!aState->mChecksSockets) {
-    CheckSockets(aState);
-  }
+  WatchSockets(aState);
   asio::co_spawn(aState->mIo,
                  RunToEnd(std::move(one)),
                  [aState](const std::exception_ptr& aThrown) {
--- a/thornhollow/net/internal/caller_session.h
+++ b/thornhollow/net/internal/caller_session.h
@@ -79,7 +79,7 @@
     , mOnRequest(std::move(aOnRequest))
     , mOnUnreadable(std::move(aOnUnreadable))
     , mAcceptor(aIo)
-    , mSocketCheck(aIo)
+    , mSocketTimer(aIo)
   {
   }
 
@@ -111,8 +111,9 @@
   // Wait for the caller to close, their last answer having been sent.
   session_list mLingering;
   server_event_handler mOnEvent;
-  boost::asio::steady_timer mSocketCheck;
-  bool mChecksSockets = false;
+  // What lies in the sockets is looked at when it fires.
+  boost::asio::steady_timer mSocketTimer;
+  bool mWatchesSockets = false;
   bool mDraining = false;
 };
 
