Callers' sessions: the parser and the timer of a wait belong to the session

A session kept plain pointers to a parser and a timer in the frame of its coroutine. After an exception the frame is gone while a timer of the session still holds it, so that taking back room, or looking at sockets, would have used freed memory. Both are members now, and the state that said whether they are there is theirs. A session's list takes the time that its caller has read already.

--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -124,6 +124,7 @@
     , mShared(std::move(aShared))
     , mReadLimit(mStream.get_executor())
     , mOpened(Now())
+    , mRoomTimer(mStream.get_executor())
     , mReceiveBytes(mShared->mLimits.mSocketReceiveBytes)
   {
     mShared->mSessions.insert(this);
@@ -195,9 +196,6 @@
 
   bool GiveRoomBack() override
   {
-    if (mParser == nullptr) {
-      return false;
-    }
     const std::uint64_t came = mParser->get().body().size();
     if (!ComesTooSlowly(came, Now() - mListedAt)) {
       return false;
@@ -208,22 +206,20 @@
     return true;
   }
 
-  std::uint64_t SocketBytes() const override
+  std::uint64_t SocketBytes() override
   {
     error_code wrong;
     const std::size_t unread = mStream.socket().available(wrong);
     int untaken = 0;
-    ::ioctl(const_cast<tcp::socket&>(mStream.socket()).native_handle(),
-            SIOCOUTQ,
-            &untaken);
+    ::ioctl(mStream.socket().native_handle(), SIOCOUTQ, &untaken);
     return unread + static_cast<std::uint64_t>(std::max(untaken, 0));
   }
 
   void CloseForSocketBytes() override
   {
-    if (mRoomTimer != nullptr) {
+    if (mWaitsForRoom) {
       mLostRoom = true;
-      mRoomTimer->cancel();
+      mRoomTimer.cancel();
       return;
     }
     error_code ignored;
@@ -265,7 +261,7 @@
     mStream.socket().shutdown(tcp::socket::shutdown_send, wrong);
     mBuffer.clear();
     mStream.expires_after(kLingerTimeout);
-    Enter(mShared->mLingering);
+    Enter(mShared->mLingering, Now());
     while (!wrong) {
       co_await mStream.async_read_some(mBuffer.prepare(kFirstRead),
                                        Into(wrong));
@@ -280,26 +276,26 @@
       co_return false;
     }
     mBuffer.max_size(mShared->mLimits.mMaxHeaderBytes + kMaxUnparsedBytes);
-    // Freed before the answer, as its fields take several times their bytes.
-    std::optional<request_parser> parser(std::in_place);
-    parser->header_limit(mShared->mLimits.mMaxHeaderBytes);
-    parser->body_limit(mShared->mLimits.mMaxBodyBytes);
-    if (const auto wrong = co_await ReadRequest(*parser)) {
+    request_parser& parser = mParser.emplace();
+    parser.header_limit(mShared->mLimits.mMaxHeaderBytes);
+    parser.body_limit(mShared->mLimits.mMaxBodyBytes);
+    if (const auto wrong = co_await ReadRequest(parser)) {
       mCharges = request_charges();
-      parser.reset();
+      mParser.reset();
       co_await Refuse(*wrong);
       co_return false;
     }
-    const bool keepAlive = parser->get().keep_alive();
-    mVersion = parser->get().version();
-    mHead = parser->get().method() == http::verb::head;
+    const bool keepAlive = parser.get().keep_alive();
+    mVersion = parser.get().version();
+    mHead = parser.get().method() == http::verb::head;
     const auto one = boost::intrusive_ptr<queued_exchange>(new queued_exchange(
       mStream.get_executor(),
-      ToRequest(*parser),
+      ToRequest(parser),
       { mShared->mLimits.mMaxUnsentBytes, mShared->mMemory },
       std::move(mCharges),
       Now() - mWaitedForRoom));
-    parser.reset();
+    // Its fields take several times their bytes.
+    mParser.reset();
     FreeBuffer();
     mExchange = one;
     Watch(one);
@@ -321,7 +317,7 @@
     }
     mPhase = phase::kWaiting;
     FreeBuffer();
-    Enter(mAnsweredOne ? mShared->mIdle : mShared->mSilent);
+    Enter(mAnsweredOne ? mShared->mIdle : mShared->mSilent, Now());
     mStream.expires_after(mShared->mLimits.mIdleTimeout);
     error_code wrong;
     const std::size_t bytes = co_await mStream.async_read_some(
@@ -334,10 +330,10 @@
     co_return !wrong;
   }
 
-  void Enter(session_list& aList)
+  void Enter(session_list& aList, time_point aNow)
   {
     unlink();
-    mListedAt = Now();
+    mListedAt = aNow;
     aList.push_back(*this);
   }
 
@@ -355,11 +351,9 @@
     request_parser& aParser)
   {
     BeginReadLimit();
-    Enter(mShared->mInHeader);
-    mParser = &aParser;
+    Enter(mShared->mInHeader, mReadBegun);
     error_code wrong;
     const bool usable = co_await ReadAll(aParser, wrong);
-    mParser = nullptr;
     unlink();
     ++mReads;
     mReadLimit.cancel();
@@ -415,7 +409,7 @@
       aWrong = asio::error::no_memory;
       co_return true;
     }
-    Enter(mShared->mInBody);
+    Enter(mShared->mInBody, Now());
     if (header.version() == kHttp11 &&
         beast::iequals(header[http::field::expect], "100-continue")) {
       http::response<http::empty_body> proceed(http::status::continue_,
@@ -510,22 +504,21 @@
 
   asio::awaitable<bool> WaitForRoom(std::uint64_t aBytes)
   {
-    asio::steady_timer timer(mStream.get_executor());
     bool found = false;
     const room_wait wait(mShared->mMemory, aBytes, [&](memory_charge aCharge) {
       mCharges.mBody = std::move(aCharge);
       found = true;
-      timer.cancel();
+      mRoomTimer.cancel();
     });
     const time_point until = Now() + mShared->mLimits.mMaxRoomWait;
-    mRoomTimer = &timer;
+    mWaitsForRoom = true;
     while (!found && !mLostRoom && Now() < until) {
       ReclaimRoom(*mShared);
-      timer.expires_at(std::min(until, Now() + kReclaimInterval));
+      mRoomTimer.expires_at(std::min(until, Now() + kReclaimInterval));
       error_code ignored;
-      co_await timer.async_wait(Into(ignored));
+      co_await mRoomTimer.async_wait(Into(ignored));
     }
-    mRoomTimer = nullptr;
+    mWaitsForRoom = false;
     co_return found;
   }
 
@@ -941,9 +934,12 @@
   // Of the request that is being read, and how long it waited for its body's.
   request_charges mCharges;
   duration mWaitedForRoom{};
-  // While a request is being read, waits for room, is served.
-  const request_parser* mParser = nullptr;
-  asio::steady_timer* mRoomTimer = nullptr;
+  // While a request is being read.
+  std::optional<request_parser> mParser;
+  // While a body waits for room.
+  bool mWaitsForRoom = false;
+  asio::steady_timer mRoomTimer;
+  // While a request is served.
   boost::intrusive_ptr<queued_exchange> mExchange;
   // It was asked to give way, or its body's room was taken back.
   bool mGaveWay = false;
--- a/thornhollow/net/internal/caller_session.h
+++ b/thornhollow/net/internal/caller_session.h
@@ -48,11 +48,11 @@
   virtual bool GiveWay() = 0;
   // Closes the connection at once, its last answer having been sent.
   virtual void EndLinger() = 0;
-  // Gives the room of a body that is being read back if it comes too slowly.
+  // Gives the room of the body that is being read back if it comes too slowly.
   virtual bool GiveRoomBack() = 0;
 
   // Received and not read, and sent and not taken.
-  virtual std::uint64_t SocketBytes() const = 0;
+  virtual std::uint64_t SocketBytes() = 0;
   // Ends the connection by a reset, or, where its body waits for room, with an
   // answer.
   virtual void CloseForSocketBytes() = 0;
