Peers' connections: two lists in place of a search by address and by time

Which connection has waited longest was searched for by its time, its entry by its address, and an exception while a frame is read (memory short) would have left the entry of a stream that is gone. A connection now is an element of the list of those that wait, in their order, or of those with a request, and leaves it when it ends, however it does.

--- a/thornhollow/net/peer_transport.cc
+++ b/thornhollow/net/peer_transport.cc
@@ -21,6 +21,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/intrusive/list.hpp>
 
 #include "thornhollow/net/address.h"
 #include "thornhollow/net/internal/awaitable.h"
@@ -152,6 +153,28 @@
     steady_clock::time_point mLastAnswer;
   };
 
+  // A peer's connection; leaves its list when it ends, however it does.
+  struct served_connection
+    : boost::intrusive::list_base_hook<
+        boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+  {
+    explicit served_connection(tcp::socket aSocket)
+      : mStream(std::move(aSocket))
+    {
+    }
+
+    void Enter(auto& aList)
+    {
+      unlink();
+      aList.push_back(*this);
+    }
+
+    beast::tcp_stream mStream;
+  };
+  using served_list =
+    boost::intrusive::list<served_connection,
+                           boost::intrusive::constant_time_size<false>>;
+
   struct call
   {
     std::string mAddress;
@@ -163,7 +186,7 @@
   asio::awaitable<void> ReceiveDatagrams();
   asio::awaitable<void> Accept();
   asio::awaitable<void> Serve(tcp::socket aSocket);
-  asio::awaitable<void> ServeRequests(beast::tcp_stream& aStream);
+  asio::awaitable<void> ServeRequests(served_connection& aServed);
   asio::awaitable<void> RunExchange(call aCall, answer_handler aDone);
   asio::awaitable<std::optional<std::string>> Ask(const call& aCall);
   asio::awaitable<std::optional<std::string>> AskOn(
@@ -179,13 +202,6 @@
   asio::io_context& mIo;
   tcp::acceptor mAcceptor;
   udp::socket mDatagrams;
-  // A peer's connection.
-  struct served_connection
-  {
-    beast::tcp_stream* mStream;
-    // Since when it waits for a request; nothing while one is handled.
-    std::optional<steady_clock::time_point> mWaitsSince;
-  };
   bool MakeRoom();
   // An exception counts as garbage, and is told: it must not end the loop that
   // receives what other peers send.
@@ -197,10 +213,11 @@
       mHandlers.mOnEvent(aEvent);
     }
   }
-  void SetWaits(const beast::tcp_stream& aStream, bool aWaits);
 
-  // So that closing ends them.
-  std::vector<served_connection> mServed;
+  // Peers' connections: those that wait for a request, the one that has waited
+  // longest first, and those with one.
+  served_list mWaiting;
+  served_list mInUse;
   std::map<std::string, std::deque<idle_connection>> mIdle;
   std::size_t mIdleCount = 0;
   bool mClosed = false;
@@ -253,8 +270,10 @@
   error_code ignored;
   mAcceptor.close(ignored);
   mDatagrams.close(ignored);
-  for (const served_connection& each : mServed) {
-    each.mStream->socket().close(ignored);
+  for (served_list* list : { &mWaiting, &mInUse }) {
+    for (served_connection& each : *list) {
+      each.mStream.socket().close(ignored);
+    }
   }
   mIdle.clear();
   mIdleCount = 0;
@@ -356,7 +375,8 @@
       co_await pause.async_wait(Into(wrong));
       continue;
     }
-    if (mServed.size() >= mSettings.mMaxConnections && !MakeRoom()) {
+    const std::size_t served = mWaiting.size() + mInUse.size();
+    if (served >= mSettings.mMaxConnections && !MakeRoom()) {
       ++mCounters.mConnectionsRefused;
       Tell("peer_connection_refused");
       continue;
@@ -370,11 +390,8 @@
 asio::awaitable<void>
 peer_transport::shared::Serve(tcp::socket aSocket)
 {
-  beast::tcp_stream stream(std::move(aSocket));
-  mServed.push_back({ &stream, steady_clock::now() });
-  co_await ServeRequests(stream);
-  std::erase_if(mServed,
-                [&](const auto& aOne) { return aOne.mStream == &stream; });
+  served_connection served(std::move(aSocket));
+  co_await ServeRequests(served);
 }
 
 // Closes the connection that has waited longest for a request. Guards against
@@ -383,46 +400,34 @@
 bool
 peer_transport::shared::MakeRoom()
 {
-  const auto oldest =
-    std::ranges::min_element(mServed, {}, [](const served_connection& aOne) {
-      return aOne.mWaitsSince.value_or(steady_clock::time_point::max());
-    });
-  if (oldest == mServed.end() || !oldest->mWaitsSince) {
+  if (mWaiting.empty()) {
     return false;
   }
   ++mCounters.mConnectionsGaveWay;
   Tell("peer_connection_gave_way");
-  oldest->mWaitsSince.reset();
+  served_connection& oldest = mWaiting.front();
+  oldest.unlink();
   error_code ignored;
-  oldest->mStream->socket().close(ignored);
+  oldest.mStream.socket().close(ignored);
   return true;
 }
 
-void
-peer_transport::shared::SetWaits(const beast::tcp_stream& aStream, bool aWaits)
-{
-  for (served_connection& each : mServed) {
-    if (each.mStream == &aStream) {
-      each.mWaitsSince =
-        aWaits ? std::optional(steady_clock::now()) : std::nullopt;
-    }
-  }
-}
-
 asio::awaitable<void>
-peer_transport::shared::ServeRequests(beast::tcp_stream& aStream)
+peer_transport::shared::ServeRequests(served_connection& aServed)
 {
+  beast::tcp_stream& stream = aServed.mStream;
   error_code ignored;
-  aStream.socket().set_option(tcp::no_delay(true), ignored);
+  stream.socket().set_option(tcp::no_delay(true), ignored);
   std::string request;
   while (!mClosed) {
-    aStream.expires_after(mSettings.mServeLimit);
+    aServed.Enter(mWaiting);
+    stream.expires_after(mSettings.mServeLimit);
     const frame_end end = co_await ReadFrame(
-      aStream, request, mSettings.mMaxRequestBytes, [](std::size_t) {});
+      stream, request, mSettings.mMaxRequestBytes, [](std::size_t) {});
     if (mClosed || end == frame_end::kBroken) {
       co_return;
     }
-    SetWaits(aStream, false);
+    aServed.Enter(mInUse);
     mCounters.mBytesIn += kHeadBytes + request.size();
     const auto answer =
       end == frame_end::kWhole ? TakeRequest(request) : std::nullopt;
@@ -430,12 +435,11 @@
       ++mCounters.mGarbage;
       co_return;
     }
-    aStream.expires_after(mSettings.mServeLimit);
-    if (!co_await WriteFrame(aStream, *answer)) {
+    stream.expires_after(mSettings.mServeLimit);
+    if (!co_await WriteFrame(stream, *answer)) {
       co_return;
     }
     mCounters.mBytesOut += kHeadBytes + answer->size();
-    SetWaits(aStream, true);
   }
 }
 
