Coroutines of attempts and sessions: one way to run them to their end

RunToEnd took three callers that each wrote the same handler for an exception around it. It now starts the run and tells of an exception that ended it, so that none can be passed over.

--- a/thornhollow/net/endpoint_attempt.cc
+++ b/thornhollow/net/endpoint_attempt.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -308,13 +307,10 @@
 {
   auto attempt = boost::intrusive_ptr<attempt_run>(
     new attempt_run(aIo, std::move(aCall), std::move(aOnEvent)));
-  asio::co_spawn(aIo,
-                 net_internal::RunToEnd(attempt),
-                 [attempt](const std::exception_ptr& aThrown) {
-                   if (aThrown) {
-                     attempt->OnException();
-                   }
-                 });
+  net_internal::RunToEnd(
+    aIo, attempt, [&run = *attempt](const std::exception_ptr&) {
+      run.OnException();
+    });
   return attempt;
 }
 
--- a/thornhollow/net/internal/caller_session.cc
+++ b/thornhollow/net/internal/caller_session.cc
@@ -9,7 +9,6 @@
 #include <variant>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -966,13 +965,10 @@
   auto one =
     boost::intrusive_ptr<session>(new session(std::move(aSocket), aState));
   WatchSockets(aState);
-  asio::co_spawn(aState->mIo,
-                 RunToEnd(std::move(one)),
-                 [aState](const std::exception_ptr& aThrown) {
-                   if (aThrown) {
-                     ReportFault(*aState, aThrown);
-                   }
-                 });
+  RunToEnd(
+    aState->mIo, std::move(one), [aState](const std::exception_ptr& aThrown) {
+      ReportFault(*aState, aThrown);
+    });
 }
 
 } // namespace
--- a/thornhollow/net/relay_attempt.cc
+++ b/thornhollow/net/relay_attempt.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -384,13 +383,10 @@
 {
   boost::intrusive_ptr<attempt> one(
     new attempt(aConnections, aNames, std::move(aCall), std::move(aOnEvent)));
-  asio::co_spawn(aConnections.Io(),
-                 net_internal::RunToEnd(one),
-                 [one](const std::exception_ptr& aThrown) {
-                   if (aThrown) {
-                     one->OnException(aThrown);
-                   }
-                 });
+  net_internal::RunToEnd(
+    aConnections.Io(), one, [&run = *one](const std::exception_ptr& aThrown) {
+      run.OnException(aThrown);
+    });
   return one;
 }
 
