Limits of a process: worked out once, and bodies that wait are reported in one place

The own interface worked its limits out three times, and counted what happens for want of memory without the log line memory_full_for_bodies that the relay writes: both now use one function, so that the own interface writes that line too, and both let go of the account's listener at their end. The limits of operators' listeners are set by the function that sets the others; two constants that the same formula needs equal are one.

--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -31,13 +31,13 @@
 constexpr std::uint64_t kBodyCopies = 3;
 
 server_limits
-CallerServerLimits(const daemon_settings& aSettings)
+CallerServerLimits(const daemon_settings& aSettings,
+                   const connection_limits& aConnections)
 {
-  const connection_limits connections = ConnectionLimitsOf(aSettings);
   server_limits limits;
   limits.mMaxHeaderBytes = aSettings.mLimits.mMaxHeaderBytes;
   limits.mMaxBodyBytes = aSettings.mLimits.mMaxBodyBytes;
-  Bound(limits, connections.mCallers, connections.mCallerSocketBytes);
+  Bound(limits, aConnections.mCallers, aConnections.mCallerSocketBytes);
   limits.mBodyCopies = kBodyCopies;
   limits.mHeaderTimeout = aSettings.mLimits.mSendTimeout;
   limits.mSendTimeout = aSettings.mLimits.mSendTimeout;
@@ -107,19 +107,20 @@
        json_log& aLog)
     : mIo(aIo)
     , mSettings(aSettings)
+    , mLimits(ConnectionLimitsOf(aSettings))
     , mLog(aLog)
     , mMemory(new memory_account(MemoryLimits(aSettings.mMemoryMegabytes)))
     , mRouter(aIo, RouterSettings(aSettings), aLog, mMetrics)
     , mCallers(
         aIo,
-        CallerServerLimits(aSettings),
+        CallerServerLimits(aSettings, mLimits),
         [this](caller_exchange_ptr aExchange) {
           mRouter.Serve(std::move(aExchange));
         },
         [this](error_kind aKind) { return mRouter.AnswerUnreadable(aKind); })
     , mOperators(
         aIo,
-        OperatorServerLimits(ConnectionLimitsOf(aSettings).mOperators),
+        OperatorServerLimits(mLimits.mOperators),
         [this](const caller_exchange_ptr& aExchange) {
           mMetrics.SetHeld(mRouter.HeldByPool());
           mMetrics.SetMemory(mMemory->Use());
@@ -149,8 +150,7 @@
       Report(*each, mLog, mMetrics);
     }
     mCallers.SetMemory(mMemory);
-    mMemory->OnEvent(
-      [this](memory_event aEvent) { mMetrics.OnEvent(Name(aEvent)); });
+    Report(*mMemory, mLog, mMetrics);
     mRouter.Crashes().SetPeers(CrashGuardPeers());
     mRouter.Forwarder().SetLink(ForwarderLink());
     mRouter.OnEndpointLeaving([this](const endpoint_name& aEndpoint) {
@@ -158,6 +158,10 @@
     });
   }
 
+  core(const core&) = delete;
+  core& operator=(const core&) = delete;
+  ~core() { mMemory->OnEvent(nullptr); }
+
   result<listening_addresses> Start()
   {
     BOOST_LEAF_AUTO(caller, mCallers.Listen(mSettings.mCallerAddress));
@@ -172,7 +176,7 @@
                  { "domain", mSettings.mDomain.Text() },
                  { "caller_address", caller },
                  { "operator_address", operators } });
-    LogLimits(ConnectionLimitsOf(mSettings), mLog);
+    LogLimits(mLimits, mLog);
     return listening_addresses{ caller, operators };
   }
 
@@ -300,6 +304,7 @@
 
   boost::asio::io_context& mIo;
   daemon_settings mSettings;
+  connection_limits mLimits;
   json_log& mLog;
   metrics mMetrics;
   memory_account_ptr mMemory;
--- a/thornhollow/daemon/operators_page.cc
+++ b/thornhollow/daemon/operators_page.cc
@@ -4,7 +4,7 @@
 #include <boost/json/value.hpp>
 #include <boost/json/value_from.hpp>
 
-#include "thornhollow/policy/admission/connection_limits.h"
+#include "thornhollow/daemon/process_limits.h"
 
 namespace thornhollow {
 namespace {
@@ -38,8 +38,7 @@
 {
   server_limits limits;
   limits.mMaxBodyBytes = 1024;
-  limits.mMaxConnections = aConnections;
-  limits.mMaxClosing = MaxClosing(aConnections);
+  Bound(limits, aConnections, limits.mMaxSocketBytes);
   return limits;
 }
 
--- a/thornhollow/daemon/process_limits.cc
+++ b/thornhollow/daemon/process_limits.cc
@@ -95,4 +95,21 @@
   });
 }
 
+// A single line for all bodies that wait at a time; answers that are cut have
+// lines of their own.
+void
+Report(memory_account& aAccount, json_log& aLog, metrics& aMetrics)
+{
+  aAccount.OnEvent([&](memory_event aEvent) {
+    aMetrics.OnEvent(Name(aEvent));
+    if (aEvent == memory_event::kBodiesBeginToWait) {
+      const memory_use use = aAccount.Use();
+      aLog.Write(log_level::kWarning,
+                 std::string(Name(aEvent)),
+                 { { "body_bytes", Whole(use.mBodies) },
+                   { "answer_bytes", Whole(use.mAnswers) } });
+    }
+  });
+}
+
 } // namespace thornhollow
--- a/thornhollow/daemon/process_limits.h
+++ b/thornhollow/daemon/process_limits.h
@@ -13,6 +13,7 @@
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/peer_transport.h"
 #include "thornhollow/policy/admission/connection_limits.h"
+#include "thornhollow/policy/admission/memory_account.h"
 
 namespace thornhollow {
 
@@ -36,6 +37,11 @@
 // Counts and logs what listeners do to connections.
 void
 Report(caller_server& aServer, json_log& aLog, metrics& aMetrics);
+// Counts what happens for want of memory, and logs when bodies begin to wait.
+// Sessions of callers may keep the account longer than the log and the metrics:
+// whoever calls this ends it by `OnEvent(nullptr)`.
+void
+Report(memory_account& aAccount, json_log& aLog, metrics& aMetrics);
 
 } // namespace thornhollow
 
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -66,7 +66,7 @@
   , mGenerator(std::random_device()())
   , mMaxToEndpoints(ConnectionLimitsOf(aSettings).mToEndpoints)
 {
-  mMemory->OnEvent([this](memory_event aEvent) { OnMemory(aEvent); });
+  Report(*mMemory, aLog, aMetrics);
   const auto keep = [this](const endpoint_process& aWhere,
                            endpoint_connection_ptr aConnection) {
     mConnections.GiveBack(aWhere, std::move(aConnection), std::nullopt);
@@ -87,21 +87,6 @@
   mMemory->OnEvent(nullptr);
 }
 
-// A single line for all bodies that wait at a time; answers that are cut have
-// lines of their own.
-void
-relay_dispatcher::OnMemory(memory_event aEvent)
-{
-  mMetrics.OnEvent(Name(aEvent));
-  if (aEvent == memory_event::kBodiesBeginToWait) {
-    const memory_use use = mMemory->Use();
-    mLog.Write(log_level::kWarning,
-               std::string(Name(aEvent)),
-               { { "body_bytes", static_cast<std::int64_t>(use.mBodies) },
-                 { "answer_bytes", static_cast<std::int64_t>(use.mAnswers) } });
-  }
-}
-
 void
 relay_dispatcher::BoundKeptConnections()
 {
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -288,7 +288,6 @@
 
 private:
   void BoundKeptConnections();
-  void OnMemory(memory_event aEvent);
   duration RetryDelay();
   void UpdateReserved(time_point aNow);
   void RecordLag(duration aLate);
--- a/thornhollow/policy/admission/connection_limits.cc
+++ b/thornhollow/policy/admission/connection_limits.cc
@@ -35,9 +35,9 @@
 
 constexpr std::size_t kFewestClosing = 8;
 constexpr std::size_t kMostClosing = 256;
-// As parts of the connections that are served, as inverses: those that are
-// closing, and connections to endpoints beyond one for each request.
-constexpr std::size_t kClosingPart = 8;
+// The part, as its inverse, of the connections that are served, which may be
+// closing beside them, and by which connections to endpoints may be more than
+// one for each request.
 constexpr std::size_t kSparePart = 8;
 
 constexpr duration kHeaderComes = Seconds(1);
@@ -59,7 +59,7 @@
 std::size_t
 MaxClosing(std::size_t aServed)
 {
-  return std::clamp(aServed / kClosingPart, kFewestClosing, kMostClosing);
+  return std::clamp(aServed / kSparePart, kFewestClosing, kMostClosing);
 }
 
 connection_limits
@@ -77,8 +77,7 @@
   const std::size_t left = all - std::min(all, taken);
   // Each one that is served has two descriptors, and those that are closing
   // and spare ones to endpoints come on top.
-  const std::size_t byDescriptors =
-    left * kClosingPart / (2 * (kClosingPart + 1));
+  const std::size_t byDescriptors = left * kSparePart / (2 * (kSparePart + 1));
   const std::size_t served = std::max<std::size_t>(
     std::min({ aProcess.mMaxConnections,
                byDescriptors,
