Crowd tests: what the tests of both interfaces check alike stands once

Found by reading the change once more: assert_answers, the bounds on descriptors and memory, and the sizes of the crowds stood in the tests of the relay and of the own interface.

--- a/thornhollow/testing/process/crowd.py
+++ b/thornhollow/testing/process/crowd.py
@@ -28,6 +28,21 @@
 # Ends a crowd whose bytes are taken for ever.
 MOST_SECONDS = 20
 SAMPLE_SECONDS = 0.05
+
+# Of a daemon whose descriptors are limited, and the part that is left for
+# endpoints, the source, peers and files: of a machine's 4,100 descriptors files
+# have 200 to themselves.
+DESCRIPTORS = 256
+RESERVED = DESCRIPTORS * 200 // 4100
+IDLE_CROWD = 400
+# Of a daemon whose connections are limited.
+MAX_CONNECTIONS = 64
+# Beyond what one listener takes while it refuses and closes others.
+MORE_THAN_A_DOOR_TAKES = 500
+# Requests in one write on one connection.
+PIPELINED = 800
+# So often an ordinary caller tries beside a crowd.
+TRIES = 3
 IS_SANITIZED = b"__asan_init" in (harness.BIN / "thornhollowd").read_bytes()
 
 
@@ -192,6 +207,45 @@
         del self.sockets[:count]
 
 
+class CrowdChecks:
+    """For test cases with a daemon before a crowd."""
+
+    memory_mb = None
+
+    def measure(self, daemon, addresses):
+        self.cost = Cost(daemon.process.pid, addresses)
+        self.addCleanup(self.cost.over.set)
+
+    def crowd(self, address, count, **options):
+        made = Crowd(address, count, **options)
+        self.addCleanup(made.leave)
+        return made
+
+    def assert_answers(self, address, path):
+        """On a new connection, while the crowd is there."""
+        for _ in range(TRIES):
+            try:
+                if harness.call(address, "GET", path)[0] == 200:
+                    return
+            except OSError:
+                pass
+        self.fail(f"{path} isn't answered")
+
+    def assert_within_memory(self, daemon, story=None):
+        """The crowd has gone: the daemon lives, and kept to its memory."""
+        self.cost.stop()
+        self.assertTrue(daemon.running(), story and story())
+        self.assertLess(self.cost.peak_memory, self.memory_mb * 1e6)
+
+    def assert_descriptors_left(self):
+        self.assertLess(self.cost.peak_descriptors, DESCRIPTORS - RESERVED)
+
+    def assert_gives_back(self, daemon, most):
+        harness.wait_until(
+            lambda: descriptors(daemon.process.pid) <= most,
+            f"descriptors are given back, {most} are left at most")
+
+
 def request(path, headers, body=b"", length=None):
     """The bytes of a POST; `length` announces another length."""
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
--- a/thornhollow/testing/process/crowd_site.py
+++ b/thornhollow/testing/process/crowd_site.py
@@ -16,7 +16,6 @@
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 4_194_304
 ENGINES = 4
-TRIES = 3
 
 
 class Engine(relay_site.Engine):
@@ -37,7 +36,7 @@
         "header_timeout_ms": 3000, "idle_timeout_ms": 15000}, **changes)
 
 
-class CrowdTest(relay_site.RelayTest):
+class CrowdTest(crowd.CrowdChecks, relay_site.RelayTest):
 
     memory_mb = MEMORY_MB
 
@@ -55,16 +54,13 @@
         prepare = descriptors and crowd.limit_descriptors(descriptors)
         daemon = self.daemon(more=f"memory_mb: {self.memory_mb}\n{more}",
                              prepare=prepare, **options)
-        self.cost = crowd.Cost(daemon.process.pid, [
-            daemon.address, daemon.forward, daemon.ready_address,
-            daemon.operators, daemon.peers])
-        self.addCleanup(self.cost.over.set)
+        self.measure(daemon, [daemon.address, daemon.forward,
+                              daemon.ready_address, daemon.operators,
+                              daemon.peers])
         return daemon
 
     def crowd(self, address, count=CROWD, **options):
-        made = crowd.Crowd(address, count, **options)
-        self.addCleanup(made.leave)
-        return made
+        return super().crowd(address, count, **options)
 
     def order(self, number=0, body=b"", length=None):
         headers = {**self.headers(f"c{number}"), "X-Deadline-Ms": "20000"}
@@ -81,20 +77,13 @@
     def assert_serves_beside(self, daemon):
         """While the crowd is there; a caller tries so often."""
         statuses = []
-        while 200 not in statuses and len(statuses) < TRIES:
+        while 200 not in statuses and len(statuses) < crowd.TRIES:
             statuses.append(self.try_once(daemon))
         self.assertIn(200, statuses)
 
     def assert_holds(self, daemon):
         """The crowd has gone: what the daemon held is within its memory, and it
         serves."""
-        self.cost.stop()
-        self.assertTrue(daemon.running(), daemon.story())
-        self.assertLess(self.cost.peak_memory, self.memory_mb * 1e6)
+        self.assert_within_memory(daemon, daemon.story)
         harness.wait_until(lambda: self.try_once(daemon) == 200,
                            "an ordinary request is answered")
-
-    def assert_gives_back(self, daemon, before):
-        harness.wait_until(
-            lambda: crowd.descriptors(daemon.process.pid) <= before,
-            f"descriptors are given back: {before} before")
--- a/thornhollow/testing/process/own_crowd_test.py
+++ b/thornhollow/testing/process/own_crowd_test.py
@@ -6,6 +6,7 @@
 
 import crowd
 import harness
+from crowd import DESCRIPTORS, MAX_CONNECTIONS, MORE_THAN_A_DOOR_TAKES, TRIES
 
 # What a daemon may use unless its settings say otherwise.
 MEMORY_MB = 1024
@@ -14,32 +15,22 @@
 BODIES = 400
 HEADERS = 1_100
 CALLERS = 400
-PIPELINED = 800
 WAVES = 5
-DESCRIPTORS = 256
-RESERVED = DESCRIPTORS * 200 // 4100
-MAX_CONNECTIONS = 64
-MORE_THAN_A_DOOR_TAKES = 500
-TRIES = 3
 
 
-class OwnCrowdTest(harness.SiteTest):
+class OwnCrowdTest(crowd.CrowdChecks, harness.SiteTest):
+
+    memory_mb = MEMORY_MB
 
     def begin(self, descriptors=None):
         self.engine("e1")
         prepare = descriptors and crowd.limit_descriptors(descriptors)
         daemon = self.site(prepare=prepare)
         self.publish_instances()
-        self.cost = crowd.Cost(daemon.process.pid, [
-            daemon.address, daemon.operators, daemon.settings["peers"]])
-        self.addCleanup(self.cost.over.set)
+        self.measure(daemon, [daemon.address, daemon.operators,
+                              daemon.settings["peers"]])
         return daemon
 
-    def crowd(self, address, count):
-        made = crowd.Crowd(address, count)
-        self.addCleanup(made.leave)
-        return made
-
     def completion(self, body, length=None):
         return crowd.request(
             "/v1/chat/completions",
@@ -58,19 +49,8 @@
                 return
         self.fail("an ordinary request isn't answered")
 
-    def assert_answers(self, address, path):
-        for _ in range(TRIES):
-            try:
-                if harness.call(address, "GET", path)[0] == 200:
-                    return
-            except OSError:
-                pass
-        self.fail(f"{path} isn't answered")
-
     def assert_holds(self, daemon):
-        self.cost.stop()
-        self.assertTrue(daemon.running())
-        self.assertLess(self.cost.peak_memory, MEMORY_MB * 1e6)
+        self.assert_within_memory(daemon)
         harness.wait_until(
             lambda: harness.chat(daemon.address).end == "done",
             "an ordinary request is answered")
@@ -95,7 +75,7 @@
         one = self.completion(b'{"model":"m","max_tokens":1,"messages":'
                               b'[{"role":"user","content":"a"}]}')
         clients = self.crowd(daemon.address, 3)
-        clients.send_all(one * PIPELINED)
+        clients.send_all(one * crowd.PIPELINED)
         clients.read_heads()
         time.sleep(0.5)
         clients.leave()
@@ -112,9 +92,7 @@
             time.sleep(0.05)
             clients.leave(reset=False)
         self.assert_holds(daemon)
-        harness.wait_until(
-            lambda: crowd.descriptors(daemon.process.pid) <= before + 8,
-            "descriptors are given back")
+        self.assert_gives_back(daemon, before + 8)
 
     # Guards against descriptors that idle connections take from endpoints and
     # the platform.
@@ -128,7 +106,7 @@
         for each in crowds:
             each.leave()
         self.assert_holds(daemon)
-        self.assertLess(self.cost.peak_descriptors, DESCRIPTORS - RESERVED)
+        self.assert_descriptors_left()
 
 
 class OwnCrowdHeaders(OwnCrowdTest):
--- a/thornhollow/testing/process/relay_crowd_doors_test.py
+++ b/thornhollow/testing/process/relay_crowd_doors_test.py
@@ -4,19 +4,12 @@
 import time
 import unittest
 
-import crowd
 import crowd_site
 import harness
 import relay_site
+from crowd import (DESCRIPTORS, IDLE_CROWD, MAX_CONNECTIONS,
+                   MORE_THAN_A_DOOR_TAKES, TRIES)
 
-DESCRIPTORS = 256
-# The part that is left for endpoints, the store, peers and files: of a
-# machine's 4,100 descriptors files have 200 to themselves.
-RESERVED = DESCRIPTORS * 200 // 4100
-IDLE_CROWD = 400
-MAX_CONNECTIONS = 64
-# Beyond what one listener takes while it refuses and closes others.
-MORE_THAN_A_DOOR_TAKES = 500
 DATAGRAMS = 20_000
 # Announced bodies, the largest first, so that the small ones take what these
 # leave of the room.
@@ -36,16 +29,6 @@
             "the change is in force")
         self.assertEqual(self.try_once(daemon, "/n/x"), 200)
 
-    def assert_answers(self, address, path):
-        """On a new connection, while the crowd is there."""
-        for _ in range(crowd_site.TRIES):
-            try:
-                if harness.call(address, "GET", path)[0] == 200:
-                    return
-            except OSError:
-                pass
-        self.fail(f"{path} isn't answered")
-
     # Guards against descriptors that idle connections take from endpoints and
     # the store.
     def test_idle_crowd_of_callers_descriptors_are_left(self):
@@ -56,7 +39,7 @@
         self.assert_knows_changes(daemon)
         clients.leave()
         self.assert_holds(daemon)
-        self.assertLess(self.cost.peak_descriptors, DESCRIPTORS - RESERVED)
+        self.assert_descriptors_left()
 
     # The same, where each request takes a second one.
     def test_requests_in_progress_descriptors_are_left(self):
@@ -71,7 +54,7 @@
             each.mode = ""
         # All connections have a request in progress: a new caller is served or
         # told that its request has not run, and when to come back.
-        for number in range(crowd_site.TRIES):
+        for number in range(TRIES):
             status, headers, _ = self.ask(daemon, "/l/x", f"beside{number}")
             self.assertIn(status, (200, 503))
             if status == 503:
@@ -90,7 +73,7 @@
                            "an ordinary request is answered beside the crowd")
         clients.leave()
         self.assert_holds(daemon)
-        self.assertLess(self.cost.peak_descriptors, DESCRIPTORS - RESERVED)
+        self.assert_descriptors_left()
 
     # The same, at all listeners together.
     def test_idle_crowds_at_all_listeners_descriptors_are_left(self):
@@ -106,7 +89,7 @@
         for each in crowds:
             each.leave()
         self.assert_holds(daemon)
-        self.assertLess(self.cost.peak_descriptors, DESCRIPTORS - RESERVED)
+        self.assert_descriptors_left()
 
     # Guards against connections that keep others out for as long as they may
     # be idle.
--- a/thornhollow/testing/process/relay_crowd_memory_test.py
+++ b/thornhollow/testing/process/relay_crowd_memory_test.py
@@ -10,7 +10,6 @@
 HELD_SECONDS = 1
 WAVES = 5
 READ_AHEAD_BYTES = 1_048_576
-PIPELINED = 800
 
 
 class CrowdMemory(crowd_site.CrowdTest):
@@ -51,7 +50,7 @@
         one = self.order(1, b"body")
         for count in (1, 3):
             clients = self.crowd(daemon.address, count)
-            clients.send_all(one * PIPELINED)
+            clients.send_all(one * crowd.PIPELINED)
             clients.read_heads()
             time.sleep(HELD_SECONDS)
             clients.leave()
