Answers: a status that doesn't exist makes no answer

What callers saw: an engine in trouble answered with status 000, and its caller got it as an answer (relay: body, headers and status passed on).

Cause: the parser takes any three digits for a status, and nobody looked at which they were. The relay asked only whether the first digit is 1, so that 000 to 099 and 600 to 999 were final answers to it, and 101, which nobody asks for, an interim one. The same at the own interface's endpoints, where even 101 was handed on as the answer, and in the reader of one call (store, platform, reports, probes), where an endpoint in trouble counted as one that answers.

Ruled out: the hop between instances adds nothing of its own; it passes on what the instance that asked the endpoint took for an answer.

Change: 200 to 599 end an exchange, 100 to 199 without 101 precede that, and anything else is no answer, before anything of its head is used: garbled for the relay, unreadable at the own interface, no answer to a single call. What follows is what followed garbled bytes before: another endpoint where the request may be repeated, else 502.

The statuses of two or four digits and with a sign were refused before, and their cases stay.

--- a/thornhollow/net/endpoint_attempt.cc
+++ b/thornhollow/net/endpoint_attempt.cc
@@ -19,6 +19,7 @@
 
 #include "thornhollow/net/address.h"
 #include "thornhollow/net/engine_event.h"
+#include "thornhollow/net/internal/answer_head.h"
 #include "thornhollow/net/internal/awaitable.h"
 #include "thornhollow/net/internal/http_fields.h"
 #include "thornhollow/net/internal/read_buffer.h"
@@ -89,6 +90,10 @@
       Emit(connection_lost{ attempt });
       co_return;
     }
+    if (!net_internal::IsFinalStatus(mParser.get().result_int())) {
+      Emit(answer_unreadable{ attempt });
+      co_return;
+    }
     EmitNotice();
     if (DeclinedByProtocol()) {
       Emit(endpoint_declined{ attempt, Header("X-Leaving") == "yes" });
--- a/thornhollow/net/endpoint_attempt_test.cc
+++ b/thornhollow/net/endpoint_attempt_test.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include "thornhollow/net/endpoint_attempt.h"
 
@@ -123,6 +124,23 @@
   }
 }
 
+// A caller got status 000 as an answer.
+TEST_CASE_FIXTURE(attempts_at_one_answer,
+                  "endpoint_attempt/each_status/only_existing_ones_are_answers")
+{
+  for (unsigned status = 0; status < 1000; ++status) {
+    CAPTURE(status);
+    mAnswer = fmt::format("HTTP/1.1 {:03} OK\r\nX-Request-Id: r1\r\n"
+                          "X-Leaving: yes\r\nContent-Length: 0\r\n\r\n",
+                          status);
+    const bool isAnswer = status >= 200 && status < 600;
+    const auto events = Ask(false);
+    CHECK(Has<answer_received>(events) == isAnswer);
+    CHECK(Has<answer_unreadable>(events) != isAnswer);
+    CHECK(Has<endpoint_notice>(events) == isAnswer);
+  }
+}
+
 // A stream that ended within its head or an event was taken for finished.
 TEST_CASE_FIXTURE(attempts_at_one_answer,
                   "endpoint_attempt/stream_cut_before_its_end_marker/is_lost")
--- a/thornhollow/net/http_fetch.cc
+++ b/thornhollow/net/http_fetch.cc
@@ -23,6 +23,7 @@
 
 #include "thornhollow/base/parse_number.h"
 #include "thornhollow/net/address.h"
+#include "thornhollow/net/internal/answer_head.h"
 #include "thornhollow/net/internal/awaitable.h"
 #include "thornhollow/net/internal/read_buffer.h"
 #include "thornhollow/net/internal/silence.h"
@@ -107,7 +108,7 @@
   parser.eager(true);
   parser.body_limit(aCall.mMaxBytes);
   bytes += co_await ReadAnswer(stream, parser, aCall, wrong);
-  if (wrong) {
+  if (wrong || !net_internal::IsFinalStatus(parser.get().result_int())) {
     co_return std::nullopt;
   }
   fetch_answer answer;
--- a/thornhollow/net/http_fetch_test.cc
+++ b/thornhollow/net/http_fetch_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include "thornhollow/net/http_fetch.h"
 
@@ -121,5 +122,47 @@
   CHECK_FALSE(Ask(call).has_value());
 }
 
+// Answers each call with a text and closes the connection.
+struct calls_answered_by_a_text
+{
+  asio::io_context mIo;
+  tcp::acceptor mListener{ mIo, { asio::ip::make_address("127.0.0.1"), 0 } };
+
+  fetch_outcome Ask(const std::string& aAnswer)
+  {
+    tcp::socket caller{ mIo };
+    mListener.async_accept(caller, [&](const auto&) {
+      asio::async_write(
+        caller, asio::buffer(aAnswer), [&caller](const auto&, std::size_t) {
+          caller.shutdown(tcp::socket::shutdown_send);
+        });
+    });
+    fetch_call call;
+    call.mAddress =
+      "127.0.0.1:" + std::to_string(mListener.local_endpoint().port());
+    call.mTarget = "/";
+    std::optional<fetch_outcome> outcome;
+    Fetch(mIo, call, [&outcome](fetch_outcome aOutcome) {
+      outcome = std::move(aOutcome);
+    });
+    while (!outcome) {
+      mIo.run_one();
+    }
+    return *outcome;
+  }
+};
+
+// A source or an endpoint in trouble counted as one that answers.
+TEST_CASE_FIXTURE(calls_answered_by_a_text,
+                  "http_fetch/each_status/only_existing_ones_are_answers")
+{
+  for (unsigned status = 0; status < 1000; ++status) {
+    CAPTURE(status);
+    const fetch_outcome outcome = Ask(
+      fmt::format("HTTP/1.1 {:03} OK\r\nContent-Length: 0\r\n\r\n", status));
+    CHECK(outcome.has_value() == (status >= 200 && status < 600));
+  }
+}
+
 } // namespace
 } // namespace thornhollow
--- a/thornhollow/net/relay_attempt.cc
+++ b/thornhollow/net/relay_attempt.cc
@@ -20,6 +20,7 @@
 
 #include "thornhollow/net/address.h"
 #include "thornhollow/net/clock.h"
+#include "thornhollow/net/internal/answer_head.h"
 #include "thornhollow/net/internal/awaitable.h"
 #include "thornhollow/net/internal/exception_text.h"
 #include "thornhollow/net/internal/http_fields.h"
@@ -266,9 +267,14 @@
              wrong.message());
         co_return false;
       }
-      if (aParser->get().result_int() / 100 != 1) {
+      const unsigned status = aParser->get().result_int();
+      if (net_internal::IsFinalStatus(status)) {
         co_return TakeHead(*aParser);
       }
+      if (!net_internal::IsInterimStatus(status)) {
+        Fail(attempt_failure::kGarbled, "no answer has this status");
+        co_return false;
+      }
       Tell(
         relay_interim_answer{ net_internal::ToHeaderFields(aParser->get()) });
       if (mClosed) {
--- a/thornhollow/net/relay_attempt_test.cc
+++ b/thornhollow/net/relay_attempt_test.cc
@@ -488,6 +488,28 @@
   CHECK(Send("r1").mFailure == attempt_failure::kGarbled);
 }
 
+// A caller got status 000 as an answer.
+TEST_CASE_FIXTURE(attempts_at_an_endpoint,
+                  "relay_attempt/each_status/only_existing_ones_are_answers")
+{
+  for (unsigned status = 0; status < 1000; ++status) {
+    CAPTURE(status);
+    std::string answer = Answer("r1", "");
+    answer.replace(answer.find("200"), 3, fmt::format("{:03}", status));
+    const bool isInterim = status / 100 == 1 && status != 101;
+    mEndpoint.mAnswers = { isInterim ? answer + Answer("r1", "") : answer };
+    const attempt_outcome outcome = Send("r1", duration::zero());
+    if (isInterim || (status >= 200 && status < 600)) {
+      CHECK(outcome.mWhole);
+      REQUIRE(outcome.mHead);
+      CHECK(outcome.mHead->mStatus == (isInterim ? 200 : status));
+    } else {
+      CHECK(outcome.mFailure == attempt_failure::kGarbled);
+      CHECK_FALSE(outcome.mHead);
+    }
+  }
+}
+
 TEST_CASE_FIXTURE(attempts_at_an_endpoint,
                   "relay_attempt/closed_without_answer/is_lost")
 {
--- /dev/null
+++ b/thornhollow/testing/process/raw_answers.py
@@ -0,0 +1,146 @@
+"""Answers whose bytes a test chooses, broken ones among them, and a caller that
+shows what it got byte by byte.
+
+    engine.choose_end = lambda call: send(call, RawAnswer(b"HTTP/1.1 000 \\r\\n"))
+    got = Got(daemon.address, "/o/x", headers)
+"""
+
+import dataclasses
+import http.server
+import os
+import re
+import socket
+import struct
+import time
+
+import harness
+import relay_site
+
+# Of what a broken answer carries; none of it may reach a caller.
+BODY = b"not the answer"
+MARK = b"X-Odd"
+LENGTH = b"Content-Length: %d\r\n" % len(BODY)
+# Until what was sent has been read.
+SETTLE_S = 0.2
+
+STATUSES = {
+    "000": b"HTTP/1.1 000 \r\n",
+    "000_ok": b"HTTP/1.1 000 OK\r\n",
+    "000_http_1_0": b"HTTP/1.0 000 OK\r\n",
+    "001": b"HTTP/1.1 001 OK\r\n",
+    "020": b"HTTP/1.1 020 OK\r\n",
+    "099": b"HTTP/1.1 099 OK\r\n",
+    "101": b"HTTP/1.1 101 Switching Protocols\r\n",
+    "600": b"HTTP/1.1 600 Odd\r\n",
+    "999": b"HTTP/1.1 999 Odd\r\n",
+    "two_digits": b"HTTP/1.1 20 OK\r\n",
+    "four_digits": b"HTTP/1.1 2000 OK\r\n",
+    "sign": b"HTTP/1.1 -20 OK\r\n",
+}
+
+
+def broken_statuses(identity):
+    """Answers by name; `identity` are fields that name the request."""
+    return {f"status_{name}": line + identity + LENGTH + b"\r\n" + BODY
+            for name, line in STATUSES.items()}
+
+
+@dataclasses.dataclass
+class RawAnswer:
+    text: bytes
+    # How its connection ends: "close" and "half_close" in order, the latter
+    # with the rest of the request read, or "reset".
+    end: str = "close"
+
+
+def send(call, answer):
+    """Answers the `call` of an HTTP handler. Raises, so that nothing more is
+    done with it."""
+    call.wfile.write(answer.text)
+    call.wfile.flush()
+    call.close_connection = True
+    if answer.end == "reset":
+        time.sleep(SETTLE_S)
+        call.connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        os.close(call.connection.detach())
+    elif answer.end == "half_close":
+        call.connection.shutdown(socket.SHUT_WR)
+        while call.connection.recv(65536):
+            pass
+    else:
+        call.connection.shutdown(socket.SHUT_RDWR)
+    raise ConnectionAbortedError
+
+
+class RawEndpoint:
+    """Answers each request with what `choose(identifier)` returns; an endpoint
+    of the project's own interface."""
+
+    def __init__(self, pool, choose, reads_body=True):
+        self.ran = []
+        endpoint = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_POST(self):
+                if reads_body:
+                    self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                request = self.headers["X-Request-Id"]
+                endpoint.ran.append(request)
+                send(self, choose(request))
+
+            def do_GET(self):
+                """What the endpoint is asked of itself it doesn't tell."""
+                self.close_connection = True
+
+        self.server = relay_site.Server(Handler)
+        hold_little(self.server)
+        self.entry = {"name": "raw", "pool": pool,
+                      "address": self.server.address}
+
+
+def hold_little(server):
+    """Lets the system hold little of what a server's callers send and it has
+    not read yet."""
+    server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+
+class Got:
+    """What a caller got, until its connection ended."""
+
+    def __init__(self, address, path, headers, body=b"body"):
+        lines = [f"POST {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        lines += [f"Content-Length: {len(body)}", "Connection: close"]
+        host, port = address.rsplit(":", 1)
+        self.text = b""
+        self.was_reset = False
+        with socket.create_connection((host, int(port)),
+                                      harness.LIMIT_SECONDS) as connection:
+            connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            try:
+                while part := connection.recv(65536):
+                    self.text += part
+            except ConnectionResetError:
+                self.was_reset = True
+        self.head, _, self.body = self.text.partition(b"\r\n\r\n")
+
+    @property
+    def status(self):
+        """As its three digits stand there; None without an answer."""
+        line = re.match(rb"HTTP/1\.[01] (\d{3}) ", self.head)
+        return line and int(line.group(1))
+
+    def is_complete(self):
+        """Whether its framing says that nothing is missing."""
+        if self.status is None or self.was_reset:
+            return False
+        if re.search(rb"\r\ntransfer-encoding: *chunked", self.head, re.I):
+            return self.body.endswith(b"0\r\n\r\n")
+        length = re.search(rb"\r\ncontent-length: *(\d+)", self.head, re.I)
+        return length is None or len(self.body) == int(length.group(1))
