Answers: a reset that shows where the request is written ends the answer early

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the system tells of a reset once, to whichever call on the socket comes first. While an upload is written that is the write (the event loop serves waiting writes before waiting reads), and reading then finds an end in order, which is the end of an answer without a length. What the write was told was only used to decide whether the connection may be kept. The own interface's attempt swallows the write's error on purpose, so that an early refusal can be read, and then took the end for an answer's as well.

Ruled out: the caller's side (the answer was broken off before it was framed anew), and the hop between instances (its answers always have a length or chunks; the same case by way of another instance failed in the instance that asked the engine). A reset after the upload was written reaches the reading and was an answer broken off before (relay_broken_off_test).

Change: an answer that ends with its connection is broken off if the writing of its request has failed. One with a length or a last chunk is whole all the same. Single calls write before they read, and fail with the write.

--- a/thornhollow/net/endpoint_attempt.cc
+++ b/thornhollow/net/endpoint_attempt.cc
@@ -190,8 +190,9 @@
     co_await http::async_write(mSocket, request, Into(wrong));
     // An endpoint may answer ("not run") before it has read everything, and
     // close: the answer is still there to be read.
-    co_return !wrong || wrong == asio::error::broken_pipe ||
-      wrong == asio::error::connection_reset;
+    mCutWhileSending = wrong == asio::error::broken_pipe ||
+                       wrong == asio::error::connection_reset;
+    co_return !wrong || mCutWhileSending;
   }
 
   asio::awaitable<bool> ReadHead()
@@ -287,6 +288,12 @@
         co_return;
       }
     }
+    // Guards against a part of an answer that counts as whole: the sending was
+    // told of the reset, and reading then finds an end in order.
+    if (mParser.need_eof() && mCutWhileSending) {
+      Emit(connection_lost{ mCall.mAttempt });
+      co_return;
+    }
     Emit(answer_received{ mCall.mAttempt,
                           mCall.mId,
                           mParser.get().result_int(),
@@ -301,6 +308,8 @@
   beast::flat_buffer mBuffer{ net_internal::kMaxUnparsedBytes };
   parser mParser;
   std::array<char, kReadBytes> mChunk{};
+  // The connection broke before the whole request was sent.
+  bool mCutWhileSending = false;
 };
 
 } // namespace
--- a/thornhollow/net/relay_attempt.cc
+++ b/thornhollow/net/relay_attempt.cc
@@ -247,7 +247,7 @@
       mConnection->mStream,
       *mSerializer,
       [self = boost::intrusive_ptr<attempt>(this)](
-        const error_code& aWrong, std::size_t) { self->mWritten = !aWrong; });
+        const error_code& aWrong, std::size_t) { self->mWriteEnd = aWrong; });
   }
 
   asio::awaitable<bool> ReadHead(std::optional<answer_parser>& aParser)
@@ -321,6 +321,10 @@
     return !mClosed;
   }
 
+  // Guards against a part of an answer that counts as whole: a connection that
+  // is reset while the request is written tells so to the writing alone, and
+  // reading then finds an end in order. Only an answer that ends with its
+  // connection can be mistaken so, and the writing hears of it first.
   asio::awaitable<bool> ReadBody(answer_parser& aParser)
   {
     std::array<char, kReadBytes> bytes;
@@ -343,12 +347,17 @@
         co_return false;
       }
     }
+    if (aParser.need_eof() && mWriteEnd && mWriteEnd->failed()) {
+      Fail(attempt_failure::kBroken, "connection was reset during the request");
+      co_return false;
+    }
     co_return true;
   }
 
   void Finish(answer_parser& aParser)
   {
-    const bool reusable = mWritten && aParser.get().keep_alive() &&
+    const bool isWritten = mWriteEnd && !mWriteEnd->failed();
+    const bool reusable = isWritten && aParser.get().keep_alive() &&
                           !aParser.need_eof() &&
                           mConnection->mBuffer.size() == 0;
     if (reusable) {
@@ -372,10 +381,11 @@
   asio::steady_timer mDecided;
   http::request<body_type> mRequest;
   std::optional<http::request_serializer<body_type>> mSerializer;
+  // How the writing of the request ended; nothing while it goes on.
+  std::optional<error_code> mWriteEnd;
   std::optional<duration> mIdleLimit;
   bool mClosed = false;
   bool mSent = false;
-  bool mWritten = false;
   bool mReused = false;
 };
 
