Draining: at least two thirds of the grace are left for what is taken on

What callers saw (in a test of our own after the users' report): in a planned stop, in calm, with a grace of 2 or 3 s, requests were taken up to 0.1 s before the end, passed on and cut without an answer, orders among them.

Cause: a stopping instance takes everything for 2.5 s, however long its grace is, and only then what is certain to end in time. With the grace of the deployments (8 s) 5.1 s were left for the last ones, with 3 s nothing.

Change: the time in which all is taken is a third of the grace at most. The decision stands in policy/admission/drain_schedule. What may take up to the very end is refused as well (50 ms for the answer).

Ruled out: with a grace of 8 s nothing was cut before, and its schedule is the same now; the case stays in the test. The own interface refuses everything that comes after the signal (graceful_stop_test).

--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -781,19 +781,6 @@
   }
 }
 
-void
-relay_dispatcher::SetShutdown(time_point aShutdownAt, time_point aRefuseFrom)
-{
-  mShutdownAt = aShutdownAt;
-  mRefuseFrom = aRefuseFrom;
-}
-
-bool
-relay_dispatcher::Accepts(duration aTimeout, time_point aNow) const
-{
-  return !mShutdownAt || aNow < mRefuseFrom || aNow + aTimeout < *mShutdownAt;
-}
-
 void
 relay_dispatcher::OnClockGap(time_point aNow)
 {
@@ -834,7 +821,7 @@
 relay_dispatcher::Forwarding(std::uint16_t aPort, time_point aNow) const
 {
   // An instance that is stopping takes no further requests of others.
-  if (mShutdownAt) {
+  if (mDrain) {
     return {};
   }
   forwarding_report report{ aPort,
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -40,6 +40,7 @@
 #include "thornhollow/fleet/relay_peers.h"
 #include "thornhollow/net/caller_server.h"
 #include "thornhollow/net/endpoint_connections.h"
+#include "thornhollow/policy/admission/drain_schedule.h"
 #include "thornhollow/policy/admission/memory_account.h"
 #include "thornhollow/policy/endpoints/endpoint_notices.h"
 #include "thornhollow/policy/endpoints/out_of_service.h"
@@ -100,14 +101,14 @@
 
   // Runs periodic work. Call every 100 ms.
   void Tick(time_point aNow);
-  // Announces that the process exits at `aShutdownAt`. From `aRefuseFrom` on,
-  // requests that may not be answered completely before `aShutdownAt` are
-  // refused without being sent to an endpoint.
-  void SetShutdown(time_point aShutdownAt, time_point aRefuseFrom);
-  // Whether a request that may take up to `aTimeout` is accepted in view of the
-  // limits that `SetShutdown` set. Before `SetShutdown` is called, every
-  // request is accepted.
-  bool Accepts(duration aTimeout, time_point aNow) const;
+  // Announces that the process is to end. Requests that the schedule does not
+  // take on are refused without being sent to an endpoint.
+  void BeginDrain(const drain_schedule& aSchedule) { mDrain = aSchedule; }
+  // Whether a request that may take up to `aTimeout` is taken on.
+  bool Accepts(duration aTimeout, time_point aNow) const
+  {
+    return !mDrain || mDrain->Accepts(aTimeout, aNow);
+  }
   // Whether a newer configuration may have reached this instance without being
   // in force yet, so that what the one in force lacks is not refused for good.
   bool MayBeBehind(time_point aNow) const { return mLag.MayBeBehind(aNow); }
@@ -379,9 +380,8 @@
   std::uint64_t mNextLifetime = 1;
   std::size_t mSessions = 0;
   std::size_t mInstances = 1;
-  // When the process exits; set only while the instance drains.
-  std::optional<time_point> mShutdownAt;
-  time_point mRefuseFrom{};
+  // Set only while the instance drains.
+  std::optional<drain_schedule> mDrain;
   time_point mNextConnectionCheck{};
   // `crash_guard::ReservationChanges` as of the last `UpdateReserved`.
   std::uint64_t mReservationChanges = 0;
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -32,10 +32,6 @@
 // still arrive and are served; idle connections are closed when this time has
 // passed.
 constexpr duration kBalancerDetectionTime = Milliseconds(2'300);
-// From this long after the drain began, a draining instance accepts only
-// requests that it can answer completely before it exits. An answer that takes
-// longer would be truncated, and another instance can serve the request.
-constexpr duration kRefuseAfter = Milliseconds(2'500);
 // How long an instance reports a failed source call to its peers, during which
 // one more instance of its domain reads the source. This period is longer than
 // the source usually refuses calls, and short enough that the usual set of
@@ -234,7 +230,7 @@
       return;
     }
     const duration grace = mSettings.mDrainGrace - kShutdownReserve;
-    mDispatcher.SetShutdown(Now() + grace, Now() + kRefuseAfter);
+    mDispatcher.BeginDrain({ Now(), grace });
     mCallers.CloseAfterAnswers();
     mForwarded.CloseAfterAnswers();
     mDrain.Begin(
