Draining: what a stopping instance can't finish gets its last answer

What callers saw (in a test of our own after the users' report): in a planned stop, requests that lasted longer than the grace, orders among them, ended with their connection, without an answer.

Cause: at the end of the grace the event loop is stopped, and the system closes what is open. Nobody knew which requests were in progress; they were only counted.

Change: 0.4 s before the process must be gone, each request of which the caller has no part yet gets its last answer: 503 draining where it has certainly not run, else 502 stopped_running (new kind), which promises nothing. 0.2 s are left for writing them. Streams that have begun are broken off as before. What another instance forwarded and what may have run is cut as before, since that instance goes on elsewhere after a lost connection, and not after an error of this kind. New log line: grace_over.

Ruled out: refusing such requests from the signal on; it would refuse everything with a long time limit for 2.5 s, while the balancer still sends callers here and nearly all of them end in time. A last answer was weighed against holding on until the kill: the platform's own end is 0.4 s later.

Before: the new case of process.relay_planned_stop_test failed for all four kinds of request (no byte of an answer). Now it passes.

--- a/thornhollow/base/error.h
+++ b/thornhollow/base/error.h
@@ -97,6 +97,7 @@
 
   // The caller or this instance.
   kCallerLeft,
+  kStoppedRunning,
   kInternal,
 };
 
--- a/thornhollow/daemon/daemon.cc
+++ b/thornhollow/daemon/daemon.cc
@@ -189,6 +189,7 @@
       { .mBalancerDetectionTime = kBalancerDetectionTime,
         .mGrace = mSettings.mDrainGrace },
       [this] { return mRouter.InProgress(); },
+      [] {},
       [this] {
         mControl.Leave();
         mIo.stop();
--- a/thornhollow/daemon/drain_watch.cc
+++ b/thornhollow/daemon/drain_watch.cc
@@ -27,10 +27,12 @@
 void
 drain_watch::Begin(const drain_limits& aLimits,
                    std::function<std::size_t()> aInProgress,
+                   std::function<void()> aOnGraceOver,
                    std::function<void()> aOnEnd)
 {
   mLimits = aLimits;
   mInProgress = std::move(aInProgress);
+  mOnGraceOver = std::move(aOnGraceOver);
   mOnEnd = std::move(aOnEnd);
   mBeganAt = Now();
   mLog.Write(log_level::kInfo,
@@ -47,15 +49,30 @@
     std::ranges::for_each(mServers, &caller_server::BeginDrain);
   }
   if (elapsed >= mLimits.mGrace) {
-    std::ranges::for_each(mServers, &caller_server::StopListening);
-    End();
-  } else if (CanEnd(elapsed)) {
+    EndGrace();
+  }
+  if (elapsed >= mLimits.mGrace + mLimits.mFinalAnswerTime || CanEnd(elapsed)) {
     End();
   } else {
     ScheduleCheck();
   }
 }
 
+void
+drain_watch::EndGrace()
+{
+  const auto onGraceOver = std::exchange(mOnGraceOver, nullptr);
+  if (!onGraceOver) {
+    return;
+  }
+  mListening = false;
+  std::ranges::for_each(mServers, &caller_server::StopListening);
+  mLog.Write(log_level::kInfo,
+             "grace_over",
+             { { "in_progress", static_cast<std::int64_t>(mInProgress()) } });
+  onGraceOver();
+}
+
 // Whether the instance may exit before the grace period ends. A request can
 // arrive between the check and the end of listening. Exiting at once would
 // close that request's connection without an answer, so listening stops first,
--- a/thornhollow/daemon/drain_watch.h
+++ b/thornhollow/daemon/drain_watch.h
@@ -5,6 +5,7 @@
 //   drain.Begin({ .mBalancerDetectionTime = Seconds(2),
 //                 .mGrace = Seconds(30) },
 //               [&] { return router.InProgress(); },
+//               [&] { router.EndRequests(); },
 //               [&] { io.stop(); });
 //
 #ifndef THORNHOLLOW_DAEMON_DRAIN_WATCH_H_
@@ -28,9 +29,10 @@
   // Load balancers may still send requests for this long after the drain began,
   // so the listening port stays open.
   duration mBalancerDetectionTime{};
-  // The instance exits this long after the drain began even if requests are in
-  // progress.
+  // This long after the drain began, requests that are in progress are ended.
   duration mGrace{};
+  // The instance exits this long after that at the latest.
+  duration mFinalAnswerTime{};
 };
 
 class drain_watch
@@ -46,14 +48,19 @@
   // Call once. `aInProgress` returns the number of requests that the instance
   // is working on. `aOnEnd` is called once: when the balancer detection time
   // has passed, no request is in progress, and none arrived on the connections
-  // that were open when listening stopped; or when the grace period has passed.
+  // that were open when listening stopped; or when the grace period and the
+  // time for final answers have passed. `aOnGraceOver` is called between the
+  // two, and answers what is in progress.
   void Begin(const drain_limits& aLimits,
              std::function<std::size_t()> aInProgress,
+             std::function<void()> aOnGraceOver,
              std::function<void()> aOnEnd);
 
 private:
   void Check();
   bool CanEnd(duration aElapsed);
+  // Lets what is in progress be answered, once.
+  void EndGrace();
   void ScheduleCheck();
   void End();
 
@@ -62,6 +69,8 @@
   boost::asio::steady_timer mTimer;
   drain_limits mLimits;
   std::function<std::size_t()> mInProgress;
+  // Null once the grace is over.
+  std::function<void()> mOnGraceOver;
   std::function<void()> mOnEnd;
   time_point mBeganAt{};
   bool mListening = true;
--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -29,6 +29,7 @@
 class relay_session
   : public boost::intrusive_ref_counter<relay_session,
                                         boost::thread_unsafe_counter>
+  , public relayed_work
 {
 public:
   // `aForwarded`: the request comes from another instance.
@@ -42,6 +43,8 @@
   // Answers the request, possibly asynchronously.
   void Start();
 
+  void OnShutdown() override;
+
 private:
   // ---- Beginning and end: relay_session.cc
 
@@ -227,6 +230,8 @@
   void OnTimer();
   bool CanRetryElsewhere() const;
   void OnDeadline();
+  // Cancels what is in progress and ends the request.
+  void EndUnfinished(error_kind aKind, give_up_reason aReason);
 
   // ---- From a silent attempt to another one: relay_session_handover.cc
 
--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -272,13 +272,36 @@
 {
   const bool ran = Progress(attempt_failure::kSilent).mMayHaveRun;
   LogFailedAttempt(attempt_failure::kSilent, "deadline");
+  EndUnfinished(ran ? error_kind::kDeadlineExpiredRunning
+                    : error_kind::kDeadlineUnmeetable,
+                give_up_reason::kDeadline);
+}
+
+void
+relay_session::EndUnfinished(error_kind aKind, give_up_reason aReason)
+{
   if (mAttempt) {
     mAttempt->Close();
   }
   EndAttempt(attempt_end::kCancelled);
-  GiveUp(ran ? error_kind::kDeadlineExpiredRunning
-             : error_kind::kDeadlineUnmeetable,
-         give_up_reason::kDeadline);
+  GiveUp(aKind, aReason);
+}
+
+void
+relay_session::OnShutdown()
+{
+  if (mDone || mAnswer.Begun()) {
+    return;
+  }
+  const bool ran =
+    Progress(attempt_failure::kSilent).mMayHaveRun || HasSentStandby();
+  // The other instance may continue elsewhere after a lost connection, and not
+  // after an error of this kind.
+  if (ran && mIsForwarded) {
+    return;
+  }
+  EndUnfinished(ran ? error_kind::kStoppedRunning : error_kind::kDraining,
+                give_up_reason::kStopped);
 }
 
 } // namespace thornhollow
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -781,6 +781,20 @@
   }
 }
 
+void
+relay_dispatcher::EndRequests()
+{
+  // The end of one may end others.
+  work_list left;
+  left.swap(mWork);
+  while (!left.empty()) {
+    relayed_work& next = left.front();
+    left.pop_front();
+    mWork.push_back(next);
+    next.OnShutdown();
+  }
+}
+
 void
 relay_dispatcher::OnClockGap(time_point aNow)
 {
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -23,6 +23,8 @@
 #include <utility>
 #include <vector>
 
+#include <boost/intrusive/list.hpp>
+
 #include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/base/error.h"
 #include "thornhollow/base/ids.h"
@@ -58,6 +60,20 @@
 
 namespace thornhollow {
 
+// A request that the dispatcher works on.
+class relayed_work
+  : public boost::intrusive::list_base_hook<
+      boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+  // The process ends within a moment: gives the caller a final answer, unless
+  // part of one is with it.
+  virtual void OnShutdown() = 0;
+
+protected:
+  ~relayed_work() = default;
+};
+
 class relay_dispatcher
 {
 public:
@@ -104,6 +120,9 @@
   // Announces that the process is to end. Requests that the schedule does not
   // take on are refused without being sent to an endpoint.
   void BeginDrain(const drain_schedule& aSchedule) { mDrain = aSchedule; }
+  // Gives each request that is in progress its final answer, but for those of
+  // which a part is with the caller.
+  void EndRequests();
   // Whether a request that may take up to `aTimeout` is taken on.
   bool Accepts(duration aTimeout, time_point aNow) const
   {
@@ -271,9 +290,10 @@
   retry_guard& Retries() { return mRetries; }
   // Each request in progress may take a connection to an endpoint, which kept
   // ones leave the descriptors for.
-  void OnSessionBegin()
+  void OnSessionBegin(relayed_work& aWork)
   {
     ++mSessions;
+    mWork.push_back(aWork);
     BoundKeptConnections();
   }
   void OnSessionEnd()
@@ -378,6 +398,11 @@
   // Engines logged as slow and not yet logged as recovered.
   std::set<endpoint_name> mSlowEngines;
   std::uint64_t mNextLifetime = 1;
+  using work_list =
+    boost::intrusive::list<relayed_work,
+                           boost::intrusive::constant_time_size<false>>;
+  // Requests in progress, and their number.
+  work_list mWork;
   std::size_t mSessions = 0;
   std::size_t mInstances = 1;
   // Set only while the instance drains.
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -40,8 +40,10 @@
 // How long the list of endpoints counts as current after the source's last
 // answer to any instance. Without changes, a watch is answered after 20 s.
 constexpr duration kListCurrentFor = Seconds(25);
-// Part of the drain's grace period that is reserved for process exit.
+// Part of the drain's grace period that is reserved for process exit, and for
+// the answers to what has to be ended before.
 constexpr duration kShutdownReserve = Milliseconds(400);
+constexpr duration kFinalAnswerTime = Milliseconds(200);
 
 // Maximum time that the body of a request may take to arrive; bodies are
 // buffered completely.
@@ -234,8 +236,11 @@
     mCallers.CloseAfterAnswers();
     mForwarded.CloseAfterAnswers();
     mDrain.Begin(
-      { .mBalancerDetectionTime = kBalancerDetectionTime, .mGrace = grace },
+      { .mBalancerDetectionTime = kBalancerDetectionTime,
+        .mGrace = grace,
+        .mFinalAnswerTime = kFinalAnswerTime },
       [this] { return mDispatcher.InProgress(); },
+      [this] { mDispatcher.EndRequests(); },
       [this] { mIo.stop(); });
   }
 
--- a/thornhollow/daemon/relay_session.cc
+++ b/thornhollow/daemon/relay_session.cc
@@ -32,7 +32,7 @@
   , mTicket(aDispatcher.Crashes().NextTicket())
   , mAnswer(mExchange, aForwarded, aDispatcher.Memory())
 {
-  mDispatcher.OnSessionBegin();
+  mDispatcher.OnSessionBegin(*this);
 }
 
 relay_session::~relay_session()
--- a/thornhollow/request/relay_retry.cc
+++ b/thornhollow/request/relay_retry.cc
@@ -13,7 +13,7 @@
   "unconfirmed"
 };
 
-constexpr std::array<std::string_view, 9> kReasonNames = {
+constexpr std::array<std::string_view, 10> kReasonNames = {
   "",
   "no_attempt_left",
   "retry_budget",
@@ -22,7 +22,8 @@
   "unconnected",
   "held_back",
   "deadline",
-  "refused_by_instance"
+  "refused_by_instance",
+  "stopped"
 };
 
 } // namespace
--- a/thornhollow/request/relay_retry.h
+++ b/thornhollow/request/relay_retry.h
@@ -136,6 +136,8 @@
   kDeadline,
   // The instance that it was forwarded to refused it.
   kRefusedByInstance,
+  // This instance's grace to stop is over.
+  kStopped,
 };
 
 // "retry_budget" and so on; for counters and log lines. Empty for `kNone`.
--- a/thornhollow/testing/process/relay_planned_stop_test.py
+++ b/thornhollow/testing/process/relay_planned_stop_test.py
@@ -10,6 +10,7 @@
 
 import cut_off_site
 import harness
+import raw_answers
 import relay_site
 
 # Of each request; every part of a grace that is tried leaves time for it.
@@ -94,6 +95,26 @@
     def test_grace_of_two_seconds_nothing_is_cut(self):
         self.check(2)
 
+    # Guards against requests that end with their process, without an answer.
+    def test_work_longer_than_the_grace_is_answered_at_its_end(self):
+        engine = self.engine("i-1")
+        engine.mode = "hang"
+        at = self.daemon(drain_grace_s=2)
+        asked = {path: harness.Background(
+            raw_answers.Got, at.address, path,
+            self.headers(path.strip("/x"), is_stream))
+            for path, is_stream in cut_off_site.KINDS.items()}
+        harness.wait_until(lambda: len(engine.ran) == len(asked), "all run")
+        at.signal(signal.SIGTERM)
+        self.assertEqual(at.wait(), 0, at.log())
+        for path, each in asked.items():
+            got = each.result()
+            with self.subTest(path):
+                self.assertIn(got.status, range(500, 600), got.text)
+                # It may have run: nothing may say otherwise.
+                self.assertNotIn(got.status, cut_off_site.NOT_RUN)
+                self.assertTrue(got.is_complete(), got.text)
+
 
 if __name__ == "__main__":
     unittest.main()
