Tests of broken answers: uploads dropped unread, calls without end, the soak

- An engine's process that lets go of an upload it has not read resets it: the same fault as the reset on purpose, by way of the system.
- The soak's engines answer with broken heads as well.

--- a/thornhollow/net/http_fetch_test.cc
+++ b/thornhollow/net/http_fetch_test.cc
@@ -1,5 +1,7 @@
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -178,5 +180,83 @@
   CHECK(Ask("HTTP/1.1 200 OK\r\nX-Version: 1\r\n\r\n{}").has_value());
 }
 
+// Answers each call with a text and then, until the caller closes, with more of
+// the same bytes.
+struct calls_answered_without_end
+{
+  asio::io_context mIo;
+  tcp::acceptor mListener{ mIo, { asio::ip::make_address("127.0.0.1"), 0 } };
+  std::string mAgain;
+  std::size_t mSent = 0;
+
+  void SendAgain(tcp::socket& aCaller)
+  {
+    asio::async_write(aCaller,
+                      asio::buffer(mAgain),
+                      [&](const auto& aError, std::size_t aBytes) {
+                        mSent += aBytes;
+                        if (!aError) {
+                          SendAgain(aCaller);
+                        }
+                      });
+  }
+
+  fetch_outcome Ask(const std::string& aBeginning)
+  {
+    tcp::socket caller{ mIo };
+    mListener.async_accept(caller, [&](const auto&) {
+      asio::write(caller, asio::buffer(aBeginning));
+      SendAgain(caller);
+    });
+    fetch_call call;
+    call.mAddress =
+      "127.0.0.1:" + std::to_string(mListener.local_endpoint().port());
+    call.mTarget = "/";
+    call.mTimeout = Seconds(20);
+    call.mMostPause = Seconds(20);
+    std::optional<fetch_outcome> outcome;
+    Fetch(mIo, call, [&outcome](fetch_outcome aOutcome) {
+      outcome = std::move(aOutcome);
+    });
+    // The writing ends when the caller closes.
+    mSent = 0;
+    mIo.restart();
+    mIo.run();
+    return outcome.value();
+  }
+};
+
+// A source or an endpoint in trouble took all memory: its bytes had no end.
+TEST_CASE_FIXTURE(calls_answered_without_end,
+                  "http_fetch/bytes_without_end/are_not_kept")
+{
+  // The body that is read at most, and what systems hold for two sockets.
+  constexpr std::size_t kMostSent = std::size_t{ 16 } << 20U;
+  constexpr std::size_t kBlock = std::size_t{ 64 } << 10U;
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string letters(kBlock, 'a');
+  for (const auto& [beginning, again] :
+       std::vector<std::pair<std::string, std::string>>{
+         { "HTTP/1.1 200 ", letters },
+         { ok + "X-A: ", letters },
+         { ok, "X-A: b\r\n" },
+         { "", "HTTP/1.1 102 Processing\r\n\r\n" },
+         { "", std::string(kBlock, '\0') },
+         { chunked, std::string(kBlock, '0') },
+         { chunked + "5;", letters },
+         { chunked + "1\r\na\r\n0\r\nX-A: ", letters },
+         { chunked, "5\r\naaaaa\r\n" },
+         { ok + "\r\n", letters } }) {
+    CAPTURE(beginning);
+    mAgain = again;
+    while (mAgain.size() < kBlock) {
+      mAgain += again;
+    }
+    CHECK_FALSE(Ask(beginning).has_value());
+    CHECK(mSent < kMostSent);
+  }
+}
+
 } // namespace
 } // namespace thornhollow
--- a/thornhollow/testing/process/own_early_answer_test.py
+++ b/thornhollow/testing/process/own_early_answer_test.py
@@ -51,6 +51,9 @@
     def test_part_of_a_look_up_without_length_then_reset_is_not_complete(self):
         self.assert_failed(self.ask("lookups", "reset")[0])
 
+    def test_part_without_length_then_dropped_unread_is_not_complete(self):
+        self.assert_failed(self.ask("orders", "drop")[0])
+
     def test_part_of_a_length_then_reset_is_not_complete(self):
         got, _ = self.ask("orders", "reset", "Content-Length: 1000\r\n")
         self.assert_failed(got)
--- a/thornhollow/testing/process/raw_answers.py
+++ b/thornhollow/testing/process/raw_answers.py
@@ -99,7 +99,8 @@
 class RawAnswer:
     text: bytes
     # How its connection ends: "close" and "half_close" in order, the latter
-    # with the rest of the request read, or "reset".
+    # with the rest of the request read; "reset"; "drop" as its process may let
+    # go of it, which resets it if some of the request is unread.
     end: str = "close"
 
 
@@ -114,6 +115,8 @@
         call.connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         os.close(call.connection.detach())
+    elif answer.end == "drop":
+        os.close(call.connection.detach())
     elif answer.end == "half_close":
         call.connection.shutdown(socket.SHUT_WR)
         while call.connection.recv(65536):
--- a/thornhollow/testing/process/relay_early_answer_test.py
+++ b/thornhollow/testing/process/relay_early_answer_test.py
@@ -119,6 +119,10 @@
         self.site("reset")
         self.assert_none_complete(*PATHS)
 
+    def test_part_without_length_then_dropped_unread_is_not_complete(self):
+        self.site("drop")
+        self.assert_none_complete(*PATHS)
+
     # Between two events nothing but the reset tells that a part is missing.
     def test_whole_events_without_length_then_reset_are_not_complete(self):
         self.site("reset", body=lambda whole: relay_site.event_text(1))
--- a/thornhollow/testing/process/relay_soak_test.py
+++ b/thornhollow/testing/process/relay_soak_test.py
@@ -2,8 +2,8 @@
 
 Faults are drawn by seed: the store turns all away, engines decline, fail, cut
 their streams, drain, leave and come back, say so or ask for rest in their answers,
-end these with their connection, whole or broken off, daemons are stopped in turn
-or frozen, configurations and keys change. What must hold at any timing is checked for each
+end these with their connection, whole or broken off, answer with heads that are none,
+daemons are stopped in turn or frozen, configurations and keys change. What must hold at any timing is checked for each
 answer; at the end all faults end and everything is served again.
 
 Longer, by hand:  SOAK_SEEDS=1-50 SOAK_SECONDS=20 python3 relay_soak_test.py
@@ -19,6 +19,7 @@
 import unittest
 
 import harness
+import raw_answers
 import relay_site
 from relay_site import document
 
@@ -44,8 +45,10 @@
         self.words = random.Random(f"words {seed}")
         self.engines = [self.engine(f"i-{number}", events=EVENTS)
                         for number in range(4)]
+        self.odds = random.Random(f"odds {seed}")
         for engine in self.engines:
             engine.end_on = b"marked"
+            self.may_answer_oddly(engine)
         self.version = 1
         seeds = ""
         self.fleet = []
@@ -125,6 +128,31 @@
         elif kind == "again":
             self.start_again(engine)
 
+    @staticmethod
+    def may_answer_oddly(engine):
+        """While `is_odd`, the engine's answers have heads that are none."""
+        engine.is_odd = False
+        choose_end = engine.choose_end
+
+        def choose(call):
+            choose_end(call)
+            if engine.is_odd:
+                request = call.headers[relay_site.ID]
+                engine.ran.append(request)
+                fields = (f"{relay_site.ID}: {request}\r\n"
+                          f"{relay_site.SIGNATURE}: s\r\n").encode()
+                answers = {**raw_answers.broken_statuses(fields),
+                           **raw_answers.broken_fields(fields)}
+                kind = random.Random(request).choice(sorted(answers))
+                raw_answers.send(call, raw_answers.RawAnswer(answers[kind]))
+
+        engine.choose_end = choose
+
+    def odd(self):
+        """An engine in trouble answers with heads that are none, or no more."""
+        engine = self.odds.choice(self.engines)
+        engine.is_odd = self.odds.random() < 0.3
+
     def start_again(self, engine):
         engine.says_leaving = False
         engine.born += 1
@@ -148,6 +176,7 @@
             "the engines are back")
         for engine in self.engines:
             engine.mode = ""
+            engine.is_odd = False
             engine.broken_off = ""
             engine.rest_s = None
             self.start_again(engine)
@@ -185,6 +214,11 @@
         self.assertLessEqual(len(ran), 2, (result, "more than its attempts"))
         # Stops are planned: a connection that was taken gets an answer.
         self.assertNotEqual(status, "RemoteDisconnected", (result, ran))
+        self.assertNotEqual(status, "BadStatusLine", result)
+        if isinstance(status, int):
+            self.assertIn(status, range(200, 600), result)
+        self.assertNotIn(raw_answers.BODY, body, result)
+        self.assertNotIn(raw_answers.MARK.decode(), str(headers), result)
         if status in NOT_RUN and "x-response-signature" not in headers:
             self.assertEqual(ran, [], (result, "said not run, and ran"))
         if not marked:
@@ -223,6 +257,7 @@
         while time.monotonic() < end:
             self.fault()
             self.word()
+            self.odd()
             time.sleep(self.random.uniform(0.02, 0.2))
         self.calm()
         self.over.set()
