--- a/thornhollow/testing/process/cut_off_site.py
+++ b/thornhollow/testing/process/cut_off_site.py
@@ -83,6 +83,16 @@
             for path in daemon.paths.values():
                 path.cut(mode)
 
+    def ways(self):
+        """An instance that reaches the engines, and then one that asks by way
+        of the other."""
+        yield self.fleet[1], "direct"
+        self.cut(self.fleet[:1], "reset")
+        yield self.fleet[0], "by way of another"
+
+    def runs(self, request):
+        return sum(engine.ran.count(request) for engine in self.engines)
+
     def heal(self, daemons):
         for daemon in daemons:
             for path in daemon.paths.values():
@@ -100,7 +110,7 @@
             self.assertFalse(
                 any(request in engine.ran for engine in self.engines),
                 f"{request} was answered {status} and ran")
-        runs = sum(engine.ran.count(request) for engine in self.engines)
+        runs = self.runs(request)
         if path in ("/o/x", "/p/x"):
             self.assertLessEqual(runs, 1, f"{request} ran more than once")
         whole = b"id: 3\n" in body if KINDS[path] else body.startswith(b"body")
--- a/thornhollow/testing/process/relay_broken_head_test.py
+++ b/thornhollow/testing/process/relay_broken_head_test.py
@@ -13,8 +13,6 @@
 LOOK_UP = "/l/x"
 ORDER = "/o/x"
 PATHS = (STREAM, RESUMABLE, LOOK_UP, ORDER)
-WHOLE_STREAM = b"".join(relay_site.event_text(number)
-                        for number in range(1, 4))
 
 
 def identity(request, is_stream):
@@ -48,11 +46,6 @@
             identity(request, "X-Token-Counts" in call.headers))
         raw_answers.send(call, raw_answers.RawAnswer(answers[self.broken]))
 
-    def ways(self):
-        yield self.fleet[1], "direct"
-        self.cut(self.fleet[:1], "reset")
-        yield self.fleet[0], "by way of another"
-
     def asked(self, *paths):
         """What callers got of each broken answer, and the case's name."""
         for daemon, way in self.ways():
@@ -66,9 +59,6 @@
                         self.headers(request, cut_off_site.KINDS[path]))
                     yield got, request, case
 
-    def runs(self, request):
-        return sum(engine.ran.count(request) for engine in self.engines)
-
     def assert_none_passed_on(self, answers):
         self.site(answers, every_attempt=True)
         for got, request, case in self.asked(*PATHS):
--- a/thornhollow/testing/process/relay_broken_off_test.py
+++ b/thornhollow/testing/process/relay_broken_off_test.py
@@ -66,14 +66,6 @@
             engine.broken_off = broken_off
             engine.broken_requests = self.engines[0].broken_requests
 
-    def ways(self):
-        """An instance that reaches the engines, and then one that asks by way
-        of the other."""
-        yield self.fleet[1], "direct"
-        daemon = self.fleet[0]
-        self.cut([daemon], "reset")
-        yield daemon, "by way of another"
-
     def answers(self, *paths):
         """Each path's answer by each way and version, and the case's name."""
         for daemon, way in self.ways():
--- a/thornhollow/testing/process/relay_early_answer_test.py
+++ b/thornhollow/testing/process/relay_early_answer_test.py
@@ -80,11 +80,6 @@
             for path in daemon.paths.values():
                 raw_answers.hold_little(path.server)
 
-    def ways(self):
-        yield self.fleet[1], "direct"
-        self.cut(self.fleet[:1], "reset")
-        yield self.fleet[0], "by way of another"
-
     def asked(self, *paths):
         for daemon, way in self.ways():
             for path in paths:
@@ -95,9 +90,6 @@
                     daemon.address, path, self.headers(request, is_stream),
                     UPLOAD), request, is_stream
 
-    def runs(self, request):
-        return sum(engine.ran.count(request) for engine in self.engines)
-
     def assert_none_complete(self, *paths):
         """No success, or one whose end doesn't look like one."""
         for got, request, is_stream in self.asked(*paths):
--- a/thornhollow/testing/process/relay_forwarding_test.py
+++ b/thornhollow/testing/process/relay_forwarding_test.py
@@ -34,9 +34,6 @@
                           if request in engine.ran), None),
             f"{request} runs")
 
-    def runs(self, request):
-        return sum(engine.ran.count(request) for engine in self.engines)
-
     def carrier(self, request):
         """The instance that served the request for the other."""
         line = harness.wait_until(
--- a/thornhollow/testing/process/relay_head_cut_test.py
+++ b/thornhollow/testing/process/relay_head_cut_test.py
@@ -83,11 +83,6 @@
                 raise ConnectionAbortedError
         return serve
 
-    def ways(self):
-        yield self.fleet[1], "direct"
-        self.cut(self.fleet[:1], "reset")
-        yield self.fleet[0], "by way of another"
-
     def assert_none_short(self, version, end, every_attempt):
         self.site(version, end, every_attempt)
         for daemon, way in self.ways():
@@ -102,7 +97,7 @@
         request = case.replace(" ", "-").replace("/", "_")
         answer = Answer(daemon, path, self.headers(
             request, cut_off_site.KINDS[path]), caller)
-        ran = sum(engine.ran.count(request) for engine in self.engines)
+        ran = self.runs(request)
         with self.subTest(case):
             self.assertGreater(ran, 0)
             if answer.complete and answer.status < 300:
