Tests of broken answers: what stood twice stands once; an early refusal of an upload

After a last reading of the change; the product is as it was. - The reset of a stand-in's connection is relay_site.Engine's, the count of a request's runs RelayTest's (it stood in three files more), the fields that name a relayed request raw_answers'; tests of single calls make their call in one place. - New case: a 413 with a length, whose engine lets go of the unread upload, reaches its caller as it is.

--- a/thornhollow/net/http_fetch_test.cc
+++ b/thornhollow/net/http_fetch_test.cc
@@ -1,3 +1,4 @@
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -20,6 +21,34 @@
 using asio::ip::tcp;
 using net_internal::BrokenFieldLines;
 
+// Makes the call to the listener; the outcome is set once it has ended.
+std::shared_ptr<std::optional<fetch_outcome>>
+StartCall(asio::io_context& aIo,
+          const tcp::acceptor& aListener,
+          fetch_call aCall)
+{
+  aCall.mAddress =
+    "127.0.0.1:" + std::to_string(aListener.local_endpoint().port());
+  aCall.mTarget = "/";
+  auto outcome = std::make_shared<std::optional<fetch_outcome>>();
+  Fetch(aIo, std::move(aCall), [outcome](fetch_outcome aOutcome) {
+    *outcome = std::move(aOutcome);
+  });
+  return outcome;
+}
+
+fetch_outcome
+MakeCall(asio::io_context& aIo,
+         const tcp::acceptor& aListener,
+         fetch_call aCall)
+{
+  const auto outcome = StartCall(aIo, aListener, std::move(aCall));
+  while (!*outcome) {
+    aIo.run_one();
+  }
+  return outcome->value();
+}
+
 // Answers one call with a body of ten bytes, one every 150 ms.
 struct slow_server
 {
@@ -60,17 +89,7 @@
 
   fetch_outcome Ask(fetch_call aCall)
   {
-    aCall.mAddress =
-      "127.0.0.1:" + std::to_string(mListener.local_endpoint().port());
-    aCall.mTarget = "/";
-    std::optional<fetch_outcome> outcome;
-    Fetch(mIo, aCall, [&outcome](fetch_outcome aOutcome) {
-      outcome = std::move(aOutcome);
-    });
-    while (!outcome) {
-      mIo.run_one();
-    }
-    return *outcome;
+    return MakeCall(mIo, mListener, std::move(aCall));
   }
 };
 
@@ -141,18 +160,7 @@
           caller.shutdown(tcp::socket::shutdown_send);
         });
     });
-    fetch_call call;
-    call.mAddress =
-      "127.0.0.1:" + std::to_string(mListener.local_endpoint().port());
-    call.mTarget = "/";
-    std::optional<fetch_outcome> outcome;
-    Fetch(mIo, call, [&outcome](fetch_outcome aOutcome) {
-      outcome = std::move(aOutcome);
-    });
-    while (!outcome) {
-      mIo.run_one();
-    }
-    return *outcome;
+    return MakeCall(mIo, mListener, {});
   }
 };
 
@@ -209,20 +217,14 @@
       SendAgain(caller);
     });
     fetch_call call;
-    call.mAddress =
-      "127.0.0.1:" + std::to_string(mListener.local_endpoint().port());
-    call.mTarget = "/";
     call.mTimeout = Seconds(20);
     call.mMostPause = Seconds(20);
-    std::optional<fetch_outcome> outcome;
-    Fetch(mIo, call, [&outcome](fetch_outcome aOutcome) {
-      outcome = std::move(aOutcome);
-    });
+    const auto outcome = StartCall(mIo, mListener, std::move(call));
     // The writing ends when the caller closes.
     mSent = 0;
     mIo.restart();
     mIo.run();
-    return outcome.value();
+    return outcome->value();
   }
 };
 
--- a/thornhollow/testing/process/cut_off_site.py
+++ b/thornhollow/testing/process/cut_off_site.py
@@ -90,9 +90,6 @@
         self.cut(self.fleet[:1], "reset")
         yield self.fleet[0], "by way of another"
 
-    def runs(self, request):
-        return sum(engine.ran.count(request) for engine in self.engines)
-
     def heal(self, daemons):
         for daemon in daemons:
             for path in daemon.paths.values():
--- a/thornhollow/testing/process/raw_answers.py
+++ b/thornhollow/testing/process/raw_answers.py
@@ -10,7 +10,6 @@
 import os
 import re
 import socket
-import struct
 import time
 
 import harness
@@ -70,6 +69,13 @@
 }
 
 
+def relayed_identity(request):
+    """Fields that name a request to a relaying instance, and vouch for the
+    answer."""
+    return (f"{relay_site.ID}: {request}\r\n"
+            f"{relay_site.SIGNATURE}: s\r\n").encode()
+
+
 def broken_statuses(identity):
     """Answers by name; `identity` are fields that name the request."""
     return {f"status_{name}": line + identity + LENGTH + b"\r\n" + BODY
@@ -112,9 +118,7 @@
     call.close_connection = True
     if answer.end == "reset":
         time.sleep(SETTLE_S)
-        call.connection.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        os.close(call.connection.detach())
+        relay_site.Engine.reset(call)
     elif answer.end == "drop":
         os.close(call.connection.detach())
     elif answer.end == "half_close":
--- a/thornhollow/testing/process/relay_broken_head_test.py
+++ b/thornhollow/testing/process/relay_broken_head_test.py
@@ -16,10 +16,8 @@
 
 
 def identity(request, is_stream):
-    fields = (f"{relay_site.ID}: {request}\r\n{relay_site.SIGNATURE}: s\r\n")
-    if is_stream:
-        fields += "Content-Type: text/event-stream\r\n"
-    return fields.encode()
+    kind = b"Content-Type: text/event-stream\r\n" if is_stream else b""
+    return raw_answers.relayed_identity(request) + kind
 
 
 class BrokenHead(cut_off_site.CutOffTest):
--- a/thornhollow/testing/process/relay_early_answer_test.py
+++ b/thornhollow/testing/process/relay_early_answer_test.py
@@ -62,17 +62,18 @@
         return self.answer(request, is_stream)
 
     def site(self, end, framing="", body=lambda whole: whole[:-3],
-             every_attempt=True):
+             every_attempt=True, status="200 OK"):
         """Engines whose answers have `framing` and are `body(whole)`."""
         self.seen = set()
         self.every_attempt = every_attempt
 
         def answer(request, is_stream):
             kind = "text/event-stream" if is_stream else "text/plain"
-            head = (f"HTTP/1.1 200 OK\r\n{relay_site.ID}: {request}\r\n"
-                    f"{relay_site.SIGNATURE}: s\r\nContent-Type: {kind}\r\n"
-                    f"{framing}\r\n").encode()
-            return raw_answers.RawAnswer(head + body(WHOLE[is_stream]), end)
+            head = f"Content-Type: {kind}\r\n{framing}\r\n".encode()
+            return raw_answers.RawAnswer(
+                f"HTTP/1.1 {status}\r\n".encode()
+                + raw_answers.relayed_identity(request) + head
+                + body(WHOLE[is_stream]), end)
 
         self.answer = answer
         self.begin(2)
@@ -166,6 +167,15 @@
                   lambda whole: whole)
         self.assert_whole(LOOK_UP, ORDER)
 
+    def test_early_refusal_of_a_long_upload_comes_as_it_is(self):
+        self.site("drop", f"Content-Length: {len(WHOLE[False])}\r\n",
+                  lambda whole: whole, status="413 Content Too Large")
+        for got, request, is_stream in self.asked(LOOK_UP, ORDER):
+            with self.subTest(request):
+                self.assertEqual((got.status, got.body),
+                                 (413, WHOLE[is_stream]))
+                self.assertEqual(self.runs(request), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thornhollow/testing/process/relay_engine_silence_test.py
+++ b/thornhollow/testing/process/relay_engine_silence_test.py
@@ -23,9 +23,6 @@
             engine.slow_on = b"slow"
             engine.slow_s = SILENCE_S
 
-    def runs(self, request):
-        return sum(engine.ran.count(request) for engine in self.engines)
-
     def check(self, path, stream):
         self.begin()
         daemon = self.daemon()
--- a/thornhollow/testing/process/relay_planned_stop_test.py
+++ b/thornhollow/testing/process/relay_planned_stop_test.py
@@ -52,9 +52,6 @@
                 connection.close()
             time.sleep(0.02)
 
-    def ran(self, request):
-        return sum(engine.ran.count(request) for engine in self.engines)
-
     def check(self, grace_s):
         self.site(grace_s)
         callers = [threading.Thread(target=self.call, args=(number % 2 == 0,))
@@ -72,11 +69,11 @@
         for request, path, status, body, asked in self.answers:
             case = f"{request} {path} {asked - told:.2f} s after the signal"
             if status in cut_off_site.NOT_RUN:
-                self.assertEqual(self.ran(request), 0, case)
+                self.assertEqual(self.runs(request), 0, case)
             elif status == 200:
                 whole = b"id: 3\n" if cut_off_site.KINDS[path] else b"body"
                 self.assertIn(whole, body, case)
-            elif self.ran(request):
+            elif self.runs(request):
                 cut.append((case, status))
         self.assertEqual(cut, [])
         stopped = [line["left_in_progress"]
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -509,7 +509,8 @@
         if call.broken_off:
             self.broken_requests.add(request)
 
-    def reset(self, call):
+    @staticmethod
+    def reset(call):
         """Ends the connection as the end of its process may: by a reset."""
         call.wfile.flush()
         call.connection.setsockopt(
@@ -761,6 +762,10 @@
         return harness.call(daemon.address, "POST", path, body,
                             self.headers(request, stream, key))
 
+    def runs(self, request):
+        """At all of `self.engines`."""
+        return sum(engine.ran.count(request) for engine in self.engines)
+
     @staticmethod
     def stand_still(engines, *silences, between_s=0.4):
         """The processes of these endpoints stand still for each of these times,
--- a/thornhollow/testing/process/relay_soak_test.py
+++ b/thornhollow/testing/process/relay_soak_test.py
@@ -3,8 +3,8 @@
 Faults are drawn by seed: the store turns all away, engines decline, fail, cut
 their streams, drain, leave and come back, say so or ask for rest in their answers,
 end these with their connection, whole or broken off, answer with heads that are none,
-daemons are stopped in turn or frozen, configurations and keys change. What must hold at any timing is checked for each
-answer; at the end all faults end and everything is served again.
+daemons are stopped in turn or frozen, configurations and keys change. What must hold
+at any timing is checked for each answer; at the end all faults end and everything is served again.
 
 Longer, by hand:  SOAK_SEEDS=1-50 SOAK_SECONDS=20 python3 relay_soak_test.py
 """
@@ -139,8 +139,7 @@
             if engine.is_odd:
                 request = call.headers[relay_site.ID]
                 engine.ran.append(request)
-                fields = (f"{relay_site.ID}: {request}\r\n"
-                          f"{relay_site.SIGNATURE}: s\r\n").encode()
+                fields = raw_answers.relayed_identity(request)
                 answers = {**raw_answers.broken_statuses(fields),
                            **raw_answers.broken_fields(fields)}
                 kind = random.Random(request).choice(sorted(answers))
