--- a/review/6/case.py
+++ b/review/6/case.py
@@ -82,6 +82,7 @@
         site.start_daemons(2)
         drained = play(site, reports_draining=True)
         removed = play(site, reports_draining=False)
+        site.record_runs()
         time.sleep(1)
         for daemon in site.daemons:
             for line in daemon.log_lines("request_done"):
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -532,6 +532,22 @@
     def runs(self):
         return [event for engine in self.engines for event in engine.events()]
 
+    def record_runs(self):
+        """What the engines ran, by their own logs."""
+        made = {}
+        for event in self.runs():
+            run = made.setdefault((event["id"], event["engine"]), {
+                "began": None, "parts": 0, "whole": False})
+            if event["event"] == "runs":
+                run.update(began=round(event["at"], 3),
+                           target=event["target"])
+            elif event["event"] == "part":
+                run.update(parts=event["number"], of=event["of"])
+            else:
+                run["whole"] = True
+        for (name, engine), run in made.items():
+            self.record("run", id=name, engine=engine, **run)
+
 
 def new_id():
     return f"{random.getrandbits(64):016x}"
