--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -46,7 +46,9 @@
 
 
 def trouble():
-    return os.environ.get("TROUBLE", "1") != "0"
+    """Whether the disruption is played: the argument that run.sh gives, by
+    TROUBLE."""
+    return sys.argv[1:] != ["without"]
 
 
 def free_port(host):
@@ -437,6 +439,7 @@
             sys.exit(CANNOT_RUN)
         self.template = (ROOT / role["template"]).read_text()
         threading.Thread(target=self._heartbeats, daemon=True).start()
+        self.record("the case begins", disruption=trouble())
         return self
 
     def __exit__(self, kind, error, _):
