Answers that end with their connection: taken only if somebody vouches for the end

Cause: an instance asked what shows that the process has ended, and took the end as whole if nothing does. `leaving`, `not_listed`, `cannot_ask` and `no_answer` said that nothing was known, and counted as "whole"; answers that are no streams weren't judged. That nothing is known counted as knowledge. Ruled out by `open_end` and `ended_by` of request_done: an engine that still answers (no `process_answered`), an end that isn't judged (streams had a ground), an end of our own. For other answers `open_end` was empty whatever had happened: it is there now, with `open_end_ms`. Change: whole is what another open connection, or the process's own answer to a question sent after the end, vouches for. The question goes to whoever was picked, leaving, unlisted or without a start time, names it, and is repeated for 1.5 s. Both interfaces and all kinds of answers; what isn't vouched for goes on elsewhere or is cut visibly. A resumable stream whose engine ended right after its last event is whole if the next engine has nothing more to send. Between instances each answer is framed, an unframed one is broken (by reading: no test shows a part that got through there). Its caller and engines moved to open_ended_site.

--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -144,10 +144,13 @@
   // request ends endpoints.
   void RecordProgress(run_progress aProgress);
   void OnAnswerEnd();
-  // The stream ended with its connection: finds out whether its process ended
-  // under it, and ends or continues it accordingly.
+  // Whether an answer that has nothing of a stream shows that the stream was
+  // whole before.
+  bool ConfirmsEnd(answer_end aEnd) const;
+  // The answer ended with its connection: finds out whether somebody vouches
+  // for that end, and ends the answer, or goes on elsewhere, accordingly.
   void JudgeOpenEnd();
-  void OnOpenEndJudged(open_end_ground aGround);
+  void OnOpenEndJudged(open_end_ground aGround, duration aTook);
   // The attempt's answer is taken as its endpoint framed it.
   void CompleteAnswer();
 
@@ -383,8 +386,15 @@
   // Whether the next retry has already been charged to the retry budget.
   bool mRetryCharged = false;
   relayed_answer mAnswer;
-  // Why the open end of a stream was taken as it was; unset if it has none.
+  // While it is found out whether somebody vouches for the answer's end, and
+  // then on which ground that was decided, and how long it took; unset if the
+  // answer has no open end.
+  bool mJudgesEnd = false;
+  // A stream was broken off since nobody vouched for its end, after a whole
+  // event, and nothing has followed so far.
+  bool mEndIsOpen = false;
   std::optional<open_end_ground> mOpenEndGround;
+  duration mOpenEndTook{};
   // The HTTP status of this instance's own error response; 0 if there is none.
   unsigned mRefusalStatus = 0;
   std::optional<duration> mFirstByte;
--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -1,4 +1,3 @@
-#include <memory>
 #include <utility>
 
 #include "thornhollow/daemon/internal/relay_session.h"
@@ -8,10 +7,6 @@
 namespace thornhollow {
 namespace {
 
-// The system closes the connections and the listener of a process that ends one
-// after the other, within a few milliseconds.
-constexpr duration kSettleTime = Milliseconds(10);
-
 // Whether another instance may serve a forwarded request that one has refused
 // for this reason.
 bool
@@ -160,6 +155,7 @@
 {
   EndSilence();
   RecordFirstByte();
+  mEndIsOpen = false;
   if (const auto fault = mAnswer.OnBytes(aBytes, Now())) {
     OnFailure(attempt_failure::kGarbled, std::string(*fault), true);
     return;
@@ -209,7 +205,8 @@
 void
 relay_session::OnAnswerEnd()
 {
-  if (const answer_end end = mAnswer.JudgeEnd(); IsBrokenOff(end)) {
+  if (const answer_end end = mAnswer.JudgeEnd();
+      IsBrokenOff(end) && !ConfirmsEnd(end)) {
     OnFailure(attempt_failure::kBroken, std::string(Describe(end)), true);
     return;
   }
@@ -220,50 +217,55 @@
     return;
   }
   EndSilence();
-  // Another instance judges the ends of its own attempts.
-  if (mAnswer.IsOpenEndedStream() && !IsAtPeer()) {
+  if (!mAnswer.IsOpenEnded()) {
+    CompleteAnswer();
+  } else if (!IsAtPeer()) {
     JudgeOpenEnd();
-    return;
+  } else if (mAnswer.ReceivedFraming() == answer_framing::kConnection) {
+    // Another instance frames what it has judged.
+    OnFailure(
+      attempt_failure::kBroken, "another instance's connection ended", true);
+  } else {
+    CompleteAnswer();
   }
-  CompleteAnswer();
+}
+
+// An endpoint that ended right after a whole stream can't vouch for it.
+// Another one, which is asked to go on after the last event, then has nothing
+// more to send.
+bool
+relay_session::ConfirmsEnd(answer_end aEnd) const
+{
+  return mEndIsOpen && aEnd == answer_end::kBeforeFirstEvent && !IsAtPeer();
 }
 
 void
 relay_session::JudgeOpenEnd()
 {
-  mTimer.cancel();
-  // A timer of its own: `OnTimer` may be queued already, and arms the other one
-  // again.
-  const auto settled =
-    std::make_shared<boost::asio::steady_timer>(mDispatcher.Io(), kSettleTime);
-  settled->async_wait([self = boost::intrusive_ptr<relay_session>(this),
-                       settled](const boost::system::error_code& aError) {
-    if (aError || self->mDone) {
-      return;
-    }
-    relay_dispatcher& dispatcher = self->mDispatcher;
-    if (const auto ground =
-          JudgeWithoutAsking(dispatcher.OpenEndSigns(self->mPick))) {
-      self->OnOpenEndJudged(*ground);
-      return;
-    }
-    dispatcher.AskProcess(self->mPick, Now(), [self](process_verdict aVerdict) {
-      if (!self->mDone) {
-        self->OnOpenEndJudged(JudgeAnswer(aVerdict));
-      }
-    });
-  });
+  mJudgesEnd = true;
+  ArmTimer();
+  mDispatcher.JudgeOpenEnd(mPick,
+                           [self = boost::intrusive_ptr<relay_session>(this),
+                            endedAt = Now()](open_end_ground aGround) {
+                             if (!self->mDone) {
+                               self->OnOpenEndJudged(aGround, Now() - endedAt);
+                             }
+                           });
 }
 
 void
-relay_session::OnOpenEndJudged(open_end_ground aGround)
+relay_session::OnOpenEndJudged(open_end_ground aGround, duration aTook)
 {
   const std::string ground(Name(aGround));
+  mJudgesEnd = false;
+  mTimer.cancel();
   mOpenEndGround = aGround;
+  mOpenEndTook = aTook;
   mDispatcher.Metrics().OnEvent("open_end_" + ground);
-  if (IsBrokenOff(aGround)) {
+  if (!IsVouchedFor(aGround)) {
+    mEndIsOpen = mAnswer.Begun();
     OnFailure(attempt_failure::kBroken,
-              "process ended with its connection: " + ground,
+              "nobody vouches for the end of its connection: " + ground,
               true);
     return;
   }
--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -94,6 +94,7 @@
   mLastByte = aNow;
   mFirstByteReceived = false;
   mRunProgress = run_progress::kNoOutput;
+  mJudgesEnd = false;
   mAnswer.BeginAttempt();
 }
 
--- a/thornhollow/daemon/internal/relay_session_failure.cc
+++ b/thornhollow/daemon/internal/relay_session_failure.cc
@@ -228,7 +228,7 @@
 time_point
 relay_session::SilenceDeadline() const
 {
-  if (!MayRepeat(mRoute->mKind)) {
+  if (!MayRepeat(mRoute->mKind) || mJudgesEnd) {
     return time_point::max();
   }
   return mLastByte + SilenceTimeout(*mRoute) +
--- a/thornhollow/daemon/internal/relay_session_log.cc
+++ b/thornhollow/daemon/internal/relay_session_log.cc
@@ -143,6 +143,7 @@
       { "framing", FramingText() },
       { "ended_by", std::string(Name(EndAtCaller())) },
       { "open_end", mOpenEndGround ? std::string(Name(*mOpenEndGround)) : "" },
+      { "open_end_ms", ToMilliseconds(mOpenEndTook) },
       { "first_byte_ms", ToMilliseconds(mFirstByte.value_or(duration{})) },
       { "total_ms", ToMilliseconds(now - mExchange->Arrival()) },
       { "configuration",
--- a/thornhollow/daemon/internal/router_actions.cc
+++ b/thornhollow/daemon/internal/router_actions.cc
@@ -4,6 +4,7 @@
 #include "thornhollow/daemon/caller_reply.h"
 #include "thornhollow/daemon/internal/router_core.h"
 #include "thornhollow/net/clock.h"
+#include "thornhollow/request/forwarding_headers.h"
 
 namespace thornhollow {
 
@@ -129,11 +130,17 @@
 router::core::Execute(live_request& aLive, const deliver_answer& aAction)
 {
   mMetrics.OnCompleted(aLive.mIntake.mClass, 0);
-  aLive.mExchange->Send(whole_reply{ aAction.mHttpStatus,
-                                     { { "X-Request-Id", aLive.mId.Text() } },
-                                     aAction.mContentType,
-                                     aAction.mBody,
-                                     aAction.mOpenEnded });
+  whole_reply reply{ aAction.mHttpStatus,
+                     { { "X-Request-Id", aLive.mId.Text() } },
+                     aAction.mContentType,
+                     aAction.mBody,
+                     aAction.mOpenEnded };
+  if (aAction.mOpenEnded &&
+      request_forwarder::IsForwarded(aLive.mExchange->Request())) {
+    reply.mHeaders.push_back({ std::string(kForwardingOpenEndedHeader), "1" });
+    reply.mOpenEnded = false;
+  }
+  aLive.mExchange->Send(std::move(reply));
 }
 
 void
--- a/thornhollow/daemon/internal/router_core.h
+++ b/thornhollow/daemon/internal/router_core.h
@@ -25,6 +25,7 @@
 #include "thornhollow/daemon/engine_warm_ups.h"
 #include "thornhollow/daemon/intake.h"
 #include "thornhollow/daemon/live_request.h"
+#include "thornhollow/daemon/process_check.h"
 #include "thornhollow/daemon/router.h"
 #include "thornhollow/policy/loop_lag.h"
 #include "thornhollow/policy/placement/endpoint_reservations.h"
@@ -138,6 +139,10 @@
   // Handles an event of the request's attempt. A broken connection is first
   // checked for the end of the endpoint's process.
   void OnAttemptEvent(ticket aTicket, const request_event& aEvent);
+  // The answer ended with its connection: it is taken if somebody vouches for
+  // that end, else its connection counts as lost.
+  void JudgeOpenEnd(const live_request& aLive, const answer_received& aAnswer);
+  void TakeAttemptEvent(live_request& aLive, const request_event& aEvent);
   void TakeNotice(const endpoint_name& aEndpoint,
                   const endpoint_notice& aNotice);
   void RecordToken(live_request& aLive);
@@ -176,6 +181,7 @@
   boost::asio::steady_timer mSchedulerTimer;
   std::optional<time_point> mSchedulerDue;
   crash_guard mCrashes;
+  process_check mProcesses;
   engine_warm_ups mWarmUps;
   request_forwarder mForwarder;
   loop_lag mLag;
--- a/thornhollow/daemon/internal/router_events.cc
+++ b/thornhollow/daemon/internal/router_events.cc
@@ -4,7 +4,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include "thornhollow/base/endpoint_hash.h"
 #include "thornhollow/daemon/internal/router_core.h"
+#include "thornhollow/daemon/open_end_check.h"
 #include "thornhollow/net/clock.h"
 
 namespace thornhollow {
@@ -17,42 +19,92 @@
     return;
   }
   live_request& live = *found->second;
+  const auto* answer = std::get_if<answer_received>(&aEvent);
+  if (answer != nullptr && answer->mOpenEnded) {
+    JudgeOpenEnd(live, *answer);
+  } else {
+    TakeAttemptEvent(live, aEvent);
+  }
+}
+
+void
+router::core::JudgeOpenEnd(const live_request& aLive,
+                           const answer_received& aAnswer)
+{
+  const endpoint* where = mCatalog->EndpointByName(aLive.mEndpoint.Text());
+  const auto ask =
+    [this,
+     process = listed_process{
+       aLive.mEndpoint,
+       where == nullptr ? std::string() : where->mAddress,
+       EndpointHash(aLive.mEndpoint) }](process_confirmations::handler aDone) {
+      mProcesses.AskIfRunning(process, std::move(aDone));
+    };
+  const auto signs = [] { return open_end_signs{}; };
+  CheckOpenEnd(
+    mIo,
+    { signs, ask },
+    [this, number = aLive.mTicket, attempt = aLive.mAttempt, answer = aAnswer](
+      open_end_ground aGround) {
+      mMetrics.OnEvent("open_end_" + std::string(Name(aGround)));
+      const auto found = mLive.find(number);
+      // The attempt may have been ended meanwhile, and another be under way.
+      if (found == mLive.end() || found->second->mAttempt != attempt) {
+        return;
+      }
+      if (IsVouchedFor(aGround)) {
+        TakeAttemptEvent(*found->second, answer);
+        return;
+      }
+      mLog.WriteRequest(log_level::kWarning,
+                        "answer_end_not_vouched_for",
+                        { { "request_id", found->second->mId.Text() },
+                          { "endpoint", found->second->mEndpoint.Text() },
+                          { "open_end", std::string(Name(aGround)) } });
+      TakeAttemptEvent(*found->second, connection_lost{ answer.mAttempt });
+    });
+}
+
+void
+router::core::TakeAttemptEvent(live_request& aLive, const request_event& aEvent)
+{
+  const ticket number = aLive.mTicket;
   const bool isLost = std::holds_alternative<connection_lost>(aEvent);
   if (isLost || std::holds_alternative<connect_failed>(aEvent)) {
-    mForwarder.OnAttemptFailed(live.mIntake.mPool, Now());
+    mForwarder.OnAttemptFailed(aLive.mIntake.mPool, Now());
   }
   if (std::holds_alternative<connect_failed>(aEvent)) {
-    mWarmUps.OnUnreachable(live.mEndpoint, Now());
+    mWarmUps.OnUnreachable(aLive.mEndpoint, Now());
     ApplyRates();
   }
   if (const auto* notice = std::get_if<endpoint_notice>(&aEvent)) {
-    TakeNotice(live.mEndpoint, *notice);
+    TakeNotice(aLive.mEndpoint, *notice);
   }
   if (std::holds_alternative<sending_begun>(aEvent)) {
-    live.mSending = true;
+    aLive.mSending = true;
   } else if (std::holds_alternative<answer_received>(aEvent)) {
-    RecordProgress(live, run_progress::kGoing);
+    RecordProgress(aLive, run_progress::kGoing);
   } else if (std::holds_alternative<token_received>(aEvent)) {
-    RecordToken(live);
+    RecordToken(aLive);
   }
-  const endpoint* where = mCatalog->EndpointByName(live.mEndpoint.Text());
-  if (!isLost || !live.mSending || !MayEndEndpoint(live.mRunProgress) ||
-      where == nullptr || !mReservations.IsLive(live.mEndpoint)) {
-    DispatchEvent(aTicket, aEvent);
+  const endpoint* where = mCatalog->EndpointByName(aLive.mEndpoint.Text());
+  if (!isLost || !aLive.mSending || !MayEndEndpoint(aLive.mRunProgress) ||
+      where == nullptr || !mReservations.IsLive(aLive.mEndpoint)) {
+    DispatchEvent(number, aEvent);
     return;
   }
   mCrashes.OnAttemptLost(
-    { live.mId,
-      SuspectAttempt(live, live.mEndpoint),
-      live.mEndpoint,
+    { aLive.mId,
+      SuspectAttempt(aLive, aLive.mEndpoint),
+      aLive.mEndpoint,
       { where->mAddress, 0 },
-      live.mRunProgress },
-    [this, aTicket, aEvent, engine = live.mEndpoint](bool aEnded) {
+      aLive.mRunProgress },
+    [this, number, aEvent, engine = aLive.mEndpoint](bool aEnded) {
       if (aEnded) {
         mWarmUps.OnUnreachable(engine, Now());
         ApplyRates();
       }
-      DispatchEvent(aTicket, aEvent);
+      DispatchEvent(number, aEvent);
     });
 }
 
--- a/thornhollow/daemon/process_check.cc
+++ b/thornhollow/daemon/process_check.cc
@@ -4,9 +4,11 @@
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
 #include "thornhollow/net/clock.h"
+#include "thornhollow/net/endpoint_probe.h"
 #include "thornhollow/net/http_fetch.h"
 
 namespace thornhollow {
@@ -19,6 +21,9 @@
 constexpr std::size_t kMaxStatusBytes = std::size_t{ 256 } << 10U;
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kMisdirected = 421;
+// A busy endpoint may reset a connection that it has no room for.
+constexpr duration kAskAgainAfter = Milliseconds(100);
 
 std::string_view
 EventName(process_verdict aVerdict)
@@ -77,6 +82,7 @@
 {
   mMetrics.OnEvent("endpoint_process_asked");
   FetchStatus(aProcess.mAddress,
+              {},
               kAnswerTimeout,
               [this, aProcess](const fetch_answer* aAnswer, bool aRefused) {
                 OnVerdict(aProcess,
@@ -85,8 +91,105 @@
               });
 }
 
+void
+process_check::AskIfRunning(const listed_process& aProcess, handler aDone)
+{
+  const time_point now = Now();
+  if (mRunning.Await(aProcess.mNumber, now, std::move(aDone), now)) {
+    AskUntil(aProcess, now + kLongestQuestion);
+  }
+}
+
+void
+process_check::AskUntil(const listed_process& aProcess, time_point aUntil)
+{
+  mMetrics.OnEvent("endpoint_running_asked");
+  AskOnce(aProcess,
+          aUntil - Now(),
+          [this, aProcess, aUntil](process_verdict aVerdict) {
+            if (aVerdict != process_verdict::kUnknown ||
+                Now() + kAskAgainAfter >= aUntil) {
+              OnRunningVerdict(aProcess, aVerdict);
+              return;
+            }
+            const auto pause =
+              std::make_shared<boost::asio::steady_timer>(mIo, kAskAgainAfter);
+            pause->async_wait([this, aProcess, aUntil, pause](
+                                const boost::system::error_code& aError) {
+              if (!aError) {
+                AskUntil(aProcess, aUntil);
+              }
+            });
+          });
+}
+
+void
+process_check::AskOnce(const listed_process& aProcess,
+                       duration aTimeout,
+                       handler aDone)
+{
+  if (!mReader) {
+    ProbeEndpoint(mIo,
+                  aProcess.mAddress,
+                  aTimeout,
+                  [done = std::move(aDone)](const endpoint_probe& aProbe) {
+                    done(aProbe.mVerdict == probe_verdict::kAccepts
+                           ? process_verdict::kListed
+                         : aProbe.mVerdict == probe_verdict::kRefuses
+                           ? process_verdict::kRefused
+                           : process_verdict::kUnknown);
+                  });
+    return;
+  }
+  FetchStatus(aProcess.mAddress,
+              { { mExpectedHeader, aProcess.mEndpoint.Text() } },
+              aTimeout,
+              [this, aProcess, done = std::move(aDone)](
+                const fetch_answer* aAnswer, bool aRefused) {
+                done(aRefused ? process_verdict::kRefused
+                              : RunningVerdictOf(aProcess, aAnswer));
+              });
+}
+
+// Where no start time is stated, no two processes have the same name.
+process_verdict
+process_check::RunningVerdictOf(const listed_process& aProcess,
+                                const fetch_answer* aAnswer) const
+{
+  if (aAnswer != nullptr && aAnswer->mHttpStatus == kMisdirected) {
+    return process_verdict::kOther;
+  }
+  if (aAnswer != nullptr && aProcess.mStartedMs == 0) {
+    return process_verdict::kListed;
+  }
+  return VerdictOf(aProcess, aAnswer);
+}
+
+void
+process_check::OnRunningVerdict(const listed_process& aProcess,
+                                process_verdict aVerdict)
+{
+  if (aVerdict != process_verdict::kListed) {
+    mLog.Write(log_level::kInfo,
+               "endpoint_not_known_to_run",
+               { { "endpoint", aProcess.mEndpoint.Text() },
+                 { "address", aProcess.mAddress },
+                 { "verdict", std::string(EventName(aVerdict)) } });
+  }
+  const auto answered = mRunning.OnAnswer(aProcess.mNumber, aVerdict, Now());
+  if (answered.mAskAgain) {
+    AskUntil(aProcess, Now() + kLongestQuestion);
+  } else {
+    mRunning.Forget(aProcess.mNumber);
+  }
+  for (const handler& each : answered.mHandlers) {
+    each(aVerdict);
+  }
+}
+
 void
 process_check::FetchStatus(const std::string& aAddress,
+                           std::vector<header_field> aHeaders,
                            duration aTimeout,
                            status_handler aDone)
 {
@@ -94,6 +197,7 @@
   Fetch(mIo,
         { .mAddress = aAddress,
           .mTarget = mPath,
+          .mHeaders = std::move(aHeaders),
           .mTimeout = aTimeout,
           .mConnectTimeout = aTimeout,
           .mOnRefused = [refused] { *refused = true; },
@@ -118,6 +222,7 @@
   }
   mMetrics.OnEvent("endpoint_response_asked");
   FetchStatus(aAddress,
+              {},
               kPromptTimeout,
               [this, aAddress](const fetch_answer* aAnswer, bool /*aRefused*/) {
                 const bool responds = aAnswer != nullptr;
--- a/thornhollow/daemon/process_check.h
+++ b/thornhollow/daemon/process_check.h
@@ -6,10 +6,11 @@
 //   if (check.Evidence(process, madeAt) == process_evidence::kMustAsk) {
 //     check.Confirm(process, madeAt, [](process_verdict aVerdict) { ... });
 //   }
+//   check.AskIfRunning(process, [](process_verdict aVerdict) { ... });
 //
-// Nothing is asked of endpoints whose entries state no start time: on such
-// platforms each process has a name of its own. streams/process_confirmations.h
-// tells what follows from an answer.
+// To confirm a connection, nothing is asked of endpoints whose entries state no
+// start time: on such platforms each process has a name of its own.
+// streams/process_confirmations.h tells what follows from an answer.
 #ifndef THORNHOLLOW_DAEMON_PROCESS_CHECK_H_
 #define THORNHOLLOW_DAEMON_PROCESS_CHECK_H_
 
@@ -20,6 +21,7 @@
 #include <string_view>
 #include <vector>
 
+#include "thornhollow/base/header_field.h"
 #include "thornhollow/base/ids.h"
 #include "thornhollow/base/result.h"
 #include "thornhollow/base/time.h"
@@ -73,11 +75,16 @@
   {
   }
 
-  // `aPath`: where endpoints tell their status. Without this nothing is asked.
-  void SetStatus(std::string aPath, status_reader aReader)
+  // `aPath`: where endpoints tell their status. Without this no connection is
+  // confirmed. `aExpectedHeader`: names the endpoint that is asked; any other
+  // one answers 421.
+  void SetStatus(std::string aPath,
+                 status_reader aReader,
+                 std::string aExpectedHeader)
   {
     mPath = std::move(aPath);
     mReader = std::move(aReader);
+    mExpectedHeader = std::move(aExpectedHeader);
   }
 
   // Of a connection that was made then.
@@ -88,6 +95,15 @@
   void Confirm(const listed_process& aProcess,
                time_point aMadeAt,
                handler aDone);
+  // Finds out whether the process still runs, which may be listed no longer, by
+  // a question that is sent now or later: `kListed` if it does, `kUnknown` if
+  // nothing told so for `kLongestQuestion`. Where endpoints tell no status, one
+  // that accepts a connection runs. One question serves all whose answers have
+  // ended before it was sent.
+  void AskIfRunning(const listed_process& aProcess, handler aDone);
+  // Longer than sound endpoints stand still, and shorter than callers wait for
+  // more of a stream.
+  static constexpr duration kLongestQuestion = Milliseconds(1'500);
   // Calls `aDone` with whether the endpoint promptly answers a question that is
   // asked now; with true, at once, where endpoints can't be asked. One question
   // serves all that ask while it is open.
@@ -106,8 +122,18 @@
   using status_handler =
     std::function<void(const fetch_answer* aAnswer, bool aRefused)>;
   void FetchStatus(const std::string& aAddress,
+                   std::vector<header_field> aHeaders,
                    duration aTimeout,
                    status_handler aDone);
+  void AskUntil(const listed_process& aProcess, time_point aUntil);
+  // Sends one question; the handler gets what it told.
+  void AskOnce(const listed_process& aProcess,
+               duration aTimeout,
+               handler aDone);
+  process_verdict RunningVerdictOf(const listed_process& aProcess,
+                                   const fetch_answer* aAnswer) const;
+  void OnRunningVerdict(const listed_process& aProcess,
+                        process_verdict aVerdict);
   process_verdict VerdictOf(const listed_process& aProcess,
                             const fetch_answer* aAnswer) const;
   void OnVerdict(const listed_process& aProcess, process_verdict aVerdict);
@@ -117,7 +143,10 @@
   metrics& mMetrics;
   std::string mPath;
   status_reader mReader;
+  std::string mExpectedHeader;
   process_confirmations mConfirmations;
+  // Those who wait for whether a process still runs.
+  process_confirmations mRunning;
   // Those who wait for whether the endpoint at an address responds.
   std::map<std::string, std::vector<std::function<void(bool)>>> mResponding;
 };
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -294,7 +294,8 @@
            mVersionDoubts.IsDoubted(entry.mName),
            mBounds.RefusalPart(ProcessHash(entry)),
            mBounds.RequestRate(ProcessHash(entry), Now()),
-           mOutOfService.Contains(entry.mDomain) };
+           mOutOfService.Contains(entry.mDomain),
+           entry.mStartedMs };
 }
 
 void
@@ -635,14 +636,31 @@
   signs.mHasOpenConnection =
     mConnections.LookAtKept({ aPick.mAddress, aPick.mLifetime }) ==
     kept_state::kOpen;
-  signs.mIsListed = mEndpoints.contains(aPick.mEndpoint);
-  const known_endpoint* known = Known(aPick);
-  signs.mIsOtherProcess = signs.mIsListed && known == nullptr;
-  signs.mIsLeaving = known != nullptr && IsLeaving(*known);
-  signs.mCanAsk = Evidence(aPick, Now()) != process_evidence::kCannotAsk;
+  signs.mIsOtherProcess =
+    mEndpoints.contains(aPick.mEndpoint) && Known(aPick) == nullptr;
   return signs;
 }
 
+void
+relay_dispatcher::JudgeOpenEnd(const relay_pick& aPick,
+                               std::function<void(open_end_ground)> aDone)
+{
+  const auto ask = [this, aPick](process_confirmations::handler aAnswered) {
+    // Whoever was picked is asked, also if it is listed no longer.
+    mProcesses.AskIfRunning(
+      { aPick.mEndpoint, aPick.mAddress, aPick.mLifetime, aPick.mStartedMs },
+      [this, aPick, answered = std::move(aAnswered)](process_verdict aVerdict) {
+        if (aPick.mStartedMs != 0) {
+          OnProcessAnswered(aPick, aVerdict, Now());
+        }
+        answered(aVerdict);
+      });
+  };
+  CheckOpenEnd(mIo,
+               { [this, aPick] { return OpenEndSigns(aPick); }, ask },
+               std::move(aDone));
+}
+
 void
 relay_dispatcher::AskProcess(const relay_pick& aPick,
                              time_point aSince,
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -35,6 +35,7 @@
 #include "thornhollow/daemon/json_log.h"
 #include "thornhollow/daemon/load_exchange.h"
 #include "thornhollow/daemon/metrics.h"
+#include "thornhollow/daemon/open_end_check.h"
 #include "thornhollow/daemon/process_check.h"
 #include "thornhollow/daemon/retry_guard.h"
 #include "thornhollow/daemon/stream_guard.h"
@@ -238,9 +239,10 @@
   // Whether a connection that was made then is known to lead to the process
   // that was picked. An endpoint that has left the list isn't asked.
   process_evidence Evidence(const relay_pick& aPick, time_point aMadeAt) const;
-  // What is known of the process that was picked, after a stream of it has
-  // ended with its connection.
-  open_end_signs OpenEndSigns(const relay_pick& aPick);
+  // After an answer of the process that was picked has ended with its
+  // connection: hands over whether somebody vouches for that end.
+  void JudgeOpenEnd(const relay_pick& aPick,
+                    std::function<void(open_end_ground)> aDone);
   // Hands over which process the endpoint said to be when it was asked at
   // `aSince` or later; it is asked now where it wasn't.
   void AskProcess(const relay_pick& aPick,
@@ -345,6 +347,7 @@
   void Update(const known_endpoint& aKnown);
   // Its version is in doubt from now on.
   void Doubt(const known_endpoint& aKnown, time_point aNow);
+  open_end_signs OpenEndSigns(const relay_pick& aPick);
   static listed_process ProcessOf(const known_endpoint& aKnown)
   {
     const listed_endpoint& entry = aKnown.mEntry;
--- a/thornhollow/daemon/relay_gateway.cc
+++ b/thornhollow/daemon/relay_gateway.cc
@@ -173,7 +173,8 @@
       Report(*each, mLog, mMetrics);
     }
     mDispatcher.Processes().SetStatus(mAdapter.mStatusPath,
-                                      mAdapter.mReadStartTime);
+                                      mAdapter.mReadStartTime,
+                                      mAdapter.mNames.mExpectedEndpoint);
     mDispatcher.Reach().SetPeers([this](const pool_name& aPool) {
       return mPeers.ForwardPeers(aPool, Now());
     });
--- a/thornhollow/daemon/relayed_answer.h
+++ b/thornhollow/daemon/relayed_answer.h
@@ -89,7 +89,6 @@
   // As the attempt's answer came; unset until its head arrives.
   std::optional<answer_framing> ReceivedFraming() const { return mFraming; }
   bool IsOpenEnded() const { return Framing() == answer_framing::kConnection; }
-  bool IsOpenEndedStream() const { return mTraits.mIsStream && IsOpenEnded(); }
   // Between two parts of a stream that were sent. The last one is unset unless
   // the last call of `OnBytes` or `SendEnd` sent a part after another.
   std::optional<duration> LastPause() const { return mLastPause; }
--- a/thornhollow/daemon/request_forwarder.cc
+++ b/thornhollow/daemon/request_forwarder.cc
@@ -175,7 +175,9 @@
       Refuse(error_kind::kEndpointConnectionLost);
       return;
     }
-    mAnswer.OnHead(aHead, { IsEventStream(aHead), false, {} });
+    mAnswer.OnHead(
+      aHead,
+      { IsEventStream(aHead), ReadForwardingOpenEnded(aHead.mHeaders), {} });
   }
 
   void OnBytes(const std::string& aBytes)
@@ -194,6 +196,11 @@
 
   void OnEnd()
   {
+    if (mAnswer.ReceivedFraming() == answer_framing::kConnection) {
+      // The other instance frames what it has judged.
+      OnFailure(attempt_failure::kBroken, "its connection ended");
+      return;
+    }
     if (const answer_end end = mAnswer.JudgeEnd(); IsBrokenOff(end)) {
       OnFailure(attempt_failure::kBroken, std::string(Describe(end)));
       return;
--- a/thornhollow/daemon/router.cc
+++ b/thornhollow/daemon/router.cc
@@ -30,6 +30,7 @@
   , mScheduler(aSettings.mScheduler, mRandom())
   , mSchedulerTimer(aIo)
   , mCrashes(aIo, aLog, aMetrics)
+  , mProcesses(aIo, aLog, aMetrics)
   , mWarmUps(aLog, aMetrics, aSettings.mOwnName)
   , mForwarder(aIo, aLog, aMetrics)
 {
--- a/thornhollow/net/http_fetch.cc
+++ b/thornhollow/net/http_fetch.cc
@@ -113,6 +113,9 @@
   }
   http::request<http::empty_body> request(http::verb::get, aCall.mTarget, 11);
   request.set(http::field::host, aCall.mAddress);
+  for (const header_field& each : aCall.mHeaders) {
+    request.insert(each.mName, each.mValue);
+  }
   request.keep_alive(false);
   std::size_t bytes = co_await http::async_write(stream, request, Into(wrong));
   if (wrong) {
--- a/thornhollow/net/http_fetch.h
+++ b/thornhollow/net/http_fetch.h
@@ -11,7 +11,9 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "thornhollow/base/header_field.h"
 #include "thornhollow/base/time.h"
 
 namespace boost::asio {
@@ -25,6 +27,7 @@
   // IP number and port.
   std::string mAddress;
   std::string mTarget;
+  std::vector<header_field> mHeaders = {};
   // Over the whole exchange, connecting included. A peer that accepts and then
   // says nothing costs at most this.
   duration mTimeout = Seconds(2);
--- a/thornhollow/policy/placement/relay_pool.cc
+++ b/thornhollow/policy/placement/relay_pool.cc
@@ -191,6 +191,7 @@
   pick.mAddress = chosen->mEndpoint.mAddress;
   pick.mDomain = chosen->mEndpoint.mDomain;
   pick.mLifetime = chosen->mEndpoint.mLifetime;
+  pick.mStartedMs = chosen->mEndpoint.mStartedMs;
   pick.mVersion = chosen->mEndpoint.mVersion;
   pick.mVersionHash = chosen->mEndpoint.mIsVersionDoubted
                         ? kUnknownVersion
--- a/thornhollow/policy/placement/relay_pool.h
+++ b/thornhollow/policy/placement/relay_pool.h
@@ -163,6 +163,9 @@
   // Whether the operator has taken the endpoint's failure domain out of
   // service: it gets nothing new, not even a request to copy from it.
   bool mOutOfService = false;
+  // When the process started, in milliseconds by its own clock; 0 if it isn't
+  // stated.
+  std::int64_t mStartedMs = 0;
 
   // Whether it may get new requests at all, now or later.
   bool TakesRequests() const { return !mDraining && !mOutOfService; }
--- a/thornhollow/policy/placement/request_profile.h
+++ b/thornhollow/policy/placement/request_profile.h
@@ -72,6 +72,9 @@
   domain_name mDomain;
   // Distinguishes successive processes that run under the same endpoint name.
   std::uint64_t mLifetime = 0;
+  // When the process started, in milliseconds by its own clock; 0 if it isn't
+  // stated.
+  std::int64_t mStartedMs = 0;
   // Version of the software that the endpoint's process runs, and its hash.
   software_version mVersion = {};
   endpoint_version_hash mVersionHash = kUnknownVersion;
--- a/thornhollow/request/open_end.cc
+++ b/thornhollow/request/open_end.cc
@@ -6,10 +6,11 @@
 namespace thornhollow {
 namespace {
 
-constexpr std::array<std::string_view, 8> kGrounds = {
-  "open_connection", "process_answered", "leaving", "not_listed",
-  "cannot_ask",      "no_answer",        "refused", "other_process"
-};
+constexpr std::array<std::string_view, 5> kGrounds = { "open_connection",
+                                                       "process_answered",
+                                                       "no_answer",
+                                                       "refused",
+                                                       "other_process" };
 
 } // namespace
 
@@ -28,14 +29,7 @@
   if (aSigns.mHasOpenConnection) {
     return open_end_ground::kOpenConnection;
   }
-  if (!aSigns.mIsListed) {
-    return open_end_ground::kNotListed;
-  }
-  if (aSigns.mIsLeaving) {
-    return open_end_ground::kLeaving;
-  }
-  return aSigns.mCanAsk ? std::nullopt
-                        : std::optional(open_end_ground::kCannotAsk);
+  return std::nullopt;
 }
 
 open_end_ground
--- a/thornhollow/request/open_end.h
+++ b/thornhollow/request/open_end.h
@@ -1,15 +1,18 @@
-// Judges the end of a stream that ended with its connection: whether the
-// endpoint's process is known to have ended under it.
+// Judges the end of an answer that ended with its connection: whether somebody
+// vouches for it.
 //
 //   const open_end_signs signs{ .mHasOpenConnection = true };
 //   if (const auto ground = JudgeWithoutAsking(signs)) { ... }
 //   const open_end_ground ground = JudgeAnswer(process_verdict::kRefused);
-//   if (IsBrokenOff(ground)) { ... }
+//   if (!IsVouchedFor(ground)) { ... }
 //
-// Guards against a part of a stream that reaches its caller as complete: the
-// process ended between two events, and its system closed the connection in
-// order, as a process does that is done. A process that ends right after it has
-// finished all of its answers can't be told from that.
+// Guards against a part of an answer that reaches its caller as complete: the
+// endpoint's process ended in the middle of it, and its system closed the
+// connection in order, as a process does that is done. The end is taken only if
+// the process is known to have lived on after it. That nothing is known of the
+// process says nothing, also of one that is leaving or no longer listed: that
+// is when processes end. A process that ends right after it has finished all of
+// its answers can't be told from one that ended under them.
 #ifndef THORNHOLLOW_REQUEST_OPEN_END_H_
 #define THORNHOLLOW_REQUEST_OPEN_END_H_
 
@@ -26,14 +29,8 @@
 {
   // Another connection to the process is open.
   kOpenConnection,
-  // The listed process answered after the end.
+  // The process answered after the end.
   kProcessAnswered,
-  // The endpoint is leaving: its process may end once its answers are whole.
-  kLeaving,
-  // The endpoint is no longer listed.
-  kNotListed,
-  // The endpoint can't be asked which process it is.
-  kCannotAsk,
   // It neither answered in time nor refused the connection.
   kNoAnswer,
   // It refused a connection.
@@ -46,23 +43,21 @@
 std::string_view
 Name(open_end_ground aGround);
 
-// Whether the process has ended under the stream.
+// Whether the process is known to have lived on, so that the answer's end is
+// its own.
 constexpr bool
-IsBrokenOff(open_end_ground aGround)
+IsVouchedFor(open_end_ground aGround)
 {
-  return aGround == open_end_ground::kConnectionRefused ||
-         aGround == open_end_ground::kOtherProcess;
+  return aGround == open_end_ground::kOpenConnection ||
+         aGround == open_end_ground::kProcessAnswered;
 }
 
 // What is known of the endpoint shortly after the end.
 struct open_end_signs
 {
   bool mHasOpenConnection = false;
-  bool mIsListed = true;
   // It is listed as another process than the one that had the request.
   bool mIsOtherProcess = false;
-  bool mIsLeaving = false;
-  bool mCanAsk = true;
 
   friend bool operator==(const open_end_signs&,
                          const open_end_signs&) = default;
--- a/thornhollow/request/open_end_test.cc
+++ b/thornhollow/request/open_end_test.cc
@@ -5,11 +5,11 @@
 namespace thornhollow {
 namespace {
 
-// A part of a stream whose endpoint has ended is taken for the whole.
-TEST_CASE("open_end/process_known_to_have_ended/broken_off")
+// A part of an answer whose endpoint has ended is taken for the whole.
+TEST_CASE("open_end/process_known_to_have_ended/not_vouched_for")
 {
-  CHECK(IsBrokenOff(JudgeAnswer(process_verdict::kRefused)));
-  CHECK(IsBrokenOff(JudgeAnswer(process_verdict::kOther)));
+  CHECK_FALSE(IsVouchedFor(JudgeAnswer(process_verdict::kRefused)));
+  CHECK_FALSE(IsVouchedFor(JudgeAnswer(process_verdict::kOther)));
   CHECK(JudgeWithoutAsking({ .mIsOtherProcess = true }) ==
         open_end_ground::kOtherProcess);
   // Connections of the process that is listed now say nothing of the other.
@@ -18,33 +18,20 @@
         open_end_ground::kOtherProcess);
 }
 
-// Whole streams are cut because nothing vouches for their endpoint.
-TEST_CASE("open_end/process_not_known_to_have_ended/ends_as_framed")
-{
-  CHECK_FALSE(IsBrokenOff(JudgeAnswer(process_verdict::kListed)));
-  CHECK_FALSE(IsBrokenOff(JudgeAnswer(process_verdict::kUnknown)));
-  for (const open_end_signs& each :
-       { open_end_signs{ .mHasOpenConnection = true },
-         open_end_signs{ .mIsListed = false },
-         open_end_signs{ .mIsLeaving = true },
-         open_end_signs{ .mCanAsk = false } }) {
-    const auto ground = JudgeWithoutAsking(each);
-    REQUIRE(ground);
-    CHECK_FALSE(IsBrokenOff(*ground));
-  }
-}
-
-TEST_CASE("open_end/no_sign_either_way/endpoint_is_asked")
+// A part is taken for the whole because nothing is known of its endpoint.
+TEST_CASE("open_end/nothing_known_of_process/not_vouched_for")
 {
   CHECK_FALSE(JudgeWithoutAsking({}));
+  CHECK_FALSE(IsVouchedFor(JudgeAnswer(process_verdict::kUnknown)));
 }
 
-// An open connection costs no question, whatever else is known.
-TEST_CASE("open_end/open_connection_of_leaving_endpoint/not_asked")
+// Whole answers are cut though their endpoint lives on.
+TEST_CASE("open_end/process_known_to_live_on/vouched_for")
 {
-  CHECK(
-    JudgeWithoutAsking({ .mHasOpenConnection = true, .mIsLeaving = true }) ==
-    open_end_ground::kOpenConnection);
+  CHECK(IsVouchedFor(JudgeAnswer(process_verdict::kListed)));
+  const auto ground = JudgeWithoutAsking({ .mHasOpenConnection = true });
+  REQUIRE(ground);
+  CHECK(IsVouchedFor(*ground));
 }
 
 TEST_CASE("open_end/grounds/have_names_of_their_own")
--- a/thornhollow/testing/process/relay_broken_off_test.py
+++ b/thornhollow/testing/process/relay_broken_off_test.py
@@ -2,79 +2,16 @@
 one that was broken off must not reach its caller framed as complete, and a
 whole one must reach it."""
 
-import http.client
 import threading
 import unittest
 
 import cut_off_site
 import harness
-import relay_site
+import open_ended_site
+from open_ended_site import (Answer, LOOK_UP, ORDER, PartCount, RESUMABLE,
+                             STREAM, WHOLE_STREAM)
 
-EVENTS = 3
-WHOLE_STREAM = b"".join(relay_site.event_text(number)
-                        for number in range(1, EVENTS + 1))
-STREAM = "/p/x"
-RESUMABLE = "/s/x"
-LOOK_UP = "/l/x"
-ORDER = "/o/x"
-
-
-class Answer:
-    """What a caller read, and whether its framing says that it is complete."""
-
-    def __init__(self, daemon, path, headers, version, begun=None):
-        """Sets the event `begun` with each part of the body."""
-        connection = harness.connect(daemon.address)
-        if version == "1.0":
-            connection._http_vsn = 10
-            connection._http_vsn_str = "HTTP/1.0"
-        self.body = b""
-        try:
-            connection.request("POST", path, b"body", headers)
-            answer = connection.getresponse()
-            self.status = answer.status
-            self.has_framing = (answer.chunked
-                                or answer.length is not None)
-            while part := answer.read1():
-                self.body += part
-                if begun:
-                    begun.set()
-            # A length that isn't reached ends without an error here.
-            self.complete = not answer.length
-        except (OSError, http.client.HTTPException):
-            self.complete = False
-        finally:
-            connection.close()
-
-
-class PartCount:
-    """Counts the parts of a body that have come; an event for `Answer`."""
-
-    def __init__(self):
-        self.count = 0
-
-    def set(self):
-        self.count += 1
-
-
-class BrokenOff(cut_off_site.CutOffTest):
-
-    def site(self, broken_off="", instances=2):
-        self.begin(instances)
-        for engine in self.engines:
-            engine.ends_with_connection = True
-            engine.broken_off = broken_off
-            engine.broken_requests = self.engines[0].broken_requests
-
-    def answers(self, *paths):
-        """Each path's answer by each way and version, and the case's name."""
-        for daemon, way in self.ways():
-            for path in paths:
-                for version in ("1.1", "1.0"):
-                    case = f"{path} {version} {way}"
-                    headers = self.headers(case.replace(" ", "-"),
-                                           cut_off_site.KINDS[path])
-                    yield Answer(daemon, path, headers, version), case
+class BrokenOff(open_ended_site.OpenEndedTest):
 
     def test_stream_broken_off_inside_an_event_not_complete(self):
         self.site("inside")
@@ -204,12 +141,6 @@
             daemon.paths[runs.name].server.end()
         return asked.result()
 
-    def ends(self, daemon):
-        """How the last request ended for its caller, and on which ground."""
-        line = harness.wait_until(lambda: daemon.events("request_done"),
-                                  "its end is logged")[-1]
-        return line["ended_by"], line["open_end"]
-
     def test_open_ended_stream_whose_engine_ends_not_complete(self):
         answer = self.ended_between_events(STREAM, "e1")
         self.assertFalse(answer.complete, answer.body)
@@ -231,7 +162,8 @@
                          ("in_order", "process_answered"))
 
     def test_whole_open_ended_stream_of_a_silent_engine_is_taken(self):
-        # No answer is no sign that the process ended.
+        # It stands still for a while after its answer, and then tells that it
+        # runs: nothing else vouches for the end.
         self.site()
         for engine in self.engines:
             engine.report_after_s = 1.0
@@ -239,7 +171,7 @@
         self.assertTrue(answer.complete)
         self.assertEqual(answer.body, WHOLE_STREAM)
         self.assertEqual(self.ends(self.fleet[0]),
-                         ("in_order", "no_answer"))
+                         ("in_order", "process_answered"))
 
     def test_whole_answer_of_each_kind_comes_whole(self):
         self.site()
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -368,8 +368,10 @@
         # A body that contains this text is answered this much later.
         self.slow_on = None
         self.slow_s = 0.3
-        # Between two events of a stream.
+        # Between two events of a stream, and between two halves of another
+        # answer's body.
         self.event_gap_s = 0
+        self.body_gap_s = 0
         # Answers have neither a length nor chunks and end with their
         # connection; `broken_off` tells how the first one of each request ends
         # early: "" (not at all), "head" (after the head), "inside" and
@@ -540,7 +542,11 @@
         # connection is reset.
         if call.broken_off == "reset":
             return self.break_off(call, b"", body)
-        call.wfile.write(body)
+        half = len(body) // 2 if self.body_gap_s else 0
+        call.wfile.write(body[:half])
+        call.wfile.flush()
+        time.sleep(self.body_gap_s)
+        call.wfile.write(body[half:])
         return None
 
     def event(self, number):
@@ -573,6 +579,11 @@
 
     def report(self, call):
         """What the process says of itself, without a slot."""
+        if call.headers.get("X-Expected-Instance", self.name) != self.name:
+            call.send_response(421)
+            call.send_header("Content-Length", "0")
+            call.end_headers()
+            return
         self.reports += 1
         self.release.wait(self.report_after_s)
         text = json.dumps({
@@ -587,10 +598,11 @@
         call.wfile.write(text)
 
     def entry(self, state="ready", service="engines", zone="hall", cold_ms=0):
-        return {"service": service, "address": self.address, "zone": zone,
+        made = {"service": service, "address": self.address, "zone": zone,
                 "version": self.version, "slots": 8, "state": state,
-                "cold_remaining_ms": cold_ms, "sequence_number": 1,
-                "born": self.born}
+                "cold_remaining_ms": cold_ms, "sequence_number": 1}
+        # No start time is stated where it is 0.
+        return {**made, "born": self.born} if self.born else made
 
 
 def document(version, **changes):
