Manifests and lists of the platform: a part of one is not put in force

Seen: where the platform's answer has neither a length nor chunks and its connection ends within the manifest, a daemon put a configuration in force that lacks the parts behind that place. A list of parts that lacks its last lines is a list as well. Change: a fetched answer tells whether only the connection's end told its end; manifests and lists that come so count as not read, and are read again. Values in JSON are left as they are: a part of one isn't JSON.

--- a/thornhollow/daemon/configuration_keeper.cc
+++ b/thornhollow/daemon/configuration_keeper.cc
@@ -30,7 +30,9 @@
   if (aOutcome->mHttpStatus == kNotModified) {
     return manifest_unchanged{ aOutcome->mVersion };
   }
-  if (aOutcome->mHttpStatus != kOk || !aOutcome->mVersion) {
+  // A part of a manifest may be a manifest as well.
+  if (aOutcome->mHttpStatus != kOk || !aOutcome->mVersion ||
+      aOutcome->mIsOpenEnded) {
     return read_failed{};
   }
   return manifest_text{ *aOutcome->mVersion, std::move(aOutcome->mBody) };
--- a/thornhollow/listing/platform_watch.cc
+++ b/thornhollow/listing/platform_watch.cc
@@ -87,8 +87,10 @@
       Poll();
       return;
     }
+    // A part of a list may be a list as well.
     const bool isNewer = aOutcome && aOutcome->mHttpStatus == kOk &&
-                         aOutcome->mVersion && *aOutcome->mVersion > mVersion;
+                         !aOutcome->mIsOpenEnded && aOutcome->mVersion &&
+                         *aOutcome->mVersion > mVersion;
     if (isNewer) {
       mVersion = *aOutcome->mVersion;
       mListener.mOnValue(
--- a/thornhollow/net/http_fetch.cc
+++ b/thornhollow/net/http_fetch.cc
@@ -133,6 +133,7 @@
   const auto version = parser.get()["X-Version"];
   answer.mVersion =
     ParseNumber<std::uint64_t>({ version.data(), version.size() });
+  answer.mIsOpenEnded = parser.need_eof();
   answer.mBody = std::move(parser.get().body());
   answer.mExchangedBytes = bytes;
   co_return answer;
--- a/thornhollow/net/http_fetch.h
+++ b/thornhollow/net/http_fetch.h
@@ -56,6 +56,9 @@
   // The `X-Version` header, where there is one.
   std::optional<std::uint64_t> mVersion;
   std::string mBody;
+  // Only the end of the connection told the body's end: nobody vouches that
+  // nothing is missing.
+  bool mIsOpenEnded = false;
   // Bytes of the request and the answer, without the transport's own.
   std::size_t mExchangedBytes = 0;
 };
