Own interface: the endpoint that was asked is asked for its answer's end, also if it was removed

Seen: by the new test, the whole answer of a service that was removed from the configuration while it worked was a 502 after 1.5 s, since the check of its end looked for its address in the catalog.

--- a/thornhollow/daemon/internal/router_actions.cc
+++ b/thornhollow/daemon/internal/router_actions.cc
@@ -19,6 +19,7 @@
     return;
   }
   aLive.mEndpoint = aAction.mEndpoint;
+  aLive.mAddress = where->mAddress;
   aLive.mSending = false;
   aLive.mRunProgress = run_progress::kNoOutput;
   endpoint_call call;
--- a/thornhollow/daemon/internal/router_events.cc
+++ b/thornhollow/daemon/internal/router_events.cc
@@ -31,13 +31,12 @@
 router::core::JudgeOpenEnd(const live_request& aLive,
                            const answer_received& aAnswer)
 {
-  const endpoint* where = mCatalog->EndpointByName(aLive.mEndpoint.Text());
   const auto ask =
     [this,
-     process = listed_process{
-       aLive.mEndpoint,
-       where == nullptr ? std::string() : where->mAddress,
-       EndpointHash(aLive.mEndpoint) }](process_confirmations::handler aDone) {
+     process = listed_process{ aLive.mEndpoint,
+                               aLive.mAddress,
+                               EndpointProcessHash(aLive.mEndpoint, 0) }](
+      process_confirmations::handler aDone) {
       mProcesses.AskIfRunning(process, std::move(aDone));
     };
   const auto signs = [] { return open_end_signs{}; };
--- a/thornhollow/daemon/live_request.h
+++ b/thornhollow/daemon/live_request.h
@@ -72,6 +72,7 @@
   bool mUsesMinimumShare = false;
   // Endpoint of the current or last attempt.
   endpoint_name mEndpoint;
+  std::string mAddress;
   boost::asio::steady_timer mTimer;
   // When `mTimer` fires; nullopt while the timer is not running.
   std::optional<time_point> mTimerDue;
--- a/thornhollow/testing/process/own_unvouched_end_test.py
+++ b/thornhollow/testing/process/own_unvouched_end_test.py
@@ -3,6 +3,7 @@
 endpoints that live on must, also by way of another instance."""
 
 import json
+import threading
 import unittest
 
 import harness
@@ -65,6 +66,33 @@
         self.assertFalse(got.was_reset)
 
 
+    # Guards against whole answers that are lost where their endpoint was removed
+    # from the configuration meanwhile.
+    def test_whole_order_of_a_removed_endpoint_comes_whole(self):
+        endpoint = self.endpoint("orders", ends=False)
+        removed = threading.Event()
+        choose = endpoint.choose
+
+        def choose_late(request):
+            removed.wait(harness.LIMIT_SECONDS)
+            return choose(request)
+
+        endpoint.choose = choose_late
+        daemon = self.site()
+        self.publish_instances()
+        asked = harness.Background(raw_answers.Got, daemon.address, "/orders",
+                                   HEADERS, b"{}")
+        harness.wait_until(lambda: endpoint.ran, "it runs")
+        self.endpoints.clear()
+        self.endpoint("orders", ends=False).entry["name"] = "another"
+        version = self.publish()
+        harness.wait_until(lambda: daemon.version() == version,
+                           "it is removed")
+        removed.set()
+        got = asked.result()
+        self.assertEqual((got.status, got.body), (200, WHOLE))
+
+
 class ByWayOfAnother(OwnCutOff):
 
     def test_whole_answer_comes_whole_and_is_not_framed_for_the_caller(self):
--- a/thornhollow/testing/process/raw_answers.py
+++ b/thornhollow/testing/process/raw_answers.py
@@ -136,6 +136,7 @@
 
     def __init__(self, pool, choose, reads_body=True):
         self.ran = []
+        self.choose = choose
         endpoint = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -149,7 +150,7 @@
                     self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 request = self.headers["X-Request-Id"]
                 endpoint.ran.append(request)
-                send(self, choose(request))
+                send(self, endpoint.choose(request))
 
             def do_GET(self):
                 """What the endpoint is asked of itself it doesn't tell."""
