--- a/thornhollow/daemon/internal/relay_session.h
+++ b/thornhollow/daemon/internal/relay_session.h
@@ -386,13 +386,13 @@
   // Whether the next retry has already been charged to the retry budget.
   bool mRetryCharged = false;
   relayed_answer mAnswer;
-  // While it is found out whether somebody vouches for the answer's end, and
-  // then on which ground that was decided, and how long it took; unset if the
-  // answer has no open end.
+  // Set while it is found out whether somebody vouches for the answer's end.
   bool mJudgesEnd = false;
   // A stream was broken off since nobody vouched for its end, after a whole
   // event, and nothing has followed so far.
   bool mEndIsOpen = false;
+  // On which ground the last open end was judged, and how long that took; unset
+  // if there was none.
   std::optional<open_end_ground> mOpenEndGround;
   duration mOpenEndTook{};
   // The HTTP status of this instance's own error response; 0 if there is none.
--- a/thornhollow/daemon/internal/router_core.h
+++ b/thornhollow/daemon/internal/router_core.h
@@ -136,12 +136,12 @@
 
   // ---- Events of a request: router_events.cc
 
-  // Handles an event of the request's attempt. A broken connection is first
-  // checked for the end of the endpoint's process.
   void OnAttemptEvent(ticket aTicket, const request_event& aEvent);
   // The answer ended with its connection: it is taken if somebody vouches for
   // that end, else its connection counts as lost.
   void JudgeOpenEnd(const live_request& aLive, const answer_received& aAnswer);
+  // Handles an event of the request's attempt. A broken connection is first
+  // checked for the end of the endpoint's process.
   void TakeAttemptEvent(live_request& aLive, const request_event& aEvent);
   void TakeNotice(const endpoint_name& aEndpoint,
                   const endpoint_notice& aNotice);
--- a/thornhollow/daemon/live_request.h
+++ b/thornhollow/daemon/live_request.h
@@ -70,7 +70,8 @@
   std::optional<time_point> mHeldSince;
   // Whether the current attempt uses its class's minimum share.
   bool mUsesMinimumShare = false;
-  // Endpoint of the current or last attempt.
+  // Endpoint of the current or last attempt, and its address then: it may be
+  // removed from the configuration meanwhile.
   endpoint_name mEndpoint;
   std::string mAddress;
   boost::asio::steady_timer mTimer;
