--- a/thornhollow/testing/process/relay_broken_off_test.py
+++ b/thornhollow/testing/process/relay_broken_off_test.py
@@ -11,6 +11,7 @@
 from open_ended_site import (Answer, LOOK_UP, ORDER, PartCount, RESUMABLE,
                              STREAM, WHOLE_STREAM)
 
+
 class BrokenOff(open_ended_site.OpenEndedTest):
 
     def test_stream_broken_off_inside_an_event_not_complete(self):
