--- a/thornhollow/daemon/internal/relay_session_answer.cc
+++ b/thornhollow/daemon/internal/relay_session_answer.cc
@@ -217,9 +217,7 @@
     return;
   }
   EndSilence();
-  if (!mAnswer.IsOpenEnded()) {
-    CompleteAnswer();
-  } else if (!IsAtPeer()) {
+  if (!IsAtPeer() && mAnswer.IsOpenEnded()) {
     JudgeOpenEnd();
   } else if (mAnswer.ReceivedFraming() == answer_framing::kConnection) {
     // Another instance frames what it has judged.
