Ends that nobody vouches for: last reading, what stood twice or was copied

- relay_dispatcher: AskProcess had one caller left, Confirm, which now asks itself.
- Own interface: an answer's body was copied twice more while its end is judged; it is kept once.
- relay_session: an attempt begins only after the end before it was judged, so that ResetAttempt needn't clear the flag.
- process_check: a probe's verdict is read in a function of its own.
- open_end_test: the case of an open connection names its ground again, as the case before did, which only checks that it vouches.
- Tests: a stream's whole text stood in five files, ends that a stopped instance doesn't see in two cases.
No behaviour changes.

--- a/thornhollow/daemon/internal/relay_session_attempt.cc
+++ b/thornhollow/daemon/internal/relay_session_attempt.cc
@@ -94,7 +94,6 @@
   mLastByte = aNow;
   mFirstByteReceived = false;
   mRunProgress = run_progress::kNoOutput;
-  mJudgesEnd = false;
   mAnswer.BeginAttempt();
 }
 
--- a/thornhollow/daemon/internal/router_events.cc
+++ b/thornhollow/daemon/internal/router_events.cc
@@ -1,3 +1,4 @@
+#include <memory>
 #include <utility>
 #include <variant>
 
@@ -43,7 +44,10 @@
   CheckOpenEnd(
     mIo,
     { signs, ask },
-    [this, number = aLive.mTicket, attempt = aLive.mAttempt, answer = aAnswer](
+    [this,
+     number = aLive.mTicket,
+     attempt = aLive.mAttempt,
+     answer = std::make_shared<const answer_received>(aAnswer)](
       open_end_ground aGround) {
       mMetrics.OnEvent("open_end_" + std::string(Name(aGround)));
       const auto found = mLive.find(number);
@@ -52,7 +56,7 @@
         return;
       }
       if (IsVouchedFor(aGround)) {
-        TakeAttemptEvent(*found->second, answer);
+        TakeAttemptEvent(*found->second, *answer);
         return;
       }
       mLog.WriteRequest(log_level::kWarning,
@@ -60,7 +64,7 @@
                         { { "request_id", found->second->mId.Text() },
                           { "endpoint", found->second->mEndpoint.Text() },
                           { "open_end", std::string(Name(aGround)) } });
-      TakeAttemptEvent(*found->second, connection_lost{ answer.mAttempt });
+      TakeAttemptEvent(*found->second, connection_lost{ answer->mAttempt });
     });
 }
 
--- a/thornhollow/daemon/process_check.cc
+++ b/thornhollow/daemon/process_check.cc
@@ -40,6 +40,20 @@
   }
 }
 
+// Where a connection is all that can be asked for.
+process_verdict
+ToProcessVerdict(probe_verdict aVerdict)
+{
+  switch (aVerdict) {
+    case probe_verdict::kAccepts:
+      return process_verdict::kListed;
+    case probe_verdict::kRefuses:
+      return process_verdict::kRefused;
+    default:
+      return process_verdict::kUnknown;
+  }
+}
+
 } // namespace
 
 process_evidence
@@ -133,11 +147,7 @@
                   aProcess.mAddress,
                   aTimeout,
                   [done = std::move(aDone)](const endpoint_probe& aProbe) {
-                    done(aProbe.mVerdict == probe_verdict::kAccepts
-                           ? process_verdict::kListed
-                         : aProbe.mVerdict == probe_verdict::kRefuses
-                           ? process_verdict::kRefused
-                           : process_verdict::kUnknown);
+                    done(ToProcessVerdict(aProbe.mVerdict));
                   });
     return;
   }
--- a/thornhollow/daemon/relay_dispatcher.cc
+++ b/thornhollow/daemon/relay_dispatcher.cc
@@ -618,13 +618,17 @@
                           time_point aMadeAt,
                           std::function<void(bool)> aDone)
 {
-  if (Known(aPick) == nullptr) {
+  const known_endpoint* known = Known(aPick);
+  if (known == nullptr) {
     // It is listed as a new process, or no longer.
     aDone(!mEndpoints.contains(aPick.mEndpoint));
     return;
   }
-  AskProcess(
-    aPick, aMadeAt, [done = std::move(aDone)](process_verdict aVerdict) {
+  mProcesses.Confirm(
+    ProcessOf(*known),
+    aMadeAt,
+    [this, aPick, done = std::move(aDone)](process_verdict aVerdict) {
+      OnProcessAnswered(aPick, aVerdict, Now());
       done(aVerdict == process_verdict::kListed);
     });
 }
@@ -650,6 +654,7 @@
     mProcesses.AskIfRunning(
       { aPick.mEndpoint, aPick.mAddress, aPick.mLifetime, aPick.mStartedMs },
       [this, aPick, answered = std::move(aAnswered)](process_verdict aVerdict) {
+        // Without a start time an answer doesn't tell which process made it.
         if (aPick.mStartedMs != 0) {
           OnProcessAnswered(aPick, aVerdict, Now());
         }
@@ -661,25 +666,6 @@
                std::move(aDone));
 }
 
-void
-relay_dispatcher::AskProcess(const relay_pick& aPick,
-                             time_point aSince,
-                             std::function<void(process_verdict)> aDone)
-{
-  const known_endpoint* known = Known(aPick);
-  if (known == nullptr) {
-    aDone(process_verdict::kUnknown);
-    return;
-  }
-  mProcesses.Confirm(
-    ProcessOf(*known),
-    aSince,
-    [this, aPick, done = std::move(aDone)](process_verdict aVerdict) {
-      OnProcessAnswered(aPick, aVerdict, Now());
-      done(aVerdict);
-    });
-}
-
 void
 relay_dispatcher::OnSourceAnswered(time_point aAt)
 {
--- a/thornhollow/daemon/relay_dispatcher.h
+++ b/thornhollow/daemon/relay_dispatcher.h
@@ -243,11 +243,6 @@
   // connection: hands over whether somebody vouches for that end.
   void JudgeOpenEnd(const relay_pick& aPick,
                     std::function<void(open_end_ground)> aDone);
-  // Hands over which process the endpoint said to be when it was asked at
-  // `aSince` or later; it is asked now where it wasn't.
-  void AskProcess(const relay_pick& aPick,
-                  time_point aSince,
-                  std::function<void(process_verdict)> aDone);
   // Calls `aDone` with whether it does, after the endpoint has been asked where
   // that is necessary; with true where it can't be asked.
   void Confirm(const relay_pick& aPick,
--- a/thornhollow/request/open_end_test.cc
+++ b/thornhollow/request/open_end_test.cc
@@ -29,9 +29,9 @@
 TEST_CASE("open_end/process_known_to_live_on/vouched_for")
 {
   CHECK(IsVouchedFor(JudgeAnswer(process_verdict::kListed)));
-  const auto ground = JudgeWithoutAsking({ .mHasOpenConnection = true });
-  REQUIRE(ground);
-  CHECK(IsVouchedFor(*ground));
+  CHECK(JudgeWithoutAsking({ .mHasOpenConnection = true }) ==
+        open_end_ground::kOpenConnection);
+  CHECK(IsVouchedFor(open_end_ground::kOpenConnection));
 }
 
 TEST_CASE("open_end/grounds/have_names_of_their_own")
--- a/thornhollow/testing/process/open_ended_site.py
+++ b/thornhollow/testing/process/open_ended_site.py
@@ -15,8 +15,7 @@
 import relay_site
 
 EVENTS = 3
-WHOLE_STREAM = b"".join(relay_site.event_text(number)
-                        for number in range(1, EVENTS + 1))
+WHOLE_STREAM = relay_site.stream_text(EVENTS)
 STREAM = "/p/x"
 RESUMABLE = "/s/x"
 LOOK_UP = "/l/x"
--- a/thornhollow/testing/process/relay_early_answer_test.py
+++ b/thornhollow/testing/process/relay_early_answer_test.py
@@ -15,8 +15,7 @@
 # More than systems hold for a connection whose other end doesn't read.
 UPLOAD = b"u" * (12 << 20)
 MAX_BODY_BYTES = 16 << 20
-WHOLE_STREAM = b"".join(relay_site.event_text(number)
-                        for number in range(1, 4))
+WHOLE_STREAM = relay_site.stream_text(3)
 WHOLE = {True: WHOLE_STREAM, False: b"all of the answer"}
 
 
--- a/thornhollow/testing/process/relay_head_cut_test.py
+++ b/thornhollow/testing/process/relay_head_cut_test.py
@@ -13,7 +13,7 @@
 LOOK_UP = "/l/x"
 ORDER = "/o/x"
 PATHS = (STREAM, RESUMABLE, LOOK_UP, ORDER)
-BODY = b"".join(relay_site.event_text(number) for number in range(1, 4))
+BODY = relay_site.stream_text(3)
 
 
 def cuts(version, request):
--- a/thornhollow/testing/process/relay_site.py
+++ b/thornhollow/testing/process/relay_site.py
@@ -258,6 +258,11 @@
     return f"id: {number}\ndata: e{number}{shown}\n\n".encode()
 
 
+def stream_text(events):
+    """A whole stream of so many events."""
+    return b"".join(event_text(number) for number in range(1, events + 1))
+
+
 class StreamCaller:
     """A caller that takes its stream up, at any instance, after its connection
     ended."""
--- a/thornhollow/testing/process/relay_soak_test.py
+++ b/thornhollow/testing/process/relay_soak_test.py
@@ -33,8 +33,7 @@
 # Headers that tell where an answer's body ends.
 FRAMING = {"content-length", "transfer-encoding"}
 EVENTS = 6
-STREAM = b"".join(relay_site.event_text(number)
-                  for number in range(1, EVENTS + 1))
+STREAM = relay_site.stream_text(EVENTS)
 PATHS = {"/o/x": False, "/l/x": False, "/p/x": True, "/s/x": True}
 
 
--- a/thornhollow/testing/process/relay_unvouched_end_test.py
+++ b/thornhollow/testing/process/relay_unvouched_end_test.py
@@ -2,8 +2,6 @@
 them, in whatever state its entry is: no part of one may reach its caller as
 complete. Whole ones of engines that leave in order must reach theirs."""
 
-import contextlib
-import os
 import signal
 import unittest
 
@@ -15,8 +13,7 @@
 
 PATHS = (STREAM, RESUMABLE, LOOK_UP, ORDER)
 EVENTS = 7
-WHOLE_STREAM = b"".join(relay_site.event_text(number)
-                        for number in range(1, EVENTS + 1))
+WHOLE_STREAM = relay_site.stream_text(EVENTS)
 GAP_S = 0.3
 # Between the halves of a body: longer than an engine takes to leave.
 BODY_GAP_S = 1.8
@@ -80,15 +77,6 @@
             if daemon.paths[engine.name].server.socket.fileno() >= 0:
                 daemon.paths[engine.name].server.end()
 
-    @staticmethod
-    @contextlib.contextmanager
-    def standing_still(daemon):
-        os.kill(daemon.process.pid, signal.SIGSTOP)
-        try:
-            yield
-        finally:
-            os.kill(daemon.process.pid, signal.SIGCONT)
-
     def check(self, path, answer, others_serve=True):
         with self.subTest(path):
             whole = (answer.body == WHOLE_STREAM if path in (STREAM, RESUMABLE)
@@ -115,6 +103,22 @@
         for path, each in answers.items():
             self.check(path, each.result())
 
+    def ends_unseen(self, then=lambda engine: None, others_serve=True):
+        """Each engine but one crashes and is removed while the instance stands
+        still; `then` follows for each before the instance goes on."""
+        self.begin_slowly()
+        answers = self.asked(self.fleet[0])
+        self.fleet[0].signal(signal.SIGSTOP)
+        try:
+            for engine in self.engines[:2]:
+                self.end(engine)
+                self.store.delete(f"servers/{engine.name}")
+                then(engine)
+        finally:
+            self.fleet[0].signal(signal.SIGCONT)
+        for path, each in answers.items():
+            self.check(path, each.result(), others_serve)
+
     def leaves_in_order(self, *signs):
         """Engines that leave go on with what they have: each answer comes
         whole, as its process lives on after it."""
@@ -155,19 +159,14 @@
     def test_address_of_another_engine_does_not_vouch(self):
         # The engine ends, and one with another name is back at its address
         # before the end of the answer is seen.
-        self.begin_slowly()
-        answers = self.asked(self.fleet[0])
-        with self.standing_still(self.fleet[0]):
-            for engine in self.engines[:2]:
-                self.end(engine)
-                self.store.delete(f"servers/{engine.name}")
-                path = self.fleet[0].paths[engine.name]
-                engine.name += "-next"
-                engine.process_born = 2
-                path.heal()
-        for path, each in answers.items():
-            # It declines, and the route allows two attempts.
-            self.check(path, each.result(), others_serve=False)
+        def come_back(engine):
+            path = self.fleet[0].paths[engine.name]
+            engine.name += "-next"
+            engine.process_born = 2
+            path.heal()
+
+        # It declines, and the route allows two attempts.
+        self.ends_unseen(come_back, others_serve=False)
 
 
 class StatedStart(UnstatedStart):
@@ -187,14 +186,7 @@
         self.ends_after("removed", way=1)
 
     def test_engine_crashes_and_is_removed_while_the_instance_stands_still(self):
-        self.begin_slowly()
-        answers = self.asked(self.fleet[0])
-        with self.standing_still(self.fleet[0]):
-            for engine in self.engines[:2]:
-                self.end(engine)
-                self.store.delete(f"servers/{engine.name}")
-        for path, each in answers.items():
-            self.check(path, each.result())
+        self.ends_unseen()
 
     def test_whole_answers_of_removed_engines_come_whole(self):
         self.leaves_in_order("removed")
